--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+.DEFAULT_GOAL := help
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+DEPLOYMENT ?= lanting
+PACKAGES := $(wildcard packages/*)
+STAMP := $(VENV)/.installed
+
+.PHONY: help
+help:  ## Show this list of commands
+	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | awk -F ':.*## ' '{printf "%-14s %s\n", $$1, $$2}'
+
+$(STAMP): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q --upgrade -c constraints.txt setuptools
+	$(BIN)/python -m pip install -q --no-build-isolation -c constraints.txt \
+	  -r requirements-dev.txt $(foreach package,$(PACKAGES),-e $(package))
+	touch $(STAMP)
+
+.PHONY: install
+install: $(STAMP)  ## Install the workspace and its tools into .venv
+
+.PHONY: demo
+demo: $(STAMP)  ## Run a small fleet: make demo [DEPLOYMENT=lanting|cedarline]
+	$(BIN)/python -m millfork_standins.demo --deployment=$(DEPLOYMENT)
+
+.PHONY: test
+test: $(STAMP)  ## Run all tests and scenarios
+	$(BIN)/python -m pytest
+
+.PHONY: lint
+lint: $(STAMP)  ## Check format, lint and types
+	$(BIN)/ruff format --check packages tests
+	$(BIN)/ruff check packages tests
+	$(BIN)/mypy
+
+.PHONY: format
+format: $(STAMP)  ## Format the code
+	$(BIN)/ruff format packages tests
+	$(BIN)/ruff check --fix packages tests
--- /dev/null
+++ b/packages/millfork-core/millfork_core/__init__.py
@@ -0,0 +1,4 @@
+"""
+Ids, verdicts, reasons, logs and metrics shared by every part of millfork.
+
+"""
--- /dev/null
+++ b/packages/millfork-core/millfork_core/metrics.py
@@ -0,0 +1,57 @@
+"""
+Counters and gauges, kept in one registry for each process.
+
+"""
+
+from typing import Final
+
+from aioprometheus import Counter, Gauge, Registry, render
+
+from millfork_core.verdicts import Reason
+
+TEXT_ACCEPT: Final = ['text/plain']
+
+
+class Metrics:
+    """
+    The process's metrics, made once and passed in by the environment.
+
+    """
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.refusals = self._counter('millfork_refusals_total', 'Final refusals by reason.')
+        self.retries = self._counter('millfork_retries_total', 'Attempts retried by reason.')
+        self.requests = self._counter('millfork_requests_total', 'Requests by outcome.')
+        self.wire = self._counter('millfork_wire_total', 'Wire events by kind.')
+        self.wire_bytes = self._counter(
+            'millfork_wire_bytes_total', 'Control bytes sent and received.'
+        )
+        self.chunks = self._counter('millfork_chunks_total', 'Chunks by source and outcome.')
+        self.chunk_bytes = self._counter('millfork_chunk_bytes_total', 'Chunk bytes by source.')
+        self.state = self._counter('millfork_state_total', 'Replica events by kind.')
+        self.orders = self._counter('millfork_orders_total', 'Orders to the engine by outcome.')
+        self.revision = self._gauge('millfork_revision', 'Configuration revision in force.')
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(name, doc, registry=self.registry)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(name, doc, registry=self.registry)
+
+    def refused(self, reason: Reason, part: str) -> None:
+        self.refusals.inc({'reason': reason.value, 'part': part})
+
+    def retried(self, reason: Reason) -> None:
+        self.retries.inc({'reason': reason.value})
+
+    def count(self, counter: Counter, amount: float = 1, **labels: str) -> None:
+        counter.add(labels, amount)
+
+    def render(self) -> tuple[bytes, str]:
+        """
+        The registry as Prometheus text: body and content type.
+
+        """
+        body, headers = render(self.registry, TEXT_ACCEPT)
+        return body, headers.get('Content-Type', 'text/plain')
--- /dev/null
+++ b/packages/millfork-core/millfork_core/signals.py
@@ -0,0 +1,53 @@
+"""
+Stop signals, awaited by a task.
+
+"""
+
+import signal
+import socket
+from types import TracebackType
+from typing import Self
+
+from curio.io import Socket
+
+
+def _noted(number: int, frame: object) -> None:
+    """
+    The wake-up descriptor carries the signal; there is nothing more to do.
+
+    """
+
+
+class StopSignals:
+    """
+    Turns SIGTERM and SIGINT into something a task can wait for.
+
+    """
+
+    def __init__(self) -> None:
+        reader, self.writer = socket.socketpair()
+        self.writer.setblocking(False)
+        self.reader = Socket(reader)
+
+    async def __aenter__(self) -> Self:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, _noted)
+        signal.set_wakeup_fd(self.writer.fileno(), warn_on_full_buffer=False)
+        return self
+
+    async def get(self) -> None:
+        """
+        Wait for the next signal.
+
+        """
+        await self.reader.recv(1)
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        signal.set_wakeup_fd(-1)
+        await self.reader.close()
+        self.writer.close()
--- /dev/null
+++ b/packages/millfork-core/millfork_core/verdicts.py
@@ -0,0 +1,134 @@
+"""
+Verdicts and reasons: what is known about a request that got no answer.
+
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+
+class Verdict(Enum):
+    """
+    Whether a request may have run on a back end.
+
+    """
+
+    NOT_RUN = 'not_run'
+    MAY_HAVE_RUN = 'may_have_run'
+    RAN = 'ran'
+
+
+class Reason(Enum):
+    """
+    Why a request was refused or an attempt was retried. Each has a counter.
+
+    """
+
+    BAD_REQUEST = 'bad_request'
+    TOO_LARGE = 'too_large'
+    UNAUTHENTICATED = 'unauthenticated'
+    NOT_FOUND = 'not_found'
+    NOT_READY = 'not_ready'
+    NO_ENDPOINT = 'no_endpoint'
+    UNREACHABLE = 'unreachable'
+    TIMED_OUT = 'timed_out'
+    BUSY = 'busy'
+    OVER_SHARE = 'over_share'
+    LEAVING = 'leaving'
+    NOT_SERVABLE = 'not_servable'
+    ENGINE_EMPTY = 'engine_empty'
+    VERSION_MISMATCH = 'version_mismatch'
+    CONNECTION_LOST = 'connection_lost'
+    BACKEND_FAILED = 'backend_failed'
+    TRUNCATED = 'truncated'
+    CANCELLED = 'cancelled'
+    EXPIRED = 'expired'
+    RETRY_BUDGET = 'retry_budget'
+    KEY_IN_PROGRESS = 'key_in_progress'
+    KEY_REUSED = 'key_reused'
+    KEY_MAY_HAVE_RUN = 'key_may_have_run'
+    CLAIM_UNAVAILABLE = 'claim_unavailable'
+    STOPPING = 'stopping'
+    CONFLICT = 'conflict'
+    FORBIDDEN = 'forbidden'
+    NO_QUORUM = 'no_quorum'
+    INVALID = 'invalid'
+
+
+HTTP_STATUS: Final[dict[Reason, int]] = {
+    Reason.BAD_REQUEST: 400,
+    Reason.INVALID: 422,
+    Reason.TOO_LARGE: 413,
+    Reason.UNAUTHENTICATED: 401,
+    Reason.FORBIDDEN: 403,
+    Reason.NOT_FOUND: 404,
+    Reason.CONFLICT: 409,
+    Reason.KEY_IN_PROGRESS: 409,
+    Reason.KEY_MAY_HAVE_RUN: 409,
+    Reason.KEY_REUSED: 422,
+    Reason.OVER_SHARE: 429,
+    Reason.TIMED_OUT: 504,
+    Reason.CONNECTION_LOST: 502,
+    Reason.BACKEND_FAILED: 502,
+    Reason.TRUNCATED: 502,
+    Reason.VERSION_MISMATCH: 502,
+}
+DEFAULT_HTTP_STATUS: Final = 503
+
+# Refusals that mend by waiting, with the wait in milliseconds when the
+# refusing part knows nothing better.
+DEFAULT_RETRY_AFTER_MS: Final[dict[Reason, int]] = {
+    Reason.NOT_READY: 1000,
+    Reason.NO_ENDPOINT: 2000,
+    Reason.UNREACHABLE: 1000,
+    Reason.TIMED_OUT: 1000,
+    Reason.BUSY: 1000,
+    Reason.OVER_SHARE: 1000,
+    Reason.LEAVING: 1000,
+    Reason.NOT_SERVABLE: 2000,
+    Reason.ENGINE_EMPTY: 2000,
+    Reason.EXPIRED: 1000,
+    Reason.RETRY_BUDGET: 2000,
+    Reason.KEY_IN_PROGRESS: 1000,
+    Reason.CLAIM_UNAVAILABLE: 2000,
+    Reason.STOPPING: 1000,
+    Reason.NO_QUORUM: 2000,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """
+    A final 'no': the reason, whether the request may have run, and when to
+    come back (milliseconds; 0 means that waiting does not help).
+
+    """
+
+    reason: Reason
+    verdict: Verdict = Verdict.NOT_RUN
+    detail: str = ''
+    retry_after_ms: int = 0
+
+    @property
+    def wait_ms(self) -> int:
+        """
+        The wait told to the caller, in milliseconds.
+
+        """
+        return self.retry_after_ms or DEFAULT_RETRY_AFTER_MS.get(self.reason, 0)
+
+    @property
+    def http_status(self) -> int:
+        return HTTP_STATUS.get(self.reason, DEFAULT_HTTP_STATUS)
+
+
+class Refused(Exception):
+    """
+    Carries a refusal through code that has no better way to return it.
+
+    """
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(f'{refusal.reason.value}: {refusal.detail}')
+        self.refusal = refusal
--- /dev/null
+++ b/packages/millfork-routing/millfork_routing/__init__.py
@@ -0,0 +1,4 @@
+"""
+Decisions on the path of a request: balance, limits, retries.
+
+"""
--- /dev/null
+++ b/packages/millfork-routing/millfork_routing/balance.py
@@ -0,0 +1,85 @@
+"""
+Which endpoint gets a request.
+
+"""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_core.ranks import rank
+
+# A preferred endpoint is passed over once it is this much above the mean.
+BOUNDED_LOAD: Final = 1.25
+UNKNOWN_LIMIT: Final = 8
+
+
+@dataclass(slots=True)
+class Backend:
+    """
+    One endpoint as an entry sees it.
+
+    """
+
+    instance: InstanceId
+    zone: ZoneId
+    limit: int = UNKNOWN_LIMIT
+    reported: int = 0
+    mine_at_report: int = 0
+    mine: int = 0
+    leaving: bool = False
+    suspect_until: float = 0.0
+    busy_until: float = 0.0
+    retry_after_ms: int = 0
+    served: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def occupied(self) -> int:
+        """
+        Requests in progress there: the last report, which lags, corrected
+        by what this entry has begun and ended since.
+
+        """
+        return max(self.reported + self.mine - self.mine_at_report, self.mine)
+
+    @property
+    def load(self) -> float:
+        return self.occupied / self.limit
+
+    def take_report(self, occupied: int, limit: int) -> None:
+        """
+        Take a load report as of now.
+
+        """
+        self.reported = occupied
+        self.limit = max(limit, 1)
+        self.mine_at_report = self.mine
+
+
+def usable(backend: Backend, now: float) -> bool:
+    return not backend.leaving and backend.suspect_until <= now and backend.busy_until <= now
+
+
+def choose(
+    backends: list[Backend],
+    zone: ZoneId,
+    affinity: str,
+    tried: set[InstanceId],
+    now: float,
+) -> Backend | None:
+    """
+    The endpoint for a request: in this zone while one there has room, then
+    elsewhere; among those the one that the affinity key prefers, unless it
+    is loaded well above the mean; without a key, the least loaded.
+
+    """
+    able = [b for b in backends if b.instance not in tried and usable(b, now)]
+    if not able:
+        return None
+    local = [b for b in able if b.zone == zone and b.load < 1]
+    free = local or [b for b in able if b.load < 1] or able
+    if not affinity:
+        return min(free, key=lambda b: (b.load, rank(affinity, b.instance)))
+    mean = sum(b.occupied + 1 for b in free) / sum(b.limit for b in free)
+    within = [b for b in free if b.load <= mean * BOUNDED_LOAD] or free
+    return max(within, key=lambda b: rank(affinity, b.instance))
--- /dev/null
+++ b/packages/millfork-routing/millfork_routing/limits.py
@@ -0,0 +1,188 @@
+"""
+Fair shares: who may begin, who waits, who is refused at once.
+
+"""
+
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+import curio
+from millfork_core.ids import OrganisationId
+
+SERVICE_TIME_WEIGHT: Final = 0.1
+FIRST_SERVICE_TIME_S: Final = 0.2
+MIN_RETRY_AFTER_MS: Final = 100
+
+
+@dataclass(slots=True)
+class Waiter:
+    """
+    A request waiting for a slot, until a moment on the monotonic clock.
+
+    """
+
+    organisation: OrganisationId
+    until: float
+    granted: curio.Event = field(default_factory=curio.Event)
+    has_slot: bool = False
+
+
+class FairQueue:
+    """
+    Slots of one back end, given to organisations in turn by their shares.
+
+    Each organisation has a queue of its own. A turn grants one slot for each
+    unit of share, so a flood from one waits behind itself.
+
+    """
+
+    def __init__(
+        self,
+        slots: int,
+        most_waiting: int,
+        share: Callable[[OrganisationId], int],
+        monotonic: Callable[[], float],
+    ) -> None:
+        self.slots = slots
+        self.most_waiting = most_waiting
+        self.share = share
+        self.monotonic = monotonic
+        self.running = 0
+        self.waiting = 0
+        self.queues: OrderedDict[OrganisationId, deque[Waiter]] = OrderedDict()
+        self.turn_left = 0
+        self.service_time_s = FIRST_SERVICE_TIME_S
+
+    def expected_wait_s(self, organisation: OrganisationId) -> float:
+        """
+        Seconds until a request of this organisation would begin.
+
+        """
+        if self.running < self.slots:
+            return 0.0
+        mine = len(self.queues.get(organisation, ())) + 1
+        shares = sum(self.share(name) for name in self.queues if name != organisation)
+        own_share = self.share(organisation)
+        ahead = mine * (1 + shares / own_share)
+        ahead = min(ahead, self.waiting + 1)
+        return ahead * self.service_time_s / self.slots
+
+    def refuses(self, organisation: OrganisationId, patience_s: float) -> int:
+        """
+        0 if a request may wait here, else when to come back, in ms.
+
+        """
+        wait_s = self.expected_wait_s(organisation)
+        queued = len(self.queues.get(organisation, ()))
+        if wait_s <= patience_s and queued < self._room(organisation):
+            return 0
+        return max(int(wait_s * 1000), MIN_RETRY_AFTER_MS)
+
+    def _room(self, organisation: OrganisationId) -> int:
+        """
+        Places in the queue for one organisation: its share of all places.
+
+        """
+        if self.running < self.slots:
+            return self.slots + self.most_waiting
+        shares = sum(self.share(name) for name in self.queues if name != organisation)
+        own_share = self.share(organisation)
+        return max(self.most_waiting * own_share // (shares + own_share), 1)
+
+    async def join(self, organisation: OrganisationId, until: float) -> Waiter:
+        """
+        Wait in line; the returned waiter's `granted` is set with its slot.
+
+        """
+        waiter = Waiter(organisation, until)
+        self.queues.setdefault(organisation, deque()).append(waiter)
+        self.waiting += 1
+        await self._grant()
+        return waiter
+
+    async def leave(self, waiter: Waiter) -> None:
+        """
+        Give up a place in line, or the slot.
+
+        """
+        if waiter.has_slot:
+            waiter.has_slot = False
+            self.running -= 1
+            await self._grant()
+            return
+        queue = self.queues.get(waiter.organisation)
+        if queue is not None and waiter in queue:
+            queue.remove(waiter)
+            self.waiting -= 1
+            if not queue:
+                del self.queues[waiter.organisation]
+
+    def learn_service_time(self, seconds: float) -> None:
+        """
+        Take one request's time on the back end into the estimate.
+
+        """
+        self.service_time_s += SERVICE_TIME_WEIGHT * (seconds - self.service_time_s)
+
+    async def _grant(self) -> None:
+        while self.running < self.slots and self.queues:
+            organisation = next(iter(self.queues))
+            if not self.turn_left:
+                self.turn_left = self.share(organisation)
+            waiter = self._next(organisation)
+            if waiter is None:
+                continue
+            waiter.has_slot = True
+            self.running += 1
+            await waiter.granted.set()
+
+    def _next(self, organisation: OrganisationId) -> Waiter | None:
+        """
+        Take the organisation's next waiter and move the turn on when its
+        share is used or its queue is empty.
+
+        """
+        queue = self.queues[organisation]
+        waiter = queue.popleft()
+        self.waiting -= 1
+        self.turn_left -= 1
+        if not queue:
+            del self.queues[organisation]
+            self.turn_left = 0
+        elif not self.turn_left:
+            self.queues.move_to_end(organisation)
+        if waiter.until < self.monotonic():
+            # Its owner wakes by its own time-out; a slot would be wasted.
+            return None
+        return waiter
+
+
+class InFlight:
+    """
+    Requests in progress on one entry, by organisation, under a ceiling.
+
+    """
+
+    def __init__(self, ceiling: int) -> None:
+        self.ceiling = ceiling
+        self.counts: dict[OrganisationId, int] = {}
+
+    def begin(self, organisation: OrganisationId) -> bool:
+        """
+        Count a request in; False if the organisation is at its ceiling.
+
+        """
+        count = self.counts.get(organisation, 0)
+        if count >= self.ceiling:
+            return False
+        self.counts[organisation] = count + 1
+        return True
+
+    def end(self, organisation: OrganisationId) -> None:
+        left = self.counts[organisation] - 1
+        if left:
+            self.counts[organisation] = left
+            return
+        del self.counts[organisation]
--- /dev/null
+++ b/packages/millfork-settings/millfork_settings/__init__.py
@@ -0,0 +1,4 @@
+"""
+Settings and declarations: YAML in, validated models out.
+
+"""
--- /dev/null
+++ b/packages/millfork-settings/millfork_settings/declarations.py
@@ -0,0 +1,61 @@
+"""
+Declarations: what operators keep in version control and apply.
+
+"""
+
+from typing import Annotated
+
+from pydantic import Field
+
+from millfork_settings.models import Name, Strict
+
+LabelValue = Annotated[str, Field(pattern=r'^[A-Za-z0-9._-]{1,63}$')]
+TokenHash = Annotated[str, Field(pattern=r'^[0-9a-f]{64}$')]
+Selector = dict[str, LabelValue | list[LabelValue]]
+
+
+class OrganisationSpec(Strict):
+    """
+    An organisation and what it may use. Only the administrator applies it.
+
+    """
+
+    caller_tokens: list[TokenHash] = Field(default_factory=list)
+    operator_tokens: list[TokenHash] = Field(default_factory=list)
+    services: list[Name] = Field(default_factory=list)
+    share: int = Field(1, ge=1, le=1000)
+
+
+class VersionSpec(Strict):
+    """
+    One model or adapter at one version.
+
+    """
+
+    name: Name
+    version: Name
+
+
+class DeploymentSpec(Strict):
+    """
+    Which weights should be servable on which instances.
+
+    """
+
+    model: Name
+    version: Name
+    adapters: list[VersionSpec] = Field(default_factory=list)
+    selector: Selector = Field(min_length=1)
+
+
+class Declaration(Strict):
+    """
+    One declaration file.
+
+    """
+
+    organisation: Name | None = None
+    organisations: dict[Name, OrganisationSpec] = Field(default_factory=dict)
+    labels: dict[Name, dict[Name, LabelValue]] = Field(default_factory=dict)
+    deployments: dict[Name, DeploymentSpec] = Field(default_factory=dict)
+    drains: dict[Name, bool] = Field(default_factory=dict)
--- /dev/null
+++ b/packages/millfork-settings/millfork_settings/errors.py
@@ -0,0 +1,46 @@
+"""
+Errors in settings and declarations: every problem at once.
+
+"""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from pydantic import ValidationError
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """
+    One problem: the path of the key in the file and what was expected.
+
+    """
+
+    key: str
+    expected: str
+
+
+class BadFile(Exception):
+    """
+    A file that can't be used, with all its problems.
+
+    """
+
+    def __init__(self, path: Path, problems: list[Problem]) -> None:
+        lines = [f'{path}: {problem.key}: {problem.expected}' for problem in problems]
+        super().__init__('\n'.join(lines))
+        self.path = path
+        self.problems = problems
+
+
+def problems_of(error: ValidationError) -> list[Problem]:
+    """
+    The validator's findings as problems.
+
+    """
+    problems = []
+    for item in error.errors():
+        key = '.'.join(str(step) for step in item['loc']) or '(whole file)'
+        expected = 'unknown key' if item['type'] == 'extra_forbidden' else item['msg']
+        problems.append(Problem(key, expected))
+    return problems
--- /dev/null
+++ b/packages/millfork-settings/millfork_settings/loading.py
@@ -0,0 +1,60 @@
+"""
+YAML files into validated models.
+
+"""
+
+from pathlib import Path
+from typing import Any, TypeVar
+
+import yaml
+from pydantic import BaseModel, ValidationError
+
+from millfork_settings.errors import BadFile, Problem, problems_of
+
+Model = TypeVar('Model', bound=BaseModel)
+
+
+def read_yaml(path: Path) -> Any:
+    """
+    The content of a YAML file.
+
+    :raises BadFile: if it can't be read or is no YAML.
+
+    """
+    try:
+        return yaml.safe_load(path.read_text())
+    except OSError as error:
+        raise BadFile(path, [Problem('(whole file)', error.strerror or str(error))]) from error
+    except (yaml.YAMLError, UnicodeDecodeError) as error:
+        detail = ' '.join(str(error).split())
+        raise BadFile(path, [Problem('(whole file)', f'YAML expected: {detail}')]) from error
+
+
+def load(path: Path, model: type[Model]) -> Model:
+    """
+    The file as a validated model.
+
+    :raises BadFile: with every problem found.
+
+    """
+    content = read_yaml(path)
+    try:
+        return model.model_validate(content)
+    except ValidationError as error:
+        raise BadFile(path, problems_of(error)) from error
+
+
+def read_secret(path: Path) -> bytes:
+    """
+    A secret from its file, without surrounding white space.
+
+    :raises BadFile: if there is none.
+
+    """
+    try:
+        secret = path.read_bytes().strip()
+    except OSError as error:
+        raise BadFile(path, [Problem('(secret)', error.strerror or str(error))]) from error
+    if not secret:
+        raise BadFile(path, [Problem('(secret)', 'a secret expected, the file is empty')])
+    return secret
--- /dev/null
+++ b/packages/millfork-standins/millfork_standins/__init__.py
@@ -0,0 +1,4 @@
+"""
+Stand-ins at the interfaces, the demo fleet and the bench.
+
+"""
--- /dev/null
+++ b/packages/millfork-standins/millfork_standins/deployments.py
@@ -0,0 +1,73 @@
+"""
+The two deployments of today, as the fleet runner starts them.
+
+"""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """
+    An availability zone and its region.
+
+    """
+
+    zone: str
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """
+    Places, and how many servers each service has. `number` is the second
+    number of all its loopback addresses.
+
+    """
+
+    name: str
+    number: int
+    places: tuple[Place, ...]
+    engine_service: str
+    engines: int
+    plain_services: dict[str, int]
+    model: str
+    organisations: tuple[str, ...]
+    origin_copies: int
+    entries: int = 6
+    disks: int = 3
+    state: dict[str, int] = field(default_factory=dict)
+
+
+LANTING: Final = Shape(
+    'lanting',
+    71,
+    (
+        Place('neihu-hall', 'taipei'),
+        Place('xitun-hall', 'taichung'),
+        Place('qianzhen-hall', 'kaohsiung'),
+    ),
+    'millfork-pool',
+    6,
+    {'portal-assets': 3, 'billing-misc': 1},
+    'lecture-summariser',
+    ('lanting-lectures', 'lanting-quizzes'),
+    origin_copies=3,
+)
+CEDARLINE: Final = Shape(
+    'cedarline',
+    72,
+    (
+        Place('kelowna-hall', 'bc-interior'),
+        Place('burnaby-hall', 'lower-mainland'),
+        Place('pg-hall', 'bc-north'),
+    ),
+    'millfork-drafting',
+    6,
+    {'register-api': 3, 'head-office-apps': 1},
+    'transfer-drafter',
+    ('cedarline-register', 'cedarline-legal'),
+    origin_copies=1,
+)
+SHAPES: Final = {shape.name: shape for shape in (LANTING, CEDARLINE)}
--- /dev/null
+++ b/packages/millfork-standins/millfork_standins/engine.py
@@ -0,0 +1,222 @@
+"""
+A model engine: continuous batching, prefix cache, priorities, orders.
+
+Its answers are computed from the bytes it loaded, so an answer from partial
+or mixed weights can't look right.
+
+"""
+
+import json
+import time
+import uuid
+from collections import OrderedDict
+from pathlib import Path
+from typing import Any, Final
+
+import blake3
+import curio
+from millfork_web.models import Headers, json_response
+from millfork_web.server import Exchange, Server
+
+from millfork_standins.execution_log import ExecutionLog
+from millfork_standins.settings import EngineSettings
+from millfork_standins.weights import token, weights_key
+
+PREFIX_CHARS: Final = 64
+DEFAULT_TOKENS: Final = 8
+READ_BYTES: Final = 1024 * 1024
+
+
+class Engine:
+    """
+    One engine process.
+
+    """
+
+    def __init__(self, settings: EngineSettings) -> None:
+        self.settings = settings
+        self.log = ExecutionLog(settings.log)
+        self.incarnation = uuid.uuid4().hex
+        self.number = 0
+        self.role = 'mixed'
+        self.loaded: dict[str, str] = {}
+        self.running = 0
+        self.waiting: list[tuple[int, int, curio.Event]] = []
+        self.arrivals = 0
+        self.cache: OrderedDict[str, float] = OrderedDict()
+        self.events: list[dict[str, Any]] = []
+        self.reported_load = {'running': 0, 'waiting': 0}
+        self.server = Server(*settings.listen.pair, self.answer)
+
+    async def run(self) -> None:
+        await curio.spawn(self._publish_load, daemon=True)
+        await self.server.run()
+
+    async def _publish_load(self) -> None:
+        while True:
+            self.reported_load = {'running': self.running, 'waiting': len(self.waiting)}
+            await curio.sleep(self.settings.load_lag_ms / 1000)
+
+    async def answer(self, exchange: Exchange) -> None:
+        path = exchange.request.path
+        if path in ('/v1/completions', '/v1/chat/completions'):
+            await self._complete(exchange)
+            return
+        if path == '/orders':
+            await self._order(exchange)
+            return
+        answers: dict[str, Any] = {
+            '/status': {
+                'incarnation': self.incarnation,
+                'fencing_number': self.number,
+                'loaded': list(self.loaded),
+            },
+            '/load': self.reported_load,
+            '/events': [event for event in self.events if self._is_published(event)],
+        }
+        if path in answers:
+            await exchange.respond(json_response(answers[path]))
+            return
+        if path.startswith('/kv/'):
+            await self._transfer_cache(exchange, path.removeprefix('/kv/'))
+            return
+        await exchange.respond(json_response({'error': 'no such path'}, 404))
+
+    def _is_published(self, event: dict[str, Any]) -> bool:
+        late = self.settings.event_lag_ms / 1000
+        number = int(event['number'])
+        has_gap = (number * 0.618) % 1 < self.settings.event_gap_share
+        return not has_gap and _now() - float(event['at']) > late
+
+    # Orders.
+
+    async def _order(self, exchange: Exchange) -> None:
+        order = exchange.request.json()
+        old = order['number'] < self.number
+        if old and self.settings.refuses_old_orders:
+            await exchange.respond(json_response({'error': 'old fencing number'}, 409))
+            return
+        self.number = max(self.number, order['number'])
+        self.log.write(kind='order', order=order['action'], number=order['number'], old=old)
+        if order['action'] == 'load':
+            await self._load(order['version'], order['parts'])
+        if order['action'] == 'unload':
+            self.loaded.pop(order['version'], None)
+        if order['action'] == 'role':
+            self.role = order['role']
+        await exchange.respond(json_response({'loaded': list(self.loaded)}))
+
+    async def _load(self, version: str, parts: list[dict[str, str]]) -> None:
+        await curio.sleep(self.settings.load_s)
+        wholes = [await curio.run_in_thread(_digest_file, Path(part['path'])) for part in parts]
+        self.loaded[version] = weights_key(wholes)
+
+    # Completions.
+
+    async def _complete(self, exchange: Exchange) -> None:
+        request = exchange.request
+        body = request.json()
+        key = self.loaded.get(body['model'])
+        if key is None:
+            await exchange.respond(json_response({'error': 'model not loaded'}, 404))
+            return
+        request_id = request.header('x-request-id')
+        headers: Headers = [('millfork-version', body['model']), ('x-request-id', request_id)]
+        prompt = body['prompt']
+        self.log.write(kind='begin', id=request_id, nonce=body.get('nonce'), model=body['model'])
+        await self._take_slot(int(request.header('x-priority') or 0))
+        try:
+            await self._generate(exchange, headers, key, prompt, body)
+        finally:
+            await self._free_slot()
+        self.log.write(kind='end', id=request_id, nonce=body.get('nonce'), model=body['model'])
+
+    async def _generate(
+        self,
+        exchange: Exchange,
+        headers: Headers,
+        key: str,
+        prompt: str,
+        body: dict[str, Any],
+    ) -> None:
+        await curio.sleep(self._first_token_s(key, prompt))
+        positions = range(body.get('resume_from', 0), body.get('max_tokens', DEFAULT_TOKENS))
+        if not body.get('stream'):
+            await curio.sleep(len(positions) * self.settings.token_ms / 1000)
+            text = ' '.join(token(key, prompt, position) for position in positions)
+            answer = {'choices': [{'text': text}], 'nonce': body.get('nonce')}
+            response = json_response(answer)
+            response.headers += headers
+            await exchange.respond(response)
+            return
+        await exchange.start(200, [('content-type', 'text/event-stream'), *headers])
+        for position in positions:
+            await curio.sleep(self.settings.token_ms / 1000)
+            event = {'text': token(key, prompt, position), 'nonce': body.get('nonce')}
+            await exchange.write(f'data: {json.dumps(event)}\n\n'.encode())
+        await exchange.write(b'data: [DONE]\n\n')
+        await exchange.finish()
+
+    async def _take_slot(self, priority: int) -> None:
+        if self.running < self.settings.slots:
+            self.running += 1
+            return
+        self.arrivals += 1
+        turn = curio.Event()
+        self.waiting.append((-priority, self.arrivals, turn))
+        self.waiting.sort(key=lambda waiter: waiter[:2])
+        try:
+            await turn.wait()
+        except curio.CancelledError:
+            if turn.is_set():
+                await self._free_slot()
+            self.waiting = [waiter for waiter in self.waiting if waiter[2] is not turn]
+            raise
+
+    async def _free_slot(self) -> None:
+        if self.waiting:
+            await self.waiting.pop(0)[2].set()
+            return
+        self.running -= 1
+
+    # The prefix cache.
+
+    def _first_token_s(self, key: str, prompt: str) -> float:
+        prefix = f'{key}/{prompt[:PREFIX_CHARS]}'
+        hit = prefix in self.cache
+        self._remember(prefix)
+        wait_ms = self.settings.cached_first_token_ms if hit else self.settings.first_token_ms
+        return wait_ms / 1000
+
+    def _remember(self, prefix: str) -> None:
+        if prefix not in self.cache:
+            self._publish('stored', prefix)
+        self.cache[prefix] = _now()
+        self.cache.move_to_end(prefix)
+        if len(self.cache) > self.settings.cached_prefixes:
+            gone, _ = self.cache.popitem(last=False)
+            self._publish('removed', gone)
+
+    def _publish(self, kind: str, prefix: str) -> None:
+        number = len(self.events) + 1
+        self.events.append({'number': number, 'kind': kind, 'prefix': prefix, 'at': _now()})
+
+    async def _transfer_cache(self, exchange: Exchange, prefix: str) -> None:
+        if exchange.request.method == 'PUT':
+            self._remember(prefix)
+            await exchange.respond(json_response({'imported': prefix}))
+            return
+        found = prefix in self.cache
+        await exchange.respond(json_response({'prefix': prefix}, 200 if found else 404))
+
+
+def _now() -> float:
+    return time.monotonic()
+
+
+def _digest_file(path: Path) -> str:
+    hasher = blake3.blake3()
+    with path.open('rb') as file:
+        while data := file.read(READ_BYTES):
+            hasher.update(data)
+    return hasher.hexdigest()
--- /dev/null
+++ b/packages/millfork-standins/millfork_standins/relay.py
@@ -0,0 +1,113 @@
+"""
+A CONNECT proxy between the zones, which can cut and heal them.
+
+`POST /control` with `cut`: pairs of zone numbers, `freeze`: pairs on which
+bytes stop but connections stay.
+
+"""
+
+from typing import Any
+
+import curio
+from curio import socket
+
+from millfork_standins.settings import RelaySettings
+
+READ_BYTES = 256 * 1024
+
+
+def zone_of(address: str) -> int:
+    """
+    The zone's number in an address of the fleet.
+
+    """
+    return int(address.split('.')[2])
+
+
+class Relay:
+    """
+    One relay process.
+
+    """
+
+    def __init__(self, settings: RelaySettings) -> None:
+        self.settings = settings
+        self.cut: set[tuple[int, int]] = set()
+        self.frozen: set[tuple[int, int]] = set()
+        self.open: dict[tuple[int, int], set[Any]] = {}
+        self.thawed = curio.Event()
+
+    async def run(self) -> None:
+        await curio.tcp_server(*self.settings.listen.pair, self._serve, backlog=1024)
+
+    async def _serve(self, sock: Any, address: Any) -> None:
+        head = b''
+        while b'\r\n\r\n' not in head:
+            data = await sock.recv(4096)
+            if not data:
+                return
+            head += data
+        line = head.split(b'\r\n', 1)[0].decode()
+        method, target = line.split(' ')[:2]
+        if method == 'CONNECT':
+            await self._connect(sock, address[0], target)
+            return
+        await self._control(sock, target)
+
+    async def _control(self, sock: Any, target: str) -> None:
+        """
+        `/cut/1-2,1-3`, `/freeze/1-2`; the rest of the zones is joined.
+
+        """
+        kind, _, pairs_text = target.strip('/').partition('/')
+        pairs = set()
+        for text in filter(None, pairs_text.split(',')):
+            first, _, second = text.partition('-')
+            pairs |= {(int(first), int(second)), (int(second), int(first))}
+        if kind == 'cut':
+            self.cut = pairs
+            await self._close_cut()
+        if kind == 'freeze':
+            self.frozen = pairs
+            await self.thawed.set()
+        await sock.sendall(b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n')
+
+    async def _close_cut(self) -> None:
+        for pair in self.cut:
+            for sock in list(self.open.get(pair, ())):
+                try:
+                    await sock.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+
+    async def _connect(self, sock: Any, source: str, target: str) -> None:
+        host, _, port = target.rpartition(':')
+        pair = (zone_of(source), zone_of(host))
+        if pair in self.cut:
+            await sock.sendall(b'HTTP/1.1 503 Cut\r\n\r\n')
+            return
+        try:
+            peer = await curio.open_connection(host, int(port), source_addr=(source, 0))
+        except OSError:
+            await sock.sendall(b'HTTP/1.1 502 Unreachable\r\n\r\n')
+            return
+        await sock.sendall(b'HTTP/1.1 200 OK\r\n\r\n')
+        held = self.open.setdefault(pair, set())
+        held |= {sock, peer}
+        try:
+            async with curio.TaskGroup(wait=any) as group:
+                await group.spawn(self._pump, sock, peer, pair)
+                await group.spawn(self._pump, peer, sock, pair)
+        finally:
+            held -= {sock, peer}
+            await peer.close()
+
+    async def _pump(self, source: Any, target: Any, pair: tuple[int, int]) -> None:
+        try:
+            while data := await source.recv(READ_BYTES):
+                while pair in self.frozen:
+                    self.thawed.clear()
+                    await self.thawed.wait()
+                await target.sendall(data)
+        except OSError:
+            pass
--- /dev/null
+++ b/packages/millfork-standins/millfork_standins/requests.py
@@ -0,0 +1,68 @@
+"""
+Blocking HTTP for runners and tests, by the standard library.
+
+"""
+
+import http.client
+import json
+from dataclasses import dataclass
+from typing import Any, Final
+
+TIMEOUT_S: Final = 10.0
+
+
+@dataclass(slots=True)
+class Answer:
+    """
+    One whole answer.
+
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+
+def fetch(
+    method: str,
+    host: str,
+    port: int,
+    path: str,
+    body: bytes = b'',
+    headers: dict[str, str] | None = None,
+    timeout: float = TIMEOUT_S,
+) -> Answer:
+    """
+    One request on a connection of its own.
+
+    :raises OSError: if there is no whole answer.
+
+    """
+    connection = http.client.HTTPConnection(host, port, timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        content = response.read()
+        found = {name.lower(): value for name, value in response.getheaders()}
+        return Answer(response.status, found, content)
+    except http.client.HTTPException as error:
+        raise ConnectionError(f'{type(error).__name__}: {error}') from error
+    finally:
+        connection.close()
+
+
+def fetch_json(method: str, host: str, port: int, path: str, body: Any = None) -> Any:
+    """
+    One request with JSON both ways.
+
+    :raises OSError: if there is no whole answer, or it is an error.
+
+    """
+    data = b'' if body is None else json.dumps(body).encode()
+    answer = fetch(method, host, port, path, data)
+    if answer.status != 200:
+        raise OSError(f'{path} answered {answer.status}: {answer.body[:200]!r}')
+    return answer.json()
--- /dev/null
+++ b/packages/millfork-standins/millfork_standins/service.py
@@ -0,0 +1,38 @@
+"""
+A plain service: answers with what it was asked, and logs what it ran.
+
+"""
+
+import curio
+from millfork_web.models import json_response
+from millfork_web.server import Exchange, Server
+
+from millfork_standins.execution_log import ExecutionLog
+from millfork_standins.settings import ServiceSettings
+
+
+class Service:
+    """
+    One plain service process.
+
+    """
+
+    def __init__(self, settings: ServiceSettings) -> None:
+        self.settings = settings
+        self.log = ExecutionLog(settings.log)
+        self.server = Server(*settings.listen.pair, self.answer)
+
+    async def run(self) -> None:
+        await self.server.run()
+
+    async def answer(self, exchange: Exchange) -> None:
+        request = exchange.request
+        request_id = request.header('x-request-id')
+        nonce = request.header('nonce')
+        self.log.write(kind='begin', id=request_id, nonce=nonce, method=request.method)
+        await curio.sleep(self.settings.answer_ms / 1000)
+        self.log.write(kind='end', id=request_id, nonce=nonce, method=request.method)
+        answer = {'method': request.method, 'path': request.path, 'nonce': nonce}
+        response = json_response(answer)
+        response.headers.append(('x-request-id', request_id))
+        await exchange.respond(response)
--- /dev/null
+++ b/packages/millfork-standins/millfork_standins/settings.py
@@ -0,0 +1,87 @@
+"""
+Settings of the stand-ins.
+
+"""
+
+from pathlib import Path
+
+from millfork_settings.models import Address, Strict
+from pydantic import Field
+
+
+class EngineSettings(Strict):
+    """
+    A model engine.
+
+    """
+
+    listen: Address
+    log: Path
+    slots: int = Field(4, ge=1)
+    first_token_ms: float = 20
+    cached_first_token_ms: float = 5
+    token_ms: float = 2
+    load_s: float = 0.1
+    refuses_old_orders: bool = True
+    cached_prefixes: int = 64
+    load_lag_ms: float = 200
+    event_lag_ms: float = 500
+    event_gap_share: float = 0.1
+
+
+class ServiceSettings(Strict):
+    """
+    A plain service.
+
+    """
+
+    listen: Address
+    log: Path
+    answer_ms: float = 5
+
+
+class VersionSettings(Strict):
+    """
+    One version that the origin has; `kept` is the share of its bytes that
+    are those of `base`, another version of the same model.
+
+    """
+
+    name: str
+    version: str
+    size: int = Field(gt=0)
+    seed: int = 0
+    base: str = ''
+    kept: float = 0.0
+
+
+class OriginSettings(Strict):
+    """
+    The origin of weights.
+
+    """
+
+    listen: Address
+    bytes_per_s: float
+    chunk_bytes: int
+    versions: list[VersionSettings]
+
+
+class PlatformSettings(Strict):
+    """
+    The platform's instance list.
+
+    """
+
+    listen: Address
+    lag_ms: float = 0
+
+
+class RelaySettings(Strict):
+    """
+    A proxy between zones that can cut them; it knows an address's zone by
+    its third number.
+
+    """
+
+    listen: Address
--- /dev/null
+++ b/packages/millfork-state/millfork_state/__init__.py
@@ -0,0 +1,4 @@
+"""
+The replicated state: log, quorum, snapshots, subscriptions.
+
+"""
--- /dev/null
+++ b/packages/millfork-state/millfork_state/election.py
@@ -0,0 +1,125 @@
+"""
+Elections: a replica that hears no leader asks for votes.
+
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+import curio
+from millfork_core.logs import Part, logger
+from millfork_wire.codec import PreVote
+from millfork_wire.connection import PeerError
+from millfork_wire.messages import VoteReply, VoteRequest
+from millfork_wire.peers import PeerAddress
+
+from millfork_state.replica import ELECTION_SPREAD, Replica, ReplicaState
+
+VOTE_TIMEOUT_SHARE: Final = 0.5
+
+log = logger(Part.STATE)
+
+
+async def wait_for_silence(replica: Replica) -> None:
+    """
+    Return when no leader was heard for a randomised election timeout.
+
+    """
+    spread = 1 + replica.env.random.random() * ELECTION_SPREAD
+    limit = replica.election_s * spread
+    while True:
+        silent = replica.env.monotonic() - replica.leader_heard
+        if silent >= limit and replica.is_voter:
+            return
+        await curio.sleep(max(limit - silent, replica.heartbeat_s / 4))
+
+
+async def campaign(replica: Replica) -> bool:
+    """
+    Ask for pre-votes, then for votes; True if this replica now leads.
+
+    """
+    if not await _gather(replica, _pre_vote(replica)):
+        replica.leader_heard = replica.env.monotonic() - replica.election_s / 2
+        return False
+    async with replica.lock:
+        if replica.env.monotonic() - replica.leader_heard < replica.election_s:
+            return False
+        term = replica.term + 1
+        await replica.enter_term(term, voted_for=replica.env.instance)
+        replica.state = ReplicaState.CANDIDATE
+        replica.leader_heard = replica.env.monotonic()
+    log.info('Seeking election for term {}.', term)
+    replica.env.metrics.count(replica.env.metrics.state, event='election')
+    won = await _gather(replica, _vote(replica, term))
+    async with replica.lock:
+        if not won or replica.term != term or replica.state is not ReplicaState.CANDIDATE:
+            return False
+        replica.state = ReplicaState.LEADER
+        replica.leader = replica.env.instance
+        replica.stepped_down.clear()
+    log.notice('Leader of term {}.', term)
+    return True
+
+
+def _vote(replica: Replica, term: int) -> VoteRequest:
+    storage = replica.storage
+    return VoteRequest(
+        replica.cluster, term, replica.env.instance, storage.last_index, storage.last_term
+    )
+
+
+def _pre_vote(replica: Replica) -> PreVote:
+    storage = replica.storage
+    return PreVote(
+        replica.cluster,
+        replica.term + 1,
+        replica.env.instance,
+        storage.last_index,
+        storage.last_term,
+    )
+
+
+async def _gather(replica: Replica, request: VoteRequest) -> bool:
+    """
+    Whether a majority of voters, each on its known disk, says yes.
+
+    """
+    granted = {(replica.env.instance, replica.storage.disk)} & set(replica.members)
+    timeout = replica.election_s * VOTE_TIMEOUT_SHARE
+    enough: Callable[[], bool] = lambda: len(granted) >= replica.majority  # noqa: E731
+    async with curio.TaskGroup() as group:
+        for address in replica.others:
+            await group.spawn(_ask, replica, address, request, timeout)
+        async for task in group:
+            if task.exception:
+                continue
+            voter, reply = task.result
+            if reply is None:
+                continue
+            if reply.term > replica.term:
+                await _learn_term(replica, reply.term)
+            if reply.granted and (voter, reply.disk) in replica.members:
+                granted.add((voter, reply.disk))
+            if enough():
+                await group.cancel_remaining()
+    return enough()
+
+
+async def _learn_term(replica: Replica, term: int) -> None:
+    async with replica.lock:
+        if term > replica.term:
+            await replica.enter_term(term)
+
+
+async def _ask(
+    replica: Replica,
+    address: PeerAddress,
+    request: VoteRequest,
+    timeout: float,
+) -> tuple[str, VoteReply | None]:
+    try:
+        reply = await replica.peers.call(address, request, timeout)
+    except PeerError:
+        return address.instance, None
+    return address.instance, reply if isinstance(reply, VoteReply) else None
--- /dev/null
+++ b/packages/millfork-state/millfork_state/formation.py
@@ -0,0 +1,111 @@
+"""
+The first start of the replicated state.
+
+The replica with the lowest id waits until every replica answers with an empty
+disk and then writes the first entry. A replica that lost its disk meets others
+that are not empty, so it can never form a second state beside the first.
+
+"""
+
+import uuid
+from typing import Final
+
+import curio
+from millfork_core.ids import ClusterId
+from millfork_core.logs import Part, logger
+from millfork_wire.connection import PeerError
+from millfork_wire.messages import Genesis, Identify, Identity, Member
+
+from millfork_state.commands import SetMembers, decode_command, encode_command
+from millfork_state.replica import Replica
+from millfork_state.storage import LogEntry
+
+FORM_PAUSE_S: Final = 0.2
+IDENTIFY_TIMEOUT_S: Final = 1.0
+FIRST_TERM: Final = 1
+
+log = logger(Part.STATE)
+
+
+def identity_of(replica: Replica) -> Identity:
+    empty = not replica.cluster and replica.storage.last_index == 0
+    return Identity(replica.storage.disk, replica.cluster, empty)
+
+
+async def form_or_join(replica: Replica) -> None:
+    """
+    Return once this replica belongs to a state, formed here or elsewhere.
+
+    """
+    lowest = min([replica.env.instance, *(address.instance for address in replica.others)])
+    while not replica.cluster:
+        if replica.env.instance == lowest:
+            members = await _all_empty(replica)
+            if members is not None:
+                await _form(replica, members)
+                return
+        await curio.sleep(FORM_PAUSE_S)
+
+
+async def _all_empty(replica: Replica) -> list[tuple[str, str]] | None:
+    members = [(str(replica.env.instance), str(replica.storage.disk))]
+    for address in replica.others:
+        try:
+            reply = await replica.peers.call(address, Identify(), IDENTIFY_TIMEOUT_S)
+        except PeerError:
+            return None
+        if not isinstance(reply, Identity) or not reply.empty:
+            return None
+        members.append((address.instance, reply.disk))
+    return members
+
+
+async def _form(replica: Replica, members: list[tuple[str, str]]) -> None:
+    cluster = ClusterId(uuid.uuid4().hex)
+    if await take_genesis(replica, cluster, members):
+        log.notice('Formed the state with {} replicas.', len(members))
+
+
+async def take_genesis(
+    replica: Replica,
+    cluster: str,
+    members: list[tuple[str, str]],
+) -> bool:
+    """
+    Write the first entry, if this disk is empty and one of the members.
+
+    """
+    async with replica.lock:
+        if not identity_of(replica).empty:
+            return replica.cluster == cluster
+        if (replica.env.instance, replica.storage.disk) not in members:
+            return False
+        payload = encode_command(SetMembers(cluster, members))
+        await replica.write([LogEntry(FIRST_TERM, 1, payload)])
+        await replica.storage.sync()
+        await replica.storage.save_vote(FIRST_TERM, '', cluster)
+    return True
+
+
+async def spread_genesis(replica: Replica) -> None:
+    """
+    Bring the first entry to every other replica that is still empty; the
+    task ends when each has it, or has the state from its leader.
+
+    """
+    if replica.storage.snapshot is not None or not replica.storage.entries:
+        return
+    first = decode_command(replica.storage.entry_at(1).payload)
+    if not isinstance(first, SetMembers):
+        return
+    members = [Member(instance, disk) for instance, disk in first.members]
+    genesis = Genesis(first.cluster, members)
+    waiting = list(replica.others)
+    while waiting:
+        for address in list(waiting):
+            try:
+                await replica.peers.call(address, genesis, IDENTIFY_TIMEOUT_S)
+            except PeerError:
+                continue
+            waiting.remove(address)
+        await curio.sleep(FORM_PAUSE_S)
--- /dev/null
+++ b/packages/millfork-state/millfork_state/leadership.py
@@ -0,0 +1,301 @@
+"""
+The leader's side: one task for each other replica, one for its own log.
+
+"""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+import curio
+from millfork_core.logs import Part, logger
+from millfork_wire.connection import PeerError
+from millfork_wire.messages import AppendReply, AppendRequest, Entry, InstallRequest, Message
+from millfork_wire.peers import PeerAddress
+
+from millfork_state.commands import SetMembers, encode_command
+from millfork_state.replica import Pending, Replica, ReplicaState, noop_entry
+from millfork_state.storage import LogEntry
+
+MAX_BATCH_ENTRIES: Final = 256
+CALL_TIMEOUT_S: Final = 2.0
+
+log = logger(Part.STATE)
+
+
+@dataclass(slots=True)
+class Progress:
+    """
+    What the leader knows of one other replica.
+
+    """
+
+    address: PeerAddress
+    next_index: int
+    match: int = 0
+    disk: str = ''
+    acked_at: float = 0.0
+    wake: curio.Event = field(default_factory=curio.Event)
+
+
+class Leadership:
+    """
+    One replica's time as leader of one term.
+
+    """
+
+    def __init__(self, replica: Replica) -> None:
+        self.replica = replica
+        self.term = replica.term
+        self.synced = replica.storage.last_index
+        self.noop_index = replica.storage.last_index + 1
+        self.progress = [
+            Progress(address, replica.storage.last_index + 1, acked_at=replica.env.monotonic())
+            for address in replica.others
+        ]
+        self.acked = curio.Condition()
+
+    @property
+    def active(self) -> bool:
+        replica = self.replica
+        return replica.state is ReplicaState.LEADER and replica.term == self.term
+
+    async def run(self) -> None:
+        """
+        Lead until another term begins or the quorum is out of reach.
+
+        """
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self.replica.stepped_down.wait)
+            await group.spawn(self._write_log)
+            await group.spawn(self._watch_quorum)
+            await group.spawn(self._repair_members)
+            for progress in self.progress:
+                await group.spawn(self._replicate, progress)
+        async with self.replica.lock:
+            if self.replica.term == self.term:
+                await self.replica.step_down()
+        await self._drop_proposals()
+
+    async def _drop_proposals(self) -> None:
+        queue = self.replica.proposals
+        while not queue.empty():
+            pending = await queue.get()
+            await pending.settle(False)
+
+    # The leader's own log.
+
+    async def _write_log(self) -> None:
+        storage = self.replica.storage
+        await self._append([], [noop_entry(self.term, storage.last_index + 1)])
+        while True:
+            batch = [await self.replica.proposals.get()]
+            while not self.replica.proposals.empty() and len(batch) < MAX_BATCH_ENTRIES:
+                batch.append(await self.replica.proposals.get())
+            await self._append(batch, [])
+
+    async def _append(self, batch: list[Pending], entries: list[LogEntry]) -> None:
+        """
+        Write proposals as one group: one sync for all, while the others
+        receive them.
+
+        """
+        replica = self.replica
+        async with replica.lock:
+            if not self.active:
+                for pending in batch:
+                    await pending.settle(False)
+                return
+            index = int(replica.storage.last_index)
+            for pending in batch:
+                index += 1
+                entries.append(LogEntry(self.term, index, encode_command(pending.command)))
+                replica.pending[index] = pending
+            await replica.write(entries)
+            await self._wake_all()
+            await replica.storage.sync()
+            self.synced = replica.storage.last_index
+            await self._advance()
+        await replica.snapshot_if_due()
+
+    async def _wake_all(self) -> None:
+        for progress in self.progress:
+            await progress.wake.set()
+
+    async def _advance(self) -> None:
+        """
+        Commit what a majority of voters holds durably, in this term.
+
+        """
+        replica = self.replica
+        held = []
+        for instance, disk in replica.members:
+            held.append(self._match(instance, disk))
+        held.sort(reverse=True)
+        index = held[replica.majority - 1]
+        if index > replica.commit and replica.storage.term_at(index) == self.term:
+            await replica.advance_commit(index)
+            await self._wake_all()
+
+    def _match(self, instance: str, disk: str) -> int:
+        if instance == self.replica.env.instance:
+            return self.synced if disk == self.replica.storage.disk else 0
+        for progress in self.progress:
+            if progress.address.instance == instance and progress.disk == disk:
+                return progress.match
+        return 0
+
+    # The other replicas.
+
+    async def _replicate(self, progress: Progress) -> None:
+        while self.active:
+            progress.wake.clear()
+            sent_at = self.replica.env.monotonic()
+            request = self._next_request(progress)
+            try:
+                reply = await self.replica.peers.call(progress.address, request, CALL_TIMEOUT_S)
+            except PeerError:
+                await curio.sleep(self.replica.heartbeat_s)
+                continue
+            if isinstance(reply, AppendReply) and await self._learn(progress, reply, sent_at):
+                continue
+            await self._pause(progress)
+
+    async def _pause(self, progress: Progress) -> None:
+        try:
+            async with curio.timeout_after(self.replica.heartbeat_s):
+                await progress.wake.wait()
+        except curio.TaskTimeout:
+            pass
+
+    def _next_request(self, progress: Progress) -> Message:
+        replica = self.replica
+        storage = replica.storage
+        prev_index = progress.next_index - 1
+        prev_term = storage.term_at(prev_index)
+        instance = replica.env.instance
+        if prev_term is None or progress.next_index <= storage.first_index:
+            snapshot = storage.snapshot
+            assert snapshot is not None
+            return InstallRequest(
+                replica.cluster, self.term, instance, snapshot.index, snapshot.term, snapshot.dump
+            )
+        entries = [
+            Entry(entry.term, entry.index, entry.payload)
+            for entry in storage.entries_from(progress.next_index, MAX_BATCH_ENTRIES)
+        ]
+        return AppendRequest(
+            replica.cluster, self.term, instance, prev_index, prev_term, entries, replica.commit
+        )
+
+    async def _learn(self, progress: Progress, reply: AppendReply, sent_at: float) -> bool:
+        """
+        Take a reply into account; True if there is more to send at once.
+
+        """
+        replica = self.replica
+        if reply.term > self.term:
+            async with replica.lock:
+                if reply.term > replica.term:
+                    await replica.enter_term(reply.term)
+            return True
+        if progress.disk != reply.disk:
+            progress.disk = reply.disk
+            progress.match = 0
+        progress.acked_at = sent_at
+        async with self.acked:
+            await self.acked.notify_all()
+        if not reply.ok:
+            progress.next_index = min(reply.match + 1, max(progress.next_index - 1, 1))
+            return True
+        progress.match = max(progress.match, reply.match)
+        progress.next_index = progress.match + 1
+        async with replica.lock:
+            if self.active:
+                await self._advance()
+        return progress.next_index <= replica.storage.last_index
+
+    # Quorum.
+
+    def _acked_since(self, moment: float) -> int:
+        """
+        The voters, this one included, that answered a request sent since.
+
+        """
+        replica = self.replica
+        count = int(replica.is_voter)
+        for progress in self.progress:
+            voter = (progress.address.instance, progress.disk)
+            if voter in replica.members and progress.acked_at >= moment:
+                count += 1
+        return count
+
+    async def _watch_quorum(self) -> None:
+        """
+        A leader that a majority does not answer gives way, so that callers
+        hear 'no quorum' in place of waiting.
+
+        """
+        replica = self.replica
+        while True:
+            await curio.sleep(replica.election_s / 2)
+            since = replica.env.monotonic() - 2 * replica.election_s
+            if self._acked_since(since) < replica.majority:
+                log.warning('Giving up term {}: no quorum.', self.term)
+                replica.env.metrics.count(replica.env.metrics.state, event='quorum_lost')
+                return
+
+    async def confirm(self, timeout: float) -> bool:
+        """
+        Whether a majority still follows, asked after this call began, and
+        everything committed before it is applied.
+
+        """
+        replica = self.replica
+        began = replica.env.monotonic()
+        await self._wake_all()
+        try:
+            async with curio.timeout_after(timeout), self.acked:
+                while self.active and not self._confirmed(began):
+                    await self.acked.wait()
+        except curio.TaskTimeout:
+            return False
+        return self.active
+
+    def _confirmed(self, began: float) -> bool:
+        replica = self.replica
+        enough = self._acked_since(began) >= replica.majority
+        return enough and replica.applied >= self.noop_index
+
+    # Membership.
+
+    async def _repair_members(self) -> None:
+        """
+        Replace a voter whose instance came back with another disk: first
+        the old disk leaves, then the new one joins, each by its own entry.
+
+        """
+        replica = self.replica
+        while True:
+            await curio.sleep(replica.heartbeat_s)
+            if replica.applied < self.noop_index:
+                continue
+            change = self._due_change()
+            if change is None:
+                continue
+            pending = await replica.propose(SetMembers(replica.cluster, change))
+            await pending.settled.wait()
+            replica.env.metrics.count(replica.env.metrics.state, event='members_changed')
+            log.notice('Voters are now {}.', ', '.join(instance for instance, _ in change))
+
+    def _due_change(self) -> list[tuple[str, str]] | None:
+        members = self.replica.members
+        for progress in self.progress:
+            instance = progress.address.instance
+            caught_up = progress.match >= self.replica.commit > 0
+            if not progress.disk or not caught_up or (instance, progress.disk) in members:
+                continue
+            others = [member for member in members if member[0] != instance]
+            if len(others) < len(members):
+                return others
+            return [*members, (instance, progress.disk)]
+        return None
--- /dev/null
+++ b/packages/millfork-state/millfork_state/machine.py
@@ -0,0 +1,196 @@
+"""
+The state machine that every replica runs over the log.
+
+"""
+
+from collections import OrderedDict
+from typing import Final
+
+import msgspec
+from millfork_core.ids import Revision
+
+from millfork_state.commands import (
+    AnyCommand,
+    Apply,
+    ApplyResult,
+    Change,
+    ClaimKey,
+    ClaimResult,
+    ClaimState,
+    Result,
+    SettleKey,
+)
+from millfork_state.view import Held, View
+
+REMEMBERED_COMMANDS: Final = 20_000
+REMEMBERED_REMOVALS: Final = 20_000
+CLAIM_LIFETIME_MS: Final = 24 * 3600 * 1000
+# An attempt still open after this long lost the entry that made it.
+CLAIM_OPEN_MS: Final = 120_000
+
+
+class Claim(msgspec.Struct):
+    """
+    One claimed idempotency key.
+
+    """
+
+    attempt: str
+    fingerprint: str
+    at_ms: int
+    done: bool = False
+    status: int = 0
+    headers: list[tuple[str, str]] = []
+    body: bytes = b''
+
+
+class Dump(msgspec.Struct):
+    """
+    The machine's whole state, as a snapshot holds it.
+
+    """
+
+    cluster: str
+    revision: int
+    items: dict[str, tuple[bytes, int]]
+    results: list[tuple[str, ApplyResult]]
+    claims: list[tuple[str, Claim]]
+    members: list[tuple[str, str]]
+    removed: list[tuple[str, int]] = []
+
+
+class Machine:
+    """
+    Applies commands in log order; equal logs give equal machines.
+
+    """
+
+    def __init__(self, view: View) -> None:
+        self.view = view
+        self.results: OrderedDict[str, ApplyResult] = OrderedDict()
+        self.claims: OrderedDict[str, Claim] = OrderedDict()
+        self.removed: OrderedDict[str, int] = OrderedDict()
+
+    def apply(self, command: AnyCommand) -> Result:
+        """
+        Apply one command and return its result.
+
+        """
+        if isinstance(command, Apply):
+            return self._apply_changes(command)
+        if isinstance(command, ClaimKey):
+            return self._claim(command)
+        if isinstance(command, SettleKey):
+            self._settle(command)
+        return None
+
+    def _apply_changes(self, command: Apply) -> ApplyResult:
+        first = self.results.get(command.command_id)
+        if first is not None:
+            return first
+        result = self._change_all(command.changes)
+        self.results[command.command_id] = result
+        if len(self.results) > REMEMBERED_COMMANDS:
+            self.results.popitem(last=False)
+        return result
+
+    def _change_all(self, changes: list[Change]) -> ApplyResult:
+        view = self.view
+        conflicts = []
+        for change in changes:
+            if change.expect is None:
+                continue
+            if self._last_change(change.key) > change.expect:
+                conflicts.append(change.key)
+        if conflicts:
+            return ApplyResult(False, view.revision, conflicts)
+        effective = [change for change in changes if self._differs(change.key, change.value)]
+        if not effective:
+            return ApplyResult(True, view.revision)
+        revision = Revision(view.revision + 1)
+        items = {c.key: Held(c.value, revision) for c in effective if c.value is not None}
+        removed = [c.key for c in effective if c.value is None]
+        view.change(revision, items, removed)
+        self._remember_removed(revision, removed)
+        return ApplyResult(True, revision)
+
+    def _last_change(self, key: str) -> int:
+        held = self.view.items.get(key)
+        return held.revision if held else self.removed.get(key, 0)
+
+    def _remember_removed(self, revision: int, keys: list[str]) -> None:
+        for key in keys:
+            self.removed[key] = revision
+            self.removed.move_to_end(key)
+        while len(self.removed) > REMEMBERED_REMOVALS:
+            self.removed.popitem(last=False)
+
+    def _differs(self, key: str, value: bytes | None) -> bool:
+        held = self.view.items.get(key)
+        return (held.value if held else None) != value
+
+    def _claim(self, command: ClaimKey) -> ClaimResult:
+        self._forget_old_claims(command.at_ms)
+        claim = self.claims.get(command.key)
+        if claim is None:
+            self.claims[command.key] = Claim(command.attempt, command.fingerprint, command.at_ms)
+            return ClaimResult(ClaimState.GRANTED)
+        if claim.attempt == command.attempt:
+            return ClaimResult(ClaimState.GRANTED)
+        if claim.fingerprint != command.fingerprint:
+            return ClaimResult(ClaimState.REUSED)
+        if claim.done:
+            return ClaimResult(ClaimState.DONE, claim.status, claim.headers, claim.body)
+        if command.at_ms - claim.at_ms > CLAIM_OPEN_MS:
+            return ClaimResult(ClaimState.MAY_HAVE_RUN)
+        return ClaimResult(ClaimState.IN_PROGRESS)
+
+    def _settle(self, command: SettleKey) -> None:
+        claim = self.claims.get(command.key)
+        if claim is None or claim.attempt != command.attempt or claim.done:
+            return
+        if command.released:
+            del self.claims[command.key]
+            return
+        claim.done = True
+        claim.status = command.status
+        claim.headers = command.headers
+        claim.body = command.body
+
+    def _forget_old_claims(self, now_ms: int) -> None:
+        while self.claims:
+            key, claim = next(iter(self.claims.items()))
+            if now_ms - claim.at_ms < CLAIM_LIFETIME_MS:
+                return
+            del self.claims[key]
+
+    def dump(self, members: list[tuple[str, str]]) -> bytes:
+        """
+        The whole state as bytes.
+
+        """
+        view = self.view
+        items = {key: (held.value, int(held.revision)) for key, held in view.items.items()}
+        dump = Dump(
+            view.cluster,
+            view.revision,
+            items,
+            list(self.results.items()),
+            list(self.claims.items()),
+            members,
+            list(self.removed.items()),
+        )
+        return msgspec.msgpack.encode(dump)
+
+    def restore(self, data: bytes) -> list[tuple[str, str]]:
+        """
+        Take the state of a dump; return its members.
+
+        """
+        dump = msgspec.msgpack.decode(data, type=Dump)
+        items = {key: Held(value, Revision(made)) for key, (value, made) in dump.items.items()}
+        self.view.replace(dump.cluster, Revision(dump.revision), items)  # type: ignore[arg-type]
+        self.results = OrderedDict(dump.results)
+        self.claims = OrderedDict(dump.claims)
+        self.removed = OrderedDict(dump.removed)
+        return dump.members
--- /dev/null
+++ b/packages/millfork-state/millfork_state/node.py
@@ -0,0 +1,118 @@
+"""
+The replica as the daemon runs it: elections, leading, proposals, reads.
+
+"""
+
+from typing import Final
+
+import curio
+import msgspec
+from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
+from millfork_wire.messages import Proposed
+
+from millfork_state import formation
+from millfork_state.commands import (
+    AnyCommand,
+    ApplyResult,
+    ClaimResult,
+    Result,
+    decode_command,
+)
+from millfork_state.election import campaign, wait_for_silence
+from millfork_state.leadership import Leadership
+from millfork_state.replica import Replica, ReplicaState
+
+PROPOSE_TIMEOUT_S: Final = 2.5
+
+
+class StateNode:
+    """
+    Runs one replica.
+
+    """
+
+    def __init__(self, replica: Replica) -> None:
+        self.replica = replica
+        self.leadership: Leadership | None = None
+
+    async def run(self) -> None:
+        """
+        The replica's main task.
+
+        """
+        replica = self.replica
+        await formation.form_or_join(replica)
+        await replica.env.spawn(formation.spread_genesis, replica)
+        while True:
+            await wait_for_silence(replica)
+            if not await campaign(replica):
+                continue
+            self.leadership = Leadership(replica)
+            await self.leadership.run()
+            self.leadership = None
+
+    async def keep_snapshots(self) -> None:
+        """
+        The task that shortens a follower's log.
+
+        """
+        while True:
+            await curio.sleep(self.replica.heartbeat_s * 4)
+            await self.replica.snapshot_if_due()
+
+    @property
+    def leads(self) -> bool:
+        return self.replica.state is ReplicaState.LEADER
+
+    async def propose(self, command: AnyCommand) -> Result:
+        """
+        Commit a command here, as leader, and return its result.
+
+        :raises Refused: NOT_RUN where this replica does not lead, else
+            MAY_HAVE_RUN: the command may yet be committed.
+
+        """
+        if not self.leads:
+            raise Refused(Refusal(Reason.NO_QUORUM, detail='this replica does not lead'))
+        pending = await self.replica.propose(command)
+        unknown = Refusal(Reason.NO_QUORUM, Verdict.MAY_HAVE_RUN, 'no quorum confirmed it')
+        try:
+            async with curio.timeout_after(PROPOSE_TIMEOUT_S):
+                await pending.settled.wait()
+        except curio.TaskTimeout:
+            raise Refused(unknown) from None
+        if not pending.applied:
+            raise Refused(unknown)
+        return pending.result
+
+    async def answer_propose(self, data: bytes) -> Proposed:
+        """
+        Answer a proposal that came over the wire.
+
+        """
+        try:
+            result = await self.propose(decode_command(data))
+        except msgspec.ValidationError as error:
+            return Proposed(False, b'', Reason.INVALID.value, str(error))
+        except Refused as error:
+            verdict = error.refusal.verdict.value
+            return Proposed(
+                False, verdict.encode(), error.refusal.reason.value, self.replica.leader
+            )
+        return Proposed(True, msgspec.msgpack.encode(result))
+
+    async def confirm(self, timeout: float) -> bool:
+        """
+        Whether this replica leads and its view is the newest there is.
+
+        """
+        leadership = self.leadership
+        return leadership is not None and await leadership.confirm(timeout)
+
+
+def decode_apply_result(data: bytes) -> ApplyResult:
+    return msgspec.msgpack.decode(data, type=ApplyResult)
+
+
+def decode_claim_result(data: bytes) -> ClaimResult:
+    return msgspec.msgpack.decode(data, type=ClaimResult)
--- /dev/null
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -0,0 +1,405 @@
+"""
+One replica of the state: terms, votes and the follower's side of the log.
+
+The algorithm is Raft with pre-votes and single-step membership changes. A
+voter is a pair of instance and disk id, so a replica that lost its disk can't
+vote as its old self.
+
+"""
+
+import time
+from enum import Enum
+from typing import Final
+
+import curio
+from millfork_core.environment import Environment
+from millfork_core.ids import NO_INSTANCE, ClusterId, InstanceId
+from millfork_core.logs import Part, logger
+from millfork_settings.models import StateSettings
+from millfork_wire.codec import PreVote
+from millfork_wire.messages import (
+    AppendReply,
+    AppendRequest,
+    Entry,
+    InstallRequest,
+    VoteReply,
+    VoteRequest,
+)
+from millfork_wire.peers import PeerAddress, Peers
+
+from millfork_state.commands import (
+    AnyCommand,
+    Apply,
+    ClaimKey,
+    Command,
+    Noop,
+    Result,
+    SetMembers,
+    SettleKey,
+    decode_command,
+    encode_command,
+)
+from millfork_state.machine import Machine
+from millfork_state.storage import LogEntry, Snapshot, Storage
+from millfork_state.view import View
+
+ELECTION_SPREAD: Final = 0.5
+KEPT_ENTRIES: Final = 200
+
+log = logger(Part.STATE)
+
+
+class ReplicaState(Enum):
+    """
+    What a replica is at the moment.
+
+    """
+
+    FOLLOWER = 'follower'
+    CANDIDATE = 'candidate'
+    LEADER = 'leader'
+
+
+class Pending:
+    """
+    A proposal on its way through the log.
+
+    """
+
+    def __init__(self, command: Command) -> None:
+        self.command = command
+        self.settled = curio.Event()
+        self.applied = False
+        self.result: Result = None
+
+    async def settle(self, applied: bool, result: Result = None) -> None:
+        self.applied = applied
+        self.result = result
+        await self.settled.set()
+
+
+class Replica:
+    """
+    The state that leader and follower share, and the follower's answers.
+
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        settings: StateSettings,
+        storage: Storage,
+        view: View,
+        peers: Peers,
+        addresses: list[PeerAddress],
+    ) -> None:
+        self.env = env
+        self.settings = settings
+        self.storage = storage
+        self.view = view
+        self.peers = peers
+        self.others = [address for address in addresses if address.instance != env.instance]
+        self.machine = Machine(view)
+        self.state = ReplicaState.FOLLOWER
+        self.leader: InstanceId = NO_INSTANCE
+        self.leader_heard = env.monotonic()
+        self.commit = 0
+        self.applied = 0
+        self.members: list[tuple[str, str]] = []
+        self.lock = curio.Lock()
+        self.stepped_down = curio.Event()
+        self.pending: dict[int, Pending] = {}
+        self.proposals: curio.Queue = curio.Queue()
+        self.heartbeat_s = settings.heartbeat_ms / 1000
+        self.election_s = settings.election_ms / 1000
+
+    @property
+    def term(self) -> int:
+        return self.storage.vote.term
+
+    @property
+    def cluster(self) -> ClusterId:
+        return self.storage.cluster
+
+    @property
+    def is_voter(self) -> bool:
+        return (self.env.instance, self.storage.disk) in self.members
+
+    @property
+    def majority(self) -> int:
+        return len(self.members) // 2 + 1
+
+    async def recover(self) -> None:
+        """
+        Take up what the files hold, up to the last entry known committed.
+
+        """
+        snapshot = self.storage.snapshot
+        if snapshot is not None:
+            self.machine.restore(snapshot.dump)
+            self.applied = snapshot.index
+            self.commit = snapshot.index
+        if self.storage.torn_bytes:
+            log.warning('Dropped a torn write of {} bytes.', self.storage.torn_bytes)
+            self.env.metrics.count(self.env.metrics.state, event='torn_tail')
+        self._find_members()
+        await self.advance_commit(max(self.commit, self.storage.commit_hint))
+        log.info(
+            'Recovered revision {} at log index {}.', self.view.revision, self.storage.last_index
+        )
+
+    def _find_members(self) -> None:
+        """
+        The newest membership in the log counts from when it is written.
+
+        """
+        for entry in reversed(self.storage.entries):
+            command = decode_command(entry.payload)
+            if isinstance(command, SetMembers):
+                self.members = list(command.members)
+                return
+        snapshot = self.storage.snapshot
+        self.members = list(snapshot.members) if snapshot else []
+
+    async def write(self, entries: list[LogEntry]) -> None:
+        """
+        Write entries to the log and learn membership from them.
+
+        """
+        replaced = bool(entries) and entries[0].index <= self.storage.last_index
+        self.storage.write_entries(entries)
+        membership = any(isinstance(decode_command(entry.payload), SetMembers) for entry in entries)
+        if replaced or membership:
+            self._find_members()
+
+    # Commit and apply.
+
+    async def advance_commit(self, index: int) -> None:
+        """
+        Take entries up to `index` as committed and apply them.
+
+        """
+        index = min(index, self.storage.last_index)
+        if index <= self.commit and self.applied >= self.commit:
+            return
+        if index > self.commit:
+            self.commit = index
+            self.storage.write_commit(index)
+        before = self.view.mark
+        while self.applied < self.commit:
+            self.applied += 1
+            await self._apply(self.storage.entry_at(self.applied))
+        if self.view.mark != before:
+            self.env.metrics.revision.set({}, self.view.revision)
+            await self.view.announce()
+
+    async def _apply(self, entry: LogEntry) -> None:
+        command = decode_command(entry.payload)
+        if isinstance(command, SetMembers):
+            self.view.cluster = ClusterId(command.cluster)
+        result = self.machine.apply(command)
+        pending = self.pending.pop(entry.index, None)
+        if pending is not None:
+            await pending.settle(True, result)
+
+    async def snapshot_if_due(self) -> None:
+        """
+        Replace a long log by a snapshot and its tail.
+
+        """
+        if self.applied - self.storage.first_index < self.settings.snapshot_entries + KEPT_ENTRIES:
+            return
+        async with self.lock:
+            index = self.applied
+            members = self._members_at(index)
+            dump = self.machine.dump(members)
+            term = self.storage.term_at(index) or 0
+            await self.storage.save_snapshot(Snapshot(index, term, members, dump))
+        self.env.metrics.count(self.env.metrics.state, event='snapshot')
+
+    def _members_at(self, index: int) -> list[tuple[str, str]]:
+        for entry in reversed(self.storage.entries):
+            if entry.index > index:
+                continue
+            command = decode_command(entry.payload)
+            if isinstance(command, SetMembers):
+                return list(command.members)
+        snapshot = self.storage.snapshot
+        return list(snapshot.members) if snapshot else []
+
+    # Terms.
+
+    async def enter_term(self, term: int, voted_for: str = '', cluster: str = '') -> None:
+        """
+        Move to a later term; a leader of an older one steps down.
+
+        """
+        await self.storage.save_vote(term, voted_for, cluster)
+        await self.step_down()
+
+    async def step_down(self) -> None:
+        """
+        Be a follower; what was proposed here has an unknown outcome.
+
+        """
+        if self.state is ReplicaState.LEADER:
+            log.notice('No longer leader of term {}.', self.term)
+        self.state = ReplicaState.FOLLOWER
+        await self.stepped_down.set()
+        pending = list(self.pending.values())
+        self.pending.clear()
+        for proposal in pending:
+            await proposal.settle(False)
+
+    # The follower's answers.
+
+    async def on_pre_vote(self, request: PreVote) -> VoteReply:
+        """
+        Would this replica vote? Nothing changes by asking.
+
+        """
+        silent = self.env.monotonic() - self.leader_heard > self.election_s
+        granted = (
+            silent
+            and self.state is not ReplicaState.LEADER
+            and request.cluster == self.cluster
+            and request.term > self.term
+            and self._is_up_to_date(request)
+        )
+        return VoteReply(self.term, granted, self.storage.disk)
+
+    async def on_vote(self, request: VoteRequest) -> VoteReply:
+        """
+        Vote once a term, for a candidate whose log is not behind.
+
+        """
+        async with self.lock:
+            if request.cluster != self.cluster or request.term < self.term:
+                return VoteReply(self.term, False, self.storage.disk)
+            if request.term > self.term:
+                await self.enter_term(request.term)
+            free = self.storage.vote.voted_for in ('', request.candidate)
+            granted = free and self._is_up_to_date(request)
+            if granted:
+                await self.storage.save_vote(self.term, request.candidate)
+                self.leader_heard = self.env.monotonic()
+            return VoteReply(self.term, granted, self.storage.disk)
+
+    def _is_up_to_date(self, request: VoteRequest) -> bool:
+        mine = (self.storage.last_term, self.storage.last_index)
+        return (request.last_term, request.last_index) >= mine
+
+    async def _accept_leader(self, cluster: str, term: int, leader: str) -> bool:
+        if self.cluster and cluster != self.cluster:
+            self.env.metrics.count(self.env.metrics.state, event='foreign_cluster')
+            return False
+        if term < self.term:
+            self.env.metrics.count(self.env.metrics.state, event='stale_leader')
+            return False
+        if term > self.term or not self.cluster:
+            await self.enter_term(term, cluster=cluster)
+        elif self.state is ReplicaState.CANDIDATE:
+            await self.step_down()
+        self.leader = InstanceId(leader)
+        self.leader_heard = self.env.monotonic()
+        return True
+
+    async def on_append(self, request: AppendRequest) -> AppendReply:
+        """
+        Take entries from the leader; answered once they are durable.
+
+        """
+        async with self.lock:
+            if not await self._accept_leader(request.cluster, request.term, request.leader):
+                return AppendReply(self.term, False, 0, self.storage.disk)
+            known = self.storage.term_at(request.prev_index)
+            if known is None and request.prev_index < self.storage.first_index:
+                # What a snapshot covers is committed, so the leader has it too.
+                return AppendReply(self.term, True, self.storage.first_index, self.storage.disk)
+            if known != request.prev_term:
+                back = min(request.prev_index - 1, self.storage.last_index)
+                return AppendReply(self.term, False, max(back, self.commit), self.storage.disk)
+            await self._take_entries(request.entries)
+            match = request.prev_index + len(request.entries)
+            await self.advance_commit(min(request.commit, match))
+            return AppendReply(self.term, True, match, self.storage.disk)
+
+    async def _take_entries(self, entries: list[Entry]) -> None:
+        new = [item for item in entries if self.storage.term_at(item.index) != item.term]
+        new = [item for item in new if item.index > self.storage.first_index]
+        if not new:
+            return
+        first = new[0].index
+        rest = [item for item in entries if item.index >= first]
+        await self.write([LogEntry(item.term, item.index, item.payload) for item in rest])
+        await self.storage.sync()
+
+    async def on_install(self, request: InstallRequest) -> AppendReply:
+        """
+        Take a whole snapshot from the leader.
+
+        """
+        async with self.lock:
+            if not await self._accept_leader(request.cluster, request.term, request.leader):
+                return AppendReply(self.term, False, 0, self.storage.disk)
+            if request.last_index <= self.commit:
+                return AppendReply(self.term, True, self.commit, self.storage.disk)
+            before = self.view.mark
+            members = self.machine.restore(request.snapshot)
+            snapshot = Snapshot(request.last_index, request.last_term, members, request.snapshot)
+            await self.storage.save_snapshot(snapshot)
+            self.commit = max(self.commit, request.last_index)
+            self.applied = request.last_index
+            self._find_members()
+            if self.view.mark != before:
+                self.env.metrics.revision.set({}, self.view.revision)
+                await self.view.announce()
+            self.env.metrics.count(self.env.metrics.state, event='snapshot_installed')
+            return AppendReply(self.term, True, request.last_index, self.storage.disk)
+
+    # Proposals.
+
+    async def propose(self, command: AnyCommand) -> Pending:
+        """
+        Put a command into the log here; only a leader may.
+
+        """
+        pending = Pending(stamped(command))
+        await self.proposals.put(pending)
+        return pending
+
+    def age_ms(self) -> int:
+        """
+        Milliseconds since this replica knew of a working leader.
+
+        """
+        if self.state is ReplicaState.LEADER:
+            return 0
+        return int((self.env.monotonic() - self.leader_heard) * 1000)
+
+
+def stamped(command: AnyCommand) -> AnyCommand:
+    """
+    The command with the leader's time, where it carries one.
+
+    """
+    at_ms = int(time.time() * 1000)
+    if isinstance(command, Apply):
+        return Apply(command.command_id, command.changes, at_ms)
+    if isinstance(command, ClaimKey):
+        return ClaimKey(command.key, command.attempt, command.fingerprint, at_ms)
+    if isinstance(command, SettleKey):
+        return SettleKey(
+            command.key,
+            command.attempt,
+            command.released,
+            command.status,
+            command.headers,
+            command.body,
+            at_ms,
+        )
+    return command
+
+
+def noop_entry(term: int, index: int) -> LogEntry:
+    return LogEntry(term, index, encode_command(Noop()))
--- /dev/null
+++ b/packages/millfork-state/millfork_state/roster.py
@@ -0,0 +1,121 @@
+"""
+The platform's list of instances, as one process last heard it.
+
+"""
+
+from dataclasses import replace
+from typing import Any, Final
+
+import curio
+import msgspec
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_core.logs import Part, logger
+from millfork_web.client import Client, ExchangeFailed
+from millfork_wire.peers import PeerAddress
+
+from millfork_state.config import InstanceFacts
+
+POLL_TIMEOUT_S: Final = 2.0
+ENTRY_ROLE: Final = 'entry'
+ENDPOINT_ROLE: Final = 'endpoint'
+
+log = logger(Part.PLATFORM)
+
+
+class PlatformDelta(msgspec.Struct):
+    """
+    What changed in the platform's list since a version.
+
+    """
+
+    version: int
+    full: bool
+    changed: list[InstanceFacts]
+    removed: list[str]
+
+
+class Roster:
+    """
+    Instances by id. The list lags, so it is evidence and not the truth.
+
+    """
+
+    def __init__(self, env: Environment, platform: tuple[str, int], source: str) -> None:
+        self.env = env
+        self.client = Client(*platform, source=source)
+        self.version = -1
+        self.instances: dict[InstanceId, InstanceFacts] = {}
+        self.changed = curio.Event()
+
+    async def keep(self, interval_s: float) -> None:
+        """
+        The task that polls the platform.
+
+        """
+        while True:
+            await self.poll()
+            await curio.sleep(interval_s)
+
+    async def poll(self) -> bool:
+        """
+        Ask the platform for changes; False if it gave no answer.
+
+        """
+        try:
+            path = f'/instances?since={self.version}'
+            response = await self.client.fetch('GET', path, [], timeout=POLL_TIMEOUT_S)
+            delta = msgspec.json.decode(response.body, type=PlatformDelta)
+        except (ExchangeFailed, msgspec.DecodeError) as error:
+            log.debug('No instance list: {}.', error)
+            self.env.metrics.count(self.env.metrics.state, event='platform_silent')
+            return False
+        self.take(delta)
+        return True
+
+    def take(self, delta: PlatformDelta) -> None:
+        """
+        Take a delta of the list.
+
+        """
+        if delta.version == self.version:
+            return
+        if delta.full:
+            self.instances = {}
+        for facts in delta.changed:
+            self.instances[facts.instance] = facts
+        for name in delta.removed:
+            self.instances.pop(InstanceId(name), None)
+        self.version = delta.version
+
+    def mark_leaving(self, instance: InstanceId) -> None:
+        """
+        Take other evidence that an instance leaves.
+
+        """
+        facts = self.instances.get(instance)
+        if facts is not None and not facts.leaving:
+            self.instances[instance] = replace(facts, leaving=True)
+
+    def address(self, instance: InstanceId) -> PeerAddress | None:
+        facts = self.instances.get(instance)
+        return None if facts is None else PeerAddress(facts.instance, facts.host, facts.port)
+
+    def entries(self, zone: ZoneId) -> list[InstanceFacts]:
+        """
+        The entries of one availability zone, by id.
+
+        """
+        found = [
+            facts
+            for facts in self.instances.values()
+            if facts.role == ENTRY_ROLE and facts.zone == zone
+        ]
+        return sorted(found, key=lambda facts: facts.instance)
+
+    def endpoints(self) -> list[InstanceFacts]:
+        return [facts for facts in self.instances.values() if facts.role == ENDPOINT_ROLE]
+
+
+def facts_of(value: Any) -> InstanceFacts:
+    return msgspec.convert(value, InstanceFacts)
--- /dev/null
+++ b/packages/millfork-state/millfork_state/storage.py
@@ -0,0 +1,330 @@
+"""
+A replica's files: the log, the vote and the snapshot.
+
+All under one folder. A record or file counts only once it is synced, but
+for commit marks: losing one costs nothing that was promised.
+
+"""
+
+import os
+import struct
+import uuid
+import zlib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+import curio
+import msgspec
+from millfork_core.ids import ClusterId, DiskId, LogIndex, Term
+
+RECORD: Final = struct.Struct('>II')
+MAX_RECORD_BYTES: Final = 64 * 1024 * 1024
+VOTE_FILE: Final = 'vote'
+SNAPSHOT_FILE: Final = 'snapshot'
+LOG_FILE: Final = 'log'
+
+
+class CorruptStorage(Exception):
+    """
+    A file is damaged in a way that no torn write explains.
+
+    """
+
+
+class LogEntry(msgspec.Struct, frozen=True):
+    """
+    One entry of the log; the payload is an encoded command.
+
+    """
+
+    term: int
+    index: int
+    payload: bytes
+
+
+class _CommitMark(msgspec.Struct, frozen=True, tag='c'):
+    index: int
+
+
+class _EntryRecord(msgspec.Struct, frozen=True, tag='e'):
+    entry: LogEntry
+
+
+class Vote(msgspec.Struct):
+    """
+    What must survive a restart: whose disk this is, the term, the vote.
+
+    """
+
+    disk: str
+    cluster: str = ''
+    term: int = 0
+    voted_for: str = ''
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """
+    The machine's dump after the entry at `index`.
+
+    """
+
+    index: int
+    term: int
+    members: list[tuple[str, str]]
+    dump: bytes
+
+
+_RECORDS: Final = msgspec.msgpack.Decoder(_CommitMark | _EntryRecord)
+
+
+def frame_record(body: bytes) -> bytes:
+    return RECORD.pack(len(body), zlib.crc32(body)) + body
+
+
+def _sync_folder(folder: Path) -> None:
+    fd = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
+
+
+def write_file(path: Path, body: bytes) -> None:
+    """
+    Replace a file as a whole, durably.
+
+    """
+    temporary = path.with_suffix('.tmp')
+    with temporary.open('wb') as file:
+        file.write(frame_record(body))
+        file.flush()
+        os.fsync(file.fileno())
+    temporary.replace(path)
+    _sync_folder(path.parent)
+
+
+def read_file(path: Path) -> bytes | None:
+    """
+    A file written by `write_file`, or None if there is none.
+
+    :raises CorruptStorage: if its checksum does not hold.
+
+    """
+    try:
+        data = path.read_bytes()
+    except FileNotFoundError:
+        return None
+    if len(data) < RECORD.size:
+        raise CorruptStorage(f'{path} is cut short')
+    length, checksum = RECORD.unpack_from(data)
+    body = data[RECORD.size :]
+    if len(body) != length or zlib.crc32(body) != checksum:
+        raise CorruptStorage(f'{path} fails its checksum')
+    return body
+
+
+@dataclass(slots=True)
+class _Scan:
+    entries: list[LogEntry]
+    commit: int
+    good_bytes: int
+
+
+def _scan(data: bytes, path: Path) -> _Scan:
+    scan = _Scan([], 0, 0)
+    while scan.good_bytes < len(data):
+        body = _record_at(data, scan.good_bytes)
+        if body is None:
+            _check_torn(data, scan.good_bytes, path)
+            return scan
+        record = _RECORDS.decode(body)
+        scan.good_bytes += RECORD.size + len(body)
+        if isinstance(record, _CommitMark):
+            scan.commit = max(scan.commit, record.index)
+            continue
+        _put(scan.entries, record.entry)
+    return scan
+
+
+def _put(entries: list[LogEntry], entry: LogEntry) -> None:
+    """
+    A later record of an index replaces that index and all after it.
+
+    """
+    while entries and entries[-1].index >= entry.index:
+        entries.pop()
+    entries.append(entry)
+
+
+def _record_at(data: bytes, offset: int) -> bytes | None:
+    if len(data) - offset < RECORD.size:
+        return None
+    length, checksum = RECORD.unpack_from(data, offset)
+    body = data[offset + RECORD.size : offset + RECORD.size + length]
+    if not length or len(body) != length or zlib.crc32(body) != checksum:
+        return None
+    return body
+
+
+def _check_torn(data: bytes, offset: int, path: Path) -> None:
+    """
+    A torn write is the file's end; whole records behind it mean damage.
+
+    """
+    if len(data) - offset < RECORD.size:
+        return
+    length, _ = RECORD.unpack_from(data, offset)
+    behind = offset + RECORD.size + length
+    if length <= MAX_RECORD_BYTES and _record_at(data, behind) is not None:
+        raise CorruptStorage(f'{path} is damaged at byte {offset}')
+
+
+class Storage:
+    """
+    The files of one replica, and the log's entries in memory.
+
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.log_path = folder / LOG_FILE
+        self.vote = self._load_vote()
+        self.snapshot = self._load_snapshot()
+        self.entries: list[LogEntry] = []
+        self.torn_bytes = 0
+        self.commit_hint = self._load_log()
+        self.file = self.log_path.open('ab')
+
+    @property
+    def disk(self) -> DiskId:
+        return DiskId(self.vote.disk)
+
+    @property
+    def cluster(self) -> ClusterId:
+        return ClusterId(self.vote.cluster)
+
+    def _load_vote(self) -> Vote:
+        body = read_file(self.folder / VOTE_FILE)
+        if body is not None:
+            return msgspec.msgpack.decode(body, type=Vote)
+        vote = Vote(uuid.uuid4().hex)
+        write_file(self.folder / VOTE_FILE, msgspec.msgpack.encode(vote))
+        return vote
+
+    def _load_snapshot(self) -> Snapshot | None:
+        body = read_file(self.folder / SNAPSHOT_FILE)
+        return None if body is None else msgspec.msgpack.decode(body, type=Snapshot)
+
+    def _load_log(self) -> int:
+        data = self.log_path.read_bytes() if self.log_path.exists() else b''
+        scan = _scan(data, self.log_path)
+        self.torn_bytes = len(data) - scan.good_bytes
+        if self.torn_bytes:
+            os.truncate(self.log_path, scan.good_bytes)
+        start = self.snapshot.index if self.snapshot else 0
+        self.entries = [entry for entry in scan.entries if entry.index > start]
+        if self.entries and self.entries[0].index != start + 1:
+            raise CorruptStorage(f'{self.log_path} does not follow its snapshot')
+        return min(scan.commit, self.last_index)
+
+    @property
+    def first_index(self) -> LogIndex:
+        """
+        The index before the first entry kept.
+
+        """
+        return LogIndex(self.snapshot.index if self.snapshot else 0)
+
+    @property
+    def last_index(self) -> LogIndex:
+        return LogIndex(self.entries[-1].index) if self.entries else self.first_index
+
+    @property
+    def last_term(self) -> Term:
+        if self.entries:
+            return Term(self.entries[-1].term)
+        return Term(self.snapshot.term if self.snapshot else 0)
+
+    def term_at(self, index: int) -> int | None:
+        """
+        The term of the entry at `index`, or None if it is not kept.
+
+        """
+        if index == self.first_index:
+            return self.snapshot.term if self.snapshot else 0
+        if index < self.first_index or index > self.last_index:
+            return None
+        return self.entries[index - self.first_index - 1].term
+
+    def entry_at(self, index: int) -> LogEntry:
+        return self.entries[index - self.first_index - 1]
+
+    def entries_from(self, index: int, most: int) -> list[LogEntry]:
+        start = index - self.first_index - 1
+        return self.entries[start : start + most]
+
+    async def save_vote(self, term: int, voted_for: str, cluster: str = '') -> None:
+        """
+        Make term and vote durable.
+
+        """
+        vote = Vote(self.vote.disk, cluster or self.vote.cluster, term, voted_for)
+        await curio.run_in_thread(write_file, self.folder / VOTE_FILE, msgspec.msgpack.encode(vote))
+        self.vote = vote
+
+    def write_entries(self, entries: list[LogEntry]) -> None:
+        """
+        Write entries, which replace any at their indexes. Not yet durable.
+
+        """
+        records = [frame_record(msgspec.msgpack.encode(_EntryRecord(entry))) for entry in entries]
+        self.file.write(b''.join(records))
+        self.file.flush()
+        for entry in entries:
+            _put(self.entries, entry)
+
+    def write_commit(self, index: int) -> None:
+        """
+        Note that `index` is committed; not synced, as losing it is harmless.
+
+        """
+        self.file.write(frame_record(msgspec.msgpack.encode(_CommitMark(index))))
+        self.file.flush()
+
+    async def sync(self) -> None:
+        """
+        Make all written entries durable.
+
+        """
+        await curio.run_in_thread(os.fdatasync, self.file.fileno())
+
+    async def save_snapshot(self, snapshot: Snapshot) -> None:
+        """
+        Make a snapshot durable, then drop the entries it covers.
+
+        """
+        body = msgspec.msgpack.encode(snapshot)
+        await curio.run_in_thread(write_file, self.folder / SNAPSHOT_FILE, body)
+        follows = self.term_at(snapshot.index) == snapshot.term
+        kept = [entry for entry in self.entries if follows and entry.index > snapshot.index]
+        self.snapshot = snapshot
+        self.entries = kept
+        await self._rewrite_log(kept, snapshot.index)
+
+    async def _rewrite_log(self, entries: list[LogEntry], commit: int) -> None:
+        records = [frame_record(msgspec.msgpack.encode(_EntryRecord(entry))) for entry in entries]
+        records.append(frame_record(msgspec.msgpack.encode(_CommitMark(commit))))
+        temporary = self.log_path.with_suffix('.tmp')
+        file = temporary.open('wb')
+        file.write(b''.join(records))
+        file.flush()
+        await curio.run_in_thread(os.fdatasync, file.fileno())
+        temporary.replace(self.log_path)
+        await curio.run_in_thread(_sync_folder, self.folder)
+        self.file.close()
+        self.file = file
+
+    def close(self) -> None:
+        self.file.close()
--- /dev/null
+++ b/packages/millfork-state/millfork_state/upstream.py
@@ -0,0 +1,76 @@
+"""
+Which peer a process takes the configuration from.
+
+Every availability zone is one tree: replicas first, then the other entries,
+then the endpoints, in an order that all compute alike. The parent of position
+p is (p - 1) // FANOUT, so a parent always stands earlier and no load grows
+with the fleet: each process feeds at most FANOUT others.
+
+"""
+
+from typing import Final
+
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_core.ranks import rank
+from millfork_wire.peers import PeerAddress
+
+from millfork_state.config import InstanceFacts
+from millfork_state.roster import ENTRY_ROLE, Roster
+
+FANOUT: Final = 8
+
+
+def zone_order(roster: Roster, zone: ZoneId, replicas: set[InstanceId]) -> list[InstanceId]:
+    """
+    The zone's instances in the order of its tree.
+
+    """
+
+    def place(facts: InstanceFacts) -> tuple[bool, bool, int]:
+        is_replica = facts.instance in replicas
+        return not is_replica, facts.role != ENTRY_ROLE, rank(zone, facts.instance)
+
+    in_zone = [facts for facts in roster.instances.values() if facts.zone == zone]
+    return [facts.instance for facts in sorted(in_zone, key=place)]
+
+
+def ancestors(order: list[InstanceId], instance: InstanceId) -> list[InstanceId]:
+    """
+    The instances from the parent up to the root of the zone's tree.
+
+    """
+    if instance not in order:
+        return order[:1]
+    position = order.index(instance)
+    found = []
+    while position > 0:
+        position = (position - 1) // FANOUT
+        found.append(order[position])
+    return found
+
+
+def candidates(
+    roster: Roster,
+    replicas: list[PeerAddress],
+    instance: InstanceId,
+    zone: ZoneId,
+) -> list[PeerAddress]:
+    """
+    Peers to subscribe to, best first: ancestors in the zone, other entries
+    of the zone that stand earlier, then every replica, nearest zone first.
+
+    """
+    replica_ids = {address.instance for address in replicas}
+    order = zone_order(roster, zone, replica_ids)
+    earlier = order[: order.index(instance)] if instance in order else order
+    entries = [
+        name
+        for name in earlier
+        if (facts := roster.instances.get(name)) is not None and facts.role == ENTRY_ROLE
+    ]
+    names = [*ancestors(order, instance), *entries[:FANOUT]]
+    found = [address for name in names if (address := roster.address(name)) is not None]
+    found += sorted(replicas, key=lambda address: (address.instance not in order, address.instance))
+    unique = {address.instance: address for address in reversed(found)}
+    unique.pop(instance, None)
+    return sorted(unique.values(), key=lambda address: found.index(address))
--- /dev/null
+++ b/packages/millfork-web/millfork_web/__init__.py
@@ -0,0 +1,4 @@
+"""
+HTTP/1.1 on curio by h11: server, client, problem bodies.
+
+"""
--- /dev/null
+++ b/packages/millfork-web/millfork_web/client.py
@@ -0,0 +1,223 @@
+"""
+An HTTP/1.1 client: h11 on curio, with kept connections for each address.
+
+"""
+
+import socket as socket_
+from collections.abc import AsyncIterator
+from typing import Any, Final
+
+import curio
+import h11
+from millfork_core.verdicts import Verdict
+
+from millfork_web.models import Headers, Response, find_header
+
+READ_BYTES: Final = 256 * 1024
+CONNECT_TIMEOUT_S: Final = 2.0
+MAX_IDLE: Final = 64
+
+
+class ExchangeFailed(Exception):
+    """
+    No whole response came; the verdict says what the server may have done.
+
+    """
+
+    def __init__(self, verdict: Verdict, detail: str) -> None:
+        super().__init__(detail)
+        self.verdict = verdict
+
+
+class Reply:
+    """
+    A response being read.
+
+    """
+
+    def __init__(self, client: 'Client', sock: Any, conn: h11.Connection) -> None:
+        self.client = client
+        self.sock = sock
+        self.conn = conn
+        self.status = 0
+        self.headers: Headers = []
+        self.whole = False
+
+    def header(self, name: str) -> str:
+        return find_header(self.headers, name)
+
+    async def read_head(self) -> None:
+        event = await self._next()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next()
+        if not isinstance(event, h11.Response):
+            raise ExchangeFailed(Verdict.MAY_HAVE_RUN, 'the server closed without a response')
+        self.status = event.status_code
+        self.headers = [(name.decode(), value.decode('latin-1')) for name, value in event.headers]
+
+    async def parts(self) -> AsyncIterator[bytes]:
+        """
+        The body as it comes; everything already received is one part.
+
+        :raises ExchangeFailed: if the body breaks off.
+
+        """
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.EndOfMessage):
+                self.whole = True
+                return
+            if not isinstance(event, h11.Data):
+                raise ExchangeFailed(Verdict.MAY_HAVE_RUN, 'the body broke off')
+            data = bytes(event.data)
+            more = self.conn.next_event() if self.conn.their_state is h11.SEND_BODY else None
+            while isinstance(more, h11.Data):
+                data += bytes(more.data)
+                more = self.conn.next_event()
+            yield data
+            if isinstance(more, h11.EndOfMessage):
+                self.whole = True
+                return
+
+    async def body(self) -> bytes:
+        found = bytearray()
+        async for part in self.parts():
+            found += part
+        return bytes(found)
+
+    async def _next(self) -> Any:
+        try:
+            while True:
+                event = self.conn.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self.conn.receive_data(await self.sock.recv(READ_BYTES))
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise ExchangeFailed(Verdict.MAY_HAVE_RUN, str(error)) from error
+
+    async def close(self) -> None:
+        """
+        Keep the connection if the response was read whole, else close it.
+
+        """
+        if self.whole and self.conn.our_state is h11.DONE and self.conn.their_state is h11.DONE:
+            self.conn.start_next_cycle()
+            await self.client.keep(self.sock, self.conn)
+            return
+        await self.sock.close()
+
+
+class Client:
+    """
+    A client for one server address.
+
+    """
+
+    def __init__(self, host: str, port: int, source: str = '') -> None:
+        self.host = host
+        self.port = port
+        self.source = source
+        self.idle: list[tuple[Any, h11.Connection]] = []
+
+    async def keep(self, sock: Any, conn: h11.Connection) -> None:
+        if len(self.idle) < MAX_IDLE:
+            self.idle.append((sock, conn))
+            return
+        await sock.close()
+
+    async def send(self, method: str, path: str, headers: Headers, body: bytes = b'') -> Reply:
+        """
+        Send a request and return once the response's head is read.
+
+        :raises ExchangeFailed: with the verdict on what the server may have done.
+
+        """
+        sock, conn = await self._connection()
+        reply = Reply(self, sock, conn)
+        try:
+            await self._write(sock, conn, method, path, headers, body)
+            await reply.read_head()
+        except BaseException:
+            await sock.close()
+            raise
+        return reply
+
+    async def fetch(
+        self,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes = b'',
+        timeout: float = 30.0,
+    ) -> Response:
+        """
+        Send a request and read the whole response within `timeout` seconds.
+
+        :raises ExchangeFailed: if there is no whole response in time.
+
+        """
+        try:
+            async with curio.timeout_after(timeout):
+                reply = await self.send(method, path, headers, body)
+                try:
+                    content = await reply.body()
+                finally:
+                    await reply.close()
+        except curio.TaskTimeout:
+            raise ExchangeFailed(Verdict.MAY_HAVE_RUN, f'no response in {timeout} s') from None
+        return Response(reply.status, reply.headers, content)
+
+    async def _connection(self) -> tuple[Any, h11.Connection]:
+        while self.idle:
+            sock, conn = self.idle.pop()
+            if _still_open(sock):
+                return sock, conn
+            await sock.close()
+        try:
+            async with curio.timeout_after(CONNECT_TIMEOUT_S):
+                source = (self.source, 0) if self.source else None
+                sock = await curio.open_connection(self.host, self.port, source_addr=source)
+        except (OSError, curio.TaskTimeout) as error:
+            detail = f'no connection to {self.host}:{self.port}'
+            raise ExchangeFailed(Verdict.NOT_RUN, detail) from error
+        sock.setsockopt(socket_.IPPROTO_TCP, socket_.TCP_NODELAY, 1)
+        return sock, h11.Connection(h11.CLIENT)
+
+    async def _write(
+        self,
+        sock: Any,
+        conn: h11.Connection,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+    ) -> None:
+        sent = [*headers, ('host', f'{self.host}:{self.port}'), ('content-length', str(len(body)))]
+        data = conn.send(h11.Request(method=method, target=path, headers=sent)) or b''
+        data += conn.send(h11.Data(data=body)) or b''
+        data += conn.send(h11.EndOfMessage()) or b''
+        try:
+            await sock.sendall(data)
+        except OSError as error:
+            raise ExchangeFailed(Verdict.MAY_HAVE_RUN, str(error)) from error
+
+    async def close(self) -> None:
+        while self.idle:
+            sock, _ = self.idle.pop()
+            await sock.close()
+
+
+def _still_open(sock: Any) -> bool:
+    """
+    A kept connection with anything to read was closed by the server.
+
+    """
+    try:
+        with sock.blocking() as raw:
+            raw.setblocking(False)
+            raw.recv(1, socket_.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
--- /dev/null
+++ b/packages/millfork-web/millfork_web/models.py
@@ -0,0 +1,72 @@
+"""
+Requests and responses as the server and client pass them.
+
+"""
+
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+Headers = list[tuple[str, str]]
+
+
+def find_header(headers: Headers, name: str) -> str:
+    """
+    The first value of a header (`name` in lower case), or ''.
+
+    """
+    for key, value in headers:
+        if key == name:
+            return value
+    return ''
+
+
+@dataclass(slots=True)
+class Request:
+    """
+    One whole request; header names are in lower case.
+
+    """
+
+    method: str
+    path: str
+    headers: Headers = field(default_factory=list)
+    body: bytes = b''
+
+    def header(self, name: str) -> str:
+        return find_header(self.headers, name)
+
+    def json(self) -> Any:
+        """
+        The body as JSON.
+
+        :raises ValueError: if it is none.
+
+        """
+        return json.loads(self.body)
+
+
+@dataclass(slots=True)
+class Response:
+    """
+    One whole response.
+
+    """
+
+    status: int
+    headers: Headers = field(default_factory=list)
+    body: bytes = b''
+
+    def header(self, name: str) -> str:
+        return find_header(self.headers, name)
+
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+
+def json_response(body: Any, status: int = 200) -> Response:
+    """
+    A response with a JSON body.
+
+    """
+    return Response(status, [('content-type', 'application/json')], json.dumps(body).encode())
--- /dev/null
+++ b/packages/millfork-web/millfork_web/server.py
@@ -0,0 +1,213 @@
+"""
+An HTTP/1.1 server: h11 on curio, one task for each connection.
+
+"""
+
+import socket as socket_
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+import curio
+import h11
+from millfork_core.logs import Part, logger
+from millfork_core.verdicts import Reason, Refusal
+
+from millfork_web.models import Headers, Request, Response
+from millfork_web.problem import problem
+
+READ_BYTES: Final = 64 * 1024
+IDLE_TIMEOUT_S: Final = 120.0
+REQUEST_TIMEOUT_S: Final = 30.0
+DEFAULT_MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+
+log = logger(Part.DAEMON)
+
+
+class CallerGone(Exception):
+    """
+    The caller closed its connection before the answer was whole.
+
+    """
+
+
+class Exchange:
+    """
+    One request on one connection, and the means to answer it.
+
+    """
+
+    def __init__(self, server: 'Server', sock: Any, conn: h11.Connection, request: Request) -> None:
+        self.server = server
+        self.sock = sock
+        self.conn = conn
+        self.request = request
+        self.started = False
+
+    async def respond(self, response: Response) -> None:
+        """
+        Send one whole response.
+
+        """
+        headers = [*response.headers, ('content-length', str(len(response.body)))]
+        head = self._head(response.status, headers)
+        data = self.conn.send(h11.Data(data=response.body)) or b''
+        end = self.conn.send(h11.EndOfMessage()) or b''
+        await self._send(head + data + end)
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """
+        Begin a streamed response.
+
+        """
+        await self._send(self._head(status, headers))
+
+    async def write(self, data: bytes) -> None:
+        await self._send(self.conn.send(h11.Data(data=data)) or b'')
+
+    async def finish(self) -> None:
+        await self._send(self.conn.send(h11.EndOfMessage()) or b'')
+
+    async def break_off(self) -> None:
+        """
+        End a streamed response so that it can't be taken for a whole one.
+
+        """
+        self.conn.send_failed()
+        try:
+            await self.sock.shutdown(socket_.SHUT_RDWR)
+        except OSError:
+            pass
+
+    def _head(self, status: int, headers: Headers) -> bytes:
+        self.started = True
+        if self.server.closing:
+            headers = [*headers, ('connection', 'close')]
+        return self.conn.send(h11.Response(status_code=status, headers=headers)) or b''
+
+    async def _send(self, data: bytes) -> None:
+        try:
+            await self.sock.sendall(data)
+        except OSError as error:
+            raise CallerGone(str(error)) from error
+
+    async def until_caller_gone(self) -> None:
+        """
+        Return when the caller has closed its side. Bytes it sends early
+        stay unread.
+
+        """
+        while True:
+            data = await self.sock.recv(1, socket_.MSG_PEEK)
+            if not data:
+                return
+            await curio.sleep(1.0)
+
+
+ExchangeHandler = Callable[[Exchange], Awaitable[None]]
+Refuser = Callable[[Reason], None]
+
+
+class Server:
+    """
+    Serves one handler on one address.
+
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        handler: ExchangeHandler,
+        max_body: int = DEFAULT_MAX_BODY_BYTES,
+        on_refusal: Refuser = lambda reason: None,
+    ) -> None:
+        self.host = host
+        self.port = port
+        self.handler = handler
+        self.max_body = max_body
+        self.on_refusal = on_refusal
+        self.closing = False
+        self.active = 0
+
+    async def run(self) -> None:
+        """
+        Serve until cancelled.
+
+        """
+        await curio.tcp_server(self.host, self.port, self._serve, reuse_address=True, backlog=1024)
+
+    async def _serve(self, sock: Any, address: Any) -> None:
+        sock.setsockopt(socket_.IPPROTO_TCP, socket_.TCP_NODELAY, 1)
+        conn = h11.Connection(h11.SERVER)
+        try:
+            while await self._serve_one(sock, conn):
+                conn.start_next_cycle()
+        except (OSError, CallerGone, curio.TaskTimeout):
+            pass
+        finally:
+            await sock.close()
+
+    async def _serve_one(self, sock: Any, conn: h11.Connection) -> bool:
+        try:
+            request = await self._read_request(sock, conn)
+        except h11.RemoteProtocolError as error:
+            await self._refuse(sock, conn, Refusal(Reason.BAD_REQUEST, detail=str(error)))
+            return False
+        except _TooLarge:
+            detail = f'the body is over {self.max_body} bytes'
+            await self._refuse(sock, conn, Refusal(Reason.TOO_LARGE, detail=detail))
+            return False
+        if request is None:
+            return False
+        exchange = Exchange(self, sock, conn, request)
+        self.active += 1
+        try:
+            await self.handler(exchange)
+        except CallerGone:
+            return False
+        except Exception:
+            log.exception('Answering {} {} failed.', request.method, request.path)
+            return False
+        finally:
+            self.active -= 1
+        return conn.our_state is h11.DONE and conn.their_state is h11.DONE and not self.closing
+
+    async def _refuse(self, sock: Any, conn: h11.Connection, refusal: Refusal) -> None:
+        self.on_refusal(refusal.reason)
+        if conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        exchange = Exchange(self, sock, conn, Request('', ''))
+        await exchange.respond(problem(refusal))
+
+    async def _read_request(self, sock: Any, conn: h11.Connection) -> Request | None:
+        async with curio.timeout_after(IDLE_TIMEOUT_S):
+            head = await _next_event(sock, conn)
+        if not isinstance(head, h11.Request):
+            return None
+        body = bytearray()
+        async with curio.timeout_after(REQUEST_TIMEOUT_S):
+            while True:
+                event = await _next_event(sock, conn)
+                if isinstance(event, h11.EndOfMessage):
+                    break
+                if not isinstance(event, h11.Data):
+                    return None
+                body += event.data
+                if len(body) > self.max_body:
+                    raise _TooLarge
+        headers = [(name.decode(), value.decode('latin-1')) for name, value in head.headers]
+        return Request(head.method.decode(), head.target.decode(), headers, bytes(body))
+
+
+class _TooLarge(Exception):
+    pass
+
+
+async def _next_event(sock: Any, conn: h11.Connection) -> Any:
+    while True:
+        event = conn.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        if conn.they_are_waiting_for_100_continue:
+            await sock.sendall(conn.send(h11.InformationalResponse(status_code=100, headers=[])))
+        conn.receive_data(await sock.recv(READ_BYTES))
--- /dev/null
+++ b/packages/millfork-weights/millfork_weights/__init__.py
@@ -0,0 +1,4 @@
+"""
+Weights: manifests, verified files, distribution trees, transfers.
+
+"""
--- /dev/null
+++ b/packages/millfork-weights/millfork_weights/origin.py
@@ -0,0 +1,57 @@
+"""
+The origin of weights, met over HTTP.
+
+"""
+
+from typing import Final
+
+from millfork_web.client import Client, ExchangeFailed
+
+TIMEOUT_S: Final = 60.0
+OK: Final = 200
+PARTIAL: Final = 206
+
+
+class OriginFailed(Exception):
+    """
+    The origin did not give what was asked for.
+
+    """
+
+
+class Origin:
+    """
+    Draws manifests and chunks from the origin.
+
+    """
+
+    def __init__(self, host: str, port: int, source: str) -> None:
+        self.client = Client(host, port, source)
+
+    async def manifest(self, name: str, version: str) -> bytes:
+        """
+        The manifest that the origin has for a version at this moment.
+
+        :raises OriginFailed: if it gives none.
+
+        """
+        return await self._get(f'/models/{name}/{version}/manifest', [], OK)
+
+    async def chunk(self, name: str, version: str, start: int, size: int) -> bytes:
+        """
+        `size` bytes from `start` of a version, unverified.
+
+        :raises OriginFailed: if it gives none.
+
+        """
+        span = [('range', f'bytes={start}-{start + size - 1}')]
+        return await self._get(f'/models/{name}/{version}/weights', span, PARTIAL)
+
+    async def _get(self, path: str, headers: list[tuple[str, str]], status: int) -> bytes:
+        try:
+            response = await self.client.fetch('GET', path, headers, timeout=TIMEOUT_S)
+        except ExchangeFailed as error:
+            raise OriginFailed(str(error)) from error
+        if response.status != status:
+            raise OriginFailed(f'{path} answered {response.status}')
+        return response.body
--- /dev/null
+++ b/packages/millfork-weights/millfork_weights/transfer.py
@@ -0,0 +1,259 @@
+"""
+One version on its way to this instance: stripes, sources, verification.
+
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Final
+
+import curio
+from millfork_core.environment import Environment
+from millfork_core.ids import Digest, InstanceId
+from millfork_core.logs import Part, logger
+from millfork_wire.connection import PeerError
+from millfork_wire.messages import Chunk, GetChunk, GetManifest
+from millfork_wire.messages import Manifest as ManifestMessage
+from millfork_wire.peers import PeerAddress, Peers
+
+from millfork_weights.links import Link
+from millfork_weights.manifest import BadManifest, Manifest, decode_manifest
+from millfork_weights.origin import Origin, OriginFailed
+from millfork_weights.store import Holding, WeightStore
+from millfork_weights.trees import Holder, Tree, plan_tree
+
+SUSPECT_S: Final = 3.0
+PAUSE_S: Final = 0.1
+MANIFEST_TIMEOUT_S: Final = 2.0
+PATIENCE: Final = 3
+WHOLE_PEERS_ASKED: Final = 3
+BUSY: Final = 'busy'
+NOT_YET: Final = 'not_yet'
+LOCAL: Final = 'local'
+ORIGIN: Final = 'origin'
+PEER: Final = 'peer'
+
+log = logger(Part.WEIGHTS)
+
+
+@dataclass(frozen=True, slots=True)
+class TransferSettings:
+    """
+    How to draw: trees, requests in flight for each, patience in seconds.
+
+    """
+
+    stripes: int
+    window: int
+    stall_s: float
+    origin_copies: int
+
+
+class Transfer:
+    """
+    Brings one version here, from peers where possible.
+
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        settings: TransferSettings,
+        store: WeightStore,
+        link: Link,
+        origin: Origin,
+        peers: Peers,
+        locate: Callable[[InstanceId], PeerAddress | None],
+    ) -> None:
+        self.env = env
+        self.settings = settings
+        self.store = store
+        self.link = link
+        self.origin = origin
+        self.peers = peers
+        self.locate = locate
+        self.suspects: dict[InstanceId, float] = {}
+        self.whole_peers: list[InstanceId] = []
+        self.trees: list[Tree] = []
+
+    async def run(self, name: str, version: str, digest: Digest, holders: list[Holder]) -> Holding:
+        """
+        Return the holding once every chunk and the whole are verified.
+
+        :raises WholeMismatch: if the manifest contradicts itself.
+
+        """
+        settings = self.settings
+        self.trees = [
+            plan_tree(digest, holders, stripe, settings.stripes, settings.origin_copies)
+            for stripe in range(settings.stripes)
+        ]
+        manifest = await self._manifest(name, version, digest)
+        holding = await self.store.open(digest, manifest)
+        async with curio.TaskGroup() as group:
+            for stripe, tree in enumerate(self.trees):
+                indexes = iter(range(stripe, len(manifest.chunks), settings.stripes))
+                for _ in range(settings.window):
+                    await group.spawn(self._fetch_stripe, holding, tree, indexes)
+        if not holding.whole:
+            await holding.complete()
+        return holding
+
+    # The manifest.
+
+    async def _manifest(self, name: str, version: str, digest: Digest) -> Manifest:
+        found = self.store.manifest_on_disk(digest)
+        me = self.env.instance
+        ancestors = [s for tree in self.trees for s in tree.sources(me)]
+        everyone = [other for other in self.trees[0].order if other != me]
+        sample = self.env.random.sample(everyone, min(WHOLE_PEERS_ASKED, len(everyone)))
+        while found is None:
+            for source in dict.fromkeys([*sample, *ancestors[: 2 * WHOLE_PEERS_ASKED]]):
+                found = await self._manifest_from(source, digest) or found
+                if found is not None and source not in sample:
+                    break
+            if found is not None:
+                break
+            if any(tree.is_root(me) for tree in self.trees) or not ancestors:
+                found = await self._manifest_from_origin(name, version, digest)
+            if found is None:
+                await curio.sleep(PAUSE_S)
+        return found
+
+    async def _manifest_from(self, source: InstanceId, digest: Digest) -> Manifest | None:
+        address = self.locate(source)
+        if address is None:
+            return None
+        try:
+            reply = await self.peers.call(address, GetManifest(digest), MANIFEST_TIMEOUT_S)
+        except PeerError:
+            self._suspect(source)
+            return None
+        if not isinstance(reply, ManifestMessage) or not reply.found:
+            return None
+        if reply.whole:
+            self.whole_peers.append(source)
+        try:
+            return decode_manifest(reply.body, digest)
+        except BadManifest:
+            self._count('bad_manifest', PEER)
+            return None
+
+    async def _manifest_from_origin(
+        self, name: str, version: str, digest: Digest
+    ) -> Manifest | None:
+        try:
+            return decode_manifest(await self.origin.manifest(name, version), digest)
+        except OriginFailed:
+            self._count('failed', ORIGIN)
+        except BadManifest:
+            self._count('origin_changed', ORIGIN)
+            log.warning('The origin changed {} {} after it was accepted.', name, version)
+            await curio.sleep(PAUSE_S)
+        return None
+
+    # Chunks.
+
+    async def _fetch_stripe(self, holding: Holding, tree: Tree, indexes: Iterator[int]) -> None:
+        for index in indexes:
+            if holding.have[index]:
+                continue
+            if await self._reuse(holding, index):
+                continue
+            await self._fetch(holding, tree, index)
+
+    async def _reuse(self, holding: Holding, index: int) -> bool:
+        size = holding.manifest.chunk_size(index)
+        data = self.store.find_chunk(holding.manifest.chunks[index], size)
+        if data is None:
+            return False
+        await holding.put(index, data)
+        self._count('reused', LOCAL)
+        return True
+
+    async def _fetch(self, holding: Holding, tree: Tree, index: int) -> None:
+        """
+        Ask source after source until the chunk is here and right.
+
+        """
+        while True:
+            sources = self._sources(tree, index)
+            for source in sources:
+                if self.suspects.get(source, 0.0) > self.env.monotonic():
+                    continue
+                if await self._fetch_from_peer(holding, index, source):
+                    return
+            if await self._fetch_from_origin(holding, index):
+                return
+            await curio.sleep(PAUSE_S)
+
+    def _sources(self, tree: Tree, index: int) -> list[InstanceId]:
+        sources = tree.sources(self.env.instance)
+        whole = [peer for peer in self.whole_peers if peer not in sources[:1]]
+        if not whole:
+            return sources
+        turn = index % len(whole)
+        return [*whole[turn:], *whole[:turn], *sources]
+
+    async def _fetch_from_peer(self, holding: Holding, index: int, source: InstanceId) -> bool:
+        address = self.locate(source)
+        if address is None:
+            return False
+        size = holding.manifest.chunk_size(index)
+        stall_s = self.settings.stall_s
+        request = GetChunk(holding.digest, index, int(stall_s * 1000))
+        timeout = 2 * stall_s + 2 * size / self.link.rate
+        patience = PATIENCE
+        while patience:
+            patience -= 1
+            await self.link.inward.take(size)
+            try:
+                reply = await self.peers.call(address, request, timeout)
+            except PeerError as error:
+                self._suspect(source)
+                self._count(type(error).__name__, PEER)
+                return False
+            if not isinstance(reply, Chunk):
+                return False
+            if reply.found:
+                return await self._take(holding, index, reply.data, PEER, source)
+            self._count(reply.reason or 'not_found', PEER)
+            if reply.reason not in (BUSY, NOT_YET):
+                return False
+        return False
+
+    async def _fetch_from_origin(self, holding: Holding, index: int) -> bool:
+        manifest = holding.manifest
+        size = manifest.chunk_size(index)
+        await self.link.inward.take(size)
+        try:
+            data = await self.origin.chunk(
+                manifest.name, manifest.version, index * manifest.chunk_bytes, size
+            )
+        except OriginFailed:
+            self._count('failed', ORIGIN)
+            return False
+        return await self._take(holding, index, data, ORIGIN, None)
+
+    async def _take(
+        self,
+        holding: Holding,
+        index: int,
+        data: bytes,
+        kind: str,
+        source: InstanceId | None,
+    ) -> bool:
+        self.env.metrics.count(self.env.metrics.chunk_bytes, len(data), source=kind)
+        if not holding.fits(index, data):
+            self._count('corrupt', kind)
+            log.warning('Chunk {} from {} is corrupt.', index, source or kind)
+            return False
+        await holding.put(index, data)
+        self._count('taken', kind)
+        return True
+
+    def _suspect(self, source: InstanceId) -> None:
+        self.suspects[source] = self.env.monotonic() + SUSPECT_S
+
+    def _count(self, outcome: str, kind: str) -> None:
+        self.env.metrics.count(self.env.metrics.chunks, outcome=outcome, source=kind)
--- /dev/null
+++ b/packages/millfork-wire/millfork_wire/__init__.py
@@ -0,0 +1,4 @@
+"""
+Messages between millfork's own processes: schema, framing, handshake, peers.
+
+"""
--- /dev/null
+++ b/packages/millfork-wire/millfork_wire/codec.py
@@ -0,0 +1,164 @@
+"""
+Frames to bytes and back, by pycapnp; the schema is loaded at run time.
+
+"""
+
+import re
+from dataclasses import dataclass, fields
+from enum import IntEnum
+from importlib.resources import files
+from typing import Any, Final, get_args, get_origin, get_type_hints
+
+import capnp
+
+from millfork_wire import messages
+from millfork_wire.messages import Message
+
+LENGTH_BYTES: Final = 4
+MAX_HELLO_BYTES: Final = 1024
+MAX_FRAME_BYTES: Final = 48 * 1024 * 1024
+
+
+class Kind(IntEnum):
+    """
+    What a frame is: a request awaits one reply, an event awaits none.
+
+    """
+
+    REQUEST = 0
+    REPLY = 1
+    EVENT = 2
+
+
+class BadFrame(Exception):
+    """
+    The bytes are not a frame of this protocol.
+
+    """
+
+
+@dataclass(slots=True)
+class Frame:
+    """
+    One decoded frame.
+
+    """
+
+    id: int
+    kind: Kind
+    message: Message
+
+
+def _camel(name: str) -> str:
+    return re.sub(r'_([a-z])', lambda match: match.group(1).upper(), name)
+
+
+_schema = capnp.load(str(files('millfork_wire') / 'millfork.capnp'))
+
+
+# Two frame members share one struct: a pre-vote is asked like a vote.
+@dataclass(slots=True)
+class PreVote(messages.VoteRequest):
+    """
+    A vote request that changes no term.
+
+    """
+
+
+def _classes() -> dict[str, type[Message]]:
+    """
+    The class of each member of the frame's union, by the struct it names.
+
+    """
+    found: dict[str, type[Message]] = {}
+    for name, member in _schema.Frame.schema.fields.items():
+        if name in ('id', 'kind'):
+            continue
+        struct = member.schema.node.displayName.rpartition(':')[2]
+        found[name] = getattr(messages, struct)
+    found['preVote'] = PreVote
+    return found
+
+
+_CLASSES: Final = _classes()
+_NAMES: Final = {cls: name for name, cls in _CLASSES.items()}
+
+
+def _plan(cls: type[Message]) -> list[tuple[str, str, Any]]:
+    hints = get_type_hints(cls)
+    plan = []
+    for item in fields(cls):  # type: ignore[arg-type]
+        hint = hints[item.name]
+        inner = get_args(hint)[0] if get_origin(hint) is list else None
+        plan.append((item.name, _camel(item.name), inner or hint))
+    return plan
+
+
+_PLANS: Final[dict[type[Message], list[tuple[str, str, Any]]]] = {}
+
+
+def _plan_of(cls: type[Message]) -> list[tuple[str, str, Any]]:
+    plan = _PLANS.get(cls)
+    if plan is None:
+        plan = _plan(cls)
+        _PLANS[cls] = plan
+    return plan
+
+
+def _to_wire(message: Message) -> dict[str, Any]:
+    wire = {}
+    for name, wire_name, _ in _plan_of(type(message)):
+        value = getattr(message, name)
+        if isinstance(value, list) and value and isinstance(value[0], Message):
+            value = [_to_wire(item) for item in value]
+        wire[wire_name] = value
+    return wire
+
+
+def _from_wire(cls: type[Message], reader: Any) -> Message:
+    values: dict[str, Any] = {}
+    for name, wire_name, inner in _plan_of(cls):
+        value = getattr(reader, wire_name)
+        if isinstance(value, (str, int, bool)):
+            values[name] = value
+            continue
+        if inner is bytes:
+            values[name] = bytes(value)
+            continue
+        if inner is str:
+            values[name] = [str(item) for item in value]
+            continue
+        values[name] = [_from_wire(inner, item) for item in value]
+    return cls(**values)
+
+
+def encode(frame: Frame) -> bytes:
+    """
+    A frame as length-prefixed bytes.
+
+    """
+    name = _NAMES[type(frame.message)]
+    body: bytes = _schema.Frame.new_message(
+        id=frame.id,
+        kind=int(frame.kind),
+        **{name: _to_wire(frame.message)},
+    ).to_bytes()
+    if len(body) > MAX_FRAME_BYTES:
+        raise BadFrame(f'a {name} message of {len(body)} bytes is over the limit')
+    return len(body).to_bytes(LENGTH_BYTES, 'big') + body
+
+
+def decode(body: bytes) -> Frame:
+    """
+    The frame in `body` (without its length).
+
+    :raises BadFrame: if the bytes are no frame or an unknown message.
+
+    """
+    try:
+        with _schema.Frame.from_bytes(body) as reader:
+            name = str(reader.which())
+            cls = _CLASSES[name]
+            return Frame(reader.id, Kind(reader.kind), _from_wire(cls, getattr(reader, name)))
+    except (capnp.KjException, KeyError, ValueError, UnicodeDecodeError) as error:
+        raise BadFrame(str(error).split('\n', 1)[0]) from error
--- /dev/null
+++ b/packages/millfork-wire/millfork_wire/transport.py
@@ -0,0 +1,92 @@
+"""
+Frames over one TCP stream.
+
+"""
+
+from typing import Any, Final
+
+import curio
+from curio import socket
+
+from millfork_wire import codec
+from millfork_wire.codec import BadFrame, Frame
+
+PROXY_REPLY_LIMIT: Final = 4096
+
+
+class Transport:
+    """
+    Reads and writes whole frames on a curio socket.
+
+    """
+
+    def __init__(self, sock: Any) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock = sock
+        self.stream = sock.as_stream()
+
+    async def send(self, frame: Frame) -> None:
+        await self.send_bytes(codec.encode(frame))
+
+    async def send_bytes(self, data: bytes) -> None:
+        await self.stream.write(data)
+
+    async def receive(self, limit: int = codec.MAX_FRAME_BYTES) -> Frame:
+        """
+        The next frame.
+
+        :raises EOFError: when the peer closed.
+        :raises BadFrame: on a frame over `limit` bytes, or no frame at all.
+
+        """
+        header = await self.stream.read_exactly(codec.LENGTH_BYTES)
+        length = int.from_bytes(header, 'big')
+        if length > limit:
+            raise BadFrame(f'a frame of {length} bytes is over the limit of {limit}')
+        return codec.decode(await self.stream.read_exactly(length))
+
+    async def shut(self) -> None:
+        """
+        End both directions, which wakes the task that reads.
+
+        """
+        try:
+            await self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+    async def close(self) -> None:
+        await self.sock.close()
+
+
+async def dial(host: str, port: int, source: str, via: tuple[str, int] | None) -> Transport:
+    """
+    Open a connection from address `source`, through the HTTP CONNECT proxy
+    `via` where one stands between the zones.
+
+    :raises OSError: if there is no connection to be had.
+
+    """
+    first_hop = via or (host, port)
+    sock = await curio.open_connection(*first_hop, source_addr=(source, 0))
+    if via is None:
+        return Transport(sock)
+    try:
+        await _pass_proxy(sock, host, port)
+    except BaseException:
+        await sock.close()
+        raise
+    return Transport(sock)
+
+
+async def _pass_proxy(sock: Any, host: str, port: int) -> None:
+    request = f'CONNECT {host}:{port} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n'
+    await sock.sendall(request.encode())
+    reply = b''
+    while b'\r\n\r\n' not in reply:
+        data = await sock.recv(1)
+        reply += data
+        if not data or len(reply) > PROXY_REPLY_LIMIT:
+            raise ConnectionRefusedError('the proxy gave no answer')
+    if b' 200 ' not in reply.split(b'\r\n', 1)[0]:
+        raise ConnectionRefusedError(f'the proxy refused {host}:{port}')
--- /dev/null
+++ b/packages/millfork/millfork/cli/__init__.py
@@ -0,0 +1,4 @@
+"""
+The command line of the operator program.
+
+"""
--- /dev/null
+++ b/packages/millfork/millfork/cli/definition.py
@@ -0,0 +1,35 @@
+"""
+Flags of `millfork`.
+
+"""
+
+import os
+from typing import Final
+
+from absl import flags
+
+from millfork.cli.constants import DEFAULT_ENTRY, ENTRY_VARIABLE, TOKEN_VARIABLE
+
+FLAGS: Final = flags.FLAGS
+
+flags.DEFINE_string(
+    'entries',
+    os.environ.get(ENTRY_VARIABLE, DEFAULT_ENTRY),
+    f'Entries to ask, HOST:PORT, comma-separated (or {ENTRY_VARIABLE}).',
+)
+flags.DEFINE_string(
+    'token_file',
+    os.environ.get(TOKEN_VARIABLE),
+    f"File with the operator's token (or {TOKEN_VARIABLE}).",
+)
+flags.DEFINE_string('organisation', '', 'Organisation to act for, where the token does not say.')
+flags.DEFINE_integer(
+    'expect', None, 'Refuse if what is changed was changed after this revision.', lower_bound=0
+)
+flags.DEFINE_string(
+    'command_id', '', 'Id of the command; one sent again with its id gets its first answer.'
+)
+flags.DEFINE_bool('watch', False, 'status: follow until all instances serve.')
+flags.DEFINE_float('timeout', 600.0, 'status --watch: seconds to follow.', lower_bound=0)
+flags.DEFINE_bool('undo', False, 'drain: give the instance work again.')
+flags.DEFINE_bool('json', False, 'Print JSON.')
--- /dev/null
+++ b/packages/millfork/millfork/models.py
@@ -0,0 +1,50 @@
+"""
+What a command needs from the command line.
+
+"""
+
+import sys
+from dataclasses import dataclass
+
+
+@dataclass
+class Arguments:
+    """
+    One parsed command line.
+
+    """
+
+    command: str
+    operands: list[str]
+    entries: list[tuple[str, int]]
+    token: str
+    organisation: str = ''
+    expect: int | None = None
+    command_id: str = ''
+    watch: bool = False
+    timeout: float = 600.0
+    undo: bool = False
+    json: bool = False
+
+
+@dataclass
+class Environment:
+    """
+    Where the program reads and writes; replaced in tests.
+
+    """
+
+    stdout: list[str] | None = None
+    stderr: list[str] | None = None
+
+    def out(self, text: str) -> None:
+        self._write(text, self.stdout, error=False)
+
+    def err(self, text: str) -> None:
+        self._write(text, self.stderr, error=True)
+
+    def _write(self, text: str, target: list[str] | None, error: bool) -> None:
+        if target is not None:
+            target.append(text)
+            return
+        print(text, file=sys.stderr if error else sys.stdout, flush=True)
--- /dev/null
+++ b/packages/millforkd/millforkd/__init__.py
@@ -0,0 +1,4 @@
+"""
+The daemon: entry and endpoint roles.
+
+"""
--- /dev/null
+++ b/packages/millforkd/millforkd/cli/__init__.py
@@ -0,0 +1,4 @@
+"""
+The daemon's command line.
+
+"""
--- /dev/null
+++ b/packages/millforkd/millforkd/core.py
@@ -0,0 +1,101 @@
+"""
+The story of a run: settings, environment, role, stop.
+
+"""
+
+import sys
+from pathlib import Path
+
+import curio
+from millfork_core import logs
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_core.logs import Part, logger
+from millfork_core.signals import StopSignals
+from millfork_core.status import ExitStatus
+from millfork_settings.errors import BadFile
+from millfork_settings.loading import load
+from millfork_settings.models import Role, Settings
+from millfork_state.storage import CorruptStorage
+
+from millforkd.endpoint.daemon import EndpointDaemon
+from millforkd.entry.daemon import EntryDaemon
+
+log = logger(Part.DAEMON)
+
+
+def run(settings_path: str | None, check_only: bool) -> ExitStatus:
+    """
+    Run a daemon until it is told to stop.
+
+    """
+    if settings_path is None:
+        print('millforkd: --settings is needed; see --help', file=sys.stderr)
+        return ExitStatus.USAGE
+    try:
+        settings = load(Path(settings_path), Settings)
+    except BadFile as error:
+        print(error, file=sys.stderr)
+        return ExitStatus.BAD_SETTINGS
+    if check_only:
+        print(f'{settings_path}: good')
+        return ExitStatus.SUCCESS
+    logs.set_up(settings.log_level)
+    status: ExitStatus = curio.run(serve, settings)
+    return status
+
+
+async def serve(settings: Settings) -> ExitStatus:
+    """
+    Run the role until the first stop signal, then drain; a second signal
+    ends the drain.
+
+    """
+    env = Environment(InstanceId(settings.instance), ZoneId(settings.zone))
+    try:
+        daemon = build(env, settings)
+        async with StopSignals() as signals:
+            await daemon.start()
+            if not await wait_for_stop(env, signals):
+                return ExitStatus.ERROR
+            log.info('Stopping; requests in progress go on.')
+            drain = await curio.spawn(daemon.drain)
+            second = await curio.spawn(signals.get)
+            async with curio.TaskGroup([drain, second], wait=any) as group:
+                pass
+            if group.completed is second:
+                log.warning('Second signal: {} requests are cut off.', daemon.in_progress)
+                env.metrics.count(env.metrics.requests, outcome='cut_off_by_signal')
+    except BadFile as error:
+        log.error('{}', error)
+        return ExitStatus.BAD_SETTINGS
+    except CorruptStorage as error:
+        log.error('Storage is corrupt: {}. Not starting.', error)
+        return ExitStatus.ERROR
+    except OSError as error:
+        log.error('Cannot start: {}.', error)
+        return ExitStatus.ERROR
+    log.info('Stopped.')
+    return ExitStatus.SUCCESS
+
+
+async def wait_for_stop(env: Environment, signals: StopSignals) -> bool:
+    """
+    Wait for a stop signal; False if a task failed that can't be done without.
+
+    """
+    signalled = await curio.spawn(signals.get)
+    failed = await curio.spawn(env.failed.wait)
+    async with curio.TaskGroup([signalled, failed], wait=any) as group:
+        pass
+    return group.completed is signalled
+
+
+def build(env: Environment, settings: Settings) -> EntryDaemon | EndpointDaemon:
+    """
+    The daemon of the role that the settings name.
+
+    """
+    if settings.role is Role.ENTRY:
+        return EntryDaemon(env, settings)
+    return EndpointDaemon(env, settings)
--- /dev/null
+++ b/packages/millforkd/millforkd/endpoint/__init__.py
@@ -0,0 +1,4 @@
+"""
+Role endpoint: the door to an engine or plain service.
+
+"""
--- /dev/null
+++ b/packages/millforkd/millforkd/endpoint/door.py
@@ -0,0 +1,335 @@
+"""
+The door to the back end: admits, runs, passes on, tells the truth.
+
+"""
+
+import json
+from typing import Final
+
+import curio
+from millfork_core.environment import Environment
+from millfork_core.ids import OrganisationId
+from millfork_core.logs import Part as LogPart
+from millfork_core.logs import logger
+from millfork_core.verdicts import Reason, Refusal, Verdict
+from millfork_routing.limits import FairQueue
+from millfork_settings.models import BackendKind, BackendSettings
+from millfork_web.client import Client, ExchangeFailed, Reply
+from millfork_web.models import Headers
+from millfork_wire.connection import Connection, PeerLost
+from millfork_wire.messages import (
+    Cancel,
+    Cancelled,
+    End,
+    Head,
+    Header,
+    Load,
+    Part,
+    Reserve,
+    Reserved,
+    ServedVersion,
+    Start,
+)
+
+from millforkd.endpoint.reservations import Reservation, Stage
+
+START_PATIENCE_S: Final = 2.0
+LOAD_HEARTBEAT_S: Final = 4.0
+LOAD_PAUSE_S: Final = 0.1
+DRAIN_POLL_S: Final = 0.05
+REQUEST_ID_HEADER: Final = 'x-request-id'
+VERSION_HEADER: Final = 'millfork-version'
+PRIORITY_HEADER: Final = 'x-priority'
+# Answers by which an engine says that it has not the version asked for.
+NOT_LOADED: Final = frozenset({404, 409})
+PLAIN_VERSION: Final = ''
+
+log = logger(LogPart.ENDPOINT)
+
+
+class Door:
+    """
+    All requests to one back end pass here.
+
+    """
+
+    def __init__(self, env: Environment, settings: BackendSettings, source: str) -> None:
+        self.env = env
+        self.settings = settings
+        self.is_engine = settings.kind is BackendKind.ENGINE
+        self.client = Client(*settings.address.pair, source=source)
+        self.queue = FairQueue(settings.slots, settings.queue, self.share, env.monotonic)
+        self.shares: dict[OrganisationId, int] = {}
+        self.reservations: dict[str, Reservation] = {}
+        self.served: dict[str, str] = {}
+        self.leaving = False
+        self.entries: dict[str, Connection] = {}
+        self.load_changed = curio.Event()
+        self.load_sequence = 0
+        if not self.is_engine:
+            self.served = {settings.service: PLAIN_VERSION}
+
+    def share(self, organisation: OrganisationId) -> int:
+        return self.shares.get(organisation, 1)
+
+    @property
+    def in_progress(self) -> int:
+        return len(self.reservations)
+
+    def uses(self, version: str) -> bool:
+        """
+        Whether a request in progress was admitted to this version.
+
+        """
+        return any(held.version == version for held in self.reservations.values())
+
+    async def set_served(self, served: dict[str, str]) -> None:
+        """
+        From now on admit requests to these versions.
+
+        """
+        if served != self.served:
+            self.served = served
+            await self.load_changed.set()
+
+    async def set_leaving(self, leaving: bool) -> None:
+        if leaving != self.leaving:
+            log.info('Leaving: {}.', 'no new work' if leaving else 'called off')
+            self.leaving = leaving
+            await self.load_changed.set()
+
+    # The entries' messages.
+
+    async def on_reserve(self, connection: Connection, request: Reserve) -> Reserved:
+        """
+        Give a place, or refuse at once with when to come back.
+
+        """
+        organisation = OrganisationId(request.organisation)
+        refusal = self._refusal(organisation, request)
+        if refusal is not None:
+            self.env.metrics.refused(refusal.reason, 'endpoint')
+            return Reserved(False, refusal.reason.value, refusal.detail, refusal.wait_ms)
+        until = self.env.monotonic() + request.deadline_ms / 1000
+        waiter = await self.queue.join(organisation, until)
+        version = self.served[request.service]
+        reservation = Reservation(request, connection, version, until, waiter)
+        self.reservations[request.request_id] = reservation
+        reservation.task = await self.env.spawn(self._serve, reservation)
+        await self.load_changed.set()
+        return Reserved(True, version=version)
+
+    def _refusal(self, organisation: OrganisationId, request: Reserve) -> Refusal | None:
+        if self.leaving:
+            return Refusal(Reason.LEAVING, detail='this endpoint is leaving')
+        if request.service not in self.served:
+            return Refusal(Reason.NOT_SERVABLE, detail='not servable here')
+        wait_ms = self.queue.refuses(organisation, request.deadline_ms / 1000)
+        if wait_ms:
+            return Refusal(Reason.BUSY, detail='all places are taken', retry_after_ms=wait_ms)
+        return None
+
+    async def on_start(self, connection: Connection, message: Start) -> None:
+        """
+        The entry's word that the request may run.
+
+        """
+        reservation = self.reservations.get(message.request_id)
+        if reservation is None or reservation.connection is not connection:
+            refused = End(message.request_id, 0, 0, Reason.EXPIRED.value, Verdict.NOT_RUN.value)
+            await connection.notify(refused)
+            return
+        reservation.stage = Stage.STARTED
+        await reservation.started.set()
+
+    async def on_cancel(self, connection: Connection, message: Cancel) -> Cancelled:
+        """
+        End a request; what it answers binds this endpoint.
+
+        """
+        reservation = self.reservations.get(message.request_id)
+        if reservation is None or reservation.connection is not connection:
+            return Cancelled(message.request_id, Verdict.MAY_HAVE_RUN.value)
+        if reservation.task is not None:
+            await reservation.task.cancel()
+        return Cancelled(message.request_id, reservation.verdict.value)
+
+    async def on_closed(self, connection: Connection) -> None:
+        """
+        Without its entry nobody can have the answer: what has not gone to
+        the back end never will, and an engine's work is cancelled.
+
+        """
+        if self.entries.get(connection.peer) is connection:
+            del self.entries[connection.peer]
+        for reservation in list(self.reservations.values()):
+            if reservation.connection is not connection or reservation.task is None:
+                continue
+            if reservation.stage is not Stage.SENT or self.is_engine:
+                await reservation.task.cancel(blocking=False)
+
+    # One request.
+
+    async def _serve(self, reservation: Reservation) -> None:
+        try:
+            refusal = await self._wait_for_slot(reservation)
+            if refusal is None:
+                began = self.env.monotonic()
+                refusal = await self._run(reservation)
+                self.queue.learn_service_time(self.env.monotonic() - began)
+            await self._end(reservation, refusal)
+        except PeerLost:
+            self.env.metrics.count(self.env.metrics.requests, outcome='entry_gone')
+        finally:
+            del self.reservations[reservation.request.request_id]
+            await self.queue.leave(reservation.waiter)
+            await self.load_changed.set()
+
+    async def _wait_for_slot(self, reservation: Reservation) -> Refusal | None:
+        expired = Refusal(Reason.EXPIRED, detail='it never came to its turn')
+        try:
+            async with curio.timeout_after(START_PATIENCE_S):
+                await reservation.started.wait()
+            async with curio.timeout_after(max(reservation.until - self.env.monotonic(), 0.001)):
+                await reservation.waiter.granted.wait()
+        except curio.TaskTimeout:
+            return expired
+        return None
+
+    async def _run(self, reservation: Reservation) -> Refusal | None:
+        request = reservation.request
+        if self.is_engine and reservation.version not in self.served.values():
+            return Refusal(Reason.NOT_SERVABLE, detail='its version left while it waited')
+        reservation.stage = Stage.SENT
+        left = max(reservation.until - self.env.monotonic(), 0.001)
+        try:
+            async with curio.timeout_after(left):
+                headers, body = self._to_back_end(reservation)
+                reply = await self.client.send(request.method, request.path, headers, body)
+                try:
+                    return await self._pass_on(reservation, reply)
+                finally:
+                    await reply.close()
+        except curio.TaskTimeout:
+            return Refusal(Reason.TIMED_OUT, Verdict.MAY_HAVE_RUN, 'the deadline passed')
+        except ExchangeFailed as error:
+            if error.verdict is Verdict.NOT_RUN:
+                reservation.stage = Stage.STARTED
+                return Refusal(Reason.UNREACHABLE, Verdict.NOT_RUN, 'the back end is unreachable')
+            return Refusal(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, 'the back end broke off')
+
+    def _to_back_end(self, reservation: Reservation) -> tuple[Headers, bytes]:
+        request = reservation.request
+        headers = [
+            (header.name, header.value)
+            for header in request.headers
+            if header.name != REQUEST_ID_HEADER
+        ]
+        headers.append((REQUEST_ID_HEADER, request.request_id))
+        if not self.is_engine:
+            return headers, request.body
+        headers.append((PRIORITY_HEADER, str(request.priority)))
+        body = json.loads(request.body)
+        body['model'] = reservation.version
+        return headers, json.dumps(body).encode()
+
+    async def _pass_on(self, reservation: Reservation, reply: Reply) -> Refusal | None:
+        refusal = self._check_head(reservation, reply)
+        if refusal is not None:
+            return refusal
+        request_id = reservation.request.request_id
+        headers = [Header(name, value) for name, value in reply.headers]
+        if self.is_engine:
+            headers = [header for header in headers if header.name != VERSION_HEADER]
+            headers.append(Header(VERSION_HEADER, reservation.version))
+        await reservation.connection.notify(Head(request_id, reply.status, headers))
+        async for data in reply.parts():
+            await reservation.connection.notify(Part(request_id, reservation.parts, data))
+            reservation.parts += 1
+            reservation.bytes += len(data)
+        return None
+
+    def _check_head(self, reservation: Reservation, reply: Reply) -> Refusal | None:
+        """
+        Refuse an answer that belongs to another request or other weights.
+
+        """
+        echoed = reply.header(REQUEST_ID_HEADER)
+        if echoed and echoed != reservation.request.request_id:
+            detail = 'the back end answered another request'
+            return Refusal(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, detail)
+        if not self.is_engine:
+            return None
+        if reply.status in NOT_LOADED:
+            reservation.stage = Stage.STARTED
+            return Refusal(Reason.ENGINE_EMPTY, Verdict.NOT_RUN, 'the engine has not the version')
+        version = reply.header(VERSION_HEADER)
+        if version != reservation.version:
+            detail = f'the engine answered by {version or "an unnamed version"}'
+            return Refusal(Reason.VERSION_MISMATCH, Verdict.MAY_HAVE_RUN, detail)
+        return None
+
+    async def _end(self, reservation: Reservation, refusal: Refusal | None) -> None:
+        end = End(reservation.request.request_id, reservation.parts, reservation.bytes)
+        if refusal is not None:
+            self.env.metrics.refused(refusal.reason, 'endpoint')
+            end.reason = refusal.reason.value
+            end.verdict = refusal.verdict.value
+            end.detail = refusal.detail
+        await reservation.connection.notify(end)
+
+    # Load reports.
+
+    def load(self) -> Load:
+        self.load_sequence += 1
+        served = [ServedVersion(name, version) for name, version in self.served.items()]
+        return Load(
+            self.queue.running,
+            self.queue.waiting,
+            self.queue.slots,
+            self.leaving,
+            served,
+            self.load_sequence,
+        )
+
+    async def on_load_asked(self, connection: Connection) -> Load:
+        """
+        An entry begins to keep up with this endpoint.
+
+        """
+        self.entries[connection.peer] = connection
+        return self.load()
+
+    async def report_load(self) -> None:
+        """
+        The task that tells the entries of a changed load, and now and then
+        of an unchanged one.
+
+        """
+        while True:
+            try:
+                async with curio.timeout_after(LOAD_HEARTBEAT_S):
+                    await self.load_changed.wait()
+            except curio.TaskTimeout:
+                pass
+            self.load_changed.clear()
+            load = self.load()
+            for connection in list(self.entries.values()):
+                try:
+                    await connection.notify(load)
+                except PeerLost:
+                    continue
+            await curio.sleep(LOAD_PAUSE_S)
+
+    async def wait_until_idle(self, timeout: float) -> bool:
+        """
+        Wait for the requests in progress, `timeout` seconds at most.
+
+        """
+        try:
+            async with curio.timeout_after(timeout):
+                while self.reservations:
+                    await curio.sleep(DRAIN_POLL_S)
+        except curio.TaskTimeout:
+            return False
+        return True
--- /dev/null
+++ b/packages/millforkd/millforkd/endpoint/reservations.py
@@ -0,0 +1,53 @@
+"""
+Requests that an entry reserved a place for.
+
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+import curio
+from millfork_core.verdicts import Verdict
+from millfork_routing.limits import Waiter
+from millfork_wire.connection import Connection
+from millfork_wire.messages import Reserve
+
+
+class Stage(Enum):
+    """
+    How far a request has come here.
+
+    """
+
+    RESERVED = 'reserved'
+    STARTED = 'started'
+    SENT = 'sent'
+
+
+@dataclass(slots=True)
+class Reservation:
+    """
+    One request from its `Reserve` to its `End`; `until` is its deadline on
+    this process's monotonic clock, `version` the weights it was admitted to.
+
+    """
+
+    request: Reserve
+    connection: Connection
+    version: str
+    until: float
+    waiter: Waiter
+    stage: Stage = Stage.RESERVED
+    started: curio.Event = field(default_factory=curio.Event)
+    task: curio.Task | None = None
+    parts: int = 0
+    bytes: int = 0
+
+    @property
+    def verdict(self) -> Verdict:
+        """
+        What can be said if it ends now: before anything went to the back
+        end, nothing ran.
+
+        """
+        return Verdict.MAY_HAVE_RUN if self.stage is Stage.SENT else Verdict.NOT_RUN
--- /dev/null
+++ b/packages/millforkd/millforkd/entry/__init__.py
@@ -0,0 +1,4 @@
+"""
+Role entry: callers, operators, routing.
+
+"""
--- /dev/null
+++ b/packages/millforkd/millforkd/entry/access.py
@@ -0,0 +1,110 @@
+"""
+Who a caller or operator is, by bearer token; tokens are kept hashed.
+
+"""
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+
+from millfork_core.ids import OrganisationId
+from millfork_core.verdicts import Reason, Refusal, Refused
+from millfork_state.config import ORGANISATIONS, Organisation, decode
+from millfork_state.view import View
+from millfork_web.models import Request
+
+BEARER = 'bearer '
+
+
+@dataclass(frozen=True, slots=True)
+class Operator:
+    """
+    A proven operator: of one organisation, or of the fleet.
+
+    """
+
+    organisation: OrganisationId | None
+
+    @property
+    def is_admin(self) -> bool:
+        return self.organisation is None
+
+
+def hash_token(token: bytes) -> str:
+    return hashlib.sha256(token).hexdigest()
+
+
+class Access:
+    """
+    Token hashes of the configuration in force.
+
+    """
+
+    def __init__(self, view: View, admin_token: bytes | None) -> None:
+        self.view = view
+        self.admin_hash = hash_token(admin_token) if admin_token else ''
+        self.revision = -1
+        self.callers: dict[str, OrganisationId] = {}
+        self.operators: dict[str, OrganisationId] = {}
+        self.organisations: dict[OrganisationId, Organisation] = {}
+
+    def _refresh(self) -> None:
+        if self.revision == self.view.revision:
+            return
+        self.revision = self.view.revision
+        self.callers = {}
+        self.operators = {}
+        self.organisations = {}
+        for key, value in self.view.prefixed(ORGANISATIONS).items():
+            name = OrganisationId(key.removeprefix(ORGANISATIONS))
+            organisation = decode(value, Organisation)
+            self.organisations[name] = organisation
+            self.callers.update(dict.fromkeys(organisation.caller_tokens, name))
+            self.operators.update(dict.fromkeys(organisation.operator_tokens, name))
+
+    def caller(self, request: Request) -> OrganisationId:
+        """
+        The organisation of a caller.
+
+        :raises Refused: if the token is none of the fleet's.
+
+        """
+        self._refresh()
+        organisation = self.callers.get(_hash_in(request))
+        if organisation is None:
+            raise Refused(Refusal(Reason.UNAUTHENTICATED, detail='a known bearer token is needed'))
+        return organisation
+
+    def operator(self, request: Request) -> Operator:
+        """
+        The operator who sent a control request.
+
+        :raises Refused: if the token is none of the fleet's.
+
+        """
+        self._refresh()
+        found = _hash_in(request)
+        if self.admin_hash and hmac.compare_digest(found, self.admin_hash):
+            return Operator(None)
+        organisation = self.operators.get(found)
+        if organisation is None:
+            detail = "a known operator's token is needed"
+            raise Refused(Refusal(Reason.UNAUTHENTICATED, detail=detail))
+        return Operator(organisation)
+
+    def may_use(self, organisation: OrganisationId, service: str) -> bool:
+        self._refresh()
+        found = self.organisations.get(organisation)
+        return found is not None and service in found.services
+
+    def share(self, organisation: OrganisationId) -> int:
+        self._refresh()
+        found = self.organisations.get(organisation)
+        return found.share if found else 1
+
+
+def _hash_in(request: Request) -> str:
+    value = request.header('authorization')
+    if value[: len(BEARER)].lower() != BEARER:
+        return ''
+    return hash_token(value[len(BEARER) :].strip().encode('latin-1'))
--- /dev/null
+++ b/packages/millforkd/millforkd/entry/book.py
@@ -0,0 +1,180 @@
+"""
+The endpoints that an entry keeps up with.
+
+"""
+
+from typing import Final
+
+import curio
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId
+from millfork_core.logs import Part, logger
+from millfork_core.ranks import rank
+from millfork_routing.balance import Backend
+from millfork_state.config import DEPLOYMENTS, LABELS, Deployment, InstanceFacts, decode, matches
+from millfork_state.roster import Roster
+from millfork_state.view import View
+from millfork_wire.connection import Connection, PeerError, PeerLost
+from millfork_wire.messages import Leaving, Load
+from millfork_wire.peers import PeerAddress, Peers
+
+UPKEEP_S: Final = 0.5
+REMOTE_SHARE: Final = 4
+
+log = logger(Part.ENTRY)
+
+
+def labels_of(view: View, facts: InstanceFacts, organisation: str) -> dict[str, str]:
+    """
+    An instance's labels as one organisation sees them: the platform's facts
+    and the labels that this organisation attached.
+
+    """
+    held = view.items.get(f'{LABELS}{organisation}/{facts.instance}')
+    attached = decode(held.value, dict[str, str]) if held else {}
+    return {**attached, **facts.facts()}
+
+
+def selected(view: View, roster: Roster, key: str, deployment: Deployment) -> list[InstanceFacts]:
+    """
+    The endpoints that a deployment (at `key`) selects, by id.
+
+    """
+    organisation = key.removeprefix(DEPLOYMENTS).split('/', 1)[0]
+    found = []
+    for facts in roster.endpoints():
+        if matches(deployment.selector, labels_of(view, facts, organisation)):
+            found.append(facts)
+    return sorted(found, key=lambda facts: facts.instance)
+
+
+class EndpointBook:
+    """
+    Connections to a subset of endpoints and what each reported last.
+
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        view: View,
+        roster: Roster,
+        peers: Peers,
+        subset: int,
+    ) -> None:
+        self.env = env
+        self.view = view
+        self.roster = roster
+        self.peers = peers
+        self.subset = subset
+        self.backends: dict[InstanceId, Backend] = {}
+        self.connections: dict[InstanceId, Connection] = {}
+        self.dialling: set[InstanceId] = set()
+        self.told_leaving: set[InstanceId] = set()
+
+    async def keep(self) -> None:
+        """
+        The task that keeps the connections and passes on who is leaving.
+
+        """
+        while True:
+            for facts in self._wanted():
+                if facts.instance in self.connections or facts.instance in self.dialling:
+                    continue
+                self.dialling.add(facts.instance)
+                await self.env.spawn(self._dial, facts)
+            await self._pass_on_leaving()
+            await curio.sleep(UPKEEP_S)
+
+    def _wanted(self) -> list[InstanceFacts]:
+        groups: list[list[InstanceFacts]] = []
+        for key, value in self.view.prefixed(DEPLOYMENTS).items():
+            groups.append(selected(self.view, self.roster, key, decode(value, Deployment)))
+        services: dict[str, list[InstanceFacts]] = {}
+        for facts in self.roster.endpoints():
+            services.setdefault(facts.service, []).append(facts)
+        groups.extend(services.values())
+        wanted: dict[InstanceId, InstanceFacts] = {}
+        for group in groups:
+            wanted.update({facts.instance: facts for facts in self._subset(group)})
+        return list(wanted.values())
+
+    def _subset(self, group: list[InstanceFacts]) -> list[InstanceFacts]:
+        """
+        A stable choice of the group: this zone's first, then enough of the
+        others to spill over to.
+
+        """
+        ranked = sorted(group, key=lambda facts: self._rank(facts.instance))
+        local = [facts for facts in ranked if facts.zone == self.env.zone][: self.subset]
+        remote = [facts for facts in ranked if facts.zone != self.env.zone]
+        room = max(self.subset - len(local), self.subset // REMOTE_SHARE)
+        return [*local, *remote[:room]]
+
+    def _rank(self, instance: InstanceId) -> int:
+        return rank(self.env.instance, instance)
+
+    async def _dial(self, facts: InstanceFacts) -> None:
+        try:
+            address = PeerAddress(facts.instance, facts.host, facts.port)
+            connection = await self.peers.connect(address)
+            load = await connection.call(Load(), 1.0)
+        except PeerError:
+            return
+        finally:
+            self.dialling.discard(facts.instance)
+        if connection.closed or not isinstance(load, Load):
+            return
+        self.connections[facts.instance] = connection
+        self.backends[facts.instance] = Backend(facts.instance, facts.zone)
+        self.on_load(connection, load)
+
+    def on_load(self, connection: Connection, load: Load) -> None:
+        """
+        Take an endpoint's report.
+
+        """
+        backend = self.backends.get(connection.peer)
+        if backend is None:
+            return
+        backend.take_report(load.running + load.queued, load.limit)
+        backend.served = {served.service: served.version for served in load.served}
+        backend.leaving = load.leaving or self._listed_leaving(connection.peer)
+
+    async def on_closed(self, connection: Connection) -> None:
+        if self.connections.get(connection.peer) is connection:
+            del self.connections[connection.peer]
+            self.backends.pop(connection.peer, None)
+
+    def _listed_leaving(self, instance: InstanceId) -> bool:
+        facts = self.roster.instances.get(instance)
+        return facts is not None and facts.leaving
+
+    async def _pass_on_leaving(self) -> None:
+        """
+        Tell an endpoint that the platform lists it as leaving: it then
+        refuses new work from every entry, also from one that the notice
+        did not reach.
+
+        """
+        for instance, connection in list(self.connections.items()):
+            if not self._listed_leaving(instance):
+                self.told_leaving.discard(instance)
+                continue
+            backend = self.backends.get(instance)
+            if backend is not None:
+                backend.leaving = True
+            if instance in self.told_leaving:
+                continue
+            try:
+                await connection.notify(Leaving(instance))
+                self.told_leaving.add(instance)
+            except PeerLost:
+                continue
+
+    def serving(self, service: str) -> list[Backend]:
+        """
+        The connected endpoints that serve a service or deployment.
+
+        """
+        return [backend for backend in self.backends.values() if service in backend.served]
--- /dev/null
+++ b/packages/millforkd/millforkd/entry/claims.py
@@ -0,0 +1,106 @@
+"""
+Idempotency keys: claimed by quorum before a request may run.
+
+"""
+
+import hashlib
+from typing import Final
+
+from millfork_core.environment import Environment
+from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
+from millfork_state.commands import ClaimKey, ClaimResult, ClaimState, SettleKey
+from millfork_state.node import decode_claim_result
+from millfork_web.models import Response
+
+from millforkd.entry.attempts import Call
+from millforkd.entry.proposals import Proposals
+
+CLAIM_PATIENCE_S: Final = 4.0
+SETTLE_PATIENCE_S: Final = 30.0
+# A longer first answer is not kept; the caller then learns only that it ran.
+MAX_KEPT_BODY_BYTES: Final = 16 * 1024
+
+
+class Claims:
+    """
+    Claims on keys, kept in the replicated state.
+
+    """
+
+    def __init__(self, env: Environment, proposals: Proposals) -> None:
+        self.env = env
+        self.proposals = proposals
+
+    async def claim(self, call: Call, attempt: str) -> Response | None:
+        """
+        Claim the call's key for `attempt`. None: it is this attempt's now.
+        A response: the first answer, to be given again.
+
+        :raises Refused: if the key is another's, or nobody can say.
+
+        """
+        command = ClaimKey(_state_key(call), attempt, _fingerprint(call))
+        try:
+            data = await self.proposals.propose(command, CLAIM_PATIENCE_S)
+        except Refused as error:
+            detail = 'no quorum can say whether this key is in use'
+            raise Refused(Refusal(Reason.CLAIM_UNAVAILABLE, detail=detail)) from error
+        result = decode_claim_result(data)
+        if result.state is ClaimState.GRANTED:
+            return None
+        return _answer_of(result)
+
+    async def settle(
+        self, call: Call, attempt: str, response: Response | None, verdict: Verdict
+    ) -> None:
+        """
+        Record how the attempt ended. After MAY_HAVE_RUN the key stays taken.
+
+        """
+        if response is None and verdict is not Verdict.NOT_RUN:
+            return
+        command = SettleKey(_state_key(call), attempt, released=response is None)
+        if response is not None:
+            kept = len(response.body) <= MAX_KEPT_BODY_BYTES
+            command = SettleKey(
+                _state_key(call),
+                attempt,
+                False,
+                response.status if kept else 0,
+                response.headers if kept else [],
+                response.body if kept else b'',
+            )
+        try:
+            await self.proposals.propose(command, SETTLE_PATIENCE_S)
+        except Refused:
+            self.env.metrics.count(self.env.metrics.state, event='claim_unsettled')
+
+
+def _answer_of(result: ClaimResult) -> Response:
+    if result.state is ClaimState.DONE and result.status:
+        headers = [*result.headers, ('millfork-repeated-answer', 'yes')]
+        return Response(result.status, headers, result.body)
+    refusals = {
+        ClaimState.DONE: Refusal(
+            Reason.KEY_MAY_HAVE_RUN, Verdict.RAN, 'it ran; its answer is too large to be kept'
+        ),
+        ClaimState.IN_PROGRESS: Refusal(
+            Reason.KEY_IN_PROGRESS, Verdict.MAY_HAVE_RUN, 'the first request with this key goes on'
+        ),
+        ClaimState.MAY_HAVE_RUN: Refusal(
+            Reason.KEY_MAY_HAVE_RUN, Verdict.MAY_HAVE_RUN, 'the outcome of the first is unknown'
+        ),
+        ClaimState.REUSED: Refusal(
+            Reason.KEY_REUSED, Verdict.NOT_RUN, 'this key belongs to another request'
+        ),
+    }
+    raise Refused(refusals[result.state])
+
+
+def _state_key(call: Call) -> str:
+    return f'{call.organisation}/{call.service}/{call.key}'
+
+
+def _fingerprint(call: Call) -> str:
+    head = f'{call.method} {call.path}\n'.encode()
+    return hashlib.sha256(head + call.body).hexdigest()
--- /dev/null
+++ b/packages/millforkd/millforkd/entry/daemon.py
@@ -0,0 +1,219 @@
+"""
+The entry: callers on one side, endpoints on the other, operators above.
+
+"""
+
+from functools import singledispatchmethod
+from typing import Final
+
+import curio
+from millfork_core.environment import Environment
+from millfork_core.logs import Part, logger
+from millfork_core.verdicts import Reason, Refusal
+from millfork_settings.loading import read_secret
+from millfork_settings.models import Settings
+from millfork_state.formation import identity_of, take_genesis
+from millfork_state.node import StateNode
+from millfork_state.replica import Replica
+from millfork_state.storage import Storage
+from millfork_web.problem import problem
+from millfork_web.server import Exchange, Server
+from millfork_weights.origin import Origin
+from millfork_wire import messages
+from millfork_wire.codec import PreVote
+from millfork_wire.connection import Connection
+from millfork_wire.messages import Done, Message
+
+from millforkd.entry.access import Access
+from millforkd.entry.book import EndpointBook
+from millforkd.entry.callers import Callers
+from millforkd.entry.claims import Claims
+from millforkd.entry.dispatch import Dispatch
+from millforkd.entry.operators import PREFIX, Operators
+from millforkd.entry.proposals import Proposals, answer_read
+from millforkd.member import Member
+
+POLL_INTERVAL_S: Final = 1.0
+STATE_FOLDER: Final = 'state'
+# Time for the balancer to see that this entry is not ready any more.
+BALANCER_GRACE_S: Final = 1.0
+DRAIN_POLL_S: Final = 0.05
+
+log = logger(Part.ENTRY)
+
+
+class EntryDaemon:
+    """
+    One entry instance.
+
+    """
+
+    def __init__(self, env: Environment, settings: Settings) -> None:
+        self.env = env
+        self.settings = settings
+        self.member = Member(env, settings, self.handle, POLL_INTERVAL_S)
+        self.node = self._build_node() if settings.is_replica else None
+        view = self.member.view
+        token_file = settings.admin_token_file
+        self.access = Access(view, read_secret(token_file) if token_file else None)
+        origin = settings.weights.origin
+        self.proposals = Proposals(env, self.member.peers, self.member.replicas, self.node)
+        self.book = EndpointBook(
+            env, view, self.member.roster, self.member.peers, settings.routing.subset
+        )
+        self.dispatch = Dispatch(env, settings.routing, self.book)
+        self.callers = Callers(
+            env,
+            settings.routing,
+            view,
+            self.access,
+            self.dispatch,
+            Claims(env, self.proposals),
+        )
+        self.operators = Operators(
+            env,
+            view,
+            self.member.roster,
+            self.member.reports,
+            self.access,
+            self.proposals,
+            Origin(*origin.pair, str(settings.address)) if origin else None,
+        )
+        self.server = Server(
+            str(settings.address),
+            settings.ports.callers,
+            self._answer,
+            on_refusal=lambda reason: env.metrics.refused(reason, 'http'),
+        )
+        self.refusing = False
+        self.member.ready_check = self._is_ready
+        self.member.peers.closed_hooks += [self.book.on_closed, self.dispatch.on_closed]
+
+    def _build_node(self) -> StateNode:
+        assert self.settings.data_folder is not None
+        replica = Replica(
+            self.env,
+            self.settings.state,
+            Storage(self.settings.data_folder / STATE_FOLDER),
+            self.member.view,
+            self.member.peers,
+            self.member.replicas,
+        )
+        return StateNode(replica)
+
+    @property
+    def in_progress(self) -> int:
+        return self.server.active
+
+    async def start(self) -> None:
+        """
+        Start all tasks of the entry.
+
+        """
+        if self.node is not None:
+            await self.node.replica.recover()
+        await self.member.start()
+        if self.node is not None:
+            await self.env.keep(self.node.run)
+            await self.env.keep(self.node.keep_snapshots)
+        await self.env.keep(self.book.keep)
+        await self.env.keep(self.server.run)
+
+    async def drain(self) -> None:
+        """
+        A planned stop: let the balancer look away, refuse what is new, wait
+        for what is in progress, at most the time the settings give.
+
+        """
+        self.server.closing = True
+        self.member.ready_check = lambda: False
+        await curio.sleep(BALANCER_GRACE_S)
+        self.refusing = True
+        try:
+            async with curio.timeout_after(self.settings.routing.drain_ms / 1000):
+                while self.server.active:
+                    await curio.sleep(DRAIN_POLL_S)
+        except curio.TaskTimeout:
+            self.env.metrics.count(self.env.metrics.requests, outcome='cut_off_by_deadline')
+            log.warning('Drain deadline: {} requests are cut off.', self.server.active)
+
+    def _is_ready(self) -> bool:
+        return self.member.is_ready()
+
+    async def _answer(self, exchange: Exchange) -> None:
+        if self.refusing:
+            await self._refuse(exchange, Reason.STOPPING)
+            return
+        if exchange.request.path.startswith(PREFIX):
+            await self.operators.answer(exchange)
+            return
+        if not self._is_ready():
+            await self._refuse(exchange, Reason.NOT_READY)
+            return
+        await self.callers.answer(exchange)
+
+    async def _refuse(self, exchange: Exchange, reason: Reason) -> None:
+        self.env.metrics.refused(reason, 'entry')
+        await exchange.respond(problem(Refusal(reason, detail='ask another entry')))
+
+    # Messages of peers.
+
+    async def handle(self, connection: Connection, message: Message) -> Message | None:
+        """
+        Answer a peer's message.
+
+        """
+        reply: Message | None = await self.on(message, connection)
+        return reply
+
+    @singledispatchmethod
+    async def on(self, message: Message, connection: Connection) -> Message | None:
+        self.env.metrics.count(self.env.metrics.wire, event='unexpected')
+        return None
+
+    @on.register(messages.Head)
+    @on.register(messages.Part)
+    @on.register(messages.End)
+    async def _(
+        self, message: messages.Head | messages.Part | messages.End, connection: Connection
+    ) -> None:
+        await self.dispatch.on_event(connection, message)
+
+    @on.register
+    async def _(self, message: messages.Load, connection: Connection) -> None:
+        self.book.on_load(connection, message)
+
+    @on.register
+    async def _(self, message: PreVote, connection: Connection) -> Message | None:
+        return await self.node.replica.on_pre_vote(message) if self.node else None
+
+    @on.register
+    async def _(self, message: messages.VoteRequest, connection: Connection) -> Message | None:
+        return await self.node.replica.on_vote(message) if self.node else None
+
+    @on.register
+    async def _(self, message: messages.AppendRequest, connection: Connection) -> Message | None:
+        return await self.node.replica.on_append(message) if self.node else None
+
+    @on.register
+    async def _(self, message: messages.InstallRequest, connection: Connection) -> Message | None:
+        return await self.node.replica.on_install(message) if self.node else None
+
+    @on.register
+    async def _(self, message: messages.Identify, connection: Connection) -> Message | None:
+        return identity_of(self.node.replica) if self.node else None
+
+    @on.register
+    async def _(self, message: messages.Genesis, connection: Connection) -> Message | None:
+        if self.node is None:
+            return None
+        members = [(member.instance, member.disk) for member in message.members]
+        return Done(await take_genesis(self.node.replica, message.cluster, members))
+
+    @on.register
+    async def _(self, message: messages.Propose, connection: Connection) -> Message | None:
+        return await self.node.answer_propose(message.command) if self.node else None
+
+    @on.register
+    async def _(self, message: messages.ReadState, connection: Connection) -> Message | None:
+        return await answer_read(self.node, message) if self.node else None
--- /dev/null
+++ b/packages/millforkd/millforkd/entry/dispatch.py
@@ -0,0 +1,168 @@
+"""
+From a call to an answer: choose, attempt, retry by verdict.
+
+"""
+
+import itertools
+from typing import Final
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, RequestId
+from millfork_core.verdicts import Reason, Refusal, Verdict
+from millfork_routing.balance import Backend, choose
+from millfork_routing.retries import RetryBudget, may_retry
+from millfork_settings.models import RoutingSettings
+from millfork_wire.connection import Connection
+from millfork_wire.messages import End, Head, Part
+
+from millforkd.entry.attempts import Attempt, Call, Lost
+from millforkd.entry.book import EndpointBook
+from millforkd.entry.delivery import Delivery
+
+SUSPECT_S: Final = 3.0
+BUSY_MEMORY_S: Final = 0.05
+SUSPICIOUS: Final = frozenset({Reason.UNREACHABLE, Reason.TIMED_OUT, Reason.CONNECTION_LOST})
+
+
+class Dispatch:
+    """
+    The attempts of this entry.
+
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        settings: RoutingSettings,
+        book: EndpointBook,
+    ) -> None:
+        self.env = env
+        self.settings = settings
+        self.book = book
+        self.budget = RetryBudget(settings.retry_ratio, settings.retry_floor, env.monotonic)
+        self.attempts: dict[str, Attempt] = {}
+        self.numbers = itertools.count(1)
+        self.seed = f'{env.random.getrandbits(48):012x}'
+
+    async def on_event(self, connection: Connection, message: Head | Part | End) -> None:
+        """
+        Give an endpoint's event to the attempt it belongs to; a late one
+        belongs to none and is dropped.
+
+        """
+        attempt = self.attempts.get(message.request_id)
+        if attempt is None or attempt.connection is not connection:
+            self.env.metrics.count(self.env.metrics.wire, event='late_answer')
+            return
+        await attempt.take(message)
+
+    async def on_closed(self, connection: Connection) -> None:
+        for attempt in list(self.attempts.values()):
+            if attempt.connection is connection:
+                await attempt.take(Lost())
+
+    async def run(self, call: Call, delivery: Delivery) -> Refusal | None:
+        """
+        Deliver an answer to the call; a refusal is final and says whether
+        any attempt may have run.
+
+        """
+        tried: set[InstanceId] = set()
+        last: Refusal | None = None
+        may_have_run = False
+        self.budget.note_request(call.organisation, call.service)
+        while True:
+            backend = self._choose(call, tried)
+            if backend is None:
+                refusal = last or self._no_endpoint(call)
+                break
+            if last is not None and not self._may_spend(call, last):
+                refusal = Refusal(Reason.RETRY_BUDGET, last.verdict, last.detail)
+                break
+            refusal_or_none = await self._attempt(call, backend, delivery)
+            if refusal_or_none is None:
+                return None
+            last = refusal_or_none
+            refusal = last
+            may_have_run = may_have_run or last.verdict is not Verdict.NOT_RUN
+            tried.add(backend.instance)
+            if delivery.begun or not may_retry(last, call.repeatable):
+                break
+            if self.env.monotonic() >= call.deadline:
+                break
+        if may_have_run and refusal.verdict is Verdict.NOT_RUN:
+            return Refusal(
+                refusal.reason, Verdict.MAY_HAVE_RUN, refusal.detail, refusal.retry_after_ms
+            )
+        return refusal
+
+    def _choose(self, call: Call, tried: set[InstanceId]) -> Backend | None:
+        backends = self.book.serving(call.service)
+        now = self.env.monotonic()
+        return choose(backends, self.env.zone, call.affinity, tried, now)
+
+    def _no_endpoint(self, call: Call) -> Refusal:
+        """
+        Why none could be chosen, with the soonest moment one may be.
+
+        """
+        now = self.env.monotonic()
+        waits = [
+            backend.busy_until - now
+            for backend in self.book.serving(call.service)
+            if backend.busy_until > now
+        ]
+        if waits:
+            return Refusal(Reason.BUSY, detail='all are busy', retry_after_ms=self._wait_ms(call))
+        return Refusal(Reason.NO_ENDPOINT, detail='no endpoint serves this at the moment')
+
+    def _wait_ms(self, call: Call) -> int:
+        known = [b.retry_after_ms for b in self.book.serving(call.service) if b.retry_after_ms]
+        return min(known, default=0)
+
+    def _may_spend(self, call: Call, last: Refusal) -> bool:
+        if not self.budget.spend(call.organisation, call.service):
+            return False
+        self.env.metrics.retried(last.reason)
+        return True
+
+    async def _attempt(self, call: Call, backend: Backend, delivery: Delivery) -> Refusal | None:
+        connection = self.book.connections.get(backend.instance)
+        if connection is None:
+            return Refusal(Reason.UNREACHABLE, detail='an endpoint went away')
+        request_id = RequestId(f'{self.env.instance}-{self.seed}-{next(self.numbers)}')
+        attempt = Attempt(self.env, request_id, backend, connection)
+        self.attempts[request_id] = attempt
+        backend.mine += 1
+        try:
+            refusal = await self._attempt_steps(call, attempt, delivery)
+        finally:
+            backend.mine -= 1
+            del self.attempts[request_id]
+            if attempt.started and not attempt.ended:
+                await self.env.spawn(attempt.cancel)
+        if refusal is not None:
+            self._learn(backend, refusal)
+        return refusal
+
+    async def _attempt_steps(
+        self, call: Call, attempt: Attempt, delivery: Delivery
+    ) -> Refusal | None:
+        timeout = self.settings.reserve_timeout_ms / 1000
+        refusal = await attempt.reserve(call, timeout)
+        if refusal is not None:
+            return refusal
+        refusal = await attempt.start()
+        if refusal is not None:
+            return refusal
+        return await delivery.deliver(attempt, call.deadline)
+
+    def _learn(self, backend: Backend, refusal: Refusal) -> None:
+        now = self.env.monotonic()
+        if refusal.reason in SUSPICIOUS:
+            backend.suspect_until = now + SUSPECT_S
+        if refusal.reason is Reason.BUSY:
+            backend.busy_until = now + BUSY_MEMORY_S
+            backend.retry_after_ms = refusal.wait_ms
+        if refusal.reason is Reason.LEAVING:
+            backend.leaving = True
--- /dev/null
+++ b/packages/millforkd/millforkd/entry/operators.py
@@ -0,0 +1,239 @@
+"""
+What operators ask: apply, get, status.
+
+"""
+
+import uuid
+from typing import Any, Final
+
+import msgspec
+from millfork_core.environment import Environment
+from millfork_core.verdicts import Reason, Refusal, Refused
+from millfork_settings.declarations import Declaration, DeploymentSpec
+from millfork_settings.errors import problems_of
+from millfork_state.commands import Apply, Change
+from millfork_state.config import (
+    DEPLOYMENTS,
+    DRAINS,
+    LABELS,
+    ORGANISATIONS,
+    Deployment,
+    Organisation,
+    WeightPart,
+    decode,
+    encode,
+)
+from millfork_state.node import decode_apply_result
+from millfork_state.reports import Reports
+from millfork_state.roster import Roster
+from millfork_state.view import View
+from millfork_web.models import Response, json_response
+from millfork_web.problem import problem
+from millfork_web.server import Exchange
+from millfork_weights.manifest import BadManifest, decode_manifest, digest_of
+from millfork_weights.origin import Origin, OriginFailed
+from pydantic import ValidationError
+
+from millforkd.endpoint.report import EndpointReport
+from millforkd.entry.access import Access, Operator
+from millforkd.entry.book import selected
+from millforkd.entry.proposals import Proposals, StateBody
+
+PREFIX: Final = '/control/v1/'
+PART: Final = 'control'
+
+
+class ApplyRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """
+    The body of an apply: a declaration as JSON, the command's id, and the
+    revision that the operator saw, if it should not have moved on.
+
+    """
+
+    declaration: dict[str, Any]
+    command_id: str = ''
+    expect: int | None = None
+    remove: list[str] = []
+
+
+class Operators:
+    """
+    Answers operators. Each sees and changes what is its own.
+
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        view: View,
+        roster: Roster,
+        reports: Reports,
+        access: Access,
+        proposals: Proposals,
+        origin: Origin | None,
+    ) -> None:
+        self.env = env
+        self.view = view
+        self.roster = roster
+        self.reports = reports
+        self.access = access
+        self.proposals = proposals
+        self.origin = origin
+
+    async def answer(self, exchange: Exchange) -> None:
+        """
+        Answer one control request.
+
+        """
+        try:
+            operator = self.access.operator(exchange.request)
+            response = await self._answer(exchange, operator)
+        except Refused as error:
+            self.env.metrics.refused(error.refusal.reason, PART)
+            response = problem(error.refusal)
+        await exchange.respond(response)
+
+    async def _answer(self, exchange: Exchange, operator: Operator) -> Response:
+        request = exchange.request
+        action = (request.method, request.path.removeprefix(PREFIX).split('?', 1)[0])
+        if action == ('POST', 'apply'):
+            return await self._apply(request.body, operator)
+        if action == ('GET', 'state'):
+            return await self._state(operator)
+        if action == ('GET', 'status'):
+            return await self._status(operator)
+        raise Refused(Refusal(Reason.NOT_FOUND, detail='no such control path'))
+
+    # Apply.
+
+    async def _apply(self, body: bytes, operator: Operator) -> Response:
+        try:
+            request = msgspec.json.decode(body, type=ApplyRequest)
+            declaration = Declaration.model_validate(request.declaration)
+        except msgspec.DecodeError as error:
+            raise Refused(Refusal(Reason.INVALID, detail=str(error))) from error
+        except ValidationError as error:
+            found = [f'{problem.key}: {problem.expected}' for problem in problems_of(error)]
+            raise Refused(Refusal(Reason.INVALID, detail='; '.join(found))) from error
+        changes = await self._changes(declaration, operator, request)
+        command = Apply(request.command_id or uuid.uuid4().hex, changes)
+        result = decode_apply_result(await self.proposals.propose(command))
+        if not result.ok:
+            detail = 'changed since: ' + ', '.join(result.conflicts)
+            raise Refused(Refusal(Reason.CONFLICT, detail=detail))
+        return json_response({'revision': result.revision, 'command_id': command.command_id})
+
+    async def _changes(
+        self, declaration: Declaration, operator: Operator, request: ApplyRequest
+    ) -> list[Change]:
+        if not operator.is_admin and (declaration.organisations or declaration.drains):
+            detail = 'organisations and drains are for the administrator'
+            raise Refused(Refusal(Reason.FORBIDDEN, detail=detail))
+        organisation = declaration.organisation or operator.organisation
+        if not operator.is_admin and organisation != operator.organisation:
+            raise Refused(Refusal(Reason.FORBIDDEN, detail='this is not your organisation'))
+        needs_organisation = declaration.labels or declaration.deployments or request.remove
+        if needs_organisation and not organisation:
+            raise Refused(Refusal(Reason.INVALID, detail='organisation: a name expected'))
+        values: dict[str, bytes | None] = {}
+        for name, spec in declaration.organisations.items():
+            values[ORGANISATIONS + name] = encode(Organisation(**spec.model_dump()))
+        for instance, labels in declaration.labels.items():
+            values[f'{LABELS}{organisation}/{instance}'] = encode(labels)
+        for name, deployment in declaration.deployments.items():
+            value = encode(await self._pinned(deployment))
+            values[f'{DEPLOYMENTS}{organisation}/{name}'] = value
+        for instance, draining in declaration.drains.items():
+            values[DRAINS + instance] = encode(True) if draining else None
+        for name in request.remove:
+            values[f'{DEPLOYMENTS}{organisation}/{name}'] = None
+        return [Change(key, value, request.expect) for key, value in values.items()]
+
+    async def _pinned(self, spec: DeploymentSpec) -> Deployment:
+        """
+        The deployment with the manifests that the origin has now: what is
+        accepted is exactly these weights.
+
+        """
+        named = [(spec.model, spec.version)]
+        named += [(adapter.name, adapter.version) for adapter in spec.adapters]
+        parts = []
+        for name, version in named:
+            parts.append(await self._pin(name, version))
+        return Deployment(parts, dict(spec.selector))
+
+    async def _pin(self, name: str, version: str) -> WeightPart:
+        if self.origin is None:
+            detail = 'this entry knows no origin (weights.origin)'
+            raise Refused(Refusal(Reason.NOT_READY, detail=detail))
+        try:
+            body = await self.origin.manifest(name, version)
+            decode_manifest(body)
+        except (OriginFailed, BadManifest) as error:
+            detail = f'no usable manifest of {name} {version} at the origin: {error}'
+            raise Refused(Refusal(Reason.INVALID, detail=detail)) from error
+        return WeightPart(name, version, digest_of(body))
+
+    # Read.
+
+    async def _state(self, operator: Operator) -> Response:
+        body = msgspec.json.decode(await self.proposals.read('state'), type=StateBody)
+        items = {}
+        for key, (value, revision) in body.items.items():
+            if self._may_see(operator, key):
+                items[key] = {'value': msgspec.json.decode(value), 'revision': revision}
+        return json_response({'revision': body.revision, 'items': items})
+
+    def _may_see(self, operator: Operator, key: str) -> bool:
+        if operator.is_admin:
+            return True
+        own = operator.organisation
+        if key.startswith((f'{LABELS}{own}/', f'{DEPLOYMENTS}{own}/')):
+            return True
+        return key == f'{ORGANISATIONS}{own}'
+
+    async def _status(self, operator: Operator) -> Response:
+        rows = []
+        for key, value in self.view.prefixed(DEPLOYMENTS).items():
+            if self._may_see(operator, key):
+                rows.append(self._rollout(key, decode(value, Deployment)))
+        return json_response(
+            {
+                'revision': self.view.revision,
+                'age_ms': self._age_ms(),
+                'deployments': rows,
+            }
+        )
+
+    def _age_ms(self) -> int:
+        node = self.proposals.node
+        return node.replica.age_ms() if node else 0
+
+    def _rollout(self, key: str, deployment: Deployment) -> dict[str, Any]:
+        """
+        One deployment's rollout, as far as reports have come up to here.
+
+        """
+        name = key.removeprefix(DEPLOYMENTS)
+        chosen = [f for f in selected(self.view, self.roster, key, deployment) if not f.leaving]
+        instances = []
+        for facts in chosen:
+            known = self.reports.known.get(facts.instance)
+            report = EndpointReport.of(known.report if known else None)
+            instances.append(
+                {
+                    'instance': facts.instance,
+                    'zone': facts.zone,
+                    'share': report.shares.get(deployment.version, 0.0),
+                    'serving': report.served.get(name, '') == deployment.version,
+                }
+            )
+        return {
+            'deployment': name,
+            'version': deployment.version,
+            'model': deployment.parts[0].name,
+            'model_version': deployment.parts[0].version,
+            'selected': len(chosen),
+            'serving': sum(row['serving'] for row in instances),
+            'instances': instances,
+        }
