--- /dev/null
+++ b/packages/millforkd/millforkd/entry/proposals.py
@@ -0,0 +1,156 @@
+"""
+Commands to the replicated state from any entry, replica or not.
+
+"""
+
+from typing import Final
+
+import curio
+import msgspec
+from millfork_core.environment import Environment
+from millfork_core.ids import NO_INSTANCE, InstanceId
+from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
+from millfork_state.commands import AnyCommand, encode_command
+from millfork_state.node import StateNode
+from millfork_wire.connection import PeerError, PeerUnreachable
+from millfork_wire.messages import Propose, Proposed, ReadState, StateView
+from millfork_wire.peers import PeerAddress, Peers
+
+CALL_TIMEOUT_S: Final = 3.0
+PAUSE_S: Final = 0.1
+DEFAULT_PATIENCE_S: Final = 6.0
+
+
+class Proposals:
+    """
+    Finds the leader and asks it.
+
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        peers: Peers,
+        replicas: list[PeerAddress],
+        node: StateNode | None,
+    ) -> None:
+        self.env = env
+        self.peers = peers
+        self.replicas = {address.instance: address for address in replicas}
+        self.node = node
+        self.leader: InstanceId = NO_INSTANCE
+
+    async def propose(
+        self,
+        command: AnyCommand,
+        patience_s: float = DEFAULT_PATIENCE_S,
+    ) -> bytes:
+        """
+        The encoded result of a command. Sending one again is harmless, as
+        commands carry ids, so this insists for `patience_s` seconds.
+
+        :raises Refused: NO_QUORUM, with the verdict on the command.
+
+        """
+        data = encode_command(command)
+        deadline = self.env.monotonic() + patience_s
+        verdict = Verdict.NOT_RUN
+        while self.env.monotonic() < deadline:
+            reply = await self._ask(Propose(data))
+            if reply is None:
+                verdict = Verdict.MAY_HAVE_RUN
+                continue
+            if reply.ok:
+                return reply.result
+            if reply.reason != Reason.NO_QUORUM.value:
+                raise Refused(Refusal(Reason(reply.reason), Verdict.NOT_RUN, reply.leader))
+            if reply.result == Verdict.MAY_HAVE_RUN.value.encode():
+                verdict = Verdict.MAY_HAVE_RUN
+            self.leader = InstanceId(reply.leader)
+            await curio.sleep(PAUSE_S)
+        raise Refused(Refusal(Reason.NO_QUORUM, verdict, 'no quorum of the state is reachable'))
+
+    async def _ask(self, message: Propose) -> Proposed | None:
+        """
+        One try; None if the outcome is unknown.
+
+        """
+        if self.node is not None and (self.node.leads or self.leader == self.env.instance):
+            return await self.node.answer_propose(message.command)
+        address = self._next_address()
+        try:
+            reply = await self.peers.call(address, message, CALL_TIMEOUT_S)
+        except PeerUnreachable:
+            return Proposed(False, b'', Reason.NO_QUORUM.value, '')
+        except PeerError:
+            self.leader = NO_INSTANCE
+            return None
+        return reply if isinstance(reply, Proposed) else None
+
+    def _next_address(self) -> PeerAddress:
+        known = self.node.replica.leader if self.node is not None else self.leader
+        if known in self.replicas and known != self.env.instance:
+            return self.replicas[known]
+        others = [a for a in self.replicas.values() if a.instance != self.env.instance]
+        return self.env.random.choice(others or list(self.replicas.values()))
+
+    async def read(self, what: str) -> bytes:
+        """
+        A linearizable read of the state, by the leader.
+
+        :raises Refused: NO_QUORUM if no leader confirms it.
+
+        """
+        deadline = self.env.monotonic() + DEFAULT_PATIENCE_S
+        while self.env.monotonic() < deadline:
+            body = await self._read_once(ReadState(what, True))
+            if body:
+                return body
+            await curio.sleep(PAUSE_S)
+        raise Refused(Refusal(Reason.NO_QUORUM, detail='no leader confirms its state'))
+
+    async def _read_once(self, message: ReadState) -> bytes:
+        if self.node is not None and self.node.leads:
+            if not await self.node.confirm(CALL_TIMEOUT_S):
+                return b''
+            return state_body(self.node)
+        try:
+            reply = await self.peers.call(self._next_address(), message, CALL_TIMEOUT_S)
+        except PeerError:
+            return b''
+        if not isinstance(reply, StateView):
+            return b''
+        if not reply.body.startswith(LEADER_MARK):
+            return reply.body
+        self.leader = InstanceId(reply.body.removeprefix(LEADER_MARK).decode())
+        return b''
+
+
+LEADER_MARK: Final = b'@'
+
+
+class StateBody(msgspec.Struct):
+    """
+    The configuration and reports, as a leader gives them.
+
+    """
+
+    cluster: str
+    revision: int
+    items: dict[str, tuple[bytes, int]]
+
+
+def state_body(node: StateNode) -> bytes:
+    view = node.replica.view
+    items = {key: (held.value, int(held.revision)) for key, held in view.items.items()}
+    return msgspec.json.encode(StateBody(view.cluster, view.revision, items))
+
+
+async def answer_read(node: StateNode, message: ReadState) -> StateView:
+    """
+    Answer another entry's read: the state, or who leads.
+
+    """
+    if node.leads and await node.confirm(CALL_TIMEOUT_S):
+        return StateView(state_body(node))
+    return StateView(LEADER_MARK + node.replica.leader.encode())
--- /dev/null
+++ b/packages/millforkd/millforkd/member.py
@@ -0,0 +1,127 @@
+"""
+What every daemon is, whatever its role: a peer, a subscriber, an admin port.
+
+"""
+
+from typing import Final
+
+import curio
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId
+from millfork_core.logs import Part, logger
+from millfork_settings.loading import read_secret
+from millfork_settings.models import Settings
+from millfork_state.reports import Reports
+from millfork_state.roster import Roster
+from millfork_state.subscription import Subscription
+from millfork_state.view import View
+from millfork_web.models import Response, json_response
+from millfork_web.server import Exchange, Server
+from millfork_wire.connection import Connection, Handler
+from millfork_wire.messages import AskRevision, Message, RevisionIs, Subscribe, Update
+from millfork_wire.messages import Reports as ReportsMessage
+from millfork_wire.peers import PeerAddress, Peers
+
+FIRST_POLL_PAUSE_S: Final = 0.2
+FIRST_POLLS: Final = 10
+
+log = logger(Part.DAEMON)
+
+
+class Member:
+    """
+    The parts that both roles share.
+
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        settings: Settings,
+        handler: Handler,
+        poll_interval_s: float,
+    ) -> None:
+        self.env = env
+        self.settings = settings
+        self.poll_interval_s = poll_interval_s
+        host = str(settings.address)
+        self.role_handler = handler
+        self.peers = Peers(
+            env,
+            settings.role.value,
+            host,
+            settings.ports.wire,
+            read_secret(settings.fleet_key_file),
+            self.handle,
+            settings.via.pair if settings.via else None,
+        )
+        self.replicas = [
+            PeerAddress(InstanceId(replica.instance), str(replica.host), replica.port)
+            for replica in settings.replicas
+        ]
+        self.view = View()
+        self.roster = Roster(env, settings.platform.pair, host)
+        self.reports = Reports()
+        self.subscription = Subscription(
+            env, self.view, self.roster, self.peers, self.replicas, self.reports
+        )
+        self.admin = Server(host, settings.ports.admin, self._answer_admin)
+        self.floor_known = False
+        self.ready_check = self.is_ready
+
+    async def start(self) -> None:
+        """
+        Listen, learn the instance list and what the zone has seen, then
+        follow the tree.
+
+        """
+        await self.env.keep(self.peers.listen)
+        await self.env.keep(self.peers.probe_idle)
+        await self.env.keep(self.admin.run)
+        await self.env.keep(self._join)
+
+    async def _join(self) -> None:
+        for _ in range(FIRST_POLLS):
+            if await self.roster.poll():
+                break
+            await curio.sleep(FIRST_POLL_PAUSE_S)
+        await self.subscription.learn_floor()
+        self.floor_known = True
+        await self.env.keep(self.roster.keep, self.poll_interval_s)
+        await self.subscription.follow()
+
+    async def handle(self, connection: Connection, message: Message) -> Message | None:
+        """
+        Answer what concerns every daemon; pass the rest to the role.
+
+        """
+        if isinstance(message, Update):
+            await self.subscription.on_update(connection, message)
+            return None
+        if isinstance(message, Subscribe):
+            return await self.subscription.on_subscribe(connection, message)
+        if isinstance(message, ReportsMessage):
+            await self.reports.take(message.reports)
+            return None
+        if isinstance(message, AskRevision):
+            return RevisionIs(self.view.cluster, self.view.revision)
+        return await self.role_handler(connection, message)
+
+    def is_ready(self) -> bool:
+        return bool(self.view.cluster) and self.floor_known and self.subscription.at_floor
+
+    async def _answer_admin(self, exchange: Exchange) -> None:
+        path = exchange.request.path
+        if path == '/metrics':
+            body, content_type = self.env.metrics.render()
+            await exchange.respond(Response(200, [('content-type', content_type)], body))
+            return
+        if path == '/livez':
+            await exchange.respond(json_response({'live': True}))
+            return
+        if path == '/readyz':
+            ready = self.ready_check()
+            state = {'ready': ready, 'revision': self.view.revision, 'cluster': self.view.cluster}
+            await exchange.respond(json_response(state, 200 if ready else 503))
+            return
+        await exchange.respond(json_response({'error': 'not found'}, 404))
--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,84 @@
+import curio
+import pytest
+from millfork_state.storage import CorruptStorage, LogEntry, Snapshot, Storage
+
+
+def entries(*numbers: int, term: int = 1) -> list[LogEntry]:
+    return [LogEntry(term, number, b'payload %d' % number) for number in numbers]
+
+
+def write(folder, *batches):
+    storage = Storage(folder)
+    for batch in batches:
+        storage.write_entries(batch)
+    curio.run(storage.sync)
+    storage.close()
+
+
+def test_entries_survive_a_restart(tmp_path):
+    write(tmp_path, entries(1, 2), entries(3))
+    assert [entry.index for entry in Storage(tmp_path).entries] == [1, 2, 3]
+
+
+def test_a_later_term_replaces_the_tail(tmp_path):
+    write(tmp_path, entries(1, 2, 3), entries(2, term=2))
+    found = Storage(tmp_path).entries
+    assert [(entry.index, entry.term) for entry in found] == [(1, 1), (2, 2)]
+
+
+@pytest.mark.parametrize('cut', [1, 5, 9, 20])
+def test_a_torn_last_record_is_dropped(tmp_path, cut):
+    write(tmp_path, entries(1, 2), entries(3))
+    data = (tmp_path / 'log').read_bytes()
+    (tmp_path / 'log').write_bytes(data[:-cut])
+    storage = Storage(tmp_path)
+    assert [entry.index for entry in storage.entries] == [1, 2]
+    assert storage.torn_bytes > 0
+    storage.write_entries(entries(3, 4))
+    storage.close()
+    assert [entry.index for entry in Storage(tmp_path).entries] == [1, 2, 3, 4]
+
+
+def test_damage_before_the_end_is_no_torn_write(tmp_path):
+    write(tmp_path, entries(1), entries(2), entries(3))
+    data = bytearray((tmp_path / 'log').read_bytes())
+    data[12] ^= 0xFF
+    (tmp_path / 'log').write_bytes(bytes(data))
+    with pytest.raises(CorruptStorage, match='damaged at byte 0'):
+        Storage(tmp_path)
+
+
+def test_damaged_vote_stops_the_start(tmp_path):
+    Storage(tmp_path).close()
+    data = bytearray((tmp_path / 'vote').read_bytes())
+    data[-1] ^= 0xFF
+    (tmp_path / 'vote').write_bytes(bytes(data))
+    with pytest.raises(CorruptStorage, match='checksum'):
+        Storage(tmp_path)
+
+
+def test_a_new_disk_has_a_new_id(tmp_path):
+    first = Storage(tmp_path / 'first')
+    again = Storage(tmp_path / 'first')
+    other = Storage(tmp_path / 'other')
+    assert first.disk == again.disk != other.disk
+
+
+def test_snapshot_drops_what_it_covers_and_keeps_the_rest(tmp_path):
+    storage = Storage(tmp_path)
+    storage.write_entries(entries(1, 2, 3, 4, 5))
+    curio.run(storage.save_snapshot, Snapshot(3, 1, [('a', 'disk')], b'dump'))
+    storage.write_entries(entries(6))
+    storage.close()
+    again = Storage(tmp_path)
+    assert [entry.index for entry in again.entries] == [4, 5, 6]
+    assert (again.first_index, again.last_index, again.term_at(3)) == (3, 6, 1)
+    assert again.commit_hint == 3
+
+
+def test_commit_mark_survives_but_never_exceeds_the_log(tmp_path):
+    storage = Storage(tmp_path)
+    storage.write_entries(entries(1, 2, 3))
+    storage.write_commit(2)
+    storage.close()
+    assert Storage(tmp_path).commit_hint == 2
--- /dev/null
+++ b/tests/test_trees.py
@@ -0,0 +1,76 @@
+import math
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from millfork_core.ids import Digest, InstanceId, ZoneId
+from millfork_weights.trees import Holder, plan_tree
+
+STRIPES = 4
+
+
+def holders(count: int, zones: int) -> list[Holder]:
+    return [Holder(InstanceId(f'instance-{n}'), ZoneId(f'zone-{n % zones}')) for n in range(count)]
+
+
+def trees(group: list[Holder], copies: int = 1):
+    return [plan_tree(Digest('d'), group, s, STRIPES, copies) for s in range(STRIPES)]
+
+
+def depth(tree, name) -> int:
+    steps = 0
+    while tree.parents[name] is not None:
+        name = tree.parents[name]
+        steps += 1
+    return steps
+
+
+@given(st.integers(1, 80), st.integers(1, 11), st.integers(1, 4))
+def test_every_instance_hangs_on_a_root_that_draws_from_the_origin(count, zones, copies):
+    group = holders(count, zones)
+    for tree in trees(group, copies):
+        assert set(tree.parents) == {holder.instance for holder in group} == set(tree.order)
+        roots = [name for name, parent in tree.parents.items() if parent is None]
+        assert len(roots) == min(copies, zones, count)
+        for name in tree.order:
+            depth(tree, name)
+
+
+@given(st.integers(1, 80), st.integers(1, 11))
+def test_nobody_waits_for_a_later_one(count, zones):
+    for tree in trees(holders(count, zones)):
+        for position, name in enumerate(tree.order):
+            assert set(tree.sources(name)) <= set(tree.order[:position])
+
+
+def test_all_instances_compute_the_same_tree_in_any_order_of_the_list():
+    group = holders(30, 3)
+    assert trees(group) == trees(list(reversed(group)))
+
+
+@pytest.mark.parametrize('count', [8, 64, 310])
+def test_depth_grows_with_the_logarithm(count):
+    worst = max(depth(tree, name) for tree in trees(holders(count, 3)) for name in tree.order)
+    assert worst <= math.ceil(math.log(count, STRIPES)) + 3
+
+
+@pytest.mark.parametrize('count', [16, 64, 310])
+def test_an_instance_sends_about_one_copy_in_all(count):
+    sent = Counter(
+        parent for tree in trees(holders(count, 3)) for parent in tree.parents.values() if parent
+    )
+    assert max(sent.values()) / STRIPES <= 2.25
+    assert sum(value > 1.5 * STRIPES for value in sent.values()) <= count / 8
+
+
+def test_weights_enter_a_zone_once_a_stripe():
+    group = holders(60, 3)
+    zones = {holder.instance: holder.zone for holder in group}
+    for tree in trees(group):
+        crossings = [
+            name
+            for name, parent in tree.parents.items()
+            if parent is not None and zones[parent] != zones[name]
+        ]
+        assert len(crossings) == 2
