Scenarios under failure, and what they found

Cause: the promises had no proof under failure. A small scenario language (lark) now runs kills, freezes, cuts, stalls, lost disks and races against real processes; callers' answers are judged against the execution logs.

Ruled out: releasing a key from the endpoint when the connection ends; the entry may live and try another endpoint, so the filing could run twice.

--- a/packages/millfork-standins/millfork_standins/callers.py
+++ b/packages/millfork-standins/millfork_standins/callers.py
@@ -115,7 +115,7 @@
             asked.sendings = sending + 1
             entry = chance.choice(self.fleet.entries)
             try:
-                answer = self._send(entry, kind, nonce, prompt)
+                answer = self.send(entry, kind, nonce, prompt)
             except OSError as error:
                 asked.detail = f'{entry.name}: {error}'
                 time.sleep(PAUSE_S)
@@ -126,7 +126,7 @@
             time.sleep(min(wait, MAX_RETRY_AFTER_S))
         return asked
 
-    def _send(self, entry: Instance, kind: Kind, nonce: str, prompt: str) -> Answer:
+    def send(self, entry: Instance, kind: Kind, nonce: str, prompt: str) -> Answer:
         fleet = self.fleet
         token = fleet.caller_tokens[fleet.shape.organisations[0]]
         headers = {'authorization': f'Bearer {token}', 'nonce': nonce}
--- a/packages/millfork-standins/millfork_standins/demo.py
+++ b/packages/millfork-standins/millfork_standins/demo.py
@@ -7,20 +7,18 @@
 import sys
 import tempfile
 import time
-from collections import Counter
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any, Final
 
 from absl import app, flags
 from millfork_core.status import ExitStatus
-from millfork_weights.manifest import decode_manifest, digest_of
 
 from millfork_standins.callers import Callers, End
 from millfork_standins.deployments import SHAPES
-from millfork_standins.execution_log import read_executions
-from millfork_standins.fleet import STANDIN_PORT, Fleet, FleetError, FleetOptions
-from millfork_standins.requests import fetch
-from millfork_standins.weights import weights_key
+from millfork_standins.fleet import Fleet, FleetError, FleetOptions
+from millfork_standins.judging import judge_fleet
+from millfork_standins.versions import learn_version
 
 FLAGS: Final = flags.FLAGS
 ROLLOUT_TIMEOUT_S: Final = 60
@@ -43,21 +41,9 @@
 
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
-        self.keys: dict[str, str] = {}
-        self.manifests: dict[str, str] = {}
-        for version in ('v1', 'v2'):
-            self._learn_version(version)
-        self.callers = Callers(fleet, self.keys)
-
-    def _learn_version(self, version: str) -> None:
-        """
-        What answers of a version must look like, from the origin itself.
-
-        """
-        path = f'/models/{self.fleet.shape.model}/{version}/manifest'
-        body = fetch('GET', self.fleet.origin['host'], STANDIN_PORT, path).body
-        self.manifests[version] = digest_of(body)[:16]
-        self.keys[digest_of(body)[:16]] = weights_key([decode_manifest(body).whole])
+        self.versions = {name: learn_version(fleet, name) for name in ('v1', 'v2')}
+        keys = {version.id: version.key for version in self.versions.values()}
+        self.callers = Callers(fleet, keys)
 
     def apply(self, name: str, declaration: dict[str, Any]) -> None:
         path = self.fleet.write_declaration(name, declaration)
@@ -80,7 +66,7 @@
         """
         shown = -1
         while time.monotonic() - began < ROLLOUT_TIMEOUT_S:
-            rows = [r for r in self.rollout() if r['version'] == self.manifests[version]]
+            rows = [r for r in self.rollout() if r['version'] == self.versions[version].id]
             serving = rows[0]['serving'] if rows else 0
             if serving != shown:
                 say(f'  {version} serves on {serving} of {replicas}')
@@ -130,7 +116,6 @@
 
     def _summary(self, replicas: int, first_s: float, second_s: float) -> dict[str, Any]:
         asked = self.callers.asked
-        ends = Counter(item.end for item in asked)
         for item in asked:
             if item.end not in (End.RIGHT, End.TOLD_UNKNOWN, End.NOT_RUN):
                 say(f'  {item}')
@@ -141,29 +126,9 @@
             'origin_copies': round(self._copies('v1'), 3),
             'second_time_to_n_s': round(second_s, 3),
             'second_origin_copies': round(self._copies('v2'), 3),
-            'requests': len(asked),
-            'wrong': ends[End.WRONG],
-            'mixed': ends[End.MIXED],
-            'lost': ends[End.LOST],
-            'doubled': self.count_doubled(),
-            'refused_not_run': ends[End.NOT_RUN],
-            'told_unknown': ends[End.TOLD_UNKNOWN],
+            **asdict(judge_fleet(self.fleet, asked)),
         }
 
-    def count_doubled(self) -> int:
-        """
-        Filings that a plain service ran more than once, or ran although
-        their caller was told that they did not run.
-
-        """
-        runs: Counter[str] = Counter()
-        for instance in self.fleet.instances.values():
-            for line in read_executions(self.fleet.executions(instance.name)):
-                if line['kind'] == 'begin' and line.get('method') == 'POST':
-                    runs[line['nonce']] += 1
-        not_run = {item.nonce for item in self.callers.asked if item.end is End.NOT_RUN}
-        return sum(count > 1 for count in runs.values()) + len(not_run & set(runs))
-
 
 def main(argv: list[str]) -> int:
     folder = Path(FLAGS.folder or tempfile.mkdtemp(prefix='millfork-demo-'))
@@ -178,7 +143,7 @@
     finally:
         fleet.close()
     print(json.dumps(summary))
-    bad = summary['wrong'] + summary['mixed'] + summary['lost'] + summary['doubled']
+    bad = sum(summary[name] for name in ('wrong', 'mixed', 'lost', 'doubled', 'missing'))
     if not summary['requests']:
         say('No caller asked anything.')
         return ExitStatus.ERROR
--- a/packages/millfork-standins/millfork_standins/fleet.py
+++ b/packages/millfork-standins/millfork_standins/fleet.py
@@ -7,6 +7,7 @@
 import os
 import secrets
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -25,6 +26,7 @@
 BACKEND_PORT: Final = 8000
 STANDIN_PORT: Final = 8500
 STANDIN_ZONE: Final = 250
+LAST_NUMBER: Final = 250
 ENDPOINTS_FROM: Final = 100
 POLL_S: Final = 0.05
 STOP_TIMEOUT_S: Final = 40.0
@@ -85,6 +87,7 @@
 
     def __init__(self, shape: Shape, folder: Path, options: FleetOptions) -> None:
         self.shape = shape
+        self.number, self.guard = _take_number(shape.number)
         self.folder = folder
         self.options = options
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -102,7 +105,7 @@
     # Layout.
 
     def _host(self, zone: int, number: int) -> str:
-        return f'127.{self.shape.number}.{zone}.{number}'
+        return f'127.{self.number}.{zone}.{number}'
 
     def standin_host(self, number: int) -> str:
         return self._host(STANDIN_ZONE, number)
@@ -349,6 +352,7 @@
         for process in self.processes.values():
             process.wait()
         self.processes.clear()
+        self.guard.close()
 
     # Waiting.
 
@@ -458,5 +462,22 @@
         fetch('POST', self.relay['host'], STANDIN_PORT, f'/{kind}/{text}')
 
 
+def _take_number(first: int) -> tuple[int, socket.socket]:
+    """
+    The second number of the fleet's addresses, and the socket that keeps it
+    from fleets beside this one.
+
+    """
+    for number in range(first, LAST_NUMBER):
+        guard = socket.socket()
+        try:
+            guard.bind((f'127.{number}.{STANDIN_ZONE}.254', STANDIN_PORT))
+        except OSError:
+            guard.close()
+            continue
+        return number, guard
+    raise FleetError('all addresses for fleets are taken')
+
+
 def _hash(token: str) -> str:
     return hashlib.sha256(token.encode()).hexdigest()
--- /dev/null
+++ b/packages/millfork-standins/millfork_standins/scenario/__init__.py
@@ -0,0 +1,4 @@
+"""
+The scenario language: small scripts of what goes wrong.
+
+"""
--- /dev/null
+++ b/packages/millfork-standins/millfork_standins/scenario/parser.py
@@ -0,0 +1,133 @@
+"""
+Scenario text to steps, by lark.
+
+"""
+
+from collections.abc import Callable
+from importlib.resources import files
+from pathlib import Path
+from typing import Any, Final
+
+from lark import Lark, Token, Tree
+from lark.exceptions import UnexpectedInput
+
+from millfork_standins.scenario import steps
+from millfork_standins.scenario.steps import Step
+
+_PARSER: Final = Lark(
+    (files('millfork_standins') / 'scenario' / 'grammar.lark').read_text(),
+    parser='earley',
+    propagate_positions=True,
+)
+
+
+class BadScenario(Exception):
+    """
+    A scenario that can't be read, with the place of the trouble.
+
+    """
+
+
+def parse(path: Path) -> list[Step]:
+    """
+    The steps of a scenario file.
+
+    :raises BadScenario: with file, line and column.
+
+    """
+    try:
+        tree = _PARSER.parse(path.read_text())
+    except UnexpectedInput as error:
+        raise BadScenario(f'{path}:{error.line}:{error.column}: no step of the language') from error
+    return [_step(child) for child in tree.children if isinstance(child, Tree)]
+
+
+def _step(tree: Tree[Any]) -> Step:
+    words = [str(child) for child in tree.children if isinstance(child, Token)]
+    line = 0 if tree.meta.empty else tree.meta.line
+    return BUILDERS[str(tree.data)](line, words, tree)
+
+
+def _bound(tree: Tree[Any]) -> float:
+    return float(next(tree.find_data('bound')).children[0])
+
+
+def _pairs(tree: Tree[Any]) -> tuple[tuple[int, int], ...]:
+    return tuple((int(pair.children[0]), int(pair.children[1])) for pair in tree.find_data('pair'))
+
+
+Builder = Callable[[int, list[str], Tree[Any]], Step]
+
+
+def _on_process(cls: Callable[[int, str], Step]) -> Builder:
+    return lambda line, words, tree: cls(line, words[0])
+
+
+def _plain(cls: Callable[[int], Step]) -> Builder:
+    return lambda line, words, tree: cls(line)
+
+
+def _on_pairs(cls: Callable[[int, tuple[tuple[int, int], ...]], Step]) -> Builder:
+    return lambda line, words, tree: cls(line, _pairs(tree))
+
+
+def _wait_named(cls: Callable[[int, float, str], Step]) -> Builder:
+    return lambda line, words, tree: cls(line, _bound(tree), words[0])
+
+
+def _wait_count(cls: Callable[[int, float, int], Step]) -> Builder:
+    return lambda line, words, tree: cls(line, _bound(tree), int(words[0]))
+
+
+def _fleet(line: int, words: list[str], tree: Tree[Any]) -> Step:
+    options = {str(o.children[0]): str(o.children[1]) for o in tree.find_data('fleet_option')}
+    return steps.MakeFleet(line, words[0], options)
+
+
+def _wait_serving(line: int, words: list[str], tree: Tree[Any]) -> Step:
+    return steps.WaitServing(line, _bound(tree), words[0], int(words[1]))
+
+
+def _wait_in_force(line: int, words: list[str], tree: Tree[Any]) -> Step:
+    return steps.WaitInForce(line, _bound(tree), tuple(words))
+
+
+def _expect_copies(line: int, words: list[str], tree: Tree[Any]) -> Step:
+    return steps.ExpectCopies(line, words[0], words[1], float(words[2]))
+
+
+BUILDERS: Final[dict[str, Builder]] = {
+    'fleet': _fleet,
+    'start_all': _plain(steps.StartAll),
+    'start_instance': _on_process(steps.StartInstance),
+    'stop': _on_process(steps.Stop),
+    'kill': _on_process(steps.Kill),
+    'freeze': _on_process(steps.Freeze),
+    'thaw': _on_process(steps.Thaw),
+    'lose_disk': _on_process(steps.LoseDisk),
+    'tear_log': _on_process(steps.TearLog),
+    'leave': _on_process(steps.Leave),
+    'cut': _on_pairs(steps.Cut),
+    'stall_links': _on_pairs(steps.StallLinks),
+    'heal': _plain(steps.Heal),
+    'corrupt': lambda line, words, tree: steps.Corrupt(line, float(words[0])),
+    'stall_origin': lambda line, words, tree: steps.StallOrigin(line, words[0] == 'on'),
+    'change_version': lambda line, words, tree: steps.ChangeVersion(line, words[0], int(words[1])),
+    'organisations': _plain(steps.Organisations),
+    'apply': _on_process(steps.Apply),
+    'apply_many': lambda line, words, tree: steps.ApplyMany(line, int(words[0])),
+    'callers': lambda line, words, tree: steps.StartCallers(line, int(words[0]), tuple(words[1:])),
+    'halt_callers': _plain(steps.HaltCallers),
+    'call': lambda line, words, tree: steps.Call(line, words[0], words[1]),
+    'wait_serving': _wait_serving,
+    'wait_ready': _wait_named(steps.WaitReady),
+    'wait_exit': _wait_named(steps.WaitExit),
+    'wait_idle': _wait_named(steps.WaitIdle),
+    'wait_in_force': _wait_in_force,
+    'wait_voters': _wait_count(steps.WaitVoters),
+    'wait_answers': _wait_count(steps.WaitAnswers),
+    'expect_clean': _plain(steps.ExpectClean),
+    'expect_copies': _expect_copies,
+    'expect_answer': _on_process(steps.ExpectAnswer),
+    'expect_new_work': lambda line, words, tree: steps.ExpectNewWork(line, words[0], int(words[1])),
+}
--- /dev/null
+++ b/packages/millfork-standins/millfork_standins/scenario/runner.py
@@ -0,0 +1,376 @@
+"""
+Runs the steps of a scenario on a real fleet.
+
+"""
+
+import shutil
+import time
+from collections.abc import Callable
+from functools import singledispatchmethod
+from pathlib import Path
+from typing import Any, Final
+
+from millfork_core.status import ExitStatus
+
+from millfork_standins.callers import Asked, Callers, End, Kind
+from millfork_standins.deployments import SHAPES
+from millfork_standins.execution_log import read_executions
+from millfork_standins.fleet import ADMIN_PORT, Fleet, FleetError, FleetOptions
+from millfork_standins.judging import judge_fleet
+from millfork_standins.requests import Answer, fetch
+from millfork_standins.scenario import steps
+from millfork_standins.scenario.steps import Step
+from millfork_standins.versions import learn_version
+
+POLL_S: Final = 0.05
+IDLE_S: Final = 0.5
+STATUS: Final = '/control/v1/status'
+TORN_BYTES: Final = 7
+START_TIMEOUT_S: Final = 40.0
+VOTER_LINE: Final = 'millfork_voter 1'
+
+
+class Unmet(Exception):
+    """
+    An expectation or a wait of a scenario was not met.
+
+    """
+
+
+class Runner:
+    """
+    One run of one scenario.
+
+    """
+
+    def __init__(self, folder: Path, say: Callable[[str], None] = print) -> None:
+        self.folder = folder
+        self.say = say
+        self.fleet: Fleet | None = None
+        self.callers: Callers | None = None
+        self.keys: dict[str, str] = {}
+        self.ids: dict[str, str] = {}
+        self.accepted = 0
+        self.answer: Answer | None = None
+        self.idle_marks: dict[str, int] = {}
+        self.stopping: set[str] = set()
+
+    def run(self, scenario: list[Step]) -> None:
+        """
+        Run all steps; end every process at the end.
+
+        :raises Unmet: where the scenario does not hold.
+
+        """
+        try:
+            for step in scenario:
+                self.say(f'{step.line}: {step}')
+                self._run(step)
+        finally:
+            if self.callers is not None:
+                self.callers.stopping.set()
+            if self.fleet is not None:
+                self.fleet.close()
+
+    def _run(self, step: Step) -> None:
+        try:
+            self.on(step)
+        except FleetError as error:
+            raise Unmet(f'line {step.line}: {error}') from error
+
+    @property
+    def running(self) -> Fleet:
+        if self.fleet is None:
+            raise Unmet('a scenario begins with its fleet')
+        return self.fleet
+
+    def _wait(self, step: steps.Wait, what: str, holds: Callable[[], bool]) -> None:
+        until = time.monotonic() + step.within
+        while time.monotonic() < until:
+            if holds():
+                return
+            time.sleep(POLL_S)
+        raise Unmet(f'line {step.line}: {what} does not hold within {step.within} s')
+
+    # Steps.
+
+    @singledispatchmethod
+    def on(self, step: Step) -> None:
+        raise Unmet(f'line {step.line}: no way to run this step')
+
+    @on.register
+    def _(self, step: steps.MakeFleet) -> None:
+        options = FleetOptions()
+        for name, value in step.options.items():
+            _set_option(options, name, value)
+        self.fleet = Fleet(SHAPES[step.shape], self.folder, options)
+
+    @on.register
+    def _(self, step: steps.StartAll) -> None:
+        self.running.start()
+
+    @on.register
+    def _(self, step: steps.StartInstance) -> None:
+        fleet = self.running
+        if step.name.endswith('.backend'):
+            fleet.start_backend(fleet.instances[step.name.removesuffix('.backend')])
+            return
+        fleet.start_daemon(fleet.instances[step.name])
+
+    @on.register
+    def _(self, step: steps.Stop) -> None:
+        self.running.processes[step.name].terminate()
+
+    @on.register
+    def _(self, step: steps.Kill) -> None:
+        self.running.kill(step.name)
+
+    @on.register
+    def _(self, step: steps.Freeze) -> None:
+        self.running.freeze(step.name)
+
+    @on.register
+    def _(self, step: steps.Thaw) -> None:
+        self.running.thaw(step.name)
+
+    @on.register
+    def _(self, step: steps.LoseDisk) -> None:
+        shutil.rmtree(self.running.data_folder(step.name))
+
+    @on.register
+    def _(self, step: steps.TearLog) -> None:
+        path = self.running.data_folder(step.name) / 'state' / 'log'
+        path.write_bytes(path.read_bytes()[:-TORN_BYTES])
+
+    @on.register
+    def _(self, step: steps.Leave) -> None:
+        self.running.list_instance(self.running.instances[step.name], leaving=True)
+
+    @on.register
+    def _(self, step: steps.Cut) -> None:
+        self.running.cut(*step.pairs)
+
+    @on.register
+    def _(self, step: steps.StallLinks) -> None:
+        self.running.freeze_links(*step.pairs)
+
+    @on.register
+    def _(self, step: steps.Heal) -> None:
+        self.running.cut()
+        self.running.freeze_links()
+
+    @on.register
+    def _(self, step: steps.Corrupt) -> None:
+        self.running.control_origin(corrupt_share=step.share)
+
+    @on.register
+    def _(self, step: steps.StallOrigin) -> None:
+        self.running.control_origin(stalled=step.stalled)
+
+    @on.register
+    def _(self, step: steps.ChangeVersion) -> None:
+        fleet = self.running
+        replacement = {
+            'name': fleet.shape.model,
+            'version': step.version,
+            'size': fleet.options.model_bytes,
+            'seed': step.seed,
+        }
+        fleet.control_origin(replace=replacement)
+
+    @on.register
+    def _(self, step: steps.Organisations) -> None:
+        self._apply(step, 'organisations.yaml', self.running.organisations_declaration())
+
+    @on.register
+    def _(self, step: steps.Apply) -> None:
+        known = learn_version(self.running, step.version)
+        self.keys[known.id] = known.key
+        self.ids[step.version] = known.id
+        self._apply(step, 'deployment.yaml', self.running.deployment_declaration(step.version))
+
+    @on.register
+    def _(self, step: steps.ApplyMany) -> None:
+        name = self.running.engines[0].name
+        for number in range(step.count):
+            labels = {name: {'generation': str(number)}}
+            organisation = self.running.shape.organisations[1]
+            self._apply(step, 'labels.yaml', {'organisation': organisation, 'labels': labels})
+
+    def _apply(self, step: Step, name: str, declaration: dict[str, Any]) -> None:
+        path = self.running.write_declaration(name, declaration)
+        done = self.running.operate('apply', str(path))
+        if done.returncode != ExitStatus.SUCCESS:
+            raise Unmet(f'line {step.line}: apply: {done.stderr.strip()}')
+        self.accepted = int(done.stdout.split()[-1])
+
+    # Callers.
+
+    @on.register
+    def _(self, step: steps.StartCallers) -> None:
+        kinds = tuple(Kind(name) for name in step.kinds) or tuple(Kind)
+        self.callers = Callers(self.running, self.keys, step.count, kinds)
+        self.callers.start()
+
+    @on.register
+    def _(self, step: steps.HaltCallers) -> None:
+        assert self.callers is not None
+        self.callers.stop()
+
+    @on.register
+    def _(self, step: steps.Call) -> None:
+        fleet = self.running
+        callers = Callers(fleet, self.keys)
+        entry = fleet.instances[step.entry]
+        self.answer = callers.send(entry, Kind(step.kind), f'call-{step.line}', 'one call')
+
+    # Waits.
+
+    def _serving(self, version: str) -> int:
+        rows = _rollouts(self.running)
+        found = [row['serving'] for row in rows if row['version'] == self.ids[version]]
+        return found[0] if found else 0
+
+    @on.register
+    def _(self, step: steps.WaitServing) -> None:
+        what = f'{step.version} on {step.count}'
+        self._wait(step, what, lambda: self._serving(step.version) >= step.count)
+
+    @on.register
+    def _(self, step: steps.WaitReady) -> None:
+        self.running.wait_ready(self.running.instances[step.name], step.within)
+
+    @on.register
+    def _(self, step: steps.WaitExit) -> None:
+        process = self.running.processes[step.name]
+        self._wait(step, f'exit of {step.name}', lambda: process.poll() is not None)
+        if process.returncode != ExitStatus.SUCCESS:
+            raise Unmet(f'line {step.line}: {step.name} ended with {process.returncode}')
+        del self.running.processes[step.name]
+
+    @on.register
+    def _(self, step: steps.WaitInForce) -> None:
+        names = step.names or tuple(self.running.instances)
+        self._wait(step, 'in force', lambda: all(self._revision(n) >= self.accepted for n in names))
+
+    def _revision(self, name: str) -> int:
+        try:
+            answer = fetch('GET', self.running.instances[name].host, ADMIN_PORT, '/readyz')
+        except OSError:
+            return -1
+        return int(answer.json()['revision'])
+
+    @on.register
+    def _(self, step: steps.WaitVoters) -> None:
+        self._wait(step, 'voters', lambda: _voters(self.running) >= step.count)
+
+    @on.register
+    def _(self, step: steps.WaitAnswers) -> None:
+        assert self.callers is not None
+        callers = self.callers
+        target = len(_right(callers.asked)) + step.count
+        self._wait(step, 'answers', lambda: len(_right(callers.asked)) >= target)
+
+    @on.register
+    def _(self, step: steps.WaitIdle) -> None:
+        self._wait(step, f'{step.name} idle', lambda: self._is_idle(step.name))
+
+    def _is_idle(self, name: str) -> bool:
+        before = self._begun(name)
+        time.sleep(IDLE_S)
+        self.idle_marks[name] = self._begun(name)
+        return self.idle_marks[name] == before
+
+    def _begun(self, name: str) -> int:
+        lines = read_executions(self.running.executions(name))
+        return sum(line['kind'] == 'begin' for line in lines)
+
+    # Expectations.
+
+    @on.register
+    def _(self, step: steps.ExpectClean) -> None:
+        assert self.callers is not None
+        found = judge_fleet(self.running, self.callers.asked)
+        self.say(f'   {found}')
+        if not found.is_clean:
+            bad = [item for item in self.callers.asked if item.end is not End.RIGHT]
+            raise Unmet(f'line {step.line}: {found}: {bad[:5]}')
+
+    @on.register
+    def _(self, step: steps.ExpectCopies) -> None:
+        stats = self.running.origin_stats()
+        sent = stats['draws'].get(f'{self.running.shape.model}/{step.version}', 0)
+        copies = sent / self.running.options.model_bytes
+        holds = copies <= step.copies if step.operator == '<=' else copies >= step.copies
+        if not holds:
+            raise Unmet(f'line {step.line}: the origin sent {copies:.3f} copies')
+
+    @on.register
+    def _(self, step: steps.ExpectAnswer) -> None:
+        assert self.answer is not None
+        found = (str(self.answer.status), self.answer.headers.get('millfork-reason', ''))
+        if step.answer not in found:
+            raise Unmet(f'line {step.line}: the answer was {found}')
+
+    @on.register
+    def _(self, step: steps.ExpectNewWork) -> None:
+        new = self._begun(step.name) - self.idle_marks[step.name]
+        if new > step.most:
+            raise Unmet(f'line {step.line}: {step.name} began {new} more requests')
+
+
+def _right(asked: list[Asked]) -> list[Asked]:
+    return [item for item in asked if item.end is End.RIGHT]
+
+
+def _set_option(options: FleetOptions, name: str, value: str) -> None:
+    """
+    `relay=yes`, `model_bytes=1000`, `engine.token_ms=20` and the like.
+
+    """
+    field, _, key = name.partition('.')
+    number: Any = value in ('yes', 'on') if value in ('yes', 'no', 'on', 'off') else float(value)
+    if isinstance(number, float) and number.is_integer():
+        number = int(number)
+    if key:
+        getattr(options, field)[key] = number
+        return
+    setattr(options, field, number)
+
+
+def _rollouts(fleet: Fleet) -> list[dict[str, Any]]:
+    """
+    The rollouts as the first entry that answers tells them.
+
+    """
+    headers = {'authorization': f'Bearer {fleet.admin_token}'}
+    for entry in fleet.entries:
+        if entry.name not in fleet.processes:
+            continue
+        try:
+            answer = fetch(
+                'GET', entry.host, 8080, '/control/v1/status', headers=headers, timeout=1
+            )
+        except OSError:
+            continue
+        if answer.status == 200:
+            rows: list[dict[str, Any]] = answer.json()['deployments']
+            return rows
+    return []
+
+
+def _voters(fleet: Fleet) -> int:
+    """
+    Running replicas that count themselves among the voters.
+
+    """
+    count = 0
+    for replica in fleet.replicas:
+        if replica.name not in fleet.processes:
+            continue
+        try:
+            text = fetch('GET', replica.host, ADMIN_PORT, '/metrics', timeout=1).body.decode()
+        except OSError:
+            continue
+        count += any(line.startswith(VOTER_LINE) for line in text.splitlines())
+    return count
--- /dev/null
+++ b/packages/millfork-standins/millfork_standins/versions.py
@@ -0,0 +1,35 @@
+"""
+What the answers of a version must look like, learned from the origin.
+
+"""
+
+from dataclasses import dataclass
+
+from millfork_weights.manifest import decode_manifest, digest_of
+
+from millfork_standins.fleet import STANDIN_PORT, Fleet
+from millfork_standins.requests import fetch
+from millfork_standins.weights import weights_key
+
+ID_CHARS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class KnownVersion:
+    """
+    A version's id in answers, and the key of its weights.
+
+    """
+
+    id: str
+    key: str
+
+
+def learn_version(fleet: Fleet, version: str) -> KnownVersion:
+    """
+    The version as the origin has it at this moment.
+
+    """
+    path = f'/models/{fleet.shape.model}/{version}/manifest'
+    body = fetch('GET', fleet.origin['host'], STANDIN_PORT, path).body
+    return KnownVersion(digest_of(body)[:ID_CHARS], weights_key([decode_manifest(body).whole]))
--- a/packages/millforkd/millforkd/entry/proposals.py
+++ b/packages/millfork-state/millfork_state/proposals.py
@@ -10,12 +10,13 @@
 from millfork_core.environment import Environment
 from millfork_core.ids import NO_INSTANCE, InstanceId
 from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
-from millfork_state.commands import AnyCommand, encode_command
-from millfork_state.node import StateNode
 from millfork_wire.connection import PeerError, PeerUnreachable
 from millfork_wire.messages import Propose, Proposed, ReadState, StateView
 from millfork_wire.peers import PeerAddress, Peers
 
+from millfork_state.commands import AnyCommand, encode_command
+from millfork_state.node import StateNode
+
 CALL_TIMEOUT_S: Final = 3.0
 PAUSE_S: Final = 0.1
 DEFAULT_PATIENCE_S: Final = 6.0
--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -153,13 +153,8 @@
         The newest membership in the log counts from when it is written.
 
         """
-        for entry in reversed(self.storage.entries):
-            command = decode_command(entry.payload)
-            if isinstance(command, SetMembers):
-                self.members = list(command.members)
-                return
-        snapshot = self.storage.snapshot
-        self.members = list(snapshot.members) if snapshot else []
+        self.members = self._members_at(self.storage.last_index)
+        self.env.metrics.voter.set({}, int(self.is_voter))
 
     async def write(self, entries: list[LogEntry]) -> None:
         """
--- a/packages/millfork-state/millfork_state/upstream.py
+++ b/packages/millfork-state/millfork_state/upstream.py
@@ -58,6 +58,8 @@
     """
     Peers to subscribe to, best first: ancestors in the zone, other entries
     of the zone that stand earlier, then every replica, nearest zone first.
+    Last come the zone's later entries: in a zone that is cut off they may be
+    all there is.
 
     """
     replica_ids = {address.instance for address in replicas}
@@ -71,6 +73,12 @@
     names = [*ancestors(order, instance), *entries[:FANOUT]]
     found = [address for name in names if (address := roster.address(name)) is not None]
     found += sorted(replicas, key=lambda address: (address.instance not in order, address.instance))
+    later = [
+        facts.instance
+        for facts in roster.entries(zone)
+        if facts.instance not in earlier and facts.instance != instance
+    ]
+    found += [address for name in later if (address := roster.address(name)) is not None]
     unique = {address.instance: address for address in reversed(found)}
     unique.pop(instance, None)
     return sorted(unique.values(), key=lambda address: found.index(address))
--- a/packages/millfork-weights/millfork_weights/transfer.py
+++ b/packages/millfork-weights/millfork_weights/transfer.py
@@ -24,7 +24,8 @@
 
 SUSPECT_S: Final = 3.0
 PAUSE_S: Final = 0.1
-MANIFEST_TIMEOUT_S: Final = 2.0
+MANIFEST_TIMEOUT_S: Final = 0.5
+ORIGIN_AFTER_ROUNDS: Final = 10
 PATIENCE: Final = 3
 WHOLE_PEERS_ASKED: Final = 3
 BUSY: Final = 'busy'
@@ -102,23 +103,44 @@
     # The manifest.
 
     async def _manifest(self, name: str, version: str, digest: Digest) -> Manifest:
-        found = self.store.manifest_on_disk(digest)
+        """
+        The manifest, from peers, an earlier run, or the origin. The roots of
+        the trees ask the origin first; others only if peers have nothing for
+        some rounds.
+
+        """
         me = self.env.instance
-        ancestors = [s for tree in self.trees for s in tree.sources(me)]
-        everyone = [other for other in self.trees[0].order if other != me]
-        sample = self.env.random.sample(everyone, min(WHOLE_PEERS_ASKED, len(everyone)))
-        while found is None:
-            for source in dict.fromkeys([*sample, *ancestors[: 2 * WHOLE_PEERS_ASKED]]):
-                found = await self._manifest_from(source, digest) or found
-                if found is not None and source not in sample:
-                    break
-            if found is not None:
-                break
-            if any(tree.is_root(me) for tree in self.trees) or not ancestors:
+        asked = self._manifest_sources()
+        rounds = 0 if any(tree.is_root(me) for tree in self.trees) else ORIGIN_AFTER_ROUNDS
+        while True:
+            found = await self._manifest_from_peers(asked, digest)
+            found = found or self.store.manifest_on_disk(digest)
+            if found is None and (rounds <= 0 or not asked):
                 found = await self._manifest_from_origin(name, version, digest)
-            if found is None:
-                await curio.sleep(PAUSE_S)
-        return found
+            if found is not None:
+                return found
+            rounds -= 1
+            await curio.sleep(PAUSE_S)
+
+    def _manifest_sources(self) -> list[InstanceId]:
+        """
+        The nearest ancestors, and a few at random, who may be whole already.
+
+        """
+        me = self.env.instance
+        nearest = [source for tree in self.trees for source in tree.sources(me)[:1]]
+        others = [name for name in self.trees[0].order if name != me]
+        chosen = self.env.random.sample(others, min(WHOLE_PEERS_ASKED, len(others)))
+        return list(dict.fromkeys([*nearest, *chosen]))
+
+    async def _manifest_from_peers(
+        self, sources: list[InstanceId], digest: Digest
+    ) -> Manifest | None:
+        async with curio.TaskGroup() as group:
+            for source in sources:
+                await group.spawn(self._manifest_from, source, digest)
+        answers = [task.result for task in group.tasks if not task.exception]
+        return next((answer for answer in answers if answer is not None), None)
 
     async def _manifest_from(self, source: InstanceId, digest: Digest) -> Manifest | None:
         address = self.locate(source)
@@ -131,7 +153,7 @@
             return None
         if not isinstance(reply, ManifestMessage) or not reply.found:
             return None
-        if reply.whole:
+        if reply.whole and source not in self.whole_peers:
             self.whole_peers.append(source)
         try:
             return decode_manifest(reply.body, digest)
--- a/packages/millfork-wire/millfork_wire/messages.py
+++ b/packages/millfork-wire/millfork_wire/messages.py
@@ -219,7 +219,8 @@
     path: str = ''
     headers: list[Header] = field(default_factory=list)
     body: bytes = b''
-    mark: bool = False
+    key: str = ''
+    attempt: str = ''
 
 
 @dataclass(slots=True)
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -85,7 +85,7 @@
 struct Header { name @0 :Text; value @1 :Text; }
 struct Reserve {
   requestId @0 :Text; organisation @1 :Text; service @2 :Text; deadlineMs @3 :UInt32; priority @4 :UInt8;
-  method @5 :Text; path @6 :Text; headers @7 :List(Header); body @8 :Data; mark @9 :Bool;
+  method @5 :Text; path @6 :Text; headers @7 :List(Header); body @8 :Data; key @9 :Text; attempt @10 :Text;
 }
 struct Reserved { ok @0 :Bool; reason @1 :Text; detail @2 :Text; retryAfterMs @3 :UInt32; version @4 :Text; running @5 :UInt32; queued @6 :UInt32; }
 struct Start { requestId @0 :Text; }
--- a/packages/millforkd/millforkd/endpoint/daemon.py
+++ b/packages/millforkd/millforkd/endpoint/daemon.py
@@ -14,6 +14,7 @@
 from millfork_core.logs import Part, logger
 from millfork_settings.models import BackendKind, Settings
 from millfork_state.config import DRAINS, ORGANISATIONS, Organisation, decode
+from millfork_state.proposals import Proposals
 from millfork_weights.links import Link
 from millfork_weights.sharing import Sharing
 from millfork_weights.store import WeightStore
@@ -47,7 +48,8 @@
         self.settings = settings
         self.member = Member(env, settings, self.handle, POLL_INTERVAL_S)
         host = str(settings.address)
-        self.door = Door(env, settings.backend, host)
+        proposals = Proposals(env, self.member.peers, self.member.replicas, None)
+        self.door = Door(env, settings.backend, host, proposals)
         self.store: WeightStore | None = None
         self.sharing: Sharing | None = None
         self.rollout: Rollout | None = None
--- a/packages/millforkd/millforkd/endpoint/door.py
+++ b/packages/millforkd/millforkd/endpoint/door.py
@@ -14,8 +14,9 @@
 from millfork_core.verdicts import Reason, Refusal, Verdict
 from millfork_routing.limits import FairQueue
 from millfork_settings.models import BackendKind, BackendSettings
+from millfork_state.proposals import Proposals
 from millfork_web.client import Client, ExchangeFailed, Reply
-from millfork_web.models import Headers
+from millfork_web.models import Headers, Response
 from millfork_wire.connection import Connection, PeerLost
 from millfork_wire.messages import (
     Cancel,
@@ -32,6 +33,7 @@
 )
 
 from millforkd.endpoint.reservations import Reservation, Stage
+from millforkd.settling import settle_claim
 
 START_PATIENCE_S: Final = 2.0
 LOAD_HEARTBEAT_S: Final = 4.0
@@ -53,8 +55,15 @@
 
     """
 
-    def __init__(self, env: Environment, settings: BackendSettings, source: str) -> None:
+    def __init__(
+        self,
+        env: Environment,
+        settings: BackendSettings,
+        source: str,
+        proposals: Proposals,
+    ) -> None:
         self.env = env
+        self.proposals = proposals
         self.settings = settings
         self.is_engine = settings.kind is BackendKind.ENGINE
         self.client = Client(*settings.address.pair, source=source)
@@ -182,9 +191,23 @@
             self.env.metrics.count(self.env.metrics.requests, outcome='entry_gone')
         finally:
             del self.reservations[reservation.request.request_id]
+            if reservation.connection.closed and reservation.request.attempt:
+                await self.env.spawn(self._settle, reservation)
             await self.queue.leave(reservation.waiter)
             await self.load_changed.set()
 
+    async def _settle(self, reservation: Reservation) -> None:
+        """
+        Record the answer in place of an entry that may be gone. A key is
+        never released here: the entry may live and try another endpoint.
+
+        """
+        request = reservation.request
+        if reservation.response is not None:
+            await settle_claim(
+                self.env, self.proposals, request.key, request.attempt, reservation.response
+            )
+
     async def _wait_for_slot(self, reservation: Reservation) -> Refusal | None:
         expired = Refusal(Reason.EXPIRED, detail='it never came to its turn')
         try:
@@ -242,13 +265,30 @@
         if self.is_engine:
             headers = [header for header in headers if header.name != VERSION_HEADER]
             headers.append(Header(VERSION_HEADER, reservation.version))
-        await reservation.connection.notify(Head(request_id, reply.status, headers))
+        await self._send(reservation, Head(request_id, reply.status, headers))
+        body = bytearray()
         async for data in reply.parts():
-            await reservation.connection.notify(Part(request_id, reservation.parts, data))
+            await self._send(reservation, Part(request_id, reservation.parts, data))
             reservation.parts += 1
             reservation.bytes += len(data)
+            if reservation.request.attempt:
+                body += data
+        if reservation.request.attempt:
+            reservation.response = Response(reply.status, reply.headers, bytes(body))
         return None
 
+    async def _send(self, reservation: Reservation, message: Head | Part) -> None:
+        """
+        Send a piece to the entry. The answer to a request with a key is
+        read to its end even without the entry, as its outcome matters.
+
+        """
+        try:
+            await reservation.connection.notify(message)
+        except PeerLost:
+            if not reservation.request.attempt:
+                raise
+
     def _check_head(self, reservation: Reservation, reply: Reply) -> Refusal | None:
         """
         Refuse an answer that belongs to another request or other weights.
--- a/packages/millforkd/millforkd/endpoint/reservations.py
+++ b/packages/millforkd/millforkd/endpoint/reservations.py
@@ -9,6 +9,7 @@
 import curio
 from millfork_core.verdicts import Verdict
 from millfork_routing.limits import Waiter
+from millfork_web.models import Response
 from millfork_wire.connection import Connection
 from millfork_wire.messages import Reserve
 
@@ -29,6 +30,7 @@
     """
     One request from its `Reserve` to its `End`; `until` is its deadline on
     this process's monotonic clock, `version` the weights it was admitted to.
+    `response` gathers the answer of a request with an idempotency key.
 
     """
 
@@ -42,6 +44,7 @@
     task: curio.Task | None = None
     parts: int = 0
     bytes: int = 0
+    response: Response | None = None
 
     @property
     def verdict(self) -> Verdict:
--- a/packages/millforkd/millforkd/entry/attempts.py
+++ b/packages/millforkd/millforkd/entry/attempts.py
@@ -43,7 +43,8 @@
 @dataclass(frozen=True, slots=True)
 class Call:
     """
-    One caller's request, as the entry understood it.
+    One caller's request, as the entry understood it. `claim` is the attempt
+    that holds its idempotency key, once claimed.
 
     """
 
@@ -55,11 +56,20 @@
     body: bytes
     repeatable: bool
     key: str
+    claim: str
     affinity: str
     priority: int
     deadline: float
 
 
+def state_key(call: Call) -> str:
+    """
+    The call's idempotency key, as the replicated state knows it.
+
+    """
+    return f'{call.organisation}/{call.service}/{call.key}'
+
+
 class Lost(Message):
     """
     Stands in the queue where the connection ended.
@@ -116,6 +126,8 @@
             call.path,
             [Header(name, value) for name, value in call.headers],
             call.body,
+            state_key(call) if call.claim else '',
+            call.claim,
         )
         try:
             reply = await self.connection.call(request, min(timeout, left))
--- a/packages/millforkd/millforkd/entry/book.py
+++ b/packages/millforkd/millforkd/entry/book.py
@@ -71,6 +71,7 @@
         self.connections: dict[InstanceId, Connection] = {}
         self.dialling: set[InstanceId] = set()
         self.told_leaving: set[InstanceId] = set()
+        self.settled = False
 
     async def keep(self) -> None:
         """
@@ -84,8 +85,17 @@
                 self.dialling.add(facts.instance)
                 await self.env.spawn(self._dial, facts)
             await self._pass_on_leaving()
+            self._note_settled()
             await curio.sleep(UPKEEP_S)
 
+    def _note_settled(self) -> None:
+        """
+        Once every endpoint was dialled, this entry knows whom it can ask.
+
+        """
+        if self.roster.version >= 0 and not self.dialling:
+            self.settled = True
+
     def _wanted(self) -> list[InstanceFacts]:
         groups: list[list[InstanceFacts]] = []
         for key, value in self.view.prefixed(DEPLOYMENTS).items():
@@ -123,6 +133,7 @@
             return
         finally:
             self.dialling.discard(facts.instance)
+            self._note_settled()
         if connection.closed or not isinstance(load, Load):
             return
         self.connections[facts.instance] = connection
--- a/packages/millforkd/millforkd/entry/callers.py
+++ b/packages/millforkd/millforkd/entry/callers.py
@@ -5,6 +5,7 @@
 
 import json
 import uuid
+from dataclasses import replace
 from typing import Any, Final
 
 import curio
@@ -137,8 +138,8 @@
         Run a call whose key must be claimed first.
 
         """
-        attempt = uuid.uuid4().hex
-        earlier = await self.claims.claim(call, attempt)
+        call = replace(call, claim=uuid.uuid4().hex)
+        earlier = await self.claims.claim(call)
         if earlier is not None:
             self.env.metrics.count(self.env.metrics.requests, outcome='answered_again')
             delivery.response = earlier
@@ -148,7 +149,7 @@
         response = delivery.response
         if refusal is None and response is None:
             response = Response(0)
-        settling = await self.env.spawn(self.claims.settle, call, attempt, response, verdict)
+        settling = await self.env.spawn(self.claims.settle, call, response, verdict)
         if verdict is Verdict.NOT_RUN:
             await settling.wait()
         return refusal
@@ -185,6 +186,7 @@
             request.body,
             repeatable,
             '' if repeatable else key,
+            '',
             affinity,
             _number(request, PRIORITY_HEADER, 0, 0, MAX_PRIORITY),
             self.env.monotonic() + self._timeout_ms(request) / 1000,
--- a/packages/millforkd/millforkd/entry/claims.py
+++ b/packages/millforkd/millforkd/entry/claims.py
@@ -8,17 +8,15 @@
 
 from millfork_core.environment import Environment
 from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
-from millfork_state.commands import ClaimKey, ClaimResult, ClaimState, SettleKey
+from millfork_state.commands import ClaimKey, ClaimResult, ClaimState
 from millfork_state.node import decode_claim_result
+from millfork_state.proposals import Proposals
 from millfork_web.models import Response
 
-from millforkd.entry.attempts import Call
-from millforkd.entry.proposals import Proposals
+from millforkd.entry.attempts import Call, state_key
+from millforkd.settling import settle_claim
 
 CLAIM_PATIENCE_S: Final = 4.0
-SETTLE_PATIENCE_S: Final = 30.0
-# A longer first answer is not kept; the caller then learns only that it ran.
-MAX_KEPT_BODY_BYTES: Final = 16 * 1024
 
 
 class Claims:
@@ -31,15 +29,15 @@
         self.env = env
         self.proposals = proposals
 
-    async def claim(self, call: Call, attempt: str) -> Response | None:
+    async def claim(self, call: Call) -> Response | None:
         """
-        Claim the call's key for `attempt`. None: it is this attempt's now.
+        Claim the call's key for `call.claim`. None: it is this attempt's now.
         A response: the first answer, to be given again.
 
         :raises Refused: if the key is another's, or nobody can say.
 
         """
-        command = ClaimKey(_state_key(call), attempt, _fingerprint(call))
+        command = ClaimKey(state_key(call), call.claim, _fingerprint(call))
         try:
             data = await self.proposals.propose(command, CLAIM_PATIENCE_S)
         except Refused as error:
@@ -50,30 +48,14 @@
             return None
         return _answer_of(result)
 
-    async def settle(
-        self, call: Call, attempt: str, response: Response | None, verdict: Verdict
-    ) -> None:
+    async def settle(self, call: Call, response: Response | None, verdict: Verdict) -> None:
         """
         Record how the attempt ended. After MAY_HAVE_RUN the key stays taken.
 
         """
         if response is None and verdict is not Verdict.NOT_RUN:
             return
-        command = SettleKey(_state_key(call), attempt, released=response is None)
-        if response is not None:
-            kept = len(response.body) <= MAX_KEPT_BODY_BYTES
-            command = SettleKey(
-                _state_key(call),
-                attempt,
-                False,
-                response.status if kept else 0,
-                response.headers if kept else [],
-                response.body if kept else b'',
-            )
-        try:
-            await self.proposals.propose(command, SETTLE_PATIENCE_S)
-        except Refused:
-            self.env.metrics.count(self.env.metrics.state, event='claim_unsettled')
+        await settle_claim(self.env, self.proposals, state_key(call), call.claim, response)
 
 
 def _answer_of(result: ClaimResult) -> Response:
@@ -97,10 +79,6 @@
     raise Refused(refusals[result.state])
 
 
-def _state_key(call: Call) -> str:
-    return f'{call.organisation}/{call.service}/{call.key}'
-
-
 def _fingerprint(call: Call) -> str:
     head = f'{call.method} {call.path}\n'.encode()
     return hashlib.sha256(head + call.body).hexdigest()
--- a/packages/millforkd/millforkd/entry/daemon.py
+++ b/packages/millforkd/millforkd/entry/daemon.py
@@ -14,6 +14,7 @@
 from millfork_settings.models import Settings
 from millfork_state.formation import identity_of, take_genesis
 from millfork_state.node import StateNode
+from millfork_state.proposals import Proposals, answer_read
 from millfork_state.replica import Replica
 from millfork_state.storage import Storage
 from millfork_web.problem import problem
@@ -30,7 +31,6 @@
 from millforkd.entry.claims import Claims
 from millforkd.entry.dispatch import Dispatch
 from millforkd.entry.operators import PREFIX, Operators
-from millforkd.entry.proposals import Proposals, answer_read
 from millforkd.member import Member
 
 POLL_INTERVAL_S: Final = 1.0
@@ -138,7 +138,7 @@
             log.warning('Drain deadline: {} requests are cut off.', self.server.active)
 
     def _is_ready(self) -> bool:
-        return self.member.is_ready()
+        return self.member.is_ready() and self.book.settled
 
     async def _answer(self, exchange: Exchange) -> None:
         if self.refusing:
--- a/packages/millforkd/millforkd/entry/operators.py
+++ b/packages/millforkd/millforkd/entry/operators.py
@@ -24,6 +24,7 @@
     encode,
 )
 from millfork_state.node import decode_apply_result
+from millfork_state.proposals import Proposals, StateBody
 from millfork_state.reports import Reports
 from millfork_state.roster import Roster
 from millfork_state.view import View
@@ -37,7 +38,6 @@
 from millforkd.endpoint.report import EndpointReport
 from millforkd.entry.access import Access, Operator
 from millforkd.entry.book import selected
-from millforkd.entry.proposals import Proposals, StateBody
 
 PREFIX: Final = '/control/v1/'
 PART: Final = 'control'
