Replicas learn configuration from their log alone

Cause: a restarted replica followed the tree like any member and took updates into the very view that its log applies to. Its machine then counted later commands from a revision that was ahead of its log: after 510 changes one replica said revision 518. Found by restart_after_many_changes.

Change: a replica takes no updates from the tree; it follows the leader to report only. Status is answered from the leader's reports, and says 'partial' where no leader is reachable.

Conclusion: two writers to one view was a design fault; there is one now.

--- a/packages/millfork-routing/millfork_routing/limits.py
+++ b/packages/millfork-routing/millfork_routing/limits.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 import curio
+
 from millfork_core.ids import OrganisationId
 
 SERVICE_TIME_WEIGHT: Final = 0.1
--- a/packages/millfork-standins/millfork_standins/__main__.py
+++ b/packages/millfork-standins/millfork_standins/__main__.py
@@ -8,12 +8,12 @@
 from typing import Any, Final
 
 import curio
+from pydantic import BaseModel
+
 from millfork_core.signals import StopSignals
 from millfork_core.status import ExitStatus
 from millfork_settings.errors import BadFile
 from millfork_settings.loading import load
-from pydantic import BaseModel
-
 from millfork_standins.engine import Engine
 from millfork_standins.origin import Origin
 from millfork_standins.platform import Platform
--- a/packages/millfork-standins/millfork_standins/callers.py
+++ b/packages/millfork-standins/millfork_standins/callers.py
@@ -52,7 +52,8 @@
 @dataclass(slots=True)
 class Asked:
     """
-    One request of a caller, from its first sending to its end.
+    One request of a caller, from its first sending to its end. `cut_off`
+    counts the sendings whose connection ended without a whole answer.
 
     """
 
@@ -61,6 +62,7 @@
     end: End
     version: str = ''
     sendings: int = 1
+    cut_off: int = 0
     seconds: float = 0.0
     detail: str = ''
 
@@ -117,6 +119,7 @@
             try:
                 answer = self.send(entry, kind, nonce, prompt)
             except OSError as error:
+                asked.cut_off += not isinstance(error, ConnectionRefusedError)
                 asked.detail = f'{entry.name}: {error}'
                 time.sleep(PAUSE_S)
                 continue
--- a/packages/millfork-standins/millfork_standins/demo.py
+++ b/packages/millfork-standins/millfork_standins/demo.py
@@ -12,8 +12,8 @@
 from typing import Any, Final
 
 from absl import app, flags
-from millfork_core.status import ExitStatus
 
+from millfork_core.status import ExitStatus
 from millfork_standins.callers import Callers, End
 from millfork_standins.deployments import SHAPES
 from millfork_standins.fleet import Fleet, FleetError, FleetOptions
--- a/packages/millfork-standins/millfork_standins/engine.py
+++ b/packages/millfork-standins/millfork_standins/engine.py
@@ -15,12 +15,12 @@
 
 import blake3
 import curio
-from millfork_web.models import Headers, json_response
-from millfork_web.server import Exchange, Server
 
 from millfork_standins.execution_log import ExecutionLog
 from millfork_standins.settings import EngineSettings
 from millfork_standins.weights import token, weights_key
+from millfork_web.models import Headers, json_response
+from millfork_web.server import Exchange, Server
 
 PREFIX_CHARS: Final = 64
 DEFAULT_TOKENS: Final = 8
--- a/packages/millfork-standins/millfork_standins/fleet.py
+++ b/packages/millfork-standins/millfork_standins/fleet.py
@@ -4,7 +4,9 @@
 """
 
 import hashlib
+import json
 import os
+import random
 import secrets
 import signal
 import socket
@@ -29,6 +31,9 @@
 LAST_NUMBER: Final = 250
 ENDPOINTS_FROM: Final = 100
 POLL_S: Final = 0.05
+APPLY_PATH: Final = '/control/v1/apply'
+APPLY_TIMEOUT_S: Final = 30.0
+ENTRY_TIMEOUT_S: Final = 3.0
 STOP_TIMEOUT_S: Final = 40.0
 
 
@@ -436,6 +441,31 @@
         ]
         return subprocess.run(command, capture_output=True, text=True, timeout=120, check=False)
 
+    def apply(self, declaration: dict[str, Any], timeout: float = APPLY_TIMEOUT_S) -> int:
+        """
+        Apply without the command line, at whichever entry accepts; the
+        revision. One command id makes sending it again harmless.
+
+        """
+        body = {'declaration': declaration, 'command_id': secrets.token_hex(16)}
+        data = json.dumps(body).encode()
+        headers = {'authorization': f'Bearer {self.admin_token}'}
+        until = time.monotonic() + timeout
+        last = ''
+        while time.monotonic() < until:
+            entry = random.choice([e for e in self.entries if e.name in self.processes])
+            try:
+                answer = fetch(
+                    'POST', entry.host, CALLERS_PORT, APPLY_PATH, data, headers, ENTRY_TIMEOUT_S
+                )
+            except OSError as error:
+                last = str(error)
+                continue
+            if answer.status == 200:
+                return int(answer.json()['revision'])
+            last = answer.body.decode()
+        raise FleetError(f'not applied within {timeout} s: {last}')
+
     def origin_stats(self) -> dict[str, Any]:
         stats: dict[str, Any] = fetch_json('GET', self.origin['host'], STANDIN_PORT, '/stats')
         return stats
--- a/packages/millfork-standins/millfork_standins/origin.py
+++ b/packages/millfork-standins/millfork_standins/origin.py
@@ -9,14 +9,14 @@
 from typing import Any, Final
 
 import curio
+
+from millfork_standins.settings import OriginSettings, VersionSettings
+from millfork_standins.weights import make_weights
 from millfork_web.models import Response, json_response
 from millfork_web.server import Exchange, Server
 from millfork_weights.links import Pace
 from millfork_weights.manifest import build_manifest, encode_manifest
 
-from millfork_standins.settings import OriginSettings, VersionSettings
-from millfork_standins.weights import make_weights
-
 RANGE: Final = re.compile(r'bytes=(\d+)-(\d+)')
 
 
--- a/packages/millfork-standins/millfork_standins/platform.py
+++ b/packages/millfork-standins/millfork_standins/platform.py
@@ -6,11 +6,10 @@
 import time
 from typing import Any
 
+from millfork_standins.settings import PlatformSettings
 from millfork_web.models import json_response
 from millfork_web.server import Exchange, Server
 
-from millfork_standins.settings import PlatformSettings
-
 
 class Platform:
     """
--- a/packages/millfork-standins/millfork_standins/scenario/__main__.py
+++ b/packages/millfork-standins/millfork_standins/scenario/__main__.py
@@ -8,7 +8,6 @@
 from pathlib import Path
 
 from millfork_core.status import ExitStatus
-
 from millfork_standins.scenario.parser import BadScenario, parse
 from millfork_standins.scenario.runner import Runner, Unmet
 
--- a/packages/millfork-standins/millfork_standins/scenario/parser.py
+++ b/packages/millfork-standins/millfork_standins/scenario/parser.py
@@ -127,6 +127,8 @@
     'wait_voters': _wait_count(steps.WaitVoters),
     'wait_answers': _wait_count(steps.WaitAnswers),
     'expect_clean': _plain(steps.ExpectClean),
+    'expect_uncut': _plain(steps.ExpectUncut),
+    'expect_no_leader': lambda line, words, tree: steps.ExpectNoLeader(line, int(words[0])),
     'expect_copies': _expect_copies,
     'expect_answer': _on_process(steps.ExpectAnswer),
     'expect_new_work': lambda line, words, tree: steps.ExpectNewWork(line, words[0], int(words[1])),
--- a/packages/millfork-standins/millfork_standins/scenario/runner.py
+++ b/packages/millfork-standins/millfork_standins/scenario/runner.py
@@ -11,11 +11,10 @@
 from typing import Any, Final
 
 from millfork_core.status import ExitStatus
-
 from millfork_standins.callers import Asked, Callers, End, Kind
 from millfork_standins.deployments import SHAPES
 from millfork_standins.execution_log import read_executions
-from millfork_standins.fleet import ADMIN_PORT, Fleet, FleetError, FleetOptions
+from millfork_standins.fleet import ADMIN_PORT, CALLERS_PORT, Fleet, FleetError, FleetOptions
 from millfork_standins.judging import judge_fleet
 from millfork_standins.requests import Answer, fetch
 from millfork_standins.scenario import steps
@@ -24,6 +23,7 @@
 
 POLL_S: Final = 0.05
 IDLE_S: Final = 0.5
+STATE: Final = '/control/v1/state'
 STATUS: Final = '/control/v1/status'
 TORN_BYTES: Final = 7
 START_TIMEOUT_S: Final = 40.0
@@ -195,7 +195,8 @@
         for number in range(step.count):
             labels = {name: {'generation': str(number)}}
             organisation = self.running.shape.organisations[1]
-            self._apply(step, 'labels.yaml', {'organisation': organisation, 'labels': labels})
+            declaration = {'organisation': organisation, 'labels': labels}
+            self.accepted = self.running.apply(declaration)
 
     def _apply(self, step: Step, name: str, declaration: dict[str, Any]) -> None:
         path = self.running.write_declaration(name, declaration)
@@ -296,6 +297,28 @@
             bad = [item for item in self.callers.asked if item.end is not End.RIGHT]
             raise Unmet(f'line {step.line}: {found}: {bad[:5]}')
 
+    @on.register
+    def _(self, step: steps.ExpectUncut) -> None:
+        assert self.callers is not None
+        cut = [item for item in self.callers.asked if item.cut_off]
+        if cut:
+            raise Unmet(f'line {step.line}: {len(cut)} requests were cut off: {cut[:3]}')
+
+    @on.register
+    def _(self, step: steps.ExpectNoLeader) -> None:
+        fleet = self.running
+        headers = {'authorization': f'Bearer {fleet.admin_token}'}
+        running = [entry for entry in fleet.entries if entry.name in fleet.processes]
+        for number in range(step.times):
+            entry = running[number % len(running)]
+            try:
+                answer = fetch('GET', entry.host, CALLERS_PORT, STATE, headers=headers)
+            except ConnectionRefusedError:
+                time.sleep(POLL_S)
+                continue
+            if answer.status == 200:
+                raise Unmet(f'line {step.line}: {entry.name} read from a leader')
+
     @on.register
     def _(self, step: steps.ExpectCopies) -> None:
         stats = self.running.origin_stats()
--- a/packages/millfork-standins/millfork_standins/scenario/steps.py
+++ b/packages/millfork-standins/millfork_standins/scenario/steps.py
@@ -228,6 +228,18 @@
     """No answer wrong, mixed, lost or doubled, and at least one right."""
 
 
+@dataclass(frozen=True, slots=True)
+class ExpectUncut(Step):
+    """No caller's connection ended without a whole answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class ExpectNoLeader(Step):
+    """A linearizable read is refused, asked so many times in a row."""
+
+    times: int
+
+
 @dataclass(frozen=True, slots=True)
 class ExpectCopies(Step):
     """Copies of a version that the origin sent."""
--- a/packages/millfork-standins/millfork_standins/service.py
+++ b/packages/millfork-standins/millfork_standins/service.py
@@ -4,11 +4,11 @@
 """
 
 import curio
-from millfork_web.models import json_response
-from millfork_web.server import Exchange, Server
 
 from millfork_standins.execution_log import ExecutionLog
 from millfork_standins.settings import ServiceSettings
+from millfork_web.models import json_response
+from millfork_web.server import Exchange, Server
 
 
 class Service:
--- a/packages/millfork-standins/millfork_standins/settings.py
+++ b/packages/millfork-standins/millfork_standins/settings.py
@@ -5,9 +5,10 @@
 
 from pathlib import Path
 
-from millfork_settings.models import Address, Strict
 from pydantic import Field
 
+from millfork_settings.models import Address, Strict
+
 
 class EngineSettings(Strict):
     """
--- a/packages/millfork-standins/millfork_standins/versions.py
+++ b/packages/millfork-standins/millfork_standins/versions.py
@@ -5,11 +5,10 @@
 
 from dataclasses import dataclass
 
-from millfork_weights.manifest import decode_manifest, digest_of
-
 from millfork_standins.fleet import STANDIN_PORT, Fleet
 from millfork_standins.requests import fetch
 from millfork_standins.weights import weights_key
+from millfork_weights.manifest import decode_manifest, digest_of
 
 ID_CHARS = 16
 
--- a/packages/millfork-standins/millfork_standins/weights.py
+++ b/packages/millfork-standins/millfork_standins/weights.py
@@ -5,9 +5,8 @@
 
 import random
 
-from millfork_weights.manifest import digest_of
-
 from millfork_standins.settings import VersionSettings
+from millfork_weights.manifest import digest_of
 
 
 def make_weights(spec: VersionSettings, base: bytes = b'', chunk_bytes: int = 1) -> bytes:
--- a/packages/millfork-state/millfork_state/config.py
+++ b/packages/millfork-state/millfork_state/config.py
@@ -10,6 +10,7 @@
 from typing import Any, Final, TypeVar
 
 import msgspec
+
 from millfork_core.ids import Digest, InstanceId, ServiceName, ZoneId
 
 ORGANISATIONS: Final = 'organisations/'
--- a/packages/millfork-state/millfork_state/election.py
+++ b/packages/millfork-state/millfork_state/election.py
@@ -7,14 +7,14 @@
 from typing import Final
 
 import curio
+
 from millfork_core.logs import Part, logger
+from millfork_state.replica import ELECTION_SPREAD, Replica, ReplicaState
 from millfork_wire.codec import PreVote
 from millfork_wire.connection import PeerError
 from millfork_wire.messages import VoteReply, VoteRequest
 from millfork_wire.peers import PeerAddress
 
-from millfork_state.replica import ELECTION_SPREAD, Replica, ReplicaState
-
 VOTE_TIMEOUT_SHARE: Final = 0.5
 
 log = logger(Part.STATE)
--- a/packages/millfork-state/millfork_state/formation.py
+++ b/packages/millfork-state/millfork_state/formation.py
@@ -11,14 +11,14 @@
 from typing import Final
 
 import curio
+
 from millfork_core.ids import ClusterId
 from millfork_core.logs import Part, logger
-from millfork_wire.connection import PeerError
-from millfork_wire.messages import Genesis, Identify, Identity, Member
-
 from millfork_state.commands import SetMembers, decode_command, encode_command
 from millfork_state.replica import Replica
 from millfork_state.storage import LogEntry
+from millfork_wire.connection import PeerError
+from millfork_wire.messages import Genesis, Identify, Identity, Member
 
 FORM_PAUSE_S: Final = 0.2
 IDENTIFY_TIMEOUT_S: Final = 1.0
--- a/packages/millfork-state/millfork_state/leadership.py
+++ b/packages/millfork-state/millfork_state/leadership.py
@@ -7,14 +7,14 @@
 from typing import Final
 
 import curio
-from millfork_core.logs import Part, logger
-from millfork_wire.connection import PeerError
-from millfork_wire.messages import AppendReply, AppendRequest, Entry, InstallRequest, Message
-from millfork_wire.peers import PeerAddress
 
+from millfork_core.logs import Part, logger
 from millfork_state.commands import SetMembers, encode_command
 from millfork_state.replica import Pending, Replica, ReplicaState, noop_entry
 from millfork_state.storage import LogEntry
+from millfork_wire.connection import PeerError
+from millfork_wire.messages import AppendReply, AppendRequest, Entry, InstallRequest, Message
+from millfork_wire.peers import PeerAddress
 
 MAX_BATCH_ENTRIES: Final = 256
 CALL_TIMEOUT_S: Final = 2.0
--- a/packages/millfork-state/millfork_state/machine.py
+++ b/packages/millfork-state/millfork_state/machine.py
@@ -7,8 +7,8 @@
 from typing import Final
 
 import msgspec
-from millfork_core.ids import Revision
 
+from millfork_core.ids import Revision
 from millfork_state.commands import (
     AnyCommand,
     Apply,
--- a/packages/millfork-state/millfork_state/node.py
+++ b/packages/millfork-state/millfork_state/node.py
@@ -3,13 +3,13 @@
 
 """
 
+from enum import Enum
 from typing import Final
 
 import curio
 import msgspec
-from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
-from millfork_wire.messages import Proposed
 
+from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
 from millfork_state import formation
 from millfork_state.commands import (
     AnyCommand,
@@ -21,18 +21,45 @@
 from millfork_state.election import campaign, wait_for_silence
 from millfork_state.leadership import Leadership
 from millfork_state.replica import Replica, ReplicaState
+from millfork_state.reports import Reports
+from millfork_wire.messages import Proposed, ReadState, StateView
 
 PROPOSE_TIMEOUT_S: Final = 2.5
 
 
+ReportRow = tuple[str, int, int, bytes]
+
+
+class What(Enum):
+    """
+    What can be read of the leader.
+
+    """
+
+    STATE = 'state'
+    REPORTS = 'reports'
+
+
+class StateBody(msgspec.Struct):
+    """
+    The configuration: each key's value and revision.
+
+    """
+
+    cluster: str
+    revision: int
+    items: dict[str, tuple[bytes, int]]
+
+
 class StateNode:
     """
     Runs one replica.
 
     """
 
-    def __init__(self, replica: Replica) -> None:
+    def __init__(self, replica: Replica, reports: Reports) -> None:
         self.replica = replica
+        self.reports = reports
         self.leadership: Leadership | None = None
 
     async def run(self) -> None:
@@ -101,13 +128,28 @@
             )
         return Proposed(True, msgspec.msgpack.encode(result))
 
-    async def confirm(self, timeout: float) -> bool:
+    async def read(self, what: What, timeout: float) -> bytes | None:
         """
-        Whether this replica leads and its view is the newest there is.
+        The state or the reports, if this replica leads and a majority
+        confirms that its view is the newest there is.
 
         """
         leadership = self.leadership
-        return leadership is not None and await leadership.confirm(timeout)
+        if leadership is None or not await leadership.confirm(timeout):
+            return None
+        if what is What.REPORTS:
+            return msgspec.json.encode([known.row for known in self.reports.known.values()])
+        view = self.replica.view
+        items = {key: (held.value, int(held.revision)) for key, held in view.items.items()}
+        return msgspec.json.encode(StateBody(view.cluster, view.revision, items))
+
+    async def answer_read(self, message: ReadState) -> StateView:
+        """
+        Answer a read that came over the wire, or say who leads.
+
+        """
+        body = await self.read(What(message.what), PROPOSE_TIMEOUT_S)
+        return StateView(body is not None, body or b'', self.replica.leader)
 
 
 def decode_apply_result(data: bytes) -> ApplyResult:
--- a/packages/millfork-state/millfork_state/proposals.py
+++ b/packages/millfork-state/millfork_state/proposals.py
@@ -7,16 +7,16 @@
 
 import curio
 import msgspec
+
 from millfork_core.environment import Environment
 from millfork_core.ids import NO_INSTANCE, InstanceId
 from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
+from millfork_state.commands import AnyCommand, encode_command
+from millfork_state.node import ReportRow, StateBody, StateNode, What
 from millfork_wire.connection import PeerError, PeerUnreachable
-from millfork_wire.messages import Propose, Proposed, ReadState, StateView
+from millfork_wire.messages import Propose, Proposed, ReadState, Report, StateView
 from millfork_wire.peers import PeerAddress, Peers
 
-from millfork_state.commands import AnyCommand, encode_command
-from millfork_state.node import StateNode
-
 CALL_TIMEOUT_S: Final = 3.0
 PAUSE_S: Final = 0.1
 DEFAULT_PATIENCE_S: Final = 6.0
@@ -95,63 +95,44 @@
         others = [a for a in self.replicas.values() if a.instance != self.env.instance]
         return self.env.random.choice(others or list(self.replicas.values()))
 
-    async def read(self, what: str) -> bytes:
+    async def read_state(self) -> StateBody:
         """
-        A linearizable read of the state, by the leader.
+        The configuration, linearizable: as the leader has it.
 
         :raises Refused: NO_QUORUM if no leader confirms it.
 
         """
+        return msgspec.json.decode(await self._read(What.STATE), type=StateBody)
+
+    async def read_reports(self) -> list[Report]:
+        """
+        The instances' reports, as they have come up to the leader.
+
+        :raises Refused: NO_QUORUM if there is no leader.
+
+        """
+        rows = msgspec.json.decode(await self._read(What.REPORTS), type=list[ReportRow])
+        return [Report(*row) for row in rows]
+
+    async def _read(self, what: What) -> bytes:
         deadline = self.env.monotonic() + DEFAULT_PATIENCE_S
         while self.env.monotonic() < deadline:
-            body = await self._read_once(ReadState(what, True))
-            if body:
+            body = await self._read_once(what)
+            if body is not None:
                 return body
             await curio.sleep(PAUSE_S)
         raise Refused(Refusal(Reason.NO_QUORUM, detail='no leader confirms its state'))
 
-    async def _read_once(self, message: ReadState) -> bytes:
+    async def _read_once(self, what: What) -> bytes | None:
         if self.node is not None and self.node.leads:
-            if not await self.node.confirm(CALL_TIMEOUT_S):
-                return b''
-            return state_body(self.node)
+            return await self.node.read(what, CALL_TIMEOUT_S)
         try:
-            reply = await self.peers.call(self._next_address(), message, CALL_TIMEOUT_S)
+            reply = await self.peers.call(
+                self._next_address(), ReadState(what.value), CALL_TIMEOUT_S
+            )
         except PeerError:
-            return b''
+            return None
         if not isinstance(reply, StateView):
-            return b''
-        if not reply.body.startswith(LEADER_MARK):
-            return reply.body
-        self.leader = InstanceId(reply.body.removeprefix(LEADER_MARK).decode())
-        return b''
-
-
-LEADER_MARK: Final = b'@'
-
-
-class StateBody(msgspec.Struct):
-    """
-    The configuration and reports, as a leader gives them.
-
-    """
-
-    cluster: str
-    revision: int
-    items: dict[str, tuple[bytes, int]]
-
-
-def state_body(node: StateNode) -> bytes:
-    view = node.replica.view
-    items = {key: (held.value, int(held.revision)) for key, held in view.items.items()}
-    return msgspec.json.encode(StateBody(view.cluster, view.revision, items))
-
-
-async def answer_read(node: StateNode, message: ReadState) -> StateView:
-    """
-    Answer another entry's read: the state, or who leads.
-
-    """
-    if node.leads and await node.confirm(CALL_TIMEOUT_S):
-        return StateView(state_body(node))
-    return StateView(LEADER_MARK + node.replica.leader.encode())
+            return None
+        self.leader = InstanceId(reply.leader)
+        return reply.body if reply.ok else None
--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -12,21 +12,11 @@
 from typing import Final
 
 import curio
+
 from millfork_core.environment import Environment
 from millfork_core.ids import NO_INSTANCE, ClusterId, InstanceId
 from millfork_core.logs import Part, logger
 from millfork_settings.models import StateSettings
-from millfork_wire.codec import PreVote
-from millfork_wire.messages import (
-    AppendReply,
-    AppendRequest,
-    Entry,
-    InstallRequest,
-    VoteReply,
-    VoteRequest,
-)
-from millfork_wire.peers import PeerAddress, Peers
-
 from millfork_state.commands import (
     AnyCommand,
     Apply,
@@ -42,6 +32,16 @@
 from millfork_state.machine import Machine
 from millfork_state.storage import LogEntry, Snapshot, Storage
 from millfork_state.view import View
+from millfork_wire.codec import PreVote
+from millfork_wire.messages import (
+    AppendReply,
+    AppendRequest,
+    Entry,
+    InstallRequest,
+    VoteReply,
+    VoteRequest,
+)
+from millfork_wire.peers import PeerAddress, Peers
 
 ELECTION_SPREAD: Final = 0.5
 KEPT_ENTRIES: Final = 200
--- a/packages/millfork-state/millfork_state/reports.py
+++ b/packages/millfork-state/millfork_state/reports.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 import curio
+
 from millfork_core.ids import InstanceId
 from millfork_wire.messages import Report
 
@@ -20,6 +21,11 @@
     report: Report
     arrival: int
 
+    @property
+    def row(self) -> tuple[str, int, int, bytes]:
+        report = self.report
+        return report.instance, report.incarnation, report.sequence, report.body
+
 
 class Reports:
     """
--- a/packages/millfork-state/millfork_state/roster.py
+++ b/packages/millfork-state/millfork_state/roster.py
@@ -8,14 +8,14 @@
 
 import curio
 import msgspec
+
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ZoneId
 from millfork_core.logs import Part, logger
+from millfork_state.config import InstanceFacts
 from millfork_web.client import Client, ExchangeFailed
 from millfork_wire.peers import PeerAddress
 
-from millfork_state.config import InstanceFacts
-
 POLL_TIMEOUT_S: Final = 2.0
 ENTRY_ROLE: Final = 'entry'
 ENDPOINT_ROLE: Final = 'endpoint'
--- a/packages/millfork-state/millfork_state/storage.py
+++ b/packages/millfork-state/millfork_state/storage.py
@@ -16,6 +16,7 @@
 
 import curio
 import msgspec
+
 from millfork_core.ids import ClusterId, DiskId, LogIndex, Term
 
 RECORD: Final = struct.Struct('>II')
--- a/packages/millfork-state/millfork_state/subscription.py
+++ b/packages/millfork-state/millfork_state/subscription.py
@@ -6,18 +6,19 @@
 from typing import Final
 
 import curio
+
 from millfork_core.environment import Environment
 from millfork_core.ids import ClusterId, InstanceId, Revision
 from millfork_core.logs import Part, logger
-from millfork_wire.connection import Connection, PeerError, PeerLost
-from millfork_wire.messages import AskRevision, RevisionIs, Subscribe, Update
-from millfork_wire.messages import Reports as ReportsMessage
-from millfork_wire.peers import PeerAddress, Peers
-
+from millfork_state.replica import Replica
 from millfork_state.reports import Reports
 from millfork_state.roster import Roster
 from millfork_state.upstream import candidates
 from millfork_state.view import View
+from millfork_wire.connection import Connection, PeerError, PeerLost
+from millfork_wire.messages import AskRevision, RevisionIs, Subscribe, Update
+from millfork_wire.messages import Reports as ReportsMessage
+from millfork_wire.peers import PeerAddress, Peers
 
 HEARTBEAT_S: Final = 2.0
 SILENT_AFTER_S: Final = 5.0
@@ -53,8 +54,10 @@
         self.upstream: InstanceId | None = None
         self.heard_at = 0.0
         self.heard_age_ms = 0
-        self.updated = curio.Event()
         self.floor = 0
+        # Set on a replica: it learns configuration from its log alone, and
+        # follows the leader only to report.
+        self.replica: Replica | None = None
 
     # Downstream.
 
@@ -84,6 +87,8 @@
         How long ago the leader's word was this configuration, in ms.
 
         """
+        if self.replica is not None:
+            return self.replica.age_ms()
         return self.heard_age_ms + int((self.env.monotonic() - self.heard_at) * 1000)
 
     # Upstream.
@@ -100,6 +105,8 @@
             await curio.sleep(RETRY_S)
 
     def _candidates(self) -> list[PeerAddress]:
+        if self.replica is not None:
+            return [a for a in self.replica.others if a.instance == self.replica.leader]
         found = candidates(self.roster, self.replicas, self.env.instance, self.env.zone)
         if self.heard_at and self.age_ms() > STALE_MS:
             # A stale tree, perhaps a loop of old lists: ask the replicas first.
@@ -142,6 +149,8 @@
                     await self.reports.changed.wait()
             except curio.TaskTimeout:
                 pass
+            if self.replica is not None and self.replica.leader != self.upstream:
+                return
             if self.env.monotonic() - self.heard_at > SILENT_AFTER_S:
                 self.env.metrics.count(self.env.metrics.state, event='upstream_silent')
                 return
@@ -161,6 +170,8 @@
             return
         self.heard_at = self.env.monotonic()
         self.heard_age_ms = update.age_ms
+        if self.replica is not None:
+            return
         if update.revision == self.view.revision and update.cluster == self.view.cluster:
             return
         if not self.view.take(update):
--- a/packages/millfork-state/millfork_state/upstream.py
+++ b/packages/millfork-state/millfork_state/upstream.py
@@ -12,10 +12,9 @@
 
 from millfork_core.ids import InstanceId, ZoneId
 from millfork_core.ranks import rank
-from millfork_wire.peers import PeerAddress
-
 from millfork_state.config import InstanceFacts
 from millfork_state.roster import ENTRY_ROLE, Roster
+from millfork_wire.peers import PeerAddress
 
 FANOUT: Final = 8
 
--- a/packages/millfork-state/millfork_state/view.py
+++ b/packages/millfork-state/millfork_state/view.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 import curio
+
 from millfork_core.ids import ClusterId, Revision
 from millfork_wire.messages import Item, Update
 
--- a/packages/millfork-web/millfork_web/client.py
+++ b/packages/millfork-web/millfork_web/client.py
@@ -9,8 +9,8 @@
 
 import curio
 import h11
-from millfork_core.verdicts import Verdict
 
+from millfork_core.verdicts import Verdict
 from millfork_web.models import Headers, Response, find_header
 
 READ_BYTES: Final = 256 * 1024
--- a/packages/millfork-web/millfork_web/problem.py
+++ b/packages/millfork-web/millfork_web/problem.py
@@ -8,7 +8,6 @@
 from typing import Final
 
 from millfork_core.verdicts import Refusal
-
 from millfork_web.models import Response
 
 CONTENT_TYPE: Final = 'application/problem+json'
--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -9,9 +9,9 @@
 
 import curio
 import h11
+
 from millfork_core.logs import Part, logger
 from millfork_core.verdicts import Reason, Refusal
-
 from millfork_web.models import Headers, Request, Response
 from millfork_web.problem import problem
 
--- a/packages/millfork-weights/millfork_weights/manifest.py
+++ b/packages/millfork-weights/millfork_weights/manifest.py
@@ -10,6 +10,7 @@
 
 import blake3
 import msgspec
+
 from millfork_core.ids import Digest
 
 MAX_MANIFEST_BYTES: Final = 16 * 1024 * 1024
--- a/packages/millfork-weights/millfork_weights/sharing.py
+++ b/packages/millfork-weights/millfork_weights/sharing.py
@@ -5,12 +5,11 @@
 
 from millfork_core.environment import Environment
 from millfork_core.ids import Digest
-from millfork_wire.messages import Chunk, GetChunk, GetManifest, Manifest
-
 from millfork_weights.links import Link
 from millfork_weights.manifest import encode_manifest
 from millfork_weights.store import WeightStore
 from millfork_weights.transfer import BUSY, NOT_YET
+from millfork_wire.messages import Chunk, GetChunk, GetManifest, Manifest
 
 UNKNOWN = 'unknown'
 
--- a/packages/millfork-weights/millfork_weights/store.py
+++ b/packages/millfork-weights/millfork_weights/store.py
@@ -10,9 +10,9 @@
 
 import blake3
 import curio
+
 from millfork_core.ids import Digest
 from millfork_core.logs import Part, logger
-
 from millfork_weights.manifest import (
     BadManifest,
     Manifest,
--- a/packages/millfork-weights/millfork_weights/transfer.py
+++ b/packages/millfork-weights/millfork_weights/transfer.py
@@ -8,19 +8,19 @@
 from typing import Final
 
 import curio
+
 from millfork_core.environment import Environment
 from millfork_core.ids import Digest, InstanceId
 from millfork_core.logs import Part, logger
-from millfork_wire.connection import PeerError
-from millfork_wire.messages import Chunk, GetChunk, GetManifest
-from millfork_wire.messages import Manifest as ManifestMessage
-from millfork_wire.peers import PeerAddress, Peers
-
 from millfork_weights.links import Link
 from millfork_weights.manifest import BadManifest, Manifest, decode_manifest
 from millfork_weights.origin import Origin, OriginFailed
 from millfork_weights.store import Holding, WeightStore
 from millfork_weights.trees import Holder, Tree, plan_tree
+from millfork_wire.connection import PeerError
+from millfork_wire.messages import Chunk, GetChunk, GetManifest
+from millfork_wire.messages import Manifest as ManifestMessage
+from millfork_wire.peers import PeerAddress, Peers
 
 SUSPECT_S: Final = 3.0
 PAUSE_S: Final = 0.1
--- a/packages/millfork-wire/millfork_wire/connection.py
+++ b/packages/millfork-wire/millfork_wire/connection.py
@@ -8,10 +8,10 @@
 from typing import Final
 
 import curio
+
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId
 from millfork_core.logs import Part, logger
-
 from millfork_wire import codec
 from millfork_wire.codec import BadFrame, Frame, Kind
 from millfork_wire.messages import Chunk, Failure, Hello, Message, Ping
--- a/packages/millfork-wire/millfork_wire/handshake.py
+++ b/packages/millfork-wire/millfork_wire/handshake.py
@@ -12,7 +12,6 @@
 
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId
-
 from millfork_wire import codec
 from millfork_wire.messages import PROTOCOL_VERSION, Hello, Proof
 from millfork_wire.transport import Transport
--- a/packages/millfork-wire/millfork_wire/messages.py
+++ b/packages/millfork-wire/millfork_wire/messages.py
@@ -142,12 +142,13 @@
 @dataclass(slots=True)
 class ReadState(Message):
     what: str = ''
-    linear: bool = False
 
 
 @dataclass(slots=True)
 class StateView(Message):
+    ok: bool = False
     body: bytes = b''
+    leader: str = ''
 
 
 @dataclass(slots=True)
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -68,8 +68,8 @@
 struct Genesis { cluster @0 :Text; members @1 :List(Member); }
 struct Propose { command @0 :Data; }
 struct Proposed { ok @0 :Bool; result @1 :Data; reason @2 :Text; leader @3 :Text; }
-struct ReadState { what @0 :Text; linear @1 :Bool; }
-struct StateView { body @0 :Data; }
+struct ReadState { what @0 :Text; }
+struct StateView { ok @0 :Bool; body @1 :Data; leader @2 :Text; }
 
 struct Item { key @0 :Text; value @1 :Data; revision @2 :UInt64; }
 struct Subscribe { cluster @0 :Text; revision @1 :UInt64; rosterEpoch @2 :Text; }
--- a/packages/millfork-wire/millfork_wire/peers.py
+++ b/packages/millfork-wire/millfork_wire/peers.py
@@ -8,10 +8,10 @@
 from typing import Any, Final
 
 import curio
+
 from millfork_core.environment import Environment
 from millfork_core.ids import NO_INSTANCE, InstanceId
 from millfork_core.logs import Part, logger
-
 from millfork_wire.codec import BadFrame
 from millfork_wire.connection import Connection, Handler, PeerLost, PeerUnreachable
 from millfork_wire.handshake import HandshakeFailed, shake_hands
--- a/packages/millfork/millfork/__main__.py
+++ b/packages/millfork/millfork/__main__.py
@@ -7,15 +7,15 @@
 from pathlib import Path
 
 from absl import flags
-from millfork_core.status import ExitStatus
-from millfork_settings.errors import BadFile
-from millfork_settings.loading import read_secret
 
 from millfork.cli.argtypes import BadArgument, parse_entries
 from millfork.cli.constants import USAGE
 from millfork.cli.definition import FLAGS
 from millfork.core import run
 from millfork.models import Arguments, Environment
+from millfork_core.status import ExitStatus
+from millfork_settings.errors import BadFile
+from millfork_settings.loading import read_secret
 
 HELP = frozenset({'-h', '--help', 'help'})
 
--- a/packages/millfork/millfork/client.py
+++ b/packages/millfork/millfork/client.py
@@ -7,12 +7,12 @@
 from typing import Any, Final
 
 import curio
+
+from millfork.models import Arguments
 from millfork_core.verdicts import Reason
 from millfork_web.client import Client, ExchangeFailed
 from millfork_web.models import Response
 
-from millfork.models import Arguments
-
 PREFIX: Final = '/control/v1/'
 TIMEOUT_S: Final = 10.0
 ROUNDS: Final = 3
--- a/packages/millfork/millfork/core.py
+++ b/packages/millfork/millfork/core.py
@@ -10,17 +10,17 @@
 from typing import Any, Final
 
 import curio
-from millfork_core.status import ExitStatus
-from millfork_settings.declarations import Declaration
-from millfork_settings.errors import BadFile
-from millfork_settings.loading import load, read_yaml
-from millfork_settings.models import Settings
 
 from millfork.cli.argtypes import BadArgument, parse_labels
 from millfork.cli.constants import USAGE
 from millfork.client import Control, Unreachable
 from millfork.models import Arguments, Environment
 from millfork.status import line, refuse, watch
+from millfork_core.status import ExitStatus
+from millfork_settings.declarations import Declaration
+from millfork_settings.errors import BadFile
+from millfork_settings.loading import load, read_yaml
+from millfork_settings.models import Settings
 
 Command = Callable[[Arguments, Environment], Awaitable[ExitStatus]]
 OPERANDS: Final = {
--- a/packages/millfork/millfork/status.py
+++ b/packages/millfork/millfork/status.py
@@ -6,12 +6,12 @@
 from typing import Any, Final
 
 import curio
-from millfork_core.status import ExitStatus
-from millfork_web.models import Response
 from rich.progress import BarColumn, Progress, TaskID, TextColumn, TimeElapsedColumn
 
 from millfork.client import Control
 from millfork.models import Arguments, Environment
+from millfork_core.status import ExitStatus
+from millfork_web.models import Response
 
 POLL_S: Final = 0.2
 
--- a/packages/millforkd/millforkd/core.py
+++ b/packages/millforkd/millforkd/core.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 import curio
+
 from millfork_core import logs
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ZoneId
@@ -17,7 +18,6 @@
 from millfork_settings.loading import load
 from millfork_settings.models import Role, Settings
 from millfork_state.storage import CorruptStorage
-
 from millforkd.endpoint.daemon import EndpointDaemon
 from millforkd.entry.daemon import EntryDaemon
 
--- a/packages/millforkd/millforkd/endpoint/daemon.py
+++ b/packages/millforkd/millforkd/endpoint/daemon.py
@@ -9,6 +9,7 @@
 
 import curio
 import msgspec
+
 from millfork_core.environment import Environment
 from millfork_core.ids import OrganisationId
 from millfork_core.logs import Part, logger
@@ -21,7 +22,6 @@
 from millfork_wire import messages
 from millfork_wire.connection import Connection
 from millfork_wire.messages import Message, Report
-
 from millforkd.endpoint.door import Door
 from millforkd.endpoint.engine import Engine
 from millforkd.endpoint.report import EndpointReport
--- a/packages/millforkd/millforkd/endpoint/door.py
+++ b/packages/millforkd/millforkd/endpoint/door.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 import curio
+
 from millfork_core.environment import Environment
 from millfork_core.ids import OrganisationId
 from millfork_core.logs import Part as LogPart
@@ -31,7 +32,6 @@
     ServedVersion,
     Start,
 )
-
 from millforkd.endpoint.reservations import Reservation, Stage
 from millforkd.settling import settle_claim
 
--- a/packages/millforkd/millforkd/endpoint/engine.py
+++ b/packages/millforkd/millforkd/endpoint/engine.py
@@ -13,6 +13,7 @@
 from typing import Any, Final
 
 import msgspec
+
 from millfork_core.environment import Environment
 from millfork_core.ids import FencingNumber
 from millfork_core.logs import Part, logger
--- a/packages/millforkd/millforkd/endpoint/report.py
+++ b/packages/millforkd/millforkd/endpoint/report.py
@@ -4,6 +4,7 @@
 """
 
 import msgspec
+
 from millfork_wire.messages import Report
 
 
--- a/packages/millforkd/millforkd/endpoint/reservations.py
+++ b/packages/millforkd/millforkd/endpoint/reservations.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 import curio
+
 from millfork_core.verdicts import Verdict
 from millfork_routing.limits import Waiter
 from millfork_web.models import Response
--- a/packages/millforkd/millforkd/endpoint/rollout.py
+++ b/packages/millforkd/millforkd/endpoint/rollout.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 import curio
+
 from millfork_core.environment import Environment
 from millfork_core.ids import Digest
 from millfork_core.logs import Part, logger
@@ -27,7 +28,6 @@
 from millfork_weights.transfer import Transfer, TransferSettings
 from millfork_weights.trees import Holder
 from millfork_wire.peers import Peers
-
 from millforkd.endpoint.door import Door
 from millforkd.endpoint.engine import Engine, OrderFailed
 
--- a/packages/millforkd/millforkd/entry/attempts.py
+++ b/packages/millforkd/millforkd/entry/attempts.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 import curio
+
 from millfork_core.environment import Environment
 from millfork_core.ids import OrganisationId, RequestId
 from millfork_core.verdicts import Reason, Refusal, Verdict
--- a/packages/millforkd/millforkd/entry/book.py
+++ b/packages/millforkd/millforkd/entry/book.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 import curio
+
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId
 from millfork_core.logs import Part, logger
--- a/packages/millforkd/millforkd/entry/callers.py
+++ b/packages/millforkd/millforkd/entry/callers.py
@@ -9,6 +9,7 @@
 from typing import Any, Final
 
 import curio
+
 from millfork_core.environment import Environment
 from millfork_core.ids import OrganisationId
 from millfork_core.logs import Part, logger
@@ -20,7 +21,6 @@
 from millfork_web.models import Request, Response
 from millfork_web.problem import problem
 from millfork_web.server import Exchange
-
 from millforkd.entry.access import Access
 from millforkd.entry.attempts import Call
 from millforkd.entry.claims import Claims
--- a/packages/millforkd/millforkd/entry/claims.py
+++ b/packages/millforkd/millforkd/entry/claims.py
@@ -12,7 +12,6 @@
 from millfork_state.node import decode_claim_result
 from millfork_state.proposals import Proposals
 from millfork_web.models import Response
-
 from millforkd.entry.attempts import Call, state_key
 from millforkd.settling import settle_claim
 
--- a/packages/millforkd/millforkd/entry/daemon.py
+++ b/packages/millforkd/millforkd/entry/daemon.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 import curio
+
 from millfork_core.environment import Environment
 from millfork_core.logs import Part, logger
 from millfork_core.verdicts import Reason, Refusal
@@ -14,7 +15,7 @@
 from millfork_settings.models import Settings
 from millfork_state.formation import identity_of, take_genesis
 from millfork_state.node import StateNode
-from millfork_state.proposals import Proposals, answer_read
+from millfork_state.proposals import Proposals
 from millfork_state.replica import Replica
 from millfork_state.storage import Storage
 from millfork_web.problem import problem
@@ -24,7 +25,6 @@
 from millfork_wire.codec import PreVote
 from millfork_wire.connection import Connection
 from millfork_wire.messages import Done, Message
-
 from millforkd.entry.access import Access
 from millforkd.entry.book import EndpointBook
 from millforkd.entry.callers import Callers
@@ -99,7 +99,7 @@
             self.member.peers,
             self.member.replicas,
         )
-        return StateNode(replica)
+        return StateNode(replica, self.member.reports)
 
     @property
     def in_progress(self) -> int:
@@ -112,6 +112,7 @@
         """
         if self.node is not None:
             await self.node.replica.recover()
+            self.member.subscription.replica = self.node.replica
         await self.member.start()
         if self.node is not None:
             await self.env.keep(self.node.run)
@@ -216,4 +217,4 @@
 
     @on.register
     async def _(self, message: messages.ReadState, connection: Connection) -> Message | None:
-        return await answer_read(self.node, message) if self.node else None
+        return await self.node.answer_read(message) if self.node else None
--- a/packages/millforkd/millforkd/entry/delivery.py
+++ b/packages/millforkd/millforkd/entry/delivery.py
@@ -9,7 +9,6 @@
 from millfork_web.models import Headers, Response, find_header
 from millfork_web.server import Exchange
 from millfork_wire.messages import Head
-
 from millforkd.entry.attempts import Attempt
 
 STREAM_TYPE: Final = 'text/event-stream'
--- a/packages/millforkd/millforkd/entry/dispatch.py
+++ b/packages/millforkd/millforkd/entry/dispatch.py
@@ -14,7 +14,6 @@
 from millfork_settings.models import RoutingSettings
 from millfork_wire.connection import Connection
 from millfork_wire.messages import End, Head, Part
-
 from millforkd.entry.attempts import Attempt, Call, Lost
 from millforkd.entry.book import EndpointBook
 from millforkd.entry.delivery import Delivery
--- a/packages/millforkd/millforkd/entry/operators.py
+++ b/packages/millforkd/millforkd/entry/operators.py
@@ -4,9 +4,12 @@
 """
 
 import uuid
+from collections.abc import Mapping
 from typing import Any, Final
 
 import msgspec
+from pydantic import ValidationError
+
 from millfork_core.environment import Environment
 from millfork_core.verdicts import Reason, Refusal, Refused
 from millfork_settings.declarations import Declaration, DeploymentSpec
@@ -24,7 +27,7 @@
     encode,
 )
 from millfork_state.node import decode_apply_result
-from millfork_state.proposals import Proposals, StateBody
+from millfork_state.proposals import Proposals
 from millfork_state.reports import Reports
 from millfork_state.roster import Roster
 from millfork_state.view import View
@@ -33,8 +36,7 @@
 from millfork_web.server import Exchange
 from millfork_weights.manifest import BadManifest, decode_manifest, digest_of
 from millfork_weights.origin import Origin, OriginFailed
-from pydantic import ValidationError
-
+from millfork_wire.messages import Report
 from millforkd.endpoint.report import EndpointReport
 from millforkd.entry.access import Access, Operator
 from millforkd.entry.book import selected
@@ -177,7 +179,7 @@
     # Read.
 
     async def _state(self, operator: Operator) -> Response:
-        body = msgspec.json.decode(await self.proposals.read('state'), type=StateBody)
+        body = await self.proposals.read_state()
         items = {}
         for key, (value, revision) in body.items.items():
             if self._may_see(operator, key):
@@ -193,33 +195,32 @@
         return key == f'{ORGANISATIONS}{own}'
 
     async def _status(self, operator: Operator) -> Response:
+        try:
+            reports = {r.instance: r for r in await self.proposals.read_reports()}
+            partial = False
+        except Refused:
+            reports = {str(name): known.report for name, known in self.reports.known.items()}
+            partial = True
         rows = []
         for key, value in self.view.prefixed(DEPLOYMENTS).items():
             if self._may_see(operator, key):
-                rows.append(self._rollout(key, decode(value, Deployment)))
+                rows.append(self._rollout(key, decode(value, Deployment), reports))
         return json_response(
-            {
-                'revision': self.view.revision,
-                'age_ms': self._age_ms(),
-                'deployments': rows,
-            }
+            {'revision': self.view.revision, 'partial': partial, 'deployments': rows}
         )
 
-    def _age_ms(self) -> int:
-        node = self.proposals.node
-        return node.replica.age_ms() if node else 0
-
-    def _rollout(self, key: str, deployment: Deployment) -> dict[str, Any]:
+    def _rollout(
+        self, key: str, deployment: Deployment, reports: Mapping[str, Report]
+    ) -> dict[str, Any]:
         """
-        One deployment's rollout, as far as reports have come up to here.
+        One deployment's rollout, as far as reports tell.
 
         """
         name = key.removeprefix(DEPLOYMENTS)
         chosen = [f for f in selected(self.view, self.roster, key, deployment) if not f.leaving]
         instances = []
         for facts in chosen:
-            known = self.reports.known.get(facts.instance)
-            report = EndpointReport.of(known.report if known else None)
+            report = EndpointReport.of(reports.get(facts.instance))
             instances.append(
                 {
                     'instance': facts.instance,
--- a/packages/millforkd/millforkd/member.py
+++ b/packages/millforkd/millforkd/member.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 import curio
+
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId
 from millfork_core.logs import Part, logger
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -1,6 +1,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+
 from millfork_wire import codec, messages
 from millfork_wire.codec import BadFrame, Frame, Kind
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,6 +1,7 @@
 from pathlib import Path
 
 import pytest
+
 from millfork_standins.scenario import steps
 from millfork_standins.scenario.parser import BadScenario, parse
 from millfork_standins.scenario.runner import Runner, Unmet
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,5 +1,6 @@
 import curio
 import pytest
+
 from millfork_state.storage import CorruptStorage, LogEntry, Snapshot, Storage
 
 
--- a/tests/test_trees.py
+++ b/tests/test_trees.py
@@ -4,6 +4,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+
 from millfork_core.ids import Digest, InstanceId, ZoneId
 from millfork_weights.trees import Holder, plan_tree
 
