Cost bench; packed frames and coalesced streams

Ruled out: fewer heartbeats alone (a third fewer bytes, and slower failover).

The first token is not held.

--- a/packages/millfork-core/millfork_core/metrics.py
+++ b/packages/millfork-core/millfork_core/metrics.py
@@ -32,6 +32,7 @@
         self.state = self._counter('millfork_state_total', 'Replica events by kind.')
         self.orders = self._counter('millfork_orders_total', 'Orders to the engine by outcome.')
         self.revision = self._gauge('millfork_revision', 'Configuration revision in force.')
+        self.leader = self._gauge('millfork_leader', 'Whether this replica leads.')
         self.voter = self._gauge('millfork_voter', 'Whether this replica is a voter.')
 
     def _counter(self, name: str, doc: str) -> Counter:
--- a/packages/millfork-settings/millfork_settings/models.py
+++ b/packages/millfork-settings/millfork_settings/models.py
@@ -86,9 +86,9 @@
 
     """
 
-    heartbeat_ms: int = Field(300, ge=20, le=5000, description='Leader heartbeat, in ms.')
+    heartbeat_ms: int = Field(500, ge=20, le=5000, description='Leader heartbeat, in ms.')
     election_ms: int = Field(
-        1200, ge=100, le=30000, description='Silence after which a replica seeks election, in ms.'
+        1500, ge=100, le=30000, description='Silence after which a replica seeks election, in ms.'
     )
     snapshot_entries: int = Field(1000, ge=10, description='Log entries between two snapshots.')
 
@@ -142,6 +142,9 @@
     address: Address = Field(description='Where it listens.')
     slots: int = Field(8, ge=1, description='Requests it runs at once.')
     queue: int = Field(64, ge=0, description='Requests that may wait for a slot.')
+    coalesce_ms: int = Field(
+        20, ge=0, le=60, description='Tokens of a stream passed on together, in ms.'
+    )
     refuses_old_orders: bool = Field(
         True, description='Whether the engine refuses an order with an old fencing number.'
     )
--- /dev/null
+++ b/packages/millfork-standins/millfork_standins/bench/cost.py
@@ -0,0 +1,321 @@
+"""
+Cost: what control and requests take, and how it grows with the fleet.
+
+`docs/CAPACITY.md` is worked out from the figures of this experiment.
+
+"""
+
+import json
+import statistics
+import tempfile
+import threading
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any, Final
+
+import psutil
+
+from millfork_core.ids import InstanceId, Revision, ServiceName, ZoneId
+from millfork_standins.bench.rows import Sheet
+from millfork_standins.deployments import LANTING
+from millfork_standins.fleet import ADMIN_PORT, BACKEND_PORT, CALLERS_PORT, Fleet, FleetOptions
+from millfork_standins.requests import fetch
+from millfork_state.commands import ClaimKey, SettleKey
+from millfork_state.config import InstanceFacts
+from millfork_state.machine import Machine
+from millfork_state.view import Held, View
+
+IDLE_S: Final = 10.0
+CHANGES: Final = 60
+REQUESTS: Final = 300
+TOKENS: Final = 200
+SAMPLE: Final = 20_000
+KIB: Final = 1024
+POOL: Final = 'millfork-pool'
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """
+    A daemon's use so far: CPU seconds, resident bytes, control bytes by way.
+
+    """
+
+    cpu_s: float
+    memory: int
+    moved: dict[str, float]
+
+
+def usage(fleet: Fleet, name: str) -> Usage:
+    process = psutil.Process(fleet.processes[name].pid)
+    times = process.cpu_times()
+    text = fetch('GET', fleet.instances[name].host, ADMIN_PORT, '/metrics').body.decode()
+    moved = {}
+    for line in text.splitlines():
+        if line.startswith('millfork_wire_bytes_total{'):
+            moved[line.split('"')[1]] = float(line.rsplit(' ', 1)[1])
+    return Usage(times.user + times.system, process.memory_info().rss, moved)
+
+
+def _fleet(folder: Path, endpoints: int) -> Fleet:
+    shape = replace(LANTING, engines=0, plain_services={POOL: endpoints}, number=120)
+    options = FleetOptions(log_level='WARNING', service={'answer_ms': 0})
+    return Fleet(shape, folder, options)
+
+
+def _roles(fleet: Fleet) -> dict[str, list[str]]:
+    """
+    The daemons of each role, the leader apart from the other replicas.
+
+    """
+    leader = _leader(fleet)
+    return {
+        'leader': [leader],
+        'replica': [entry.name for entry in fleet.replicas if entry.name != leader],
+        'entry': [entry.name for entry in fleet.entries if not entry.has_disk],
+        'endpoint': [i.name for i in fleet.instances.values() if i.role == 'endpoint'][:12],
+    }
+
+
+def _leader(fleet: Fleet) -> str:
+    for replica in fleet.replicas:
+        text = fetch('GET', replica.host, ADMIN_PORT, '/metrics').body.decode()
+        if 'millfork_leader 1' in text:
+            return replica.name
+    raise RuntimeError('no replica leads')
+
+
+def measure_control(sheet: Sheet, endpoints: int) -> None:
+    """
+    Idle cost and cost of changes in a fleet of so many endpoints.
+
+    """
+    with tempfile.TemporaryDirectory(prefix='millfork-bench-') as folder:
+        fleet = _fleet(Path(folder), endpoints)
+        try:
+            fleet.start(backends=False, timeout=120)
+            fleet.apply(fleet.organisations_declaration())
+            time.sleep(2)
+            _measure_idle(sheet, fleet, endpoints)
+            _measure_changes(sheet, fleet, endpoints)
+        finally:
+            fleet.close()
+
+
+def _measure_idle(sheet: Sheet, fleet: Fleet, endpoints: int) -> None:
+    roles = _roles(fleet)
+    names = [name for names in roles.values() for name in names]
+    before = {name: usage(fleet, name) for name in names}
+    time.sleep(IDLE_S)
+    for role, members in roles.items():
+        after = {name: usage(fleet, name) for name in members}
+        case = f'{role}, {endpoints} endpoints'
+        cpu = [(after[n].cpu_s - before[n].cpu_s) / IDLE_S * 100 for n in members]
+        sheet.add(case, 'idle_cpu', '% of a core', statistics.mean(cpu))
+        memory = [after[name].memory / KIB / KIB for name in members]
+        sheet.add(case, 'memory', 'MiB', statistics.mean(memory))
+        for way in ('in', 'out', 'platform'):
+            rate = [
+                (after[n].moved.get(way, 0) - before[n].moved.get(way, 0)) / IDLE_S for n in members
+            ]
+            sheet.add(case, f'idle_bytes_{way}', 'B/s', statistics.mean(rate))
+            sheet.add(case, f'idle_bytes_{way}_worst', 'B/s', max(rate))
+
+
+def _measure_changes(sheet: Sheet, fleet: Fleet, endpoints: int) -> None:
+    roles = _roles(fleet)
+    names = [name for names in roles.values() for name in names]
+    began = time.monotonic()
+    before = {name: usage(fleet, name) for name in names}
+    delays: list[float] = []
+    for number in range(CHANGES):
+        accepted = time.monotonic()
+        labels = {'one': {'generation': str(number)}}
+        revision = fleet.apply({'organisation': 'bench', 'labels': labels})
+        delays.append(_until_in_force(fleet, revision) - accepted)
+    passed = time.monotonic() - began
+    idle = {(row.case, row.metric): row.value for row in sheet.rows()}
+    for role, members in roles.items():
+        case = f'{role}, {endpoints} endpoints'
+        after = {name: usage(fleet, name) for name in members}
+        cpu = statistics.mean(after[n].cpu_s - before[n].cpu_s for n in members)
+        cpu -= idle[(case, 'idle_cpu')] / 100 * passed
+        sheet.add(case, 'cpu_per_change', 'ms', max(cpu, 0) / CHANGES * 1000)
+        for way in ('in', 'out'):
+            moved = statistics.mean(after[n].moved[way] - before[n].moved[way] for n in members)
+            moved -= idle[(case, f'idle_bytes_{way}')] * passed
+            sheet.add(case, f'bytes_per_change_{way}', 'B', moved / CHANGES)
+    delays.sort()
+    case = f'fleet, {endpoints} endpoints'
+    sheet.add(case, 'in_force_p50', 's', delays[len(delays) // 2])
+    sheet.add(case, 'in_force_worst', 's', delays[-1])
+
+
+def _until_in_force(fleet: Fleet, revision: int) -> float:
+    """
+    The moment at which every daemon has the revision; it includes the time
+    to ask them all.
+
+    """
+    for instance in fleet.instances.values():
+        while True:
+            answer = fetch('GET', instance.host, ADMIN_PORT, '/readyz')
+            if answer.json()['revision'] >= revision:
+                break
+            time.sleep(0.005)
+    return time.monotonic()
+
+
+def measure_memory(sheet: Sheet) -> None:
+    """
+    Bytes that one more key, claim or listed instance takes.
+
+    """
+
+    def grow_view() -> Any:
+        view = View()
+        for number in range(SAMPLE):
+            key = f'labels/organisation-{number % 300}/instance-{number}'
+            view.change(Revision(number + 1), {key: Held(b'{"tier":"gold"}', Revision(1))}, [])
+        return view
+
+    def grow_claims() -> Any:
+        machine = Machine(View())
+        for number in range(SAMPLE):
+            key = f'organisation/service/{number:032x}'
+            machine.apply(ClaimKey(key, f'{number:032x}', 'f' * 64, number))
+            headers = [('content-type', 'application/json')]
+            machine.apply(SettleKey(key, f'{number:032x}', False, 200, headers, b'x' * 100))
+        return machine
+
+    def grow_roster() -> Any:
+        return {
+            f'instance-{number}': InstanceFacts(
+                InstanceId(f'instance-{number}'),
+                f'127.0.{number // 250}.{number % 250}',
+                7400,
+                ZoneId('zone'),
+                'region',
+                'endpoint',
+                ServiceName('service'),
+            )
+            for number in range(SAMPLE)
+        }
+
+    grown: dict[str, Callable[[], Any]] = {
+        'key of the configuration': grow_view,
+        'claim of an idempotency key': grow_claims,
+        'listed instance': grow_roster,
+    }
+    for name, grow in grown.items():
+        tracemalloc.start()
+        held = grow()
+        size, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        sheet.add(name, 'memory_each', 'B', size / SAMPLE)
+        del held
+
+
+def measure_requests(sheet: Sheet) -> None:
+    """
+    CPU and added latency of a request, and of a streamed token.
+
+    """
+    with tempfile.TemporaryDirectory(prefix='millfork-bench-') as folder:
+        shape = replace(LANTING, engines=1, plain_services={POOL + '-plain': 1}, number=120)
+        shape = replace(shape, entries=3)
+        options = FleetOptions(log_level='WARNING', service={'answer_ms': 0})
+        options.engine = {'first_token_ms': 0, 'cached_first_token_ms': 0, 'token_ms': 1}
+        options.backend = {'slots': 64}
+        options.engine['slots'] = 64
+        fleet = Fleet(shape, Path(folder), options)
+        try:
+            fleet.start()
+            fleet.apply(fleet.organisations_declaration())
+            fleet.apply(fleet.deployment_declaration('v1'))
+            time.sleep(4)
+            _measure_plain(sheet, fleet)
+            _measure_tokens(sheet, fleet)
+        finally:
+            fleet.close()
+
+
+def _measure_plain(sheet: Sheet, fleet: Fleet) -> None:
+    service = POOL + '-plain'
+    endpoint = next(i for i in fleet.instances.values() if i.service == service)
+    entry = next(entry for entry in fleet.entries if entry.zone == endpoint.zone)
+    token = fleet.caller_tokens[fleet.shape.organisations[0]]
+    headers = {'authorization': f'Bearer {token}'}
+
+    def through() -> None:
+        answer = fetch('GET', entry.host, CALLERS_PORT, f'/services/{service}/x', b'', headers)
+        assert answer.status == 200, answer.body
+
+    def direct() -> None:
+        assert fetch('GET', endpoint.host, BACKEND_PORT, '/x').status == 200
+
+    before = {name: usage(fleet, name) for name in (entry.name, endpoint.name)}
+    through_s = _times(through)
+    after = {name: usage(fleet, name) for name in before}
+    direct_s = _times(direct)
+    for role, name in (('entry', entry.name), ('endpoint', endpoint.name)):
+        cpu = (after[name].cpu_s - before[name].cpu_s) / REQUESTS
+        sheet.add('plain request', f'{role}_cpu', 'ms', cpu * 1000)
+    sheet.add('plain request', 'latency_p50', 'ms', through_s * 1000, 'direct request')
+    sheet.add('direct request', 'latency_p50', 'ms', direct_s * 1000)
+
+
+def _times(call: Callable[[], None]) -> float:
+    times = []
+    for _ in range(REQUESTS):
+        began = time.monotonic()
+        call()
+        times.append(time.monotonic() - began)
+    return statistics.median(times)
+
+
+def _measure_tokens(sheet: Sheet, fleet: Fleet) -> None:
+    """
+    Streams side by side; what the daemons spend, by token.
+
+    """
+    engine = fleet.engines[0]
+    entry = next(entry for entry in fleet.entries if entry.zone == engine.zone)
+    token = fleet.caller_tokens[fleet.shape.organisations[0]]
+    headers = {'authorization': f'Bearer {token}', 'millfork-repeatable': 'yes'}
+    body = {'model': 'main', 'prompt': 'p', 'max_tokens': TOKENS, 'stream': True, 'nonce': 'n'}
+    data = json.dumps(body).encode()
+    streams = 16
+
+    def stream() -> None:
+        answer = fetch('POST', entry.host, CALLERS_PORT, '/v1/completions', data, headers)
+        assert answer.status == 200 and answer.body.endswith(b'[DONE]\n\n'), answer.body[-200:]
+
+    before = {name: usage(fleet, name) for name in (entry.name, engine.name)}
+    threads = [threading.Thread(target=stream) for _ in range(streams)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    for role, name in (('entry', entry.name), ('endpoint', engine.name)):
+        cpu = usage(fleet, name).cpu_s - before[name].cpu_s
+        sheet.add('streamed token', f'{role}_cpu', 'us', cpu / streams / TOKENS * 1e6)
+
+
+def run(repetitions: int, quick: bool) -> Path:
+    """
+    The experiment.
+
+    """
+    sizes = (8,) if quick else (8, 32, 128)
+    settings = {'endpoints': sizes, 'idle_s': IDLE_S, 'changes': CHANGES, 'requests': REQUESTS}
+    sheet = Sheet('cost', {**settings, 'repetitions': repetitions})
+    measure_memory(sheet)
+    for _ in range(repetitions):
+        measure_requests(sheet)
+        for endpoints in sizes:
+            measure_control(sheet, endpoints)
+    return sheet.write()
--- a/packages/millfork-standins/millfork_standins/fleet.py
+++ b/packages/millfork-standins/millfork_standins/fleet.py
@@ -307,7 +307,7 @@
         path = f'/instances/{instance.name}'
         fetch_json('DELETE', self.platform['host'], STANDIN_PORT, path)
 
-    def start(self) -> None:
+    def start(self, backends: bool = True, timeout: float = 30.0) -> None:
         """
         Start everything; return when every daemon is ready.
 
@@ -316,11 +316,11 @@
         for instance in self.instances.values():
             self.list_instance(instance)
             self._write(instance.name, {})
-            if instance.role == 'endpoint':
+            if instance.role == 'endpoint' and backends:
                 self.start_backend(instance)
             self.start_daemon(instance)
         for instance in self.instances.values():
-            self.wait_ready(instance)
+            self.wait_ready(instance, timeout)
 
     def kill(self, name: str) -> None:
         """
--- a/packages/millfork-state/millfork_state/election.py
+++ b/packages/millfork-state/millfork_state/election.py
@@ -57,6 +57,7 @@
             return False
         replica.state = ReplicaState.LEADER
         replica.leader = replica.env.instance
+        replica.env.metrics.leader.set({}, 1)
         replica.stepped_down.clear()
     log.notice('Leader of term {}.', term)
     return True
--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -240,6 +240,7 @@
         if self.state is ReplicaState.LEADER:
             log.notice('No longer leader of term {}.', self.term)
         self.state = ReplicaState.FOLLOWER
+        self.env.metrics.leader.set({}, 0)
         await self.stepped_down.set()
         pending = list(self.pending.values())
         self.pending.clear()
--- a/packages/millfork-state/millfork_state/roster.py
+++ b/packages/millfork-state/millfork_state/roster.py
@@ -62,6 +62,7 @@
         Ask the platform for changes; False if it gave no answer.
 
         """
+        before = self.client.bytes_moved
         try:
             path = f'/instances?since={self.version}'
             response = await self.client.fetch('GET', path, [], timeout=POLL_TIMEOUT_S)
@@ -70,6 +71,8 @@
             log.debug('No instance list: {}.', error)
             self.env.metrics.count(self.env.metrics.state, event='platform_silent')
             return False
+        moved = self.client.bytes_moved - before
+        self.env.metrics.count(self.env.metrics.wire_bytes, moved, way='platform')
         self.take(delta)
         return True
 
--- a/packages/millfork-web/millfork_web/client.py
+++ b/packages/millfork-web/millfork_web/client.py
@@ -91,7 +91,9 @@
                 event = self.conn.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self.conn.receive_data(await self.sock.recv(READ_BYTES))
+                data = await self.sock.recv(READ_BYTES)
+                self.client.bytes_moved += len(data)
+                self.conn.receive_data(data)
         except (OSError, h11.RemoteProtocolError) as error:
             raise ExchangeFailed(Verdict.MAY_HAVE_RUN, str(error)) from error
 
@@ -118,6 +120,7 @@
         self.port = port
         self.source = source
         self.idle: list[tuple[Any, h11.Connection]] = []
+        self.bytes_moved = 0
 
     async def keep(self, sock: Any, conn: h11.Connection) -> None:
         if len(self.idle) < MAX_IDLE:
@@ -196,6 +199,7 @@
         data = conn.send(h11.Request(method=method, target=path, headers=sent)) or b''
         data += conn.send(h11.Data(data=body)) or b''
         data += conn.send(h11.EndOfMessage()) or b''
+        self.bytes_moved += len(data)
         try:
             await sock.sendall(data)
         except OSError as error:
--- a/packages/millfork-wire/millfork_wire/codec.py
+++ b/packages/millfork-wire/millfork_wire/codec.py
@@ -17,6 +17,10 @@
 LENGTH_BYTES: Final = 4
 MAX_HELLO_BYTES: Final = 1024
 MAX_FRAME_BYTES: Final = 48 * 1024 * 1024
+# The top bit of the length: the body is packed, which suits small messages
+# with many zeros and would only cost time on weights.
+PACKED: Final = 1 << 31
+UNPACKED: Final = frozenset({messages.Chunk, messages.InstallRequest})
 
 
 class Kind(IntEnum):
@@ -138,17 +142,28 @@
 
     """
     name = _NAMES[type(frame.message)]
-    body: bytes = _schema.Frame.new_message(
+    built = _schema.Frame.new_message(
         id=frame.id,
         kind=int(frame.kind),
         **{name: _to_wire(frame.message)},
-    ).to_bytes()
+    )
+    packed = type(frame.message) not in UNPACKED
+    body: bytes = built.to_bytes_packed() if packed else built.to_bytes()
     if len(body) > MAX_FRAME_BYTES:
         raise BadFrame(f'a {name} message of {len(body)} bytes is over the limit')
-    return len(body).to_bytes(LENGTH_BYTES, 'big') + body
+    return (len(body) | packed * PACKED).to_bytes(LENGTH_BYTES, 'big') + body
 
 
-def decode(body: bytes) -> Frame:
+def split_length(header: bytes) -> tuple[int, bool]:
+    """
+    A frame's length in bytes, and whether its body is packed.
+
+    """
+    number = int.from_bytes(header, 'big')
+    return number & ~PACKED, bool(number & PACKED)
+
+
+def decode(body: bytes, packed: bool) -> Frame:
     """
     The frame in `body` (without its length).
 
@@ -156,9 +171,15 @@
 
     """
     try:
+        if packed:
+            return _read(_schema.Frame.from_bytes_packed(body))
         with _schema.Frame.from_bytes(body) as reader:
-            name = str(reader.which())
-            cls = _CLASSES[name]
-            return Frame(reader.id, Kind(reader.kind), _from_wire(cls, getattr(reader, name)))
+            return _read(reader)
     except (capnp.KjException, KeyError, ValueError, UnicodeDecodeError) as error:
         raise BadFrame(str(error).split('\n', 1)[0]) from error
+
+
+def _read(reader: Any) -> Frame:
+    name = str(reader.which())
+    message = _from_wire(_CLASSES[name], getattr(reader, name))
+    return Frame(reader.id, Kind(reader.kind), message)
--- a/packages/millfork-wire/millfork_wire/connection.py
+++ b/packages/millfork-wire/millfork_wire/connection.py
@@ -11,16 +11,30 @@
 
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId
-from millfork_core.logs import Part, logger
+from millfork_core.logs import Part as LogPart
+from millfork_core.logs import logger
 from millfork_wire import codec
 from millfork_wire.codec import BadFrame, Frame, Kind
-from millfork_wire.messages import Chunk, Failure, Hello, Message, Ping
+from millfork_wire.messages import (
+    Chunk,
+    End,
+    Failure,
+    Head,
+    Hello,
+    Message,
+    Part,
+    Ping,
+    Reserve,
+    Reserved,
+    Start,
+)
 from millfork_wire.transport import Transport
 
 MAX_QUEUED_FRAMES: Final = 4096
 MAX_BATCH_BYTES: Final = 256 * 1024
+NOT_CONTROL: Final = (Chunk, Reserve, Reserved, Start, Head, Part, End)
 
-log = logger(Part.WIRE)
+log = logger(LogPart.WIRE)
 
 
 class PeerError(Exception):
@@ -140,10 +154,17 @@
 
     async def _post(self, frame: Frame) -> None:
         data = codec.encode(frame)
-        if not isinstance(frame.message, Chunk):
-            self.env.metrics.count(self.env.metrics.wire_bytes, len(data), way='out')
+        self._count_bytes(frame.message, len(data), 'out')
         await self.outbox.put(data)
 
+    def _count_bytes(self, message: Message, size: int, way: str) -> None:
+        """
+        Count the bytes of control; requests and weights are counted as such.
+
+        """
+        if not isinstance(message, NOT_CONTROL):
+            self.env.metrics.count(self.env.metrics.wire_bytes, size, way=way)
+
     async def write_frames(self) -> None:
         """
         The writing task: frames queued together leave in one send.
@@ -171,6 +192,7 @@
             while not self.closed:
                 frame = await self.transport.receive()
                 self.last_heard = self.env.monotonic()
+                self._count_bytes(frame.message, self.transport.last_size, 'in')
                 await self._dispatch(frame)
         except BadFrame as error:
             self.env.metrics.count(self.env.metrics.wire, event='bad_frame')
--- a/packages/millfork-wire/millfork_wire/transport.py
+++ b/packages/millfork-wire/millfork_wire/transport.py
@@ -24,6 +24,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock = sock
         self.stream = sock.as_stream()
+        self.last_size = 0
 
     async def send(self, frame: Frame) -> None:
         await self.send_bytes(codec.encode(frame))
@@ -40,10 +41,11 @@
 
         """
         header = await self.stream.read_exactly(codec.LENGTH_BYTES)
-        length = int.from_bytes(header, 'big')
+        length, packed = codec.split_length(header)
         if length > limit:
             raise BadFrame(f'a frame of {length} bytes is over the limit of {limit}')
-        return codec.decode(await self.stream.read_exactly(length))
+        self.last_size = codec.LENGTH_BYTES + length
+        return codec.decode(await self.stream.read_exactly(length), packed)
 
     async def shut(self) -> None:
         """
--- a/packages/millforkd/millforkd/endpoint/door.py
+++ b/packages/millforkd/millforkd/endpoint/door.py
@@ -45,6 +45,7 @@
 # Answers by which an engine says that it has not the version asked for.
 NOT_LOADED: Final = frozenset({404, 409})
 PLAIN_VERSION: Final = ''
+STREAM_TYPE: Final = 'text/event-stream'
 
 log = logger(LogPart.ENDPOINT)
 
@@ -267,12 +268,16 @@
             headers.append(Header(VERSION_HEADER, reservation.version))
         await self._send(reservation, Head(request_id, reply.status, headers))
         body = bytearray()
+        pause_s = self.settings.coalesce_ms / 1000 if _is_stream(reply) else 0.0
         async for data in reply.parts():
             await self._send(reservation, Part(request_id, reservation.parts, data))
             reservation.parts += 1
             reservation.bytes += len(data)
             if reservation.request.attempt:
                 body += data
+            if pause_s:
+                # What the engine sends meanwhile is the next piece.
+                await curio.sleep(pause_s)
         if reservation.request.attempt:
             reservation.response = Response(reply.status, reply.headers, bytes(body))
         return None
@@ -373,3 +378,7 @@
         except curio.TaskTimeout:
             return False
         return True
+
+
+def _is_stream(reply: Reply) -> bool:
+    return reply.header('content-type').startswith(STREAM_TYPE)
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -7,7 +7,10 @@
 
 
 def round_trip(frame: Frame) -> Frame:
-    return codec.decode(codec.encode(frame)[codec.LENGTH_BYTES :])
+    data = codec.encode(frame)
+    length, packed = codec.split_length(data[: codec.LENGTH_BYTES])
+    assert length == len(data) - codec.LENGTH_BYTES
+    return codec.decode(data[codec.LENGTH_BYTES :], packed)
 
 
 @given(
@@ -29,10 +32,10 @@
         assert round_trip(frame) == frame
 
 
-@given(st.binary(max_size=200))
-def test_any_bytes_are_a_frame_or_a_bad_frame(data):
+@given(st.binary(max_size=200), st.booleans())
+def test_any_bytes_are_a_frame_or_a_bad_frame(data, packed):
     try:
-        codec.decode(data)
+        codec.decode(data, packed)
     except BadFrame:
         return
 
