--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,7 @@
 .PHONY: bench-quick
 bench-quick: $(STAMP)  ## Run a reduced set of the experiments
 	$(BIN)/python -m millfork_standins.bench --quick $(if $(ONLY),--only=$(ONLY))
+
+.PHONY: fail-first
+fail-first: $(STAMP)  ## Show that each proof fails without its mechanism
+	$(BIN)/python -m tests.fail_first
--- a/packages/millfork-routing/millfork_routing/balance.py
+++ b/packages/millfork-routing/millfork_routing/balance.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from millfork_core.ids import InstanceId, ZoneId
+from millfork_core.ids import InstanceId, OrganisationId, ZoneId
 from millfork_core.ranks import rank
 
 # A preferred endpoint is passed over once it is this much above the mean.
@@ -14,6 +14,18 @@
 UNKNOWN_LIMIT: Final = 8
 
 
+@dataclass(frozen=True, slots=True)
+class Busy:
+    """
+    An endpoint's word to one organisation that all its places are taken:
+    until when to believe it, and when the caller may come back.
+
+    """
+
+    until: float
+    retry_after_ms: int
+
+
 @dataclass(slots=True)
 class Backend:
     """
@@ -29,8 +41,7 @@
     mine: int = 0
     leaving: bool = False
     suspect_until: float = 0.0
-    busy_until: float = 0.0
-    retry_after_ms: int = 0
+    busy: dict[OrganisationId, Busy] = field(default_factory=dict)
     served: dict[str, str] = field(default_factory=dict)
 
     @property
@@ -46,6 +57,15 @@
     def load(self) -> float:
         return self.occupied / self.limit
 
+    def busy_for(self, organisation: OrganisationId, now: float) -> Busy | None:
+        """
+        Whether it lately refused this organisation; another's flood is no
+        reason to pass it over.
+
+        """
+        busy = self.busy.get(organisation)
+        return busy if busy is not None and busy.until > now else None
+
     def take_report(self, occupied: int, limit: int) -> None:
         """
         Take a load report as of now.
@@ -56,13 +76,20 @@
         self.mine_at_report = self.mine
 
 
-def usable(backend: Backend, now: float) -> bool:
-    return not backend.leaving and backend.suspect_until <= now and backend.busy_until <= now
+def usable(backend: Backend, organisation: OrganisationId, now: float) -> bool:
+    """
+    Whether the endpoint may be asked for this organisation's request.
+
+    """
+    if backend.leaving or backend.suspect_until > now:
+        return False
+    return backend.busy_for(organisation, now) is None
 
 
 def choose(
     backends: list[Backend],
     zone: ZoneId,
+    organisation: OrganisationId,
     affinity: str,
     tried: set[InstanceId],
     now: float,
@@ -73,7 +100,7 @@
     is loaded well above the mean; without a key, the least loaded.
 
     """
-    able = [b for b in backends if b.instance not in tried and usable(b, now)]
+    able = [b for b in backends if b.instance not in tried and usable(b, organisation, now)]
     if not able:
         return None
     local = [b for b in able if b.zone == zone and b.load < 1]
--- a/packages/millfork-routing/millfork_routing/retries.py
+++ b/packages/millfork-routing/millfork_routing/retries.py
@@ -32,7 +32,8 @@
 @dataclass(slots=True)
 class _Window:
     began: float
-    allowance: float
+    requests: int = 0
+    retries: int = 0
 
 
 class RetryBudget:
@@ -52,7 +53,7 @@
         now = self.monotonic()
         window = self.windows.get((organisation, service))
         if window is None or now - window.began > WINDOW_S:
-            window = _Window(now, self.floor)
+            window = _Window(now)
             self.windows[(organisation, service)] = window
         return window
 
@@ -61,7 +62,7 @@
         A first attempt earns a part of a retry.
 
         """
-        self._window(organisation, service).allowance += self.ratio
+        self._window(organisation, service).requests += 1
 
     def spend(self, organisation: OrganisationId, service: str) -> bool:
         """
@@ -69,9 +70,9 @@
 
         """
         window = self._window(organisation, service)
-        if window.allowance < 1:
+        if window.retries + 1 > self.floor + self.ratio * window.requests:
             return False
-        window.allowance -= 1
+        window.retries += 1
         return True
 
 
--- a/packages/millfork-standins/millfork_standins/bench/__main__.py
+++ b/packages/millfork-standins/millfork_standins/bench/__main__.py
@@ -11,11 +11,12 @@
 from absl import app, flags
 
 from millfork_core.status import ExitStatus
-from millfork_standins.bench import cost, distribution
+from millfork_standins.bench import cost, distribution, limits
 
 FLAGS: Final = flags.FLAGS
 EXPERIMENTS: Final[dict[str, Callable[[int, bool], Path]]] = {
     'distribution': distribution.run,
+    'limits': limits.run,
     'cost': cost.run,
 }
 
--- a/packages/millfork-standins/millfork_standins/bench/cost.py
+++ b/packages/millfork-standins/millfork_standins/bench/cost.py
@@ -21,7 +21,8 @@
 from millfork_core.ids import InstanceId, Revision, ServiceName, ZoneId
 from millfork_standins.bench.rows import Sheet
 from millfork_standins.deployments import LANTING
-from millfork_standins.fleet import ADMIN_PORT, BACKEND_PORT, CALLERS_PORT, Fleet, FleetOptions
+from millfork_standins.fleet import Fleet
+from millfork_standins.layout import ADMIN_PORT, BACKEND_PORT, CALLERS_PORT, FleetOptions
 from millfork_standins.requests import fetch
 from millfork_state.commands import ClaimKey, SettleKey
 from millfork_state.config import InstanceFacts
--- a/packages/millfork-standins/millfork_standins/bench/distribution.py
+++ b/packages/millfork-standins/millfork_standins/bench/distribution.py
@@ -22,7 +22,8 @@
 from millfork_standins.bench.rows import Sheet
 from millfork_standins.bench.weight_node import NodeSpec, Plan
 from millfork_standins.deployments import LANTING
-from millfork_standins.fleet import STANDIN_PORT, Fleet, FleetOptions
+from millfork_standins.fleet import Fleet
+from millfork_standins.layout import STANDIN_PORT, FleetOptions
 from millfork_standins.requests import fetch, fetch_json
 from millfork_weights.manifest import digest_of
 
--- a/packages/millfork-standins/millfork_standins/callers.py
+++ b/packages/millfork-standins/millfork_standins/callers.py
@@ -12,7 +12,8 @@
 from enum import Enum
 from typing import Any, Final
 
-from millfork_standins.fleet import CALLERS_PORT, Fleet, Instance
+from millfork_standins.fleet import Fleet
+from millfork_standins.layout import CALLERS_PORT, Instance
 from millfork_standins.requests import Answer, fetch
 from millfork_standins.weights import answer_text
 
--- a/packages/millfork-standins/millfork_standins/demo.py
+++ b/packages/millfork-standins/millfork_standins/demo.py
@@ -16,8 +16,9 @@
 from millfork_core.status import ExitStatus
 from millfork_standins.callers import Callers, End
 from millfork_standins.deployments import SHAPES
-from millfork_standins.fleet import Fleet, FleetError, FleetOptions
+from millfork_standins.fleet import Fleet
 from millfork_standins.judging import judge_fleet
+from millfork_standins.layout import FleetError, FleetOptions
 from millfork_standins.versions import learn_version
 
 FLAGS: Final = flags.FLAGS
--- /dev/null
+++ b/packages/millfork-standins/millfork_standins/examples.py
@@ -0,0 +1,108 @@
+"""
+The example settings of both deployments, made from their shapes.
+
+`python -m millfork_standins.examples` writes them to `examples/`.
+
+"""
+
+from pathlib import Path
+from typing import Any, Final
+
+import yaml
+
+from millfork_standins.deployments import SHAPES, Shape
+
+FOLDER: Final = Path('examples')
+HOSTS: Final = {'lanting': '10.71', 'cedarline': '10.72'}
+SECRETS: Final = '/etc/millfork'
+
+
+def _common(shape: Shape, zone: int, number: int) -> dict[str, Any]:
+    place = shape.places[zone]
+    host = HOSTS[shape.name]
+    return {
+        'zone': place.zone,
+        'region': place.region,
+        'address': f'{host}.{zone + 1}.{number}',
+        'fleet_key_file': f'{SECRETS}/fleet_key',
+        'replicas': [
+            {'instance': f'entry-{n + 1}', 'host': f'{host}.{n + 1}.1'} for n in range(shape.disks)
+        ],
+        'platform': {'host': f'{host}.250.1', 'port': 8500},
+        'weights': {
+            'origin': {'host': f'{host}.250.2', 'port': 8500},
+            'origin_copies': shape.origin_copies,
+        },
+    }
+
+
+def examples(shape: Shape) -> dict[str, dict[str, Any]]:
+    """
+    Settings by file name: an entry with a disk, one without, an endpoint of
+    an engine, one of a plain service; and a declaration.
+
+    """
+    entry = {'role': 'entry', 'admin_token_file': f'{SECRETS}/admin_token'}
+    plain = next(iter(shape.plain_services))
+    return {
+        'entry-with-disk.yaml': {
+            'instance': 'entry-1',
+            **_common(shape, 0, 1),
+            **entry,
+            'data_folder': '/var/lib/millfork',
+        },
+        'entry.yaml': {'instance': 'entry-4', **_common(shape, 0, 2), **entry},
+        'endpoint-engine.yaml': {
+            'instance': f'{shape.engine_service}-1',
+            **_common(shape, 0, 100),
+            'role': 'endpoint',
+            'data_folder': '/var/lib/millfork',
+            'backend': {
+                'kind': 'engine',
+                'service': shape.engine_service,
+                'address': {'host': f'{HOSTS[shape.name]}.1.100', 'port': 8000},
+            },
+        },
+        'endpoint-plain.yaml': {
+            'instance': f'{plain}-1',
+            **_common(shape, 1, 101),
+            'role': 'endpoint',
+            'backend': {
+                'kind': 'plain',
+                'service': plain,
+                'address': {'host': f'{HOSTS[shape.name]}.2.101', 'port': 8000},
+            },
+        },
+        'declaration.yaml': {
+            'organisation': shape.organisations[0],
+            'labels': {f'{shape.engine_service}-1': {'tier': 'canary'}},
+            'deployments': {
+                'main': {
+                    'model': shape.model,
+                    'version': 'v1',
+                    'adapters': [],
+                    'selector': {'service': shape.engine_service},
+                },
+                'canary': {
+                    'model': shape.model,
+                    'version': 'v2',
+                    'selector': {
+                        'tier': 'canary',
+                        'zone': [place.zone for place in shape.places],
+                    },
+                },
+            },
+        },
+    }
+
+
+def write(folder: Path) -> None:
+    for shape in SHAPES.values():
+        target = folder / shape.name
+        target.mkdir(parents=True, exist_ok=True)
+        for name, content in examples(shape).items():
+            (target / name).write_text(yaml.safe_dump(content, sort_keys=False))
+
+
+if __name__ == '__main__':
+    write(FOLDER)
--- a/packages/millfork-standins/millfork_standins/execution_log.py
+++ b/packages/millfork-standins/millfork_standins/execution_log.py
@@ -15,6 +15,7 @@
     """
 
     def __init__(self, path: Path) -> None:
+        path.parent.mkdir(parents=True, exist_ok=True)
         self.file = path.open('a')
 
     def write(self, **fields: Any) -> None:
--- a/packages/millfork-standins/millfork_standins/fleet.py
+++ b/packages/millfork-standins/millfork_standins/fleet.py
@@ -9,27 +9,28 @@
 import random
 import secrets
 import signal
-import socket
 import subprocess
 import sys
 import time
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Final
 
 import yaml
 
 from millfork_standins.deployments import Shape
+from millfork_standins.layout import (
+    ADMIN_PORT,
+    BACKEND_PORT,
+    CALLERS_PORT,
+    STANDIN_PORT,
+    WIRE_PORT,
+    FleetError,
+    FleetOptions,
+    Instance,
+    Layout,
+)
 from millfork_standins.requests import fetch, fetch_json
 
-WIRE_PORT: Final = 7400
-CALLERS_PORT: Final = 8080
-ADMIN_PORT: Final = 9400
-BACKEND_PORT: Final = 8000
-STANDIN_PORT: Final = 8500
-STANDIN_ZONE: Final = 250
-LAST_NUMBER: Final = 250
-ENDPOINTS_FROM: Final = 100
 POLL_S: Final = 0.05
 APPLY_PATH: Final = '/control/v1/apply'
 APPLY_TIMEOUT_S: Final = 30.0
@@ -37,192 +38,15 @@
 STOP_TIMEOUT_S: Final = 40.0
 
 
-class FleetError(Exception):
-    """
-    A process of the fleet did not do what was awaited.
-
-    """
-
-
-@dataclass(slots=True)
-class Instance:
-    """
-    One instance: its address, and the settings of what runs there.
-
-    """
-
-    name: str
-    host: str
-    zone: str
-    region: str
-    role: str
-    service: str
-    settings: dict[str, Any]
-    has_disk: bool = False
-
-
-@dataclass(slots=True)
-class FleetOptions:
-    """
-    What differs between fleets: sizes in bytes, rates in bytes/s.
-
-    """
-
-    model_bytes: int = 8 * 1024 * 1024
-    chunk_bytes: int = 64 * 1024
-    link_bytes_per_s: int = 16 * 1024 * 1024
-    versions: list[dict[str, Any]] = field(default_factory=list)
-    engine: dict[str, Any] = field(default_factory=dict)
-    backend: dict[str, Any] = field(default_factory=dict)
-    weights: dict[str, Any] = field(default_factory=dict)
-    link: dict[str, Any] = field(default_factory=dict)
-    routing: dict[str, Any] = field(default_factory=dict)
-    state: dict[str, Any] = field(default_factory=dict)
-    service: dict[str, Any] = field(default_factory=dict)
-    platform_lag_ms: float = 200
-    relay: bool = False
-    log_level: str = 'INFO'
-
-
-class Fleet:
+class Fleet(Layout):
     """
     Starts, stops, kills and freezes the processes of one fleet.
 
     """
 
     def __init__(self, shape: Shape, folder: Path, options: FleetOptions) -> None:
-        self.shape = shape
-        self.number, self.guard = _take_number(shape.number)
-        self.folder = folder
-        self.options = options
+        super().__init__(shape, folder, options)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
-        self.instances: dict[str, Instance] = {}
-        self.admin_token = secrets.token_hex(16)
-        self.caller_tokens = {name: secrets.token_hex(16) for name in shape.organisations}
-        self.operator_tokens = {name: secrets.token_hex(16) for name in shape.organisations}
-        folder.mkdir(parents=True, exist_ok=True)
-        (folder / 'fleet_key').write_text(secrets.token_hex(32))
-        (folder / 'admin_token').write_text(self.admin_token)
-        for name, token in self.operator_tokens.items():
-            (folder / f'operator_token.{name}').write_text(token)
-        self._lay_out()
-
-    # Layout.
-
-    def _host(self, zone: int, number: int) -> str:
-        return f'127.{self.number}.{zone}.{number}'
-
-    def standin_host(self, number: int) -> str:
-        return self._host(STANDIN_ZONE, number)
-
-    @property
-    def platform(self) -> dict[str, Any]:
-        return {'host': self.standin_host(1), 'port': STANDIN_PORT}
-
-    @property
-    def origin(self) -> dict[str, Any]:
-        return {'host': self.standin_host(2), 'port': STANDIN_PORT}
-
-    @property
-    def relay(self) -> dict[str, Any]:
-        return {'host': self.standin_host(3), 'port': STANDIN_PORT}
-
-    def _lay_out(self) -> None:
-        shape = self.shape
-        for number in range(shape.entries):
-            self._add(f'entry-{number + 1}', number, 'entry', '', has_disk=number < shape.disks)
-        position = 0
-        services = {shape.engine_service: shape.engines, **shape.plain_services}
-        for service, count in services.items():
-            for number in range(count):
-                self._add(f'{service}-{number + 1}', position, 'endpoint', service)
-                position += 1
-
-    def _add(
-        self, name: str, position: int, role: str, service: str, has_disk: bool = False
-    ) -> None:
-        zones = len(self.shape.places)
-        place = self.shape.places[position % zones]
-        first = 1 if role == 'entry' else ENDPOINTS_FROM
-        host = self._host(position % zones + 1, first + position // zones)
-        instance = Instance(
-            name, host, place.zone, place.region, role, service, {}, has_disk=has_disk
-        )
-        self.instances[name] = instance
-
-    @property
-    def entries(self) -> list[Instance]:
-        return [i for i in self.instances.values() if i.role == 'entry']
-
-    @property
-    def engines(self) -> list[Instance]:
-        service = self.shape.engine_service
-        return [i for i in self.instances.values() if i.service == service]
-
-    @property
-    def replicas(self) -> list[Instance]:
-        return [i for i in self.entries if i.has_disk]
-
-    @property
-    def control_entries(self) -> str:
-        return ','.join(f'{entry.host}:{CALLERS_PORT}' for entry in self.entries)
-
-    # Settings.
-
-    def settings_of(self, instance: Instance) -> dict[str, Any]:
-        """
-        The settings file of an instance's daemon, as plain data.
-
-        """
-        options = self.options
-        settings: dict[str, Any] = {
-            'instance': instance.name,
-            'zone': instance.zone,
-            'region': instance.region,
-            'role': instance.role,
-            'address': instance.host,
-            'ports': {'wire': WIRE_PORT, 'callers': CALLERS_PORT, 'admin': ADMIN_PORT},
-            'fleet_key_file': str(self.folder / 'fleet_key'),
-            'replicas': [
-                {'instance': replica.name, 'host': replica.host} for replica in self.replicas
-            ],
-            'platform': self.platform,
-            'log_level': options.log_level,
-            'routing': options.routing,
-            'state': options.state,
-            'weights': {'origin': self.origin, 'origin_copies': self.shape.origin_copies},
-            'link': {'bytes_per_s': options.link_bytes_per_s, **options.link},
-        }
-        settings['weights'].update(options.weights)
-        if options.relay:
-            settings['via'] = self.relay
-        if instance.role == 'entry':
-            settings['admin_token_file'] = str(self.folder / 'admin_token')
-        if instance.has_disk or instance.service == self.shape.engine_service:
-            settings['data_folder'] = str(self.data_folder(instance.name))
-        if instance.service:
-            kind = 'engine' if instance.service == self.shape.engine_service else 'plain'
-            settings['backend'] = {
-                'kind': kind,
-                'service': instance.service,
-                'address': {'host': instance.host, 'port': BACKEND_PORT},
-                **options.backend,
-            }
-        settings.update(instance.settings)
-        return settings
-
-    def data_folder(self, name: str) -> Path:
-        return self.folder / name / 'data'
-
-    def executions(self, name: str) -> Path:
-        return self.folder / name / 'executions.jsonl'
-
-    def _write(self, name: str, settings: dict[str, Any]) -> Path:
-        folder = self.folder / name
-        folder.mkdir(parents=True, exist_ok=True)
-        path = folder / 'settings.yaml'
-        path.write_text(yaml.safe_dump(settings, sort_keys=False))
-        return path
 
     # Processes.
 
@@ -234,7 +58,7 @@
         log.close()
 
     def _start_standin(self, name: str, kind: str, settings: dict[str, Any]) -> None:
-        path = self._write(name, settings)
+        path = self.write_settings(name, settings)
         self._spawn(name, ['-m', 'millfork_standins', kind, str(path)])
 
     def start_standins(self) -> None:
@@ -283,7 +107,7 @@
         Start `millforkd` on an instance.
 
         """
-        path = self._write(instance.name, self.settings_of(instance))
+        path = self.write_settings(instance.name, self.settings_of(instance))
         self._spawn(instance.name, ['-m', 'millforkd', f'--settings={path}'])
 
     def list_instance(self, instance: Instance, leaving: bool = False) -> None:
@@ -315,7 +139,7 @@
         self.start_standins()
         for instance in self.instances.values():
             self.list_instance(instance)
-            self._write(instance.name, {})
+            self.write_settings(instance.name, {})
             if instance.role == 'endpoint' and backends:
                 self.start_backend(instance)
             self.start_daemon(instance)
@@ -492,22 +316,5 @@
         fetch('POST', self.relay['host'], STANDIN_PORT, f'/{kind}/{text}')
 
 
-def _take_number(first: int) -> tuple[int, socket.socket]:
-    """
-    The second number of the fleet's addresses, and the socket that keeps it
-    from fleets beside this one.
-
-    """
-    for number in range(first, LAST_NUMBER):
-        guard = socket.socket()
-        try:
-            guard.bind((f'127.{number}.{STANDIN_ZONE}.254', STANDIN_PORT))
-        except OSError:
-            guard.close()
-            continue
-        return number, guard
-    raise FleetError('all addresses for fleets are taken')
-
-
 def _hash(token: str) -> str:
     return hashlib.sha256(token.encode()).hexdigest()
--- a/packages/millfork-standins/millfork_standins/recorder.py
+++ b/packages/millfork-standins/millfork_standins/recorder.py
@@ -10,8 +10,9 @@
 from dataclasses import dataclass, field
 from typing import Any, Final
 
-from millfork_standins.fleet import ADMIN_PORT, CALLERS_PORT, Fleet, Instance
+from millfork_standins.fleet import Fleet
 from millfork_standins.history import History, Observation, Outcome, Put, Read
+from millfork_standins.layout import ADMIN_PORT, CALLERS_PORT, Instance
 from millfork_standins.requests import Answer, fetch
 
 TIMEOUT_S: Final = 4.0
@@ -89,16 +90,20 @@
                 continue
             command = uuid.uuid4().hex
             expect = self.seen if wish.expects else None
-            self._put(wish.entry, command, wish.key, expect)
+            self.put(wish.entry, command, wish.key, expect)
             if wish.resends:
-                self._put(wish.entry + 1, command, wish.key, expect)
+                self.put(wish.entry + 1, command, wish.key, expect)
 
     def _ask(self, entry: int, method: str, path: str, body: bytes = b'') -> Answer:
         host = self.fleet.entries[entry % len(self.fleet.entries)].host
         headers = {'authorization': f'Bearer {self.fleet.admin_token}'}
         return fetch(method, host, CALLERS_PORT, path, body, headers, TIMEOUT_S)
 
-    def _put(self, entry: int, command: str, key: int, expect: int | None) -> None:
+    def put(self, entry: int, command: str, key: int, expect: int | None) -> bool:
+        """
+        One sending of a change; whether it was accepted.
+
+        """
         organisation = self.fleet.shape.organisations[0]
         declaration = {
             'organisation': organisation,
@@ -118,6 +123,7 @@
         with self.lock:
             self.history.puts.append(put)
             self.seen = max(self.seen, revision)
+        return outcome is Outcome.ACCEPTED
 
     def read(self, entry: int) -> bool:
         """
--- a/packages/millfork-standins/millfork_standins/scenario/runner.py
+++ b/packages/millfork-standins/millfork_standins/scenario/runner.py
@@ -14,8 +14,9 @@
 from millfork_standins.callers import Asked, Callers, End, Kind
 from millfork_standins.deployments import SHAPES
 from millfork_standins.execution_log import read_executions
-from millfork_standins.fleet import ADMIN_PORT, CALLERS_PORT, Fleet, FleetError, FleetOptions
+from millfork_standins.fleet import Fleet
 from millfork_standins.judging import judge_fleet
+from millfork_standins.layout import ADMIN_PORT, CALLERS_PORT, FleetError, FleetOptions
 from millfork_standins.requests import Answer, fetch
 from millfork_standins.scenario import steps
 from millfork_standins.scenario.steps import Step
--- a/packages/millfork-standins/millfork_standins/versions.py
+++ b/packages/millfork-standins/millfork_standins/versions.py
@@ -5,7 +5,8 @@
 
 from dataclasses import dataclass
 
-from millfork_standins.fleet import STANDIN_PORT, Fleet
+from millfork_standins.fleet import Fleet
+from millfork_standins.layout import STANDIN_PORT
 from millfork_standins.requests import fetch
 from millfork_standins.weights import weights_key
 from millfork_weights.manifest import decode_manifest, digest_of
@@ -16,19 +17,22 @@
 @dataclass(frozen=True, slots=True)
 class KnownVersion:
     """
-    A version's id in answers, and the key of its weights.
+    A version's id in answers, the digest of its weights, and the key of an
+    engine that loaded them alone.
 
     """
 
     id: str
+    whole: str
     key: str
 
 
-def learn_version(fleet: Fleet, version: str) -> KnownVersion:
+def learn_version(fleet: Fleet, version: str, model: str = '') -> KnownVersion:
     """
     The version as the origin has it at this moment.
 
     """
-    path = f'/models/{fleet.shape.model}/{version}/manifest'
+    path = f'/models/{model or fleet.shape.model}/{version}/manifest'
     body = fetch('GET', fleet.origin['host'], STANDIN_PORT, path).body
-    return KnownVersion(digest_of(body)[:ID_CHARS], weights_key([decode_manifest(body).whole]))
+    whole = decode_manifest(body).whole
+    return KnownVersion(digest_of(body)[:ID_CHARS], whole, weights_key([whole]))
--- a/packages/millfork-wire/millfork_wire/connection.py
+++ b/packages/millfork-wire/millfork_wire/connection.py
@@ -101,6 +101,7 @@
         hello: Hello,
         handler: Handler,
         on_closed: ClosedHandler,
+        dialled: bool,
     ) -> None:
         self.env = env
         self.transport = transport
@@ -108,6 +109,7 @@
         self.peer = InstanceId(hello.instance)
         self.handler = handler
         self.on_closed = on_closed
+        self.dialled = dialled
         self.closed = False
         self.last_heard = env.monotonic()
         self.calls: dict[int, _Call] = {}
--- a/packages/millfork-wire/millfork_wire/peers.py
+++ b/packages/millfork-wire/millfork_wire/peers.py
@@ -94,7 +94,8 @@
         except (OSError, EOFError, curio.TaskTimeout):
             self.env.metrics.count(self.env.metrics.wire, event='handshake_cut')
             return None
-        connection = Connection(self.env, transport, hello, self.handler, self._forget)
+        dialled = target != NO_INSTANCE
+        connection = Connection(self.env, transport, hello, self.handler, self._forget, dialled)
         self.connections[connection.peer] = connection
         await self.env.spawn(connection.write_frames)
         return connection
@@ -150,14 +151,15 @@
 
     async def probe_idle(self) -> None:
         """
-        The task that closes connections whose peer no longer answers.
+        The task that closes connections whose peer no longer answers. The
+        side that dialled asks; one question for each pair is enough.
 
         """
         while True:
             await curio.sleep(PING_AFTER_S / 2)
             now = self.env.monotonic()
             for connection in list(self.connections.values()):
-                if now - connection.last_heard < PING_AFTER_S:
+                if not connection.dialled or now - connection.last_heard < PING_AFTER_S:
                     continue
                 await self.env.spawn(self._probe, connection)
 
--- a/packages/millfork-wire/millfork_wire/transport.py
+++ b/packages/millfork-wire/millfork_wire/transport.py
@@ -12,6 +12,8 @@
 from millfork_wire.codec import BadFrame, Frame
 
 PROXY_REPLY_LIMIT: Final = 4096
+# The system closes a connection whose bytes the peer leaves unacknowledged.
+UNACKNOWLEDGED_MS: Final = 30_000
 
 
 class Transport:
@@ -22,6 +24,7 @@
 
     def __init__(self, sock: Any) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
         self.sock = sock
         self.stream = sock.as_stream()
         self.last_size = 0
--- a/packages/millforkd/millforkd/endpoint/daemon.py
+++ b/packages/millforkd/millforkd/endpoint/daemon.py
@@ -59,6 +59,7 @@
         self.told_leaving = False
         self.incarnation = time.time_ns()
         self.sequence = 0
+        self.shares_from: object = None
         self.reported = EndpointReport()
         self.member.peers.closed_hooks.append(self.door.on_closed)
 
@@ -135,6 +136,9 @@
         return self.stopping or self.told_leaving or listed or drained
 
     def _learn_shares(self) -> None:
+        if self.shares_from == self.member.view.mark:
+            return
+        self.shares_from = self.member.view.mark
         shares = {}
         for key, value in self.member.view.prefixed(ORGANISATIONS).items():
             name = OrganisationId(key.removeprefix(ORGANISATIONS))
--- a/packages/millforkd/millforkd/endpoint/rollout.py
+++ b/packages/millforkd/millforkd/endpoint/rollout.py
@@ -75,6 +75,7 @@
         self.transfers: dict[Digest, curio.Task] = {}
         self.failed_until: dict[Digest, float] = {}
         self.wanted: dict[str, Deployment] = {}
+        self.basis: tuple[object, int] | None = None
         self.wake = curio.Event()
 
     async def keep(self) -> None:
@@ -116,9 +117,11 @@
         The deployments that select this instance, by `ORG/NAME`.
 
         """
+        basis = (self.view.mark, self.roster.version)
         facts = self.roster.instances.get(self.env.instance)
-        if facts is None:
+        if facts is None or basis == self.basis:
             return self.wanted
+        self.basis = basis
         found = {}
         for key, value in self.view.prefixed(DEPLOYMENTS).items():
             deployment = decode(value, Deployment)
--- a/packages/millforkd/millforkd/entry/book.py
+++ b/packages/millforkd/millforkd/entry/book.py
@@ -73,6 +73,8 @@
         self.dialling: set[InstanceId] = set()
         self.told_leaving: set[InstanceId] = set()
         self.settled = False
+        self.basis: tuple[object, int] | None = None
+        self.wanted: list[InstanceFacts] = []
 
     async def keep(self) -> None:
         """
@@ -98,6 +100,18 @@
             self.settled = True
 
     def _wanted(self) -> list[InstanceFacts]:
+        """
+        The endpoints to keep up with, worked out anew only when the
+        configuration or the list has changed.
+
+        """
+        basis = (self.view.mark, self.roster.version)
+        if basis != self.basis:
+            self.basis = basis
+            self.wanted = self._choose_wanted()
+        return self.wanted
+
+    def _choose_wanted(self) -> list[InstanceFacts]:
         groups: list[list[InstanceFacts]] = []
         for key, value in self.view.prefixed(DEPLOYMENTS).items():
             groups.append(selected(self.view, self.roster, key, decode(value, Deployment)))
--- a/packages/millforkd/millforkd/entry/dispatch.py
+++ b/packages/millforkd/millforkd/entry/dispatch.py
@@ -9,7 +9,7 @@
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, RequestId
 from millfork_core.verdicts import Reason, Refusal, Verdict
-from millfork_routing.balance import Backend, choose
+from millfork_routing.balance import Backend, Busy, choose
 from millfork_routing.retries import RetryBudget, may_retry
 from millfork_settings.models import RoutingSettings
 from millfork_wire.connection import Connection
@@ -98,7 +98,7 @@
     def _choose(self, call: Call, tried: set[InstanceId]) -> Backend | None:
         backends = self.book.serving(call.service)
         now = self.env.monotonic()
-        return choose(backends, self.env.zone, call.affinity, tried, now)
+        return choose(backends, self.env.zone, call.organisation, call.affinity, tried, now)
 
     def _no_endpoint(self, call: Call) -> Refusal:
         """
@@ -107,18 +107,14 @@
         """
         now = self.env.monotonic()
         waits = [
-            backend.busy_until - now
+            busy.retry_after_ms
             for backend in self.book.serving(call.service)
-            if backend.busy_until > now
+            if (busy := backend.busy_for(call.organisation, now)) is not None
         ]
         if waits:
-            return Refusal(Reason.BUSY, detail='all are busy', retry_after_ms=self._wait_ms(call))
+            return Refusal(Reason.BUSY, detail='all are busy', retry_after_ms=min(waits))
         return Refusal(Reason.NO_ENDPOINT, detail='no endpoint serves this at the moment')
 
-    def _wait_ms(self, call: Call) -> int:
-        known = [b.retry_after_ms for b in self.book.serving(call.service) if b.retry_after_ms]
-        return min(known, default=0)
-
     def _may_spend(self, call: Call, last: Refusal) -> bool:
         if not self.budget.spend(call.organisation, call.service):
             return False
@@ -141,7 +137,7 @@
             if attempt.started and not attempt.ended:
                 await self.env.spawn(attempt.cancel)
         if refusal is not None:
-            self._learn(backend, refusal)
+            self._learn(call, backend, refusal)
         return refusal
 
     async def _attempt_steps(
@@ -156,12 +152,11 @@
             return refusal
         return await delivery.deliver(attempt, call.deadline)
 
-    def _learn(self, backend: Backend, refusal: Refusal) -> None:
+    def _learn(self, call: Call, backend: Backend, refusal: Refusal) -> None:
         now = self.env.monotonic()
         if refusal.reason in SUSPICIOUS:
             backend.suspect_until = now + SUSPECT_S
         if refusal.reason is Reason.BUSY:
-            backend.busy_until = now + BUSY_MEMORY_S
-            backend.retry_after_ms = refusal.wait_ms
+            backend.busy[call.organisation] = Busy(now + BUSY_MEMORY_S, refusal.wait_ms)
         if refusal.reason is Reason.LEAVING:
             backend.leaving = True
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,8 @@
 import pytest
 
 from millfork_standins.deployments import CEDARLINE
-from millfork_standins.fleet import Fleet, FleetOptions
+from millfork_standins.fleet import Fleet
+from millfork_standins.layout import FleetOptions
 from tests.utils.fleets import serve_version
 
 
--- /dev/null
+++ b/tests/fail_first.py
@@ -0,0 +1,329 @@
+"""
+Takes mechanisms out, one at a time, and shows that their proofs then fail.
+
+`python -m tests.fail_first [NAME ...]` works on a scratch copy of the tree; it
+prints a line for each mechanism and ends with 1 if a proof passed without its
+mechanism.
+
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+ROOT: Final = Path(__file__).parent.parent
+TIMEOUT_S: Final = 240
+
+
+@dataclass(frozen=True, slots=True)
+class Edit:
+    """
+    A text that stands once in a file, and what replaces it.
+
+    """
+
+    path: str
+    old: str
+    new: str
+
+
+@dataclass(frozen=True, slots=True)
+class Mutation:
+    """
+    A mechanism taken out by edits, and the test that must then fail.
+
+    """
+
+    name: str
+    test: str
+    edits: tuple[Edit, ...]
+
+
+D = 'packages/millforkd/millforkd/'
+S = 'packages/millfork-state/millfork_state/'
+W = 'packages/millfork-weights/millfork_weights/'
+
+
+def scenario(name: str) -> str:
+    return f'tests/test_scenarios.py::test_scenario[{name}]'
+
+
+MUTATIONS: Final = (
+    Mutation(
+        'weights are whole before they are loaded',
+        scenario('rollout_under_load'),
+        (
+            Edit(
+                D + 'endpoint/rollout.py',
+                'if holding is None or not holding.whole:',
+                'if holding is None or not holding.share > 0.3:',
+            ),
+            Edit(
+                W + 'store.py',
+                'return self.folder / WHOLE_FILE\n\n    @property\n    def share',
+                'return self.folder / (WHOLE_FILE if self.whole else PARTIAL_FILE)\n\n'
+                '    @property\n    def share',
+            ),
+        ),
+    ),
+    Mutation(
+        'every chunk is verified',
+        scenario('corrupt_and_stalled_origin'),
+        (
+            Edit(
+                W + 'store.py',
+                'return digest_of(data) == self.manifest.chunks[index]',
+                'return True',
+            ),
+        ),
+    ),
+    Mutation(
+        'pieces of an answer are counted',
+        'tests/test_attempts.py',
+        (
+            Edit(
+                D + 'entry/attempts.py',
+                'if (message.parts, message.bytes) != (self.next_sequence, self.received):',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'nothing runs before its start',
+        scenario('frozen_endpoint'),
+        (Edit(D + 'endpoint/door.py', 'await reservation.started.wait()', 'pass'),),
+    ),
+    Mutation(
+        'keys are claimed by quorum',
+        scenario('entry_killed_under_filings'),
+        (
+            Edit(
+                D + 'entry/callers.py',
+                "'' if repeatable else key,",
+                "'',",
+            ),
+        ),
+    ),
+    Mutation(
+        'a leaving endpoint refuses, told by any entry',
+        scenario('leaving_endpoint'),
+        (
+            Edit(
+                D + 'endpoint/daemon.py',
+                'return self.stopping or self.told_leaving or listed or drained',
+                'return self.stopping or drained',
+            ),
+            Edit(
+                D + 'entry/book.py',
+                'return facts is not None and facts.leaving',
+                'return False',
+            ),
+        ),
+    ),
+    Mutation(
+        'a planned stop waits',
+        scenario('planned_stops'),
+        (
+            Edit(D + 'entry/daemon.py', 'while self.server.active:', 'while False:'),
+            Edit(D + 'endpoint/door.py', 'while self.reservations:', 'while False:'),
+        ),
+    ),
+    Mutation(
+        'a voter is an instance with its disk',
+        scenario('lost_disk_does_not_vote'),
+        (
+            Edit(
+                S + 'election.py',
+                'if reply.granted and (voter, reply.disk) in replica.members:\n'
+                '                granted.add((voter, reply.disk))',
+                'if reply.granted:\n                granted.add((voter, reply.disk))',
+            ),
+            Edit(
+                S + 'replica.py',
+                'and request.cluster == self.cluster\n',
+                'and self.cluster in ("", request.cluster)\n',
+            ),
+            Edit(
+                S + 'replica.py',
+                'if request.cluster != self.cluster or request.term < self.term:',
+                'if self.cluster not in ("", request.cluster) or request.term < self.term:',
+            ),
+            Edit(
+                S + 'leadership.py',
+                'if progress.address.instance == instance and progress.disk == disk:',
+                'if progress.address.instance == instance:',
+            ),
+            Edit(
+                S + 'leadership.py',
+                'if voter in replica.members and progress.acked_at >= moment:',
+                'if progress.acked_at >= moment:',
+            ),
+        ),
+    ),
+    Mutation(
+        'what is accepted has a majority',
+        'tests/test_history_runs.py::test_a_leader_that_is_cut_off_accepts_nothing',
+        (
+            Edit(
+                S + 'leadership.py',
+                'index = held[replica.majority - 1]',
+                'index = held[0]',
+            ),
+            Edit(
+                S + 'leadership.py',
+                'if self._acked_since(since) < replica.majority:',
+                'if False:',
+            ),
+            Edit(
+                S + 'leadership.py',
+                'enough = self._acked_since(began) >= replica.majority',
+                'enough = True',
+            ),
+        ),
+    ),
+    Mutation(
+        'a command sent again gets its first answer',
+        'tests/test_history_runs.py',
+        (
+            Edit(
+                S + 'machine.py',
+                'if first is not None:\n            return first',
+                'if False:\n            return first',
+            ),
+        ),
+    ),
+    Mutation(
+        'operators who raced get a conflict',
+        'tests/test_history_runs.py',
+        (
+            Edit(
+                S + 'machine.py',
+                'if self._last_change(change.key) > change.expect:',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'a torn record is dropped by its checksum',
+        'tests/test_storage.py',
+        (
+            Edit(
+                S + 'storage.py',
+                'if not length or len(body) != length or zlib.crc32(body) != checksum:',
+                'if not length or len(body) != length:',
+            ),
+        ),
+    ),
+    Mutation(
+        'replicas learn from their log alone',
+        scenario('restart_after_many_changes'),
+        (
+            Edit(
+                S + 'subscription.py',
+                'if self.replica is not None:\n            return\n        if update.revision',
+                'if update.revision',
+            ),
+        ),
+    ),
+    Mutation(
+        'a successor numbers its orders higher',
+        'tests/test_fencing.py',
+        (
+            Edit(
+                D + 'endpoint/engine.py',
+                'self.number = FencingNumber(self.status.fencing_number + 1)',
+                'self.number = FencingNumber(1)',
+            ),
+        ),
+    ),
+    Mutation(
+        'operators see their own keys alone',
+        'tests/test_isolation.py',
+        (
+            Edit(
+                D + 'entry/operators.py',
+                "return key == f'{ORGANISATIONS}{own}'",
+                'return True',
+            ),
+        ),
+    ),
+    Mutation(
+        'a deployment is looked up within the caller organisation',
+        'tests/test_isolation.py',
+        (
+            Edit(
+                D + 'entry/callers.py',
+                "service = f'{organisation}/{name}'",
+                'service = next((k.removeprefix(DEPLOYMENTS) for k in self.view.items'
+                " if k.startswith(DEPLOYMENTS) and k.endswith('/' + name)), '')",
+            ),
+        ),
+    ),
+)
+
+
+def apply(mutation: Mutation, tree: Path) -> None:
+    """
+    Edit a tree; each old text must stand there exactly once.
+
+    """
+    for edit in mutation.edits:
+        path = tree / edit.path
+        text = path.read_text()
+        if text.count(edit.old) != 1:
+            raise ValueError(f'{edit.path}: {edit.old!r} stands {text.count(edit.old)} times')
+        path.write_text(text.replace(edit.old, edit.new))
+
+
+def copy_tree(folder: Path) -> Path:
+    tree = folder / 'tree'
+    ignored = shutil.ignore_patterns('.venv', '.git', 'build', '__pycache__', '*.egg-info')
+    shutil.copytree(ROOT, tree, ignore=ignored)
+    return tree
+
+
+def fails_without(mutation: Mutation) -> bool:
+    """
+    Whether the proof fails on a copy without the mechanism.
+
+    """
+    with tempfile.TemporaryDirectory(prefix='millfork-fail-first-') as folder:
+        tree = copy_tree(Path(folder))
+        apply(mutation, tree)
+        paths = [str(path) for path in (tree / 'packages').iterdir()]
+        environment = {**os.environ, 'PYTHONPATH': ':'.join(paths)}
+        command = [sys.executable, '-m', 'pytest', '-q', '-x', '-p', 'no:cacheprovider']
+        done = subprocess.run(
+            [*command, mutation.test],
+            cwd=tree,
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_S,
+            check=False,
+        )
+        if done.returncode == 1:
+            reason = [line for line in done.stdout.splitlines() if line.startswith('E  ')]
+            print(f'   {reason[0][:160] if reason else ""}')
+        return done.returncode == 1
+
+
+def main() -> int:
+    wanted = sys.argv[1:]
+    passed_without = 0
+    for mutation in MUTATIONS:
+        if wanted and mutation.name not in wanted:
+            continue
+        failed = fails_without(mutation)
+        passed_without += not failed
+        print(f'{"fails" if failed else "PASSES"} without: {mutation.name} ({mutation.test})')
+    return 1 if passed_without else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,131 @@
+"""
+Each caller receives the whole answer to its own request and nobody else's.
+
+"""
+
+import curio
+import pytest
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, RequestId, ZoneId
+from millfork_core.verdicts import Reason, Refusal, Verdict
+from millfork_routing.balance import Backend
+from millfork_settings.models import RoutingSettings
+from millfork_wire.connection import PeerLost, PeerTimedOut
+from millfork_wire.messages import Cancel, Cancelled, End, Head, Part, Reserve, Reserved, Start
+from millforkd.entry.attempts import Attempt, Call, Lost
+from millforkd.entry.dispatch import Dispatch
+
+
+class FakeConnection:
+    """
+    Answers calls from a table, keeps what it was told.
+
+    """
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.told = []
+
+    async def call(self, message, timeout):
+        answer = self.answers[type(message)]
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def notify(self, message):
+        self.told.append(message)
+
+
+def environment():
+    return Environment(InstanceId('entry'), ZoneId('zone'))
+
+
+def attempt(answers=None):
+    env = environment()
+    connection = FakeConnection(answers or {})
+    return Attempt(env, RequestId('r'), Backend(InstanceId('e'), ZoneId('zone')), connection)
+
+
+def call(env):
+    return Call('org', 'svc', 'POST', '/', [], b'', False, '', '', '', 0, env.monotonic() + 5)
+
+
+async def collect(made, messages):
+    """
+    Feed messages, read the answer: its pieces, and the refusal or None.
+
+    """
+    for message in messages:
+        await made.take(message)
+    until = made.env.monotonic() + 5
+    head = await made.head(until)
+    if isinstance(head, Refusal):
+        return [], head
+    pieces = []
+    while True:
+        piece = await made.part(until)
+        if not isinstance(piece, bytes):
+            return pieces, piece
+        pieces.append(piece)
+
+
+def test_a_whole_answer_comes_through():
+    messages = [Head('r', 200), Part('r', 0, b'a'), Part('r', 1, b'bc'), End('r', 2, 3)]
+    assert curio.run(collect, attempt(), messages) == ([b'a', b'bc'], None)
+
+
+@pytest.mark.parametrize(
+    ('messages', 'reason'),
+    [
+        ([Head('r', 200), Part('r', 1, b'b'), End('r', 1, 1)], Reason.TRUNCATED),
+        ([Head('r', 200), Part('r', 0, b'a'), End('r', 2, 2)], Reason.TRUNCATED),
+        ([Head('r', 200), Part('r', 0, b'a'), End('r', 1, 9)], Reason.TRUNCATED),
+        ([Head('r', 200), Part('r', 0, b'a'), Lost()], Reason.CONNECTION_LOST),
+        ([Part('r', 0, b'a')], Reason.BACKEND_FAILED),
+        ([Head('r', 200), Head('r', 200)], Reason.BACKEND_FAILED),
+    ],
+)
+def test_what_is_cut_reordered_or_lost_is_never_whole(messages, reason):
+    _, refusal = curio.run(collect, attempt(), messages)
+    assert (refusal.reason, refusal.verdict) == (reason, Verdict.MAY_HAVE_RUN)
+
+
+def test_the_endpoints_own_verdict_is_passed_on():
+    end = End('r', 0, 0, Reason.EXPIRED.value, Verdict.NOT_RUN.value)
+    _, refusal = curio.run(collect, attempt(), [end])
+    assert (refusal.reason, refusal.verdict) == (Reason.EXPIRED, Verdict.NOT_RUN)
+
+
+def test_a_frozen_endpoint_is_told_to_forget_and_nothing_ran():
+    made = attempt({Reserve: PeerTimedOut('frozen')})
+    refusal = curio.run(made.reserve, call(made.env), 0.1)
+    assert refusal.verdict is Verdict.NOT_RUN
+    assert made.connection.told == [Cancel('r')]
+    assert not made.started
+
+
+def test_after_the_start_a_lost_cancel_leaves_it_unknown():
+    made = attempt({Reserve: Reserved(True), Cancel: PeerLost('gone')})
+    assert curio.run(made.reserve, call(made.env), 0.1) is None
+    assert curio.run(made.start) is None
+    assert made.connection.told == [Start('r')]
+    assert curio.run(made.cancel) is Verdict.MAY_HAVE_RUN
+
+
+def test_a_confirmed_cancel_binds_the_endpoint():
+    made = attempt({Cancel: Cancelled('r', Verdict.NOT_RUN.value)})
+    assert curio.run(made.cancel) is Verdict.NOT_RUN
+
+
+@pytest.mark.parametrize('other', ['request', 'connection'])
+def test_a_late_answer_reaches_nobody(other):
+    async def late():
+        dispatch = Dispatch(environment(), RoutingSettings(), None)
+        made = attempt()
+        dispatch.attempts['r'] = made
+        connection = made.connection if other == 'request' else FakeConnection({})
+        await dispatch.on_event(connection, Head('old' if other == 'request' else 'r', 200))
+        return made.events.empty()
+
+    assert curio.run(late)
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -10,7 +10,7 @@
 import yaml
 
 from millfork_core.status import ExitStatus
-from millfork_standins.fleet import ADMIN_PORT, CALLERS_PORT, WIRE_PORT
+from millfork_standins.layout import ADMIN_PORT, CALLERS_PORT, WIRE_PORT
 from millfork_standins.requests import fetch
 from tests.utils.fleets import complete, control, wait_until
 
--- a/tests/test_history_runs.py
+++ b/tests/test_history_runs.py
@@ -5,6 +5,7 @@
 
 import itertools
 import operator
+import uuid
 from dataclasses import replace
 
 import pytest
@@ -12,9 +13,12 @@
 from hypothesis import strategies as st
 
 from millfork_standins.deployments import LANTING
-from millfork_standins.fleet import Fleet, FleetOptions
+from millfork_standins.fleet import Fleet
 from millfork_standins.history import check
+from millfork_standins.layout import ADMIN_PORT, FleetOptions
 from millfork_standins.recorder import Recorder, Wish
+from millfork_standins.requests import fetch
+from tests.utils.fleets import wait_until
 
 SHAPE = replace(LANTING, engines=0, plain_services={})
 THREADS = 4
@@ -94,3 +98,39 @@
     assert len(accepted) > THREADS
     assert recorder.history.observations
     assert check(recorder.history) == []
+
+
+def leader_of(fleet):
+    for entry in fleet.replicas:
+        text = fetch('GET', entry.host, ADMIN_PORT, '/metrics').body.decode()
+        if 'millfork_leader 1' in text:
+            return entry
+    return None
+
+
+def zone_number(entry):
+    return int(entry.host.split('.')[2])
+
+
+def test_a_leader_that_is_cut_off_accepts_nothing(tmp_path):
+    fleet = Fleet(SHAPE, tmp_path, FleetOptions(relay=True))
+    try:
+        fleet.start()
+        fleet.apply(fleet.organisations_declaration())
+        leader = leader_of(fleet)
+        zone = zone_number(leader)
+        inside = fleet.entries.index(leader)
+        outside = [n for n, e in enumerate(fleet.entries) if zone_number(e) != zone]
+        recorder = Recorder(fleet)
+        fleet.freeze_links(*[(zone, other) for other in (1, 2, 3) if other != zone])
+        for number in range(2):
+            recorder.put(inside, f'inside-{number}', number, None)
+        wait_until(lambda: recorder.put(outside[0], uuid.uuid4().hex, 0, None))
+        for number in outside[1:]:
+            recorder.put(number, uuid.uuid4().hex, 1, None)
+        fleet.freeze_links()
+        wait_until(lambda: recorder.read(inside))
+        wait_until(lambda: recorder.read(outside[0]))
+    finally:
+        fleet.close()
+    assert check(recorder.history) == []
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,110 @@
+"""
+What operators do beside rollouts: adapters, drains, moved selectors, removal.
+
+"""
+
+import pytest
+
+from millfork_core.status import ExitStatus
+from millfork_standins.callers import Callers, Kind
+from millfork_standins.deployments import LANTING
+from millfork_standins.fleet import Fleet
+from millfork_standins.judging import judge_fleet
+from millfork_standins.layout import FleetOptions
+from millfork_standins.versions import learn_version
+from millfork_standins.weights import answer_text, weights_key
+from tests.utils.fleets import complete, control, serve_version, serving, wait_until
+
+MODEL = LANTING.model
+MIB = 1024 * 1024
+
+
+@pytest.fixture(scope='module')
+def fleet(tmp_path_factory):
+    versions = [
+        {'name': MODEL, 'version': 'v1', 'size': 2 * MIB},
+        {'name': 'quiz-style', 'version': 'a1', 'size': MIB},
+    ]
+    options = FleetOptions(versions=versions)
+    made = Fleet(LANTING, tmp_path_factory.mktemp('fleet'), options)
+    try:
+        made.start()
+        serve_version(made, 'v1')
+        yield made
+    finally:
+        made.close()
+
+
+def rollout(fleet, name):
+    rows = control(fleet, fleet.admin_token, 'GET', 'status').json()['deployments']
+    return next(row for row in rows if row['deployment'].endswith(f'/{name}'))
+
+
+def callers_token(fleet):
+    return fleet.caller_tokens[fleet.shape.organisations[0]]
+
+
+def apply(fleet, **sections):
+    return fleet.apply({'organisation': fleet.shape.organisations[0], **sections})
+
+
+def test_a_base_model_with_an_adapter_answers_by_both(fleet):
+    spec = {
+        'model': MODEL,
+        'version': 'v1',
+        'adapters': [{'name': 'quiz-style', 'version': 'a1'}],
+        'selector': {'service': 'millfork-pool'},
+    }
+    apply(fleet, deployments={'quizzes': spec})
+    wait_until(lambda: rollout(fleet, 'quizzes')['serving'] == 6)
+    answer = complete(fleet, callers_token(fleet), model='quizzes', prompt='p', max_tokens=3)
+    base = learn_version(fleet, 'v1')
+    adapter = learn_version(fleet, 'a1', 'quiz-style')
+    assert answer.headers['millfork-version'] == f'{base.id}+{adapter.id}'
+    key = weights_key([base.whole, adapter.whole])
+    assert answer.json()['choices'][0]['text'] == answer_text(key, 'p', 3)
+    fleet.operate('remove', 'quizzes', f'--organisation={fleet.shape.organisations[0]}')
+    wait_until(lambda: complete(fleet, callers_token(fleet), model='quizzes').status == 404)
+    assert complete(fleet, callers_token(fleet)).status == 200
+
+
+def test_a_drained_instance_gets_no_work_until_it_is_undone(fleet):
+    name = fleet.engines[0].name
+    assert fleet.operate('drain', name).returncode == ExitStatus.SUCCESS
+    seen = learn_version(fleet, 'v1')
+    callers = Callers(fleet, {seen.id: seen.key}, 4, (Kind.WHOLE, Kind.STREAM))
+    callers.start()
+
+    def begun():
+        return fleet.executions(name).read_text().count('"begin"')
+
+    wait_until(lambda: f'drains/{name}' in fleet.operate('get', 'drains/').stdout)
+    wait_until(lambda: len(callers.asked) > 20)
+    marks = [begun()]
+    wait_until(lambda: len(callers.asked) > 80)
+    marks.append(begun())
+    assert marks[0] == marks[1]
+    assert fleet.operate('drain', name, '--undo').returncode == ExitStatus.SUCCESS
+    wait_until(lambda: begun() > marks[1])
+    callers.stop()
+    assert judge_fleet(fleet, callers.asked).is_clean
+
+
+def test_a_selector_moves_a_deployment_under_load(fleet):
+    first, second = fleet.engines[0].name, fleet.engines[1].name
+    apply(fleet, labels={first: {'set': 'left'}, second: {'set': 'right'}})
+    spec = {'model': MODEL, 'version': 'v1', 'selector': {'set': 'left'}}
+    apply(fleet, deployments={'main': spec})
+    wait_until(lambda: serving(fleet) == 1 and rollout(fleet, 'main')['selected'] == 1)
+    seen = learn_version(fleet, 'v1')
+    callers = Callers(fleet, {seen.id: seen.key}, 4, (Kind.WHOLE, Kind.STREAM))
+    callers.start()
+    wait_until(lambda: len(callers.asked) > 20)
+    apply(fleet, deployments={'main': {**spec, 'selector': {'set': 'right'}}})
+    wait_until(lambda: [r['instance'] for r in rollout(fleet, 'main')['instances']] == [second])
+    wait_until(lambda: rollout(fleet, 'main')['serving'] == 1)
+    asked = len(callers.asked)
+    wait_until(lambda: len(callers.asked) > asked + 40)
+    callers.stop()
+    judged = judge_fleet(fleet, callers.asked)
+    assert judged.is_clean, judged
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,202 @@
+"""
+Choice of endpoint, fair queues, retries.
+
+"""
+
+import curio
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from millfork_core.ids import InstanceId, OrganisationId, ZoneId
+from millfork_core.verdicts import Reason, Refusal, Verdict
+from millfork_routing.balance import Backend, Busy, choose
+from millfork_routing.limits import FairQueue, InFlight
+from millfork_routing.retries import RetryBudget, may_retry
+
+HERE, THERE = ZoneId('here'), ZoneId('there')
+ONE, TWO = OrganisationId('one'), OrganisationId('two')
+
+
+class Clock:
+    """
+    A clock that tests move.
+
+    """
+
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+def backend(name, zone=HERE, mine=0, **fields):
+    return Backend(InstanceId(name), zone, limit=4, mine=mine, **fields)
+
+
+def pick(backends, organisation=ONE, affinity='', tried=(), now=1.0):
+    found = choose(backends, HERE, organisation, affinity, set(tried), now)
+    return found.instance if found else None
+
+
+def test_the_least_loaded_of_the_own_zone():
+    assert pick([backend('a', mine=2), backend('b', mine=1), backend('c', THERE)]) == 'b'
+
+
+def test_spills_over_before_the_own_zone_is_overfull():
+    assert pick([backend('a', mine=4), backend('c', THERE, mine=3)]) == 'c'
+
+
+def test_goes_on_at_home_when_all_are_full():
+    assert pick([backend('a', mine=4), backend('c', THERE, mine=6)]) == 'a'
+
+
+def test_never_one_that_was_tried_leaves_or_is_suspect():
+    backends = [backend('a'), backend('b', leaving=True), backend('c', suspect_until=2.0)]
+    assert pick(backends, tried=['a']) is None
+    assert pick(backends, tried=['a'], now=3.0) == 'c'
+
+
+def test_one_organisations_flood_does_not_close_an_endpoint_to_another():
+    full = backend('a')
+    full.busy[ONE] = Busy(2.0, 500)
+    assert pick([full], ONE) is None
+    assert pick([full], TWO) == 'a'
+    assert pick([full], ONE, now=3.0) == 'a'
+
+
+def test_a_lagging_report_is_corrected_by_what_was_sent_since():
+    one = backend('a', mine=2)
+    one.take_report(3, 4)
+    assert one.occupied == 3
+    one.mine = 4
+    assert one.occupied == 5
+    one.mine = 0
+    assert one.occupied == 1
+
+
+def test_prompts_alike_go_to_one_endpoint_until_it_is_loaded():
+    names = [backend(str(number)) for number in range(6)]
+    first = pick(names, affinity='org/prompt')
+    assert {pick(names, affinity='org/prompt') for _ in range(5)} == {first}
+    preferred = next(b for b in names if b.instance == first)
+    preferred.mine = 3
+    assert pick(names, affinity='org/prompt') != first
+
+
+def queue(slots=2, waiting=4, shares=None, clock=None):
+    return FairQueue(slots, waiting, lambda name: (shares or {}).get(name, 1), clock or Clock())
+
+
+async def join(line, *organisations):
+    return [await line.join(name, 1000.0) for name in organisations]
+
+
+def granted(waiters):
+    return [waiter.has_slot for waiter in waiters]
+
+
+def test_a_flood_waits_behind_itself():
+    async def run():
+        line = queue()
+        flood = await join(line, ONE, ONE, ONE, ONE, ONE)
+        (small,) = await join(line, TWO)
+        await line.leave(flood[0])
+        await line.leave(flood[1])
+        return granted(flood[2:]), small.has_slot
+
+    flood, small = curio.run(run)
+    assert small
+    assert sum(flood) == 1
+
+
+def test_shares_weigh_the_turns():
+    async def run():
+        line = queue(slots=1, waiting=100, shares={ONE: 3})
+        (running,) = await join(line, TWO)
+        ones = await join(line, *[ONE] * 9)
+        twos = await join(line, *[TWO] * 9)
+        for _ in range(8):
+            await line.leave(running)
+            running = next(w for w in ones + twos if w.has_slot)
+        return len([w for w in ones if w.granted.is_set()])
+
+    assert curio.run(run) == 6
+
+
+def test_refuses_at_once_what_would_come_too_late():
+    async def run():
+        line = queue(slots=1, waiting=100)
+        line.service_time_s = 1.0
+        await join(line, ONE, ONE, ONE)
+        return line.refuses(ONE, 10.0), line.refuses(ONE, 2.0)
+
+    patient, hasty = curio.run(run)
+    assert patient == 0
+    assert hasty == 3000
+
+
+def test_places_in_line_are_shared():
+    async def run():
+        line = queue(slots=1, waiting=4)
+        await join(line, TWO, TWO, ONE, ONE, ONE)
+        return line.refuses(ONE, 100.0), line.refuses(TWO, 100.0)
+
+    flood, small = curio.run(run)
+    assert flood > 0
+    assert small == 0
+
+
+@given(st.lists(st.tuples(st.sampled_from('abc'), st.booleans()), max_size=60))
+def test_slots_are_never_exceeded_and_never_leak(steps):
+    async def run():
+        line = queue(slots=2, waiting=100)
+        held = []
+        for name, leaves in steps:
+            if leaves and held:
+                await line.leave(held.pop(0))
+            else:
+                held.append(await line.join(OrganisationId(name), 1000.0))
+            assert line.running == sum(w.has_slot for w in held) <= 2
+            assert line.waiting == sum(not w.has_slot for w in held)
+            assert line.running == min(len(held), 2)
+        for waiter in held:
+            await line.leave(waiter)
+        return line.running, line.waiting, dict(line.queues)
+
+    assert curio.run(run) == (0, 0, {})
+
+
+def test_one_organisation_has_a_ceiling_on_an_entry():
+    count = InFlight(1)
+    assert count.begin(ONE)
+    assert not count.begin(ONE)
+    assert count.begin(TWO)
+    count.end(ONE)
+    assert count.begin(ONE)
+
+
+@pytest.mark.parametrize(
+    ('reason', 'verdict', 'repeatable', 'again'),
+    [
+        (Reason.BUSY, Verdict.NOT_RUN, False, True),
+        (Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, False, False),
+        (Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, True, True),
+        (Reason.NOT_FOUND, Verdict.NOT_RUN, True, False),
+        (Reason.TOO_LARGE, Verdict.MAY_HAVE_RUN, True, False),
+    ],
+)
+def test_retries_go_by_verdict_and_reason(reason, verdict, repeatable, again):
+    assert may_retry(Refusal(reason, verdict), repeatable) is again
+
+
+def test_the_retry_budget_is_a_floor_and_a_share_of_requests():
+    clock = Clock()
+    budget = RetryBudget(0.1, 2, clock)
+    for _ in range(30):
+        budget.note_request(ONE, 'service')
+    assert [budget.spend(ONE, 'service') for _ in range(6)] == [True] * 5 + [False]
+    assert budget.spend(TWO, 'service')
+    clock.now += 11
+    assert budget.spend(ONE, 'service')
--- a/tests/utils/fleets.py
+++ b/tests/utils/fleets.py
@@ -6,7 +6,8 @@
 import json
 import time
 
-from millfork_standins.fleet import CALLERS_PORT, Fleet
+from millfork_standins.fleet import Fleet
+from millfork_standins.layout import CALLERS_PORT
 from millfork_standins.requests import Answer, fetch
 
 BOUND_S = 30.0
