One place for which instances a deployment selects; dead names removed

Cause: the selection stood twice, in the entry's book and the endpoint's rollout, and could have drifted apart; a read for unused names found fields and constants left from the first draft.

Change: millfork_state/selection.py serves both; unused message fields, reasons and constants are gone.

Conclusion: the wire schema is smaller before anyone depends on it.

--- a/packages/millfork-core/millfork_core/ids.py
+++ b/packages/millfork-core/millfork_core/ids.py
@@ -7,11 +7,9 @@
 
 InstanceId = NewType('InstanceId', str)
 ZoneId = NewType('ZoneId', str)
-RegionId = NewType('RegionId', str)
 OrganisationId = NewType('OrganisationId', str)
 ServiceName = NewType('ServiceName', str)
 RequestId = NewType('RequestId', str)
-CommandId = NewType('CommandId', str)
 ClusterId = NewType('ClusterId', str)
 DiskId = NewType('DiskId', str)
 Digest = NewType('Digest', str)
@@ -21,4 +19,3 @@
 FencingNumber = NewType('FencingNumber', int)
 
 NO_INSTANCE = InstanceId('')
-NO_REVISION = Revision(0)
--- a/packages/millfork-core/millfork_core/verdicts.py
+++ b/packages/millfork-core/millfork_core/verdicts.py
@@ -42,7 +42,6 @@
     CONNECTION_LOST = 'connection_lost'
     BACKEND_FAILED = 'backend_failed'
     TRUNCATED = 'truncated'
-    CANCELLED = 'cancelled'
     EXPIRED = 'expired'
     RETRY_BUDGET = 'retry_budget'
     KEY_IN_PROGRESS = 'key_in_progress'
--- a/packages/millfork-state/millfork_state/roster.py
+++ b/packages/millfork-state/millfork_state/roster.py
@@ -3,8 +3,7 @@
 
 """
 
-from dataclasses import replace
-from typing import Any, Final
+from typing import Final
 
 import curio
 import msgspec
@@ -91,15 +90,6 @@
             self.instances.pop(InstanceId(name), None)
         self.version = delta.version
 
-    def mark_leaving(self, instance: InstanceId) -> None:
-        """
-        Take other evidence that an instance leaves.
-
-        """
-        facts = self.instances.get(instance)
-        if facts is not None and not facts.leaving:
-            self.instances[instance] = replace(facts, leaving=True)
-
     def address(self, instance: InstanceId) -> PeerAddress | None:
         facts = self.instances.get(instance)
         return None if facts is None else PeerAddress(facts.instance, facts.host, facts.port)
@@ -118,7 +108,3 @@
 
     def endpoints(self) -> list[InstanceFacts]:
         return [facts for facts in self.instances.values() if facts.role == ENDPOINT_ROLE]
-
-
-def facts_of(value: Any) -> InstanceFacts:
-    return msgspec.convert(value, InstanceFacts)
--- /dev/null
+++ b/packages/millfork-state/millfork_state/selection.py
@@ -0,0 +1,40 @@
+"""
+Which instances a deployment selects.
+
+"""
+
+from millfork_state.config import DEPLOYMENTS, LABELS, Deployment, InstanceFacts, decode, matches
+from millfork_state.roster import Roster
+from millfork_state.view import View
+
+
+def deployments(view: View) -> dict[str, Deployment]:
+    """
+    The deployments in force, by `ORG/NAME`.
+
+    """
+    return {
+        key.removeprefix(DEPLOYMENTS): decode(value, Deployment)
+        for key, value in view.prefixed(DEPLOYMENTS).items()
+    }
+
+
+def selects(view: View, name: str, deployment: Deployment, facts: InstanceFacts) -> bool:
+    """
+    Whether the deployment selects an instance, by the platform's facts and
+    the labels that the deployment's own organisation attached.
+
+    """
+    organisation = name.split('/', 1)[0]
+    held = view.items.get(f'{LABELS}{organisation}/{facts.instance}')
+    attached = decode(held.value, dict[str, str]) if held else {}
+    return matches(deployment.selector, {**attached, **facts.facts()})
+
+
+def selected(view: View, roster: Roster, name: str, deployment: Deployment) -> list[InstanceFacts]:
+    """
+    The endpoints that a deployment selects, by id.
+
+    """
+    found = [facts for facts in roster.endpoints() if selects(view, name, deployment, facts)]
+    return sorted(found, key=lambda facts: facts.instance)
--- a/packages/millfork-weights/millfork_weights/manifest.py
+++ b/packages/millfork-weights/millfork_weights/manifest.py
@@ -6,15 +6,11 @@
 
 """
 
-from typing import Final
-
 import blake3
 import msgspec
 
 from millfork_core.ids import Digest
 
-MAX_MANIFEST_BYTES: Final = 16 * 1024 * 1024
-
 
 class BadManifest(Exception):
     """
--- a/packages/millfork-wire/millfork_wire/messages.py
+++ b/packages/millfork-wire/millfork_wire/messages.py
@@ -162,7 +162,6 @@
 class Subscribe(Message):
     cluster: str = ''
     revision: int = 0
-    roster_epoch: str = ''
 
 
 @dataclass(slots=True)
@@ -173,9 +172,7 @@
     full: bool = False
     items: list[Item] = field(default_factory=list)
     removed: list[str] = field(default_factory=list)
-    roster: bytes = b''
     age_ms: int = 0
-    term: int = 0
 
 
 @dataclass(slots=True)
@@ -231,8 +228,6 @@
     detail: str = ''
     retry_after_ms: int = 0
     version: str = ''
-    running: int = 0
-    queued: int = 0
 
 
 @dataclass(slots=True)
@@ -293,7 +288,6 @@
     limit: int = 0
     leaving: bool = False
     served: list[ServedVersion] = field(default_factory=list)
-    sequence: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -72,10 +72,10 @@
 struct StateView { ok @0 :Bool; body @1 :Data; leader @2 :Text; }
 
 struct Item { key @0 :Text; value @1 :Data; revision @2 :UInt64; }
-struct Subscribe { cluster @0 :Text; revision @1 :UInt64; rosterEpoch @2 :Text; }
+struct Subscribe { cluster @0 :Text; revision @1 :UInt64; }
 struct Update {
   cluster @0 :Text; fromRevision @1 :UInt64; revision @2 :UInt64; full @3 :Bool;
-  items @4 :List(Item); removed @5 :List(Text); roster @6 :Data; ageMs @7 :UInt32; term @8 :UInt64;
+  items @4 :List(Item); removed @5 :List(Text); ageMs @6 :UInt32;
 }
 struct AskRevision {}
 struct RevisionIs { cluster @0 :Text; revision @1 :UInt64; }
@@ -87,7 +87,7 @@
   requestId @0 :Text; organisation @1 :Text; service @2 :Text; deadlineMs @3 :UInt32; priority @4 :UInt8;
   method @5 :Text; path @6 :Text; headers @7 :List(Header); body @8 :Data; key @9 :Text; attempt @10 :Text;
 }
-struct Reserved { ok @0 :Bool; reason @1 :Text; detail @2 :Text; retryAfterMs @3 :UInt32; version @4 :Text; running @5 :UInt32; queued @6 :UInt32; }
+struct Reserved { ok @0 :Bool; reason @1 :Text; detail @2 :Text; retryAfterMs @3 :UInt32; version @4 :Text; }
 struct Start { requestId @0 :Text; }
 struct Head { requestId @0 :Text; status @1 :UInt16; headers @2 :List(Header); }
 struct Part { requestId @0 :Text; sequence @1 :UInt32; data @2 :Data; }
@@ -96,7 +96,7 @@
 struct Cancelled { requestId @0 :Text; verdict @1 :Text; }
 struct Leaving { instance @0 :Text; }
 struct ServedVersion { service @0 :Text; version @1 :Text; }
-struct Load { running @0 :UInt32; queued @1 :UInt32; limit @2 :UInt32; leaving @3 :Bool; served @4 :List(ServedVersion); sequence @5 :UInt64; }
+struct Load { running @0 :UInt32; queued @1 :UInt32; limit @2 :UInt32; leaving @3 :Bool; served @4 :List(ServedVersion); }
 
 struct GetManifest { digest @0 :Text; }
 struct Manifest { found @0 :Bool; body @1 :Data; whole @2 :Bool; }
--- a/packages/millforkd/millforkd/endpoint/door.py
+++ b/packages/millforkd/millforkd/endpoint/door.py
@@ -75,7 +75,6 @@
         self.leaving = False
         self.entries: dict[str, Connection] = {}
         self.load_changed = curio.Event()
-        self.load_sequence = 0
         if not self.is_engine:
             self.served = {settings.service: PLAIN_VERSION}
 
@@ -326,7 +325,6 @@
     # Load reports.
 
     def load(self) -> Load:
-        self.load_sequence += 1
         served = [ServedVersion(name, version) for name, version in self.served.items()]
         return Load(
             self.queue.running,
@@ -334,7 +332,6 @@
             self.queue.slots,
             self.leaving,
             served,
-            self.load_sequence,
         )
 
     async def on_load_asked(self, connection: Connection) -> Load:
--- a/packages/millforkd/millforkd/endpoint/rollout.py
+++ b/packages/millforkd/millforkd/endpoint/rollout.py
@@ -11,16 +11,9 @@
 from millfork_core.ids import Digest
 from millfork_core.logs import Part, logger
 from millfork_settings.models import Settings
-from millfork_state.config import (
-    DEPLOYMENTS,
-    LABELS,
-    Deployment,
-    InstanceFacts,
-    WeightPart,
-    decode,
-    matches,
-)
+from millfork_state.config import Deployment, WeightPart
 from millfork_state.roster import Roster
+from millfork_state.selection import deployments, selected, selects
 from millfork_state.view import View
 from millfork_weights.links import Link
 from millfork_weights.origin import Origin
@@ -122,19 +115,11 @@
         if facts is None or basis == self.basis:
             return self.wanted
         self.basis = basis
-        found = {}
-        for key, value in self.view.prefixed(DEPLOYMENTS).items():
-            deployment = decode(value, Deployment)
-            name = key.removeprefix(DEPLOYMENTS)
-            if self._selects(name, deployment, facts):
-                found[name] = deployment
-        return found
-
-    def _selects(self, name: str, deployment: Deployment, facts: InstanceFacts) -> bool:
-        organisation = name.split('/', 1)[0]
-        held = self.view.items.get(f'{LABELS}{organisation}/{facts.instance}')
-        attached = decode(held.value, dict[str, str]) if held else {}
-        return matches(deployment.selector, {**attached, **facts.facts()})
+        return {
+            name: deployment
+            for name, deployment in deployments(self.view).items()
+            if selects(self.view, name, deployment, facts)
+        }
 
     def _holders(self, part: WeightPart) -> list[Holder]:
         """
@@ -142,14 +127,11 @@
 
         """
         found: dict[str, Holder] = {}
-        for key, value in self.view.prefixed(DEPLOYMENTS).items():
-            deployment = decode(value, Deployment)
+        for name, deployment in deployments(self.view).items():
             if part.manifest not in {other.manifest for other in deployment.parts}:
                 continue
-            name = key.removeprefix(DEPLOYMENTS)
-            for facts in self.roster.endpoints():
-                if self._selects(name, deployment, facts):
-                    found[facts.instance] = Holder(facts.instance, facts.zone)
+            for facts in selected(self.view, self.roster, name, deployment):
+                found[facts.instance] = Holder(facts.instance, facts.zone)
         return list(found.values())
 
     # Transfers.
--- a/packages/millforkd/millforkd/entry/book.py
+++ b/packages/millforkd/millforkd/entry/book.py
@@ -12,8 +12,9 @@
 from millfork_core.logs import Part, logger
 from millfork_core.ranks import rank
 from millfork_routing.balance import Backend
-from millfork_state.config import DEPLOYMENTS, LABELS, Deployment, InstanceFacts, decode, matches
+from millfork_state.config import InstanceFacts
 from millfork_state.roster import Roster
+from millfork_state.selection import deployments, selected
 from millfork_state.view import View
 from millfork_wire.connection import Connection, PeerError, PeerLost
 from millfork_wire.messages import Leaving, Load
@@ -25,30 +26,6 @@
 log = logger(Part.ENTRY)
 
 
-def labels_of(view: View, facts: InstanceFacts, organisation: str) -> dict[str, str]:
-    """
-    An instance's labels as one organisation sees them: the platform's facts
-    and the labels that this organisation attached.
-
-    """
-    held = view.items.get(f'{LABELS}{organisation}/{facts.instance}')
-    attached = decode(held.value, dict[str, str]) if held else {}
-    return {**attached, **facts.facts()}
-
-
-def selected(view: View, roster: Roster, key: str, deployment: Deployment) -> list[InstanceFacts]:
-    """
-    The endpoints that a deployment (at `key`) selects, by id.
-
-    """
-    organisation = key.removeprefix(DEPLOYMENTS).split('/', 1)[0]
-    found = []
-    for facts in roster.endpoints():
-        if matches(deployment.selector, labels_of(view, facts, organisation)):
-            found.append(facts)
-    return sorted(found, key=lambda facts: facts.instance)
-
-
 class EndpointBook:
     """
     Connections to a subset of endpoints and what each reported last.
@@ -113,8 +90,8 @@
 
     def _choose_wanted(self) -> list[InstanceFacts]:
         groups: list[list[InstanceFacts]] = []
-        for key, value in self.view.prefixed(DEPLOYMENTS).items():
-            groups.append(selected(self.view, self.roster, key, decode(value, Deployment)))
+        for name, deployment in deployments(self.view).items():
+            groups.append(selected(self.view, self.roster, name, deployment))
         services: dict[str, list[InstanceFacts]] = {}
         for facts in self.roster.endpoints():
             services.setdefault(facts.service, []).append(facts)
--- a/packages/millforkd/millforkd/entry/operators.py
+++ b/packages/millforkd/millforkd/entry/operators.py
@@ -23,13 +23,13 @@
     Deployment,
     Organisation,
     WeightPart,
-    decode,
     encode,
 )
 from millfork_state.node import decode_apply_result
 from millfork_state.proposals import Proposals
 from millfork_state.reports import Reports
 from millfork_state.roster import Roster
+from millfork_state.selection import deployments, selected
 from millfork_state.view import View
 from millfork_web.models import Response, json_response
 from millfork_web.problem import problem
@@ -39,7 +39,6 @@
 from millfork_wire.messages import Report
 from millforkd.endpoint.report import EndpointReport
 from millforkd.entry.access import Access, Operator
-from millforkd.entry.book import selected
 
 PREFIX: Final = '/control/v1/'
 PART: Final = 'control'
@@ -202,22 +201,21 @@
             reports = {str(name): known.report for name, known in self.reports.known.items()}
             partial = True
         rows = []
-        for key, value in self.view.prefixed(DEPLOYMENTS).items():
-            if self._may_see(operator, key):
-                rows.append(self._rollout(key, decode(value, Deployment), reports))
+        for name, deployment in deployments(self.view).items():
+            if self._may_see(operator, DEPLOYMENTS + name):
+                rows.append(self._rollout(name, deployment, reports))
         return json_response(
             {'revision': self.view.revision, 'partial': partial, 'deployments': rows}
         )
 
     def _rollout(
-        self, key: str, deployment: Deployment, reports: Mapping[str, Report]
+        self, name: str, deployment: Deployment, reports: Mapping[str, Report]
     ) -> dict[str, Any]:
         """
         One deployment's rollout, as far as reports tell.
 
         """
-        name = key.removeprefix(DEPLOYMENTS)
-        chosen = [f for f in selected(self.view, self.roster, key, deployment) if not f.leaving]
+        chosen = [f for f in selected(self.view, self.roster, name, deployment) if not f.leaving]
         instances = []
         for facts in chosen:
             report = EndpointReport.of(reports.get(facts.instance))
