No acknowledgement before the sync, no update lost for good

Cause: a sync cut short by a step-down left entries in the log file and in memory that were not durable; the next leader's append found them present and acknowledged them without a sync. Found by reading. Change: the storage knows its last durable index; an append syncs whatever is not, and a leader counts itself by it.

Cause: an update event can overtake the reply to Subscribe, was dropped as 'not from the upstream', and all later deltas then started beyond the view: the daemon stayed without configuration. Ruled out: the upstream, which fed its other subscribers. Change: the upstream is set before the call, and a delta with a gap makes the daemon subscribe again.

--- a/packages/millfork-state/millfork_state/leadership.py
+++ b/packages/millfork-state/millfork_state/leadership.py
@@ -46,7 +46,6 @@
     def __init__(self, replica: Replica) -> None:
         self.replica = replica
         self.term = replica.term
-        self.synced = replica.storage.last_index
         self.noop_index = replica.storage.last_index + 1
         self.progress = [
             Progress(address, replica.storage.last_index + 1, acked_at=replica.env.monotonic())
@@ -113,7 +112,6 @@
             await replica.write(entries)
             await self._wake_all()
             await replica.storage.sync()
-            self.synced = replica.storage.last_index
             await self._advance()
         await replica.snapshot_if_due()
 
@@ -138,7 +136,7 @@
 
     def _match(self, instance: str, disk: str) -> int:
         if instance == self.replica.env.instance:
-            return self.synced if disk == self.replica.storage.disk else 0
+            return self.replica.storage.durable if disk == self.replica.storage.disk else 0
         for progress in self.progress:
             if progress.address.instance == instance and progress.disk == disk:
                 return progress.match
--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -323,12 +323,13 @@
     async def _take_entries(self, entries: list[Entry]) -> None:
         new = [item for item in entries if self.storage.term_at(item.index) != item.term]
         new = [item for item in new if item.index > self.storage.first_index]
-        if not new:
-            return
-        first = new[0].index
-        rest = [item for item in entries if item.index >= first]
-        await self.write([LogEntry(item.term, item.index, item.payload) for item in rest])
-        await self.storage.sync()
+        if new:
+            first = new[0].index
+            rest = [item for item in entries if item.index >= first]
+            await self.write([LogEntry(item.term, item.index, item.payload) for item in rest])
+        # Entries may be here without being durable: a sync was cut short.
+        if entries and self.storage.durable < entries[-1].index:
+            await self.storage.sync()
 
     async def on_install(self, request: InstallRequest) -> AppendReply:
         """
--- a/packages/millfork-state/millfork_state/storage.py
+++ b/packages/millfork-state/millfork_state/storage.py
@@ -196,6 +196,8 @@
         self.entries: list[LogEntry] = []
         self.torn_bytes = 0
         self.commit_hint = self._load_log()
+        # The last index known durable; what is in memory may be ahead of it.
+        self.durable = int(self.last_index)
         self.file = self.log_path.open('ab')
 
     @property
@@ -285,6 +287,8 @@
         self.file.flush()
         for entry in entries:
             _put(self.entries, entry)
+        if entries:
+            self.durable = min(self.durable, entries[0].index - 1)
 
     def write_commit(self, index: int) -> None:
         """
@@ -299,7 +303,9 @@
         Make all written entries durable.
 
         """
+        written = int(self.last_index)
         await curio.run_in_thread(os.fdatasync, self.file.fileno())
+        self.durable = written
 
     async def save_snapshot(self, snapshot: Snapshot) -> None:
         """
@@ -313,6 +319,7 @@
         self.snapshot = snapshot
         self.entries = kept
         await self._rewrite_log(kept, snapshot.index)
+        self.durable = int(self.last_index)
 
     async def _rewrite_log(self, entries: list[LogEntry], commit: int) -> None:
         records = [frame_record(msgspec.msgpack.encode(_EntryRecord(entry))) for entry in entries]
--- a/packages/millfork-state/millfork_state/subscription.py
+++ b/packages/millfork-state/millfork_state/subscription.py
@@ -55,6 +55,7 @@
         self.heard_at = 0.0
         self.heard_age_ms = 0
         self.floor = 0
+        self.gap = False
         # Set on a replica: it learns configuration from its log alone, and
         # follows the leader only to report.
         self.replica: Replica | None = None
@@ -114,15 +115,19 @@
         return found
 
     async def _follow_one(self, address: PeerAddress) -> bool:
-        request = Subscribe(self.view.cluster, self.view.revision)
+        # Set first: updates may overtake the reply.
+        self.upstream = address.instance
+        self.gap = False
         try:
             connection = await self.peers.connect(address)
+            request = Subscribe(self.view.cluster, self.view.revision)
             reply = await connection.call(request, SUBSCRIBE_TIMEOUT_S)
         except PeerError:
+            self.upstream = None
             return False
         if not isinstance(reply, Update):
+            self.upstream = None
             return False
-        self.upstream = address.instance
         await self.on_update(connection, reply)
         log.info('Following {} at revision {}.', address.instance, self.view.revision)
         await self._stay(connection)
@@ -151,6 +156,9 @@
                 pass
             if self.replica is not None and self.replica.leader != self.upstream:
                 return
+            if self.gap:
+                self.env.metrics.count(self.env.metrics.state, event='update_gap')
+                return
             if self.env.monotonic() - self.heard_at > SILENT_AFTER_S:
                 self.env.metrics.count(self.env.metrics.state, event='upstream_silent')
                 return
@@ -176,6 +184,10 @@
             return
         if not self.view.take(update):
             self.env.metrics.count(self.env.metrics.state, event='update_not_newer')
+            # One that starts beyond this view: some were lost on the way.
+            self.gap = not self.view.cluster or update.from_revision > self.view.revision
+            if self.gap:
+                await self.reports.changed.set()
             return
         self.env.metrics.revision.set({}, self.view.revision)
         await self.view.announce()
--- /dev/null
+++ b/tests/test_subscription.py
@@ -0,0 +1,184 @@
+"""
+Taking configuration from an upstream: forwards only, and never with a gap.
+
+"""
+
+import curio
+import pytest
+
+from millfork_core.environment import Environment
+from millfork_core.ids import ClusterId, InstanceId, Revision, ZoneId
+from millfork_state.config import InstanceFacts
+from millfork_state.reports import Reports
+from millfork_state.roster import PlatformDelta, Roster
+from millfork_state.subscription import Subscription
+from millfork_state.upstream import FANOUT, ancestors, candidates, zone_order
+from millfork_state.view import Held, View
+from millfork_wire.messages import Item, Report, Subscribe, Update
+from millfork_wire.peers import PeerAddress
+
+CLUSTER = ClusterId('cluster')
+REPLICA = PeerAddress(InstanceId('r'), '127.0.0.1', 1)
+
+
+def full(revision, **values):
+    items = [Item(key, value, revision) for key, value in values.items()]
+    return Update(CLUSTER, 0, revision, True, items)
+
+
+def delta(before, revision, **values):
+    items = [Item(key, value, revision) for key, value in values.items()]
+    return Update(CLUSTER, before, revision, False, items)
+
+
+class Upstream:
+    """
+    A connection to an upstream that answers with the next of its replies,
+    and sends events before the reply is seen.
+
+    """
+
+    peer = InstanceId('r')
+
+    def __init__(self, replies, early=()):
+        self.replies = list(replies)
+        self.early = list(early)
+        self.asked = []
+        self.closed = False
+
+    async def call(self, request, timeout):
+        self.asked.append(request)
+        for event in self.early:
+            await self.subscription.on_update(self, event)
+        self.early = []
+        return self.replies.pop(0)
+
+    async def notify(self, message):
+        self.closed = not self.replies
+
+
+class FakePeers:
+    """
+    Reaches one upstream.
+
+    """
+
+    def __init__(self, connection):
+        self.connection = connection
+
+    async def connect(self, address):
+        return self.connection
+
+
+def subscription(connection):
+    env = Environment(InstanceId('me'), ZoneId('zone'))
+    roster = Roster(env, ('127.0.0.1', 1), '127.0.0.1')
+    made = Subscription(env, View(), roster, FakePeers(connection), [REPLICA], Reports())
+    connection.subscription = made
+    return made
+
+
+def test_an_update_that_overtakes_the_first_reply_is_taken():
+    connection = Upstream([Update('', 0, 0, True)], early=[full(3, a=b'1')])
+    made = subscription(connection)
+    curio.run(made._follow_one, REPLICA)
+    assert made.view.mark == (CLUSTER, 3)
+
+
+def test_an_update_with_a_gap_makes_it_subscribe_again():
+    connection = Upstream([full(2, a=b'1'), full(9, a=b'9')])
+    made = subscription(connection)
+
+    async def run():
+        task = await curio.spawn(made._follow_one, REPLICA)
+        while made.view.revision != 2:
+            await curio.sleep(0)
+        await made.on_update(connection, delta(7, 9, a=b'9'))
+        async with curio.timeout_after(5):
+            await task.join()
+        return await made._follow_one(REPLICA)
+
+    curio.run(run)
+    assert connection.asked == [Subscribe('', 0), Subscribe(CLUSTER, 2)]
+    assert made.view.revision == 9
+
+
+@pytest.mark.parametrize(
+    'update', [full(1, a=b'old'), delta(0, 1, a=b'old'), Update('foreign', 0, 9, True)]
+)
+def test_it_never_goes_back_nor_to_another_state(update):
+    view = View()
+    assert view.take(full(2, a=b'1'))
+    assert not view.take(update)
+    assert view.items['a'].value == b'1'
+
+
+def test_a_delta_brings_what_changed_and_what_was_removed():
+    upstream, view = View(), View()
+    upstream.replace(CLUSTER, Revision(1), {'a': Held(b'1', Revision(1))})
+    view.take(upstream.update_since('', 0))
+    upstream.change(Revision(2), {'b': Held(b'2', Revision(2))}, ['a'])
+    update = upstream.update_since(CLUSTER, 1)
+    assert (update.full, [item.key for item in update.items], update.removed) == (
+        False,
+        ['b'],
+        ['a'],
+    )
+    assert view.take(update)
+    assert view.items == upstream.items
+
+
+def test_a_subscriber_from_before_the_history_gets_everything():
+    upstream = View()
+    upstream.replace(CLUSTER, Revision(5), {'a': Held(b'1', Revision(1))})
+    upstream.change(Revision(6), {'a': Held(b'2', Revision(6))}, [])
+    assert not upstream.update_since(CLUSTER, 5).full
+    assert upstream.update_since(CLUSTER, 4).full
+
+
+def roster_of(count, zone='zone'):
+    roster = Roster(Environment(InstanceId('me'), ZoneId(zone)), ('127.0.0.1', 1), '127.0.0.1')
+    instances = [
+        InstanceFacts(
+            InstanceId(f'i{n}'),
+            '127.0.0.1',
+            n,
+            ZoneId(zone),
+            'x',
+            'entry' if n < 5 else 'endpoint',
+            's',
+        )
+        for n in range(count)
+    ]
+    roster.take(PlatformDelta(1, True, instances, []))
+    return roster
+
+
+def test_no_load_in_the_tree_grows_with_the_zone():
+    order = zone_order(roster_of(300), ZoneId('zone'), {InstanceId('i0')})
+    assert order[0] == 'i0'
+    children = {}
+    for name in order[1:]:
+        parent = ancestors(order, name)[0]
+        assert order.index(parent) < order.index(name)
+        children[parent] = children.get(parent, 0) + 1
+    assert max(children.values()) == FANOUT
+    assert max(len(ancestors(order, name)) for name in order) == 3
+
+
+def test_an_instance_unknown_to_the_list_still_finds_someone():
+    found = candidates(roster_of(20), [REPLICA], InstanceId('new'), ZoneId('zone'))
+    assert REPLICA in found
+
+
+def test_reports_go_up_once_and_the_newest_stands():
+    async def run():
+        reports = Reports()
+        await reports.take([Report('e', 1, 1, b'a'), Report('e', 1, 3, b'c')])
+        await reports.take([Report('e', 1, 2, b'b')])
+        seen = reports.arrivals
+        await reports.take([Report('f', 1, 1, b'x')])
+        await reports.take([Report('e', 2, 1, b'again')])
+        return [report.body for report in reports.since(seen)]
+
+    assert sorted(curio.run(run)) == [b'again', b'x']
