--- a/Makefile
+++ b/Makefile
@@ -50,3 +50,7 @@
 .PHONY: fail-first
 fail-first: $(STAMP)  ## Show that each proof fails without its mechanism
 	$(BIN)/python -m tests.fail_first
+
+.PHONY: plots
+plots: $(STAMP)  ## Draw the bench's files as PNG
+	$(BIN)/python -m millfork_standins.bench.plots
--- a/packages/millfork-standins/millfork_standins/bench/limits.py
+++ b/packages/millfork-standins/millfork_standins/bench/limits.py
@@ -24,8 +24,8 @@
 
 SERVICE: Final = 'millfork-drafts'
 ENDPOINTS: Final = 3
-SLOTS: Final = 4
-ANSWER_MS: Final = 100
+SLOTS: Final = 8
+ANSWER_MS: Final = 200
 CAPACITY: Final = ENDPOINTS * SLOTS * 1000 / ANSWER_MS
 SECONDS: Final = 6.0
 LARGE, SMALL = LANTING.organisations
@@ -34,7 +34,7 @@
 def _fleet(folder: Path) -> Fleet:
     shape = replace(LANTING, engines=0, entries=3, plain_services={SERVICE: ENDPOINTS}, number=160)
     options = FleetOptions(log_level='WARNING', service={'answer_ms': ANSWER_MS})
-    options.backend = {'slots': SLOTS, 'queue': 32}
+    options.backend = {'slots': SLOTS, 'queue': 64}
     return Fleet(shape, folder, options)
 
 
--- /dev/null
+++ b/packages/millfork-standins/millfork_standins/bench/plots.py
@@ -0,0 +1,60 @@
+"""
+Draws the bench's files as PNG: `python -m millfork_standins.bench.plots`.
+
+"""
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import matplotlib as mpl
+
+mpl.use('Agg')
+
+from matplotlib import pyplot
+
+from millfork_core.status import ExitStatus
+from millfork_standins.bench.rows import BUILD
+
+
+def draw(path: Path) -> Path:
+    """
+    One picture for an experiment: a panel for each metric, a bar for each
+    case, a whisker from the least to the most.
+
+    """
+    rows: list[dict[str, Any]] = json.loads(path.read_text())['rows']
+    metrics = list(dict.fromkeys(row['metric'] for row in rows))
+    tallest = max(sum(row['metric'] == metric for row in rows) for metric in metrics)
+    figure, panels = pyplot.subplots(
+        len(metrics), 1, figsize=(9, len(metrics) * (1 + 0.25 * tallest)), squeeze=False
+    )
+    for panel, metric in zip(panels[:, 0], metrics, strict=True):
+        chosen = [row for row in rows if row['metric'] == metric]
+        values = [row['value'] for row in chosen]
+        below = [row['value'] - row['least'] for row in chosen]
+        above = [row['most'] - row['value'] for row in chosen]
+        panel.barh([row['case'] for row in chosen], values, xerr=[below, above], capsize=2)
+        panel.invert_yaxis()
+        panel.set_title(f'{path.stem}: {metric} ({chosen[0]["unit"]})', fontsize=9)
+        panel.tick_params(labelsize=7)
+    figure.tight_layout()
+    target = path.with_suffix('.png')
+    figure.savefig(target, dpi=90)
+    pyplot.close(figure)
+    return target
+
+
+def main() -> int:
+    paths = sorted(BUILD.glob('*.json'))
+    if not paths:
+        print(f'no files in {BUILD}; run the bench first', file=sys.stderr)
+        return ExitStatus.ERROR
+    for path in paths:
+        print(draw(path))
+    return ExitStatus.SUCCESS
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/packages/millforkd/millforkd/entry/dispatch.py
+++ b/packages/millforkd/millforkd/entry/dispatch.py
@@ -4,6 +4,7 @@
 """
 
 import itertools
+from dataclasses import replace
 from typing import Final
 
 from millfork_core.environment import Environment
@@ -76,7 +77,7 @@
                 refusal = last or self._no_endpoint(call)
                 break
             if last is not None and not self._may_spend(call, last):
-                refusal = Refusal(Reason.RETRY_BUDGET, last.verdict, last.detail)
+                refusal = replace(last, reason=Reason.RETRY_BUDGET)
                 break
             refusal_or_none = await self._attempt(call, backend, delivery)
             if refusal_or_none is None:
@@ -90,9 +91,7 @@
             if self.env.monotonic() >= call.deadline:
                 break
         if may_have_run and refusal.verdict is Verdict.NOT_RUN:
-            return Refusal(
-                refusal.reason, Verdict.MAY_HAVE_RUN, refusal.detail, refusal.retry_after_ms
-            )
+            return replace(refusal, verdict=Verdict.MAY_HAVE_RUN)
         return refusal
 
     def _choose(self, call: Call, tried: set[InstanceId]) -> Backend | None:
--- /dev/null
+++ b/tests/test_stops.py
@@ -0,0 +1,61 @@
+"""
+Planned stops: the deadline and the second signal are choices of their own.
+
+"""
+
+import threading
+
+import pytest
+
+from millfork_core.status import ExitStatus
+from millfork_standins.deployments import LANTING
+from millfork_standins.fleet import Fleet
+from millfork_standins.layout import FleetOptions
+from tests.utils.fleets import call_service, wait_until
+
+LONG_MS = 60_000
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    shape = LANTING
+    options = FleetOptions(service={'answer_ms': LONG_MS}, routing={'drain_ms': 1500})
+    made = Fleet(shape, tmp_path, options)
+    made.start()
+    made.apply(made.organisations_declaration())
+    yield made
+    made.close()
+
+
+def begin_long_call(fleet, entry):
+    """
+    Ask for something that takes longer than any drain.
+
+    """
+    token = fleet.caller_tokens[fleet.shape.organisations[0]]
+
+    def ask():
+        try:
+            call_service(fleet, token, 'GET', 'billing-misc/x', fleet.entries.index(entry))
+        except OSError:
+            return
+
+    threading.Thread(target=ask, daemon=True).start()
+    log = fleet.executions('billing-misc-1')
+    wait_until(lambda: log.exists() and 'begin' in log.read_text())
+
+
+@pytest.mark.parametrize(
+    ('signals', 'word'),
+    [(1, 'Drain deadline: 1 requests are cut off'), (2, 'Second signal: 1 requests are cut off')],
+)
+def test_what_ends_a_drain_early_is_said(fleet, signals, word):
+    entry = fleet.entries[0]
+    begin_long_call(fleet, entry)
+    process = fleet.processes.pop(entry.name)
+    process.terminate()
+    wait_until(lambda: 'Stopping; requests in progress go on' in fleet.tail(entry.name))
+    if signals == 2:
+        process.terminate()
+    assert process.wait(30) == ExitStatus.SUCCESS
+    assert word in fleet.tail(entry.name)
