The door, the weights and the floor, each with proofs that fail first

Cause: four mechanisms were masked by others in the scenarios, so that taking them out went unnoticed: the version named by an answer, the pinned manifest, the zone's revision before serving, and (new) the sync before acknowledging.

Change: focused tests on small fakes at the interfaces (the endpoint's door, the store, the subscription), and four more mechanisms in tests/fail_first.py.

--- a/packages/millfork-standins/millfork_standins/fleet.py
+++ b/packages/millfork-standins/millfork_standins/fleet.py
@@ -127,9 +127,13 @@
         }
         fetch_json('PUT', self.platform['host'], STANDIN_PORT, '/instances', facts)
 
-    def unlist_instance(self, instance: Instance) -> None:
-        path = f'/instances/{instance.name}'
-        fetch_json('DELETE', self.platform['host'], STANDIN_PORT, path)
+    def deafen(self, instance: Instance) -> None:
+        """
+        Let an instance hear of no change of the platform's list any more.
+
+        """
+        host = {'host': instance.host}
+        fetch_json('POST', self.platform['host'], STANDIN_PORT, '/deaf', host)
 
     def start(self, backends: bool = True, timeout: float = 30.0) -> None:
         """
--- a/packages/millfork-standins/millfork_standins/platform.py
+++ b/packages/millfork-standins/millfork_standins/platform.py
@@ -14,7 +14,8 @@
 class Platform:
     """
     One list process. `PUT /instances` sets an instance, `DELETE` removes
-    one; what readers see is `lag_ms` old.
+    one; what readers see is `lag_ms` old. `POST /deaf` with a `host` lets
+    that reader see no change from now on.
 
     """
 
@@ -23,6 +24,7 @@
         self.version = 0
         self.instances: dict[str, dict[str, Any]] = {}
         self.changed: dict[str, tuple[int, float]] = {}
+        self.deaf: dict[str, int] = {}
         self.server = Server(*settings.listen.pair, self.answer)
 
     async def run(self) -> None:
@@ -34,11 +36,15 @@
             self._set(request.json())
         if request.method == 'DELETE':
             self._remove(request.path.rsplit('/', 1)[1])
+        if request.method == 'POST':
+            self.deaf[request.json()['host']] = self.version
         if request.method != 'GET':
             await exchange.respond(json_response({'version': self.version}))
             return
         since = int(request.path.partition('since=')[2] or -1)
-        await exchange.respond(json_response(self._delta(since)))
+        host = exchange.sock.getpeername()[0]
+        newest = self.deaf.get(host, self.version)
+        await exchange.respond(json_response(self._delta(since, newest)))
 
     def _set(self, facts: dict[str, Any]) -> None:
         self.version += 1
@@ -50,14 +56,15 @@
         self.instances.pop(name, None)
         self.changed[name] = (self.version, time.monotonic())
 
-    def _delta(self, since: int) -> dict[str, Any]:
+    def _delta(self, since: int, newest: int) -> dict[str, Any]:
         """
-        Changes after version `since`, as far as the lag lets them be seen.
+        Changes after version `since`, up to `newest` and as far as the lag
+        lets them be seen.
 
         """
         seen_until = time.monotonic() - self.settings.lag_ms / 1000
         hidden = [version for version, at in self.changed.values() if at > seen_until]
-        visible = min(hidden, default=self.version + 1) - 1
+        visible = min(min(hidden, default=self.version + 1) - 1, newest)
         full = since < 0 or since > visible
         names = [
             name
--- a/packages/millfork-standins/millfork_standins/scenario/parser.py
+++ b/packages/millfork-standins/millfork_standins/scenario/parser.py
@@ -107,6 +107,7 @@
     'lose_disk': _on_process(steps.LoseDisk),
     'tear_log': _on_process(steps.TearLog),
     'leave': _on_process(steps.Leave),
+    'deafen': _on_process(steps.Deafen),
     'cut': _on_pairs(steps.Cut),
     'stall_links': _on_pairs(steps.StallLinks),
     'heal': _plain(steps.Heal),
--- a/packages/millfork-standins/millfork_standins/scenario/runner.py
+++ b/packages/millfork-standins/millfork_standins/scenario/runner.py
@@ -146,6 +146,10 @@
     def _(self, step: steps.Leave) -> None:
         self.running.list_instance(self.running.instances[step.name], leaving=True)
 
+    @on.register
+    def _(self, step: steps.Deafen) -> None:
+        self.running.deafen(self.running.instances[step.name])
+
     @on.register
     def _(self, step: steps.Cut) -> None:
         self.running.cut(*step.pairs)
--- a/packages/millfork-standins/millfork_standins/scenario/steps.py
+++ b/packages/millfork-standins/millfork_standins/scenario/steps.py
@@ -85,6 +85,11 @@
     """Put an instance on the platform's list as leaving."""
 
 
+@dataclass(frozen=True, slots=True)
+class Deafen(OnProcess):
+    """Let an instance hear of no change of the platform's list."""
+
+
 @dataclass(frozen=True, slots=True)
 class Cut(Step):
     """Cut these pairs of zones, join all others."""
--- a/tests/fail_first.py
+++ b/tests/fail_first.py
@@ -241,6 +241,38 @@
             ),
         ),
     ),
+    Mutation(
+        'an answer from other weights is withheld',
+        'tests/test_door.py',
+        (Edit(D + 'endpoint/door.py', 'if version != reservation.version:', 'if False:'),),
+    ),
+    Mutation(
+        'a manifest is only what was accepted',
+        'tests/test_weights.py',
+        (
+            Edit(
+                W + 'manifest.py',
+                'if digest is not None and digest_of(body) != digest:',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'nothing is served from before what the zone has seen',
+        'tests/test_subscription.py',
+        (Edit(S + 'subscription.py', 'self.floor = max([0, *answers])', 'self.floor = 0'),),
+    ),
+    Mutation(
+        'an append is acknowledged once it is durable',
+        'tests/test_replica.py',
+        (
+            Edit(
+                S + 'replica.py',
+                'if entries and self.storage.durable < entries[-1].index:',
+                'if False:',
+            ),
+        ),
+    ),
     Mutation(
         'operators see their own keys alone',
         'tests/test_isolation.py',
--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,258 @@
+"""
+The endpoint's door: what it admits, runs, withholds and says.
+
+"""
+
+import json
+
+import curio
+import pytest
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_core.verdicts import Reason, Verdict
+from millfork_settings.models import Address, BackendKind, BackendSettings
+from millfork_state.commands import SettleKey, decode_command, encode_command
+from millfork_web.models import Response
+from millfork_wire.connection import PeerLost
+from millfork_wire.messages import Cancel, End, Head, Part, Reserve, Start
+from millforkd.endpoint.door import Door
+
+VERSION = 'version-1'
+BODY = json.dumps({'model': 'main', 'prompt': 'p'}).encode()
+
+
+class FakeReply:
+    """
+    An answer of the back end.
+
+    """
+
+    def __init__(self, response):
+        self.status = response.status
+        self.headers = response.headers
+        self.response = response
+
+    def header(self, name):
+        return self.response.header(name)
+
+    async def parts(self):
+        yield self.response.body
+
+    async def close(self):
+        return
+
+
+class FakeBackend:
+    """
+    A back end that notes what it ran; it answers once `gate` is set.
+
+    """
+
+    def __init__(self, response):
+        self.response = response
+        self.ran = []
+        self.gate = curio.Event()
+
+    async def send(self, method, path, headers, body):
+        self.ran.append((path, body))
+        await self.gate.wait()
+        headers = [*self.response.headers, ('x-request-id', dict(headers)['x-request-id'])]
+        return FakeReply(Response(self.response.status, headers, self.response.body))
+
+
+class FakeConnection:
+    """
+    The entry's side.
+
+    """
+
+    def __init__(self):
+        self.peer = InstanceId('entry')
+        self.closed = False
+        self.sent = []
+
+    async def notify(self, message):
+        if self.closed:
+            raise PeerLost('gone')
+        self.sent.append(message)
+
+
+class FakeProposals:
+    """
+    Keeps the commands that the door proposes.
+
+    """
+
+    def __init__(self):
+        self.commands = []
+
+    async def propose(self, command, patience_s):
+        self.commands.append(decode_command(encode_command(command)))
+        return b''
+
+
+class Scene:
+    """
+    A door between a fake entry and a fake back end.
+
+    """
+
+    def __init__(self, kind=BackendKind.ENGINE, version=VERSION, status=200):
+        settings = BackendSettings(
+            kind=kind,
+            service='pool',
+            address=Address(host='127.0.0.1', port=1),
+            slots=1,
+            queue=1,
+            coalesce_ms=0,
+        )
+        env = Environment(InstanceId('e'), ZoneId('z'))
+        self.proposals = FakeProposals()
+        self.door = Door(env, settings, '127.0.0.1', self.proposals)
+        if kind is BackendKind.ENGINE:
+            self.door.served = {'org/main': VERSION}
+        self.backend = FakeBackend(Response(status, [('millfork-version', version)], b'answer'))
+        self.door.client = self.backend
+        self.connection = FakeConnection()
+        self.service = 'org/main' if kind is BackendKind.ENGINE else 'pool'
+
+    async def reserve(self, name='r', **fields):
+        request = Reserve(name, 'org', self.service, 5000, 0, 'POST', '/x', [], BODY, **fields)
+        return await self.door.on_reserve(self.connection, request)
+
+    async def start(self, name='r'):
+        await self.door.on_start(self.connection, Start(name))
+
+    async def settle_down(self):
+        """
+        Let everything run that can.
+
+        """
+        for _ in range(50):
+            await curio.sleep(0)
+
+    def ends(self):
+        return [message for message in self.connection.sent if isinstance(message, End)]
+
+
+def play(scene, *steps):
+    async def run():
+        found = None
+        for step in steps:
+            found = await step()
+            await scene.settle_down()
+        return found
+
+    return curio.run(run)
+
+
+def test_nothing_runs_before_its_start():
+    scene = Scene()
+    assert play(scene, scene.reserve).ok
+    assert scene.backend.ran == []
+
+
+def test_the_answer_goes_out_whole_under_its_version():
+    scene = Scene()
+    play(scene, scene.reserve, scene.start, scene.backend.gate.set)
+    head, part, end = scene.connection.sent
+    assert isinstance(head, Head) and isinstance(part, Part)
+    assert [h.value for h in head.headers if h.name == 'millfork-version'] == [VERSION]
+    assert (end.parts, end.bytes, end.reason) == (1, len(part.data), '')
+    assert json.loads(scene.backend.ran[0][1])['model'] == VERSION
+    assert scene.door.in_progress == 0
+
+
+def test_a_start_without_its_reservation_runs_nothing():
+    scene = Scene()
+    play(scene, scene.start)
+    assert scene.backend.ran == []
+    assert [(e.reason, e.verdict) for e in scene.ends()] == [('expired', 'not_run')]
+
+
+@pytest.mark.parametrize(
+    ('version', 'status', 'reason', 'verdict'),
+    [
+        ('version-2', 200, 'version_mismatch', 'may_have_run'),
+        ('', 200, 'version_mismatch', 'may_have_run'),
+        ('', 404, 'engine_empty', 'not_run'),
+    ],
+)
+def test_an_answer_from_other_weights_is_withheld(version, status, reason, verdict):
+    scene = Scene(version=version, status=status)
+    play(scene, scene.reserve, scene.start, scene.backend.gate.set)
+    assert [type(message) for message in scene.connection.sent] == [End]
+    assert [(e.reason, e.verdict) for e in scene.ends()] == [(reason, verdict)]
+
+
+def test_refusals_at_the_door():
+    scene = Scene()
+
+    async def leave():
+        await scene.door.set_leaving(True)
+
+    assert play(scene, leave, scene.reserve).reason == Reason.LEAVING.value
+    scene = Scene()
+    scene.service = 'org/other'
+    assert play(scene, scene.reserve).reason == Reason.NOT_SERVABLE.value
+
+
+def test_a_full_queue_refuses_at_once_with_when_to_come_back():
+    scene = Scene()
+
+    async def reserve_many():
+        return [await scene.reserve(f'r{number}') for number in range(4)]
+
+    replies = play(scene, reserve_many)
+    assert [reply.ok for reply in replies] == [True, True, False, False]
+    assert replies[-1].reason == Reason.BUSY.value
+    assert replies[-1].retry_after_ms >= 100
+
+
+def test_a_cancel_says_whether_it_came_in_time():
+    async def cancel(scene):
+        return await scene.door.on_cancel(scene.connection, Cancel('r'))
+
+    early = Scene()
+    assert play(early, early.reserve, lambda: cancel(early)).verdict == Verdict.NOT_RUN.value
+    assert play(early, early.start, early.backend.gate.set) is None
+    assert early.backend.ran == []
+    late = Scene()
+    steps = (late.reserve, late.start, lambda: cancel(late))
+    assert play(late, *steps).verdict == Verdict.MAY_HAVE_RUN.value
+
+
+async def lose(scene):
+    scene.connection.closed = True
+    await scene.door.on_closed(scene.connection)
+
+
+def test_without_its_entry_an_engines_work_is_cancelled():
+    scene = Scene()
+    play(scene, scene.reserve, scene.start, lambda: lose(scene))
+    assert scene.door.in_progress == 0
+
+
+def test_the_outcome_of_a_keyed_request_is_recorded_when_its_entry_is_lost():
+    scene = Scene(BackendKind.PLAIN)
+
+    async def reserve():
+        return await scene.reserve(key='org/pool/k', attempt='claim')
+
+    play(scene, reserve, scene.start, lambda: lose(scene), scene.backend.gate.set)
+    (command,) = scene.proposals.commands
+    assert isinstance(command, SettleKey)
+    assert (command.key, command.attempt, command.released) == ('org/pool/k', 'claim', False)
+    assert command.body == b'answer'
+
+
+def test_a_key_is_never_released_by_an_endpoint():
+    scene = Scene(BackendKind.PLAIN)
+
+    async def reserve():
+        return await scene.reserve(key='org/pool/k', attempt='claim')
+
+    play(scene, reserve, lambda: lose(scene))
+    assert scene.door.in_progress == 0
+    assert scene.proposals.commands == []
--- a/tests/test_subscription.py
+++ b/tests/test_subscription.py
@@ -14,7 +14,8 @@
 from millfork_state.subscription import Subscription
 from millfork_state.upstream import FANOUT, ancestors, candidates, zone_order
 from millfork_state.view import Held, View
-from millfork_wire.messages import Item, Report, Subscribe, Update
+from millfork_wire.connection import PeerTimedOut
+from millfork_wire.messages import Item, Report, RevisionIs, Subscribe, Update
 from millfork_wire.peers import PeerAddress
 
 CLUSTER = ClusterId('cluster')
@@ -182,3 +183,38 @@
         return [report.body for report in reports.since(seen)]
 
     assert sorted(curio.run(run)) == [b'again', b'x']
+
+
+class ZonePeers:
+    """
+    The zone's entries, each at a revision, or silent.
+
+    """
+
+    def __init__(self, revisions):
+        self.revisions = revisions
+
+    async def call(self, address, message, timeout):
+        revision = self.revisions[address.instance]
+        if revision is None:
+            raise PeerTimedOut('frozen')
+        return RevisionIs(CLUSTER, revision)
+
+
+@pytest.mark.parametrize(
+    ('revisions', 'floor'),
+    [([7, 9, 8], 9), ([7, None, 3], 7), ([None, None, None], 0)],
+)
+def test_nothing_is_served_from_before_what_the_zone_has_seen(revisions, floor):
+    made = subscription(Upstream([]))
+    made.roster = roster_of(4)
+    made.env.instance = InstanceId('i0')
+    made.peers = ZonePeers({f'i{n + 1}': revision for n, revision in enumerate(revisions)})
+    curio.run(made.learn_floor)
+    assert made.floor == floor
+    assert made.at_floor is (floor == 0)
+    for revision in range(1, floor):
+        made.view.take(full(revision, a=b'1'))
+        assert not made.at_floor
+    made.view.take(full(floor, a=b'1'))
+    assert made.at_floor
--- /dev/null
+++ b/tests/test_weights.py
@@ -0,0 +1,114 @@
+"""
+Weights are whole, verified and pinned before they count.
+
+"""
+
+import curio
+import pytest
+
+from millfork_core.ids import Digest
+from millfork_weights.manifest import (
+    BadManifest,
+    build_manifest,
+    decode_manifest,
+    digest_of,
+    encode_manifest,
+)
+from millfork_weights.store import WeightStore, WholeMismatch
+
+DATA = bytes(range(256)) * 40
+CHUNK = 1000
+
+
+def manifest_of(data=DATA, version='v1'):
+    return build_manifest('model', version, data, CHUNK)
+
+
+def chunk(data, index):
+    return data[index * CHUNK : (index + 1) * CHUNK]
+
+
+async def fill(holding, data, indexes=None):
+    for index in indexes if indexes is not None else range(len(holding.manifest.chunks)):
+        assert holding.fits(index, chunk(data, index))
+        await holding.put(index, chunk(data, index))
+
+
+def open_holding(folder, manifest):
+    store = WeightStore(folder)
+    digest = digest_of(encode_manifest(manifest))
+    return store, curio.run(store.open, digest, manifest)
+
+
+def test_a_manifest_is_only_what_was_accepted():
+    body = encode_manifest(manifest_of())
+    assert decode_manifest(body, digest_of(body)) == manifest_of()
+    changed = encode_manifest(manifest_of(DATA[::-1]))
+    with pytest.raises(BadManifest, match='not the one'):
+        decode_manifest(changed, digest_of(body))
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'', b'{}', encode_manifest(manifest_of()).replace(b'"size":10240', b'"size":99999')],
+)
+def test_a_manifest_that_contradicts_itself_is_refused(body):
+    with pytest.raises(BadManifest):
+        decode_manifest(body)
+
+
+def test_a_version_is_whole_only_after_the_last_chunk_and_the_whole(tmp_path):
+    _, holding = open_holding(tmp_path, manifest_of())
+    curio.run(fill, holding, DATA, range(5))
+    assert not holding.whole
+    assert not holding.path.exists()
+    curio.run(fill, holding, DATA)
+    curio.run(holding.complete)
+    assert holding.whole
+    assert holding.path.read_bytes() == DATA
+
+
+def test_a_chunk_of_other_bytes_does_not_fit(tmp_path):
+    _, holding = open_holding(tmp_path, manifest_of())
+    assert not holding.fits(0, chunk(DATA, 1)[::-1])
+    assert not holding.fits(0, b'')
+
+
+def test_right_chunks_of_a_lying_manifest_are_never_whole(tmp_path):
+    lying = manifest_of()
+    lying = type(lying)(lying.name, 'v', lying.size, CHUNK, lying.chunks, 'f' * 64)
+    _, holding = open_holding(tmp_path, lying)
+    curio.run(fill, holding, DATA)
+    with pytest.raises(WholeMismatch):
+        curio.run(holding.complete)
+    assert not holding.path.exists()
+
+
+def test_a_restart_takes_over_what_is_right_and_only_that(tmp_path):
+    _, holding = open_holding(tmp_path, manifest_of())
+    curio.run(fill, holding, DATA, [0, 1, 2])
+    with (holding.folder / 'weights.partial').open('r+b') as file:
+        file.seek(CHUNK)
+        file.write(b'\xff')
+    _, again = open_holding(tmp_path, manifest_of())
+    assert [index for index, have in enumerate(again.have) if have] == [0, 2]
+
+
+def test_unchanged_chunks_of_another_version_are_found(tmp_path):
+    store, holding = open_holding(tmp_path, manifest_of())
+    curio.run(fill, holding, DATA)
+    newer = DATA[: 8 * CHUNK] + DATA[8 * CHUNK :][::-1]
+    manifest = manifest_of(newer, 'v2')
+    found = [
+        store.find_chunk(digest, manifest.chunk_size(index)) is not None
+        for index, digest in enumerate(manifest.chunks)
+    ]
+    assert found[:8] == [True] * 8
+    assert not any(found[8:])
+
+
+def test_only_what_is_wanted_is_kept(tmp_path):
+    store, holding = open_holding(tmp_path, manifest_of())
+    (tmp_path / 'left-over').mkdir()
+    assert store.forget_all_but({Digest(holding.digest)}) == ['left-over']
+    assert [path.name for path in tmp_path.iterdir()] == [holding.digest]
