--- a/packages/millfork-state/millfork_state/leadership.py
+++ b/packages/millfork-state/millfork_state/leadership.py
@@ -10,7 +10,8 @@
 
 from millfork_core.logs import Part, logger
 from millfork_state.commands import SetMembers, encode_command
-from millfork_state.replica import Pending, Replica, ReplicaState, noop_entry
+from millfork_state.pending import Pending, noop_entry
+from millfork_state.replica import Replica, ReplicaState
 from millfork_state.storage import LogEntry
 from millfork_wire.connection import PeerError
 from millfork_wire.messages import AppendReply, AppendRequest, Entry, InstallRequest, Message
--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -7,7 +7,6 @@
 
 """
 
-import time
 from enum import Enum
 from typing import Final
 
@@ -19,17 +18,11 @@
 from millfork_settings.models import StateSettings
 from millfork_state.commands import (
     AnyCommand,
-    Apply,
-    ClaimKey,
-    Command,
-    Noop,
-    Result,
     SetMembers,
-    SettleKey,
     decode_command,
-    encode_command,
 )
 from millfork_state.machine import Machine
+from millfork_state.pending import Pending, stamped
 from millfork_state.storage import LogEntry, Snapshot, Storage
 from millfork_state.view import View
 from millfork_wire.codec import PreVote
@@ -60,24 +53,6 @@
     LEADER = 'leader'
 
 
-class Pending:
-    """
-    A proposal on its way through the log.
-
-    """
-
-    def __init__(self, command: Command) -> None:
-        self.command = command
-        self.settled = curio.Event()
-        self.applied = False
-        self.result: Result = None
-
-    async def settle(self, applied: bool, result: Result = None) -> None:
-        self.applied = applied
-        self.result = result
-        await self.settled.set()
-
-
 class Replica:
     """
     The state that leader and follower share, and the follower's answers.
@@ -373,30 +348,3 @@
         if self.state is ReplicaState.LEADER:
             return 0
         return int((self.env.monotonic() - self.leader_heard) * 1000)
-
-
-def stamped(command: AnyCommand) -> AnyCommand:
-    """
-    The command with the leader's time, where it carries one.
-
-    """
-    at_ms = int(time.time() * 1000)
-    if isinstance(command, Apply):
-        return Apply(command.command_id, command.changes, at_ms)
-    if isinstance(command, ClaimKey):
-        return ClaimKey(command.key, command.attempt, command.fingerprint, at_ms)
-    if isinstance(command, SettleKey):
-        return SettleKey(
-            command.key,
-            command.attempt,
-            command.released,
-            command.status,
-            command.headers,
-            command.body,
-            at_ms,
-        )
-    return command
-
-
-def noop_entry(term: int, index: int) -> LogEntry:
-    return LogEntry(term, index, encode_command(Noop()))
