A mirror is no peer

Cause: a process without the fleet's key that sent back whatever a daemon said passed the handshake as that daemon itself: both hellos were then the same, and so were both proofs. Found by reading.

Ruled out: other instances (their proofs need their own key).

Change: a peer that claims this instance's id is refused. Tests of the whole handshake; test_a_mirror_is_no_peer failed before.

--- a/packages/millfork-wire/millfork_wire/handshake.py
+++ b/packages/millfork-wire/millfork_wire/handshake.py
@@ -63,6 +63,9 @@
         raise HandshakeFailed('the first message is no hello')
     if theirs.version != PROTOCOL_VERSION:
         raise HandshakeFailed(f'protocol version {theirs.version} is not {PROTOCOL_VERSION}')
+    if theirs.instance == env.instance:
+        # Also what a mirror would send; its proof would be our own.
+        raise HandshakeFailed('the peer claims to be this instance')
     if target and theirs.instance != target:
         raise HandshakeFailed(f'dialled {target}, got {theirs.instance}')
     if theirs.target and theirs.target != env.instance:
