--- a/packages/millforkd/millforkd/__main__.py
+++ b/packages/millforkd/millforkd/__main__.py
@@ -5,22 +5,30 @@
 
 import sys
 
-from absl import app
+from absl import flags
 
-from millforkd.cli.definition import FLAGS
+from millfork_core.status import ExitStatus
+from millforkd.cli.definition import FLAGS, USAGE
 from millforkd.core import run
 
-
-def _main(argv: list[str]) -> int:
-    return int(run(FLAGS.settings, FLAGS.check))
+HELP = frozenset({'-h', '--help', 'help'})
 
 
 def main() -> None:
     """
-    Parse flags and run the daemon.
+    Parse the command line and run the daemon.
 
     """
-    sys.exit(app.run(_main))
+    if set(sys.argv[1:]) & HELP:
+        print(USAGE)
+        print(FLAGS.module_help('millforkd.cli.definition'))
+        sys.exit(ExitStatus.SUCCESS)
+    try:
+        FLAGS(sys.argv)
+    except flags.Error as error:
+        print(f'millforkd: {error}', file=sys.stderr)
+        sys.exit(ExitStatus.USAGE)
+    sys.exit(run(FLAGS.settings, FLAGS.check))
 
 
 if __name__ == '__main__':
--- a/packages/millforkd/millforkd/cli/definition.py
+++ b/packages/millforkd/millforkd/cli/definition.py
@@ -8,6 +8,15 @@
 from absl import flags
 
 FLAGS: Final = flags.FLAGS
+USAGE: Final = """millforkd: the daemon of millfork, role entry or endpoint by its settings.
+
+usage: millforkd --settings=FILE [--check]
+
+SIGTERM stops it once what is in progress has ended; a second one ends it at
+once. Exit statuses: 0 stopped, 1 error, 2 usage, 3 bad settings.
+
+flags:
+"""
 
 flags.DEFINE_string('settings', None, 'Path of the settings file (YAML).')
 flags.DEFINE_bool('check', False, 'Check the settings file and exit.')
