--- a/packages/millfork-standins/millfork_standins/deployments.py
+++ b/packages/millfork-standins/millfork_standins/deployments.py
@@ -53,7 +53,7 @@
     {'portal-assets': 3, 'billing-misc': 1},
     'lecture-summariser',
     ('lanting-lectures', 'lanting-quizzes'),
-    origin_copies=2,
+    origin_copies=1,
 )
 CEDARLINE: Final = Shape(
     'cedarline',
