A leaving instance is passed on as soon as the list says so

Cause: the notice waited for the list's poll (2 s) and then for a tick of half a second; with a list that lags by a second the scenario's bound of 5 s was near.

Change: the poll is every 1.5 s and a changed list wakes the task that passes the notice on.

--- a/packages/millfork-state/millfork_state/roster.py
+++ b/packages/millfork-state/millfork_state/roster.py
@@ -72,7 +72,10 @@
             return False
         moved = self.client.bytes_moved - before
         self.env.metrics.count(self.env.metrics.wire_bytes, moved, way='platform')
+        known = self.version
         self.take(delta)
+        if self.version != known:
+            await self.changed.set()
         return True
 
     def take(self, delta: PlatformDelta) -> None:
--- a/packages/millforkd/millforkd/entry/book.py
+++ b/packages/millforkd/millforkd/entry/book.py
@@ -66,7 +66,12 @@
                 await self.env.spawn(self._dial, facts)
             await self._pass_on_leaving()
             self._note_settled()
-            await curio.sleep(UPKEEP_S)
+            self.roster.changed.clear()
+            try:
+                async with curio.timeout_after(UPKEEP_S):
+                    await self.roster.changed.wait()
+            except curio.TaskTimeout:
+                pass
 
     def _note_settled(self) -> None:
         """
--- a/packages/millforkd/millforkd/entry/daemon.py
+++ b/packages/millforkd/millforkd/entry/daemon.py
@@ -33,7 +33,7 @@
 from millforkd.entry.operators import PREFIX, Operators
 from millforkd.member import Member
 
-POLL_INTERVAL_S: Final = 2.0
+POLL_INTERVAL_S: Final = 1.5
 STATE_FOLDER: Final = 'state'
 # Time for the balancer to see that this entry is not ready any more.
 BALANCER_GRACE_S: Final = 1.0
