--- a/packages/millfork-core/millfork_core/logs.py
+++ b/packages/millfork-core/millfork_core/logs.py
@@ -47,6 +47,8 @@
 
     """
     StreamHandler(sys.stderr, level=level.upper(), format_string=FORMAT).push_application()
-    # The event loop logs by the standard library.
+    # The event loop logs by the standard library; its warnings are of late
+    # time-outs and tasks that nobody joins, which are meant.
     logging.getLogger('curio').addHandler(RedirectLoggingHandler())
+    logging.getLogger('curio').setLevel(logging.ERROR)
     logging.getLogger('curio').propagate = False
