--- a/packages/millfork-routing/millfork_routing/limits.py
+++ b/packages/millfork-routing/millfork_routing/limits.py
@@ -6,6 +6,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from fractions import Fraction
 from typing import Final
 
 import curio
@@ -15,6 +16,7 @@
 SERVICE_TIME_WEIGHT: Final = 0.1
 FIRST_SERVICE_TIME_S: Final = 0.2
 MIN_RETRY_AFTER_MS: Final = 100
+MAX_REMEMBERED: Final = 10_000
 
 
 @dataclass(slots=True)
@@ -32,10 +34,11 @@
 
 class FairQueue:
     """
-    Slots of one back end, given to organisations in turn by their shares.
+    Slots of one back end, shared by start-time fair queueing.
 
-    Each organisation has a queue of its own. A turn grants one slot for each
-    unit of share, so a flood from one waits behind itself.
+    Each organisation has a queue of its own and a virtual time, which moves
+    on by 1 / share with each slot it gets; the least virtual time is next. A
+    flood from one waits behind itself, and one that was quiet comes next.
 
     """
 
@@ -53,7 +56,9 @@
         self.running = 0
         self.waiting = 0
         self.queues: OrderedDict[OrganisationId, deque[Waiter]] = OrderedDict()
-        self.turn_left = 0
+        # Fractions, as rounding would let one overtake another.
+        self.virtual: dict[OrganisationId, Fraction] = {}
+        self.virtual_now = Fraction(0)
         self.service_time_s = FIRST_SERVICE_TIME_S
 
     def expected_wait_s(self, organisation: OrganisationId) -> float:
@@ -98,7 +103,9 @@
 
         """
         waiter = Waiter(organisation, until)
-        self.queues.setdefault(organisation, deque()).append(waiter)
+        if organisation not in self.queues:
+            self._enter(organisation)
+        self.queues[organisation].append(waiter)
         self.waiting += 1
         await self._grant()
         return waiter
@@ -129,36 +136,46 @@
 
     async def _grant(self) -> None:
         while self.running < self.slots and self.queues:
-            organisation = next(iter(self.queues))
-            if not self.turn_left:
-                self.turn_left = self.share(organisation)
+            organisation = min(self.queues, key=lambda name: self.virtual[name])
             waiter = self._next(organisation)
             if waiter is None:
                 continue
+            self.virtual_now = self.virtual[organisation]
+            self.virtual[organisation] += Fraction(1, self.share(organisation))
             waiter.has_slot = True
             self.running += 1
             await waiter.granted.set()
 
     def _next(self, organisation: OrganisationId) -> Waiter | None:
         """
-        Take the organisation's next waiter and move the turn on when its
-        share is used or its queue is empty.
+        Take the organisation's next waiter; of organisations at the same
+        virtual time, the one served longest ago comes first.
 
         """
         queue = self.queues[organisation]
         waiter = queue.popleft()
         self.waiting -= 1
-        self.turn_left -= 1
+        self.queues.move_to_end(organisation)
         if not queue:
             del self.queues[organisation]
-            self.turn_left = 0
-        elif not self.turn_left:
-            self.queues.move_to_end(organisation)
         if waiter.until < self.monotonic():
             # Its owner wakes by its own time-out; a slot would be wasted.
             return None
         return waiter
 
+    def _enter(self, organisation: OrganisationId) -> None:
+        """
+        An organisation that waits again starts at the present virtual time:
+        it is not owed what it left unused, and waits for no one's arrears.
+
+        """
+        if len(self.virtual) > MAX_REMEMBERED:
+            self.virtual = {name: self.virtual[name] for name in self.queues}
+        self.virtual[organisation] = max(
+            self.virtual.get(organisation, self.virtual_now), self.virtual_now
+        )
+        self.queues[organisation] = deque()
+
 
 class InFlight:
     """
