A failed write ends a transfer or a leadership, and loses nothing

Cause: a task group of the event loop cancels its other tasks when one fails and raises nothing. A transfer whose write failed then found the whole wrong, blamed the manifest and threw away every chunk; a leader whose disk failed stepped down, was elected again, and so on. Found by reading.

Ruled out: wrong answers (nothing partial was ever whole, nothing unsynced was acknowledged).

Change: a transfer that fails says why and keeps its chunks; a leader whose disk fails ends the process. test_a_leader_whose_disk_fails_ends_and_does_not_lead_on failed before; so would the new transfer tests, which name a new exception.

Conclusion: every other group in the tree was read for the same; they look at their tasks' results.

--- a/packages/millfork-state/millfork_state/leadership.py
+++ b/packages/millfork-state/millfork_state/leadership.py
@@ -63,6 +63,8 @@
         """
         Lead until another term begins or the quorum is out of reach.
 
+        :raises OSError: if the disk fails.
+
         """
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self.replica.stepped_down.wait)
@@ -75,6 +77,9 @@
             if self.replica.term == self.term:
                 await self.replica.step_down()
         await self._drop_proposals()
+        # A group raises nothing: a disk that fails must end the process.
+        if group.completed.exception is not None:
+            raise group.completed.exception
 
     async def _drop_proposals(self) -> None:
         queue = self.replica.proposals
--- a/packages/millfork-weights/millfork_weights/transfer.py
+++ b/packages/millfork-weights/millfork_weights/transfer.py
@@ -38,6 +38,13 @@
 log = logger(Part.WEIGHTS)
 
 
+class TransferFailed(Exception):
+    """
+    A transfer came to an end before its version was whole.
+
+    """
+
+
 class Found(Enum):
     """
     What became of asking for a chunk: taken; somebody lives but has it not
@@ -112,6 +119,7 @@
         Return the holding once every chunk and the whole are verified.
 
         :raises WholeMismatch: if the manifest contradicts itself.
+        :raises TransferFailed: if it can't go on; what is here stays here.
 
         """
         settings = self.settings
@@ -123,6 +131,10 @@
                 indexes = iter(range(stripe, len(manifest.chunks), settings.stripes))
                 for _ in range(settings.window):
                     await group.spawn(self._fetch_stripe, holding, tree, indexes)
+        # A group cancels its other tasks when one fails, and raises nothing.
+        failures = [task.exception for task in group.tasks if task.exception]
+        if failures:
+            raise TransferFailed(str(failures[0])) from failures[0]
         if not holding.whole:
             await holding.complete()
         return holding
--- a/packages/millforkd/millforkd/endpoint/rollout.py
+++ b/packages/millforkd/millforkd/endpoint/rollout.py
@@ -18,7 +18,7 @@
 from millfork_weights.links import Link
 from millfork_weights.origin import Origin
 from millfork_weights.store import WeightStore, WholeMismatch
-from millfork_weights.transfer import Transfer, TransferSettings
+from millfork_weights.transfer import Transfer, TransferFailed, TransferSettings
 from millfork_weights.trees import Holder
 from millfork_wire.peers import Peers
 from millforkd.endpoint.door import Door
@@ -169,9 +169,10 @@
         log.info('Transfer of {} {} begins.', part.name, part.version)
         try:
             await transfer.run(part.name, part.version, part.manifest, self._holders(part))
-        except (WholeMismatch, OSError) as error:
+        except (TransferFailed, WholeMismatch, OSError) as error:
             log.error('Transfer of {} {} failed: {}.', part.name, part.version, error)
-            self.store.forget(part.manifest)
+            if isinstance(error, WholeMismatch):
+                self.store.forget(part.manifest)
             self.failed_until[part.manifest] = self.env.monotonic() + FAILED_PAUSE_S
         else:
             took = self.env.monotonic() - began
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -10,7 +10,8 @@
 from millfork_core.ids import InstanceId, ZoneId
 from millfork_settings.models import StateSettings
 from millfork_state.commands import Apply, Change, SetMembers, encode_command
-from millfork_state.replica import Replica
+from millfork_state.leadership import Leadership
+from millfork_state.replica import Replica, ReplicaState
 from millfork_state.storage import Storage
 from millfork_state.view import View
 from millfork_wire.codec import PreVote
@@ -151,3 +152,22 @@
     curio.run(again.recover)
     assert again.view.revision == 2
     assert again.cluster == CLUSTER
+
+
+def test_a_leader_whose_disk_fails_ends_and_does_not_lead_on(replica):
+    members = [('b', str(replica.storage.disk))]
+    append(replica, [entry(1, 1, SetMembers(CLUSTER, members))])
+
+    async def fail():
+        raise OSError('disk full')
+
+    async def lead():
+        replica.state = ReplicaState.LEADER
+        replica.stepped_down.clear()
+        replica.storage.sync = fail
+        async with curio.timeout_after(10):
+            await Leadership(replica).run()
+
+    with pytest.raises(OSError, match='disk full'):
+        curio.run(lead)
+    assert replica.state is ReplicaState.FOLLOWER
--- /dev/null
+++ b/tests/test_transfer.py
@@ -0,0 +1,94 @@
+"""
+A transfer that fails keeps what it has, and says so.
+
+"""
+
+import random
+
+import curio
+import pytest
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_weights.links import Link
+from millfork_weights.manifest import build_manifest, digest_of, encode_manifest
+from millfork_weights.origin import OriginFailed
+from millfork_weights.store import Holding, WeightStore
+from millfork_weights.transfer import Transfer, TransferFailed, TransferSettings
+from millfork_weights.trees import Holder
+
+CHUNK = 100
+DATA = random.Random(1).randbytes(20 * CHUNK)
+MANIFEST = build_manifest('model', 'v1', DATA, CHUNK)
+BODY = encode_manifest(MANIFEST)
+ME = Holder(InstanceId('me'), ZoneId('zone'))
+
+
+class FakeOrigin:
+    """
+    Has one version; spoils or withholds chunks as told.
+
+    """
+
+    def __init__(self, corrupt=(), failing=()):
+        self.corrupt = list(corrupt)
+        self.failing = list(failing)
+        self.drawn = 0
+
+    async def manifest(self, name, version):
+        return BODY
+
+    async def chunk(self, name, version, start, size):
+        self.drawn += 1
+        index = start // CHUNK
+        if index in self.failing:
+            self.failing.remove(index)
+            raise OriginFailed('not now')
+        data = DATA[start : start + size]
+        if index in self.corrupt:
+            self.corrupt.remove(index)
+            return data[::-1]
+        return data
+
+
+def transfer(folder, origin):
+    env = Environment(ME.instance, ME.zone)
+    settings = TransferSettings(stripes=2, window=2, stall_s=0.1, origin_copies=1)
+    link = Link(10**9, 1.0, False, env.monotonic)
+    store = WeightStore(folder)
+    return store, Transfer(env, settings, store, link, origin, None, lambda name: None)
+
+
+def run(made):
+    return curio.run(made.run, 'model', 'v1', digest_of(BODY), [ME])
+
+
+def test_a_corrupt_or_failed_chunk_costs_one_chunk(tmp_path):
+    origin = FakeOrigin(corrupt=[3], failing=[7])
+    _, made = transfer(tmp_path, origin)
+    holding = run(made)
+    assert holding.path.read_bytes() == DATA
+    assert origin.drawn == len(MANIFEST.chunks) + 2
+
+
+def test_a_failed_write_ends_the_transfer_and_keeps_what_is_there(tmp_path, monkeypatch):
+    put = Holding.put
+
+    async def failing_put(holding, index, data):
+        if index == 15:
+            raise OSError('disk full')
+        await put(holding, index, data)
+
+    monkeypatch.setattr(Holding, 'put', failing_put)
+    origin = FakeOrigin()
+    store, made = transfer(tmp_path, origin)
+    with pytest.raises(TransferFailed, match='disk full'):
+        run(made)
+    (holding,) = store.holdings.values()
+    kept = sum(holding.have)
+    assert kept > 5
+    assert not holding.whole
+    monkeypatch.setattr(Holding, 'put', put)
+    made.origin = FakeOrigin()
+    run(made)
+    assert made.origin.drawn == len(MANIFEST.chunks) - kept
