--- a/tests/test_handshake.py
+++ b/tests/test_handshake.py
@@ -60,21 +60,25 @@
     assert HandshakeFailed in curio.run(meet, KEY, 'c')
 
 
+async def mirror(transport):
+    while True:
+        await transport.send(await transport.receive())
+
+
 async def reflect():
     """
     Send everything back that the accepting side says.
 
     """
     one, two = await transports()
+    reflecting = await curio.spawn(mirror, one, daemon=True)
     accepting = await curio.spawn(shake_hands, two, env('b'), 'entry', KEY, '')
     try:
-        for _ in range(2):
-            await one.send(await one.receive())
         await accepting.join()
     except curio.TaskError as error:
         return type(error.__cause__)
-    except (EOFError, OSError):
-        return type(accepting.exception)
+    finally:
+        await reflecting.cancel()
     return None
 
 
