--- a/Makefile
+++ b/Makefile
@@ -3,14 +3,14 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 DEPLOYMENT ?= lanting
-PACKAGES := $(wildcard packages/*)
+PACKAGES := $(wildcard packages/*) platform
 STAMP := $(VENV)/.installed
 
 .PHONY: help
 help:  ## Show this list of commands
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | awk -F ':.*## ' '{printf "%-14s %s\n", $$1, $$2}'
 
-$(STAMP): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install -q --upgrade -c constraints.txt setuptools
 	$(BIN)/python -m pip install -q --no-build-isolation -c constraints.txt \
@@ -30,14 +30,14 @@
 
 .PHONY: lint
 lint: $(STAMP)  ## Check format, lint and types
-	$(BIN)/ruff format --check packages tests
-	$(BIN)/ruff check packages tests
+	$(BIN)/ruff format --check packages platform deploy tests
+	$(BIN)/ruff check packages platform deploy tests
 	$(BIN)/mypy
 
 .PHONY: format
 format: $(STAMP)  ## Format the code
-	$(BIN)/ruff format packages tests
-	$(BIN)/ruff check --fix packages tests
+	$(BIN)/ruff format packages platform deploy tests
+	$(BIN)/ruff check --fix packages platform deploy tests
 
 .PHONY: bench
 bench: $(STAMP)  ## Run the experiments: make bench [ONLY=distribution]
--- /dev/null
+++ b/deploy/millforkd.py
@@ -0,0 +1,20 @@
+"""
+Starts `millforkd` from this checkout, with the platform's adapter.
+
+The packages come from the sources beside this file, never from an installed
+copy; only the libraries are installed.
+
+"""
+
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+SOURCES = [ROOT / 'platform', *sorted((ROOT / 'packages').iterdir())]
+sys.path[:0] = [str(path) for path in SOURCES]
+
+from millfork_platform import PlatformAdapter  # noqa: E402
+from millforkd.__main__ import main  # noqa: E402
+
+if __name__ == '__main__':
+    main(PlatformAdapter())
--- /dev/null
+++ b/packages/millfork-adapter/millfork_adapter/__init__.py
@@ -0,0 +1,4 @@
+"""
+What a platform adapter gives the daemon: typed calls, requests and answers.
+
+"""
--- a/packages/millfork-core/millfork_core/metrics.py
+++ b/packages/millfork-core/millfork_core/metrics.py
@@ -5,11 +5,13 @@
 
 from typing import Final
 
-from aioprometheus import Counter, Gauge, Registry, render
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from millfork_core.verdicts import Reason
 
 TEXT_ACCEPT: Final = ['text/plain']
+# Around the aims of 0.4 to 0.9 s and the deadlines of some seconds.
+LATENCY_BUCKETS_S: Final = (0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.7, 1.0, 2.0, 4.0, 8.0, float('inf'))
 
 
 class Metrics:
@@ -31,6 +33,22 @@
         self.chunk_bytes = self._counter('millfork_chunk_bytes_total', 'Chunk bytes by source.')
         self.state = self._counter('millfork_state_total', 'Replica events by kind.')
         self.orders = self._counter('millfork_orders_total', 'Orders to the engine by outcome.')
+        self.connections = self._counter(
+            'millfork_connections_total', 'Connections to back ends by event.'
+        )
+        self.log_lines = self._counter('millfork_log_lines_total', 'Log lines by fate.')
+        self.request_seconds = Histogram(
+            'millfork_request_seconds',
+            'Time of a request, in seconds.',
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self.first_seconds = Histogram(
+            'millfork_first_seconds',
+            'Time to the first bytes of an answer, in seconds.',
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
         self.revision = self._gauge('millfork_revision', 'Configuration revision in force.')
         self.leader = self._gauge('millfork_leader', 'Whether this replica leads.')
         self.voter = self._gauge('millfork_voter', 'Whether this replica is a voter.')
--- a/packages/millfork-core/millfork_core/signals.py
+++ b/packages/millfork-core/millfork_core/signals.py
@@ -20,27 +20,32 @@
 
 class StopSignals:
     """
-    Turns SIGTERM and SIGINT into something a task can wait for.
+    Turns SIGTERM and SIGINT into something a task can wait for; with
+    `reloads`, SIGHUP as well.
 
     """
 
-    def __init__(self) -> None:
+    def __init__(self, reloads: bool = False) -> None:
+        self.numbers = [signal.SIGTERM, signal.SIGINT]
+        if reloads:
+            self.numbers.append(signal.SIGHUP)
         reader, self.writer = socket.socketpair()
         self.writer.setblocking(False)
         self.reader = Socket(reader)
 
     async def __aenter__(self) -> Self:
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in self.numbers:
             signal.signal(number, _noted)
         signal.set_wakeup_fd(self.writer.fileno(), warn_on_full_buffer=False)
         return self
 
-    async def get(self) -> None:
+    async def get(self) -> signal.Signals:
         """
         Wait for the next signal.
 
         """
-        await self.reader.recv(1)
+        data = await self.reader.recv(1)
+        return signal.Signals(data[0])
 
     async def __aexit__(
         self,
--- /dev/null
+++ b/packages/millfork-registry/millfork_registry/__init__.py
@@ -0,0 +1,4 @@
+"""
+Leases of back ends, reports of endpoints, and how every daemon learns them.
+
+"""
--- /dev/null
+++ b/packages/millfork-registry/millfork_registry/discovery.py
@@ -0,0 +1,137 @@
+"""
+Finding the replicas with no list of them: from seeds, and from one another.
+
+A seed may be wrong, late or gone. Whoever answers names the others it knows.
+
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId
+from millfork_core.logs import Part, logger
+from millfork_core.ranks import rank
+from millfork_wire.connection import PeerError
+from millfork_wire.messages import FindReplicas, Replicas
+from millfork_wire.peers import PeerAddress, Peers
+
+ASK_TIMEOUT_S: Final = 0.6
+# A replica that answered nobody for this long is asked no more, unless it is
+# a seed: it may have been replaced.
+FORGET_AFTER_S: Final = 30.0
+
+log = logger(Part.REGISTRY)
+
+
+def address_of(instance: str) -> PeerAddress:
+    """
+    The address in an instance's id, which is `HOST:PORT` of its wire port.
+
+    :raises ValueError: if the id is none of that form.
+
+    """
+    host, _, port = instance.rpartition(':')
+    if not host:
+        raise ValueError(f'{instance!r} is not HOST:PORT')
+    return PeerAddress(InstanceId(instance), host, int(port))
+
+
+@dataclass(slots=True)
+class Known:
+    """
+    A replica's address, when it last answered, and what it said.
+
+    """
+
+    address: PeerAddress
+    heard_at: float
+    answer: Replicas | None = None
+
+
+class Discovery:
+    """
+    The replicas known to this process.
+
+    """
+
+    def __init__(self, env: Environment, peers: Peers, seeds: list[str]) -> None:
+        self.env = env
+        self.peers = peers
+        self.seeds: list[PeerAddress] = []
+        self.known: dict[InstanceId, Known] = {}
+        self.take_seeds(seeds)
+
+    def take_seeds(self, seeds: list[str]) -> None:
+        """
+        Take the seeds of the settings, at start or when they change.
+
+        """
+        self.seeds = [address_of(seed) for seed in seeds if seed != self.env.instance]
+        for address in self.seeds:
+            self.learn(address.instance)
+
+    def learn(self, instance: str) -> None:
+        """
+        Take up a replica's id.
+
+        """
+        if instance == self.env.instance or InstanceId(instance) in self.known:
+            return
+        try:
+            address = address_of(instance)
+        except ValueError as error:
+            log.warning('Ignored the id of a replica: {}.', error)
+            return
+        self.known[address.instance] = Known(address, self.env.monotonic())
+
+    def addresses(self) -> list[PeerAddress]:
+        """
+        Replicas in the order in which this process prefers them; each
+        process has an order of its own, which spreads them.
+
+        """
+        own = str(self.env.instance)
+        found = sorted(self.known.values(), key=lambda known: rank(own, known.address.instance))
+        return [known.address for known in found]
+
+    def answering(self, within_s: float) -> list[str]:
+        """
+        The replicas that answered within the last seconds.
+
+        """
+        now = self.env.monotonic()
+        return [
+            str(instance)
+            for instance, known in self.known.items()
+            if known.answer is not None and now - known.heard_at < within_s
+        ]
+
+    async def ask(self, address: PeerAddress, question: FindReplicas) -> Replicas | None:
+        """
+        Ask one replica whom it knows; None if it does not answer.
+
+        """
+        try:
+            reply = await self.peers.call(address, question, ASK_TIMEOUT_S)
+        except PeerError as error:
+            log.debug('No answer from replica {}: {}.', address.instance, error)
+            self._forget_if_old(address.instance)
+            return None
+        if not isinstance(reply, Replicas):
+            return None
+        self.learn(str(address.instance))
+        known = self.known[address.instance]
+        known.heard_at = self.env.monotonic()
+        known.answer = reply
+        for instance in reply.known:
+            self.learn(instance)
+        return reply
+
+    def _forget_if_old(self, instance: InstanceId) -> None:
+        known = self.known.get(instance)
+        if known is None or known.address in self.seeds:
+            return
+        if self.env.monotonic() - known.heard_at > FORGET_AFTER_S:
+            del self.known[instance]
+            log.info('Forgot replica {}, which has not answered.', instance)
--- /dev/null
+++ b/packages/millfork-registry/millfork_registry/records.py
@@ -0,0 +1,177 @@
+"""
+What the registry holds: one lease for each back end, one report for each
+endpoint daemon.
+
+"""
+
+from enum import Enum
+
+import msgspec
+
+
+class LeaseState(Enum):
+    """
+    What a back end may be used for.
+
+    """
+
+    READY = 'ready'
+    DRAINING = 'draining'
+    # Its heartbeats stopped; a later one renews the lease.
+    EXPIRED = 'expired'
+    # It said that it leaves; its id never comes back.
+    GONE = 'gone'
+
+
+class ServedVersion(msgspec.Struct, frozen=True, array_like=True):
+    """
+    Weights that a back end can serve. `layers` is how many of the model's
+    layers it holds, or None if it serves the model whole.
+
+    """
+
+    model: str
+    version: int
+    layers: int | None = None
+
+
+class Lease(msgspec.Struct, frozen=True, array_like=True):
+    """
+    One life of a back end. `sequence` rises with each of its heartbeats,
+    `owner` is the replica that took the last one.
+
+    """
+
+    instance: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    state: LeaseState
+    sequence: int
+    owner: str = ''
+    served: tuple[ServedVersion, ...] = ()
+
+    @property
+    def order(self) -> tuple[bool, int, bool]:
+        """
+        What makes one record of a life newer than another.
+
+        """
+        return (
+            self.state is LeaseState.GONE,
+            self.sequence,
+            self.state is LeaseState.EXPIRED,
+        )
+
+    def says_more_than(self, older: 'Lease') -> bool:
+        """
+        Whether anyone but the owner needs to hear of this record.
+
+        """
+        return (self.state, self.host, self.port, self.owner, self.served) != (
+            older.state,
+            older.host,
+            older.port,
+            older.owner,
+            older.served,
+        )
+
+    @property
+    def usable(self) -> bool:
+        return self.state is LeaseState.READY
+
+
+class HeldVersion(msgspec.Struct, frozen=True, array_like=True):
+    """
+    Weights in pieces that an endpoint daemon can pass on.
+
+    """
+
+    model: str
+    version: int
+    whole: bool
+
+
+class EndpointState(msgspec.Struct, frozen=True, array_like=True):
+    """
+    What an endpoint daemon says of itself and of the engine beside it.
+
+    `sequence` is its monotonic clock in ms; tokens are the engine's memory.
+
+    """
+
+    instance: str
+    service: str
+    zone: str
+    host: str
+    port: int
+    sequence: int
+    owner: str = ''
+    reachable: bool = False
+    running: int = 0
+    queued: int = 0
+    tokens_used: int = 0
+    tokens_total: int = 0
+    pace: float = 1.0
+    served: tuple[ServedVersion, ...] = ()
+    held: tuple[HeldVersion, ...] = ()
+    # The version it is changing to at this moment, 0 if none.
+    changing_to: int = 0
+
+    @property
+    def order(self) -> int:
+        return self.sequence
+
+    def says_more_than(self, older: 'EndpointState | None') -> bool:
+        """
+        Whether this should reach others without delay: load may wait.
+
+        """
+        if older is None:
+            return True
+        return (self.reachable, self.served, self.held, self.changing_to) != (
+            older.reachable,
+            older.served,
+            older.held,
+            older.changing_to,
+        )
+
+
+_LEASES = msgspec.msgpack.Decoder(list[Lease])
+_STATES = msgspec.msgpack.Decoder(list[EndpointState])
+
+
+def encode_records(records: list[Lease] | list[EndpointState]) -> bytes:
+    return msgspec.msgpack.encode(records)
+
+
+def decode_leases(data: bytes) -> list[Lease]:
+    """
+    The leases in `data`; none in an empty text.
+
+    :raises msgspec.DecodeError: if there are none to be had.
+
+    """
+    return _LEASES.decode(data) if data else []
+
+
+def decode_states(data: bytes) -> list[EndpointState]:
+    """
+    The endpoints' states in `data`; none in an empty text.
+
+    :raises msgspec.DecodeError: if there are none to be had.
+
+    """
+    return _STATES.decode(data) if data else []
+
+
+def decode_state(data: bytes) -> EndpointState:
+    """
+    One endpoint's state.
+
+    :raises msgspec.DecodeError: if there is none.
+
+    """
+    return msgspec.msgpack.decode(data, type=EndpointState)
--- /dev/null
+++ b/packages/millfork-registry/millfork_registry/registry.py
@@ -0,0 +1,175 @@
+"""
+Who serves: soft state, kept in memory by every replica and follower.
+
+A lease belongs to the replica that took its last heartbeat. Only changes are
+told to others, so a fleet at rest costs nothing between replicas. The owner
+sees a lease run out; should the owner be lost, each replica lets its leases
+run out by itself, unless the back end has found another owner.
+
+"""
+
+from enum import Enum
+from typing import Final
+
+import msgspec
+
+from millfork_core.environment import Environment
+from millfork_core.logs import Part, logger
+from millfork_registry.records import EndpointState, Lease, LeaseState
+from millfork_registry.table import Table
+
+# A lease runs out after this many heartbeats that did not come.
+MISSED_HEARTBEATS: Final = 3.5
+# A record that ended is remembered this long, so that a late heartbeat of
+# the same life changes nothing.
+REMEMBERED_S: Final = 120.0
+# An endpoint daemon reports at least each second.
+REPORT_LIFETIME_S: Final = 3.5
+
+log = logger(Part.REGISTRY)
+
+
+class Change(Enum):
+    """
+    What a record did to the registry.
+
+    """
+
+    NONE = 'none'
+    RENEWED = 'renewed'
+    CHANGED = 'changed'
+
+
+class Registry:
+    """
+    The leases and the endpoints' states, as this process knows them.
+
+    """
+
+    def __init__(self, env: Environment, heartbeat_s: float) -> None:
+        self.env = env
+        self.lease_s = heartbeat_s * MISSED_HEARTBEATS
+        self.leases: Table[Lease] = Table()
+        self.endpoints: Table[EndpointState] = Table()
+        self.heard: dict[str, float] = {}
+        self.ended: dict[str, float] = {}
+        # Whether what is not here is known not to exist.
+        self.settled = False
+
+    def take_heartbeat(self, lease: Lease) -> Change:
+        """
+        Take a heartbeat that came to this replica.
+
+        """
+        mine = msgspec.structs.replace(lease, owner=str(self.env.instance))
+        return self.take(mine)
+
+    def take_goodbye(self, instance: str) -> Change:
+        """
+        Take a back end's word that it leaves.
+
+        """
+        held = self.leases.get(instance)
+        owner = str(self.env.instance)
+        if held is None:
+            # Unknown here, perhaps known elsewhere: the word is kept.
+            gone = Lease(instance, '', '', 0, '', 0, LeaseState.GONE, 0, owner)
+            return self.take(gone)
+        return self.take(msgspec.structs.replace(held, state=LeaseState.GONE, owner=owner))
+
+    def take(self, lease: Lease) -> Change:
+        """
+        Take a record from wherever it comes; only a newer one counts.
+
+        """
+        held = self.leases.get(lease.instance)
+        if held is not None and lease.order <= held.order:
+            return Change.NONE
+        self.heard[lease.instance] = self.env.monotonic()
+        if held is not None and not lease.says_more_than(held):
+            self.leases.renew(lease.instance, lease)
+            return Change.RENEWED
+        self.leases.put(lease.instance, lease)
+        if lease.state in (LeaseState.GONE, LeaseState.EXPIRED):
+            self.ended[lease.instance] = self.env.monotonic()
+        else:
+            self.ended.pop(lease.instance, None)
+        if held is None or held.state is not lease.state:
+            log.info(
+                'Lease {}. instance={} service={} address={}:{} sequence={} owner={}',
+                lease.state.value,
+                lease.instance,
+                lease.service,
+                lease.host,
+                lease.port,
+                lease.sequence,
+                lease.owner,
+            )
+        return Change.CHANGED
+
+    def take_endpoint(self, state: EndpointState) -> Change:
+        """
+        Take an endpoint daemon's state; only a newer one counts.
+
+        """
+        held = self.endpoints.get(state.instance)
+        if held is not None and state.order <= held.order:
+            return Change.NONE
+        self.heard[state.instance] = self.env.monotonic()
+        self.endpoints.put(state.instance, state)
+        return Change.CHANGED if state.says_more_than(held) else Change.RENEWED
+
+    def keep_only(self, leases: set[str], endpoints: set[str]) -> None:
+        """
+        Drop every record that a settled replica does not know.
+
+        """
+        for key in [key for key in self.leases.rows if key not in leases]:
+            self._forget_lease(key)
+        for key in [key for key in self.endpoints.rows if key not in endpoints]:
+            self.endpoints.drop(key)
+            self.heard.pop(key, None)
+
+    def expire(self, lost_owners: set[str]) -> list[Lease]:
+        """
+        Let leases run out whose heartbeats stopped: those owned here, and
+        those whose owner is lost. Returns the ones that ran out.
+
+        """
+        now = self.env.monotonic()
+        expired = []
+        for lease in list(self.leases.values()):
+            if lease.state in (LeaseState.GONE, LeaseState.EXPIRED):
+                continue
+            mine = lease.owner == str(self.env.instance)
+            if not mine and lease.owner not in lost_owners:
+                # The owner watches it; its own silence counts from its loss.
+                self.heard[lease.instance] = now
+                continue
+            if now - self.heard.get(lease.instance, now) < self.lease_s:
+                continue
+            ended = msgspec.structs.replace(
+                lease, state=LeaseState.EXPIRED, owner=str(self.env.instance)
+            )
+            self.take(ended)
+            expired.append(ended)
+        for key, ended_at in list(self.ended.items()):
+            if now - ended_at > REMEMBERED_S:
+                self._forget_lease(key)
+        return expired
+
+    def forget_silent_endpoints(self) -> None:
+        """
+        Drop the states of endpoint daemons that no longer report.
+
+        """
+        now = self.env.monotonic()
+        for state in list(self.endpoints.values()):
+            if now - self.heard.get(state.instance, now) > REPORT_LIFETIME_S:
+                self.endpoints.drop(state.instance)
+                self.heard.pop(state.instance, None)
+
+    def _forget_lease(self, key: str) -> None:
+        self.leases.drop(key)
+        self.heard.pop(key, None)
+        self.ended.pop(key, None)
--- /dev/null
+++ b/packages/millfork-registry/millfork_registry/table.py
@@ -0,0 +1,65 @@
+"""
+Records by key, each with the number of the change that set it.
+
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from typing import Generic, TypeVar
+
+Record = TypeVar('Record')
+
+
+class Table(Generic[Record]):
+    """
+    Records in the order of their last change, so that what came after a
+    change is found without a look at the rest.
+
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.rows: OrderedDict[str, tuple[Record, int]] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self.rows)
+
+    def get(self, key: str) -> Record | None:
+        row = self.rows.get(key)
+        return row[0] if row is not None else None
+
+    def put(self, key: str, record: Record) -> None:
+        """
+        Set a record; this is a change.
+
+        """
+        self.version += 1
+        self.rows[key] = (record, self.version)
+        self.rows.move_to_end(key)
+
+    def renew(self, key: str, record: Record) -> None:
+        """
+        Set a record that nobody else needs to hear of.
+
+        """
+        self.rows[key] = (record, self.rows[key][1])
+
+    def drop(self, key: str) -> None:
+        self.rows.pop(key, None)
+
+    def values(self) -> Iterator[Record]:
+        for record, _ in self.rows.values():
+            yield record
+
+    def since(self, version: int) -> list[Record]:
+        """
+        The records changed after `version`, oldest change first.
+
+        """
+        found = []
+        for record, changed in reversed(self.rows.values()):
+            if changed <= version:
+                break
+            found.append(record)
+        found.reverse()
+        return found
--- /dev/null
+++ b/packages/millfork-routing/millfork_routing/routes.py
@@ -0,0 +1,86 @@
+"""
+The route table: a document, prepared for look-ups.
+
+"""
+
+from millfork_core.ids import OrganisationId, ServiceName
+from millfork_routing.documents import Document, Organisation, Route, Service
+
+
+class RouteTable:
+    """
+    One document in force.
+
+    """
+
+    def __init__(self, document: Document) -> None:
+        self.document = document
+        self.services: dict[ServiceName, Service] = {
+            service.name: service for service in document.services
+        }
+        self.holders: dict[str, Organisation] = {
+            key: organisation
+            for organisation in document.organisations
+            for key in organisation.keys
+        }
+        self.by_host: dict[str, list[Route]] = {}
+        for route in document.routes:
+            self.by_host.setdefault(route.host.lower(), []).append(route)
+        for routes in self.by_host.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    @property
+    def version(self) -> int:
+        return self.document.version
+
+    @property
+    def needs_keys(self) -> bool:
+        return bool(self.document.organisations)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """
+        The route of a request: its host's longest prefix of the path.
+
+        """
+        name = host.lower()
+        routes = self.by_host.get(name) or self.by_host.get(name.partition(':')[0], [])
+        for route in routes:
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def holder(self, key: str) -> Organisation | None:
+        """
+        The organisation that holds an API key.
+
+        """
+        return self.holders.get(key)
+
+
+def pick_service(route: Route, draw: float) -> ServiceName:
+    """
+    The service of one request by its route's weights; `draw` is uniform
+    in [0, 1).
+
+    """
+    total = sum(share.weight for share in route.shares)
+    point = draw * total
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return route.shares[-1].service
+
+
+def priority_of(route: Route, organisation: Organisation | None) -> int:
+    """
+    The rank of a request; the organisation's goes before the route's.
+
+    """
+    if organisation is not None and organisation.priority is not None:
+        return organisation.priority
+    return route.priority
+
+
+def organisation_id(organisation: Organisation | None) -> OrganisationId:
+    return organisation.name if organisation is not None else OrganisationId('')
--- /dev/null
+++ b/packages/millfork-routing/millfork_routing/servers.py
@@ -0,0 +1,223 @@
+"""
+The back ends that an entry reaches directly, and which one gets a request.
+
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Final
+
+from millfork_core.ids import InstanceId, ServiceName, ZoneId
+from millfork_registry.records import EndpointState, Lease, ServedVersion
+from millfork_routing.documents import EngineFigures
+
+# A back end that failed is left alone this long, doubling with each failure.
+FIRST_SUSPICION_S: Final = 0.5
+MOST_SUSPICION_S: Final = 4.0
+# One request's weight in a back end's failure rate.
+FAILURE_WEIGHT: Final = 0.1
+# What a failure rate of 1 counts for, in full loads of a back end.
+FAILURE_COST: Final = 3.0
+# What another zone costs, in full loads: a nearer one is taken while it is
+# not fuller by this.
+OTHER_ZONE_COST: Final = 0.15
+# A report older than this says nothing about the load now.
+REPORT_VALID_S: Final = 2.0
+UNKNOWN_SLOTS: Final = 8
+
+
+@dataclass(slots=True)
+class Server:
+    """
+    One back end as this entry sees it.
+
+    """
+
+    instance: InstanceId
+    service: ServiceName
+    host: str
+    port: int
+    zone: ZoneId
+    slots: int
+    served: tuple[ServedVersion, ...] = ()
+    # What its last heartbeat said; an endpoint's report is newer.
+    lease_served: tuple[ServedVersion, ...] = ()
+    changing: bool = False
+    report_sequence: int = -1
+    mine: int = 0
+    reported: int = 0
+    mine_at_report: int = 0
+    reported_at: float = float('-inf')
+    failures: int = 0
+    failure_rate: float = 0.0
+    suspect_until: float = float('-inf')
+    # When this entry last received anything from it.
+    heard_at: float = float('-inf')
+    # Versions that it refused lately, and until when to believe that.
+    refused: dict[int, float] = field(default_factory=dict)
+
+    def occupied(self, now: float) -> int:
+        """
+        Requests there: the last report, which lags, corrected by what this
+        entry has begun and ended since.
+
+        """
+        if now - self.reported_at > REPORT_VALID_S:
+            return self.mine
+        return max(self.reported + self.mine - self.mine_at_report, self.mine)
+
+    def note_failure(self, now: float) -> None:
+        """
+        It did not answer as it should: leave it alone for a while.
+
+        """
+        wait = min(FIRST_SUSPICION_S * 2**self.failures, MOST_SUSPICION_S)
+        self.failures += 1
+        self.suspect_until = now + wait
+        self.note_outcome(failed=True)
+
+    def note_outcome(self, failed: bool) -> None:
+        """
+        Count one request's outcome into the failure rate.
+
+        """
+        self.failure_rate += FAILURE_WEIGHT * (float(failed) - self.failure_rate)
+        if not failed:
+            self.failures = 0
+
+    def serves(self, version: int, layers: int) -> bool:
+        """
+        Whether it holds all layers of a version.
+
+        """
+        for item in self.served:
+            if item.version == version and item.layers in (None, layers):
+                return True
+        return False
+
+    def newest_whole(self, layers: int) -> int | None:
+        """
+        The newest version of which it holds all layers, if any.
+
+        """
+        whole = [item.version for item in self.served if item.layers in (None, layers)]
+        return max(whole, default=None)
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """
+    What a request needs of a back end: a service; for an engine, its figures
+    and the oldest version that will do.
+
+    """
+
+    service: ServiceName
+    engine: EngineFigures | None = None
+    least_version: int = 0
+
+
+class ServerBook:
+    """
+    All back ends with a lease, by id.
+
+    """
+
+    def __init__(self, zone: ZoneId, random: Random, monotonic: Callable[[], float]) -> None:
+        self.zone = zone
+        self.random = random
+        self.monotonic = monotonic
+        self.servers: dict[InstanceId, Server] = {}
+        self.by_service: dict[ServiceName, list[Server]] = {}
+        self.by_address: dict[tuple[str, int], Server] = {}
+
+    def take_leases(self, leases: Iterable[Lease]) -> list[Server]:
+        """
+        Take all leases; returns the back ends that are no longer used.
+
+        """
+        usable = {InstanceId(lease.instance): lease for lease in leases if lease.usable}
+        dropped = [server for key, server in self.servers.items() if key not in usable]
+        for server in dropped:
+            del self.servers[server.instance]
+        for key, lease in usable.items():
+            self._take_lease(key, lease)
+        self.by_service = {}
+        self.by_address = {}
+        for server in self.servers.values():
+            self.by_service.setdefault(server.service, []).append(server)
+            self.by_address[(server.host, server.port)] = server
+        return dropped
+
+    def _take_lease(self, key: InstanceId, lease: Lease) -> None:
+        server = self.servers.get(key)
+        if server is None:
+            self.servers[key] = Server(
+                key,
+                ServiceName(lease.service),
+                lease.host,
+                lease.port,
+                ZoneId(lease.zone),
+                max(lease.slots, 1),
+                lease.served,
+                lease.served,
+            )
+            return
+        if lease.served == server.lease_served:
+            return
+        server.lease_served = lease.served
+        if self.monotonic() - server.reported_at > REPORT_VALID_S:
+            server.served = lease.served
+            server.refused.clear()
+
+    def take_reports(self, states: Iterable[EndpointState]) -> None:
+        """
+        Take what endpoint daemons said of the engines beside them.
+
+        """
+        now = self.monotonic()
+        for state in states:
+            server = self.by_address.get((state.host, state.port))
+            if server is None or state.sequence <= server.report_sequence:
+                continue
+            server.report_sequence = state.sequence
+            if not state.reachable:
+                continue
+            server.changing = bool(state.changing_to)
+            server.reported = state.running + state.queued
+            server.mine_at_report = server.mine
+            server.reported_at = now
+            if state.served != server.served:
+                server.served = state.served
+                server.refused.clear()
+
+    def choose(self, wanted: Wanted, tried: set[InstanceId]) -> Server | None:
+        """
+        The back end for a request; None if there is none that can serve it.
+
+        """
+        now = self.monotonic()
+        able = [
+            server
+            for server in self.by_service.get(wanted.service, [])
+            if server.instance not in tried and self._able(server, wanted, now)
+        ]
+        if not able:
+            return None
+        trusted = [server for server in able if server.suspect_until <= now]
+        return min(trusted or able, key=lambda server: self._cost(server, now))
+
+    def _able(self, server: Server, wanted: Wanted, now: float) -> bool:
+        if wanted.engine is None:
+            return True
+        version = server.newest_whole(wanted.engine.layers)
+        if server.changing or version is None or version < wanted.least_version:
+            return False
+        return server.refused.get(version, now) <= now
+
+    def _cost(self, server: Server, now: float) -> float:
+        load = (server.occupied(now) + 1) / server.slots
+        away = OTHER_ZONE_COST if server.zone != self.zone else 0.0
+        spread = self.random.random() / (2 * server.slots)
+        return load + away + FAILURE_COST * server.failure_rate + spread
--- a/packages/millfork-settings/millfork_settings/models.py
+++ b/packages/millfork-settings/millfork_settings/models.py
@@ -90,6 +90,11 @@
         1500, ge=100, le=30000, description='Silence after which a replica seeks election, in ms.'
     )
     snapshot_entries: int = Field(1000, ge=10, description='Log entries between two snapshots.')
+    losses: int | None = Field(
+        None,
+        ge=0,
+        description='Disks that may be lost at once; a silent voter leaves while enough are left.',
+    )
 
     @model_validator(mode='after')
     def check_times(self) -> Self:
--- a/packages/millfork-state/millfork_state/commands.py
+++ b/packages/millfork-state/millfork_state/commands.py
@@ -85,7 +85,19 @@
     at_ms: int = 0
 
 
-AnyCommand = Noop | SetMembers | Apply | ClaimKey | SettleKey
+class Raise(Command, frozen=True):
+    """
+    Set one key to a value of a higher version; a version that is not above
+    the one held changes nothing.
+
+    """
+
+    key: str
+    version: int
+    value: bytes
+
+
+AnyCommand = Noop | SetMembers | Apply | ClaimKey | SettleKey | Raise
 
 
 class ApplyResult(msgspec.Struct, frozen=True):
@@ -124,7 +136,41 @@
     body: bytes = b''
 
 
-Result = ApplyResult | ClaimResult | None
+class RaiseResult(msgspec.Struct, frozen=True):
+    """
+    The outcome of `Raise`: whether it changed the key, and the version held.
+
+    """
+
+    raised: bool
+    version: int
+
+
+class Versioned(msgspec.Struct, frozen=True, array_like=True):
+    """
+    The value of a key that `Raise` sets.
+
+    """
+
+    version: int
+    body: bytes
+
+
+def encode_versioned(value: Versioned) -> bytes:
+    return msgspec.msgpack.encode(value)
+
+
+def decode_versioned(data: bytes) -> Versioned:
+    """
+    The versioned value in `data`.
+
+    :raises msgspec.ValidationError: if there is none.
+
+    """
+    return msgspec.msgpack.decode(data, type=Versioned)
+
+
+Result = ApplyResult | ClaimResult | RaiseResult | None
 
 
 def encode_command(command: Command) -> bytes:
--- a/packages/millfork-state/millfork_state/election.py
+++ b/packages/millfork-state/millfork_state/election.py
@@ -29,7 +29,7 @@
     limit = replica.election_s * spread
     while True:
         silent = replica.env.monotonic() - replica.leader_heard
-        if silent >= limit and replica.is_voter:
+        if silent >= limit and replica.is_voter and replica.disk_works:
             return
         await curio.sleep(max(limit - silent, replica.heartbeat_s / 4))
 
--- a/packages/millfork-state/millfork_state/formation.py
+++ b/packages/millfork-state/millfork_state/formation.py
@@ -8,17 +8,19 @@
 """
 
 import uuid
+from dataclasses import dataclass
 from typing import Final
 
 import curio
 
-from millfork_core.ids import ClusterId
+from millfork_core.ids import ClusterId, InstanceId
 from millfork_core.logs import Part, logger
 from millfork_state.commands import SetMembers, decode_command, encode_command
 from millfork_state.replica import Replica
 from millfork_state.storage import LogEntry
 from millfork_wire.connection import PeerError
 from millfork_wire.messages import Genesis, Identify, Identity, Member
+from millfork_wire.peers import PeerAddress
 
 FORM_PAUSE_S: Final = 0.2
 IDENTIFY_TIMEOUT_S: Final = 1.0
@@ -32,24 +34,44 @@
     return Identity(replica.storage.disk, replica.cluster, empty)
 
 
-async def form_or_join(replica: Replica) -> None:
+@dataclass(frozen=True, slots=True)
+class Seeds:
+    """
+    The replicas that begin a state together (the others join it later), and
+    whether this start may be the one at which they do.
+
+    """
+
+    others: list[PeerAddress]
+    may_form: bool
+
+    def forms_here(self, instance: InstanceId) -> bool:
+        """
+        Whether the replica on `instance` is the one that begins the state.
+
+        """
+        return self.may_form and all(instance < other.instance for other in self.others)
+
+
+async def form_or_join(replica: Replica, seeds: Seeds) -> None:
     """
     Return once this replica belongs to a state, formed here or elsewhere.
 
     """
-    lowest = min([replica.env.instance, *(address.instance for address in replica.others)])
     while not replica.cluster:
-        if replica.env.instance == lowest:
-            members = await _all_empty(replica)
-            if members is not None:
-                await _form(replica, members)
+        if seeds.forms_here(replica.env.instance):
+            members = await _all_empty(replica, seeds.others)
+            if members is not None and await _form(replica, members):
                 return
         await curio.sleep(FORM_PAUSE_S)
 
 
-async def _all_empty(replica: Replica) -> list[tuple[str, str]] | None:
+async def _all_empty(
+    replica: Replica,
+    others: list[PeerAddress],
+) -> list[tuple[str, str]] | None:
     members = [(str(replica.env.instance), str(replica.storage.disk))]
-    for address in replica.others:
+    for address in others:
         try:
             reply = await replica.peers.call(address, Identify(), IDENTIFY_TIMEOUT_S)
         except PeerError:
@@ -60,10 +82,16 @@
     return members
 
 
-async def _form(replica: Replica, members: list[tuple[str, str]]) -> None:
+async def _form(replica: Replica, members: list[tuple[str, str]]) -> bool:
     cluster = ClusterId(uuid.uuid4().hex)
-    if await take_genesis(replica, cluster, members):
+    try:
+        formed = await take_genesis(replica, cluster, members)
+    except OSError as error:
+        replica.note_disk_failure(error)
+        return False
+    if formed:
         log.notice('Formed the state with {} replicas.', len(members))
+    return formed
 
 
 async def take_genesis(
--- a/packages/millfork-state/millfork_state/leadership.py
+++ b/packages/millfork-state/millfork_state/leadership.py
@@ -19,6 +19,10 @@
 
 MAX_BATCH_ENTRIES: Final = 256
 CALL_TIMEOUT_S: Final = 2.0
+# Of the log's quorum; more replicas would only slow each commit.
+MAX_VOTERS: Final = 9
+# Longer than two elections, so that a restart is no reason to leave.
+SILENT_VOTER_S: Final = 4.0
 
 log = logger(Part.STATE)
 
@@ -71,16 +75,34 @@
             await group.spawn(self._write_log)
             await group.spawn(self._watch_quorum)
             await group.spawn(self._repair_members)
+            await group.spawn(self._follow_addresses)
             for progress in self.progress:
                 await group.spawn(self._replicate, progress)
         async with self.replica.lock:
             if self.replica.term == self.term:
                 await self.replica.step_down()
         await self._drop_proposals()
-        # A group raises nothing: a disk that fails must end the process.
+        # A group raises nothing by itself.
         if group.completed.exception is not None:
             raise group.completed.exception
 
+    async def _follow_addresses(self) -> None:
+        """
+        Replicate to replicas whose addresses become known later, too.
+
+        """
+        replica = self.replica
+        while True:
+            await curio.sleep(replica.heartbeat_s)
+            known = {progress.address for progress in self.progress}
+            for address in replica.others:
+                if address in known:
+                    continue
+                next_index = replica.storage.last_index + 1
+                progress = Progress(address, next_index, acked_at=replica.env.monotonic())
+                self.progress.append(progress)
+                await replica.env.spawn(self._replicate, progress)
+
     async def _drop_proposals(self) -> None:
         queue = self.replica.proposals
         while not queue.empty():
@@ -288,6 +310,8 @@
                 continue
             pending = await replica.propose(SetMembers(replica.cluster, change))
             await pending.settled.wait()
+            if not pending.applied:
+                continue
             replica.env.metrics.count(replica.env.metrics.state, event='members_changed')
             log.notice('Voters are now {}.', ', '.join(instance for instance, _ in change))
 
@@ -301,5 +325,26 @@
             others = [member for member in members if member[0] != instance]
             if len(others) < len(members):
                 return others
-            return [*members, (instance, progress.disk)]
+            if len(members) < MAX_VOTERS:
+                return [*members, (instance, progress.disk)]
+        return self._without_silent_voter()
+
+    def _without_silent_voter(self) -> list[tuple[str, str]] | None:
+        """
+        The voters without one that has long been silent, if enough are left
+        to bear the losses that the settings name.
+
+        """
+        replica = self.replica
+        losses = replica.settings.losses
+        if losses is None or len(replica.members) - 1 < 2 * losses + 1:
+            return None
+        now = replica.env.monotonic()
+        for progress in self.progress:
+            voter = (str(progress.address.instance), progress.disk)
+            if now - progress.acked_at < SILENT_VOTER_S:
+                continue
+            rest = [member for member in replica.members if member[0] != voter[0]]
+            if len(rest) < len(replica.members):
+                return rest
         return None
--- a/packages/millfork-state/millfork_state/machine.py
+++ b/packages/millfork-state/millfork_state/machine.py
@@ -17,8 +17,13 @@
     ClaimKey,
     ClaimResult,
     ClaimState,
+    Raise,
+    RaiseResult,
     Result,
     SettleKey,
+    Versioned,
+    decode_versioned,
+    encode_versioned,
 )
 from millfork_state.view import Held, View
 
@@ -82,8 +87,20 @@
             return self._claim(command)
         if isinstance(command, SettleKey):
             self._settle(command)
+        if isinstance(command, Raise):
+            return self._raise(command)
         return None
 
+    def _raise(self, command: Raise) -> RaiseResult:
+        held = self.view.items.get(command.key)
+        held_version = decode_versioned(held.value).version if held is not None else None
+        if held_version is not None and command.version <= held_version:
+            return RaiseResult(False, held_version)
+        revision = Revision(self.view.revision + 1)
+        value = encode_versioned(Versioned(command.version, command.value))
+        self.view.change(revision, {command.key: Held(value, revision)}, [])
+        return RaiseResult(True, command.version)
+
     def _apply_changes(self, command: Apply) -> ApplyResult:
         first = self.results.get(command.command_id)
         if first is not None:
--- a/packages/millfork-state/millfork_state/node.py
+++ b/packages/millfork-state/millfork_state/node.py
@@ -57,9 +57,15 @@
 
     """
 
-    def __init__(self, replica: Replica, reports: Reports) -> None:
+    def __init__(
+        self,
+        replica: Replica,
+        reports: Reports,
+        seeds: formation.Seeds | None = None,
+    ) -> None:
         self.replica = replica
         self.reports = reports
+        self.seeds = seeds or formation.Seeds(replica.others, may_form=True)
         self.leadership: Leadership | None = None
 
     async def run(self) -> None:
@@ -68,14 +74,21 @@
 
         """
         replica = self.replica
-        await formation.form_or_join(replica)
+        await formation.form_or_join(replica, self.seeds)
         await replica.env.spawn(formation.spread_genesis, replica)
         while True:
             await wait_for_silence(replica)
-            if not await campaign(replica):
+            try:
+                if not await campaign(replica):
+                    continue
+            except OSError as error:
+                replica.note_disk_failure(error)
                 continue
             self.leadership = Leadership(replica)
-            await self.leadership.run()
+            try:
+                await self.leadership.run()
+            except OSError as error:
+                replica.note_disk_failure(error)
             self.leadership = None
 
     async def keep_snapshots(self) -> None:
@@ -85,7 +98,10 @@
         """
         while True:
             await curio.sleep(self.replica.heartbeat_s * 4)
-            await self.replica.snapshot_if_due()
+            try:
+                await self.replica.snapshot_if_due()
+            except OSError as error:
+                self.replica.note_disk_failure(error)
 
     @property
     def leads(self) -> bool:
--- a/packages/millfork-state/millfork_state/proposals.py
+++ b/packages/millfork-state/millfork_state/proposals.py
@@ -34,13 +34,20 @@
         peers: Peers,
         replicas: list[PeerAddress],
         node: StateNode | None,
+        call_timeout_s: float = CALL_TIMEOUT_S,
     ) -> None:
         self.env = env
         self.peers = peers
-        self.replicas = {address.instance: address for address in replicas}
+        # The caller's own list, which may grow.
+        self.known = replicas
         self.node = node
+        self.call_timeout_s = call_timeout_s
         self.leader: InstanceId = NO_INSTANCE
 
+    @property
+    def replicas(self) -> dict[InstanceId, PeerAddress]:
+        return {address.instance: address for address in self.known}
+
     async def propose(
         self,
         command: AnyCommand,
@@ -80,7 +87,7 @@
             return await self.node.answer_propose(message.command)
         address = self._next_address()
         try:
-            reply = await self.peers.call(address, message, CALL_TIMEOUT_S)
+            reply = await self.peers.call(address, message, self.call_timeout_s)
         except PeerUnreachable:
             return Proposed(False, b'', Reason.NO_QUORUM.value, '')
         except PeerError:
@@ -90,19 +97,22 @@
 
     def _next_address(self) -> PeerAddress:
         known = self.node.replica.leader if self.node is not None else self.leader
-        if known in self.replicas and known != self.env.instance:
-            return self.replicas[known]
-        others = [a for a in self.replicas.values() if a.instance != self.env.instance]
-        return self.env.random.choice(others or list(self.replicas.values()))
-
-    async def read_state(self) -> StateBody:
+        replicas = self.replicas
+        if known in replicas and known != self.env.instance:
+            return replicas[known]
+        others = [a for a in replicas.values() if a.instance != self.env.instance]
+        if not others:
+            raise Refused(Refusal(Reason.NO_QUORUM, detail='no other replica is known'))
+        return self.env.random.choice(others)
+
+    async def read_state(self, patience_s: float = DEFAULT_PATIENCE_S) -> StateBody:
         """
         The configuration, linearizable: as the leader has it.
 
         :raises Refused: NO_QUORUM if no leader confirms it.
 
         """
-        return msgspec.json.decode(await self._read(What.STATE), type=StateBody)
+        return msgspec.json.decode(await self._read(What.STATE, patience_s), type=StateBody)
 
     async def read_reports(self) -> list[Report]:
         """
@@ -111,11 +121,13 @@
         :raises Refused: NO_QUORUM if there is no leader.
 
         """
-        rows = msgspec.json.decode(await self._read(What.REPORTS), type=list[ReportRow])
+        rows = msgspec.json.decode(
+            await self._read(What.REPORTS, DEFAULT_PATIENCE_S), type=list[ReportRow]
+        )
         return [Report(*row) for row in rows]
 
-    async def _read(self, what: What) -> bytes:
-        deadline = self.env.monotonic() + DEFAULT_PATIENCE_S
+    async def _read(self, what: What, patience_s: float) -> bytes:
+        deadline = self.env.monotonic() + patience_s
         while self.env.monotonic() < deadline:
             body = await self._read_once(what)
             if body is not None:
@@ -125,10 +137,10 @@
 
     async def _read_once(self, what: What) -> bytes | None:
         if self.node is not None and self.node.leads:
-            return await self.node.read(what, CALL_TIMEOUT_S)
+            return await self.node.read(what, self.call_timeout_s)
         try:
             reply = await self.peers.call(
-                self._next_address(), ReadState(what.value), CALL_TIMEOUT_S
+                self._next_address(), ReadState(what.value), self.call_timeout_s
             )
         except PeerError:
             return None
--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -85,9 +85,22 @@
         self.stepped_down = curio.Event()
         self.pending: dict[int, Pending] = {}
         self.proposals: curio.Queue = curio.Queue()
+        # When a write last failed; such a replica does not seek to lead.
+        self.disk_failed_at = -settings.election_ms / 1000
         self.heartbeat_s = settings.heartbeat_ms / 1000
         self.election_s = settings.election_ms / 1000
 
+    def learn_address(self, address: PeerAddress) -> bool:
+        """
+        Take up the address of another replica; False if it is known.
+
+        """
+        if address.instance == self.env.instance or address in self.others:
+            return False
+        self.others.append(address)
+        log.info('Learned of replica {}.', address.instance)
+        return True
+
     @property
     def term(self) -> int:
         return self.storage.vote.term
@@ -172,6 +185,23 @@
         if pending is not None:
             await pending.settle(True, result)
 
+    def note_disk_failure(self, error: OSError) -> None:
+        """
+        Remember that the disk refused a write.
+
+        """
+        self.disk_failed_at = self.env.monotonic()
+        self.env.metrics.count(self.env.metrics.state, event='disk_failed')
+        log.error('The disk refused a write: {}. term={}', error, self.term)
+
+    @property
+    def disk_works(self) -> bool:
+        """
+        Whether no write failed within the last election timeout.
+
+        """
+        return self.env.monotonic() - self.disk_failed_at >= self.election_s
+
     async def snapshot_if_due(self) -> None:
         """
         Replace a long log by a snapshot and its tail.
--- a/packages/millfork-state/millfork_state/storage.py
+++ b/packages/millfork-state/millfork_state/storage.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from millfork_core.ids import ClusterId, DiskId, LogIndex, Term
+from millfork_core.logs import Part, logger
 
 RECORD: Final = struct.Struct('>II')
 MAX_RECORD_BYTES: Final = 64 * 1024 * 1024
@@ -25,6 +26,8 @@
 SNAPSHOT_FILE: Final = 'snapshot'
 LOG_FILE: Final = 'log'
 
+log = logger(Part.STATE)
+
 
 class CorruptStorage(Exception):
     """
@@ -198,7 +201,8 @@
         self.commit_hint = self._load_log()
         # The last index known durable; what is in memory may be ahead of it.
         self.durable = int(self.last_index)
-        self.file = self.log_path.open('ab')
+        self.file = self.log_path.open('ab', buffering=0)
+        self.size = self.log_path.stat().st_size
 
     @property
     def disk(self) -> DiskId:
@@ -281,10 +285,11 @@
         """
         Write entries, which replace any at their indexes. Not yet durable.
 
+        :raises OSError: if the disk takes no bytes; the log is unchanged.
+
         """
         records = [frame_record(msgspec.msgpack.encode(_EntryRecord(entry))) for entry in entries]
-        self.file.write(b''.join(records))
-        self.file.flush()
+        self._append_bytes(b''.join(records))
         for entry in entries:
             _put(self.entries, entry)
         if entries:
@@ -295,8 +300,23 @@
         Note that `index` is committed; not synced, as losing it is harmless.
 
         """
-        self.file.write(frame_record(msgspec.msgpack.encode(_CommitMark(index))))
-        self.file.flush()
+        try:
+            self._append_bytes(frame_record(msgspec.msgpack.encode(_CommitMark(index))))
+        except OSError as error:
+            log.warning('No commit mark written at index {}: {}.', index, error)
+
+    def _append_bytes(self, data: bytes) -> None:
+        """
+        Write at the end of the log; on a failure nothing of it stays, as
+        records behind a torn one would look like damage.
+
+        """
+        if self.log_path.stat().st_size != self.size:
+            os.ftruncate(self.file.fileno(), self.size)
+        rest = memoryview(data)
+        while rest:
+            rest = rest[self.file.write(rest) :]
+        self.size += len(data)
 
     async def sync(self) -> None:
         """
@@ -325,14 +345,16 @@
         records = [frame_record(msgspec.msgpack.encode(_EntryRecord(entry))) for entry in entries]
         records.append(frame_record(msgspec.msgpack.encode(_CommitMark(commit))))
         temporary = self.log_path.with_suffix('.tmp')
-        file = temporary.open('wb')
-        file.write(b''.join(records))
-        file.flush()
+        body = b''.join(records)
+        with temporary.open('wb') as whole:
+            whole.write(body)
+        file = temporary.open('ab', buffering=0)
         await curio.run_in_thread(os.fdatasync, file.fileno())
         temporary.replace(self.log_path)
         await curio.run_in_thread(_sync_folder, self.folder)
         self.file.close()
         self.file = file
+        self.size = len(body)
 
     def close(self) -> None:
         self.file.close()
--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -125,6 +125,7 @@
         self.port = port
         self.handler = handler
         self.max_body = max_body
+        self.idle_timeout_s = IDLE_TIMEOUT_S
         self.on_refusal = on_refusal
         self.closing = False
         self.active = 0
@@ -180,7 +181,7 @@
         await exchange.respond(problem(refusal))
 
     async def _read_request(self, sock: Any, conn: h11.Connection) -> Request | None:
-        async with curio.timeout_after(IDLE_TIMEOUT_S):
+        async with curio.timeout_after(self.idle_timeout_s):
             head = await _next_event(sock, conn)
         if not isinstance(head, h11.Request):
             return None
--- a/packages/millfork-wire/millfork_wire/codec.py
+++ b/packages/millfork-wire/millfork_wire/codec.py
@@ -20,7 +20,7 @@
 # The top bit of the length: the body is packed, which suits small messages
 # with many zeros and would only cost time on weights.
 PACKED: Final = 1 << 31
-UNPACKED: Final = frozenset({messages.Chunk, messages.InstallRequest})
+UNPACKED: Final = frozenset({messages.Chunk, messages.InstallRequest, messages.PushChunk})
 
 
 class Kind(IntEnum):
--- a/packages/millfork-wire/millfork_wire/connection.py
+++ b/packages/millfork-wire/millfork_wire/connection.py
@@ -24,6 +24,7 @@
     Message,
     Part,
     Ping,
+    PushChunk,
     Reserve,
     Reserved,
     Start,
@@ -32,7 +33,7 @@
 
 MAX_QUEUED_FRAMES: Final = 4096
 MAX_BATCH_BYTES: Final = 256 * 1024
-NOT_CONTROL: Final = (Chunk, Reserve, Reserved, Start, Head, Part, End)
+NOT_CONTROL: Final = (Chunk, PushChunk, Reserve, Reserved, Start, Head, Part, End)
 
 log = logger(LogPart.WIRE)
 
--- a/packages/millfork-wire/millfork_wire/messages.py
+++ b/packages/millfork-wire/millfork_wire/messages.py
@@ -314,3 +314,47 @@
     found: bool = False
     data: bytes = b''
     reason: str = ''
+
+
+@dataclass(slots=True)
+class FindReplicas(Message):
+    instance: str = ''
+    cluster: str = ''
+    entries: int = 0
+
+
+@dataclass(slots=True)
+class Replicas(Message):
+    cluster: str = ''
+    leader: str = ''
+    known: list[str] = field(default_factory=list)
+    age_ms: int = 0
+    entries: int = 0
+
+
+@dataclass(slots=True)
+class Follow(Message):
+    role: str = ''
+    cluster: str = ''
+    revision: int = 0
+
+
+@dataclass(slots=True)
+class Leases(Message):
+    full: bool = False
+    settled: bool = False
+    entries: int = 0
+    leases: bytes = b''
+    reports: bytes = b''
+
+
+@dataclass(slots=True)
+class EndpointReport(Message):
+    body: bytes = b''
+
+
+@dataclass(slots=True)
+class PushChunk(Message):
+    manifest: str = ''
+    index: int = 0
+    data: bytes = b''
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -44,6 +44,12 @@
     stateView @37 :StateView;
     askRevision @38 :AskRevision;
     revisionIs @39 :RevisionIs;
+    findReplicas @40 :FindReplicas;
+    replicas @41 :Replicas;
+    follow @42 :Follow;
+    leases @43 :Leases;
+    endpointReport @44 :EndpointReport;
+    pushChunk @45 :PushChunk;
   }
 }
 
@@ -102,3 +108,10 @@
 struct Manifest { found @0 :Bool; body @1 :Data; whole @2 :Bool; }
 struct GetChunk { manifest @0 :Text; index @1 :UInt32; waitMs @2 :UInt32; }
 struct Chunk { found @0 :Bool; data @1 :Data; reason @2 :Text; }
+
+struct FindReplicas { instance @0 :Text; cluster @1 :Text; entries @2 :UInt32; }
+struct Replicas { cluster @0 :Text; leader @1 :Text; known @2 :List(Text); ageMs @3 :UInt32; entries @4 :UInt32; }
+struct Follow { role @0 :Text; cluster @1 :Text; revision @2 :UInt64; }
+struct Leases { full @0 :Bool; settled @1 :Bool; entries @2 :UInt32; leases @3 :Data; reports @4 :Data; }
+struct EndpointReport { body @0 :Data; }
+struct PushChunk { manifest @0 :Text; index @1 :UInt32; data @2 :Data; }
--- a/packages/millfork-wire/millfork_wire/peers.py
+++ b/packages/millfork-wire/millfork_wire/peers.py
@@ -13,7 +13,13 @@
 from millfork_core.ids import NO_INSTANCE, InstanceId
 from millfork_core.logs import Part, logger
 from millfork_wire.codec import BadFrame
-from millfork_wire.connection import Connection, Handler, PeerLost, PeerUnreachable
+from millfork_wire.connection import (
+    Connection,
+    Handler,
+    PeerLost,
+    PeerTimedOut,
+    PeerUnreachable,
+)
 from millfork_wire.handshake import HandshakeFailed, shake_hands
 from millfork_wire.messages import Message, Ping
 from millfork_wire.transport import Transport, dial
@@ -54,6 +60,7 @@
         fleet_key: bytes,
         handler: Handler,
         via: tuple[str, int] | None = None,
+        closes_silent: bool = False,
     ) -> None:
         self.env = env
         self.role = role
@@ -62,6 +69,9 @@
         self.fleet_key = fleet_key
         self.handler = handler
         self.via = via
+        # Whether a call without any answer in time ends the connection, so
+        # that the next call dials a peer that may have come back.
+        self.closes_silent = closes_silent
         self.connections: dict[InstanceId, Connection] = {}
         self.locks: dict[InstanceId, curio.Lock] = {}
         self.refused_until: dict[InstanceId, float] = {}
@@ -147,7 +157,14 @@
 
         """
         connection = await self.connect(address)
-        return await connection.call(message, timeout)
+        began = self.env.monotonic()
+        try:
+            return await connection.call(message, timeout)
+        except PeerTimedOut:
+            if self.closes_silent and connection.last_heard < began:
+                self.env.metrics.count(self.env.metrics.wire, event='silent_peer')
+                await connection.close()
+            raise
 
     async def probe_idle(self) -> None:
         """
--- a/packages/millforkd/millforkd/__main__.py
+++ b/packages/millforkd/millforkd/__main__.py
@@ -7,6 +7,7 @@
 
 from absl import flags
 
+from millfork_adapter.adapter import Adapter
 from millfork_core.status import ExitStatus
 from millforkd.cli.definition import FLAGS, USAGE
 from millforkd.core import run
@@ -14,7 +15,7 @@
 HELP = frozenset({'-h', '--help', 'help'})
 
 
-def main() -> None:
+def main(adapter: Adapter | None = None) -> None:
     """
     Parse the command line and run the daemon.
 
@@ -28,7 +29,7 @@
     except flags.Error as error:
         print(f'millforkd: {error}', file=sys.stderr)
         sys.exit(ExitStatus.USAGE)
-    sys.exit(run(FLAGS.settings, FLAGS.check))
+    sys.exit(run(FLAGS.settings, FLAGS.check, adapter))
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/packages/millforkd/millforkd/admin.py
@@ -0,0 +1,47 @@
+"""
+The admin port of a seeded daemon: metrics, liveness, readiness.
+
+"""
+
+from collections.abc import Callable
+
+from millfork_core.environment import Environment
+from millfork_settings.seeded import SeededSettings
+from millfork_web.models import Response, json_response
+from millfork_web.server import Exchange, Server
+
+
+class Admin:
+    """
+    Serves a daemon's own figures.
+
+    """
+
+    def __init__(
+        self, env: Environment, settings: SeededSettings, is_ready: Callable[[], bool]
+    ) -> None:
+        self.env = env
+        self.is_ready = is_ready
+        self.server = Server(str(settings.address), settings.ports.admin, self._answer)
+
+    async def run(self) -> None:
+        """
+        Serve until cancelled.
+
+        """
+        await self.server.run()
+
+    async def _answer(self, exchange: Exchange) -> None:
+        path = exchange.request.path
+        if path == '/metrics':
+            body, content_type = self.env.metrics.render()
+            await exchange.respond(Response(200, [('content-type', content_type)], body))
+            return
+        if path == '/livez':
+            await exchange.respond(json_response({'live': True}))
+            return
+        if path == '/readyz':
+            ready = self.is_ready()
+            await exchange.respond(json_response({'ready': ready}, 200 if ready else 503))
+            return
+        await exchange.respond(json_response({'error': 'not found'}, 404))
--- /dev/null
+++ b/packages/millforkd/millforkd/beside/__init__.py
@@ -0,0 +1,4 @@
+"""
+The endpoint role of a seeded fleet: weights in pieces, and the engine's state.
+
+"""
--- /dev/null
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -0,0 +1,366 @@
+"""
+The endpoint daemon beside an engine.
+
+"""
+
+from functools import singledispatchmethod
+from typing import Final
+
+import curio
+import msgspec
+
+from millfork_adapter.adapter import Adapter
+from millfork_core.environment import Environment
+from millfork_core.logs import Part, logger
+from millfork_registry.discovery import Discovery, address_of
+from millfork_registry.followers import ENDPOINT_ROLE
+from millfork_registry.following import Following
+from millfork_registry.records import EndpointState, HeldVersion, ServedVersion
+from millfork_registry.registry import Registry
+from millfork_routing.documents import Document, EngineFigures
+from millfork_settings.seeded import SeededSettings, socket_pair
+from millfork_state.commands import decode_versioned
+from millfork_state.keys import version_key
+from millfork_state.view import View
+from millfork_web.client import Client
+from millfork_weights.links import Link
+from millfork_wire import messages
+from millfork_wire.connection import Connection, PeerError
+from millfork_wire.messages import Chunk, EndpointReport, Manifest, Message
+from millforkd.admin import Admin
+from millforkd.beside.engine import LocalEngine
+from millforkd.beside.gathering import Gathering
+from millforkd.beside.pieces import (
+    PieceSet,
+    PieceStore,
+    WeightsId,
+    encode_digests,
+    parse_weights_id,
+)
+from millforkd.beside.pushing import Pushing
+from millforkd.beside.rollout import Rollout, Target
+from millforkd.beside.sources import fleet
+from millforkd.document import document_in
+from millforkd.seeded import peers_for
+
+# Often enough for the entries' choice, at a per cent of the processor.
+REPORT_EVERY_S: Final = 0.3
+REPORT_TIMEOUT_S: Final = 0.5
+# The first version of every model.
+FIRST_VERSION: Final = 1
+# Of the link, for transfers; the rest is for the engine's requests and answers.
+TRANSFER_SHARE: Final = 0.92
+# A daemon that was asked for digests waits this long for them itself.
+DIGESTS_WAIT_S: Final = 1.0
+BITS_PER_MBIT: Final = 1_000_000
+UNLIMITED_BYTES_PER_S: Final = 1_250_000_000
+
+log = logger(Part.ENDPOINT)
+
+
+class BesideDaemon:
+    """
+    One endpoint instance.
+
+    """
+
+    def __init__(self, env: Environment, settings: SeededSettings, adapter: Adapter) -> None:
+        assert settings.beside is not None
+        self.env = env
+        self.settings = settings
+        self.adapter = adapter
+        self.service = settings.beside.service
+        self.engine_address = socket_pair(settings.beside.address)
+        self.peers = peers_for(env, settings, self.handle)
+        self.discovery = Discovery(env, self.peers, settings.seed_instances)
+        self.view = View()
+        self.registry = Registry(env, settings.promises.heartbeat_ms / 1000)
+        self.following = Following(
+            env, ENDPOINT_ROLE, self.view, self.registry, self.peers, self.discovery
+        )
+        self.link = Link(_link_bytes_per_s(settings), TRANSFER_SHARE, False, env.monotonic)
+        self.engine = LocalEngine(
+            adapter, Client(*self.engine_address, source=str(settings.address))
+        )
+        self.store = PieceStore()
+        self.pushing = Pushing(env, self.peers, self._targets, self.link.outward)
+        self.gathering = Gathering(
+            env, adapter, self.peers, self.service, self.states, self._origin, self.pushing
+        )
+        self.rollout = Rollout(
+            env,
+            self.engine,
+            self.store,
+            self.gathering,
+            self.service,
+            self.states,
+            self._target,
+            self._report,
+            settings.promises.version_ms,
+        )
+        self.admin = Admin(env, settings, lambda: bool(self.view.cluster))
+        self.document: Document | None = None
+        self.document_revision = 0
+        self.origin_client: Client | None = None
+        self.target_known: Target | None = None
+
+    @property
+    def in_progress(self) -> int:
+        return 0
+
+    async def start(self) -> None:
+        """
+        Start all tasks of the endpoint daemon.
+
+        """
+        await self.env.keep(self.peers.listen)
+        await self.env.keep(self.peers.probe_idle)
+        await self.env.keep(self.admin.run)
+        await self.env.keep(self.following.run)
+        await self.env.keep(self._keep_reporting)
+        await self.env.keep(self.pushing.run)
+        await self.env.keep(self.rollout.keep)
+
+    async def reload(self, settings: SeededSettings) -> None:
+        """
+        Take changed settings: other seeds.
+
+        """
+        self.discovery.take_seeds(settings.seed_instances)
+
+    async def drain(self) -> None:
+        """
+        A planned stop: nothing of a caller's is in progress here.
+
+        """
+
+    def _targets(self) -> set[str]:
+        return fleet(self.states(), self.service, str(self.env.instance))
+
+    def states(self) -> list[EndpointState]:
+        """
+        All endpoint daemons known.
+
+        """
+        return list(self.registry.endpoints.values())
+
+    # What is to be served.
+
+    def _engine_figures(self) -> EngineFigures | None:
+        found = document_in(self.view, self.adapter, self.document_revision)
+        if found is not None:
+            self.document, self.document_revision = found
+            self.origin_client = self._client_of(self.document)
+        if self.document is None:
+            return None
+        for service in self.document.services:
+            if service.name == self.service:
+                return service.engine
+        return None
+
+    def _client_of(self, document: Document) -> Client | None:
+        for service in document.services:
+            if service.origin is None:
+                continue
+            held = self.origin_client
+            pair = (service.origin.host, service.origin.port)
+            if held is not None and (held.host, held.port) == pair:
+                return held
+            return Client(*pair, source=str(self.settings.address))
+        return None
+
+    def _origin(self) -> Client | None:
+        return self.origin_client
+
+    def _target(self) -> Target | None:
+        figures = self._engine_figures()
+        if figures is None or not figures.model:
+            return None
+        held = self.view.items.get(version_key(figures.model))
+        version = decode_versioned(held.value).version if held is not None else FIRST_VERSION
+        weights = WeightsId(figures.model, version)
+        known = self.target_known
+        if known is None or known.weights != weights:
+            known = Target(weights, figures.layers, self.env.monotonic())
+            self.target_known = known
+            log.notice('Version to be served: {}. revision={}', weights, self.view.revision)
+        return known
+
+    # The engine's state.
+
+    async def _keep_reporting(self) -> None:
+        while True:
+            report = await self.engine.report()
+            if (report is None) != (self.rollout.report is None):
+                log.notice('The engine {}.', 'is silent' if report is None else 'answers')
+            self.rollout.report = report
+            await self._report()
+            await curio.sleep(REPORT_EVERY_S)
+
+    async def _report(self) -> None:
+        """
+        Tell the replica that this daemon follows.
+
+        """
+        source = self.following.source
+        if not source:
+            return
+        body = msgspec.msgpack.encode(self._state())
+        try:
+            await self.peers.call(address_of(source), EndpointReport(body), REPORT_TIMEOUT_S)
+        except PeerError as error:
+            log.debug('No report to {}: {}.', source, error)
+
+    def _state(self) -> EndpointState:
+        report = self.rollout.report
+        served: tuple[ServedVersion, ...] = ()
+        if report is not None:
+            served = tuple(ServedVersion(*item) for item in report.served)
+        host, port = self.engine_address
+        return EndpointState(
+            str(self.env.instance),
+            self.service,
+            str(self.env.zone),
+            host,
+            port,
+            int(self.env.monotonic() * 1000),
+            '',
+            report is not None,
+            report.running if report is not None else 0,
+            report.queued if report is not None else 0,
+            report.tokens_used if report is not None else 0,
+            report.tokens_total if report is not None else 0,
+            report.pace if report is not None else 1.0,
+            served,
+            self._held(served),
+            self.rollout.changing_to,
+        )
+
+    def _held(self, served: tuple[ServedVersion, ...]) -> tuple[HeldVersion, ...]:
+        """
+        The versions that others can take from here: those whole in memory,
+        and what the engine serves, which lies staged at it.
+
+        """
+        held = {
+            (weights.model, weights.version)
+            for weights, pieces in self.store.sets.items()
+            if pieces.whole
+        }
+        if not self.rollout.changing_to:
+            target = self.target_known
+            for item in served:
+                if target is not None and item.layers in (None, target.layers):
+                    held.add((item.model, item.version))
+        return tuple(HeldVersion(model, version, True) for model, version in sorted(held))
+
+    # Messages of peers.
+
+    async def handle(self, connection: Connection, message: Message) -> Message | None:
+        """
+        Answer a peer's message.
+
+        """
+        if await self.following.take(connection.peer, message):
+            return None
+        reply: Message | None = await self.on(message, connection)
+        return reply
+
+    @singledispatchmethod
+    async def on(self, message: Message, connection: Connection) -> Message | None:
+        self.env.metrics.count(self.env.metrics.wire, event='unexpected')
+        return None
+
+    @on.register
+    async def _(self, message: messages.GetManifest, connection: Connection) -> Message:
+        weights = self._weights_id(message.digest, connection)
+        if weights is None:
+            return Manifest()
+        held = self.store.of(weights) if self._is_target(weights) else self.store.find(weights)
+        if held is not None and not held.digests:
+            await self._wait_for_digests(held)
+        if held is None or not held.digests:
+            return Manifest()
+        return Manifest(True, encode_digests(held.digests), held.whole)
+
+    async def _wait_for_digests(self, held: PieceSet) -> None:
+        try:
+            async with curio.timeout_after(DIGESTS_WAIT_S):
+                while not held.digests:
+                    await held.arrived.wait()
+        except curio.TaskTimeout:
+            pass
+
+    @on.register
+    async def _(self, message: messages.GetChunk, connection: Connection) -> Message:
+        weights = self._weights_id(message.manifest, connection)
+        data = await self._piece(weights, message.index) if weights is not None else None
+        if data is None:
+            return Chunk(reason='not here')
+        await self.link.outward.take(len(data))
+        self.env.metrics.count(self.env.metrics.chunk_bytes, len(data), source='sent')
+        return Chunk(True, data)
+
+    @on.register
+    async def _(self, message: messages.PushChunk, connection: Connection) -> None:
+        weights = self._weights_id(message.manifest, connection)
+        if weights is None or not self._is_wanted(weights):
+            return
+        held = self.store.of(weights)
+        if message.index in held.pieces:
+            self.env.metrics.count(self.env.metrics.chunks, source='pushed', outcome='again')
+            return
+        good = await held.put(message.index, message.data)
+        outcome = 'good' if good else 'corrupt'
+        self.env.metrics.count(self.env.metrics.chunks, source='pushed', outcome=outcome)
+        if not good:
+            log.warning(
+                'Piece {} of {} from {} is corrupt.', message.index, weights, connection.peer
+            )
+
+    def _weights_id(self, text: str, connection: Connection) -> WeightsId | None:
+        try:
+            return parse_weights_id(text)
+        except ValueError as error:
+            log.warning('A bad id of weights from {}: {}.', connection.peer, error)
+            return None
+
+    def _is_wanted(self, weights: WeightsId) -> bool:
+        """
+        Whether pieces of a version are of use here: it is the target, or a
+        newer one that this daemon will hear of.
+
+        """
+        target = self.target_known
+        return target is not None and (
+            weights.model == target.weights.model and weights.version >= target.weights.version
+        )
+
+    async def _piece(self, weights: WeightsId, index: int) -> bytes | None:
+        held = self.store.find(weights)
+        if held is not None and index in held.pieces:
+            return held.pieces[index]
+        if self._engine_serves(weights):
+            return await self.engine.staged(weights.model, index)
+        return None
+
+    def _is_target(self, weights: WeightsId) -> bool:
+        return self.target_known is not None and self.target_known.weights == weights
+
+    def _engine_serves(self, weights: WeightsId) -> bool:
+        """
+        Whether the pieces staged at the engine are of this version.
+
+        """
+        report = self.rollout.report
+        if report is None or self.rollout.changing_to:
+            return False
+        return any(
+            (model, version) == (weights.model, weights.version)
+            for model, version, _ in report.served
+        )
+
+
+def _link_bytes_per_s(settings: SeededSettings) -> int:
+    mbps = settings.promises.transfer_mbps
+    return int(mbps * BITS_PER_MBIT / 8) if mbps else UNLIMITED_BYTES_PER_S
--- /dev/null
+++ b/packages/millforkd/millforkd/beside/gathering.py
@@ -0,0 +1,266 @@
+"""
+Bringing all pieces of a version into memory.
+
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import curio
+import msgspec
+
+from millfork_adapter.adapter import Adapter
+from millfork_adapter.calls import BadCall
+from millfork_core.environment import Environment
+from millfork_core.logs import Part, logger
+from millfork_registry.discovery import address_of
+from millfork_registry.records import EndpointState
+from millfork_web.client import Client, ExchangeFailed
+from millfork_web.models import Request
+from millfork_wire.connection import PeerError
+from millfork_wire.messages import Chunk, GetChunk, GetManifest, Manifest
+from millfork_wire.peers import Peers
+from millforkd.beside.pieces import PieceSet, WeightsId, decode_digests
+from millforkd.beside.pushing import Pushing
+from millforkd.beside.sources import DIGESTS, fleet, holders, in_turn
+
+# Pieces asked of peers at once: enough to fill the link over some
+# milliseconds, few enough not to wait in front of the engine's requests.
+PULL_WINDOW: Final = 4
+# Pieces asked of the origin at once by one daemon.
+DRAW_WINDOW: Final = 2
+# Without a piece for this long, a daemon asks for what it misses. A piece
+# takes 0.05 s on the slowest links, a round of sendings ten times that.
+STALL_S: Final = 0.8
+PEER_TIMEOUT_S: Final = 2.0
+ORIGIN_TIMEOUT_S: Final = 4.0
+# Peers asked for one missing piece in one round.
+PEERS_TRIED: Final = 2
+RETRY_S: Final = 0.2
+
+Bring = Callable[[PieceSet, int], Awaitable[None]]
+
+log = logger(Part.WEIGHTS)
+
+
+class Gathering:
+    """
+    Fetches pieces from peers and the origin.
+
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        adapter: Adapter,
+        peers: Peers,
+        service: str,
+        states: Callable[[], list[EndpointState]],
+        origin: Callable[[], Client | None],
+        pushing: Pushing,
+    ) -> None:
+        self.env = env
+        self.adapter = adapter
+        self.peers = peers
+        self.service = service
+        self.states = states
+        self.origin = origin
+        self.pushing = pushing
+
+    async def gather(self, held: PieceSet) -> None:
+        """
+        Return once the set is whole; cancelled when it is not wanted.
+
+        """
+        while not await self.bring_digests(held):
+            await curio.sleep(RETRY_S)
+        turn = 0
+        while not held.whole:
+            if self._holders(held.weights):
+                await self._pull(held)
+            elif await self._draw(held, turn):
+                continue
+            if held.whole or await self._has_more(held):
+                continue
+            await self._pull(held)
+            turn += 1
+
+    def _holders(self, weights: WeightsId) -> list[str]:
+        return holders(self.states(), weights, str(self.env.instance))
+
+    def _fleet(self) -> set[str]:
+        return fleet(self.states(), self.service, str(self.env.instance))
+
+    async def _has_more(self, held: PieceSet) -> bool:
+        """
+        Wait for another piece; False if none comes in time.
+
+        """
+        arrived = held.arrived
+        try:
+            async with curio.timeout_after(STALL_S):
+                await arrived.wait()
+        except curio.TaskTimeout:
+            return False
+        return True
+
+    # From the origin.
+
+    async def _draw(self, held: PieceSet, turn: int) -> bool:
+        """
+        Draw the missing pieces that are this daemon's, or fell to it as those
+        before it in turn did not bring them; False if there were none.
+
+        """
+        own = str(self.env.instance)
+        names = self._fleet()
+        queue = [
+            index
+            for index in held.missing()
+            if own in in_turn(names, held.weights, index)[: turn + 1]
+        ]
+        await self._in_parallel(DRAW_WINDOW, held, queue, self._draw_piece)
+        return bool(queue)
+
+    async def _draw_piece(self, held: PieceSet, index: int) -> None:
+        weights = held.weights
+        data = await self._from_origin(
+            self.adapter.piece_request(weights.model, weights.version, index)
+        )
+        if data is None:
+            await curio.sleep(RETRY_S)
+            return
+        if not await held.put(index, data):
+            log.warning('Piece {} of {} from the origin is corrupt.', index, weights)
+            self.env.metrics.count(self.env.metrics.chunks, source='origin', outcome='corrupt')
+            return
+        self._count(len(data), 'origin')
+        await self.pushing.add(weights, index, data)
+
+    async def _in_parallel(
+        self,
+        window: int,
+        held: PieceSet,
+        queue: list[int],
+        bring: Bring,
+    ) -> None:
+        async with curio.TaskGroup() as group:
+            for _ in range(min(window, len(queue))):
+                await group.spawn(self._work, held, queue, bring)
+
+    async def _work(self, held: PieceSet, queue: list[int], bring: Bring) -> None:
+        while queue:
+            index = queue.pop()
+            if index not in held.pieces:
+                await bring(held, index)
+
+    # From peers.
+
+    async def _pull(self, held: PieceSet) -> None:
+        """
+        Ask peers for what is missing.
+
+        """
+        missing = held.missing()
+        self.env.random.shuffle(missing)
+        await self._in_parallel(PULL_WINDOW, held, missing, self._pull_piece)
+
+    async def _pull_piece(self, held: PieceSet, index: int) -> None:
+        whole = self._holders(held.weights)
+        names = whole or self._fleet() - {str(self.env.instance)}
+        for peer in in_turn(names, held.weights, index)[:PEERS_TRIED]:
+            data = await self._piece_of_peer(peer, held.weights, index)
+            if data is None:
+                continue
+            if await held.put(index, data):
+                self._count(len(data), 'peer')
+                return
+            log.warning('Piece {} of {} from {} is corrupt.', index, held.weights, peer)
+            self.env.metrics.count(self.env.metrics.chunks, source='peer', outcome='corrupt')
+
+    def _count(self, size: int, source: str) -> None:
+        self.env.metrics.count(self.env.metrics.chunks, source=source, outcome='good')
+        self.env.metrics.count(self.env.metrics.chunk_bytes, size, source=source)
+
+    async def _piece_of_peer(self, peer: str, weights: WeightsId, index: int) -> bytes | None:
+        message = GetChunk(str(weights), index)
+        try:
+            reply = await self.peers.call(address_of(peer), message, PEER_TIMEOUT_S)
+        except PeerError as error:
+            log.info('Piece {} of {} not from {}: {}.', index, weights, peer, error)
+            return None
+        if not isinstance(reply, Chunk) or not reply.found:
+            return None
+        return reply.data
+
+    # Digests.
+
+    async def bring_digests(self, held: PieceSet) -> bool:
+        """
+        Learn the digests, from peers or the origin; False if nobody has them.
+
+        """
+        if held.digests:
+            return True
+        own = str(self.env.instance)
+        names = set(self._holders(held.weights)) or self._fleet()
+        ordered = in_turn(names, held.weights, DIGESTS)
+        for peer in ordered[:PEERS_TRIED]:
+            if peer == own:
+                break
+            digests = await self._digests_of_peer(peer, held.weights)
+            if digests:
+                await held.learn_digests(digests)
+                return True
+        return bool(held.digests) or await self._draw_digests(held)
+
+    async def _draw_digests(self, held: PieceSet) -> bool:
+        weights = held.weights
+        body = await self._from_origin(
+            self.adapter.piece_list_request(weights.model, weights.version)
+        )
+        if body is None:
+            return False
+        try:
+            pieces = self.adapter.read_piece_list(body)
+        except BadCall as error:
+            log.warning('The digests of {} can not be read: {}.', weights, error)
+            return False
+        if (pieces.model, pieces.version) != (weights.model, weights.version):
+            log.warning('The origin gave digests of {} {}.', pieces.model, pieces.version)
+            return False
+        await held.learn_digests(pieces.digests)
+        return True
+
+    async def _digests_of_peer(self, peer: str, weights: WeightsId) -> tuple[str, ...]:
+        try:
+            reply = await self.peers.call(
+                address_of(peer), GetManifest(str(weights)), PEER_TIMEOUT_S
+            )
+        except PeerError as error:
+            log.info('Digests of {} not from {}: {}.', weights, peer, error)
+            return ()
+        if not isinstance(reply, Manifest) or not reply.found:
+            return ()
+        try:
+            return decode_digests(reply.body)
+        except msgspec.DecodeError as error:
+            log.warning('Digests of {} from {} can not be read: {}.', weights, peer, error)
+            return ()
+
+    async def _from_origin(self, request: Request) -> bytes | None:
+        client = self.origin()
+        if client is None:
+            return None
+        try:
+            response = await client.fetch(
+                request.method, request.path, request.headers, timeout=ORIGIN_TIMEOUT_S
+            )
+        except ExchangeFailed as error:
+            log.warning('Nothing from the origin: {}. path={}', error, request.path)
+            self.env.metrics.count(self.env.metrics.chunks, source='origin', outcome='failed')
+            return None
+        if response.status != 200:
+            log.warning('The origin answered {}. path={}', response.status, request.path)
+            return None
+        return response.body
--- /dev/null
+++ b/packages/millforkd/millforkd/beside/pieces.py
@@ -0,0 +1,140 @@
+"""
+Pieces of weights in memory, each checked against its digest.
+
+"""
+
+import hashlib
+from dataclasses import dataclass, field
+from typing import Final
+
+import curio
+import msgspec
+
+# The version served and the one on its way.
+KEPT_VERSIONS: Final = 2
+
+
+@dataclass(frozen=True, slots=True)
+class WeightsId:
+    """
+    One version of a model's weights.
+
+    """
+
+    model: str
+    version: int
+
+    def __str__(self) -> str:
+        return f'{self.model}@{self.version}'
+
+
+def parse_weights_id(text: str) -> WeightsId:
+    """
+    The id in `MODEL@VERSION`.
+
+    :raises ValueError: if it is none.
+
+    """
+    model, _, version = text.rpartition('@')
+    return WeightsId(model, int(version))
+
+
+def encode_digests(digests: tuple[str, ...]) -> bytes:
+    return msgspec.msgpack.encode([bytes.fromhex(digest) for digest in digests])
+
+
+def decode_digests(data: bytes) -> tuple[str, ...]:
+    """
+    The digests that `encode_digests` wrote, in hex.
+
+    :raises msgspec.DecodeError: if there are none.
+
+    """
+    return tuple(digest.hex() for digest in msgspec.msgpack.decode(data, type=list[bytes]))
+
+
+@dataclass(slots=True)
+class PieceSet:
+    """
+    The pieces of one version that are here, and their digests.
+
+    """
+
+    weights: WeightsId
+    digests: tuple[str, ...] = ()
+    pieces: dict[int, bytes] = field(default_factory=dict)
+    # Pieces that came before the digests did.
+    unchecked: dict[int, bytes] = field(default_factory=dict)
+    arrived: curio.Event = field(default_factory=curio.Event)
+
+    @property
+    def whole(self) -> bool:
+        return bool(self.digests) and len(self.pieces) == len(self.digests)
+
+    def missing(self) -> list[int]:
+        return [index for index in range(len(self.digests)) if index not in self.pieces]
+
+    async def learn_digests(self, digests: tuple[str, ...]) -> None:
+        """
+        Take the digests, and check what came before them.
+
+        """
+        self.digests = digests
+        unchecked, self.unchecked = self.unchecked, {}
+        for index, data in unchecked.items():
+            await self.put(index, data)
+        await self.announce()
+
+    async def put(self, index: int, data: bytes) -> bool:
+        """
+        Take a piece; False if it is not the one its digest names.
+
+        """
+        if not self.digests:
+            self.unchecked[index] = data
+            return True
+        if not self.is_good(index, data):
+            return False
+        self.pieces[index] = data
+        await self.announce()
+        return True
+
+    def is_good(self, index: int, data: bytes) -> bool:
+        if not 0 <= index < len(self.digests):
+            return False
+        return hashlib.sha256(data).hexdigest() == self.digests[index]
+
+    async def announce(self) -> None:
+        """
+        Wake whoever waits for a piece or for the digests.
+
+        """
+        arrived, self.arrived = self.arrived, curio.Event()
+        await arrived.set()
+
+
+class PieceStore:
+    """
+    The pieces of the last versions.
+
+    """
+
+    def __init__(self) -> None:
+        self.sets: dict[WeightsId, PieceSet] = {}
+
+    def of(self, weights: WeightsId) -> PieceSet:
+        """
+        The set of a version; the oldest versions make room for it.
+
+        """
+        held = self.sets.get(weights)
+        if held is None:
+            held = PieceSet(weights)
+            self.sets[weights] = held
+            for old in sorted(self.sets, key=lambda item: item.version)[:-KEPT_VERSIONS]:
+                if old != weights:
+                    del self.sets[old]
+        return held
+
+    def find(self, weights: WeightsId) -> PieceSet | None:
+        return self.sets.get(weights)
--- a/packages/millforkd/millforkd/core.py
+++ b/packages/millforkd/millforkd/core.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from millfork_adapter.adapter import Adapter
 from millfork_core import logs
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ZoneId
@@ -17,22 +18,31 @@
 from millfork_settings.errors import BadFile
 from millfork_settings.loading import load
 from millfork_settings.models import Role, Settings
+from millfork_settings.seeded import SeededSettings
 from millfork_state.storage import CorruptStorage
 from millforkd.endpoint.daemon import EndpointDaemon
 from millforkd.entry.daemon import EntryDaemon
+from millforkd.running import serve_seeded
 
 log = logger(Part.DAEMON)
 
 
-def run(settings_path: str | None, check_only: bool) -> ExitStatus:
+def run(
+    settings_path: str | None,
+    check_only: bool,
+    adapter: Adapter | None = None,
+) -> ExitStatus:
     """
-    Run a daemon until it is told to stop.
+    Run a daemon until it is told to stop; with an adapter, one that finds
+    the others from seeds.
 
     """
     if settings_path is None:
         print('millforkd: --settings is needed; see --help', file=sys.stderr)
         return ExitStatus.USAGE
     try:
+        if adapter is not None:
+            return run_seeded(Path(settings_path), check_only, adapter)
         settings = load(Path(settings_path), Settings)
     except BadFile as error:
         print(error, file=sys.stderr)
@@ -45,6 +55,21 @@
     return status
 
 
+def run_seeded(path: Path, check_only: bool, adapter: Adapter) -> ExitStatus:
+    """
+    Run a daemon of a seeded fleet until it is told to stop.
+
+    :raises BadFile: if its settings can't be used.
+
+    """
+    settings = load(path, SeededSettings)
+    if check_only:
+        print(f'{path}: good')
+        return ExitStatus.SUCCESS
+    status: ExitStatus = curio.run(serve_seeded, path, settings, adapter)
+    return status
+
+
 async def serve(settings: Settings) -> ExitStatus:
     """
     Run the role until the first stop signal, then drain; a second signal
--- /dev/null
+++ b/packages/millforkd/millforkd/proxy/__init__.py
@@ -0,0 +1,4 @@
+"""
+The entry role of a seeded fleet: callers' requests straight to back ends.
+
+"""
--- /dev/null
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -0,0 +1,270 @@
+"""
+Connections to back ends, kept for each one under its cap.
+
+"""
+
+import socket as socket_
+from collections import deque
+from typing import Any, Final
+
+import curio
+import h11
+
+from millfork_core.environment import Environment
+from millfork_core.verdicts import Reason, Verdict
+from millfork_routing.servers import Server
+from millfork_web.models import Headers
+
+READ_BYTES: Final = 64 * 1024
+# Zones are a few milliseconds apart; an opening packet that is lost is sent
+# again only after a second, which is too late for most requests.
+CONNECT_TIMEOUT_S: Final = 0.4
+# Idle connections are closed this long before their server would.
+KEEP_MARGIN_S: Final = 1.0
+# A server that tells no time is not trusted with idle connections for long.
+DEFAULT_KEEP_S: Final = 4.0
+# A request that must not run twice goes only over a connection that was in
+# use this lately: the server may be closing an older one.
+FRESH_S: Final = 0.3
+
+
+class SendFailed(Exception):
+    """
+    No whole answer came; reason and verdict say what is known.
+
+    """
+
+    def __init__(self, reason: Reason, verdict: Verdict, detail: str) -> None:
+        super().__init__(detail)
+        self.reason = reason
+        self.verdict = verdict
+        self.detail = detail
+
+
+class ServerConnection:
+    """
+    One connection to one back end, used for one request at a time.
+
+    """
+
+    def __init__(self, sock: Any) -> None:
+        self.sock = sock
+        self.http = h11.Connection(h11.CLIENT)
+        self.used_at = 0.0
+        self.keep_s = DEFAULT_KEEP_S
+        self.reused = False
+        self.status = 0
+        self.headers: Headers = []
+        self.whole = False
+
+    async def send(self, method: str, path: str, headers: Headers, body: bytes) -> None:
+        """
+        Send a whole request.
+
+        :raises SendFailed: MAY_HAVE_RUN, as part of it may have arrived.
+
+        """
+        self.whole = False
+        if body or method not in ('GET', 'HEAD', 'DELETE', 'OPTIONS'):
+            headers = [item for item in headers if item[0] != 'content-length']
+            headers = [*headers, ('content-length', str(len(body)))]
+        request = h11.Request(method=method, target=path, headers=headers)
+        data = self.http.send(request) or b''
+        if body:
+            data += self.http.send(h11.Data(data=body)) or b''
+        data += self.http.send(h11.EndOfMessage()) or b''
+        try:
+            await self.sock.sendall(data)
+        except OSError as error:
+            raise _lost(str(error)) from error
+
+    async def read_head(self) -> None:
+        """
+        Read the head of the answer.
+
+        :raises SendFailed: MAY_HAVE_RUN, if none comes.
+
+        """
+        event = await self._next()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next()
+        if not isinstance(event, h11.Response):
+            raise _lost('the server closed without an answer')
+        self.status = event.status_code
+        self.headers = [(name.decode(), value.decode('latin-1')) for name, value in event.headers]
+
+    async def read(self) -> bytes:
+        """
+        The next bytes of the body; none at its end.
+
+        :raises SendFailed: if the body breaks off.
+
+        """
+        if self.whole:
+            return b''
+        event = await self._next()
+        if isinstance(event, h11.EndOfMessage):
+            self.whole = True
+            return b''
+        if not isinstance(event, h11.Data):
+            raise _lost('the body broke off')
+        data = bytes(event.data)
+        while self.http.their_state is h11.SEND_BODY:
+            event = self.http.next_event()
+            if not isinstance(event, h11.Data):
+                break
+            data += bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            self.whole = True
+        return data
+
+    async def _next(self) -> Any:
+        try:
+            while True:
+                event = self.http.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self.http.receive_data(await self.sock.recv(READ_BYTES))
+        except OSError as error:
+            raise _lost(str(error)) from error
+        except h11.RemoteProtocolError as error:
+            raise SendFailed(Reason.TRUNCATED, Verdict.MAY_HAVE_RUN, str(error)) from error
+
+    @property
+    def reusable(self) -> bool:
+        """
+        Whether the answer was read whole and nothing came after it.
+
+        """
+        done = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+        return self.whole and done and not self.http.trailing_data[0]
+
+    def is_quiet(self) -> bool:
+        """
+        Whether an idle connection is open and has sent nothing: a closed one
+        reads as ended, and bytes here belong to no request.
+
+        """
+        try:
+            with self.sock.blocking() as raw:
+                raw.setblocking(False)
+                raw.recv(1, socket_.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+
+def _lost(detail: str) -> SendFailed:
+    return SendFailed(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, detail)
+
+
+class Pool:
+    """
+    The connections to one back end.
+
+    """
+
+    def __init__(self, env: Environment, host: str, port: int) -> None:
+        self.env = env
+        self.host = host
+        self.port = port
+        self.idle: deque[ServerConnection] = deque()
+        self.open = 0
+        self.dropped = False
+
+    async def take(self, fresh: bool) -> ServerConnection:
+        """
+        A connection for one request, kept or new.
+
+        :raises SendFailed: NOT_RUN, if none can be had.
+
+        """
+        while self.idle:
+            connection = self.idle.pop()
+            idle_s = self.env.monotonic() - connection.used_at
+            limit_s = FRESH_S if fresh else connection.keep_s - KEEP_MARGIN_S
+            if idle_s < limit_s and connection.is_quiet():
+                connection.http.start_next_cycle()
+                connection.reused = True
+                return connection
+            await self.close(connection)
+            if fresh:
+                break
+        return await self._connect()
+
+    async def _connect(self) -> ServerConnection:
+        try:
+            async with curio.timeout_after(CONNECT_TIMEOUT_S):
+                sock = await curio.open_connection(self.host, self.port)
+        except (OSError, curio.TaskTimeout) as error:
+            detail = f'no connection to {self.host}:{self.port}: {type(error).__name__}'
+            raise SendFailed(Reason.UNREACHABLE, Verdict.NOT_RUN, detail) from None
+        sock.setsockopt(socket_.IPPROTO_TCP, socket_.TCP_NODELAY, 1)
+        self.open += 1
+        self.env.metrics.count(self.env.metrics.connections, event='opened')
+        return ServerConnection(sock)
+
+    async def give_back(self, connection: ServerConnection, keep_s: float | None) -> None:
+        """
+        Keep a connection for the next request, or close it.
+
+        """
+        if self.dropped or not connection.reusable:
+            await self.close(connection)
+            return
+        if keep_s is not None:
+            connection.keep_s = keep_s
+        connection.used_at = self.env.monotonic()
+        self.idle.append(connection)
+
+    async def close(self, connection: ServerConnection) -> None:
+        self.open -= 1
+        await connection.sock.close()
+
+    async def close_old(self) -> None:
+        """
+        Close the idle connections whose server is about to.
+
+        """
+        now = self.env.monotonic()
+        while self.idle and now - self.idle[0].used_at > self.idle[0].keep_s - KEEP_MARGIN_S:
+            await self.close(self.idle.popleft())
+
+    async def close_idle(self) -> None:
+        while self.idle:
+            await self.close(self.idle.popleft())
+
+
+class Pools:
+    """
+    The pools of all back ends. One address may be given to another back
+    end, so a pool belongs to one back end's id.
+
+    """
+
+    def __init__(self, env: Environment) -> None:
+        self.env = env
+        self.pools: dict[str, Pool] = {}
+
+    def of(self, server: Server) -> Pool:
+        pool = self.pools.get(server.instance)
+        if pool is None:
+            pool = Pool(self.env, server.host, server.port)
+            self.pools[server.instance] = pool
+        return pool
+
+    async def drop(self, server: Server) -> None:
+        """
+        Close what is idle to a back end that is no longer used.
+
+        """
+        pool = self.pools.pop(server.instance, None)
+        if pool is not None:
+            pool.dropped = True
+            await pool.close_idle()
+
+    async def close_old(self) -> None:
+        for pool in list(self.pools.values()):
+            await pool.close_old()
--- /dev/null
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -0,0 +1,181 @@
+"""
+An entry that reaches back ends directly.
+
+"""
+
+from typing import Final
+
+import curio
+
+from millfork_adapter.adapter import Adapter
+from millfork_core.environment import Environment
+from millfork_core.logs import Part, logger
+from millfork_core.verdicts import Reason, Refusal
+from millfork_registry.discovery import Discovery
+from millfork_registry.followers import ENTRY_ROLE
+from millfork_registry.following import Following
+from millfork_registry.registry import Registry
+from millfork_routing.budget import SharedBudget
+from millfork_routing.routes import RouteTable
+from millfork_routing.servers import ServerBook
+from millfork_settings.seeded import SeededSettings, socket_pair
+from millfork_state.view import View
+from millfork_web.models import Response
+from millfork_web.problem import problem
+from millfork_web.server import Exchange, Server
+from millfork_wire.connection import Connection
+from millfork_wire.messages import Message
+from millforkd.admin import Admin
+from millforkd.document import document_in
+from millforkd.proxy.admission import Admission
+from millforkd.proxy.connections import Pools
+from millforkd.proxy.forwarding import Forwarding
+from millforkd.proxy.versions import Versions
+from millforkd.seeded import peers_for
+
+# The balancer asks each second and needs two misses to look away.
+BALANCER_LOOKS_AWAY_S: Final = 2.5
+# Of the time that a planned stop has, left for the end itself.
+STOP_MARGIN_S: Final = 1.0
+DRAIN_POLL_S: Final = 0.05
+HOUSEKEEPING_S: Final = 0.5
+
+log = logger(Part.PROXY)
+
+
+class ProxyDaemon:
+    """
+    One entry instance.
+
+    """
+
+    def __init__(self, env: Environment, settings: SeededSettings, adapter: Adapter) -> None:
+        assert settings.listen.callers is not None
+        self.env = env
+        self.settings = settings
+        self.adapter = adapter
+        promises = settings.promises
+        self.peers = peers_for(env, settings, self.handle)
+        self.discovery = Discovery(env, self.peers, settings.seed_instances)
+        self.view = View()
+        self.registry = Registry(env, promises.heartbeat_ms / 1000)
+        self.following = Following(
+            env, ENTRY_ROLE, self.view, self.registry, self.peers, self.discovery
+        )
+        self.versions = Versions(env, self.view, promises.version_ms)
+        self.admission = Admission(env, self.versions)
+        self.book = ServerBook(env.zone, env.random, env.monotonic)
+        self.pools = Pools(env)
+        self.budget = SharedBudget(
+            promises.retry_ratio,
+            promises.retry_slack,
+            promises.retry_window_s,
+            lambda: self.following.entries,
+            env.monotonic,
+        )
+        self.forwarding = Forwarding(
+            env, adapter, self.admission, self.book, self.pools, self.budget
+        )
+        self.server = Server(
+            *socket_pair(settings.listen.callers),
+            self.forwarding.answer,
+            on_refusal=lambda reason: env.metrics.refused(reason, 'http'),
+        )
+        self.ready_server = None
+        if settings.listen.ready is not None:
+            self.ready_server = Server(*socket_pair(settings.listen.ready), self._answer_ready)
+        self.admin = Admin(env, settings, self.is_ready)
+        self.stopping = False
+        self.document_revision = 0
+
+    @property
+    def in_progress(self) -> int:
+        return self.server.active
+
+    def is_ready(self) -> bool:
+        return self.admission.table is not None and not self.stopping
+
+    async def start(self) -> None:
+        """
+        Start all tasks of the entry.
+
+        """
+        await self.env.keep(self.peers.listen)
+        await self.env.keep(self.peers.probe_idle)
+        await self.env.keep(self.admin.run)
+        await self.env.keep(self.following.run)
+        await self.env.keep(self._take_changes)
+        await self.env.keep(self._keep_house)
+        if self.ready_server is not None:
+            await self.env.keep(self.ready_server.run)
+        await self.env.keep(self.server.run)
+
+    async def reload(self, settings: SeededSettings) -> None:
+        """
+        Take changed settings: other seeds.
+
+        """
+        self.discovery.take_seeds(settings.seed_instances)
+
+    async def drain(self) -> None:
+        """
+        A planned stop: out of the balancer first, then the end of what is in
+        progress.
+
+        """
+        self.stopping = True
+        started = self.env.monotonic()
+        limit_s = self.settings.promises.grace_s - STOP_MARGIN_S
+        self.server.closing = True
+        await curio.sleep(min(BALANCER_LOOKS_AWAY_S, limit_s))
+        while self.server.active and self.env.monotonic() - started < limit_s:
+            await curio.sleep(DRAIN_POLL_S)
+        if self.server.active:
+            self.env.metrics.count(self.env.metrics.requests, outcome='cut_off_by_deadline')
+            log.warning('Stopping with {} requests in progress.', self.server.active)
+
+    async def _take_changes(self) -> None:
+        """
+        The task that puts what the feed brought into force.
+
+        """
+        while True:
+            await self.following.changed.wait()
+            self.following.changed.clear()
+            self._take_document()
+            self.versions.refresh()
+            for server in self.book.take_leases(self.registry.leases.values()):
+                await self.pools.drop(server)
+            self.book.take_reports(self.registry.endpoints.values())
+
+    def _take_document(self) -> None:
+        found = document_in(self.view, self.adapter, self.document_revision)
+        if found is None:
+            return
+        document, self.document_revision = found
+        self.admission.table = RouteTable(document)
+        self.server.idle_timeout_s = document.limits.idle_timeout_ms / 1000
+        self.server.max_body = document.limits.max_body_bytes
+
+    async def _keep_house(self) -> None:
+        while True:
+            await curio.sleep(HOUSEKEEPING_S)
+            await self.pools.close_old()
+
+    async def _answer_ready(self, exchange: Exchange) -> None:
+        if not self.adapter.is_ready_call(exchange.request):
+            await exchange.respond(problem(Refusal(Reason.NOT_FOUND)))
+            return
+        if not self.is_ready():
+            await exchange.respond(problem(Refusal(Reason.NOT_READY)))
+            return
+        await exchange.respond(Response(200))
+
+    async def handle(self, connection: Connection, message: Message) -> Message | None:
+        """
+        Answer a peer's message.
+
+        """
+        if not await self.following.take(connection.peer, message):
+            self.env.metrics.count(self.env.metrics.wire, event='unexpected')
+        return None
--- /dev/null
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -0,0 +1,80 @@
+"""
+One caller's request on its way: what it needs, and what became of it so far.
+
+"""
+
+from dataclasses import dataclass, field
+
+from millfork_adapter.exchange import CallerRequest
+from millfork_core.ids import InstanceId
+from millfork_core.verdicts import Reason, Verdict
+from millfork_routing.documents import Organisation, Route
+from millfork_routing.servers import Wanted
+from millfork_web.server import Exchange
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """
+    One attempt that brought the caller no answer.
+
+    """
+
+    reason: Reason
+    verdict: Verdict
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class HeldAnswer:
+    """
+    A back end's own failure, kept in case that no other does better.
+
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+@dataclass(slots=True)
+class Job:
+    """
+    One request. Times are monotonic seconds; `deadline` is when the caller
+    or the route gives it up, whichever is first.
+
+    """
+
+    exchange: Exchange
+    caller: CallerRequest
+    route: Route
+    organisation: Organisation | None
+    wanted: Wanted
+    priority: int
+    began: float
+    deadline: float
+    document_version: int
+    tried: list[InstanceId] = field(default_factory=list)
+    failures: list[Failed] = field(default_factory=list)
+    held: HeldAnswer | None = None
+    status: int = 0
+    first_at: float | None = None
+    # The last event that the caller has, once its answer has begun.
+    last_event: int | None = None
+    started: bool = False
+    caller_gone: bool = False
+
+    @property
+    def may_have_run(self) -> bool:
+        return any(failed.verdict is not Verdict.NOT_RUN for failed in self.failures)
+
+    @property
+    def resume_after(self) -> int | None:
+        """
+        The event after which another back end is to go on.
+
+        """
+        return self.last_event if self.last_event is not None else self.caller.last_event_id
+
+    def left_s(self, now: float) -> float:
+        return self.deadline - now
--- /dev/null
+++ b/packages/millforkd/millforkd/proxy/versions.py
@@ -0,0 +1,69 @@
+"""
+Which version of a model's weights a request may begin on.
+
+A new version is named at one moment and must be everywhere a while later;
+until then either will do, from then on only the new one.
+
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+from millfork_core.environment import Environment
+from millfork_core.logs import Part, logger
+from millfork_state.commands import decode_versioned
+from millfork_state.keys import VERSION_PREFIX
+from millfork_state.view import View
+
+# Requests stop to begin on the old version this long before they must: for
+# the time from the acknowledgement to this entry, and from here to a server.
+MARGIN_S: Final = 0.6
+
+log = logger(Part.PROXY)
+
+
+@dataclass(slots=True)
+class _Named:
+    version: int
+    due: float
+
+
+class Versions:
+    """
+    The versions named, as this entry learned of them.
+
+    """
+
+    def __init__(self, env: Environment, view: View, switch_ms: int) -> None:
+        self.env = env
+        self.view = view
+        self.switch_s = switch_ms / 1000
+        self.named: dict[str, list[_Named]] = {}
+        self.first = True
+
+    def refresh(self) -> None:
+        """
+        Take what the configuration in force names.
+
+        """
+        now = self.env.monotonic()
+        for key, value in self.view.prefixed(VERSION_PREFIX).items():
+            model = key.removeprefix(VERSION_PREFIX)
+            version = decode_versioned(value).version
+            named = self.named.setdefault(model, [])
+            if named and named[-1].version >= version:
+                continue
+            # What stood at this entry's start may have been named long ago.
+            wait = 0.0 if self.first else self.switch_s - MARGIN_S
+            named.append(_Named(version, now + wait))
+            log.info('Version named. model={} version={} due_s={:.1f}', model, version, wait)
+        self.first = False
+
+    def least(self, model: str) -> int:
+        """
+        The oldest version on which a request may begin now.
+
+        """
+        now = self.env.monotonic()
+        due = [named.version for named in self.named.get(model, ()) if named.due <= now]
+        return max(due, default=0)
--- /dev/null
+++ b/packages/millforkd/millforkd/replica/__init__.py
@@ -0,0 +1,4 @@
+"""
+The replica role: the state's log, leases, back ends' and operators' calls.
+
+"""
--- /dev/null
+++ b/packages/millforkd/millforkd/replica/daemon.py
@@ -0,0 +1,215 @@
+"""
+A replica that serves no callers: it keeps the state and the leases.
+
+"""
+
+from functools import singledispatchmethod
+from typing import Final
+
+import curio
+import msgspec
+
+from millfork_adapter.adapter import Adapter
+from millfork_core.environment import Environment
+from millfork_core.logs import Part, logger
+from millfork_registry.discovery import Discovery
+from millfork_registry.followers import Followers
+from millfork_registry.records import decode_state
+from millfork_registry.registry import Change, Registry
+from millfork_settings.seeded import SeededSettings, socket_pair
+from millfork_state.formation import Seeds, identity_of, take_genesis
+from millfork_state.node import StateNode
+from millfork_state.proposals import Proposals
+from millfork_state.replica import Replica
+from millfork_state.reports import Reports
+from millfork_state.storage import Storage
+from millfork_state.view import View
+from millfork_web.server import Server
+from millfork_wire import messages
+from millfork_wire.codec import PreVote
+from millfork_wire.connection import Connection
+from millfork_wire.messages import Done, Message
+from millforkd.admin import Admin
+from millforkd.replica.control import Control
+from millforkd.replica.mesh import Mesh
+from millforkd.seeded import peers_for
+
+STATE_FOLDER: Final = 'state'
+# A leader gives way before it stops, so that the others need not wait for
+# its silence.
+STOP_PAUSE_S: Final = 0.1
+# How long one call to the leader may take.
+LEADER_TIMEOUT_S: Final = 0.8
+
+log = logger(Part.STATE)
+
+
+class ReplicaDaemon:
+    """
+    One replica.
+
+    """
+
+    def __init__(self, env: Environment, settings: SeededSettings, adapter: Adapter) -> None:
+        assert settings.data_folder is not None
+        assert settings.listen.control is not None
+        self.env = env
+        self.settings = settings
+        heartbeat_s = settings.promises.heartbeat_ms / 1000
+        self.peers = peers_for(env, settings, self.handle)
+        self.discovery = Discovery(env, self.peers, settings.seed_instances)
+        self.replica = Replica(
+            env,
+            settings.state,
+            Storage(settings.data_folder / STATE_FOLDER),
+            View(),
+            self.peers,
+            [],
+        )
+        seeds = list(self.discovery.seeds)
+        is_seed = str(env.instance) in settings.seed_instances
+        self.node = StateNode(
+            self.replica, Reports(), Seeds(seeds, settings.first_start and is_seed)
+        )
+        for address in seeds:
+            self.replica.learn_address(address)
+        self.registry = Registry(env, heartbeat_s)
+        self.followers = Followers(env, self.replica, self.registry)
+        self.mesh = Mesh(
+            env,
+            self.peers,
+            self.replica,
+            self.registry,
+            self.discovery,
+            self.followers,
+            heartbeat_s,
+        )
+        self.proposals = Proposals(
+            env, self.peers, self.replica.others, self.node, LEADER_TIMEOUT_S
+        )
+        self.control = Control(
+            env,
+            adapter,
+            self.replica.view,
+            self.registry,
+            self.followers,
+            self.mesh,
+            self.proposals,
+        )
+        self.server = Server(*socket_pair(settings.listen.control), self.control.answer)
+        self.admin = Admin(env, settings, self.is_ready)
+
+    @property
+    def in_progress(self) -> int:
+        return self.server.active
+
+    def is_ready(self) -> bool:
+        return bool(self.replica.cluster)
+
+    async def start(self) -> None:
+        """
+        Start all tasks of the replica.
+
+        """
+        await self.replica.recover()
+        await self.env.keep(self.peers.listen)
+        await self.env.keep(self.peers.probe_idle)
+        await self.env.keep(self.admin.run)
+        await self.env.keep(self.mesh.keep)
+        await self.env.keep(self.followers.wake_on_configuration)
+        await self.env.keep(self.node.run)
+        await self.env.keep(self.node.keep_snapshots)
+        await self.env.keep(self.server.run)
+
+    async def reload(self, settings: SeededSettings) -> None:
+        """
+        Take changed settings: other seeds.
+
+        """
+        self.discovery.take_seeds(settings.seed_instances)
+
+    async def drain(self) -> None:
+        """
+        A planned stop: give up leading, end the calls in progress.
+
+        """
+        self.server.closing = True
+        async with self.replica.lock:
+            await self.replica.step_down()
+            self.replica.disk_failed_at = self.env.monotonic()
+        while self.server.active:
+            await curio.sleep(STOP_PAUSE_S)
+
+    # Messages of peers.
+
+    async def handle(self, connection: Connection, message: Message) -> Message | None:
+        """
+        Answer a peer's message.
+
+        """
+        reply: Message | None = await self.on(message, connection)
+        return reply
+
+    @singledispatchmethod
+    async def on(self, message: Message, connection: Connection) -> Message | None:
+        self.env.metrics.count(self.env.metrics.wire, event='unexpected')
+        return None
+
+    @on.register
+    async def _(self, message: messages.FindReplicas, connection: Connection) -> Message:
+        return self.mesh.on_find(message)
+
+    @on.register
+    async def _(self, message: messages.Follow, connection: Connection) -> Message:
+        await self.followers.add(connection, message)
+        return Done(True)
+
+    @on.register
+    async def _(self, message: messages.Leases, connection: Connection) -> Message:
+        await self.mesh.on_leases(message)
+        return Done(True)
+
+    @on.register
+    async def _(self, message: messages.EndpointReport, connection: Connection) -> Message:
+        try:
+            state = decode_state(message.body)
+        except msgspec.DecodeError as error:
+            log.warning('A report of {} can not be read: {}.', connection.peer, error)
+            return Done(False)
+        mine = msgspec.structs.replace(state, owner=str(self.env.instance))
+        if self.registry.take_endpoint(mine) is Change.CHANGED:
+            await self.followers.wake()
+        return Done(True)
+
+    @on.register
+    async def _(self, message: PreVote, connection: Connection) -> Message:
+        return await self.replica.on_pre_vote(message)
+
+    @on.register
+    async def _(self, message: messages.VoteRequest, connection: Connection) -> Message:
+        return await self.replica.on_vote(message)
+
+    @on.register
+    async def _(self, message: messages.AppendRequest, connection: Connection) -> Message:
+        return await self.replica.on_append(message)
+
+    @on.register
+    async def _(self, message: messages.InstallRequest, connection: Connection) -> Message:
+        return await self.replica.on_install(message)
+
+    @on.register
+    async def _(self, message: messages.Identify, connection: Connection) -> Message:
+        return identity_of(self.replica)
+
+    @on.register
+    async def _(self, message: messages.Genesis, connection: Connection) -> Message:
+        members = [(member.instance, member.disk) for member in message.members]
+        return Done(await take_genesis(self.replica, message.cluster, members))
+
+    @on.register
+    async def _(self, message: messages.Propose, connection: Connection) -> Message:
+        return await self.node.answer_propose(message.command)
+
+    @on.register
+    async def _(self, message: messages.ReadState, connection: Connection) -> Message:
+        return await self.node.answer_read(message)
--- /dev/null
+++ b/packages/millforkd/millforkd/replica/mesh.py
@@ -0,0 +1,206 @@
+"""
+Replicas among themselves: finding one another, telling leases.
+
+"""
+
+from typing import Final
+
+import curio
+import msgspec
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId
+from millfork_core.logs import Part, logger
+from millfork_registry.discovery import Discovery, address_of
+from millfork_registry.followers import REPLICA_ROLE, Followers
+from millfork_registry.records import Lease, decode_leases, decode_states, encode_records
+from millfork_registry.registry import Change, Registry
+from millfork_state.replica import Replica
+from millfork_wire.connection import Connection, PeerError
+from millfork_wire.messages import FindReplicas, Follow, Leases, Replicas
+from millfork_wire.peers import PeerAddress, Peers
+
+ASK_EVERY_S: Final = 0.5
+FOLLOW_TIMEOUT_S: Final = 0.6
+# The caller of a back end's last word waits a second for the answer.
+SPREAD_TIMEOUT_S: Final = 0.7
+# An owner that was not heard this long no longer watches its leases.
+OWNER_LOST_S: Final = 2.0
+# Replicas that answered this lately are named to others.
+NAMED_WITHIN_S: Final = 20.0
+# A replica that starts knows all leases after this many heartbeats at most.
+SETTLED_HEARTBEATS: Final = 2.5
+
+log = logger(Part.REGISTRY)
+
+
+class _Count:
+    """
+    Answers counted towards a majority.
+
+    """
+
+    def __init__(self, wanted: int) -> None:
+        self.wanted = wanted
+        self.got = 0
+        self.enough = curio.Event()
+
+    async def add(self) -> None:
+        self.got += 1
+        if self.got >= self.wanted:
+            await self.enough.set()
+
+
+class Mesh:
+    """
+    This replica's ties to the others.
+
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        peers: Peers,
+        replica: Replica,
+        registry: Registry,
+        discovery: Discovery,
+        followers: Followers,
+        heartbeat_s: float,
+    ) -> None:
+        self.env = env
+        self.peers = peers
+        self.replica = replica
+        self.registry = registry
+        self.discovery = discovery
+        self.followers = followers
+        self.settle_s = heartbeat_s * SETTLED_HEARTBEATS
+        self.started_at = env.monotonic()
+        self.followed: dict[InstanceId, Connection] = {}
+        self.heard: dict[str, float] = {}
+
+    async def keep(self) -> None:
+        """
+        The task that keeps up with the other replicas.
+
+        """
+        while True:
+            self._learn_members()
+            async with curio.TaskGroup() as group:
+                for address in self.discovery.addresses():
+                    await group.spawn(self._meet, address)
+            if self.env.monotonic() - self.started_at > self.settle_s:
+                self.registry.settled = True
+            self.registry.forget_silent_endpoints()
+            if self.registry.expire(self._lost_owners()):
+                await self.followers.wake()
+            await curio.sleep(ASK_EVERY_S)
+
+    def _learn_members(self) -> None:
+        for instance, _ in self.replica.members:
+            if instance != self.env.instance:
+                self.discovery.learn(instance)
+                self.replica.learn_address(address_of(instance))
+
+    async def _meet(self, address: PeerAddress) -> None:
+        question = FindReplicas(
+            str(self.env.instance), self.replica.cluster, self.followers.entries_here
+        )
+        reply = await self.discovery.ask(address, question)
+        if reply is None:
+            self.followers.entries_elsewhere.pop(str(address.instance), None)
+            return
+        self.heard[str(address.instance)] = self.env.monotonic()
+        self.replica.learn_address(address)
+        self.followers.entries_elsewhere[str(address.instance)] = reply.entries
+        await self._follow(address)
+
+    async def _follow(self, address: PeerAddress) -> None:
+        connection = self.peers.connections.get(address.instance)
+        if connection is None or self.followed.get(address.instance) is connection:
+            return
+        try:
+            await connection.call(Follow(REPLICA_ROLE), FOLLOW_TIMEOUT_S)
+        except PeerError as error:
+            log.info('No leases from replica {}: {}.', address.instance, error)
+            return
+        self.followed[address.instance] = connection
+
+    def _lost_owners(self) -> set[str]:
+        now = self.env.monotonic()
+        owners = {lease.owner for lease in self.registry.leases.values()}
+        return {
+            owner for owner in owners if now - self.heard.get(owner, self.started_at) > OWNER_LOST_S
+        }
+
+    def on_find(self, message: FindReplicas) -> Replicas:
+        """
+        Answer whoever looks for replicas; another replica is taken up.
+
+        """
+        if message.instance:
+            self.discovery.learn(message.instance)
+            self.replica.learn_address(address_of(message.instance))
+            self.heard[message.instance] = self.env.monotonic()
+            self.followers.entries_elsewhere[message.instance] = message.entries
+        known = {instance for instance, _ in self.replica.members}
+        known.update(self.discovery.answering(NAMED_WITHIN_S))
+        known.add(str(self.env.instance))
+        return Replicas(
+            self.replica.cluster,
+            str(self.replica.leader),
+            sorted(known),
+            self.replica.age_ms(),
+            self.followers.entries_here,
+        )
+
+    async def on_leases(self, message: Leases) -> None:
+        """
+        Take what another replica knows, and pass it on to followers.
+
+        """
+        try:
+            leases = decode_leases(message.leases)
+            endpoints = decode_states(message.reports)
+        except msgspec.DecodeError as error:
+            log.warning('Leases can not be read: {}.', error)
+            return
+        changes = [self.registry.take(lease) for lease in leases]
+        changes += [self.registry.take_endpoint(state) for state in endpoints]
+        if message.full and message.settled:
+            self.registry.settled = True
+        if Change.CHANGED in changes:
+            await self.followers.wake()
+
+    async def spread(self, lease: Lease) -> bool:
+        """
+        Bring one lease to the other replicas at once; True when a majority,
+        this one included, has it.
+
+        """
+        members = {instance for instance, _ in self.replica.members}
+        others = [a for a in self.replica.others if a.instance in members]
+        count = _Count(len(members) // 2 + 1)
+        await count.add()
+        message = Leases(leases=encode_records([lease]))
+        for address in others:
+            await self.env.spawn(self._tell, address, message, count)
+        try:
+            async with curio.timeout_after(SPREAD_TIMEOUT_S):
+                await count.enough.wait()
+        except curio.TaskTimeout:
+            log.warning(
+                'Lease not spread. instance={} told={} wanted={}',
+                lease.instance,
+                count.got,
+                count.wanted,
+            )
+            return False
+        return True
+
+    async def _tell(self, address: PeerAddress, message: Leases, count: _Count) -> None:
+        try:
+            await self.peers.call(address, message, SPREAD_TIMEOUT_S)
+        except PeerError as error:
+            log.info('Replica {} did not take a lease: {}.', address.instance, error)
+            return
+        await count.add()
