Half of a fleet gets a new version first; requests whose first token would be late come back

Ruled out: processor (0.02 cores), the origin (one copy drawn in 2.7 s, seen in the log of the drawing). Change: the second half draws each piece once and sends it to the first half, which then serves the second; equal parts; a slow peer is waited for in place of losing pieces to it. First tokens are predicted from the document's figures and the endpoints' reports; a first request that would be late is refused at once with when to come back.

--- a/packages/millfork-registry/millfork_registry/followers.py
+++ b/packages/millfork-registry/millfork_registry/followers.py
@@ -18,8 +18,9 @@
 from millfork_wire.connection import Connection, PeerLost
 from millfork_wire.messages import Follow, Leases
 
-# A follower goes elsewhere after several of these without a word.
-HEARTBEAT_S: Final = 0.25
+# A follower goes elsewhere after several of these without a word. Entries hear
+# of the engines' load as often.
+HEARTBEAT_S: Final = 0.15
 # Changes within this time leave in one message.
 GATHER_S: Final = 0.02
 
--- a/packages/millfork-routing/millfork_routing/servers.py
+++ b/packages/millfork-routing/millfork_routing/servers.py
@@ -11,6 +11,7 @@
 from millfork_core.ids import InstanceId, ServiceName, ZoneId
 from millfork_registry.records import EndpointState, Lease, ServedVersion
 from millfork_routing.documents import EngineFigures
+from millfork_routing.prediction import first_token_ms, usual_service_s
 
 # A back end that failed is left alone this long, doubling with each failure.
 FIRST_SUSPICION_S: Final = 0.5
@@ -19,6 +20,15 @@
 FAILURE_WEIGHT: Final = 0.1
 # What a failure rate of 1 counts for, in full loads of a back end.
 FAILURE_COST: Final = 3.0
+# One request's weight in the mean time of requests at an engine.
+SERVICE_TIME_WEIGHT: Final = 0.1
+# What another zone costs an engine's request, in ms: the way there and back.
+OTHER_ZONE_MS: Final = 10.0
+# What a failure rate of 1 costs an engine's request, in ms.
+FAILURE_MS: Final = 3000.0
+# Choices are spread over predictions that differ by less, in ms: the entries
+# would all take the same engine.
+SPREAD_MS: Final = 30.0
 # What another zone costs, in full loads: a nearer one is taken while it is
 # not fuller by this.
 OTHER_ZONE_COST: Final = 0.15
@@ -45,9 +55,17 @@
     lease_served: tuple[ServedVersion, ...] = ()
     changing: bool = False
     report_sequence: int = -1
+    # Requests of this entry there, and those of them without a first token.
     mine: int = 0
+    mine_unread: int = 0
     reported: int = 0
+    reported_unread: int = 0
     mine_at_report: int = 0
+    mine_unread_at_report: int = 0
+    pace: float = 1.0
+    # How long a request of this entry took there, in seconds; None: no
+    # request was seen through yet.
+    service_s: float | None = None
     reported_at: float = float('-inf')
     failures: int = 0
     failure_rate: float = 0.0
@@ -67,6 +85,38 @@
             return self.mine
         return max(self.reported + self.mine - self.mine_at_report, self.mine)
 
+    def unread(self, now: float) -> int:
+        """
+        Requests there that have no first token yet, as `occupied` is known.
+
+        """
+        if now - self.reported_at > REPORT_VALID_S:
+            return self.mine_unread
+        return max(
+            self.reported_unread + self.mine_unread - self.mine_unread_at_report,
+            self.mine_unread,
+        )
+
+    def first_token_ms(self, engine: EngineFigures, prompt_tokens: int, now: float) -> float:
+        """
+        The time to the first token that a request sent now would have.
+
+        """
+        service_s = self.service_s if self.service_s is not None else usual_service_s(engine)
+        return first_token_ms(
+            engine, prompt_tokens, self.occupied(now), self.unread(now), service_s, self.pace
+        )
+
+    def note_service_time(self, seconds: float) -> None:
+        """
+        Take one request's time there into the mean.
+
+        """
+        if self.service_s is None:
+            self.service_s = seconds
+            return
+        self.service_s += SERVICE_TIME_WEIGHT * (seconds - self.service_s)
+
     def note_failure(self, now: float) -> None:
         """
         It did not answer as it should: leave it alone for a while.
@@ -116,6 +166,19 @@
     service: ServiceName
     engine: EngineFigures | None = None
     least_version: int = 0
+    prompt_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """
+    The back end for a request, and the time to its first token that is
+    expected there, in ms (0 for one that is no engine).
+
+    """
+
+    server: Server
+    first_token_ms: float
 
 
 class ServerBook:
@@ -186,13 +249,16 @@
                 continue
             server.changing = bool(state.changing_to)
             server.reported = state.running + state.queued
+            server.reported_unread = state.queued
             server.mine_at_report = server.mine
+            server.mine_unread_at_report = server.mine_unread
+            server.pace = state.pace
             server.reported_at = now
             if state.served != server.served:
                 server.served = state.served
                 server.refused.clear()
 
-    def choose(self, wanted: Wanted, tried: set[InstanceId]) -> Server | None:
+    def choose(self, wanted: Wanted, tried: set[InstanceId]) -> Choice | None:
         """
         The back end for a request; None if there is none that can serve it.
 
@@ -205,8 +271,26 @@
         ]
         if not able:
             return None
-        trusted = [server for server in able if server.suspect_until <= now]
-        return min(trusted or able, key=lambda server: self._cost(server, now))
+        trusted = [server for server in able if server.suspect_until <= now] or able
+        if wanted.engine is None:
+            return Choice(min(trusted, key=lambda server: self._cost(server, now)), 0.0)
+        return self._choose_engine(trusted, wanted.engine, wanted.prompt_tokens, now)
+
+    def _choose_engine(
+        self, servers: list[Server], engine: EngineFigures, prompt_tokens: int, now: float
+    ) -> Choice:
+        best: Choice | None = None
+        least = float('inf')
+        for server in servers:
+            expected = server.first_token_ms(engine, prompt_tokens, now)
+            cost = expected + FAILURE_MS * server.failure_rate
+            cost += OTHER_ZONE_MS if server.zone != self.zone else 0.0
+            cost += self.random.random() * SPREAD_MS
+            if cost < least:
+                least = cost
+                best = Choice(server, expected)
+        assert best is not None
+        return best
 
     def _able(self, server: Server, wanted: Wanted, now: float) -> bool:
         if wanted.engine is None:
--- a/packages/millfork-web/millfork_web/models.py
+++ b/packages/millfork-web/millfork_web/models.py
@@ -21,6 +21,14 @@
     return ''
 
 
+def without(headers: Headers, name: str) -> Headers:
+    """
+    The headers but those of one name (in lower case).
+
+    """
+    return [item for item in headers if item[0] != name]
+
+
 @dataclass(slots=True)
 class Request:
     """
--- a/packages/millfork-weights/millfork_weights/links.py
+++ b/packages/millfork-weights/millfork_weights/links.py
@@ -30,6 +30,13 @@
         """
         return max(self.free_at - self.monotonic(), 0.0)
 
+    def note(self, size: int) -> None:
+        """
+        Count bytes that passed without asking.
+
+        """
+        self.free_at = max(self.free_at, self.monotonic()) + size / self.rate
+
     async def take(self, size: int) -> None:
         """
         Wait until `size` bytes may pass.
--- a/packages/millforkd/millforkd/beside/daemon.py
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -39,17 +39,18 @@
 )
 from millforkd.beside.pushing import Pushing
 from millforkd.beside.rollout import Rollout, Target
-from millforkd.beside.sources import fleet
+from millforkd.beside.sources import first_half, fleet
 from millforkd.document import document_in
 from millforkd.seeded import peers_for
 
-# Often enough for the entries' choice, at a per cent of the processor.
-REPORT_EVERY_S: Final = 0.3
+# A server takes and ends about two requests in this time.
+REPORT_EVERY_S: Final = 0.15
 REPORT_TIMEOUT_S: Final = 0.5
 # The first version of every model.
 FIRST_VERSION: Final = 1
-# Of the link, for transfers; the rest is for the engine's requests and answers.
-TRANSFER_SHARE: Final = 0.92
+# Of the link, for transfers; the rest is for the engine's requests and answers,
+# which take about 3% of 3.65 Mbit/s at full load.
+TRANSFER_SHARE: Final = 0.94
 # A daemon that was asked for digests waits this long for them itself.
 DIGESTS_WAIT_S: Final = 1.0
 BITS_PER_MBIT: Final = 1_000_000
@@ -78,14 +79,22 @@
         self.following = Following(
             env, ENDPOINT_ROLE, self.view, self.registry, self.peers, self.discovery
         )
-        self.link = Link(_link_bytes_per_s(settings), TRANSFER_SHARE, False, env.monotonic)
+        self.link = Link(_link_bytes_per_s(settings), TRANSFER_SHARE, True, env.monotonic)
         self.engine = LocalEngine(
             adapter, Client(*self.engine_address, source=str(settings.address))
         )
         self.store = PieceStore()
         self.pushing = Pushing(env, self.peers, self._targets, self.link.outward)
         self.gathering = Gathering(
-            env, adapter, self.peers, self.service, self.states, self._origin, self.pushing
+            env,
+            adapter,
+            self.peers,
+            self.service,
+            self.states,
+            self._origin,
+            self.pushing,
+            self.link,
+            settings.promises.version_ms / 1000,
         )
         self.rollout = Rollout(
             env,
@@ -134,8 +143,9 @@
 
         """
 
-    def _targets(self) -> set[str]:
-        return fleet(self.states(), self.service, str(self.env.instance))
+    def _targets(self, weights: WeightsId) -> list[str]:
+        names = fleet(self.states(), self.service, str(self.env.instance))
+        return first_half(names, weights)
 
     def states(self) -> list[EndpointState]:
         """
@@ -310,6 +320,7 @@
         if message.index in held.pieces:
             self.env.metrics.count(self.env.metrics.chunks, source='pushed', outcome='again')
             return
+        self.link.inward.note(len(message.data))
         good = await held.put(message.index, message.data)
         outcome = 'good' if good else 'corrupt'
         self.env.metrics.count(self.env.metrics.chunks, source='pushed', outcome=outcome)
--- a/packages/millforkd/millforkd/beside/gathering.py
+++ b/packages/millforkd/millforkd/beside/gathering.py
@@ -17,18 +17,19 @@
 from millfork_registry.records import EndpointState
 from millfork_web.client import Client, ExchangeFailed
 from millfork_web.models import Request
+from millfork_weights.links import Link
 from millfork_wire.connection import PeerError
 from millfork_wire.messages import Chunk, GetChunk, GetManifest, Manifest
 from millfork_wire.peers import Peers
 from millforkd.beside.pieces import PieceSet, WeightsId, decode_digests
 from millforkd.beside.pushing import Pushing
-from millforkd.beside.sources import DIGESTS, fleet, holders, in_turn
+from millforkd.beside.sources import DIGESTS, drawers, first_half, fleet, holders, in_turn, nearest
 
 # Pieces asked of peers at once: enough to fill the link over some
 # milliseconds, few enough not to wait in front of the engine's requests.
 PULL_WINDOW: Final = 4
 # Pieces asked of the origin at once by one daemon.
-DRAW_WINDOW: Final = 2
+DRAW_WINDOW: Final = 1
 # Without a piece for this long, a daemon asks for what it misses. A piece
 # takes 0.05 s on the slowest links, a round of sendings ten times that.
 STALL_S: Final = 0.8
@@ -58,6 +59,8 @@
         states: Callable[[], list[EndpointState]],
         origin: Callable[[], Client | None],
         pushing: Pushing,
+        link: Link,
+        first_half_s: float,
     ) -> None:
         self.env = env
         self.adapter = adapter
@@ -66,12 +69,16 @@
         self.states = states
         self.origin = origin
         self.pushing = pushing
+        self.link = link
+        # The second half leaves the links to the first for this long at most.
+        self.first_half_s = first_half_s
 
     async def gather(self, held: PieceSet) -> None:
         """
         Return once the set is whole; cancelled when it is not wanted.
 
         """
+        began = self.env.monotonic()
         while not await self.bring_digests(held):
             await curio.sleep(RETRY_S)
         turn = 0
@@ -82,8 +89,20 @@
                 continue
             if held.whole or await self._has_more(held):
                 continue
-            await self._pull(held)
+            if self._waits_for_first_half(held, began):
+                continue
             turn += 1
+            await self._pull(held)
+
+    def _waits_for_first_half(self, held: PieceSet, began: float) -> bool:
+        """
+        Whether this daemon is to leave the links to the first half.
+
+        """
+        if self.env.monotonic() - began > self.first_half_s:
+            return False
+        names = self._fleet()
+        return str(self.env.instance) not in first_half(names, held.weights)
 
     def _holders(self, weights: WeightsId) -> list[str]:
         return holders(self.states(), weights, str(self.env.instance))
@@ -113,7 +132,9 @@
 
         """
         own = str(self.env.instance)
-        names = self._fleet()
+        names = drawers(self._fleet(), held.weights)
+        if turn >= len(names):
+            names = sorted(self._fleet())
         queue = [
             index
             for index in held.missing()
@@ -124,9 +145,18 @@
 
     async def _draw_piece(self, held: PieceSet, index: int) -> None:
         weights = held.weights
+        began = self.env.monotonic()
         data = await self._from_origin(
             self.adapter.piece_request(weights.model, weights.version, index)
         )
+        log.debug(
+            'Piece drawn. weights={} index={} got={} ms={:.0f} waiting={}',
+            weights,
+            index,
+            data is not None,
+            (self.env.monotonic() - began) * 1000,
+            self.pushing.queue.qsize(),
+        )
         if data is None:
             await curio.sleep(RETRY_S)
             return
@@ -167,7 +197,9 @@
 
     async def _pull_piece(self, held: PieceSet, index: int) -> None:
         whole = self._holders(held.weights)
-        names = whole or self._fleet() - {str(self.env.instance)}
+        zone = str(self.env.zone)
+        near = nearest(self.states(), self.service, zone, whole)
+        names = near or self._fleet() - {str(self.env.instance)}
         for peer in in_turn(names, held.weights, index)[:PEERS_TRIED]:
             data = await self._piece_of_peer(peer, held.weights, index)
             if data is None:
@@ -179,6 +211,7 @@
             self.env.metrics.count(self.env.metrics.chunks, source='peer', outcome='corrupt')
 
     def _count(self, size: int, source: str) -> None:
+        self.link.inward.note(size)
         self.env.metrics.count(self.env.metrics.chunks, source=source, outcome='good')
         self.env.metrics.count(self.env.metrics.chunk_bytes, size, source=source)
 
@@ -203,7 +236,7 @@
         if held.digests:
             return True
         own = str(self.env.instance)
-        names = set(self._holders(held.weights)) or self._fleet()
+        names = set(self._holders(held.weights)) or drawers(self._fleet(), held.weights)
         ordered = in_turn(names, held.weights, DIGESTS)
         for peer in ordered[:PEERS_TRIED]:
             if peer == own:
--- a/packages/millforkd/millforkd/beside/pushing.py
+++ b/packages/millforkd/millforkd/beside/pushing.py
@@ -17,8 +17,12 @@
 from millfork_wire.peers import Peers
 from millforkd.beside.pieces import WeightsId
 
-# Frames waiting for one peer; it will ask for what it misses.
-MOST_WAITING: Final = 6
+# Frames waiting for one peer; the next one waits until they are fewer.
+MOST_WAITING: Final = 3
+WAIT_POLL_S: Final = 0.02
+# A peer that takes nothing for this long is passed over; it will ask for
+# what it misses.
+STUCK_AFTER_S: Final = 1.0
 
 log = logger(Part.WEIGHTS)
 
@@ -33,7 +37,7 @@
         self,
         env: Environment,
         peers: Peers,
-        targets: Callable[[], set[str]],
+        targets: Callable[[WeightsId], list[str]],
         outward: Pace,
     ) -> None:
         self.env = env
@@ -56,7 +60,7 @@
         """
         while True:
             weights, index, data = await self.queue.get()
-            names = sorted(self.targets())
+            names = self.targets(weights)
             self.env.random.shuffle(names)
             for name in names:
                 if name != self.env.instance:
@@ -65,7 +69,8 @@
     async def _send(self, name: str, message: PushChunk) -> None:
         try:
             connection = await self.peers.connect(address_of(name))
-            if self._is_stuck(connection):
+            if not await self._has_room(connection):
+                log.info('Piece {} not sent to {}: it takes nothing.', message.index, name)
                 return
             await self.outward.take(len(message.data))
             await connection.notify(message)
@@ -74,6 +79,10 @@
             return
         self.env.metrics.count(self.env.metrics.chunk_bytes, len(message.data), source='sent')
 
-    def _is_stuck(self, connection: Connection) -> bool:
-        waiting: int = connection.outbox.qsize()
-        return waiting > MOST_WAITING
+    async def _has_room(self, connection: Connection) -> bool:
+        until = self.env.monotonic() + STUCK_AFTER_S
+        while connection.outbox.qsize() >= MOST_WAITING and not connection.closed:
+            if self.env.monotonic() > until:
+                return False
+            await curio.sleep(WAIT_POLL_S)
+        return not connection.closed
--- a/packages/millforkd/millforkd/beside/rollout.py
+++ b/packages/millforkd/millforkd/beside/rollout.py
@@ -12,11 +12,11 @@
 from millfork_adapter.exchange import EngineReport
 from millfork_core.environment import Environment
 from millfork_core.logs import Part, logger
-from millfork_core.ranks import rank
 from millfork_registry.records import EndpointState
 from millforkd.beside.engine import LocalEngine
 from millforkd.beside.gathering import Gathering
 from millforkd.beside.pieces import PieceSet, PieceStore, WeightsId
+from millforkd.beside.sources import first_half, fleet
 
 # Entries stop sending to this engine within this time of being told.
 TELL_S: Final = 0.15
@@ -190,16 +190,13 @@
         if self.env.monotonic() - target.since > self.version_s - SECOND_HALF_S:
             return True
         own = str(self.env.instance)
-        seed = str(target.weights)
-        fleet = [state for state in self.states() if state.service == self.service]
-        names = sorted(
-            {state.instance for state in fleet} | {own}, key=lambda name: rank(seed, name)
-        )
-        if names.index(own) < (len(names) + 1) // 2:
+        states = [state for state in self.states() if state.service == self.service]
+        names = fleet(states, self.service, own)
+        if own in first_half(names, target.weights):
             return True
-        return self._done(fleet, target) * 2 >= len(names)
+        return self._done(states, target) * 2 >= len(names)
 
-    def _done(self, fleet: list[EndpointState], target: Target) -> int:
+    def _done(self, states: list[EndpointState], target: Target) -> int:
         """
         How many engines serve the target already.
 
@@ -207,7 +204,7 @@
         weights = target.weights
         return sum(
             1
-            for state in fleet
+            for state in states
             for item in state.served
             if (item.model, item.version) == (weights.model, weights.version)
             and item.layers in (None, target.layers)
--- a/packages/millforkd/millforkd/proxy/admission.py
+++ b/packages/millforkd/millforkd/proxy/admission.py
@@ -10,13 +10,26 @@
 from millfork_core.verdicts import Reason, Refusal, Refused
 from millfork_routing.documents import Organisation, Route
 from millfork_routing.routes import RouteTable, pick_service, priority_of
-from millfork_routing.servers import Wanted
+from millfork_routing.servers import Choice, Wanted
 from millfork_web.server import Exchange
 from millforkd.proxy.job import Job
 from millforkd.proxy.versions import Versions
 
 # A back end that answers at the last moment still needs the way back.
 MIN_SENT_MS: Final = 20
+# A caller's deadline differs by a few ms from the next one's; one that waited
+# for a place has lost more.
+RETURNING_MS: Final = 120
+# Of the aim for the first token; the rest is for the way and what the
+# prediction can't know.
+FIRST_SHARE: Final = 0.85
+# Of the time left to a caller that comes back, at most until its first token.
+RETURNING_SHARE: Final = 0.5
+# When a refused caller may come back, in ms: a place comes free in about a
+# tenth of a second; spread, so that they do not come back at once.
+LEAST_WAIT_MS: Final = 150
+MOST_WAIT_MS: Final = 600
+SPREAD_WAIT_MS: Final = 250
 
 
 class Admission:
@@ -29,6 +42,8 @@
         self.env = env
         self.versions = versions
         self.table: RouteTable | None = None
+        # The longest deadline seen, by route, in ms.
+        self.deadlines: dict[str, int] = {}
 
     def admit(self, exchange: Exchange, caller: CallerRequest) -> Job:
         """
@@ -60,13 +75,48 @@
             caller,
             route,
             organisation,
-            Wanted(name, service.engine, least),
+            Wanted(name, service.engine, least, caller.prompt_tokens),
             priority_of(route, organisation),
             began,
             began + limit_ms / 1000,
             table.version,
+            self._is_returning(route, caller),
         )
 
+    def _is_returning(self, route: Route, caller: CallerRequest) -> bool:
+        """
+        Whether clearly less time is left to the caller than others of the
+        route begin with: it was refused before.
+
+        """
+        deadline_ms = caller.deadline_ms
+        if deadline_ms is None:
+            return False
+        usual = max(self.deadlines.get(route.name, 0), deadline_ms)
+        self.deadlines[route.name] = usual
+        return usual - deadline_ms > RETURNING_MS
+
+    def wait_ms(self, job: Job, choice: Choice) -> int:
+        """
+        0 if a request is worth sending; else when its caller may come back.
+
+        A first request is refused where its first token would be late: it
+        may be in time when it comes back. One that comes back is sent as long
+        as it can be answered at all.
+
+        """
+        expected = choice.first_token_ms
+        job.expected_ms = expected
+        if job.wanted.engine is None:
+            return 0
+        limit = job.left_s(self.env.monotonic()) * 1000 * RETURNING_SHARE
+        if not job.returning or self._is_ending(job, choice):
+            limit = min(limit, job.route.target_ms * FIRST_SHARE)
+        if expected <= limit:
+            return 0
+        late = min(expected - limit, MOST_WAIT_MS)
+        return int(LEAST_WAIT_MS + late + self.env.random.random() * SPREAD_WAIT_MS)
+
     def _organisation(
         self, table: RouteTable, route: Route, caller: CallerRequest
     ) -> Organisation | None:
@@ -76,3 +126,15 @@
         if holder is None and not route.public:
             raise Refused(Refusal(Reason.UNAUTHENTICATED, detail='unknown key'))
         return holder
+
+    def _is_ending(self, job: Job, choice: Choice) -> bool:
+        """
+        Whether the back end serves a version on which requests may soon no
+        longer begin: a long wait there would outlast it.
+
+        """
+        engine = job.wanted.engine
+        if engine is None:
+            return False
+        version = choice.server.newest_whole(engine.layers)
+        return version is not None and version < self.versions.newest(engine.model)
--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -118,6 +118,14 @@
             self.whole = True
         return data
 
+    async def drop_body(self) -> None:
+        """
+        Read the rest of an answer, so that the connection can be kept.
+
+        """
+        while await self.read():
+            pass
+
     async def _next(self) -> Any:
         try:
             while True:
--- /dev/null
+++ b/packages/millforkd/millforkd/proxy/endings.py
@@ -0,0 +1,94 @@
+"""
+How a request ended: the entry's own answer, the log line, the counters.
+
+"""
+
+from typing import Final
+
+from millfork_adapter.adapter import Adapter
+from millfork_core.environment import Environment
+from millfork_core.logs import Part, logger
+from millfork_core.verdicts import Reason, Refusal, Verdict
+from millfork_web.models import without
+from millfork_web.problem import problem
+from millfork_web.server import Exchange
+from millforkd.proxy.job import Job
+
+NOT_RUN_STATUS: Final = 503
+TIMED_OUT_STATUS: Final = 504
+LOST_STATUS: Final = 502
+CLIENT_ERRORS: Final = frozenset(
+    {Reason.BAD_REQUEST, Reason.UNAUTHENTICATED, Reason.NOT_FOUND, Reason.TOO_LARGE}
+)
+
+log = logger(Part.PROXY)
+
+
+class Endings:
+    """
+    Refuses, logs and counts.
+
+    """
+
+    def __init__(self, env: Environment, adapter: Adapter) -> None:
+        self.env = env
+        self.adapter = adapter
+
+    async def refuse(self, exchange: Exchange, request_id: str, refusal: Refusal) -> None:
+        """
+        Send the entry's own answer, at once.
+
+        """
+        self.env.metrics.refused(refusal.reason, 'proxy')
+        response = problem(refusal)
+        response.status = status_of(refusal)
+        wait_ms = refusal.wait_ms if response.status == NOT_RUN_STATUS else 0
+        headers = without(response.headers, 'retry-after')
+        response.headers = headers + self.adapter.refusal_headers(request_id, wait_ms)
+        await exchange.respond(response)
+
+    def note(self, job: Job, outcome: str, refusal: Refusal | None = None) -> None:
+        """
+        Log and count how a job ended.
+
+        """
+        now = self.env.monotonic()
+        kind = job.route.kind.value
+        metrics = self.env.metrics
+        metrics.count(metrics.requests, outcome=outcome)
+        metrics.request_seconds.add({'kind': kind}, now - job.began)
+        first_ms = -1.0
+        if job.first_at is not None:
+            first_ms = (job.first_at - job.began) * 1000
+            metrics.first_seconds.add({'kind': kind}, first_ms / 1000)
+        log.info(
+            'Request ended. id={} outcome={} status={} route={} service={} organisation={} '
+            'document={} servers={} first_ms={:.0f} ms={:.0f} reason={} verdict={} '
+            'expected_ms={:.0f} returning={}',
+            job.caller.request_id,
+            outcome,
+            job.status,
+            job.route.name,
+            job.wanted.service,
+            job.organisation.name if job.organisation is not None else '',
+            job.document_version,
+            ','.join(job.tried),
+            first_ms,
+            (now - job.began) * 1000,
+            refusal.reason.value if refusal is not None else '',
+            refusal.verdict.value if refusal is not None else '',
+            job.expected_ms,
+            job.returning,
+        )
+
+
+def status_of(refusal: Refusal) -> int:
+    """
+    The status of a refusal: one that promises 'not run' only where it holds.
+
+    """
+    if refusal.reason in CLIENT_ERRORS:
+        return refusal.http_status
+    if refusal.verdict is Verdict.NOT_RUN:
+        return NOT_RUN_STATUS
+    return TIMED_OUT_STATUS if refusal.reason is Reason.TIMED_OUT else LOST_STATUS
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -4,14 +4,50 @@
 """
 
 from dataclasses import dataclass, field
+from typing import Final
 
 from millfork_adapter.exchange import CallerRequest
 from millfork_core.ids import InstanceId
 from millfork_core.verdicts import Reason, Verdict
 from millfork_routing.documents import Organisation, Route
-from millfork_routing.servers import Wanted
+from millfork_routing.servers import Server, Wanted
 from millfork_web.server import Exchange
 
+# Ranks at an engine, and the rank of a route that they belong to.
+URGENCY_RETURNING: Final = 3
+URGENCY_FIRST: Final = 5
+USUAL_PRIORITY: Final = 1
+LEAST_URGENCY: Final = 9
+
+
+@dataclass(slots=True)
+class Attempt:
+    """
+    One sending of a job, counted at its back end while it lasts.
+
+    """
+
+    server: Server
+    began: float
+    unread: bool = True
+
+    def begin(self) -> None:
+        self.server.mine += 1
+        self.server.mine_unread += 1
+
+    def note_first(self) -> None:
+        """
+        The first token is here.
+
+        """
+        if self.unread:
+            self.unread = False
+            self.server.mine_unread -= 1
+
+    def end(self) -> None:
+        self.note_first()
+        self.server.mine -= 1
+
 
 @dataclass(frozen=True, slots=True)
 class Failed:
@@ -54,6 +90,10 @@
     began: float
     deadline: float
     document_version: int
+    # Whether the caller was here before: less time is left to it than callers
+    # of the route begin with.
+    returning: bool = False
+    expected_ms: float = 0.0
     tried: list[InstanceId] = field(default_factory=list)
     failures: list[Failed] = field(default_factory=list)
     held: HeldAnswer | None = None
@@ -64,6 +104,18 @@
     started: bool = False
     caller_gone: bool = False
 
+    @property
+    def urgency(self) -> int | None:
+        """
+        The rank at an engine (0 first); those that were refused before come
+        first, so that nobody is late twice.
+
+        """
+        if self.wanted.engine is None:
+            return None
+        base = URGENCY_RETURNING if self.returning else URGENCY_FIRST
+        return min(max(base + self.priority - USUAL_PRIORITY, 0), LEAST_URGENCY)
+
     @property
     def may_have_run(self) -> bool:
         return any(failed.verdict is not Verdict.NOT_RUN for failed in self.failures)
--- a/packages/millforkd/millforkd/proxy/versions.py
+++ b/packages/millforkd/millforkd/proxy/versions.py
@@ -15,9 +15,10 @@
 from millfork_state.keys import VERSION_PREFIX
 from millfork_state.view import View
 
-# Requests stop to begin on the old version this long before they must: for
-# the time from the acknowledgement to this entry, and from here to a server.
-MARGIN_S: Final = 0.6
+# Requests are no longer sent to the old version this long before the last may
+# begin on it: for the time from the acknowledgement to this entry, the way to
+# a server, and a wait in its queue that admission keeps this short.
+MARGIN_S: Final = 1.0
 
 log = logger(Part.PROXY)
 
@@ -67,3 +68,11 @@
         now = self.env.monotonic()
         due = [named.version for named in self.named.get(model, ()) if named.due <= now]
         return max(due, default=0)
+
+    def newest(self, model: str) -> int:
+        """
+        The newest version named.
+
+        """
+        named = self.named.get(model)
+        return named[-1].version if named else 0
