--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,232 @@
+"""
+The adapter: each wire name read once, bad input answered by a clear error.
+
+"""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from millfork_adapter.calls import (
+    BadCall,
+    Goodbye,
+    Heartbeat,
+    NameVersion,
+    PutDocument,
+    ReadDocument,
+    UnknownCall,
+)
+from millfork_adapter.exchange import SendOrders
+from millfork_platform import PlatformAdapter
+from millfork_registry.records import LeaseState, ServedVersion
+from millfork_routing.documents import RouteKind
+from millfork_web.models import Request
+
+ADAPTER = PlatformAdapter()
+BEAT = {
+    'service': 's',
+    'address': '10.0.0.9:8080',
+    'zone': 'z',
+    'version': 'v1',
+    'slots': 16,
+    'state': 'ready',
+    'cold_left_ms': 0,
+    'models': [{'name': 'm', 'version': 1, 'adapters': []}],
+    'layers': {'from': 0, 'target_version': 16, 'version': 1},
+    'seq': 4,
+}
+DOCUMENT = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r',
+            'host': 'h.example',
+            'path_prefix': '/a/',
+            'kind': 'streaming',
+            'timeout_ms': 6000,
+            'target_latency_ms': 405,
+            'priority': 1,
+            'weighted_backends': [{'service': 's', 'weight': 90}, {'service': 't', 'weight': 10}],
+            'max_attempts': 2,
+            'public': False,
+            'sticky': True,
+            'resumable': True,
+            'target_gap_ms': 400,
+        }
+    ],
+    'services': [
+        {'name': 's', 'max_conns': 264, 'engine': {'slots': 16, 'models': [{'name': 'm'}]}},
+        {'name': 't', 'origin': '172.20.0.3:8006', 'max_conns': 48},
+    ],
+    'limits': {'max_body_bytes': 1000, 'idle_timeout_ms': 15000},
+    'tenants': [{'name': 'o', 'api_keys': ['k1', 'k2'], 'priority': 1}],
+    'something_new': {'x': 1},
+}
+
+
+def post(path, body):
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    return ADAPTER.read_call(Request('POST', path, [], data))
+
+
+def beat(**changes):
+    return post('/v1/Instances.Heartbeat/i-1', {**BEAT, **changes})
+
+
+def test_a_heartbeat_is_a_lease():
+    call = beat()
+    assert isinstance(call, Heartbeat)
+    lease = call.lease
+    assert (lease.instance, lease.host, lease.port, lease.sequence) == ('i-1', '10.0.0.9', 8080, 4)
+    assert lease.state is LeaseState.READY
+    assert lease.served == (ServedVersion('m', 1, 16),)
+
+
+def test_an_empty_engine_serves_nothing():
+    assert beat(layers={'from': 0, 'target_version': 0, 'version': 1}).lease.served == ()
+
+
+def test_a_back_end_without_layers_serves_its_models_whole():
+    plain = {key: value for key, value in BEAT.items() if key != 'layers'}
+    lease = post('/v1/Instances.Heartbeat/i-1', plain).lease
+    assert lease.served == (ServedVersion('m', 1),)
+
+
+@pytest.mark.parametrize('change', [{'state': 'odd'}, {'address': 'x'}, {'seq': 'x'}])
+def test_a_bad_heartbeat_says_why(change):
+    with pytest.raises(BadCall):
+        beat(**change)
+
+
+def test_the_other_calls():
+    assert post('/v1/Instances.Leave/i-1', b'') == Goodbye('i-1')
+    assert post('/v1/version-put', {'model': 'm', 'version': 2}) == NameVersion('m', 2)
+    assert ADAPTER.read_call(Request('GET', '/v1/Config.Get')) == ReadDocument()
+    assert post('/elsewhere', b'') == UnknownCall()
+    assert ADAPTER.read_call(Request('DELETE', '/v1/Config.Put')) == UnknownCall()
+
+
+def test_a_document_is_read_and_kept_as_it_came():
+    body = json.dumps(DOCUMENT).encode()
+    call = post('/v1/Config.Put', body)
+    assert isinstance(call, PutDocument)
+    assert call.body == body
+    document = call.document
+    assert document.version == 7
+    route = document.routes[0]
+    assert route.kind is RouteKind.STREAMING
+    assert [(share.service, share.weight) for share in route.shares] == [('s', 90), ('t', 10)]
+    assert document.services[0].engine.model == 'm'
+    assert document.services[1].origin.port == 8006
+    assert document.organisations[0].keys == ('k1', 'k2')
+    assert document.limits.max_body_bytes == 1000
+
+
+@given(st.integers(0, len(json.dumps(DOCUMENT)) - 1))
+def test_a_document_cut_short_is_refused(length):
+    with pytest.raises(BadCall):
+        post('/v1/Config.Put', json.dumps(DOCUMENT).encode()[:length])
+
+
+@given(
+    st.sampled_from(
+        ['/v1/Config.Put', '/v1/version-put', '/v1/Instances.Heartbeat/i-1', '/v1/other']
+    ),
+    st.binary(max_size=200) | st.text(max_size=100).map(lambda text: json.dumps(text).encode()),
+)
+def test_any_body_is_a_call_or_a_clear_error(path, body):
+    try:
+        post(path, body)
+    except BadCall as error:
+        assert str(error)
+
+
+@given(st.dictionaries(st.sampled_from(sorted(BEAT)), st.none() | st.integers() | st.text()))
+def test_any_field_of_a_heartbeat_may_be_wrong(changes):
+    try:
+        beat(**changes)
+    except BadCall as error:
+        assert str(error)
+
+
+HEAD = [
+    ('host', 'h.example'),
+    ('x-request-id', '9c41'),
+    ('last-event-id', '12'),
+    ('x-model', 'm'),
+    ('x-token-count', '1460,80'),
+    ('x-prefix-hash', '5c1e:800,91bd:410'),
+    ('x-deadline-ms', '6077'),
+    ('authorization', 'Bearer k1'),
+    ('connection', 'keep-alive, x-mine'),
+    ('x-mine', '1'),
+    ('x-tenant', 'forged'),
+    ('x-other', 'kept'),
+]
+
+
+def test_a_caller_head():
+    caller = ADAPTER.read_caller(Request('POST', '/a/b?c=1', HEAD))
+    assert (caller.request_id, caller.key, caller.deadline_ms) == ('9c41', 'k1', 6077)
+    assert (caller.prompt_tokens, caller.answer_tokens) == (1460, 80)
+    assert caller.parts == (('5c1e', 800), ('91bd', 410))
+    assert caller.last_event_id == 12
+
+
+@pytest.mark.parametrize('bad', [('x-deadline-ms', 'soon'), ('x-token-count', 'a,b')])
+def test_a_head_that_makes_no_sense_is_an_error(bad):
+    head = [item for item in HEAD if item[0] != bad[0]]
+    with pytest.raises(BadCall):
+        ADAPTER.read_caller(Request('POST', '/', [*head, bad]))
+    with pytest.raises(BadCall):
+        ADAPTER.read_caller(Request('POST', '/', [('host', 'h')]))
+
+
+def test_what_a_back_end_gets():
+    orders = SendOrders('i-7', 500, 'o', True, 2, 4, 15)
+    headers = dict(ADAPTER.forward(Request('POST', '/', HEAD), orders))
+    assert headers['x-expect-instance'] == 'i-7'
+    assert headers['x-deadline-ms'] == '500'
+    assert headers['x-tenant'] == 'o'
+    assert headers['x-expect-version'] == '2'
+    assert headers['x-request-priority'] == '4'
+    assert headers['last-event-id'] == '15'
+    assert headers['x-other'] == 'kept'
+    assert not {'authorization', 'connection', 'x-mine'} & set(headers)
+
+
+def test_a_forged_organisation_never_passes():
+    headers = dict(ADAPTER.forward(Request('POST', '/', HEAD), SendOrders('i-7', 500)))
+    assert 'x-tenant' not in headers
+    assert headers['last-event-id'] == '12'
+
+
+def test_the_head_of_an_answer():
+    head = ADAPTER.read_answer(
+        503, [('x-not-executed', '1'), ('keep-alive', 'timeout=5, max=9'), ('x-request-id', 'a')]
+    )
+    assert (head.not_run, head.elsewhere, head.keep_s, head.request_id) == (True, False, 5.0, 'a')
+    assert ADAPTER.read_answer(421, []).elsewhere
+    assert not ADAPTER.read_answer(503, []).not_run
+    assert ADAPTER.read_answer(200, [('connection', 'Close')]).closing
+
+
+def test_what_a_caller_gets():
+    headers = [('x-server-stamp', 's'), ('connection', 'close'), ('content-type', 'a')]
+    assert ADAPTER.relayed(headers) == [('x-server-stamp', 's'), ('content-type', 'a')]
+    assert ('retry-after', '0.250') in ADAPTER.refusal_headers('id', 250)
+
+
+def test_engine_calls():
+    body = json.dumps(
+        {'running': 3, 'queued': 1, 'kv_used': 5, 'models': BEAT['models'], 'layers': None}
+    ).encode()
+    report = ADAPTER.read_report(body)
+    assert (report.running, report.queued, report.served) == (3, 1, (('m', 1, None),))
+    pieces = ADAPTER.read_piece_list(b'{"model":"m","version":2,"digests":["a"]}')
+    assert pieces.digests == ('a',)
+    assert ADAPTER.piece_request('m', 2, 5).path == '/v1/piece/m?item_count=5&version=2'
+    assert ADAPTER.stage_request('m', 5, b'x').method == 'PUT'
+    assert json.loads(ADAPTER.start_request('m', 2).body)['manner'] == 'queue'
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,168 @@
+"""
+Leases of back ends: which record counts, who lets them run out.
+
+"""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_registry.records import (
+    EndpointState,
+    Lease,
+    LeaseState,
+    decode_leases,
+    encode_records,
+)
+from millfork_registry.registry import REMEMBERED_S, Change, Registry
+from millfork_registry.table import Table
+
+HEARTBEAT_S = 1.0
+LEASE_S = 3.5
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def registry(clock):
+    env = Environment(InstanceId('a:1'), ZoneId('zone'), monotonic=clock)
+    return Registry(env, HEARTBEAT_S)
+
+
+def lease(instance='i-1', sequence=1, state=LeaseState.READY, owner='b:1', port=80):
+    return Lease(instance, 'service', '10.0.0.1', port, 'zone', 4, state, sequence, owner)
+
+
+def state_of(registry, instance='i-1'):
+    return registry.leases.get(instance).state
+
+
+def test_a_late_heartbeat_changes_nothing(registry):
+    registry.take(lease(sequence=5, state=LeaseState.DRAINING))
+    assert registry.take(lease(sequence=4)) is Change.NONE
+    assert state_of(registry) is LeaseState.DRAINING
+
+
+def test_a_renewal_is_no_news_for_others(registry):
+    registry.take(lease(sequence=1))
+    version = registry.leases.version
+    assert registry.take(lease(sequence=2)) is Change.RENEWED
+    assert registry.leases.version == version
+
+
+def test_a_goodbye_is_final(registry):
+    registry.take_heartbeat(lease(sequence=1))
+    registry.take_goodbye('i-1')
+    assert registry.take_heartbeat(lease(sequence=9)) is Change.NONE
+    assert state_of(registry) is LeaseState.GONE
+
+
+def test_a_goodbye_of_an_unknown_back_end_is_kept(registry):
+    registry.take_goodbye('i-1')
+    assert registry.take(lease(sequence=3)) is Change.NONE
+
+
+def test_a_lease_owned_here_runs_out_and_a_heartbeat_renews_it(registry, clock):
+    registry.take_heartbeat(lease(sequence=1))
+    clock.now += LEASE_S + 0.1
+    assert [item.instance for item in registry.expire(set())] == ['i-1']
+    assert state_of(registry) is LeaseState.EXPIRED
+    registry.take_heartbeat(lease(sequence=2))
+    assert state_of(registry) is LeaseState.READY
+
+
+def test_a_lease_owned_elsewhere_runs_out_only_when_its_owner_is_lost(registry, clock):
+    registry.take(lease(owner='b:1'))
+    clock.now += 60
+    assert registry.expire(set()) == []
+    clock.now += LEASE_S + 0.1
+    assert [item.instance for item in registry.expire({'b:1'})] == ['i-1']
+
+
+def test_a_back_end_that_found_another_replica_is_not_given_up(registry, clock):
+    registry.take_heartbeat(lease(sequence=1))
+    registry.take(lease(sequence=2, owner='c:1'))
+    clock.now += LEASE_S + 0.1
+    assert registry.expire(set()) == []
+
+
+def test_what_ended_is_forgotten_in_the_end(registry, clock):
+    registry.take_heartbeat(lease())
+    registry.take_goodbye('i-1')
+    clock.now += REMEMBERED_S + 1
+    registry.expire(set())
+    assert len(registry.leases) == 0
+
+
+def test_a_settled_replica_decides_what_there_is(registry):
+    registry.take(lease('i-1'))
+    registry.take(lease('i-2'))
+    registry.keep_only({'i-2'}, set())
+    assert [item.instance for item in registry.leases.values()] == ['i-2']
+
+
+def test_only_load_may_wait_in_an_endpoint_report(registry):
+    state = EndpointState('e:1', 'service', 'zone', '10.0.0.1', 80, 1, reachable=True)
+    assert registry.take_endpoint(state) is Change.CHANGED
+    busier = msgspec.structs.replace(state, sequence=2, running=9)
+    assert registry.take_endpoint(busier) is Change.RENEWED
+    changing = msgspec.structs.replace(state, sequence=3, changing_to=2)
+    assert registry.take_endpoint(changing) is Change.CHANGED
+    assert registry.take_endpoint(state) is Change.NONE
+
+
+def test_leases_go_over_the_wire_as_they_are():
+    records = [lease('i-1'), lease('i-2', state=LeaseState.GONE)]
+    assert decode_leases(encode_records(records)) == records
+    assert decode_leases(b'') == []
+
+
+RECORDS = st.builds(
+    lease,
+    instance=st.sampled_from(['i-1', 'i-2']),
+    sequence=st.integers(1, 5),
+    state=st.sampled_from(LeaseState),
+    owner=st.sampled_from(['b:1', 'c:1']),
+)
+
+
+@given(st.lists(RECORDS, max_size=12), st.randoms())
+def test_the_order_in_which_records_come_does_not_matter(records, random):
+    def outcome(items):
+        env = Environment(InstanceId('a:1'), ZoneId('zone'), monotonic=Clock())
+        registry = Registry(env, HEARTBEAT_S)
+        for item in items:
+            registry.take(item)
+        return {key: registry.leases.get(key).order for key in registry.leases.rows}
+
+    shuffled = list(records)
+    random.shuffle(shuffled)
+    assert outcome(records) == outcome(shuffled)
+
+
+@given(st.lists(st.tuples(st.sampled_from('abc'), st.integers(0, 9)), max_size=20))
+def test_a_table_tells_exactly_what_changed_after_a_version(changes):
+    table = Table()
+    seen = 0
+    copy = {}
+    for position, (key, value) in enumerate(changes):
+        table.put(key, (key, value))
+        if position % 3 == 2:
+            copy.update({item[0]: item for item in table.since(seen)})
+            seen = table.version
+    copy.update({item[0]: item for item in table.since(seen)})
+    assert copy == {item[0]: item for item in table.values()}
--- /dev/null
+++ b/tests/test_seeded.py
@@ -0,0 +1,205 @@
+"""
+Seeded fleets: settings from templates, the first state, voters that change.
+
+"""
+
+import re
+import tomllib
+from pathlib import Path
+
+import curio
+import pytest
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_registry.discovery import address_of
+from millfork_settings.errors import BadFile
+from millfork_settings.loading import load
+from millfork_settings.models import StateSettings
+from millfork_settings.seeded import SeededRole, SeededSettings
+from millfork_state.commands import Raise, SetMembers, decode_versioned, encode_command
+from millfork_state.formation import Seeds
+from millfork_state.leadership import SILENT_VOTER_S, Leadership
+from millfork_state.machine import Machine
+from millfork_state.replica import Replica
+from millfork_state.storage import LogEntry, Storage
+from millfork_state.view import View
+
+ROOT = Path(__file__).parent.parent
+VALUES = {
+    'ip': '10.1.0.40',
+    'port_range.0': '7700',
+    'node_name': 'front-1',
+    'zone': 'z1',
+    'region': 'r1',
+    'listen.front': '10.1.0.40:8005',
+    'listen.ready': '10.1.0.40:8002',
+    'listen.control': '10.1.0.40:8000',
+    'seeds|json': '["10.1.0.43:8000","10.2.0.39:8000"]',
+    'first_start|json': 'true',
+    'data_dir': '/data/replica',
+    'heartbeat_ms': '1200',
+    'fault_tolerance.machines': '1',
+    'bounds.drain_ms': '2000',
+    'bounds.grace_s': '8',
+    'bounds.retry_ratio': '0.2',
+    'bounds.retry_window_s': '10',
+    'bounds.retry_slack': '102',
+    'bounds.pass_ms': '120',
+    'limits.link_mbps': '3.65',
+    'app': '10.1.0.44:8001',
+    'service': 's',
+}
+
+
+def filled(name):
+    text = (ROOT / 'deploy' / 'settings' / name).read_text()
+    return re.sub(r'\{\{([^}]+)\}\}', lambda gap: VALUES.get(gap.group(1), ''), text)
+
+
+@pytest.mark.parametrize('role', SeededRole, ids=lambda role: role.value)
+def test_each_template_makes_good_settings_also_with_empty_bounds(role, tmp_path):
+    path = tmp_path / 'settings.yaml'
+    path.write_text(filled(f'{role.value}.yaml'))
+    settings = load(path, SeededSettings)
+    assert settings.role is role
+    assert settings.seed_instances == ['10.1.0.43:7700', '10.2.0.39:7700']
+    assert settings.first_start
+    # No value for it was given above.
+    assert settings.promises.version_ms == 8000
+
+
+def test_the_deploy_file_names_a_template_for_each_role():
+    deploy = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
+    assert set(deploy['roles']) == {role.value for role in SeededRole}
+    for name, role in deploy['roles'].items():
+        assert role['template'] == f'deploy/settings/{name}.yaml'
+        assert (ROOT / role['run'].split()[1]).exists()
+
+
+def test_settings_without_what_their_role_needs_are_refused(tmp_path):
+    path = tmp_path / 'settings.yaml'
+    path.write_text(filled('entry.yaml').replace('callers:', 'other:'))
+    with pytest.raises(BadFile):
+        load(path, SeededSettings)
+
+
+def test_one_seed_alone_begins_the_state_and_only_at_the_first_start():
+    others = [address_of('10.0.0.2:1'), address_of('10.0.0.3:1')]
+    assert Seeds(others, may_form=True).forms_here(InstanceId('10.0.0.1:1'))
+    assert not Seeds(others, may_form=True).forms_here(InstanceId('10.0.0.9:1'))
+    assert not Seeds(others, may_form=False).forms_here(InstanceId('10.0.0.1:1'))
+
+
+def replica_at(folder, instance='a:1', losses=1):
+    env = Environment(InstanceId(instance), ZoneId('zone'))
+    return Replica(env, StateSettings(losses=losses), Storage(folder), View(), None, [])
+
+
+def leading(folder, others, losses=1):
+    """
+    A leader of itself and `others`, all of which have its whole log.
+
+    """
+    replica = replica_at(folder, losses=losses)
+    disk = str(replica.storage.disk)
+    members = [('a:1', disk), *[(name, f'disk-{name}') for name in others]]
+    payload = encode_command(SetMembers('cluster', members))
+
+    async def write():
+        await replica.write([LogEntry(1, 1, payload)])
+        await replica.advance_commit(1)
+
+    curio.run(write)
+    for name in others:
+        replica.learn_address(address_of(name))
+    leadership = Leadership(replica)
+    for progress in leadership.progress:
+        progress.disk = f'disk-{progress.address.instance}'
+        progress.match = 1
+    return leadership
+
+
+def names(members):
+    return [name for name, _ in members]
+
+
+def silence(leadership, name):
+    for progress in leadership.progress:
+        if progress.address.instance == name:
+            progress.acked_at -= SILENT_VOTER_S + 1
+
+
+def newcomer(leadership, name, match=1):
+    leadership.replica.learn_address(address_of(name))
+    fresh = Leadership(leadership.replica).progress[-1]
+    fresh.disk, fresh.match = f'disk-{name}', match
+    leadership.progress.append(fresh)
+
+
+def test_a_replica_at_a_new_address_joins_once_it_has_caught_up(tmp_path):
+    leadership = leading(tmp_path, ['b:1', 'c:1'])
+    newcomer(leadership, 'd:1', match=0)
+    assert leadership._due_change() is None
+    leadership.progress[-1].match = 1
+    assert names(leadership._due_change()) == ['a:1', 'b:1', 'c:1', 'd:1']
+
+
+def test_a_silent_voter_leaves_only_while_enough_are_left(tmp_path):
+    three = leading(tmp_path / 'three', ['b:1', 'c:1'])
+    silence(three, 'b:1')
+    assert three._due_change() is None
+    four = leading(tmp_path / 'four', ['b:1', 'c:1', 'd:1'])
+    silence(four, 'b:1')
+    assert names(four._due_change()) == ['a:1', 'c:1', 'd:1']
+    six = leading(tmp_path / 'six', ['b:1', 'c:1', 'd:1', 'e:1'], losses=2)
+    silence(six, 'b:1')
+    assert six._due_change() is None
+
+
+def test_the_higher_version_prevails_and_what_is_held_is_never_replaced():
+    machine = Machine(View())
+    assert machine.apply(Raise('document', 2, b'two')).raised
+    again = machine.apply(Raise('document', 2, b'other'))
+    assert (again.raised, again.version) == (False, 2)
+    assert not machine.apply(Raise('document', 1, b'one')).raised
+    assert machine.apply(Raise('document', 7, b'seven')).raised
+    assert decode_versioned(machine.view.items['document'].value).body == b'seven'
+    assert machine.view.revision == 2
+
+
+class FullDisk:
+    """
+    A log file that takes a part of a write and then no more.
+
+    """
+
+    def __init__(self, file, room):
+        self.file = file
+        self.room = room
+
+    def write(self, data):
+        if self.room <= 0:
+            raise OSError(28, 'no space left')
+        taken = self.file.write(bytes(data[: self.room]))
+        self.room -= taken
+        return taken
+
+    def fileno(self):
+        return self.file.fileno()
+
+
+def test_a_write_that_a_full_disk_cut_leaves_no_trace(tmp_path):
+    storage = Storage(tmp_path)
+    storage.write_entries([LogEntry(1, 1, b'one')])
+    real = storage.file
+    storage.file = FullDisk(real, 5)
+    with pytest.raises(OSError, match='no space'):
+        storage.write_entries([LogEntry(1, 2, b'two')])
+    assert storage.last_index == 1
+    storage.file = real
+    storage.write_entries([LogEntry(1, 2, b'again')])
+    storage.close()
+    found = Storage(tmp_path)
+    assert [entry.payload for entry in found.entries] == [b'one', b'again']
+    assert found.torn_bytes == 0
--- /dev/null
+++ b/tests/test_servers.py
@@ -0,0 +1,170 @@
+"""
+Which back end gets a request, what is expected of it, and the shared budget.
+
+"""
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from millfork_core.ids import InstanceId, ServiceName, ZoneId
+from millfork_registry.records import EndpointState, Lease, LeaseState, ServedVersion
+from millfork_routing.budget import USED_SHARE, SharedBudget
+from millfork_routing.documents import EngineFigures
+from millfork_routing.prediction import first_token_ms
+from millfork_routing.servers import MOST_SUSPICION_S, ServerBook, Wanted
+
+ENGINE = EngineFigures(
+    slots=16,
+    tokens=300_000,
+    step_ms=9.0,
+    per_sequence_ms=0.02,
+    per_context_ms=0.03,
+    read_per_s=20_000,
+    pairs_ms_per_million=1.0,
+    steps_per_event=5,
+    usual_prompt=900,
+    usual_answer=90,
+    model='m',
+    layers=16,
+    pieces=96,
+    piece_bytes=24_576,
+    warm_s=0.3,
+)
+SERVICE = ServiceName('s')
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def book(clock):
+    return ServerBook(ZoneId('z1'), Random(1), clock)
+
+
+def lease(instance, zone='z1', state=LeaseState.READY, version=1, layers=16):
+    served = (ServedVersion('m', version, layers),)
+    host = f'10.0.0.{instance}'
+    return Lease(f'i-{instance}', 's', host, 80, zone, 16, state, 1, 'r:1', served)
+
+
+def report(instance, sequence=1, **fields):
+    served = fields.pop('served', (ServedVersion('m', 1, 16),))
+    return EndpointState(
+        f'e-{instance}', 's', 'z1', f'10.0.0.{instance}', 80, sequence, reachable=True,
+        served=served, **fields,
+    )  # fmt: skip
+
+
+def chosen(book, wanted=None, tried=()):
+    choice = book.choose(wanted or Wanted(SERVICE), {InstanceId(name) for name in tried})
+    return choice.server.instance if choice else None
+
+
+def test_a_back_end_that_leaves_gets_nothing(book):
+    book.take_leases([lease(1), lease(2)])
+    dropped = book.take_leases([lease(1, state=LeaseState.DRAINING), lease(2)])
+    assert [server.instance for server in dropped] == ['i-1']
+    assert {chosen(book) for _ in range(20)} == {'i-2'}
+
+
+def test_none_is_asked_twice(book):
+    book.take_leases([lease(1), lease(2)])
+    assert chosen(book, tried=['i-1']) == 'i-2'
+    assert chosen(book, tried=['i-1', 'i-2']) is None
+
+
+def test_a_failing_back_end_is_left_alone_unless_there_is_no_other(book, clock):
+    book.take_leases([lease(1), lease(2)])
+    book.servers[InstanceId('i-1')].note_failure(clock.now)
+    assert {chosen(book) for _ in range(20)} == {'i-2'}
+    assert chosen(book, tried=['i-2']) == 'i-1'
+
+
+def test_suspicion_grows_and_has_an_end(book, clock):
+    book.take_leases([lease(1)])
+    server = book.servers[InstanceId('i-1')]
+    for _ in range(9):
+        server.note_failure(clock.now)
+    assert server.suspect_until == clock.now + MOST_SUSPICION_S
+    server.note_outcome(failed=False)
+    server.note_failure(clock.now)
+    assert server.suspect_until < clock.now + MOST_SUSPICION_S
+
+
+def test_an_engine_without_all_layers_of_a_good_version_is_none(book):
+    wanted = Wanted(SERVICE, ENGINE, least_version=2)
+    book.take_leases([lease(1, version=1), lease(2, version=2, layers=8), lease(3, version=2)])
+    assert {chosen(book, wanted) for _ in range(20)} == {'i-3'}
+
+
+def test_an_engine_that_changes_gets_nothing(book):
+    book.take_leases([lease(1), lease(2)])
+    book.take_reports([report(1, changing_to=2), report(2)])
+    assert {chosen(book, Wanted(SERVICE, ENGINE)) for _ in range(20)} == {'i-2'}
+
+
+def test_a_report_counts_once_and_old_heartbeats_do_not_undo_it(book):
+    book.take_leases([lease(1)])
+    newer = (ServedVersion('m', 2, 16),)
+    book.take_reports([report(1, served=newer, running=5)])
+    server = book.servers[InstanceId('i-1')]
+    server.mine += 1
+    book.take_reports([report(1, served=newer, running=5)])
+    assert server.occupied(book.monotonic()) == 6
+    book.take_leases([lease(1)])
+    assert server.newest_whole(16) == 2
+
+
+def test_the_emptier_engine_is_taken(book):
+    book.take_leases([lease(1), lease(2)])
+    book.take_reports([report(1, running=16, queued=4), report(2, running=3)])
+    assert {chosen(book, Wanted(SERVICE, ENGINE, 0, 900)) for _ in range(20)} == {'i-2'}
+
+
+@given(
+    st.integers(0, 40), st.integers(0, 40), st.integers(1, 4000), st.floats(0.5, 5)
+)  # fmt: skip
+def test_more_load_never_means_an_earlier_first_token(occupied, unread, prompt, service_s):
+    unread = min(unread, occupied)
+    now = first_token_ms(ENGINE, prompt, occupied, unread, service_s, 1.0)
+    assert first_token_ms(ENGINE, prompt, occupied + 1, unread, service_s, 1.0) >= now
+    assert first_token_ms(ENGINE, prompt + 100, occupied, unread, service_s, 1.0) > now
+    assert first_token_ms(ENGINE, prompt, occupied, unread, service_s, 2.0) > now
+
+
+def test_a_full_engine_makes_wait_for_a_slot():
+    free = first_token_ms(ENGINE, 900, 15, 0, 1.6, 1.0)
+    full = first_token_ms(ENGINE, 900, 16, 0, 1.6, 1.0)
+    assert full - free == pytest.approx(100)
+
+
+@given(st.lists(st.sampled_from(['request', 'repeat', 'wait']), max_size=200), st.integers(1, 8))
+def test_all_entries_together_stay_within_the_budget(steps, entries):
+    clock = Clock()
+    budgets = [SharedBudget(0.2, 20, 10.0, lambda: entries, clock) for _ in range(entries)]
+    requests, repeats = [], []
+    for position, step in enumerate(steps):
+        budget = budgets[position % entries]
+        if step == 'request':
+            budget.note_request(SERVICE)
+            requests.append(clock.now)
+        if step == 'repeat' and budget.spend(SERVICE):
+            repeats.append(clock.now)
+        if step == 'wait':
+            clock.now += 1
+        recent = [moment for moment in repeats if moment >= clock.now - 10]
+        counted = [moment for moment in requests if moment >= clock.now - 10]
+        assert len(recent) <= 0.2 * len(counted) + 20 * USED_SHARE + 1
