--- /dev/null
+++ b/packages/millfork-core/millfork_core/sockets.py
@@ -0,0 +1,29 @@
+"""
+TCP connections to numeric addresses.
+
+"""
+
+import socket as socket_
+from typing import Any
+
+from curio import socket
+
+
+async def connect(host: str, port: int, source: str = '') -> Any:
+    """
+    A connection to an IPv4 address, without the look-up in a thread that the
+    event loop's own call makes for every one; from address `source` if given.
+
+    :raises OSError: if there is none to be had.
+
+    """
+    sock = socket.socket(socket_.AF_INET, socket_.SOCK_STREAM)
+    try:
+        if source:
+            sock.bind((source, 0))
+        await sock.connect((host, port))
+    except BaseException:
+        await sock.close()
+        raise
+    sock.setsockopt(socket_.IPPROTO_TCP, socket_.TCP_NODELAY, 1)
+    return sock
--- a/packages/millfork-settings/millfork_settings/document.py
+++ b/packages/millfork-settings/millfork_settings/document.py
@@ -12,6 +12,7 @@
 from pydantic.fields import FieldInfo
 
 from millfork_settings.models import Settings
+from millfork_settings.seeded import SeededSettings
 
 HEAD = """# Settings of millforkd
 
@@ -24,12 +25,24 @@
 """
 
 
+SEEDED_HEAD = """
+## Daemons that find the others from seeds
+
+Made from `millfork_settings.seeded`. Unknown keys are passed over there.
+
+| key | type | default | meaning |
+|---|---|---|---|
+"""
+
+
 def document() -> str:
     """
     The whole page.
 
     """
-    return HEAD + '\n'.join(_rows(Settings, '')) + '\n'
+    listed = '\n'.join(_rows(Settings, ''))
+    seeded = '\n'.join(_rows(SeededSettings, ''))
+    return f'{HEAD}{listed}\n{SEEDED_HEAD}{seeded}\n'
 
 
 def _rows(model: type[BaseModel], prefix: str) -> list[str]:
--- a/packages/millfork-web/millfork_web/client.py
+++ b/packages/millfork-web/millfork_web/client.py
@@ -10,6 +10,7 @@
 import curio
 import h11
 
+from millfork_core.sockets import connect
 from millfork_core.verdicts import Verdict
 from millfork_web.models import Headers, Response, find_header
 
@@ -178,12 +179,10 @@
             await sock.close()
         try:
             async with curio.timeout_after(CONNECT_TIMEOUT_S):
-                source = (self.source, 0) if self.source else None
-                sock = await curio.open_connection(self.host, self.port, source_addr=source)
+                sock = await connect(self.host, self.port, self.source)
         except (OSError, curio.TaskTimeout) as error:
             detail = f'no connection to {self.host}:{self.port}'
             raise ExchangeFailed(Verdict.NOT_RUN, detail) from error
-        sock.setsockopt(socket_.IPPROTO_TCP, socket_.TCP_NODELAY, 1)
         return sock, h11.Connection(h11.CLIENT)
 
     async def _write(
--- a/packages/millfork-wire/millfork_wire/connection.py
+++ b/packages/millfork-wire/millfork_wire/connection.py
@@ -117,6 +117,7 @@
         self.ids = count(1)
         self.outbox: curio.Queue = curio.Queue(MAX_QUEUED_FRAMES)
         self.tasks: set[curio.Task] = set()
+        self.writer: curio.Task | None = None
 
     async def call(self, message: Message, timeout: float) -> Message:
         """
@@ -204,6 +205,10 @@
             pass
         finally:
             await self.close()
+            # The event loop must not hold a closed socket for the writer: its
+            # number may be another connection's by then.
+            if self.writer is not None:
+                await self.writer.cancel()
             await self.transport.close()
 
     async def _dispatch(self, frame: Frame) -> None:
--- a/packages/millfork-wire/millfork_wire/peers.py
+++ b/packages/millfork-wire/millfork_wire/peers.py
@@ -107,7 +107,7 @@
         dialled = target != NO_INSTANCE
         connection = Connection(self.env, transport, hello, self.handler, self._forget, dialled)
         self.connections[connection.peer] = connection
-        await self.env.spawn(connection.write_frames)
+        connection.writer = await self.env.spawn(connection.write_frames)
         return connection
 
     async def _forget(self, connection: Connection) -> None:
--- a/packages/millfork-wire/millfork_wire/transport.py
+++ b/packages/millfork-wire/millfork_wire/transport.py
@@ -5,9 +5,9 @@
 
 from typing import Any, Final
 
-import curio
 from curio import socket
 
+from millfork_core.sockets import connect
 from millfork_wire import codec
 from millfork_wire.codec import BadFrame, Frame
 
@@ -73,7 +73,7 @@
 
     """
     first_hop = via or (host, port)
-    sock = await curio.open_connection(*first_hop, source_addr=(source, 0))
+    sock = await connect(*first_hop, source)
     if via is None:
         return Transport(sock)
     try:
--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -11,6 +11,7 @@
 import h11
 
 from millfork_core.environment import Environment
+from millfork_core.sockets import connect
 from millfork_core.verdicts import Reason, Verdict
 from millfork_routing.servers import Server
 from millfork_web.models import Headers
@@ -205,11 +206,10 @@
     async def _connect(self) -> ServerConnection:
         try:
             async with curio.timeout_after(CONNECT_TIMEOUT_S):
-                sock = await curio.open_connection(self.host, self.port)
+                sock = await connect(self.host, self.port)
         except (OSError, curio.TaskTimeout) as error:
             detail = f'no connection to {self.host}:{self.port}: {type(error).__name__}'
             raise SendFailed(Reason.UNREACHABLE, Verdict.NOT_RUN, detail) from None
-        sock.setsockopt(socket_.IPPROTO_TCP, socket_.TCP_NODELAY, 1)
         self.open += 1
         self.env.metrics.count(self.env.metrics.connections, event='opened')
         return ServerConnection(sock)
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -121,22 +121,20 @@
         await task.cancel(blocking=False)
 
     async def _serve(self, job: Job) -> None:
-        while True:
-            refusal = await self._attempt(job)
-            if refusal is None:
-                self.endings.note(job, 'served')
-                return
-            if job.started:
-                await job.exchange.break_off()
-                self.endings.note(job, 'broken_off', refusal)
-                return
-            if job.held is not None:
-                await self.relaying.held(job, job.held)
-                self.endings.note(job, 'served_failure', refusal)
-                return
-            await self.endings.refuse(job.exchange, job.caller.request_id, refusal)
-            self.endings.note(job, 'refused', refusal)
+        refusal = await self._attempt(job)
+        if refusal is None:
+            self.endings.note(job, 'served')
+            return
+        if job.started:
+            await job.exchange.break_off()
+            self.endings.note(job, 'broken_off', refusal)
+            return
+        if job.held is not None:
+            await self.relaying.held(job, job.held)
+            self.endings.note(job, 'served_failure', refusal)
             return
+        await self.endings.refuse(job.exchange, job.caller.request_id, refusal)
+        self.endings.note(job, 'refused', refusal)
 
     async def _attempt(self, job: Job) -> Refusal | None:
         """
