--- /dev/null
+++ b/tests/test_connection.py
@@ -0,0 +1,76 @@
+"""
+What a peer connection leaves behind when it ends.
+
+"""
+
+import socket
+
+import curio
+from curio.io import Socket
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_wire.connection import Connection
+from millfork_wire.messages import Hello, PushChunk
+from millfork_wire.transport import Transport
+
+FRAME_BYTES = 512 * 1024
+
+
+class QuietTransport(Transport):
+    """
+    A transport whose shutdown does not wake a task that waits to write, as
+    seen on a simulated network.
+
+    """
+
+    async def shut(self):
+        pass
+
+
+def tcp_pair():
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        near = socket.create_connection(server.getsockname())
+        far, _ = server.accept()
+    return near, far
+
+
+async def talk_over(numbers):
+    """
+    Use new sockets that get the numbers which came free.
+
+    """
+    pairs = [socket.socketpair() for _ in range(numbers)]
+    for one, other in pairs:
+        reader, writer = Socket(one), Socket(other)
+        task = await curio.spawn(reader.recv, 1)
+        await curio.sleep(0)
+        await writer.sendall(b'x')
+        assert await task.join() == b'x'
+        await reader.close()
+        await writer.close()
+
+
+def test_a_connection_that_ends_while_it_writes_leaves_nothing_to_the_event_loop():
+    async def ignore(*arguments):
+        return None
+
+    async def run():
+        near, far = tcp_pair()
+        env = Environment(InstanceId('a:1'), ZoneId('zone'))
+        transport = QuietTransport(Socket(near))
+        connection = Connection(env, transport, Hello(instance='b:1'), ignore, ignore, True)
+        connection.writer = await env.spawn(connection.write_frames)
+        reader = await env.spawn(connection.read_frames)
+        for index in range(20):
+            await connection.notify(PushChunk('m@1', index, b'\0' * FRAME_BYTES))
+        async with curio.timeout_after(5):
+            while not connection.writer.state.startswith('WRITE'):
+                await curio.sleep(0.01)
+        far.shutdown(socket.SHUT_WR)
+        async with curio.timeout_after(5):
+            await reader.wait()
+        await talk_over(3)
+        far.close()
+
+    curio.run(run)
