--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -41,14 +41,15 @@
 
     """
     pairs = [socket.socketpair() for _ in range(numbers)]
-    for one, other in pairs:
-        reader, writer = Socket(one), Socket(other)
-        task = await curio.spawn(reader.recv, 1)
-        await curio.sleep(0)
-        await writer.sendall(b'x')
-        assert await task.join() == b'x'
-        await reader.close()
-        await writer.close()
+    for pair in pairs:
+        one, other = (Socket(end) for end in pair)
+        for reader, writer in ((one, other), (other, one)):
+            task = await curio.spawn(reader.recv, 1)
+            await curio.sleep(0)
+            await writer.sendall(b'x')
+            assert await task.join() == b'x'
+        await one.close()
+        await other.close()
 
 
 def test_a_connection_that_ends_while_it_writes_leaves_nothing_to_the_event_loop():
