--- a/packages/millfork-routing/millfork_routing/servers.py
+++ b/packages/millfork-routing/millfork_routing/servers.py
@@ -22,6 +22,11 @@
 FAILURE_COST: Final = 3.0
 # One request's weight in the mean time of requests at an engine.
 SERVICE_TIME_WEIGHT: Final = 0.1
+# One first token's weight in the mean lateness: an entry sees some ten a second,
+# so the mean follows a change of load within a second.
+LATENESS_WEIGHT: Final = 0.1
+# A stuck engine's lateness says nothing of the others.
+MOST_LATENESS_MS: Final = 800.0
 # What another zone costs an engine's request, in ms: the way there and back.
 OTHER_ZONE_MS: Final = 10.0
 # What a failure rate of 1 costs an engine's request, in ms.
@@ -75,36 +80,43 @@
     # Versions that it refused lately, and until when to believe that.
     refused: dict[int, float] = field(default_factory=dict)
 
-    def occupied(self, now: float) -> int:
+    def occupied(self, now: float, entries: int = 1) -> int:
         """
         Requests there: the last report, which lags, corrected by what this
-        entry has begun and ended since.
+        entry has begun and ended since, and by what the others will have:
+        they see the same report and choose alike.
 
         """
         if now - self.reported_at > REPORT_VALID_S:
             return self.mine
-        return max(self.reported + self.mine - self.mine_at_report, self.mine)
+        begun = self.mine - self.mine_at_report
+        return max(self.reported + begun * (entries if begun > 0 else 1), self.mine)
 
-    def unread(self, now: float) -> int:
+    def unread(self, now: float, entries: int = 1) -> int:
         """
         Requests there that have no first token yet, as `occupied` is known.
 
         """
         if now - self.reported_at > REPORT_VALID_S:
             return self.mine_unread
-        return max(
-            self.reported_unread + self.mine_unread - self.mine_unread_at_report,
-            self.mine_unread,
-        )
+        begun = self.mine_unread - self.mine_unread_at_report
+        return max(self.reported_unread + begun * (entries if begun > 0 else 1), self.mine_unread)
 
-    def first_token_ms(self, engine: EngineFigures, prompt_tokens: int, now: float) -> float:
+    def first_token_ms(
+        self, engine: EngineFigures, prompt_tokens: int, now: float, entries: int
+    ) -> float:
         """
         The time to the first token that a request sent now would have.
 
         """
         service_s = self.service_s if self.service_s is not None else usual_service_s(engine)
         return first_token_ms(
-            engine, prompt_tokens, self.occupied(now), self.unread(now), service_s, self.pace
+            engine,
+            prompt_tokens,
+            self.occupied(now, entries),
+            self.unread(now, entries),
+            service_s,
+            self.pace,
         )
 
     def note_service_time(self, seconds: float) -> None:
@@ -172,13 +184,15 @@
 @dataclass(frozen=True, slots=True)
 class Choice:
     """
-    The back end for a request, and the time to its first token that is
-    expected there, in ms (0 for one that is no engine).
+    The back end for a request, and the time to its first token there, in ms
+    (0 for one that is no engine): by the figures alone, and as expected from
+    how far the figures were off lately.
 
     """
 
     server: Server
-    first_token_ms: float
+    by_figures_ms: float = 0.0
+    first_token_ms: float = 0.0
 
 
 class ServerBook:
@@ -187,8 +201,17 @@
 
     """
 
-    def __init__(self, zone: ZoneId, random: Random, monotonic: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        zone: ZoneId,
+        random: Random,
+        monotonic: Callable[[], float],
+        entries: Callable[[], int] = lambda: 1,
+    ) -> None:
         self.zone = zone
+        self.entries = entries
+        # How much later than by the figures first tokens came lately, in ms.
+        self.lateness_ms: dict[ServiceName, float] = {}
         self.random = random
         self.monotonic = monotonic
         self.servers: dict[InstanceId, Server] = {}
@@ -273,22 +296,33 @@
             return None
         trusted = [server for server in able if server.suspect_until <= now] or able
         if wanted.engine is None:
-            return Choice(min(trusted, key=lambda server: self._cost(server, now)), 0.0)
-        return self._choose_engine(trusted, wanted.engine, wanted.prompt_tokens, now)
+            return Choice(min(trusted, key=lambda server: self._cost(server, now)))
+        return self._choose_engine(trusted, wanted, wanted.engine, now)
+
+    def note_first_token(self, service: ServiceName, late_ms: float) -> None:
+        """
+        Take one first token's lateness, against the figures, into the mean.
+
+        """
+        mean = self.lateness_ms.get(service, 0.0)
+        late_ms = min(max(late_ms, -MOST_LATENESS_MS), MOST_LATENESS_MS)
+        self.lateness_ms[service] = mean + LATENESS_WEIGHT * (late_ms - mean)
 
     def _choose_engine(
-        self, servers: list[Server], engine: EngineFigures, prompt_tokens: int, now: float
+        self, servers: list[Server], wanted: Wanted, engine: EngineFigures, now: float
     ) -> Choice:
+        entries = self.entries()
+        lateness = self.lateness_ms.get(wanted.service, 0.0)
         best: Choice | None = None
         least = float('inf')
         for server in servers:
-            expected = server.first_token_ms(engine, prompt_tokens, now)
+            expected = server.first_token_ms(engine, wanted.prompt_tokens, now, entries)
             cost = expected + FAILURE_MS * server.failure_rate
             cost += OTHER_ZONE_MS if server.zone != self.zone else 0.0
             cost += self.random.random() * SPREAD_MS
             if cost < least:
                 least = cost
-                best = Choice(server, expected)
+                best = Choice(server, expected, max(expected + lateness, 0.0))
         assert best is not None
         return best
 
--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -18,6 +18,9 @@
 READ_BYTES: Final = 64 * 1024
 IDLE_TIMEOUT_S: Final = 120.0
 REQUEST_TIMEOUT_S: Final = 30.0
+BACKLOG: Final = 1024
+# After a failure to accept, for want of descriptors say.
+ACCEPT_PAUSE_S: Final = 0.05
 DEFAULT_MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 
 log = logger(Part.DAEMON)
@@ -129,13 +132,44 @@
         self.on_refusal = on_refusal
         self.closing = False
         self.active = 0
+        self.acceptor: curio.Task | None = None
+        # Connections between two requests.
+        self.resting: set[Any] = set()
 
     async def run(self) -> None:
         """
-        Serve until cancelled.
+        Serve until cancelled or told to stop accepting.
 
         """
-        await curio.tcp_server(self.host, self.port, self._serve, reuse_address=True, backlog=1024)
+        listener = curio.tcp_server_socket(self.host, self.port, backlog=BACKLOG)
+        self.acceptor = await curio.spawn(self._accept, listener)
+        await self.acceptor.wait()
+
+    async def _accept(self, listener: Any) -> None:
+        async with listener:
+            while True:
+                try:
+                    sock, address = await listener.accept()
+                except OSError as error:
+                    log.warning('No connection accepted on port {}: {}.', self.port, error)
+                    await curio.sleep(ACCEPT_PAUSE_S)
+                    continue
+                await curio.spawn(self._serve, sock, address, daemon=True)
+
+    async def stop_accepting(self) -> None:
+        """
+        Take no new connection, and close those between two requests. What is
+        in progress goes on.
+
+        """
+        self.closing = True
+        if self.acceptor is not None:
+            await self.acceptor.cancel()
+        for sock in list(self.resting):
+            try:
+                await sock.shutdown(socket_.SHUT_RDWR)
+            except OSError:
+                continue
 
     async def _serve(self, sock: Any, address: Any) -> None:
         sock.setsockopt(socket_.IPPROTO_TCP, socket_.TCP_NODELAY, 1)
@@ -181,8 +215,12 @@
         await exchange.respond(problem(refusal))
 
     async def _read_request(self, sock: Any, conn: h11.Connection) -> Request | None:
-        async with curio.timeout_after(self.idle_timeout_s):
-            head = await _next_event(sock, conn)
+        self.resting.add(sock)
+        try:
+            async with curio.timeout_after(self.idle_timeout_s):
+                head = await _next_event(sock, conn)
+        finally:
+            self.resting.discard(sock)
         if not isinstance(head, h11.Request):
             return None
         body = bytearray()
--- a/packages/millforkd/millforkd/proxy/admission.py
+++ b/packages/millforkd/millforkd/proxy/admission.py
@@ -22,9 +22,10 @@
 RETURNING_MS: Final = 120
 # Of the aim for the first token; the rest is for the way and what the
 # prediction can't know.
-FIRST_SHARE: Final = 0.85
-# Of the time left to a caller that comes back, at most until its first token.
-RETURNING_SHARE: Final = 0.5
+FIRST_SHARE: Final = 0.75
+# The same for a caller that comes back: late is better than refused again, but
+# a queue that is longer than this would make everyone late.
+RETURNING_SHARE: Final = 0.75
 # When a refused caller may come back, in ms: a place comes free in about a
 # tenth of a second; spread, so that they do not come back at once.
 LEAST_WAIT_MS: Final = 150
@@ -101,17 +102,17 @@
         0 if a request is worth sending; else when its caller may come back.
 
         A first request is refused where its first token would be late: it
-        may be in time when it comes back. One that comes back is sent as long
-        as it can be answered at all.
+        may be in time when it comes back. One that comes back may be late.
 
         """
         expected = choice.first_token_ms
         job.expected_ms = expected
         if job.wanted.engine is None:
             return 0
-        limit = job.left_s(self.env.monotonic()) * 1000 * RETURNING_SHARE
-        if not job.returning or self._is_ending(job, choice):
-            limit = min(limit, job.route.target_ms * FIRST_SHARE)
+        share = RETURNING_SHARE if job.returning else FIRST_SHARE
+        if self._is_ending(job, choice):
+            share = min(share, FIRST_SHARE)
+        limit = job.route.target_ms * share
         if expected <= limit:
             return 0
         late = min(expected - limit, MOST_WAIT_MS)
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -36,7 +36,7 @@
 # The balancer asks each second and needs two misses to look away.
 BALANCER_LOOKS_AWAY_S: Final = 2.5
 # Of the time that a planned stop has, left for the end itself.
-STOP_MARGIN_S: Final = 1.0
+STOP_MARGIN_S: Final = 0.5
 DRAIN_POLL_S: Final = 0.05
 HOUSEKEEPING_S: Final = 0.5
 
@@ -64,7 +64,7 @@
         )
         self.versions = Versions(env, self.view, promises.version_ms)
         self.admission = Admission(env, self.versions)
-        self.book = ServerBook(env.zone, env.random, env.monotonic)
+        self.book = ServerBook(env.zone, env.random, env.monotonic, lambda: self.following.entries)
         self.pools = Pools(env)
         self.budget = SharedBudget(
             promises.retry_ratio,
@@ -128,6 +128,8 @@
         limit_s = self.settings.promises.grace_s - STOP_MARGIN_S
         self.server.closing = True
         await curio.sleep(min(BALANCER_LOOKS_AWAY_S, limit_s))
+        # From here on, what comes could not be promised an answer in time.
+        await self.server.stop_accepting()
         while self.server.active and self.env.monotonic() - started < limit_s:
             await curio.sleep(DRAIN_POLL_S)
         if self.server.active:
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -15,7 +15,7 @@
 from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
 from millfork_routing.budget import SharedBudget
 from millfork_routing.documents import RouteKind
-from millfork_routing.servers import Server, ServerBook
+from millfork_routing.servers import Choice, Server, ServerBook
 from millfork_web.server import CallerGone, Exchange
 from millforkd.proxy.admission import Admission
 from millforkd.proxy.connections import Pools, SendFailed, ServerConnection
@@ -64,7 +64,7 @@
         self.book = book
         self.pools = pools
         self.budget = budget
-        self.relaying = Relaying(env, adapter)
+        self.relaying = Relaying(env, adapter, book)
         self.endings = Endings(env, adapter)
 
     async def answer(self, exchange: Exchange) -> None:
@@ -110,7 +110,9 @@
             self.endings.note(job, 'caller_gone')
             raise
         finally:
-            await watcher.cancel(blocking=False)
+            # Whole: the socket is closed next, and the event loop must not hold it
+            # for the watcher then.
+            await watcher.cancel()
 
     async def _watch(self, job: Job, task: curio.Task) -> None:
         try:
@@ -155,7 +157,7 @@
                     return Refusal(Reason.BUSY, Verdict.NOT_RUN, 'all servers are busy', wait_ms)
             if job.tried and not self.budget.spend(job.wanted.service):
                 return self._final(job, Reason.RETRY_BUDGET)
-            failed = await self._send(job, server)
+            failed = await self._send(job, choice)
             if failed is None:
                 return None
             job.failures.append(failed)
@@ -203,13 +205,14 @@
 
     # One back end.
 
-    async def _send(self, job: Job, server: Server) -> Failed | None:
+    async def _send(self, job: Job, choice: Choice) -> Failed | None:
         """
         One attempt; None if the caller has its answer.
 
         """
+        server = choice.server
         pool = self.pools.of(server)
-        attempt = Attempt(server, self.env.monotonic())
+        attempt = Attempt(choice, self.env.monotonic())
         attempt.begin()
         connection = None
         keep_s = None
@@ -240,6 +243,24 @@
             server.note_failure(now)
         return Failed(reason, verdict, detail)
 
+    async def _read_head(self, job: Job, connection: ServerConnection, version: int | None) -> None:
+        """
+        Wait for an answer to begin, but not past the end of a version.
+
+        """
+        ends = None
+        if version is not None and job.wanted.engine is not None:
+            ends = self.admission.versions.ends_at(job.wanted.engine.model, version)
+        if ends is None:
+            await connection.read_head()
+            return
+        try:
+            async with curio.timeout_after(max(ends - self.env.monotonic(), 0)):
+                await connection.read_head()
+        except curio.TaskTimeout:
+            detail = f'version {version} ends before the request began'
+            raise SendFailed(Reason.VERSION_MISMATCH, Verdict.MAY_HAVE_RUN, detail) from None
+
     async def _exchange(
         self, job: Job, attempt: Attempt, connection: ServerConnection
     ) -> float | None:
@@ -269,7 +290,7 @@
         job.tried.append(server.instance)
         headers = self.adapter.forward(request, orders)
         await connection.send(request.method, request.path, headers, request.body)
-        await connection.read_head()
+        await self._read_head(job, connection, version)
         server.heard_at = self.env.monotonic()
         head = self.adapter.read_answer(connection.status, connection.headers)
         if head.request_id and head.request_id != job.caller.request_id:
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -10,12 +10,11 @@
 from millfork_core.ids import InstanceId
 from millfork_core.verdicts import Reason, Verdict
 from millfork_routing.documents import Organisation, Route
-from millfork_routing.servers import Server, Wanted
+from millfork_routing.servers import Choice, Server, Wanted
 from millfork_web.server import Exchange
 
-# Ranks at an engine, and the rank of a route that they belong to.
-URGENCY_RETURNING: Final = 3
-URGENCY_FIRST: Final = 5
+# The rank at an engine of a request whose route has the usual rank.
+USUAL_URGENCY: Final = 5
 USUAL_PRIORITY: Final = 1
 LEAST_URGENCY: Final = 9
 
@@ -27,10 +26,14 @@
 
     """
 
-    server: Server
+    choice: Choice
     began: float
     unread: bool = True
 
+    @property
+    def server(self) -> Server:
+        return self.choice.server
+
     def begin(self) -> None:
         self.server.mine += 1
         self.server.mine_unread += 1
@@ -107,14 +110,14 @@
     @property
     def urgency(self) -> int | None:
         """
-        The rank at an engine (0 first); those that were refused before come
-        first, so that nobody is late twice.
+        The rank at an engine (0 first), by the rank of route or organisation
+        alone: an engine serves those of one rank in the order in which they
+        come, which is what the time to a first token is predicted from.
 
         """
         if self.wanted.engine is None:
             return None
-        base = URGENCY_RETURNING if self.returning else URGENCY_FIRST
-        return min(max(base + self.priority - USUAL_PRIORITY, 0), LEAST_URGENCY)
+        return min(max(USUAL_URGENCY + self.priority - USUAL_PRIORITY, 0), LEAST_URGENCY)
 
     @property
     def may_have_run(self) -> bool:
--- a/packages/millforkd/millforkd/proxy/relaying.py
+++ b/packages/millforkd/millforkd/proxy/relaying.py
@@ -10,6 +10,7 @@
 from millfork_adapter.adapter import Adapter
 from millfork_core.environment import Environment
 from millfork_core.verdicts import Reason, Verdict
+from millfork_routing.servers import ServerBook
 from millfork_web.models import Response, without
 from millforkd.proxy.connections import SendFailed, ServerConnection
 from millforkd.proxy.events import EventSplitter, NotEvents
@@ -28,9 +29,10 @@
 
     """
 
-    def __init__(self, env: Environment, adapter: Adapter) -> None:
+    def __init__(self, env: Environment, adapter: Adapter, book: ServerBook) -> None:
         self.env = env
         self.adapter = adapter
+        self.book = book
 
     async def hold(self, connection: ServerConnection) -> HeldAnswer:
         """
@@ -92,7 +94,7 @@
                 raise SendFailed(Reason.TRUNCATED, Verdict.RAN, str(error)) from error
             if not whole:
                 continue
-            attempt.note_first()
+            self._note_first(job, attempt, resumed)
             if resumed:
                 _check_resumed(job, splitter)
                 resumed = False
@@ -103,6 +105,13 @@
             await self._write(job, connection, splitter.rest)
         await job.exchange.finish()
 
+    def _note_first(self, job: Job, attempt: Attempt, resumed: bool) -> None:
+        if attempt.unread and job.wanted.engine is not None and not resumed:
+            took_ms = (self.env.monotonic() - attempt.began) * 1000
+            late_ms = took_ms - attempt.choice.by_figures_ms
+            self.book.note_first_token(job.wanted.service, late_ms)
+        attempt.note_first()
+
     async def _event_bytes(self, job: Job, connection: ServerConnection) -> bytes:
         if not job.started or not job.route.repeatable:
             return await connection.read()
--- a/packages/millforkd/millforkd/proxy/versions.py
+++ b/packages/millforkd/millforkd/proxy/versions.py
@@ -20,13 +20,20 @@
 # a server, and a wait in its queue that admission keeps this short.
 MARGIN_S: Final = 1.0
 
+# A request that has not begun on the old version is taken back this long
+# before it no longer may.
+CUT_S: Final = 0.35
+
 log = logger(Part.PROXY)
 
 
 @dataclass(slots=True)
 class _Named:
     version: int
+    # No request is sent to an older version from here on, and none may begin
+    # on one after `ends`.
     due: float
+    ends: float
 
 
 class Versions:
@@ -56,7 +63,8 @@
                 continue
             # What stood at this entry's start may have been named long ago.
             wait = 0.0 if self.first else self.switch_s - MARGIN_S
-            named.append(_Named(version, now + wait))
+            ends = now + self.switch_s - CUT_S
+            named.append(_Named(version, now + wait, ends))
             log.info('Version named. model={} version={} due_s={:.1f}', model, version, wait)
         self.first = False
 
@@ -76,3 +84,11 @@
         """
         named = self.named.get(model)
         return named[-1].version if named else 0
+
+    def ends_at(self, model: str, version: int) -> float | None:
+        """
+        When requests may no longer begin on a version; None: never.
+
+        """
+        newer = [named.ends for named in self.named.get(model, ()) if named.version > version]
+        return min(newer, default=None)
