Engines take half of the layers first; two of one zone serve the model between them

Cause: a link carries what an instance receives and sends, so an engine is whole only after 5.2 s at best, and half of a fleet waited until 15 s after the naming. Change: each daemon gathers half of the pieces first and orders its engine to hold just those layers; entries send through paths of two engines of the newest version; the rest follows while they serve.

--- a/packages/millfork-adapter/millfork_adapter/adapter.py
+++ b/packages/millfork-adapter/millfork_adapter/adapter.py
@@ -138,8 +138,9 @@
 
         """
 
-    def start_request(self, model: str, version: int) -> Request:
+    def start_request(self, model: str, version: int, first: int, end: int) -> Request:
         """
-        Orders the engine to take a version from the pieces that lie there.
+        Orders the engine to take the layers from `first` to before `end` of a
+        version from the pieces that lie there.
 
         """
--- a/packages/millfork-adapter/millfork_adapter/exchange.py
+++ b/packages/millfork-adapter/millfork_adapter/exchange.py
@@ -28,12 +28,26 @@
     last_event_id: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class PathPart:
+    """
+    One back end of a path, and its layers from `first` to before `end`.
+
+    """
+
+    host: str
+    port: int
+    first: int
+    end: int
+
+
 @dataclass(frozen=True, slots=True)
 class SendOrders:
     """
     What the entry adds to a request for one back end. Versions are those of
     weights; `resume_after` is the last event that the caller has. A caller's
-    key is withheld where the entry has checked it.
+    key is withheld where the entry has checked it. A path names the back ends
+    that share a model's layers, the one addressed first.
 
     """
 
@@ -44,6 +58,7 @@
     version: int | None = None
     priority: int | None = None
     resume_after: int | None = None
+    path: tuple[PathPart, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +84,8 @@
 @dataclass(frozen=True, slots=True)
 class EngineReport:
     """
-    An engine's state. `served` names model, version and number of layers.
+    An engine's state. `served` names model, version, first layer, and the
+    layer before which it ends (None: the model whole).
 
     """
 
@@ -79,7 +95,7 @@
     tokens_total: int
     pace: float
     busy: bool
-    served: tuple[tuple[str, int, int | None], ...]
+    served: tuple[tuple[str, int, int, int | None], ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/millfork-registry/millfork_registry/records.py
+++ b/packages/millfork-registry/millfork_registry/records.py
@@ -25,14 +25,22 @@
 
 class ServedVersion(msgspec.Struct, frozen=True, array_like=True):
     """
-    Weights that a back end can serve. `layers` is how many of the model's
-    layers it holds, or None if it serves the model whole.
+    Weights that a back end can serve: the model's layers from `first` to
+    before `end`, or the model whole if `end` is None.
 
     """
 
     model: str
     version: int
-    layers: int | None = None
+    first: int = 0
+    end: int | None = None
+
+    def is_whole(self, layers: int) -> bool:
+        """
+        Whether it is all of a model's layers.
+
+        """
+        return self.end is None or (self.first == 0 and self.end >= layers)
 
 
 class Lease(msgspec.Struct, frozen=True, array_like=True):
@@ -85,13 +93,22 @@
 
 class HeldVersion(msgspec.Struct, frozen=True, array_like=True):
     """
-    Weights in pieces that an endpoint daemon can pass on.
+    Weights that an endpoint daemon can pass on: the pieces from `first` to
+    before `end`, or all of them if `end` is None.
 
     """
 
     model: str
     version: int
-    whole: bool
+    first: int = 0
+    end: int | None = None
+
+    def has(self, index: int) -> bool:
+        """
+        Whether one piece is among them.
+
+        """
+        return self.first <= index and (self.end is None or index < self.end)
 
 
 class EndpointState(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/millforkd/millforkd/beside/daemon.py
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -29,7 +29,9 @@
 from millfork_wire.messages import Chunk, EndpointReport, Manifest, Message
 from millforkd.admin import Admin
 from millforkd.beside.engine import LocalEngine
+from millforkd.beside.fleet import Fleet
 from millforkd.beside.gathering import Gathering
+from millforkd.beside.layout import serves_whole
 from millforkd.beside.pieces import (
     PieceSet,
     PieceStore,
@@ -39,7 +41,6 @@
 )
 from millforkd.beside.pushing import Pushing
 from millforkd.beside.rollout import Rollout, Target
-from millforkd.beside.sources import first_half, fleet
 from millforkd.document import document_in
 from millforkd.seeded import peers_for
 
@@ -84,25 +85,17 @@
             adapter, Client(*self.engine_address, source=str(settings.address))
         )
         self.store = PieceStore()
-        self.pushing = Pushing(env, self.peers, self._targets, self.link.outward)
+        self.fleet = Fleet(env, self.service, self.states, self._state, self._shape)
+        self.pushing = Pushing(env, self.peers, self.fleet.drawers, self.link.outward)
         self.gathering = Gathering(
-            env,
-            adapter,
-            self.peers,
-            self.service,
-            self.states,
-            self._origin,
-            self.pushing,
-            self.link,
-            settings.promises.version_ms / 1000,
+            env, adapter, self.peers, self.fleet, self._origin, self.pushing, self.link
         )
         self.rollout = Rollout(
             env,
             self.engine,
             self.store,
             self.gathering,
-            self.service,
-            self.states,
+            self.fleet,
             self._target,
             self._report,
             settings.promises.version_ms,
@@ -143,10 +136,6 @@
 
         """
 
-    def _targets(self, weights: WeightsId) -> list[str]:
-        names = fleet(self.states(), self.service, str(self.env.instance))
-        return first_half(names, weights)
-
     def states(self) -> list[EndpointState]:
         """
         All endpoint daemons known.
@@ -182,6 +171,10 @@
     def _origin(self) -> Client | None:
         return self.origin_client
 
+    def _shape(self) -> tuple[int, int]:
+        figures = self._engine_figures()
+        return (figures.layers, figures.pieces) if figures is not None else (0, 0)
+
     def _target(self) -> Target | None:
         figures = self._engine_figures()
         if figures is None or not figures.model:
@@ -191,7 +184,7 @@
         weights = WeightsId(figures.model, version)
         known = self.target_known
         if known is None or known.weights != weights:
-            known = Target(weights, figures.layers, self.env.monotonic())
+            known = Target(weights, figures.layers, figures.pieces, self.env.monotonic())
             self.target_known = known
             log.notice('Version to be served: {}. revision={}', weights, self.view.revision)
         return known
@@ -223,9 +216,7 @@
 
     def _state(self) -> EndpointState:
         report = self.rollout.report
-        served: tuple[ServedVersion, ...] = ()
-        if report is not None:
-            served = tuple(ServedVersion(*item) for item in report.served)
+        served = self.rollout.served
         host, port = self.engine_address
         return EndpointState(
             str(self.env.instance),
@@ -248,21 +239,28 @@
 
     def _held(self, served: tuple[ServedVersion, ...]) -> tuple[HeldVersion, ...]:
         """
-        The versions that others can take from here: those whole in memory,
-        and what the engine serves, which lies staged at it.
+        The pieces that others can take from here: those in memory, and those
+        staged at the engine of what it serves whole.
 
         """
-        held = {
-            (weights.model, weights.version)
-            for weights, pieces in self.store.sets.items()
-            if pieces.whole
-        }
-        if not self.rollout.changing_to:
-            target = self.target_known
-            for item in served:
-                if target is not None and item.layers in (None, target.layers):
-                    held.add((item.model, item.version))
-        return tuple(HeldVersion(model, version, True) for model, version in sorted(held))
+        held = []
+        for weights, pieces in self.store.sets.items():
+            first, end = pieces.held_run()
+            if end > first:
+                held.append(HeldVersion(weights.model, weights.version, first, end))
+        layers, _ = self._shape()
+        if not self.rollout.changing_to and layers:
+            held += [
+                HeldVersion(item.model, item.version)
+                for item in served
+                if item.is_whole(layers)
+                and not self._holds_whole(WeightsId(item.model, item.version))
+            ]
+        return tuple(held)
+
+    def _holds_whole(self, weights: WeightsId) -> bool:
+        held = self.store.find(weights)
+        return held is not None and held.whole
 
     # Messages of peers.
 
@@ -363,13 +361,9 @@
         Whether the pieces staged at the engine are of this version.
 
         """
-        report = self.rollout.report
-        if report is None or self.rollout.changing_to:
-            return False
-        return any(
-            (model, version) == (weights.model, weights.version)
-            for model, version, _ in report.served
-        )
+        layers, _ = self._shape()
+        served = self.rollout.served
+        return not self.rollout.changing_to and serves_whole(served, weights, layers)
 
 
 def _link_bytes_per_s(settings: SeededSettings) -> int:
--- a/packages/millforkd/millforkd/beside/engine.py
+++ b/packages/millforkd/millforkd/beside/engine.py
@@ -81,20 +81,23 @@
             return None
         return response.body if response.status == 200 else None
 
-    async def start(self, model: str, version: int) -> bool:
+    async def start(self, model: str, version: int, first: int, end: int) -> bool:
         """
-        Order the engine to take what lies there; False if it did not begin.
+        Order the engine to take layers from what lies there; False if it did
+        not begin.
 
         """
         try:
-            response = await self._fetch(self.adapter.start_request(model, version))
+            response = await self._fetch(self.adapter.start_request(model, version, first, end))
         except ExchangeFailed as error:
             log.warning('No answer to the order to start {} {}: {}.', model, version, error)
             return False
         log.notice(
-            'Ordered the engine to start. model={} version={} status={}',
+            'Ordered the engine to start. model={} version={} layers={}-{} status={}',
             model,
             version,
+            first,
+            end,
             response.status,
         )
         return response.status < 300
--- /dev/null
+++ b/packages/millforkd/millforkd/beside/fleet.py
@@ -0,0 +1,131 @@
+"""
+The endpoint daemons of one service, as one of them knows them.
+
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+import msgspec
+
+from millfork_core.environment import Environment
+from millfork_registry.records import EndpointState
+from millforkd.beside.layout import Place, lacking, places
+from millforkd.beside.pieces import WeightsId
+from millforkd.beside.sources import holders, in_turn, nearest
+
+# What is worked out from the states is used this long, as it is asked for
+# with each piece.
+PICTURE_S: Final = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class _Picture:
+    """
+    The fleet with regard to one version, as worked out at one moment.
+
+    """
+
+    weights: WeightsId
+    at: float
+    members: list[EndpointState]
+    lacking: list[EndpointState]
+    places: dict[str, Place]
+
+
+class Fleet:
+    """
+    Who holds what, and who brings what to whom.
+
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        service: str,
+        states: Callable[[], list[EndpointState]],
+        own_state: Callable[[], EndpointState],
+        shape: Callable[[], tuple[int, int]],
+    ) -> None:
+        self.env = env
+        self.service = service
+        self.states = states
+        self.own_state = own_state
+        # The number of layers of the service's model, and of its pieces.
+        self.shape = shape
+        self.picture: _Picture | None = None
+
+    def members(self) -> list[EndpointState]:
+        """
+        All daemons of the service, this one included.
+
+        """
+        own = self.own_state()
+        others = [
+            state
+            for state in self.states()
+            if state.service == self.service and state.instance != own.instance
+        ]
+        return [*others, own]
+
+    def _picture_of(self, weights: WeightsId) -> _Picture:
+        now = self.env.monotonic()
+        held = self.picture
+        if held is not None and held.weights == weights and now - held.at < PICTURE_S:
+            return held
+        layers, _ = self.shape()
+        members = self.members()
+        without = lacking(members, weights, self.service, layers)
+        found = places(without, weights, layers)
+        self.picture = _Picture(weights, now, members, without, found)
+        return self.picture
+
+    def own_place(self, weights: WeightsId) -> Place:
+        """
+        This daemon's place among those whose engines lack a version.
+
+        """
+        own = self.own_state()
+        found = self._picture_of(weights).places.get(own.instance)
+        if found is not None:
+            return found
+        layers, _ = self.shape()
+        emptied = msgspec.structs.replace(own, served=())
+        return places([emptied], weights, layers)[own.instance]
+
+    def drawers(self, weights: WeightsId, index: int) -> list[str]:
+        """
+        The daemons that need a piece first, in the order in which they are to
+        draw it; the first of them sends it to the others.
+
+        """
+        layers, pieces = self.shape()
+        names = [
+            name
+            for name, place in self._picture_of(weights).places.items()
+            if index in place.layers.pieces(layers, pieces)
+        ]
+        return in_turn(names, weights, index)
+
+    def holders(self, weights: WeightsId, index: int) -> list[EndpointState]:
+        """
+        The other daemons that hold a piece.
+
+        """
+        own = str(self.env.instance)
+        return holders(self._picture_of(weights).members, weights, index, own)
+
+    def nearest_holders(self, weights: WeightsId, index: int) -> list[str]:
+        """
+        The daemons to ask for a piece, best first.
+
+        """
+        found = self.holders(weights, index)
+        zone = str(self.env.zone)
+        here = [
+            state
+            for state in self._picture_of(weights).lacking
+            if state.zone == zone and state not in found
+        ]
+        return in_turn(nearest(found, zone, len(here)), weights, index)
--- a/packages/millforkd/millforkd/beside/gathering.py
+++ b/packages/millforkd/millforkd/beside/gathering.py
@@ -14,16 +14,16 @@
 from millfork_core.environment import Environment
 from millfork_core.logs import Part, logger
 from millfork_registry.discovery import address_of
-from millfork_registry.records import EndpointState
 from millfork_web.client import Client, ExchangeFailed
 from millfork_web.models import Request
 from millfork_weights.links import Link
 from millfork_wire.connection import PeerError
 from millfork_wire.messages import Chunk, GetChunk, GetManifest, Manifest
 from millfork_wire.peers import Peers
+from millforkd.beside.fleet import Fleet
 from millforkd.beside.pieces import PieceSet, WeightsId, decode_digests
 from millforkd.beside.pushing import Pushing
-from millforkd.beside.sources import DIGESTS, drawers, first_half, fleet, holders, in_turn, nearest
+from millforkd.beside.sources import DIGESTS, in_turn
 
 # Pieces asked of peers at once: enough to fill the link over some
 # milliseconds, few enough not to wait in front of the engine's requests.
@@ -55,60 +55,39 @@
         env: Environment,
         adapter: Adapter,
         peers: Peers,
-        service: str,
-        states: Callable[[], list[EndpointState]],
+        fleet: Fleet,
         origin: Callable[[], Client | None],
         pushing: Pushing,
         link: Link,
-        first_half_s: float,
     ) -> None:
         self.env = env
         self.adapter = adapter
         self.peers = peers
-        self.service = service
-        self.states = states
+        self.fleet = fleet
         self.origin = origin
         self.pushing = pushing
         self.link = link
-        # The second half leaves the links to the first for this long at most.
-        self.first_half_s = first_half_s
 
-    async def gather(self, held: PieceSet) -> None:
+    async def gather(self, held: PieceSet, wanted: range) -> None:
         """
-        Return once the set is whole; cancelled when it is not wanted.
+        Return once the wanted pieces are here; cancelled when they are not
+        wanted any more.
 
         """
-        began = self.env.monotonic()
         while not await self.bring_digests(held):
             await curio.sleep(RETRY_S)
         turn = 0
-        while not held.whole:
-            if self._holders(held.weights):
-                await self._pull(held)
-            elif await self._draw(held, turn):
-                continue
-            if held.whole or await self._has_more(held):
+        while missing := held.missing(wanted):
+            held_elsewhere = [index for index in missing if self.fleet.holders(held.weights, index)]
+            if held_elsewhere:
+                await self._pull(held, held_elsewhere)
+                if len(held.missing(wanted)) < len(missing):
+                    continue
+            elif await self._draw(held, missing, turn):
                 continue
-            if self._waits_for_first_half(held, began):
+            if await self._has_more(held):
                 continue
             turn += 1
-            await self._pull(held)
-
-    def _waits_for_first_half(self, held: PieceSet, began: float) -> bool:
-        """
-        Whether this daemon is to leave the links to the first half.
-
-        """
-        if self.env.monotonic() - began > self.first_half_s:
-            return False
-        names = self._fleet()
-        return str(self.env.instance) not in first_half(names, held.weights)
-
-    def _holders(self, weights: WeightsId) -> list[str]:
-        return holders(self.states(), weights, str(self.env.instance))
-
-    def _fleet(self) -> set[str]:
-        return fleet(self.states(), self.service, str(self.env.instance))
 
     async def _has_more(self, held: PieceSet) -> bool:
         """
@@ -125,21 +104,17 @@
 
     # From the origin.
 
-    async def _draw(self, held: PieceSet, turn: int) -> bool:
+    async def _draw(self, held: PieceSet, missing: list[int], turn: int) -> bool:
         """
         Draw the missing pieces that are this daemon's, or fell to it as those
         before it in turn did not bring them; False if there were none.
 
         """
         own = str(self.env.instance)
-        names = drawers(self._fleet(), held.weights)
-        if turn >= len(names):
-            names = sorted(self._fleet())
         queue = [
-            index
-            for index in held.missing()
-            if own in in_turn(names, held.weights, index)[: turn + 1]
+            index for index in missing if own in self.fleet.drawers(held.weights, index)[: turn + 1]
         ]
+        queue.reverse()
         await self._in_parallel(DRAW_WINDOW, held, queue, self._draw_piece)
         return bool(queue)
 
@@ -186,21 +161,17 @@
 
     # From peers.
 
-    async def _pull(self, held: PieceSet) -> None:
+    async def _pull(self, held: PieceSet, missing: list[int]) -> None:
         """
-        Ask peers for what is missing.
+        Ask the holders for what is missing.
 
         """
-        missing = held.missing()
-        self.env.random.shuffle(missing)
-        await self._in_parallel(PULL_WINDOW, held, missing, self._pull_piece)
+        queue = list(missing)
+        self.env.random.shuffle(queue)
+        await self._in_parallel(PULL_WINDOW, held, queue, self._pull_piece)
 
     async def _pull_piece(self, held: PieceSet, index: int) -> None:
-        whole = self._holders(held.weights)
-        zone = str(self.env.zone)
-        near = nearest(self.states(), self.service, zone, whole)
-        names = near or self._fleet() - {str(self.env.instance)}
-        for peer in in_turn(names, held.weights, index)[:PEERS_TRIED]:
+        for peer in self.fleet.nearest_holders(held.weights, index)[:PEERS_TRIED]:
             data = await self._piece_of_peer(peer, held.weights, index)
             if data is None:
                 continue
@@ -236,8 +207,8 @@
         if held.digests:
             return True
         own = str(self.env.instance)
-        names = set(self._holders(held.weights)) or drawers(self._fleet(), held.weights)
-        ordered = in_turn(names, held.weights, DIGESTS)
+        names = [state.instance for state in self.fleet.holders(held.weights, 0)]
+        ordered = in_turn(names, held.weights, DIGESTS) or self.fleet.drawers(held.weights, 0)
         for peer in ordered[:PEERS_TRIED]:
             if peer == own:
                 break
--- a/packages/millforkd/millforkd/beside/pieces.py
+++ b/packages/millforkd/millforkd/beside/pieces.py
@@ -71,8 +71,28 @@
     def whole(self) -> bool:
         return bool(self.digests) and len(self.pieces) == len(self.digests)
 
-    def missing(self) -> list[int]:
-        return [index for index in range(len(self.digests)) if index not in self.pieces]
+    def missing(self, wanted: range | None = None) -> list[int]:
+        """
+        The pieces that are not here, of those wanted or of all.
+
+        """
+        everything = range(len(self.digests))
+        return [index for index in wanted or everything if index not in self.pieces]
+
+    def held_run(self) -> tuple[int, int]:
+        """
+        The longest run of pieces that are here: its first, and its end.
+
+        """
+        best = (0, 0)
+        first = 0
+        for index in range(len(self.digests) + 1):
+            if index < len(self.digests) and index in self.pieces:
+                continue
+            if index - first > best[1] - best[0]:
+                best = (first, index)
+            first = index + 1
+        return best
 
     async def learn_digests(self, digests: tuple[str, ...]) -> None:
         """
--- a/packages/millforkd/millforkd/beside/pushing.py
+++ b/packages/millforkd/millforkd/beside/pushing.py
@@ -37,7 +37,7 @@
         self,
         env: Environment,
         peers: Peers,
-        targets: Callable[[WeightsId], list[str]],
+        targets: Callable[[WeightsId, int], list[str]],
         outward: Pace,
     ) -> None:
         self.env = env
@@ -60,7 +60,7 @@
         """
         while True:
             weights, index, data = await self.queue.get()
-            names = self.targets(weights)
+            names = self.targets(weights, index)
             self.env.random.shuffle(names)
             for name in names:
                 if name != self.env.instance:
--- a/packages/millforkd/millforkd/beside/rollout.py
+++ b/packages/millforkd/millforkd/beside/rollout.py
@@ -1,6 +1,9 @@
 """
 Bringing the engine to the version that is to be served, and keeping it there.
 
+One step at a time: the engine's own half of the layers first, in turn with the
+other pairs; then the rest, beside the work.
+
 """
 
 from collections.abc import Awaitable, Callable
@@ -12,24 +15,23 @@
 from millfork_adapter.exchange import EngineReport
 from millfork_core.environment import Environment
 from millfork_core.logs import Part, logger
-from millfork_registry.records import EndpointState
+from millfork_registry.records import ServedVersion
 from millforkd.beside.engine import LocalEngine
+from millforkd.beside.fleet import Fleet
 from millforkd.beside.gathering import Gathering
+from millforkd.beside.layout import Layers, Place, part_served
 from millforkd.beside.pieces import PieceSet, PieceStore, WeightsId
-from millforkd.beside.sources import first_half, fleet
 
 # Entries stop sending to this engine within this time of being told.
 TELL_S: Final = 0.15
-# The engines of the second half wait for the first, but begin this long
-# before the version must be everywhere.
-SECOND_HALF_S: Final = 2.2
+# The pairs of the second half wait for the first, but begin this long before
+# the version must be everywhere.
+SECOND_HALF_S: Final = 1.6
 POLL_S: Final = 0.1
 # Staged pieces read back before they are taken to be of another version.
 STAGED_TRIED: Final = 3
 # From the order until the engine serves: what runs ends first.
 START_TIMEOUT_S: Final = 6.0
-# A newer target is looked for this often while pieces arrive.
-TARGET_POLL_S: Final = 0.3
 
 log = logger(Part.WEIGHTS)
 
@@ -38,12 +40,13 @@
 class Target:
     """
     What the engine is to serve, and since when this daemon knows (monotonic
-    seconds). `layers` are the model's.
+    seconds). The model has `layers` layers in `pieces` pieces.
 
     """
 
     weights: WeightsId
     layers: int
+    pieces: int
     since: float
 
 
@@ -59,8 +62,7 @@
         engine: LocalEngine,
         store: PieceStore,
         gathering: Gathering,
-        service: str,
-        states: Callable[[], list[EndpointState]],
+        fleet: Fleet,
         target: Callable[[], Target | None],
         announce: Callable[[], Awaitable[None]],
         version_ms: int,
@@ -69,39 +71,37 @@
         self.engine = engine
         self.store = store
         self.gathering = gathering
-        self.service = service
-        self.states = states
+        self.fleet = fleet
         self.target = target
         self.announce = announce
         self.version_s = version_ms / 1000
         self.report: EngineReport | None = None
         self.changing_to = 0
+        # The place is kept once chosen, as others move on meanwhile.
+        self.place: tuple[WeightsId, Place] | None = None
 
-    def served(self, report: EngineReport | None, target: Target) -> bool:
+    @property
+    def served(self) -> tuple[ServedVersion, ...]:
         """
-        Whether the engine serves the target whole.
+        What the engine serves, by its last report.
 
         """
-        if report is None:
-            return False
-        weights = target.weights
-        for model, version, layers in report.served:
-            if (model, version) == (weights.model, weights.version) and layers in (
-                None,
-                target.layers,
-            ):
-                return True
-        return False
+        if self.report is None:
+            return ()
+        return tuple(ServedVersion(*item) for item in self.report.served)
+
+    def _part(self, target: Target) -> Layers | None:
+        return part_served(self.served, target.weights, target.layers)
+
+    def _is_done(self, target: Target) -> bool:
+        return self._part(target) == Layers(0, target.layers)
 
-    def serves_any(self, target: Target) -> bool:
+    def _serves_another(self, target: Target) -> bool:
         """
-        Whether the engine serves some version whole.
+        Whether the engine has work on another version.
 
         """
-        report = self.report
-        return report is not None and any(
-            layers in (None, target.layers) and version > 0 for _, version, layers in report.served
-        )
+        return bool(self.served) and self._part(target) is None
 
     async def keep(self) -> None:
         """
@@ -111,53 +111,71 @@
         while True:
             await curio.sleep(POLL_S)
             target = self.target()
-            if target is None or self.report is None or self.served(self.report, target):
+            if target is None or self.report is None or self._is_done(target):
                 continue
-            await self._bring(target)
+            await self._step(target)
+
+    async def _step(self, target: Target) -> None:
+        """
+        Bring and start what the engine lacks next.
 
-    async def _bring(self, target: Target) -> None:
+        """
         began = self.env.monotonic()
         held = self.store.of(target.weights)
-        if not await self._gathered(held, target):
+        part = self._part(target)
+        if not held.digests:
+            await self._adopt_staged(held)
+        goal = Layers(0, target.layers)
+        if part is None and not held.whole:
+            goal = self._own_place(target).layers
+        if not await self._gathered(held, target, goal):
             return
         gathered = self.env.monotonic()
-        while not self._may_change(target):
-            await curio.sleep(POLL_S)
-            if self._outdated(target):
-                return
-        await self._change(target, held)
+        if not await self._turn_came(target):
+            return
+        await self._start(target, held, goal)
+        now = self.env.monotonic()
         log.notice(
-            'Rollout step ended. weights={} served={} gather_s={:.2f} change_s={:.2f} '
+            'Rollout step ended. weights={} goal={}-{} served={} gather_s={:.2f} start_s={:.2f} '
             'since_s={:.2f}',
             target.weights,
-            self.served(self.report, target),
+            goal.first,
+            goal.end,
+            self._part(target),
             gathered - began,
-            self.env.monotonic() - gathered,
-            self.env.monotonic() - target.since,
+            now - gathered,
+            now - target.since,
         )
 
+    def _own_place(self, target: Target) -> Place:
+        if self.place is None or self.place[0] != target.weights:
+            self.place = (target.weights, self.fleet.own_place(target.weights))
+            log.info('Place of this engine. weights={} place={}', *self.place)
+        return self.place[1]
+
     def _outdated(self, target: Target) -> bool:
         now = self.target()
         return now is None or now.weights != target.weights
 
-    async def _gathered(self, held: PieceSet, target: Target) -> bool:
+    async def _gathered(self, held: PieceSet, target: Target, goal: Layers) -> bool:
         """
-        Bring all pieces here; False if another version is wanted by then.
+        Bring the pieces of some layers here; False if another version is
+        wanted by then.
 
         """
-        if held.whole:
+        wanted = goal.pieces(target.layers, target.pieces)
+        if held.digests and not held.missing(wanted):
             return True
-        await self._adopt_staged(held)
-        task = await curio.spawn(self.gathering.gather, held)
+        task = await curio.spawn(self.gathering.gather, held, wanted)
         try:
             while not task.terminated:
-                await curio.sleep(TARGET_POLL_S if not held.digests else POLL_S)
+                await curio.sleep(POLL_S)
                 if self._outdated(target):
                     return False
         finally:
             if not task.terminated:
                 await task.cancel()
-        return held.whole
+        return bool(held.digests) and not held.missing(wanted)
 
     async def _adopt_staged(self, held: PieceSet) -> None:
         """
@@ -179,61 +197,65 @@
         if good:
             log.info('Took staged pieces. weights={} good={} bad={}', held.weights, good, bad)
 
-    def _may_change(self, target: Target) -> bool:
+    async def _turn_came(self, target: Target) -> bool:
         """
-        Whether it is this engine's turn: half of a service's engines change
-        first, so that the others serve meanwhile.
+        Wait for this engine's turn: every second pair changes first, so that
+        the others serve meanwhile. False if another version is wanted by then.
 
         """
-        if not self.serves_any(target):
-            return True
-        if self.env.monotonic() - target.since > self.version_s - SECOND_HALF_S:
-            return True
-        own = str(self.env.instance)
-        states = [state for state in self.states() if state.service == self.service]
-        names = fleet(states, self.service, own)
-        if own in first_half(names, target.weights):
-            return True
-        return self._done(states, target) * 2 >= len(names)
+        late = target.since + self.version_s - SECOND_HALF_S
+        while self._serves_another(target) and self._own_place(target).pair % 2:
+            if self.env.monotonic() > late or self._others_done(target):
+                break
+            await curio.sleep(POLL_S)
+            if self._outdated(target):
+                return False
+        return True
 
-    def _done(self, states: list[EndpointState], target: Target) -> int:
+    def _others_done(self, target: Target) -> bool:
         """
-        How many engines serve the target already.
+        Whether half of the engines serve the target, in part at least.
 
         """
-        weights = target.weights
-        return sum(
-            1
-            for state in states
-            for item in state.served
-            if (item.model, item.version) == (weights.model, weights.version)
-            and item.layers in (None, target.layers)
-        )
+        members = self.fleet.members()
+        done = [
+            state
+            for state in members
+            if part_served(state.served, target.weights, target.layers) is not None
+        ]
+        return len(done) * 2 >= len(members)
+
+    async def _start(self, target: Target, held: PieceSet, layers: Layers) -> None:
+        """
+        Order the engine to hold just these layers. Those that it has of the
+        version go on being served, if they are among them.
 
-    async def _change(self, target: Target, held: PieceSet) -> None:
+        """
         weights = target.weights
-        self.changing_to = weights.version
-        await self.announce()
+        replaces = self._serves_another(target)
+        if self._part(target) is None:
+            self.changing_to = weights.version
+            await self.announce()
         try:
-            if self.serves_any(target):
+            if replaces:
                 await curio.sleep(TELL_S)
-            for index in range(len(held.digests)):
+            for index in layers.pieces(target.layers, target.pieces):
                 if not await self.engine.stage(weights.model, index, held.pieces[index]):
                     return
-            if not await self.engine.start(weights.model, weights.version):
-                return
-            await self._until_served(target)
+            if await self.engine.start(weights.model, weights.version, layers.first, layers.end):
+                await self._until_served(target, layers)
         finally:
             self.changing_to = 0
             await self.announce()
 
-    async def _until_served(self, target: Target) -> None:
+    async def _until_served(self, target: Target, layers: Layers) -> None:
         until = self.env.monotonic() + START_TIMEOUT_S
         while self.env.monotonic() < until:
             report = await self.engine.report()
             if report is not None:
                 self.report = report
-            if self.served(report, target):
+            part = self._part(target)
+            if part is not None and part.first <= layers.first and layers.end <= part.end:
                 return
             await curio.sleep(POLL_S)
-        log.warning('The engine does not serve {} yet.', target.weights)
+        log.warning('The engine does not serve layers {} of {} yet.', layers, target.weights)
--- a/packages/millforkd/millforkd/proxy/admission.py
+++ b/packages/millforkd/millforkd/proxy/admission.py
@@ -62,9 +62,10 @@
         organisation = self._organisation(table, route, caller)
         name = pick_service(route, self.env.random.random())
         service = table.services[name]
-        least = 0
+        least = newest = 0
         if service.engine is not None:
             least = self.versions.least(service.engine.model)
+            newest = self.versions.newest(service.engine.model)
         began = self.env.monotonic()
         limit_ms = route.timeout_ms
         if caller.deadline_ms is not None:
@@ -76,7 +77,7 @@
             caller,
             route,
             organisation,
-            Wanted(name, service.engine, least, caller.prompt_tokens),
+            Wanted(name, service.engine, least, newest, caller.prompt_tokens),
             priority_of(route, organisation),
             began,
             began + limit_ms / 1000,
@@ -137,5 +138,5 @@
         engine = job.wanted.engine
         if engine is None:
             return False
-        version = choice.server.newest_whole(engine.layers)
+        version = choice.version(engine.layers)
         return version is not None and version < self.versions.newest(engine.model)
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -9,13 +9,13 @@
 
 from millfork_adapter.adapter import Adapter
 from millfork_adapter.calls import BadCall
-from millfork_adapter.exchange import SendOrders
+from millfork_adapter.exchange import PathPart, SendOrders
 from millfork_core.environment import Environment
 from millfork_core.logs import Part, logger
 from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
 from millfork_routing.budget import SharedBudget
-from millfork_routing.documents import RouteKind
-from millfork_routing.servers import Choice, Server, ServerBook
+from millfork_routing.documents import EngineFigures, RouteKind
+from millfork_routing.servers import Choice, ServerBook
 from millfork_web.server import CallerGone, Exchange
 from millforkd.proxy.admission import Admission
 from millforkd.proxy.connections import Pools, SendFailed, ServerConnection
@@ -223,24 +223,25 @@
             server.note_service_time(self.env.monotonic() - attempt.began)
             return None
         except SendFailed as error:
-            return self._failed(job, server, error.reason, error.verdict, error.detail)
+            return self._failed(job, choice, error.reason, error.verdict, error.detail)
         except curio.TaskTimeout:
             verdict = Verdict.NOT_RUN if connection is None else Verdict.MAY_HAVE_RUN
-            return self._failed(job, server, Reason.TIMED_OUT, verdict, 'the time is up')
+            return self._failed(job, choice, Reason.TIMED_OUT, verdict, 'the time is up')
         finally:
             attempt.end()
             if connection is not None:
                 await pool.give_back(connection, keep_s)
 
     def _failed(
-        self, job: Job, server: Server, reason: Reason, verdict: Verdict, detail: str
+        self, job: Job, choice: Choice, reason: Reason, verdict: Verdict, detail: str
     ) -> Failed:
         now = self.env.monotonic()
-        if server.instance not in job.tried:
-            job.tried.append(server.instance)
-        silent = reason is Reason.TIMED_OUT and server.heard_at < job.began
-        if silent or reason in BROKEN:
-            server.note_failure(now)
+        for server in choice.servers:
+            if server.instance not in job.tried:
+                job.tried.append(server.instance)
+            silent = reason is Reason.TIMED_OUT and server.heard_at < job.began
+            if silent or reason in BROKEN:
+                server.note_failure(now)
         return Failed(reason, verdict, detail)
 
     async def _read_head(self, job: Job, connection: ServerConnection, version: int | None) -> None:
@@ -274,7 +275,7 @@
         request = job.exchange.request
         version = None
         if job.wanted.engine is not None:
-            version = server.newest_whole(job.wanted.engine.layers)
+            version = attempt.choice.version(job.wanted.engine.layers)
         now = self.env.monotonic()
         orders = SendOrders(
             str(server.instance),
@@ -284,10 +285,11 @@
             version,
             job.urgency,
             job.resume_after if job.last_event is not None else None,
+            _parts_of(attempt.choice, job.wanted.engine),
         )
         if not job.tried:
             self.budget.note_request(job.wanted.service)
-        job.tried.append(server.instance)
+        job.tried += [part.instance for part in attempt.choice.servers]
         headers = self.adapter.forward(request, orders)
         await connection.send(request.method, request.path, headers, request.body)
         await self._read_head(job, connection, version)
@@ -299,7 +301,8 @@
             )
         if head.not_run:
             await connection.drop_body()
-            if head.elsewhere and version is not None:
+            through_path = attempt.choice.path is not None
+            if version is not None and (head.elsewhere or through_path):
                 server.refused[version] = self.env.monotonic() + REFUSED_VERSION_S
             raise SendFailed(Reason.BUSY, Verdict.NOT_RUN, f'the server answered {head.status}')
         if head.status >= 500 and job.route.repeatable and not job.started:
@@ -315,3 +318,17 @@
             await self.relaying.whole(job, connection)
         server.note_outcome(failed=head.status >= 500)
         return 0.0 if head.closing else head.keep_s
+
+
+def _parts_of(choice: Choice, engine: EngineFigures | None) -> tuple[PathPart, ...]:
+    """
+    The path of a choice, as the back end is told it.
+
+    """
+    path = choice.path
+    if path is None or engine is None:
+        return ()
+    return (
+        PathPart(path.first.host, path.first.port, 0, path.split),
+        PathPart(path.second.host, path.second.port, path.split, engine.layers),
+    )
