--- a/packages/millfork-routing/millfork_routing/servers.py
+++ b/packages/millfork-routing/millfork_routing/servers.py
@@ -3,6 +3,7 @@
 
 """
 
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
@@ -25,6 +26,7 @@
 # One first token's weight in the mean lateness: an entry sees some ten a second,
 # so the mean follows a change of load within a second.
 LATENESS_WEIGHT: Final = 0.1
+LATENESS_HALF_LIFE_S: Final = 0.7
 # A stuck engine's lateness says nothing of the others.
 MOST_LATENESS_MS: Final = 800.0
 # What another zone costs an engine's request, in ms: the way there and back.
@@ -279,6 +281,7 @@
         self.entries = entries
         # How much later than by the figures first tokens came lately, in ms.
         self.lateness_ms: dict[ServiceName, float] = {}
+        self.lateness_at: dict[ServiceName, float] = {}
         self.random = random
         self.monotonic = monotonic
         self.servers: dict[InstanceId, Server] = {}
@@ -371,15 +374,26 @@
         Take one first token's lateness, against the figures, into the mean.
 
         """
-        mean = self.lateness_ms.get(service, 0.0)
+        mean = self._lateness(service)
         late_ms = min(max(late_ms, -MOST_LATENESS_MS), MOST_LATENESS_MS)
         self.lateness_ms[service] = mean + LATENESS_WEIGHT * (late_ms - mean)
+        self.lateness_at[service] = self.monotonic()
+
+    def _lateness(self, service: ServiceName) -> float:
+        """
+        The mean lateness, in ms. It fades while no first token comes: it
+        would else keep out the requests that could tell that it is over.
+
+        """
+        mean = self.lateness_ms.get(service, 0.0)
+        silent_s = self.monotonic() - self.lateness_at.get(service, 0.0)
+        return mean * math.exp2(-silent_s / LATENESS_HALF_LIFE_S)
 
     def _choose_engine(
         self, servers: list[Server], wanted: Wanted, engine: EngineFigures, now: float
     ) -> Choice | None:
         entries = self.entries()
-        lateness = self.lateness_ms.get(wanted.service, 0.0)
+        lateness = self._lateness(wanted.service)
         best: Choice | None = None
         least = float('inf')
         paths = {path.first.instance: path for path in self._paths_of(wanted, engine)}
--- a/packages/millforkd/millforkd/proxy/admission.py
+++ b/packages/millforkd/millforkd/proxy/admission.py
@@ -26,6 +26,7 @@
 # The same for a caller that comes back: late is better than refused again, but
 # a queue that is longer than this would make everyone late.
 RETURNING_SHARE: Final = 0.75
+HALF: Final = 0.5
 # When a refused caller may come back, in ms: a place comes free in about a
 # tenth of a second; spread, so that they do not come back at once.
 LEAST_WAIT_MS: Final = 150
@@ -108,7 +109,7 @@
         """
         expected = choice.first_token_ms
         job.expected_ms = expected
-        if job.wanted.engine is None:
+        if job.wanted.engine is None or self._is_half_empty(choice):
             return 0
         share = RETURNING_SHARE if job.returning else FIRST_SHARE
         if self._is_ending(job, choice):
@@ -129,6 +130,14 @@
             raise Refused(Refusal(Reason.UNAUTHENTICATED, detail='unknown key'))
         return holder
 
+    def _is_half_empty(self, choice: Choice) -> bool:
+        """
+        Whether the back end has so many places that a wait is none of load.
+
+        """
+        server = choice.server
+        return server.occupied(self.env.monotonic()) < server.slots * HALF
+
     def _is_ending(self, job: Job, choice: Choice) -> bool:
         """
         Whether the back end serves a version on which requests may soon no
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -204,3 +204,15 @@
         ['i-1', 'i-2'],
         ['i-3', 'i-4'],
     ]
+
+
+def test_lateness_is_learned_and_fades_when_nothing_tells_of_it(book, clock):
+    book.take_leases([lease(1)])
+    wanted = Wanted(SERVICE, ENGINE, 0, 0, 900)
+    usual = book.choose(wanted, set()).first_token_ms
+    for _ in range(50):
+        book.note_first_token(SERVICE, 5000)
+    late = book.choose(wanted, set()).first_token_ms
+    assert late > usual + 500
+    clock.now += 10
+    assert book.choose(wanted, set()).first_token_ms < usual + 10
