--- a/packages/millfork-registry/millfork_registry/records.py
+++ b/packages/millfork-registry/millfork_registry/records.py
@@ -136,6 +136,8 @@
     held: tuple[HeldVersion, ...] = ()
     # The version it is changing to at this moment, 0 if none.
     changing_to: int = 0
+    # What it brings to its engine first of a version that is on its way.
+    goal: ServedVersion | None = None
 
     @property
     def order(self) -> int:
@@ -148,11 +150,12 @@
         """
         if older is None:
             return True
-        return (self.reachable, self.served, self.held, self.changing_to) != (
+        return (self.reachable, self.served, self.held, self.changing_to, self.goal) != (
             older.reachable,
             older.served,
             older.held,
             older.changing_to,
+            older.goal,
         )
 
 
--- a/packages/millforkd/millforkd/beside/daemon.py
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -235,6 +235,7 @@
             served,
             self._held(served),
             self.rollout.changing_to,
+            self.rollout.goal,
         )
 
     def _held(self, served: tuple[ServedVersion, ...]) -> tuple[HeldVersion, ...]:
--- a/packages/millforkd/millforkd/beside/fleet.py
+++ b/packages/millforkd/millforkd/beside/fleet.py
@@ -11,7 +11,7 @@
 
 from millfork_core.environment import Environment
 from millfork_registry.records import EndpointState
-from millforkd.beside.layout import Place, lacking, places
+from millforkd.beside.layout import Layers, Place, lacking, places
 from millforkd.beside.pieces import WeightsId
 from millforkd.beside.sources import holders, in_turn, nearest
 
@@ -78,6 +78,13 @@
         members = self.members()
         without = lacking(members, weights, self.service, layers)
         found = places(without, weights, layers)
+        for state in without:
+            goal = state.goal
+            if goal is None or (goal.model, goal.version) != (weights.model, weights.version):
+                continue
+            # What a daemon has begun with goes before what is worked out now.
+            end = goal.end if goal.end is not None else layers
+            found[state.instance] = Place(Layers(goal.first, end), found[state.instance].pair)
         self.picture = _Picture(weights, now, members, without, found)
         return self.picture
 
--- a/packages/millforkd/millforkd/beside/rollout.py
+++ b/packages/millforkd/millforkd/beside/rollout.py
@@ -90,6 +90,17 @@
             return ()
         return tuple(ServedVersion(*item) for item in self.report.served)
 
+    @property
+    def goal(self) -> ServedVersion | None:
+        """
+        The layers that the engine is to have first, once they are chosen.
+
+        """
+        if self.place is None:
+            return None
+        weights, place = self.place
+        return ServedVersion(weights.model, weights.version, place.layers.first, place.layers.end)
+
     def _part(self, target: Target) -> Layers | None:
         return part_served(self.served, target.weights, target.layers)
 
--- a/packages/millforkd/millforkd/beside/sources.py
+++ b/packages/millforkd/millforkd/beside/sources.py
@@ -49,7 +49,12 @@
     if not ordered:
         return []
     begin = index % len(ordered)
-    return ordered[begin:] + ordered[:begin]
+    first, rest = ordered[begin], ordered[begin + 1 :] + ordered[:begin]
+    if not rest:
+        return [first]
+    # The part of one that fails is spread over all others, too.
+    again = index // len(ordered) % len(rest)
+    return [first, *rest[again:], *rest[:again]]
 
 
 def nearest(found: list[EndpointState], zone: str, lacking_here: int) -> list[str]:
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -37,6 +37,16 @@
     assert max(counts.values()) - min(counts.values()) <= 1
 
 
+@given(st.integers(2, 12))
+def test_the_part_of_a_daemon_that_fails_is_spread_over_the_others(count):
+    names = [f'10.0.0.{number}:1' for number in range(count)]
+    lost = in_turn(names, WEIGHTS, 0)[0]
+    seconds = [in_turn(names, WEIGHTS, index)[1] for index in range(count * (count - 1) * 2)
+               if in_turn(names, WEIGHTS, index)[0] == lost]  # fmt: skip
+    counts = {name: seconds.count(name) for name in names if name != lost}
+    assert set(counts.values()) == {2}
+
+
 ZONES = st.lists(st.sampled_from(['z1', 'z2', 'z3']), min_size=1, max_size=40)
 
 
