A request given up is reset; one that waits at an engine that changes is taken back

Requests that waited in an engine's queue when it changed its weights stood there until the change was over (2.5 s, 161 ms predicted); they go elsewhere now, as do those at a server that has sent this entry nothing for 1.2 s.

--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -4,6 +4,7 @@
 """
 
 import socket as socket_
+import struct
 from collections import deque
 from typing import Any, Final
 
@@ -11,12 +12,15 @@
 import h11
 
 from millfork_core.environment import Environment
+from millfork_core.logs import Part, logger
 from millfork_core.sockets import connect
 from millfork_core.verdicts import Reason, Verdict
 from millfork_routing.servers import Server
 from millfork_web.models import Headers
 
 READ_BYTES: Final = 64 * 1024
+# On, with no time to send what is left.
+RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 # Zones are a few milliseconds apart; an opening packet that is lost is sent
 # again only after a second, which is too late for most requests.
 CONNECT_TIMEOUT_S: Final = 0.4
@@ -28,6 +32,8 @@
 # use this lately: the server may be closing an older one.
 FRESH_S: Final = 0.3
 
+log = logger(Part.PROXY)
+
 
 class SendFailed(Exception):
     """
@@ -148,6 +154,18 @@
         done = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
         return self.whole and done and not self.http.trailing_data[0]
 
+    async def abandon(self) -> None:
+        """
+        Reset the connection, so that what the network still holds of a
+        request never reaches the server.
+
+        """
+        try:
+            self.sock.setsockopt(socket_.SOL_SOCKET, socket_.SO_LINGER, RESET_ON_CLOSE)
+        except OSError as error:
+            log.debug('No reset of a connection: {}.', error)
+        await self.sock.close()
+
     def is_quiet(self) -> bool:
         """
         Whether an idle connection is open and has sent nothing: a closed one
@@ -229,7 +247,10 @@
 
     async def close(self, connection: ServerConnection) -> None:
         self.open -= 1
-        await connection.sock.close()
+        if connection.whole:
+            await connection.sock.close()
+            return
+        await connection.abandon()
 
     async def close_old(self) -> None:
         """
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -38,6 +38,10 @@
 # A version that a server refused is not asked of it again this long; its
 # next report says more.
 REFUSED_VERSION_S: Final = 0.5
+# A request that waits for its answer is looked after this often.
+HEAD_POLL_S: Final = 0.25
+# Under load a server sends this entry something many times in this time.
+SILENT_SERVER_S: Final = 1.2
 BROKEN: Final = frozenset({Reason.UNREACHABLE, Reason.CONNECTION_LOST, Reason.TRUNCATED})
 
 log = logger(Part.PROXY)
@@ -244,23 +248,45 @@
                 server.note_failure(now)
         return Failed(reason, verdict, detail)
 
-    async def _read_head(self, job: Job, connection: ServerConnection, version: int | None) -> None:
+    async def _read_head(
+        self, job: Job, attempt: Attempt, connection: ServerConnection, version: int | None
+    ) -> None:
         """
-        Wait for an answer to begin, but not past the end of a version.
+        Wait for an answer to begin. A request that may run again is taken
+        back from a back end that will not begin it soon.
 
         """
-        ends = None
-        if version is not None and job.wanted.engine is not None:
-            ends = self.admission.versions.ends_at(job.wanted.engine.model, version)
-        if ends is None:
+        if not job.route.repeatable:
             await connection.read_head()
             return
-        try:
-            async with curio.timeout_after(max(ends - self.env.monotonic(), 0)):
-                await connection.read_head()
-        except curio.TaskTimeout:
-            detail = f'version {version} ends before the request began'
-            raise SendFailed(Reason.VERSION_MISMATCH, Verdict.MAY_HAVE_RUN, detail) from None
+        while True:
+            try:
+                async with curio.timeout_after(HEAD_POLL_S):
+                    await connection.read_head()
+                return
+            except curio.TaskTimeout:
+                self._check_waiting(job, attempt, version)
+
+    def _check_waiting(self, job: Job, attempt: Attempt, version: int | None) -> None:
+        """
+        :raises SendFailed: if the back end will not begin the request soon.
+
+        """
+        now = self.env.monotonic()
+        engine = job.wanted.engine
+        if engine is not None and version is not None:
+            ends = self.admission.versions.ends_at(engine.model, version)
+            if ends is not None and now > ends - HEAD_POLL_S:
+                detail = f'version {version} ends before the request began'
+                raise SendFailed(Reason.VERSION_MISMATCH, Verdict.MAY_HAVE_RUN, detail)
+        for server in attempt.choice.servers:
+            if server.changing:
+                detail = 'the engine changes its weights first'
+                raise SendFailed(Reason.NOT_SERVABLE, Verdict.MAY_HAVE_RUN, detail)
+        silent_s = now - max(attempt.began, attempt.server.heard_at)
+        if silent_s > SILENT_SERVER_S:
+            detail = f'nothing from the server for {silent_s:.1f} s'
+            raise SendFailed(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, detail)
 
     async def _exchange(
         self, job: Job, attempt: Attempt, connection: ServerConnection
@@ -292,7 +318,7 @@
         job.tried += [part.instance for part in attempt.choice.servers]
         headers = self.adapter.forward(request, orders)
         await connection.send(request.method, request.path, headers, request.body)
-        await self._read_head(job, connection, version)
+        await self._read_head(job, attempt, connection, version)
         server.heard_at = self.env.monotonic()
         head = self.adapter.read_answer(connection.status, connection.headers)
         if head.request_id and head.request_id != job.caller.request_id:
--- a/packages/millforkd/millforkd/proxy/versions.py
+++ b/packages/millforkd/millforkd/proxy/versions.py
@@ -22,7 +22,7 @@
 
 # A request that has not begun on the old version is taken back this long
 # before it no longer may.
-CUT_S: Final = 0.35
+CUT_S: Final = 0.15
 
 log = logger(Part.PROXY)
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -41,12 +41,12 @@
 
 @pytest.mark.parametrize('reason', Reason, ids=lambda reason: reason.value)
 def test_each_reason_is_explained_to_operators(reason):
-    assert f'| `{reason.value}` |' in (DOCS / 'OPERATING.md').read_text()
+    assert f'| `{reason.value}` |' in (DOCS / 'OPERATIONS.md').read_text()
 
 
 @pytest.mark.parametrize('part', Part, ids=lambda part: part.value)
 def test_each_log_prefix_is_explained_to_operators(part):
-    assert f'| `{part.value}` |' in (DOCS / 'OPERATING.md').read_text()
+    assert f'| `{part.value}` |' in (DOCS / 'OPERATIONS.md').read_text()
 
 
 def test_the_proofs_page_names_scenarios_and_tests_that_exist():
--- /dev/null
+++ b/tests/test_proxy_connections.py
@@ -0,0 +1,175 @@
+"""
+Connections of an entry to back ends: what is kept, what is reset.
+
+"""
+
+import socket
+
+import curio
+import pytest
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_core.verdicts import Reason, Verdict
+from millforkd.proxy.connections import Pool, SendFailed
+
+WHOLE = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+HEADERS = [('host', 'h')]
+
+
+class Listener:
+    """
+    A server that answers by hand.
+
+    """
+
+    def __enter__(self):
+        self.sock = socket.create_server(('127.0.0.1', 0))
+        self.sock.settimeout(5)
+        self.port = self.sock.getsockname()[1]
+        return self
+
+    def __exit__(self, *arguments):
+        self.sock.close()
+
+    def accept(self):
+        peer, _ = self.sock.accept()
+        peer.settimeout(5)
+        return peer
+
+
+def pool_to(listener):
+    env = Environment(InstanceId('a:1'), ZoneId('zone'))
+    return Pool(env, '127.0.0.1', listener.port)
+
+
+async def whole_body(connection):
+    body = b''
+    while data := await connection.read():
+        body += data
+    return body
+
+
+def test_a_connection_is_kept_after_a_whole_answer():
+    async def run(listener):
+        pool = pool_to(listener)
+        connection = await pool.take(fresh=False)
+        peer = listener.accept()
+        await connection.send('GET', '/', HEADERS, b'')
+        peer.sendall(WHOLE)
+        await connection.read_head()
+        assert await whole_body(connection) == b'ok'
+        await pool.give_back(connection, 30.0)
+        assert await pool.take(fresh=False) is connection
+
+    with Listener() as listener:
+        curio.run(run, listener)
+
+
+def test_bytes_after_a_whole_answer_belong_to_no_request():
+    async def run(listener):
+        pool = pool_to(listener)
+        connection = await pool.take(fresh=False)
+        peer = listener.accept()
+        await connection.send('GET', '/', HEADERS, b'')
+        peer.sendall(WHOLE + WHOLE)
+        await connection.read_head()
+        await whole_body(connection)
+        await pool.give_back(connection, 30.0)
+        assert await pool.take(fresh=False) is not connection
+
+    with Listener() as listener:
+        curio.run(run, listener)
+
+
+def test_a_late_answer_on_a_resting_connection_ends_it():
+    async def run(listener):
+        pool = pool_to(listener)
+        connection = await pool.take(fresh=False)
+        peer = listener.accept()
+        await connection.send('GET', '/', HEADERS, b'')
+        peer.sendall(WHOLE)
+        await connection.read_head()
+        await whole_body(connection)
+        await pool.give_back(connection, 30.0)
+        peer.sendall(WHOLE)
+        async with curio.timeout_after(5):
+            while connection.is_quiet():
+                await curio.sleep(0.01)
+        assert await pool.take(fresh=False) is not connection
+
+    with Listener() as listener:
+        curio.run(run, listener)
+
+
+def test_a_request_given_up_is_reset_and_not_just_closed():
+    async def run(listener):
+        pool = pool_to(listener)
+        connection = await pool.take(fresh=False)
+        peer = listener.accept()
+        await connection.send('POST', '/', HEADERS, b'body')
+        assert peer.recv(1)
+        await pool.give_back(connection, None)
+        with pytest.raises(ConnectionResetError):
+            while peer.recv(65536):
+                continue
+
+    with Listener() as listener:
+        curio.run(run, listener)
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\ncut',
+        b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\ncut\r\n',
+        b'no answer at all\r\n\r\n',
+        b'',
+    ],
+)
+def test_an_answer_that_breaks_off_is_never_whole(answer):
+    async def run(listener):
+        pool = pool_to(listener)
+        connection = await pool.take(fresh=False)
+        peer = listener.accept()
+        await connection.send('GET', '/', HEADERS, b'')
+        peer.recv(65536)
+        peer.sendall(answer)
+        peer.close()
+        with pytest.raises(SendFailed) as failure:
+            await connection.read_head()
+            await whole_body(connection)
+        assert failure.value.verdict is Verdict.MAY_HAVE_RUN
+        assert not connection.reusable
+
+    with Listener() as listener:
+        curio.run(run, listener)
+
+
+def test_an_answer_without_length_is_whole_when_its_connection_ends():
+    async def run(listener):
+        pool = pool_to(listener)
+        connection = await pool.take(fresh=False)
+        peer = listener.accept()
+        await connection.send('GET', '/', HEADERS, b'')
+        peer.recv(65536)
+        peer.sendall(b'HTTP/1.1 200 OK\r\n\r\nall of it')
+        peer.close()
+        await connection.read_head()
+        assert await whole_body(connection) == b'all of it'
+
+    with Listener() as listener:
+        curio.run(run, listener)
+
+
+def test_nothing_ran_where_there_is_no_connection():
+    async def run(port):
+        env = Environment(InstanceId('a:1'), ZoneId('zone'))
+        with pytest.raises(SendFailed) as failure:
+            await Pool(env, '127.0.0.1', port).take(fresh=True)
+        assert failure.value.reason is Reason.UNREACHABLE
+        assert failure.value.verdict is Verdict.NOT_RUN
+
+    with Listener() as listener:
+        port = listener.port
+    curio.run(run, port)
