One piece on its way to each peer; slow engines are passed over after one late token

Change: each piece is acknowledged before the next leaves for the same peer; a peer that does not take one within 1.5 s is passed over and asks for what it misses. Lateness is known for each engine, too.

--- a/packages/millfork-routing/millfork_routing/servers.py
+++ b/packages/millfork-routing/millfork_routing/servers.py
@@ -27,6 +27,9 @@
 # so the mean follows a change of load within a second.
 LATENESS_WEIGHT: Final = 0.1
 LATENESS_HALF_LIFE_S: Final = 0.7
+# The same for one back end, of which an entry sees about one a second: a slow
+# one is known after its first.
+SERVER_LATENESS_WEIGHT: Final = 0.5
 # A stuck engine's lateness says nothing of the others.
 MOST_LATENESS_MS: Final = 800.0
 # What another zone costs an engine's request, in ms: the way there and back.
@@ -47,6 +50,34 @@
 UNKNOWN_SLOTS: Final = 8
 
 
+@dataclass(slots=True)
+class Lateness:
+    """
+    A mean of how much later than by the figures first tokens came, in ms.
+
+    It fades while no first token comes: it would else keep out the requests
+    that could tell that it is over.
+
+    """
+
+    weight: float
+    mean_ms: float = 0.0
+    at: float = 0.0
+
+    def now_ms(self, now: float) -> float:
+        return self.mean_ms * math.exp2((self.at - now) / LATENESS_HALF_LIFE_S)
+
+    def note(self, late_ms: float, now: float) -> None:
+        """
+        Take one first token's lateness into the mean.
+
+        """
+        late_ms = min(max(late_ms, -MOST_LATENESS_MS), MOST_LATENESS_MS)
+        mean_ms = self.now_ms(now)
+        self.mean_ms = mean_ms + self.weight * (late_ms - mean_ms)
+        self.at = now
+
+
 @dataclass(slots=True)
 class Server:
     """
@@ -82,6 +113,8 @@
     suspect_until: float = float('-inf')
     # When this entry last received anything from it.
     heard_at: float = float('-inf')
+    # How much later than by the figures its first tokens come.
+    lateness: 'Lateness' = field(default_factory=lambda: Lateness(SERVER_LATENESS_WEIGHT))
     # Versions that it refused lately, and until when to believe that.
     refused: dict[int, float] = field(default_factory=dict)
 
@@ -280,8 +313,7 @@
         self.zone = zone
         self.entries = entries
         # How much later than by the figures first tokens came lately, in ms.
-        self.lateness_ms: dict[ServiceName, float] = {}
-        self.lateness_at: dict[ServiceName, float] = {}
+        self.lateness: dict[ServiceName, Lateness] = {}
         self.random = random
         self.monotonic = monotonic
         self.servers: dict[InstanceId, Server] = {}
@@ -369,31 +401,24 @@
             return Choice(min(trusted, key=lambda server: self._cost(server, now)))
         return self._choose_engine(trusted, wanted, wanted.engine, now)
 
-    def note_first_token(self, service: ServiceName, late_ms: float) -> None:
+    def note_first_token(self, server: Server, late_ms: float) -> None:
         """
-        Take one first token's lateness, against the figures, into the mean.
+        Take one first token's lateness, against the figures, into the means
+        of the back end and of its service.
 
         """
-        mean = self._lateness(service)
-        late_ms = min(max(late_ms, -MOST_LATENESS_MS), MOST_LATENESS_MS)
-        self.lateness_ms[service] = mean + LATENESS_WEIGHT * (late_ms - mean)
-        self.lateness_at[service] = self.monotonic()
-
-    def _lateness(self, service: ServiceName) -> float:
-        """
-        The mean lateness, in ms. It fades while no first token comes: it
-        would else keep out the requests that could tell that it is over.
+        now = self.monotonic()
+        server.lateness.note(late_ms, now)
+        self._lateness_of(server.service).note(late_ms, now)
 
-        """
-        mean = self.lateness_ms.get(service, 0.0)
-        silent_s = self.monotonic() - self.lateness_at.get(service, 0.0)
-        return mean * math.exp2(-silent_s / LATENESS_HALF_LIFE_S)
+    def _lateness_of(self, service: ServiceName) -> Lateness:
+        return self.lateness.setdefault(service, Lateness(LATENESS_WEIGHT))
 
     def _choose_engine(
         self, servers: list[Server], wanted: Wanted, engine: EngineFigures, now: float
     ) -> Choice | None:
         entries = self.entries()
-        lateness = self._lateness(wanted.service)
+        usual_ms = self._lateness_of(wanted.service).now_ms(now)
         best: Choice | None = None
         least = float('inf')
         paths = {path.first.instance: path for path in self._paths_of(wanted, engine)}
@@ -405,14 +430,15 @@
                 # The second part of a path, or a first whose second is out.
                 continue
             expected = server.first_token_ms(engine, wanted.prompt_tokens, now, entries)
-            cost = expected + FAILURE_MS * server.failure_rate
+            late_ms = max(usual_ms, server.lateness.now_ms(now))
+            cost = expected + late_ms + FAILURE_MS * server.failure_rate
             cost += OTHER_ZONE_MS if server.zone != self.zone else 0.0
             cost += self.random.random() * SPREAD_MS
             if path is not None and path.crosses_zones:
                 cost += engine.usual_answer * HOP_MS
             if cost < least:
                 least = cost
-                best = Choice(server, expected, max(expected + lateness, 0.0), path)
+                best = Choice(server, expected, max(expected + late_ms, 0.0), path)
         return best
 
     def _paths_of(self, wanted: Wanted, engine: EngineFigures) -> list[Path]:
--- a/packages/millforkd/millforkd/beside/daemon.py
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -26,7 +26,7 @@
 from millfork_weights.links import Link
 from millfork_wire import messages
 from millfork_wire.connection import Connection, PeerError
-from millfork_wire.messages import Chunk, EndpointReport, Manifest, Message
+from millfork_wire.messages import Chunk, Done, EndpointReport, Manifest, Message
 from millforkd.admin import Admin
 from millforkd.beside.engine import LocalEngine
 from millforkd.beside.fleet import Fleet
@@ -120,7 +120,6 @@
         await self.env.keep(self.admin.run)
         await self.env.keep(self.following.run)
         await self.env.keep(self._keep_reporting)
-        await self.env.keep(self.pushing.run)
         await self.env.keep(self.rollout.keep)
 
     async def reload(self, settings: SeededSettings) -> None:
@@ -311,14 +310,14 @@
         return Chunk(True, data)
 
     @on.register
-    async def _(self, message: messages.PushChunk, connection: Connection) -> None:
+    async def _(self, message: messages.PushChunk, connection: Connection) -> Message:
         weights = self._weights_id(message.manifest, connection)
         if weights is None or not self._is_wanted(weights):
-            return
+            return Done(False)
         held = self.store.of(weights)
         if message.index in held.pieces:
             self.env.metrics.count(self.env.metrics.chunks, source='pushed', outcome='again')
-            return
+            return Done(True)
         self.link.inward.note(len(message.data))
         good = await held.put(message.index, message.data)
         outcome = 'good' if good else 'corrupt'
@@ -327,6 +326,7 @@
             log.warning(
                 'Piece {} of {} from {} is corrupt.', message.index, weights, connection.peer
             )
+        return Done(good)
 
     def _weights_id(self, text: str, connection: Connection) -> WeightsId | None:
         try:
--- a/packages/millforkd/millforkd/beside/gathering.py
+++ b/packages/millforkd/millforkd/beside/gathering.py
@@ -125,12 +125,11 @@
             self.adapter.piece_request(weights.model, weights.version, index)
         )
         log.debug(
-            'Piece drawn. weights={} index={} got={} ms={:.0f} waiting={}',
+            'Piece drawn. weights={} index={} got={} ms={:.0f}',
             weights,
             index,
             data is not None,
             (self.env.monotonic() - began) * 1000,
-            self.pushing.queue.qsize(),
         )
         if data is None:
             await curio.sleep(RETRY_S)
--- a/packages/millforkd/millforkd/beside/pushing.py
+++ b/packages/millforkd/millforkd/beside/pushing.py
@@ -1,9 +1,13 @@
 """
-Sending drawn pieces to all other daemons of the service.
+Sending drawn pieces to all other daemons that need them first.
+
+One task for each of them, with one piece on its way at a time: more would only
+wait in a slow link, in front of the requests to the engine behind it.
 
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Final
 
 import curio
@@ -12,24 +16,29 @@
 from millfork_core.logs import Part, logger
 from millfork_registry.discovery import address_of
 from millfork_weights.links import Pace
-from millfork_wire.connection import Connection, PeerError
+from millfork_wire.connection import PeerError
 from millfork_wire.messages import PushChunk
 from millfork_wire.peers import Peers
 from millforkd.beside.pieces import WeightsId
 
-# Frames waiting for one peer; the next one waits until they are fewer.
-MOST_WAITING: Final = 3
-WAIT_POLL_S: Final = 0.02
-# A peer that takes nothing for this long is passed over; it will ask for
-# what it misses.
-STUCK_AFTER_S: Final = 1.0
+# A piece takes 0.05 s on the slowest links when they are well, and must share
+# them; a peer that takes longer asks for what it misses.
+TAKEN_WITHIN_S: Final = 1.5
+PASSED_OVER_S: Final = 4.0
 
 log = logger(Part.WEIGHTS)
 
 
+@dataclass(frozen=True, slots=True)
+class _Sending:
+    weights: WeightsId
+    index: int
+    data: bytes
+
+
 class Pushing:
     """
-    The pieces on their way out, one after the other at the link's pace.
+    The pieces on their way out, at the link's pace.
 
     """
 
@@ -44,45 +53,37 @@
         self.peers = peers
         self.targets = targets
         self.outward = outward
-        self.queue: curio.Queue = curio.Queue()
+        self.queues: dict[str, curio.Queue] = {}
+        # Peers that took nothing lately, and until when they are passed over.
+        self.slow_until: dict[str, float] = {}
 
     async def add(self, weights: WeightsId, index: int, data: bytes) -> None:
         """
-        Send a piece to all others, when the link allows.
-
-        """
-        await self.queue.put((weights, index, data))
-
-    async def run(self) -> None:
-        """
-        The task that sends.
+        Send a piece to all others that need it, when the link allows.
 
         """
+        for name in self.targets(weights, index):
+            if name == self.env.instance:
+                continue
+            if name not in self.queues:
+                self.queues[name] = curio.Queue()
+                await self.env.spawn(self._send_all, name)
+            await self.queues[name].put(_Sending(weights, index, data))
+
+    async def _send_all(self, name: str) -> None:
         while True:
-            weights, index, data = await self.queue.get()
-            names = self.targets(weights, index)
-            self.env.random.shuffle(names)
-            for name in names:
-                if name != self.env.instance:
-                    await self._send(name, PushChunk(str(weights), index, data))
-
-    async def _send(self, name: str, message: PushChunk) -> None:
+            sending = await self.queues[name].get()
+            if self.slow_until.get(name, 0.0) > self.env.monotonic():
+                continue
+            await self.outward.take(len(sending.data))
+            await self._send(name, sending)
+
+    async def _send(self, name: str, sending: _Sending) -> None:
+        message = PushChunk(str(sending.weights), sending.index, sending.data)
         try:
-            connection = await self.peers.connect(address_of(name))
-            if not await self._has_room(connection):
-                log.info('Piece {} not sent to {}: it takes nothing.', message.index, name)
-                return
-            await self.outward.take(len(message.data))
-            await connection.notify(message)
+            await self.peers.call(address_of(name), message, TAKEN_WITHIN_S)
         except PeerError as error:
-            log.info('Piece {} not sent to {}: {}.', message.index, name, error)
+            self.slow_until[name] = self.env.monotonic() + PASSED_OVER_S
+            log.info('Piece {} not sent to {}: {}.', sending.index, name, error)
             return
-        self.env.metrics.count(self.env.metrics.chunk_bytes, len(message.data), source='sent')
-
-    async def _has_room(self, connection: Connection) -> bool:
-        until = self.env.monotonic() + STUCK_AFTER_S
-        while connection.outbox.qsize() >= MOST_WAITING and not connection.closed:
-            if self.env.monotonic() > until:
-                return False
-            await curio.sleep(WAIT_POLL_S)
-        return not connection.closed
+        self.env.metrics.count(self.env.metrics.chunk_bytes, len(sending.data), source='sent')
--- a/packages/millforkd/millforkd/proxy/relaying.py
+++ b/packages/millforkd/millforkd/proxy/relaying.py
@@ -109,7 +109,7 @@
         if attempt.unread and job.wanted.engine is not None and not resumed:
             took_ms = (self.env.monotonic() - attempt.began) * 1000
             late_ms = took_ms - attempt.choice.by_figures_ms
-            self.book.note_first_token(job.wanted.service, late_ms)
+            self.book.note_first_token(attempt.server, late_ms)
         attempt.note_first()
 
     async def _event_bytes(self, job: Job, connection: ServerConnection) -> bytes:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -208,11 +208,19 @@
 
 def test_lateness_is_learned_and_fades_when_nothing_tells_of_it(book, clock):
     book.take_leases([lease(1)])
+    server = book.servers[InstanceId('i-1')]
     wanted = Wanted(SERVICE, ENGINE, 0, 0, 900)
     usual = book.choose(wanted, set()).first_token_ms
     for _ in range(50):
-        book.note_first_token(SERVICE, 5000)
+        book.note_first_token(server, 5000)
     late = book.choose(wanted, set()).first_token_ms
     assert late > usual + 500
     clock.now += 10
     assert book.choose(wanted, set()).first_token_ms < usual + 10
+
+
+def test_a_slow_engine_is_passed_over_after_one_late_token(book):
+    book.take_leases([lease(1), lease(2)])
+    book.note_first_token(book.servers[InstanceId('i-1')], 2000)
+    wanted = Wanted(SERVICE, ENGINE, 0, 0, 900)
+    assert {chosen(book, wanted) for _ in range(20)} == {'i-2'}
