--- a/packages/millfork-state/millfork_state/election.py
+++ b/packages/millfork-state/millfork_state/election.py
@@ -28,7 +28,7 @@
     spread = 1 + replica.env.random.random() * ELECTION_SPREAD
     limit = replica.election_s * spread
     while True:
-        silent = replica.env.monotonic() - replica.leader_heard
+        silent = replica.env.monotonic() - max(replica.leader_heard, replica.campaigned)
         if silent >= limit and replica.is_voter and replica.disk_works:
             return
         await curio.sleep(max(limit - silent, replica.heartbeat_s / 4))
@@ -40,7 +40,7 @@
 
     """
     if not await _gather(replica, _pre_vote(replica)):
-        replica.leader_heard = replica.env.monotonic() - replica.election_s / 2
+        replica.campaigned = replica.env.monotonic() - replica.election_s / 2
         return False
     async with replica.lock:
         if replica.env.monotonic() - replica.leader_heard < replica.election_s:
--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -78,6 +78,10 @@
         self.state = ReplicaState.FOLLOWER
         self.leader: InstanceId = NO_INSTANCE
         self.leader_heard = env.monotonic()
+        # When the next campaign may begin at the earliest, counted like the
+        # leader's silence; apart from it, as a candidate that failed still
+        # votes for others.
+        self.campaigned = self.leader_heard
         self.commit = 0
         self.applied = 0
         self.members: list[tuple[str, str]] = []
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -10,6 +10,7 @@
 from millfork_core.ids import InstanceId, ZoneId
 from millfork_settings.models import StateSettings
 from millfork_state.commands import Apply, Change, SetMembers, encode_command
+from millfork_state.election import campaign
 from millfork_state.leadership import Leadership
 from millfork_state.replica import Replica, ReplicaState
 from millfork_state.storage import Storage
@@ -171,3 +172,10 @@
     with pytest.raises(OSError, match='disk full'):
         curio.run(lead)
     assert replica.state is ReplicaState.FOLLOWER
+
+
+def test_a_candidate_that_failed_still_votes_for_others(replica):
+    append(replica, [genesis(replica)])
+    replica.leader_heard -= 10
+    assert not curio.run(campaign, replica)
+    assert curio.run(replica.on_pre_vote, PreVote(CLUSTER, 9, 'c', 5, 1)).granted
