--- a/packages/millfork-core/millfork_core/sockets.py
+++ b/packages/millfork-core/millfork_core/sockets.py
@@ -27,3 +27,20 @@
         raise
     sock.setsockopt(socket_.IPPROTO_TCP, socket_.TCP_NODELAY, 1)
     return sock
+
+
+def is_quiet(sock: Any) -> bool:
+    """
+    Whether an idle connection is open and has sent nothing: a closed one
+    reads as ended, and bytes here belong to no request.
+
+    """
+    try:
+        with sock.blocking() as raw:
+            raw.setblocking(False)
+            raw.recv(1, socket_.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
--- /dev/null
+++ b/packages/millfork-routing/millfork_routing/paths.py
@@ -0,0 +1,66 @@
+"""
+Paths: two back ends that hold a model's layers between them.
+
+"""
+
+from dataclasses import dataclass
+
+from millfork_routing.documents import EngineFigures
+from millfork_routing.server import Server
+
+
+@dataclass(frozen=True, slots=True)
+class Path:
+    """
+    Two back ends that hold a model's layers between them: the first those
+    before `split`, the second the rest.
+
+    """
+
+    first: Server
+    second: Server
+    version: int
+    split: int
+
+    @property
+    def servers(self) -> list[Server]:
+        return [self.first, self.second]
+
+    @property
+    def crosses_zones(self) -> bool:
+        return self.first.zone != self.second.zone
+
+
+def pair_up(servers: list[Server], engine: EngineFigures, newest: int) -> list[Path]:
+    """
+    The paths over back ends that hold the newest version in part; all entries
+    that know the same pair alike, within a zone where they can. An older
+    version has none, as its back ends are about to change.
+
+    """
+    lower: list[tuple[Server, int]] = []
+    upper: list[tuple[Server, int]] = []
+    for server in sorted(servers, key=lambda item: item.instance):
+        for item in server.served:
+            if server.changing or item.version < newest or item.is_whole(engine.layers):
+                continue
+            if item.first == 0 and item.end is not None:
+                lower.append((server, item.end))
+            elif item.end == engine.layers:
+                upper.append((server, item.first))
+    paths = []
+    for same_zone in (True, False):
+        for first, split in list(lower):
+            for second, begins in list(upper):
+                if begins != split or (same_zone and first.zone != second.zone):
+                    continue
+                if first.instance == second.instance:
+                    continue
+                version = first.served[0].version
+                if second.served[0].version != version:
+                    continue
+                paths.append(Path(first, second, version, split))
+                lower.remove((first, split))
+                upper.remove((second, begins))
+                break
+    return paths
--- /dev/null
+++ b/packages/millfork-routing/millfork_routing/server.py
@@ -0,0 +1,174 @@
+"""
+One back end that an entry reaches directly: its load, its failures, its pace.
+
+"""
+
+import math
+from dataclasses import dataclass, field
+from typing import Final
+
+from millfork_core.ids import InstanceId, ServiceName, ZoneId
+from millfork_registry.records import ServedVersion
+from millfork_routing.documents import EngineFigures
+from millfork_routing.prediction import first_token_ms, usual_service_s
+
+# A back end that failed is left alone this long, doubling with each failure.
+FIRST_SUSPICION_S: Final = 0.5
+MOST_SUSPICION_S: Final = 4.0
+# One request's weight in a back end's failure rate.
+FAILURE_WEIGHT: Final = 0.1
+# One request's weight in the mean time of requests at an engine.
+SERVICE_TIME_WEIGHT: Final = 0.1
+LATENESS_HALF_LIFE_S: Final = 0.7
+# The same for one back end, of which an entry sees about one a second: a slow
+# one is known after its first.
+SERVER_LATENESS_WEIGHT: Final = 0.5
+# A stuck engine's lateness says nothing of the others.
+MOST_LATENESS_MS: Final = 800.0
+# A report older than this says nothing about the load now.
+REPORT_VALID_S: Final = 2.0
+
+
+@dataclass(slots=True)
+class Lateness:
+    """
+    A mean of how much later than by the figures first tokens came, in ms.
+
+    It fades while no first token comes: it would else keep out the requests
+    that could tell that it is over.
+
+    """
+
+    weight: float
+    mean_ms: float = 0.0
+    at: float = 0.0
+
+    def now_ms(self, now: float) -> float:
+        return self.mean_ms * math.exp2((self.at - now) / LATENESS_HALF_LIFE_S)
+
+    def note(self, late_ms: float, now: float) -> None:
+        """
+        Take one first token's lateness into the mean.
+
+        """
+        late_ms = min(max(late_ms, -MOST_LATENESS_MS), MOST_LATENESS_MS)
+        mean_ms = self.now_ms(now)
+        self.mean_ms = mean_ms + self.weight * (late_ms - mean_ms)
+        self.at = now
+
+
+@dataclass(slots=True)
+class Server:
+    """
+    One back end as this entry sees it.
+
+    """
+
+    instance: InstanceId
+    service: ServiceName
+    host: str
+    port: int
+    zone: ZoneId
+    slots: int
+    served: tuple[ServedVersion, ...] = ()
+    # What its last heartbeat said; an endpoint's report is newer.
+    lease_served: tuple[ServedVersion, ...] = ()
+    changing: bool = False
+    report_sequence: int = -1
+    # Requests of this entry there, and those of them without a first token.
+    mine: int = 0
+    mine_unread: int = 0
+    reported: int = 0
+    reported_unread: int = 0
+    mine_at_report: int = 0
+    mine_unread_at_report: int = 0
+    pace: float = 1.0
+    # How long a request of this entry took there, in seconds; None: no
+    # request was seen through yet.
+    service_s: float | None = None
+    reported_at: float = float('-inf')
+    failures: int = 0
+    failure_rate: float = 0.0
+    suspect_until: float = float('-inf')
+    # When this entry last received anything from it.
+    heard_at: float = float('-inf')
+    # How much later than by the figures its first tokens come.
+    lateness: 'Lateness' = field(default_factory=lambda: Lateness(SERVER_LATENESS_WEIGHT))
+    # Versions that it refused lately, and until when to believe that.
+    refused: dict[int, float] = field(default_factory=dict)
+
+    def occupied(self, now: float, entries: int = 1) -> int:
+        """
+        Requests there: the last report, which lags, corrected by what this
+        entry has begun and ended since, and by what the others will have:
+        they see the same report and choose alike.
+
+        """
+        if now - self.reported_at > REPORT_VALID_S:
+            return self.mine
+        begun = self.mine - self.mine_at_report
+        return max(self.reported + begun * (entries if begun > 0 else 1), self.mine)
+
+    def unread(self, now: float, entries: int = 1) -> int:
+        """
+        Requests there that have no first token yet, as `occupied` is known.
+
+        """
+        if now - self.reported_at > REPORT_VALID_S:
+            return self.mine_unread
+        begun = self.mine_unread - self.mine_unread_at_report
+        return max(self.reported_unread + begun * (entries if begun > 0 else 1), self.mine_unread)
+
+    def first_token_ms(
+        self, engine: EngineFigures, prompt_tokens: int, now: float, entries: int
+    ) -> float:
+        """
+        The time to the first token that a request sent now would have.
+
+        """
+        service_s = self.service_s if self.service_s is not None else usual_service_s(engine)
+        return first_token_ms(
+            engine,
+            prompt_tokens,
+            self.occupied(now, entries),
+            self.unread(now, entries),
+            service_s,
+            self.pace,
+        )
+
+    def note_service_time(self, seconds: float) -> None:
+        """
+        Take one request's time there into the mean.
+
+        """
+        if self.service_s is None:
+            self.service_s = seconds
+            return
+        self.service_s += SERVICE_TIME_WEIGHT * (seconds - self.service_s)
+
+    def note_failure(self, now: float) -> None:
+        """
+        It did not answer as it should: leave it alone for a while.
+
+        """
+        wait = min(FIRST_SUSPICION_S * 2**self.failures, MOST_SUSPICION_S)
+        self.failures += 1
+        self.suspect_until = now + wait
+        self.note_outcome(failed=True)
+
+    def note_outcome(self, failed: bool) -> None:
+        """
+        Count one request's outcome into the failure rate.
+
+        """
+        self.failure_rate += FAILURE_WEIGHT * (float(failed) - self.failure_rate)
+        if not failed:
+            self.failures = 0
+
+    def newest_whole(self, layers: int) -> int | None:
+        """
+        The newest version of which it holds all layers, if any.
+
+        """
+        whole = [item.version for item in self.served if item.is_whole(layers)]
+        return max(whole, default=None)
--- a/packages/millfork-routing/millfork_routing/servers.py
+++ b/packages/millfork-routing/millfork_routing/servers.py
@@ -3,35 +3,25 @@
 
 """
 
-import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 from typing import Final
 
 from millfork_core.ids import InstanceId, ServiceName, ZoneId
-from millfork_registry.records import EndpointState, Lease, ServedVersion
+from millfork_registry.records import EndpointState, Lease
 from millfork_routing.documents import EngineFigures
-from millfork_routing.prediction import first_token_ms, usual_service_s
+from millfork_routing.paths import Path, pair_up
+from millfork_routing.server import REPORT_VALID_S, Lateness, Server
 
-# A back end that failed is left alone this long, doubling with each failure.
-FIRST_SUSPICION_S: Final = 0.5
-MOST_SUSPICION_S: Final = 4.0
-# One request's weight in a back end's failure rate.
-FAILURE_WEIGHT: Final = 0.1
 # What a failure rate of 1 counts for, in full loads of a back end.
 FAILURE_COST: Final = 3.0
-# One request's weight in the mean time of requests at an engine.
-SERVICE_TIME_WEIGHT: Final = 0.1
 # One first token's weight in the mean lateness: an entry sees some ten a second,
 # so the mean follows a change of load within a second.
 LATENESS_WEIGHT: Final = 0.1
-LATENESS_HALF_LIFE_S: Final = 0.7
-# The same for one back end, of which an entry sees about one a second: a slow
-# one is known after its first.
-SERVER_LATENESS_WEIGHT: Final = 0.5
-# A stuck engine's lateness says nothing of the others.
-MOST_LATENESS_MS: Final = 800.0
+# What each token of a path costs whose parts lie in two zones, in ms: the way
+# there and back.
+HOP_MS: Final = 5.0
 # What another zone costs an engine's request, in ms: the way there and back.
 OTHER_ZONE_MS: Final = 10.0
 # What a failure rate of 1 costs an engine's request, in ms.
@@ -42,216 +32,9 @@
 # What another zone costs, in full loads: a nearer one is taken while it is
 # not fuller by this.
 OTHER_ZONE_COST: Final = 0.15
-# What each token of a path costs whose parts lie in two zones, in ms: the way
-# there and back.
-HOP_MS: Final = 5.0
-# A report older than this says nothing about the load now.
-REPORT_VALID_S: Final = 2.0
 UNKNOWN_SLOTS: Final = 8
 
 
-@dataclass(slots=True)
-class Lateness:
-    """
-    A mean of how much later than by the figures first tokens came, in ms.
-
-    It fades while no first token comes: it would else keep out the requests
-    that could tell that it is over.
-
-    """
-
-    weight: float
-    mean_ms: float = 0.0
-    at: float = 0.0
-
-    def now_ms(self, now: float) -> float:
-        return self.mean_ms * math.exp2((self.at - now) / LATENESS_HALF_LIFE_S)
-
-    def note(self, late_ms: float, now: float) -> None:
-        """
-        Take one first token's lateness into the mean.
-
-        """
-        late_ms = min(max(late_ms, -MOST_LATENESS_MS), MOST_LATENESS_MS)
-        mean_ms = self.now_ms(now)
-        self.mean_ms = mean_ms + self.weight * (late_ms - mean_ms)
-        self.at = now
-
-
-@dataclass(slots=True)
-class Server:
-    """
-    One back end as this entry sees it.
-
-    """
-
-    instance: InstanceId
-    service: ServiceName
-    host: str
-    port: int
-    zone: ZoneId
-    slots: int
-    served: tuple[ServedVersion, ...] = ()
-    # What its last heartbeat said; an endpoint's report is newer.
-    lease_served: tuple[ServedVersion, ...] = ()
-    changing: bool = False
-    report_sequence: int = -1
-    # Requests of this entry there, and those of them without a first token.
-    mine: int = 0
-    mine_unread: int = 0
-    reported: int = 0
-    reported_unread: int = 0
-    mine_at_report: int = 0
-    mine_unread_at_report: int = 0
-    pace: float = 1.0
-    # How long a request of this entry took there, in seconds; None: no
-    # request was seen through yet.
-    service_s: float | None = None
-    reported_at: float = float('-inf')
-    failures: int = 0
-    failure_rate: float = 0.0
-    suspect_until: float = float('-inf')
-    # When this entry last received anything from it.
-    heard_at: float = float('-inf')
-    # How much later than by the figures its first tokens come.
-    lateness: 'Lateness' = field(default_factory=lambda: Lateness(SERVER_LATENESS_WEIGHT))
-    # Versions that it refused lately, and until when to believe that.
-    refused: dict[int, float] = field(default_factory=dict)
-
-    def occupied(self, now: float, entries: int = 1) -> int:
-        """
-        Requests there: the last report, which lags, corrected by what this
-        entry has begun and ended since, and by what the others will have:
-        they see the same report and choose alike.
-
-        """
-        if now - self.reported_at > REPORT_VALID_S:
-            return self.mine
-        begun = self.mine - self.mine_at_report
-        return max(self.reported + begun * (entries if begun > 0 else 1), self.mine)
-
-    def unread(self, now: float, entries: int = 1) -> int:
-        """
-        Requests there that have no first token yet, as `occupied` is known.
-
-        """
-        if now - self.reported_at > REPORT_VALID_S:
-            return self.mine_unread
-        begun = self.mine_unread - self.mine_unread_at_report
-        return max(self.reported_unread + begun * (entries if begun > 0 else 1), self.mine_unread)
-
-    def first_token_ms(
-        self, engine: EngineFigures, prompt_tokens: int, now: float, entries: int
-    ) -> float:
-        """
-        The time to the first token that a request sent now would have.
-
-        """
-        service_s = self.service_s if self.service_s is not None else usual_service_s(engine)
-        return first_token_ms(
-            engine,
-            prompt_tokens,
-            self.occupied(now, entries),
-            self.unread(now, entries),
-            service_s,
-            self.pace,
-        )
-
-    def note_service_time(self, seconds: float) -> None:
-        """
-        Take one request's time there into the mean.
-
-        """
-        if self.service_s is None:
-            self.service_s = seconds
-            return
-        self.service_s += SERVICE_TIME_WEIGHT * (seconds - self.service_s)
-
-    def note_failure(self, now: float) -> None:
-        """
-        It did not answer as it should: leave it alone for a while.
-
-        """
-        wait = min(FIRST_SUSPICION_S * 2**self.failures, MOST_SUSPICION_S)
-        self.failures += 1
-        self.suspect_until = now + wait
-        self.note_outcome(failed=True)
-
-    def note_outcome(self, failed: bool) -> None:
-        """
-        Count one request's outcome into the failure rate.
-
-        """
-        self.failure_rate += FAILURE_WEIGHT * (float(failed) - self.failure_rate)
-        if not failed:
-            self.failures = 0
-
-    def newest_whole(self, layers: int) -> int | None:
-        """
-        The newest version of which it holds all layers, if any.
-
-        """
-        whole = [item.version for item in self.served if item.is_whole(layers)]
-        return max(whole, default=None)
-
-
-@dataclass(frozen=True, slots=True)
-class Path:
-    """
-    Two back ends that hold a model's layers between them: the first those
-    before `split`, the second the rest.
-
-    """
-
-    first: Server
-    second: Server
-    version: int
-    split: int
-
-    @property
-    def servers(self) -> list[Server]:
-        return [self.first, self.second]
-
-    @property
-    def crosses_zones(self) -> bool:
-        return self.first.zone != self.second.zone
-
-
-def pair_up(servers: list[Server], engine: EngineFigures, newest: int) -> list[Path]:
-    """
-    The paths over back ends that hold the newest version in part; all entries
-    that know the same pair alike, within a zone where they can. An older
-    version has none, as its back ends are about to change.
-
-    """
-    lower: list[tuple[Server, int]] = []
-    upper: list[tuple[Server, int]] = []
-    for server in sorted(servers, key=lambda item: item.instance):
-        for item in server.served:
-            if server.changing or item.version < newest or item.is_whole(engine.layers):
-                continue
-            if item.first == 0 and item.end is not None:
-                lower.append((server, item.end))
-            elif item.end == engine.layers:
-                upper.append((server, item.first))
-    paths = []
-    for same_zone in (True, False):
-        for first, split in list(lower):
-            for second, begins in list(upper):
-                if begins != split or (same_zone and first.zone != second.zone):
-                    continue
-                if first.instance == second.instance:
-                    continue
-                version = first.served[0].version
-                if second.served[0].version != version:
-                    continue
-                paths.append(Path(first, second, version, split))
-                lower.remove((first, split))
-                upper.remove((second, begins))
-                break
-    return paths
-
-
 @dataclass(frozen=True, slots=True)
 class Wanted:
     """
--- a/packages/millfork-web/millfork_web/client.py
+++ b/packages/millfork-web/millfork_web/client.py
@@ -3,14 +3,13 @@
 
 """
 
-import socket as socket_
 from collections.abc import AsyncIterator
 from typing import Any, Final
 
 import curio
 import h11
 
-from millfork_core.sockets import connect
+from millfork_core.sockets import connect, is_quiet
 from millfork_core.verdicts import Verdict
 from millfork_web.models import Headers, Response, find_header
 
@@ -174,7 +173,7 @@
     async def _connection(self) -> tuple[Any, h11.Connection]:
         while self.idle:
             sock, conn = self.idle.pop()
-            if _still_open(sock):
+            if is_quiet(sock):
                 return sock, conn
             await sock.close()
         try:
@@ -208,19 +207,3 @@
         while self.idle:
             sock, _ = self.idle.pop()
             await sock.close()
-
-
-def _still_open(sock: Any) -> bool:
-    """
-    A kept connection with anything to read was closed by the server.
-
-    """
-    try:
-        with sock.blocking() as raw:
-            raw.setblocking(False)
-            raw.recv(1, socket_.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
--- a/packages/millforkd/millforkd/admin.py
+++ b/packages/millforkd/millforkd/admin.py
@@ -32,16 +32,26 @@
         await self.server.run()
 
     async def _answer(self, exchange: Exchange) -> None:
-        path = exchange.request.path
-        if path == '/metrics':
-            body, content_type = self.env.metrics.render()
-            await exchange.respond(Response(200, [('content-type', content_type)], body))
-            return
-        if path == '/livez':
-            await exchange.respond(json_response({'live': True}))
-            return
-        if path == '/readyz':
-            ready = self.is_ready()
-            await exchange.respond(json_response({'ready': ready}, 200 if ready else 503))
-            return
-        await exchange.respond(json_response({'error': 'not found'}, 404))
+        await answer_admin(exchange, self.env, self.is_ready(), {})
+
+
+async def answer_admin(
+    exchange: Exchange, env: Environment, ready: bool, details: dict[str, object]
+) -> None:
+    """
+    Answer one question to an admin port; `details` go with the readiness.
+
+    """
+    path = exchange.request.path
+    if path == '/metrics':
+        body, content_type = env.metrics.render()
+        await exchange.respond(Response(200, [('content-type', content_type)], body))
+        return
+    if path == '/livez':
+        await exchange.respond(json_response({'live': True}))
+        return
+    if path == '/readyz':
+        state = {'ready': ready, **details}
+        await exchange.respond(json_response(state, 200 if ready else 503))
+        return
+    await exchange.respond(json_response({'error': 'not found'}, 404))
--- a/packages/millforkd/millforkd/core.py
+++ b/packages/millforkd/millforkd/core.py
@@ -23,6 +23,7 @@
 from millforkd.endpoint.daemon import EndpointDaemon
 from millforkd.entry.daemon import EntryDaemon
 from millforkd.running import serve_seeded
+from millforkd.stopping import drain_or_end
 
 log = logger(Part.DAEMON)
 
@@ -84,13 +85,7 @@
             if not await wait_for_stop(env, signals):
                 return ExitStatus.ERROR
             log.info('Stopping; requests in progress go on.')
-            drain = await curio.spawn(daemon.drain)
-            second = await curio.spawn(signals.get)
-            async with curio.TaskGroup([drain, second], wait=any) as group:
-                pass
-            if group.completed is second:
-                log.warning('Second signal: {} requests are cut off.', daemon.in_progress)
-                env.metrics.count(env.metrics.requests, outcome='cut_off_by_signal')
+            await drain_or_end(env, daemon, signals)
     except BadFile as error:
         log.error('{}', error)
         return ExitStatus.BAD_SETTINGS
--- a/packages/millforkd/millforkd/member.py
+++ b/packages/millforkd/millforkd/member.py
@@ -16,12 +16,12 @@
 from millfork_state.roster import Roster
 from millfork_state.subscription import Subscription
 from millfork_state.view import View
-from millfork_web.models import Response, json_response
 from millfork_web.server import Exchange, Server
 from millfork_wire.connection import Connection, Handler
 from millfork_wire.messages import AskRevision, Message, RevisionIs, Subscribe, Update
 from millfork_wire.messages import Reports as ReportsMessage
 from millfork_wire.peers import PeerAddress, Peers
+from millforkd.admin import answer_admin
 
 FIRST_POLL_PAUSE_S: Final = 0.2
 FIRST_POLLS: Final = 10
@@ -112,17 +112,5 @@
         return bool(self.view.cluster) and self.floor_known and self.subscription.at_floor
 
     async def _answer_admin(self, exchange: Exchange) -> None:
-        path = exchange.request.path
-        if path == '/metrics':
-            body, content_type = self.env.metrics.render()
-            await exchange.respond(Response(200, [('content-type', content_type)], body))
-            return
-        if path == '/livez':
-            await exchange.respond(json_response({'live': True}))
-            return
-        if path == '/readyz':
-            ready = self.ready_check()
-            state = {'ready': ready, 'revision': self.view.revision, 'cluster': self.view.cluster}
-            await exchange.respond(json_response(state, 200 if ready else 503))
-            return
-        await exchange.respond(json_response({'error': 'not found'}, 404))
+        details = {'revision': self.view.revision, 'cluster': self.view.cluster}
+        await answer_admin(exchange, self.env, self.ready_check(), dict(details))
--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -13,9 +13,9 @@
 
 from millfork_core.environment import Environment
 from millfork_core.logs import Part, logger
-from millfork_core.sockets import connect
+from millfork_core.sockets import connect, is_quiet
 from millfork_core.verdicts import Reason, Verdict
-from millfork_routing.servers import Server
+from millfork_routing.server import Server
 from millfork_web.models import Headers
 
 READ_BYTES: Final = 64 * 1024
@@ -166,21 +166,13 @@
             log.debug('No reset of a connection: {}.', error)
         await self.sock.close()
 
+    @property
     def is_quiet(self) -> bool:
         """
-        Whether an idle connection is open and has sent nothing: a closed one
-        reads as ended, and bytes here belong to no request.
+        Whether an idle connection is open and has sent nothing.
 
         """
-        try:
-            with self.sock.blocking() as raw:
-                raw.setblocking(False)
-                raw.recv(1, socket_.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return is_quiet(self.sock)
 
 
 def _lost(detail: str) -> SendFailed:
@@ -212,7 +204,7 @@
             connection = self.idle.pop()
             idle_s = self.env.monotonic() - connection.used_at
             limit_s = FRESH_S if fresh else connection.keep_s - KEEP_MARGIN_S
-            if idle_s < limit_s and connection.is_quiet():
+            if idle_s < limit_s and connection.is_quiet:
                 connection.http.start_next_cycle()
                 connection.reused = True
                 return connection
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -10,7 +10,8 @@
 from millfork_core.ids import InstanceId
 from millfork_core.verdicts import Reason, Verdict
 from millfork_routing.documents import Organisation, Route
-from millfork_routing.servers import Choice, Server, Wanted
+from millfork_routing.server import Server
+from millfork_routing.servers import Choice, Wanted
 from millfork_web.server import Exchange
 
 # The rank at an engine of a request whose route has the usual rank.
--- a/packages/millforkd/millforkd/running.py
+++ b/packages/millforkd/millforkd/running.py
@@ -23,6 +23,7 @@
 from millforkd.beside.daemon import BesideDaemon
 from millforkd.proxy.daemon import ProxyDaemon
 from millforkd.replica.daemon import ReplicaDaemon
+from millforkd.stopping import Drains, drain_or_end
 
 # The settings file may change without a signal.
 SETTINGS_POLL_S: Final = 2.0
@@ -30,19 +31,14 @@
 log = logger(Part.DAEMON)
 
 
-class SeededDaemon(Protocol):
+class SeededDaemon(Drains, Protocol):
     """
     What every role of a seeded fleet is.
 
     """
 
-    @property
-    def in_progress(self) -> int: ...
-
     async def start(self) -> None: ...
 
-    async def drain(self) -> None: ...
-
     async def reload(self, settings: SeededSettings) -> None: ...
 
 
@@ -85,7 +81,7 @@
             if not await _wait_for_stop(env, signals, path, daemon):
                 return ExitStatus.ERROR
             log.notice('Stopping. in_progress={}', daemon.in_progress)
-            await _drain(daemon, signals)
+            await drain_or_end(env, daemon, signals)
     except CorruptStorage as error:
         log.error('Storage is corrupt: {}. Not starting.', error)
         return ExitStatus.ERROR
@@ -116,20 +112,6 @@
         await _reload(path, daemon)
 
 
-async def _drain(daemon: SeededDaemon, signals: StopSignals) -> None:
-    drain = await curio.spawn(daemon.drain)
-    second = await curio.spawn(_second_stop, signals)
-    async with curio.TaskGroup([drain, second], wait=any) as group:
-        pass
-    if group.completed is second:
-        log.warning('Second signal: {} requests are cut off.', daemon.in_progress)
-
-
-async def _second_stop(signals: StopSignals) -> None:
-    while await signals.get() is signal.SIGHUP:
-        continue
-
-
 async def _watch_settings(path: Path, daemon: SeededDaemon) -> None:
     seen = _content(path)
     while True:
--- a/tests/test_proxy_connections.py
+++ b/tests/test_proxy_connections.py
@@ -94,7 +94,7 @@
         await pool.give_back(connection, 30.0)
         peer.sendall(WHOLE)
         async with curio.timeout_after(5):
-            while connection.is_quiet():
+            while connection.is_quiet:
                 await curio.sleep(0.01)
         assert await pool.take(fresh=False) is not connection
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -13,8 +13,10 @@
 from millfork_registry.records import EndpointState, Lease, LeaseState, ServedVersion
 from millfork_routing.budget import USED_SHARE, SharedBudget
 from millfork_routing.documents import EngineFigures
+from millfork_routing.paths import pair_up
 from millfork_routing.prediction import first_token_ms
-from millfork_routing.servers import MOST_SUSPICION_S, ServerBook, Wanted, pair_up
+from millfork_routing.server import MOST_SUSPICION_S
+from millfork_routing.servers import ServerBook, Wanted
 
 ENGINE = EngineFigures(
     slots=16,
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -33,16 +33,19 @@
 
     """
     token = fleet.caller_tokens[fleet.shape.organisations[0]]
+    answers = []
 
     def ask():
+        position = fleet.entries.index(entry)
         try:
-            call_service(fleet, token, 'GET', 'billing-misc/x', fleet.entries.index(entry))
-        except OSError:
-            return
+            answers.append(call_service(fleet, token, 'GET', 'billing-misc/x', position))
+        except OSError as error:
+            answers.append(error)
 
     threading.Thread(target=ask, daemon=True).start()
     log = fleet.executions('billing-misc-1')
-    wait_until(lambda: log.exists() and 'begin' in log.read_text())
+    wait_until(lambda: answers or (log.exists() and 'begin' in log.read_text()))
+    assert not answers, (answers, fleet.tail(entry.name))
 
 
 @pytest.mark.parametrize(
