The test of planned stops waits until its organisations are in force at the entry it asks

Cause of its failures: the call came 401, as the entry did not have the configuration yet that a quorum had accepted; connections are made faster now than the test assumed. It fails as before where the call ends early or never begins.

--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -33,10 +33,12 @@
 
     """
     token = fleet.caller_tokens[fleet.shape.organisations[0]]
+    position = fleet.entries.index(entry)
     answers = []
+    # What was applied is in force at this entry once it knows the token.
+    wait_until(lambda: call_service(fleet, token, 'GET', 'no-such/x', position).status != 401)
 
     def ask():
-        position = fleet.entries.index(entry)
         try:
             answers.append(call_service(fleet, token, 'GET', 'billing-misc/x', position))
         except OSError as error:
