--- a/packages/millforkd/millforkd/proxy/admission.py
+++ b/packages/millforkd/millforkd/proxy/admission.py
@@ -3,6 +3,7 @@
 
 """
 
+from dataclasses import replace
 from typing import Final
 
 from millfork_adapter.exchange import CallerRequest
@@ -63,10 +64,6 @@
         organisation = self._organisation(table, route, caller)
         name = pick_service(route, self.env.random.random())
         service = table.services[name]
-        least = newest = 0
-        if service.engine is not None:
-            least = self.versions.least(service.engine.model)
-            newest = self.versions.newest(service.engine.model)
         began = self.env.monotonic()
         limit_ms = route.timeout_ms
         if caller.deadline_ms is not None:
@@ -78,7 +75,7 @@
             caller,
             route,
             organisation,
-            Wanted(name, service.engine, least, newest, caller.prompt_tokens),
+            Wanted(name, service.engine, prompt_tokens=caller.prompt_tokens),
             priority_of(route, organisation),
             began,
             began + limit_ms / 1000,
@@ -86,6 +83,21 @@
             self._is_returning(route, caller),
         )
 
+    def as_of_now(self, wanted: Wanted) -> Wanted:
+        """
+        What a request needs at this moment: a version that was good when it
+        came may have ended since.
+
+        """
+        if wanted.engine is None:
+            return wanted
+        model = wanted.engine.model
+        return replace(
+            wanted,
+            least_version=self.versions.least(model),
+            newest_version=self.versions.newest(model),
+        )
+
     def _is_returning(self, route: Route, caller: CallerRequest) -> bool:
         """
         Whether clearly less time is left to the caller than others of the
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -151,6 +151,7 @@
             refusal = self._barred(job)
             if refusal is not None:
                 return refusal
+            job.wanted = self.admission.as_of_now(job.wanted)
             choice = self.book.choose(job.wanted, set(job.tried))
             if choice is None:
                 return self._no_server(job)
--- /dev/null
+++ b/tests/test_versions.py
@@ -0,0 +1,79 @@
+"""
+Which version of its weights a request may begin on, from moment to moment.
+
+"""
+
+import pytest
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, Revision, ServiceName, ZoneId
+from millfork_routing.servers import Wanted
+from millfork_state.commands import Versioned, encode_versioned
+from millfork_state.keys import version_key
+from millfork_state.view import Held, View
+from millforkd.proxy.admission import Admission
+from millforkd.proxy.versions import MARGIN_S, Versions
+from tests.test_servers import ENGINE, Clock
+
+SWITCH_MS = 8000
+SWITCH_S = SWITCH_MS / 1000
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def view():
+    return View()
+
+
+@pytest.fixture
+def versions(clock, view):
+    env = Environment(InstanceId('a:1'), ZoneId('zone'), monotonic=clock)
+    made = Versions(env, view, SWITCH_MS)
+    made.refresh()
+    return made
+
+
+def name(view, versions, version):
+    revision = Revision(view.revision + 1)
+    value = encode_versioned(Versioned(version, b''))
+    view.change(revision, {version_key('m'): Held(value, revision)}, [])
+    versions.refresh()
+
+
+def test_until_a_new_version_is_due_an_older_one_will_do(view, versions, clock):
+    name(view, versions, 2)
+    assert (versions.least('m'), versions.newest('m')) == (0, 2)
+    clock.now += SWITCH_S - MARGIN_S + 0.01
+    assert versions.least('m') == 2
+
+
+def test_each_version_is_due_by_its_own_naming(view, versions, clock):
+    name(view, versions, 2)
+    clock.now += 3
+    name(view, versions, 3)
+    clock.now += SWITCH_S - MARGIN_S - 2.9
+    assert versions.least('m') == 2
+    clock.now += 3
+    assert versions.least('m') == 3
+    assert versions.ends_at('m', 3) is None
+    assert versions.ends_at('m', 1) < versions.ends_at('m', 2)
+
+
+def test_what_stood_at_the_start_is_due_at_once(view, clock):
+    env = Environment(InstanceId('a:1'), ZoneId('zone'), monotonic=clock)
+    made = Versions(env, view, SWITCH_MS)
+    name(view, made, 4)
+    assert made.least('m') == 4
+
+
+def test_a_request_is_sent_again_by_what_holds_then(view, versions, clock):
+    admission = Admission(versions.env, versions)
+    wanted = admission.as_of_now(Wanted(ServiceName('s'), ENGINE))
+    name(view, versions, 2)
+    assert wanted.least_version == 0
+    clock.now += SWITCH_S
+    assert admission.as_of_now(wanted).least_version == 2
