--- a/packages/millfork-core/millfork_core/environment.py
+++ b/packages/millfork-core/millfork_core/environment.py
@@ -30,12 +30,16 @@
     monotonic: Callable[[], float] = time.monotonic
     random: Random = field(default_factory=Random)
     failed: curio.Event = field(default_factory=curio.Event)
+    # Set at the end: what is cancelled then must start nothing in its place.
+    ended: bool = False
 
     async def spawn(self, task: Callable[..., Awaitable[object]], *args: object) -> curio.Task:
         """
         Start a task that lives as long as the process.
 
         """
+        if self.ended:
+            raise curio.TaskCancelled('the process ends')
         return await curio.spawn(task, *args, daemon=True)
 
     async def keep(self, task: Callable[..., Awaitable[object]], *args: object) -> None:
