--- a/packages/millfork-routing/millfork_routing/routes.py
+++ b/packages/millfork-routing/millfork_routing/routes.py
@@ -3,7 +3,7 @@
 
 """
 
-from millfork_core.ids import OrganisationId, ServiceName
+from millfork_core.ids import ServiceName
 from millfork_routing.documents import Document, Organisation, Route, Service
 
 
@@ -80,7 +80,3 @@
     if organisation is not None and organisation.priority is not None:
         return organisation.priority
     return route.priority
-
-
-def organisation_id(organisation: Organisation | None) -> OrganisationId:
-    return organisation.name if organisation is not None else OrganisationId('')
--- a/packages/millforkd/millforkd/core.py
+++ b/packages/millforkd/millforkd/core.py
@@ -86,7 +86,6 @@
                 return ExitStatus.ERROR
             log.info('Stopping; requests in progress go on.')
             await drain_or_end(env, daemon, signals)
-            env.ended = True
     except BadFile as error:
         log.error('{}', error)
         return ExitStatus.BAD_SETTINGS
--- a/packages/millforkd/millforkd/running.py
+++ b/packages/millforkd/millforkd/running.py
@@ -82,7 +82,6 @@
                 return ExitStatus.ERROR
             log.notice('Stopping. in_progress={}', daemon.in_progress)
             await drain_or_end(env, daemon, signals)
-            env.ended = True
     except CorruptStorage as error:
         log.error('Storage is corrupt: {}. Not starting.', error)
         return ExitStatus.ERROR
