--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,9 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 DEPLOYMENT ?= lanting
+KIT ?= ../given/kit/more/system
+SITE ?= lanting-hq
+DAY ?= quiet-1
 PACKAGES := $(wildcard packages/*) platform
 STAMP := $(VENV)/.installed
 
@@ -51,6 +54,11 @@
 fail-first: $(STAMP)  ## Show that each proof fails without its mechanism
 	$(BIN)/python -m tests.fail_first
 
+.PHONY: platform-day
+platform-day:  ## Play a day of the users' bench: make platform-day SITE=lanting-hq DAY=quiet-1 WHY=...
+	$(KIT)/bin/fleetbench run $(KIT)/$(if $(findstring grown,$(SITE)),grown,sites)/$(SITE).toml $(DAY) \
+	  $(if $(WHY),--why "$(WHY)")
+
 .PHONY: plots
 plots: $(STAMP)  ## Draw the bench's files as PNG
 	$(BIN)/python -m millfork_standins.bench.plots
--- /dev/null
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -0,0 +1,264 @@
+"""
+A seeded fleet of real processes on loopback addresses, for tests.
+
+Replicas and entries are started with `deploy/millforkd.py` from settings as
+the platform would write them; the operator and the back ends are stand-ins
+that speak through the adapter's own names.
+
+"""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from dataclasses import dataclass, field
+from http.client import HTTPConnection, HTTPException
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Final
+
+import yaml
+
+from millfork_platform import standins
+from millfork_registry.records import Lease, LeaseState
+from millfork_routing.documents import Document
+from millfork_web.models import Request
+
+ROOT: Final = Path(__file__).parents[3]
+WIRE_PORT: Final = 7700
+CONTROL_PORT: Final = 8000
+CALLERS_PORT: Final = 8005
+READY_PORT: Final = 8002
+HEARTBEAT_S: Final = 0.3
+BOUND_S: Final = 20.0
+CALL_TIMEOUT_S: Final = 5.0
+
+
+@dataclass(slots=True)
+class Reply:
+    """
+    An answer as a caller sees it; status 0 where there is none.
+
+    """
+
+    status: int
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b''
+
+
+def call(host: str, port: int, request: Request) -> Reply:
+    """
+    Send one request on a connection of its own.
+
+    """
+    connection = HTTPConnection(host, port, timeout=CALL_TIMEOUT_S)
+    try:
+        connection.request(request.method, request.path, request.body, dict(request.headers))
+        response = connection.getresponse()
+        body = response.read()
+    except (OSError, HTTPException):
+        return Reply(0)
+    finally:
+        connection.close()
+    headers = {name.lower(): value for name, value in response.getheaders()}
+    return Reply(response.status, headers, body)
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = 'HTTP/1.1'
+    server: 'BackEnd'
+
+    def do_GET(self) -> None:
+        self._answer()
+
+    def do_POST(self) -> None:
+        self._answer()
+
+    def _answer(self) -> None:
+        self.rfile.read(int(self.headers.get('content-length', 0)))
+        self.server.executed.append({key.lower(): value for key, value in self.headers.items()})
+        if self.server.breaks_off:
+            self.close_connection = True
+            self.connection.shutdown(socket.SHUT_RDWR)
+            return
+        self.server.release.wait(BOUND_S)
+        body = b'answer'
+        self.send_response(200)
+        self.send_header(standins.REQUEST_ID, self.headers[standins.REQUEST_ID])
+        self.send_header(standins.SIGNATURE, self.server.instance)
+        self.send_header('content-length', str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, format: str, *arguments: object) -> None:
+        return None
+
+
+class BackEnd(ThreadingHTTPServer):
+    """
+    A plain service's server: it notes what it runs, and sends heartbeats to
+    whichever replica takes them.
+
+    """
+
+    daemon_threads = True
+
+    def __init__(self, host: str, service: str, instance: str, fleet: 'SeededFleet') -> None:
+        super().__init__((host, 0), _Handler)
+        self.service = service
+        self.instance = instance
+        self.fleet = fleet
+        self.state = LeaseState.READY
+        self.sequence = 0
+        self.executed: list[dict[str, str]] = []
+        self.breaks_off = False
+        self.release = threading.Event()
+        self.release.set()
+        self.ended = threading.Event()
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+        threading.Thread(target=self._beat, daemon=True).start()
+
+    def _lease(self) -> Lease:
+        host, port = str(self.server_address[0]), int(self.server_address[1])
+        self.sequence += 1
+        return Lease(self.instance, self.service, host, port, 'zone', 4, self.state, self.sequence)
+
+    def heartbeat(self) -> bool:
+        """
+        Send one heartbeat; True once a replica acknowledged it.
+
+        """
+        request = standins.heartbeat(self._lease())
+        return any(
+            call(host, CONTROL_PORT, request).status == 200 for host in self.fleet.replica_hosts
+        )
+
+    def _beat(self) -> None:
+        while not self.ended.wait(HEARTBEAT_S):
+            self.heartbeat()
+
+    def handle_error(self, request: object, client_address: object) -> None:
+        """
+        Entries reset what they gave up; that is no fault of the stand-in.
+
+        """
+
+    def drain(self) -> bool:
+        """
+        Say 'draining'; True once that is acknowledged.
+
+        """
+        self.state = LeaseState.DRAINING
+        return self.heartbeat()
+
+    def end(self) -> None:
+        self.ended.set()
+        self.release.set()
+        self.shutdown()
+        self.server_close()
+
+
+class SeededFleet:
+    """
+    Replicas and entries, by host.
+
+    """
+
+    def __init__(self, folder: Path, replicas: int = 3, entries: int = 1) -> None:
+        self.folder = folder
+        # Fleets of tests that run at the same time need addresses of their own.
+        network = f'127.{100 + os.getpid() % 100}'
+        self.replica_hosts = [f'{network}.1.{number}' for number in range(1, replicas + 1)]
+        self.entry_hosts = [f'{network}.2.{number}' for number in range(1, entries + 1)]
+        self.back_host = f'{network}.3.1'
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.back_ends: list[BackEnd] = []
+
+    def start(self) -> None:
+        for host in (*self.replica_hosts, *self.entry_hosts):
+            self.start_one(host, first_start=True)
+
+    def start_one(self, host: str, first_start: bool = False) -> None:
+        """
+        Start the process of one host with settings written anew.
+
+        """
+        path = self.folder / f'{host}.yaml'
+        path.write_text(yaml.safe_dump(self._settings(host, first_start)))
+        command = [sys.executable, str(ROOT / 'deploy' / 'millforkd.py'), f'--settings={path}']
+        with (self.folder / f'{host}.log').open('ab') as log:
+            self.processes[host] = subprocess.Popen(command, stdout=log, stderr=log)
+
+    def _settings(self, host: str, first_start: bool) -> dict[str, object]:
+        settings: dict[str, object] = {
+            'instance': f'{host}:{WIRE_PORT}',
+            'zone': 'zone',
+            'address': host,
+            'ports': {'wire': WIRE_PORT},
+            'seeds': [f'{replica}:{CONTROL_PORT}' for replica in self.replica_hosts[:3]],
+            'first_start': first_start,
+            'promises': {'heartbeat_ms': int(HEARTBEAT_S * 1000), 'grace_s': 8},
+        }
+        if host in self.replica_hosts:
+            settings['role'] = 'replica'
+            settings['listen'] = {'control': f'{host}:{CONTROL_PORT}'}
+            settings['data_folder'] = str(self.folder / host)
+            settings['state'] = {'heartbeat_ms': 100, 'election_ms': 500, 'losses': 1}
+            return settings
+        settings['role'] = 'entry'
+        settings['listen'] = {
+            'callers': f'{host}:{CALLERS_PORT}',
+            'ready': f'{host}:{READY_PORT}',
+        }
+        return settings
+
+    def log(self, host: str) -> str:
+        return (self.folder / f'{host}.log').read_text()
+
+    def signal(self, host: str, number: signal.Signals) -> None:
+        self.processes[host].send_signal(number)
+
+    def kill(self, host: str) -> None:
+        process = self.processes.pop(host)
+        process.kill()
+        process.wait()
+
+    def add_back_end(self, service: str, instance: str) -> BackEnd:
+        made = BackEnd(self.back_host, service, instance, self)
+        self.back_ends.append(made)
+        return made
+
+    def control(self, request: Request) -> Reply:
+        """
+        Send an operator's call to one replica after another until one takes
+        it, as operators do.
+
+        """
+        until = time.monotonic() + BOUND_S
+        reply = Reply(0)
+        while time.monotonic() < until:
+            for host in self.replica_hosts:
+                reply = call(host, CONTROL_PORT, request)
+                if 200 <= reply.status < 500:
+                    return reply
+            time.sleep(HEARTBEAT_S)
+        return reply
+
+    def put(self, document: Document) -> Reply:
+        return self.control(standins.put_document(document))
+
+    def ask(self, request: Request, entry: int = 0) -> Reply:
+        """
+        A caller's request to one entry.
+
+        """
+        return call(self.entry_hosts[entry], CALLERS_PORT, request)
+
+    def close(self) -> None:
+        for back_end in self.back_ends:
+            back_end.end()
+        for host in list(self.processes):
+            self.kill(host)
--- /dev/null
+++ b/tests/test_seeded_fleet.py
@@ -0,0 +1,174 @@
+"""
+A seeded fleet of real processes: replicas, an entry, back ends, an operator.
+
+"""
+
+import itertools
+import signal
+import threading
+
+import pytest
+
+from millfork_core.ids import OrganisationId, ServiceName
+from millfork_platform import standins
+from millfork_routing.documents import (
+    Document,
+    Organisation,
+    Route,
+    RouteKind,
+    Service,
+    Share,
+)
+from millfork_standins.seeded import READY_PORT, SeededFleet, call
+from millfork_web.models import Request
+from tests.utils.fleets import wait_until
+
+IDS = itertools.count(1)
+
+
+def route(prefix, kind=RouteKind.SAFE, service='plain'):
+    shares = (Share(ServiceName(service), 1),)
+    return Route(prefix, 'h.example', prefix, kind, 4000, 300, 1, shares, 2, False, False, 0)
+
+
+def document(version, *prefixes, keys=('key',), service='plain'):
+    kinds = {'/unsafe/': RouteKind.UNSAFE}
+    return Document(
+        version,
+        tuple(route(prefix, kinds.get(prefix, RouteKind.SAFE), service) for prefix in prefixes),
+        (Service(ServiceName('plain'), 64), Service(ServiceName('other'), 64)),
+        (Organisation(OrganisationId('org'), tuple(keys)),),
+    )
+
+
+def request(path, method='GET', key='key', body=b''):
+    headers = [
+        ('host', 'h.example'),
+        ('authorization', f'Bearer {key}'),
+        (standins.REQUEST_ID, f'request-{next(IDS)}'),
+        (standins.DEADLINE_MS, '4000'),
+    ]
+    return Request(method, path, headers, body)
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    made = SeededFleet(tmp_path)
+    try:
+        made.start()
+        made.back_end = made.add_back_end('plain', 'i-1')
+        assert made.put(document(1, '/safe/', '/unsafe/')).status == 200
+        wait_until(lambda: made.ask(request('/safe/x')).status == 200)
+        yield made
+    finally:
+        made.close()
+
+
+def leader(fleet):
+    """
+    The host of the replica that began to lead last.
+
+    """
+    terms = {}
+    for host in fleet.replica_hosts:
+        lines = [line for line in fleet.log(host).splitlines() if 'Leader of term' in line]
+        if lines and host in fleet.processes:
+            terms[int(lines[-1].rstrip('.').split()[-1])] = host
+    return terms[max(terms)]
+
+
+def test_a_request_reaches_its_back_end_and_the_answer_its_caller(fleet):
+    asked = request('/safe/y')
+    reply = fleet.ask(asked)
+    assert (reply.status, reply.body) == (200, b'answer')
+    assert reply.headers[standins.SIGNATURE] == 'i-1'
+    seen = fleet.back_end.executed[-1]
+    assert seen[standins.REQUEST_ID] == dict(asked.headers)[standins.REQUEST_ID]
+    assert seen[standins.EXECUTED_BY] == 'i-1'
+    assert seen[standins.ORGANISATION] == 'org'
+    assert 0 < int(seen[standins.DEADLINE_MS]) <= 4000
+    assert 'authorization' not in seen
+    assert fleet.ask(request('/safe/y', key='unknown')).status == 401
+    assert fleet.ask(request('/nowhere/')).status == 404
+
+
+def test_what_is_not_repeatable_runs_once_when_its_answer_is_lost(fleet):
+    fleet.add_back_end('plain', 'i-2')
+    for back_end in fleet.back_ends:
+        back_end.breaks_off = True
+        back_end.executed.clear()
+    reply = fleet.ask(request('/unsafe/x', 'POST', body=b'filing'))
+    assert reply.status == 502
+    assert sum(len(back_end.executed) for back_end in fleet.back_ends) == 1
+
+
+def test_a_safe_request_goes_to_another_back_end(fleet):
+    second = fleet.add_back_end('plain', 'i-2')
+    fleet.back_end.breaks_off = True
+    wait_until(lambda: second.executed or fleet.ask(request('/safe/x')).status == 0)
+    assert all(fleet.ask(request('/safe/x')).status == 200 for _ in range(10))
+
+
+def test_after_its_word_a_leaving_back_end_gets_nothing(fleet):
+    second = fleet.add_back_end('plain', 'i-2')
+    wait_until(lambda: fleet.ask(request('/safe/x')).status == 200 and second.executed)
+    assert second.drain()
+    wait_until(lambda: 'Lease draining. instance=i-2' in fleet.log(fleet.entry_hosts[0]))
+    before = len(second.executed)
+    assert all(fleet.ask(request('/safe/x')).status == 200 for _ in range(20))
+    assert len(second.executed) == before
+
+
+def test_configuration_outlives_the_leader_and_all_replicas(fleet):
+    fleet.kill(leader(fleet))
+    assert fleet.put(document(5, '/safe/', '/new/')).status == 200
+    wait_until(lambda: fleet.ask(request('/new/x')).status == 200)
+    for host in list(fleet.processes):
+        if host in fleet.replica_hosts:
+            fleet.kill(host)
+    for host in fleet.replica_hosts:
+        fleet.start_one(host)
+    reply = fleet.control(standins.read_document())
+    assert reply.status == 200
+    assert reply.body == standins.put_document(document(5, '/safe/', '/new/')).body
+    assert fleet.ask(request('/new/x')).status == 200
+
+
+def test_the_higher_version_prevails_and_a_bad_document_changes_nothing(fleet):
+    assert fleet.put(document(9, '/safe/', '/nine/')).status == 200
+    assert fleet.put(document(4, '/safe/')).status == 200
+    assert fleet.put(document(9, '/other/')).status == 200
+    assert fleet.put(document(12, '/safe/', service='unknown')).status == 422
+    reply = fleet.control(standins.read_document())
+    assert reply.body == standins.put_document(document(9, '/safe/', '/nine/')).body
+    wait_until(lambda: fleet.ask(request('/nine/x')).status == 200)
+
+
+def test_a_replica_that_lost_its_disk_is_taken_in_again(fleet):
+    lost = leader(fleet)
+    fleet.kill(lost)
+    for path in sorted((fleet.folder / lost).rglob('*'), reverse=True):
+        path.rmdir() if path.is_dir() else path.unlink()
+    fleet.start_one(lost)
+    rest = [host for host in fleet.replica_hosts if host != lost]
+    wait_until(lambda: any(fleet.log(host).count('Voters are now') >= 2 for host in rest))
+    fleet.kill(rest[0])
+    assert fleet.put(document(7, '/safe/', '/seven/')).status == 200
+
+
+def test_a_planned_stop_takes_the_entry_out_and_ends_what_runs(fleet):
+    host = fleet.entry_hosts[0]
+    ready = Request('GET', standins.READY_PATH)
+    assert call(host, READY_PORT, ready).status == 200
+    fleet.back_end.release.clear()
+    replies = []
+    asking = threading.Thread(target=lambda: replies.append(fleet.ask(request('/safe/slow'))))
+    begun = len(fleet.back_end.executed)
+    asking.start()
+    wait_until(lambda: len(fleet.back_end.executed) > begun)
+    fleet.signal(host, signal.SIGTERM)
+    wait_until(lambda: call(host, READY_PORT, ready).status != 200)
+    fleet.back_end.release.set()
+    asking.join(10)
+    assert replies[0].status == 200
+    assert fleet.processes[host].wait(10) == 0
