Decisions under load in a package of their own; late requests leave slots to others

Cause, on the new site: engines at their limit make 160 answers in 2 s, 90 of them late. A caller that came back after a refusal was admitted like a new one, though its aim, counted from its first try, was over; each such request held a slot for 1.4 s. Ruled out: a shorter part of the aim alone (tried before, no gain). Change: millfork-scheduling (prediction, placement, book, paths, admission, returning) has no sockets, tasks or clocks. A request is measured from its caller's first try; one that would be late goes only to an engine with under 0.75 of its slots taken. With it: an ended version is taken from its engine (beside/expiry.py), as entries can't call back what a slow link holds (a request began 1.1 s after it was sent, 0.26 s after the end); and replicas tell how long a version named lately may still be begun on, as an entry that started meanwhile sent to the new version only.

--- a/packages/millfork-registry/millfork_registry/following.py
+++ b/packages/millfork-registry/millfork_registry/following.py
@@ -62,6 +62,9 @@
         self.heard_at = 0.0
         self.age_ms = 0
         self.entries = 1
+        # Until when requests may begin on a version older than one that was named
+        # (monotonic seconds), by model and version.
+        self.switch_ends: dict[tuple[str, int], float] = {}
         self.asked_at = 0.0
         # Set whenever leases or configuration changed.
         self.changed = curio.Event()
@@ -207,6 +210,9 @@
             return
         self.heard_at = self.env.monotonic()
         self.age_ms = update.age_ms
+        for switch in update.switches:
+            named = (switch.model, switch.version)
+            self.switch_ends.setdefault(named, self.heard_at + switch.left_ms / 1000)
         if not self.view.take(update):
             return
         self.env.metrics.revision.set({}, self.view.revision)
--- /dev/null
+++ b/packages/millfork-scheduling/millfork_scheduling/admission.py
@@ -0,0 +1,52 @@
+"""
+Whether a request is worth sending to the engine that was chosen for it.
+
+It answers lasting load near and above what the engines carry. There each request that is
+served late holds a slot for as long as one in time would, and those that came back after
+a refusal are late already: sent alike, they fill the engines, and nobody is in time.
+
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+# Of the time left for the first token. The rest is for the way and for what a prediction
+# from reports 0.15 s to 0.3 s old can't know. On the model of engines at 1.2 times their
+# capacity, 0.67 of the first tokens are in time, 0.60 with 0.75 (four seeds).
+FIRST_SHARE: Final = 0.6
+# What would be late goes only to an engine with at most this share of its slots taken;
+# the rest is kept for those who can be in time. Model, 1.2 times the capacity: 0.67 in
+# time, 0.44 where they take any slot; more refused twice with 0.5 at 0.7 of the capacity.
+LATE_SHARE: Final = 0.75
+
+
+@dataclass(frozen=True, slots=True)
+class Prospect:
+    """
+    What is expected of a request at an engine: the time to its first token and the time
+    left in which one is wanted (ms; none left: below 0), the requests there and its slots.
+
+    """
+
+    expected_ms: float
+    left_ms: float
+    occupied: int
+    slots: int
+
+
+def overdue_ms(prospect: Prospect) -> float:
+    """
+    By how much the first token is expected too late, in ms; 0 or less: in time.
+
+    """
+    return prospect.expected_ms - max(prospect.left_ms, 0.0) * FIRST_SHARE
+
+
+def is_worth_sending(prospect: Prospect) -> bool:
+    """
+    Whether it would be in time, or takes a slot that nobody in time is likely to want.
+
+    """
+    if overdue_ms(prospect) <= 0:
+        return True
+    return prospect.occupied < prospect.slots * LATE_SHARE
--- a/packages/millfork-routing/millfork_routing/servers.py
+++ b/packages/millfork-scheduling/millfork_scheduling/book.py
@@ -1,102 +1,21 @@
 """
-The back ends that an entry reaches directly, and which one gets a request.
+The back ends that an entry reaches directly.
 
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from random import Random
 from typing import Final
 
 from millfork_core.ids import InstanceId, ServiceName, ZoneId
 from millfork_registry.records import EndpointState, Lease
-from millfork_routing.documents import EngineFigures
-from millfork_routing.paths import Path, pair_up
-from millfork_routing.server import REPORT_VALID_S, Lateness, Server
+from millfork_scheduling.paths import Path, pair_up
+from millfork_scheduling.placement import Choice, Outlook, Wanted, choose_engine, choose_plain
+from millfork_scheduling.server import REPORT_VALID_S, Lateness, Server
 
-# What a failure rate of 1 counts for, in full loads of a back end.
-FAILURE_COST: Final = 3.0
 # One first token's weight in the mean lateness: an entry sees some ten a second,
 # so the mean follows a change of load within a second.
 LATENESS_WEIGHT: Final = 0.1
-# What each token of a path costs whose parts lie in two zones, in ms: the way
-# there and back.
-HOP_MS: Final = 5.0
-# What another zone costs an engine's request, in ms: the way there and back. With 25
-# fewer bytes go between regions, but more answers are late under load.
-OTHER_ZONE_MS: Final = 10.0
-# What a failure rate of 1 costs an engine's request, in ms.
-FAILURE_MS: Final = 3000.0
-# Choices are spread over predictions that differ by less, in ms: the entries
-# would all take the same engine.
-SPREAD_MS: Final = 30.0
-# What another zone costs, in full loads: a nearer one is taken while it is
-# not fuller by this.
-OTHER_ZONE_COST: Final = 0.15
-UNKNOWN_SLOTS: Final = 8
-# What an engine of a version that ends soon costs a request that could not go on
-# elsewhere, in ms: about as much as admission lets one wait.
-ENDING_MS: Final = 300.0
-# A request is sent to a version that ends only where its first token is expected
-# this long before: a slow link (0.91 Mbit/s were seen) makes one 0.9 s late.
-SURELY_S: Final = 0.5
-
-
-@dataclass(frozen=True, slots=True)
-class Wanted:
-    """
-    What a request needs of a back end: a service; for an engine, its figures,
-    the oldest version that will do, and the newest that was named.
-
-    """
-
-    service: ServiceName
-    engine: EngineFigures | None = None
-    least_version: int = 0
-    newest_version: int = 0
-    prompt_tokens: int = 0
-    # Whether it can be sent to no other back end after this one.
-    last_send: bool = False
-    # For each version named lately, when nothing may begin on an older one
-    # (monotonic seconds).
-    endings: tuple[tuple[int, float], ...] = ()
-
-    def ends_at(self, version: int) -> float:
-        """
-        When the request may no longer begin on a version.
-
-        """
-        return min((at for newer, at in self.endings if newer > version), default=float('inf'))
-
-
-@dataclass(frozen=True, slots=True)
-class Choice:
-    """
-    The back end for a request (of a path: its first part), and the time to
-    its first token there, in ms (0 for one that is no engine): by the figures
-    alone, and as expected from how far the figures were off lately.
-
-    """
-
-    server: Server
-    by_figures_ms: float = 0.0
-    first_token_ms: float = 0.0
-    path: Path | None = None
-
-    @property
-    def servers(self) -> list[Server]:
-        """
-        All back ends that a request is sent through.
-
-        """
-        return [self.server] if self.path is None else self.path.servers
-
-    def version(self, layers: int) -> int | None:
-        """
-        The version of the weights on which the request would run.
-
-        """
-        return self.path.version if self.path is not None else self.server.newest_whole(layers)
 
 
 class ServerBook:
@@ -172,6 +91,7 @@
             if server is None or state.sequence <= server.report_sequence:
                 continue
             server.report_sequence = state.sequence
+            server.beside = InstanceId(state.instance)
             if not state.reachable:
                 continue
             server.changing = bool(state.changing_to)
@@ -203,9 +123,11 @@
         if not able:
             return None
         trusted = [server for server in able if server.suspect_until <= now] or able
+        late_ms = self._lateness_of(wanted.service).now_ms(now)
+        outlook = Outlook(now, self.zone, self.entries(), late_ms)
         if wanted.engine is None:
-            return Choice(min(trusted, key=lambda server: self._cost(server, now)))
-        return self._choose_engine(trusted, wanted, wanted.engine, paths, now)
+            return choose_plain(trusted, outlook, self.random)
+        return choose_engine(trusted, wanted, wanted.engine, paths, outlook, self.random)
 
     def note_first_token(self, server: Server, late_ms: float) -> None:
         """
@@ -220,43 +142,6 @@
     def _lateness_of(self, service: ServiceName) -> Lateness:
         return self.lateness.setdefault(service, Lateness(LATENESS_WEIGHT))
 
-    def _choose_engine(
-        self,
-        servers: list[Server],
-        wanted: Wanted,
-        engine: EngineFigures,
-        paths: list[Path],
-        now: float,
-    ) -> Choice | None:
-        entries = self.entries()
-        usual_ms = self._lateness_of(wanted.service).now_ms(now)
-        best: Choice | None = None
-        least = float('inf')
-        by_first = {path.first.instance: path for path in paths}
-        for server in servers:
-            path = by_first.get(server.instance)
-            if server.newest_whole(engine.layers) is None and (
-                path is None or path.second not in servers
-            ):
-                # The second part of a path, or a first whose second is out.
-                continue
-            expected = server.first_token_ms(engine, wanted.prompt_tokens, now, entries)
-            late_ms = max(usual_ms, server.lateness.now_ms(now))
-            cost = expected + late_ms + FAILURE_MS * server.failure_rate
-            cost += OTHER_ZONE_MS if server.zone != self.zone else 0.0
-            cost += self.random.random() * SPREAD_MS
-            version = path.version if path is not None else server.newest_whole(engine.layers)
-            if version is not None and version < wanted.newest_version:
-                if now + (expected + max(late_ms, 0)) / 1000 > wanted.ends_at(version) - SURELY_S:
-                    continue
-                cost += ENDING_MS if wanted.last_send else 0.0
-            if path is not None and path.crosses_zones:
-                cost += engine.usual_answer * HOP_MS
-            if cost < least:
-                least = cost
-                best = Choice(server, expected, max(expected + late_ms, 0.0), path)
-        return best
-
     def _able(self, server: Server, wanted: Wanted, paths: list[Path], now: float) -> bool:
         engine = wanted.engine
         if engine is None:
@@ -278,9 +163,3 @@
                 refused = [part.refused.get(path.version, now) for part in path.servers]
                 return path.version >= wanted.least_version and max(refused) <= now
         return False
-
-    def _cost(self, server: Server, now: float) -> float:
-        load = (server.occupied(now) + 1) / server.slots
-        away = OTHER_ZONE_COST if server.zone != self.zone else 0.0
-        spread = self.random.random() / (2 * server.slots)
-        return load + away + FAILURE_COST * server.failure_rate + spread
--- a/packages/millfork-routing/millfork_routing/paths.py
+++ b/packages/millfork-scheduling/millfork_scheduling/paths.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from millfork_routing.documents import EngineFigures
-from millfork_routing.server import Server
+from millfork_scheduling.server import Server
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/millfork-scheduling/millfork_scheduling/placement.py
@@ -0,0 +1,197 @@
+"""
+Which back end a request is sent to.
+
+It answers loads that are uneven between back ends, and entries that all see the same
+reports, 0.15 s to 0.3 s old: the least loaded engine would get the requests of all
+entries at once. So each adds what the others will have done alike, choices among nearly
+equal ones are spread, and a back end that fails or is late is left to others for a while.
+
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+from typing import Final
+
+from millfork_core.ids import ServiceName, ZoneId
+from millfork_routing.documents import EngineFigures
+from millfork_scheduling.paths import Path
+from millfork_scheduling.server import Server
+
+# What a failure rate of 1 counts for, in full loads of a back end.
+FAILURE_COST: Final = 3.0
+# What each token of a path costs whose parts lie in two zones, in ms: the way
+# there and back.
+HOP_MS: Final = 5.0
+# What another zone costs an engine's request, in ms: the way there and back. With 25
+# fewer bytes go between regions, but more answers are late under load.
+OTHER_ZONE_MS: Final = 10.0
+# What a failure rate of 1 costs an engine's request, in ms.
+FAILURE_MS: Final = 3000.0
+# Choices are spread over predictions that differ by less, in ms: the entries
+# would all take the same engine.
+SPREAD_MS: Final = 30.0
+# What another zone costs, in full loads: a nearer one is taken while it is
+# not fuller by this.
+OTHER_ZONE_COST: Final = 0.15
+# What an engine of a version that ends soon costs a request that could not go on
+# elsewhere, in ms: about as much as admission lets one wait.
+ENDING_MS: Final = 300.0
+# A request is sent to a version that ends only where its first token is expected
+# this long before: a slow link (0.91 Mbit/s were seen) makes one 0.9 s late.
+SURELY_S: Final = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """
+    What a request needs of a back end: a service; for an engine, its figures,
+    the oldest version that will do, and the newest that was named.
+
+    """
+
+    service: ServiceName
+    engine: EngineFigures | None = None
+    least_version: int = 0
+    newest_version: int = 0
+    prompt_tokens: int = 0
+    # Whether it can be sent to no other back end after this one.
+    last_send: bool = False
+    # For each version named lately, when nothing may begin on an older one
+    # (monotonic seconds).
+    endings: tuple[tuple[int, float], ...] = ()
+
+    def ends_at(self, version: int) -> float:
+        """
+        When the request may no longer begin on a version.
+
+        """
+        return min((at for newer, at in self.endings if newer > version), default=float('inf'))
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """
+    The back end for a request (of a path: its first part), and the time to
+    its first token there, in ms (0 for one that is no engine): by the figures
+    alone, and as expected from how far the figures were off lately.
+
+    """
+
+    server: Server
+    by_figures_ms: float = 0.0
+    first_token_ms: float = 0.0
+    path: Path | None = None
+
+    @property
+    def servers(self) -> list[Server]:
+        """
+        All back ends that a request is sent through.
+
+        """
+        return [self.server] if self.path is None else self.path.servers
+
+    def version(self, layers: int) -> int | None:
+        """
+        The version of the weights on which the request would run.
+
+        """
+        return self.path.version if self.path is not None else self.server.newest_whole(layers)
+
+
+@dataclass(frozen=True, slots=True)
+class Outlook:
+    """
+    What an entry knows at one moment: the time (monotonic seconds), its zone, how many
+    entries there are, and how late first tokens of the service came lately, in ms.
+
+    """
+
+    now: float
+    zone: ZoneId
+    entries: int = 1
+    usual_late_ms: float = 0.0
+
+
+def choose_plain(servers: Iterable[Server], outlook: Outlook, random: Random) -> Choice:
+    """
+    The back end of a plain service that is least loaded, near ones first.
+
+    """
+    return Choice(min(servers, key=lambda server: _plain_cost(server, outlook, random)))
+
+
+def _plain_cost(server: Server, outlook: Outlook, random: Random) -> float:
+    load = (server.occupied(outlook.now) + 1) / server.slots
+    away = OTHER_ZONE_COST if server.zone != outlook.zone else 0.0
+    spread = random.random() / (2 * server.slots)
+    return load + away + FAILURE_COST * server.failure_rate + spread
+
+
+def choose_engine(
+    servers: list[Server],
+    wanted: Wanted,
+    engine: EngineFigures,
+    paths: list[Path],
+    outlook: Outlook,
+    random: Random,
+) -> Choice | None:
+    """
+    The engine at which the first token is expected soonest, near ones first; None if
+    none would begin before its version ends.
+
+    """
+    best: Choice | None = None
+    least = float('inf')
+    by_first = {path.first.instance: path for path in paths}
+    for server in servers:
+        path = by_first.get(server.instance)
+        if server.newest_whole(engine.layers) is None and (
+            path is None or path.second not in servers
+        ):
+            # The second part of a path, or a first whose second is out.
+            continue
+        by_figures = server.first_token_ms(
+            engine, wanted.prompt_tokens, outlook.now, outlook.entries
+        )
+        expected = by_figures + max(outlook.usual_late_ms, server.lateness.now_ms(outlook.now))
+        found = Choice(server, by_figures, max(expected, 0.0), path)
+        if _ends_before(found, expected, wanted, engine, outlook.now):
+            continue
+        cost = expected + _extra_cost(found, wanted, engine, outlook.zone)
+        cost += random.random() * SPREAD_MS
+        if cost < least:
+            least = cost
+            best = found
+    return best
+
+
+def _ends_before(
+    choice: Choice, expected_ms: float, wanted: Wanted, engine: EngineFigures, now: float
+) -> bool:
+    """
+    Whether the version there may end before the request surely begins.
+
+    """
+    version = choice.version(engine.layers)
+    if version is None or version >= wanted.newest_version:
+        return False
+    latest_ms = max(expected_ms, choice.by_figures_ms)
+    return now + latest_ms / 1000 > wanted.ends_at(version) - SURELY_S
+
+
+def _extra_cost(choice: Choice, wanted: Wanted, engine: EngineFigures, zone: ZoneId) -> float:
+    """
+    What speaks against an engine besides its first token, in ms.
+
+    """
+    server = choice.server
+    cost = FAILURE_MS * server.failure_rate
+    if server.zone != zone:
+        cost += OTHER_ZONE_MS
+    version = choice.version(engine.layers)
+    if version is not None and version < wanted.newest_version and wanted.last_send:
+        cost += ENDING_MS
+    if choice.path is not None and choice.path.crosses_zones:
+        cost += engine.usual_answer * HOP_MS
+    return cost
--- /dev/null
+++ b/packages/millfork-scheduling/millfork_scheduling/returning.py
@@ -0,0 +1,56 @@
+"""
+When a caller that is turned away is told to come back.
+
+It answers callers that all return at once, at the moment at which what turned them away
+is not over yet: they are spread, and sent away for as long as a place takes to come free.
+Callers heed a third of the time they have left, 2 s of the usual 6 s.
+
+"""
+
+from random import Random
+from typing import Final
+
+from millfork_core.verdicts import Reason
+
+# A place comes free in about a tenth of a second; spread over more than that.
+LEAST_WAIT_MS: Final = 150
+MOST_WAIT_MS: Final = 600
+SPREAD_WAIT_MS: Final = 250
+# Where nothing can serve a request at the moment: engines change their weights within
+# two seconds, servers are replaced within some.
+NOTHING_SERVES_MS: Final = 1500
+NOTHING_SERVES_SPREAD_MS: Final = 400
+# After other refusals, by reason: short, as a place comes free in a fraction of a second.
+AFTER_REFUSAL_MS: Final[dict[Reason, int]] = {
+    Reason.NOT_READY: 500,
+    Reason.UNREACHABLE: 300,
+    Reason.BUSY: 300,
+    Reason.RETRY_BUDGET: 500,
+    Reason.EXPIRED: 0,
+}
+USUAL_WAIT_MS: Final = 300
+
+
+def after_full_engines(overdue_ms: float, random: Random) -> int:
+    """
+    Milliseconds until a caller may come back whose first token would have been this late.
+
+    """
+    late_ms = min(max(overdue_ms, 0.0), MOST_WAIT_MS)
+    return int(LEAST_WAIT_MS + late_ms + random.random() * SPREAD_WAIT_MS)
+
+
+def while_nothing_serves(random: Random) -> int:
+    """
+    Milliseconds until a caller may come back where no back end can serve it.
+
+    """
+    return NOTHING_SERVES_MS + int(random.random() * NOTHING_SERVES_SPREAD_MS)
+
+
+def after_refusal(reason: Reason) -> int:
+    """
+    Milliseconds until a caller may come back after another refusal.
+
+    """
+    return AFTER_REFUSAL_MS.get(reason, USUAL_WAIT_MS)
--- a/packages/millfork-standins/millfork_standins/bench/routing.py
+++ b/packages/millfork-standins/millfork_standins/bench/routing.py
@@ -20,7 +20,9 @@
 from millfork_core.ids import InstanceId, ServiceName, ZoneId
 from millfork_registry.records import EndpointState, Lease, LeaseState, ServedVersion
 from millfork_routing.documents import EngineFigures, Route, RouteKind, Share
-from millfork_routing.servers import Choice, ServerBook, Wanted
+from millfork_scheduling.book import ServerBook
+from millfork_scheduling.placement import Choice, Wanted
+from millfork_scheduling.prediction import read_ms
 from millfork_standins.bench.engine_model import Agenda, EngineModel, Generation
 from millfork_standins.bench.rows import Sheet
 from millfork_state.view import View
@@ -44,10 +46,7 @@
 PROMPT: Final = (930, 0.83, 3900)
 ANSWER: Final = (100, 0.7, 250)
 TARGET_MS: Final = 440
-# What an engine carries, in requests for each slot and second: a request of mean size
-# writes for 1.2 s beside others whose prompts are read.
-REQUESTS_OF_A_SLOT: Final = 0.8
-FACTORS: Final = (0.5, 0.9, 1.5)
+FACTORS: Final = (0.5, 0.9, 1.2, 1.5)
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,10 +64,16 @@
     @property
     def capacity(self) -> float:
         """
-        Requests a second that the engines carry.
+        Requests of mean size a second that the engines carry with all slots taken: one
+        writes in so many passes, between which the prompts of the others are read.
 
         """
-        return self.engines * self.slots * REQUESTS_OF_A_SLOT
+        figures = _figures(self.slots)
+        passes = ANSWER[0] / figures.steps_per_event
+        step_ms = figures.step_ms + figures.per_sequence_ms * self.slots
+        writing_ms = passes * figures.steps_per_event * step_ms
+        reading_ms = self.slots * read_ms(figures, PROMPT[0])
+        return self.engines * self.slots * 1000 / (writing_ms + reading_ms)
 
 
 SHAPES: Final = (FleetShape('small', 6, 16, 7), FleetShape('grown', 24, 12, 40))
@@ -230,7 +235,8 @@
         caller = CallerRequest('id', 'host', '/')
         now = self.agenda.now
         route = self.route
-        return Job(exchange, caller, route, None, wanted, 1, now, now + 6, 1, asked.returning)
+        elapsed_ms = int((now - asked.at) * 1000)
+        return Job(exchange, caller, route, None, wanted, 1, now, now + 6, 1, elapsed_ms)
 
     def _start(self, asked: Asked, book: ServerBook, choice: Choice) -> None:
         attempt = Attempt(choice, self.agenda.now)
--- a/packages/millfork-wire/millfork_wire/messages.py
+++ b/packages/millfork-wire/millfork_wire/messages.py
@@ -164,6 +164,19 @@
     revision: int = 0
 
 
+@dataclass(slots=True)
+class VersionSwitch(Message):
+    """
+    A version of a model's weights that was named lately, and for how long requests may
+    still begin on an older one.
+
+    """
+
+    model: str = ''
+    version: int = 0
+    left_ms: int = 0
+
+
 @dataclass(slots=True)
 class Update(Message):
     cluster: str = ''
@@ -173,6 +186,7 @@
     items: list[Item] = field(default_factory=list)
     removed: list[str] = field(default_factory=list)
     age_ms: int = 0
+    switches: list[VersionSwitch] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -79,9 +79,11 @@
 
 struct Item { key @0 :Text; value @1 :Data; revision @2 :UInt64; }
 struct Subscribe { cluster @0 :Text; revision @1 :UInt64; }
+struct VersionSwitch { model @0 :Text; version @1 :UInt64; leftMs @2 :UInt32; }
 struct Update {
   cluster @0 :Text; fromRevision @1 :UInt64; revision @2 :UInt64; full @3 :Bool;
   items @4 :List(Item); removed @5 :List(Text); ageMs @6 :UInt32;
+  switches @7 :List(VersionSwitch);
 }
 struct AskRevision {}
 struct RevisionIs { cluster @0 :Text; revision @1 :UInt64; }
--- a/packages/millforkd/millforkd/beside/daemon.py
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -24,6 +24,7 @@
 from millfork_wire.messages import Chunk, Done, EndpointReport, Manifest, Message
 from millforkd.admin import Admin
 from millforkd.beside.engine import LocalEngine
+from millforkd.beside.expiry import Expiry
 from millforkd.beside.fleet import Fleet
 from millforkd.beside.gathering import Gathering
 from millforkd.beside.layout import serves_whole
@@ -88,7 +89,7 @@
         )
         self.targets = Targets(
             env,
-            Versions(env, self.view, settings.promises.version_ms),
+            Versions(env, self.view, settings.promises.version_ms, self.following.switch_ends),
             self.store,
             self._served_version,
             self.link.rate,
@@ -102,6 +103,7 @@
             self._target,
             self._report,
         )
+        self.expiry = Expiry(env, self.engine, self.store, self.rollout)
         self.admin = Admin(env, settings, lambda: bool(self.view.cluster))
         self.document: Document | None = None
         self.document_revision = 0
@@ -121,6 +123,7 @@
         await self.env.keep(self.following.run)
         await self.env.keep(self._keep_reporting)
         await self.env.keep(self.rollout.keep)
+        await self.env.keep(self.expiry.keep)
 
     async def reload(self, settings: SeededSettings) -> None:
         """
--- a/packages/millforkd/millforkd/beside/rollout.py
+++ b/packages/millforkd/millforkd/beside/rollout.py
@@ -34,6 +34,10 @@
 # Once the old version has ended, the engines that change are missed more than what
 # is left on them.
 LATE_DRAIN_S: Final = 0.3
+# An engine holds an old version no longer than until so long before requests may not
+# begin on it any more: the order takes two polls and a few calls on the same instance,
+# and this daemon may have learned of the version 0.2 s after the entries.
+EMPTIED_BEFORE_S: Final = 0.35
 POLL_S: Final = 0.1
 # The engines change in this many turns: fewer would take half of the capacity
 # away at once, more do not fit into the time that is left once the pieces are here.
@@ -71,6 +75,8 @@
         self.announce = announce
         self.report: EngineReport | None = None
         self.changing_to = 0
+        # Held while pieces are laid for an order and the order is given.
+        self.ordering = curio.Lock()
         # The place is kept once chosen, as others move on meanwhile.
         self.place: tuple[WeightsId, Place] | None = None
 
@@ -101,7 +107,7 @@
     def _is_done(self, target: Target) -> bool:
         return self._part(target) == Layers(0, target.layers)
 
-    def _serves_another(self, target: Target) -> bool:
+    def serves_another(self, target: Target) -> bool:
         """
         Whether the engine has work on another version.
 
@@ -155,7 +161,7 @@
 
         """
         begun = held.whole or self._part(target) is not None
-        if begun or (self._serves_another(target) and self.gathering.near_caches()):
+        if begun or (self.serves_another(target) and self.gathering.near_caches()):
             return Layers(0, target.layers)
         return self._own_place(target).layers
 
@@ -216,7 +222,7 @@
 
         """
         turn = self.fleet.own_turn(target.weights, TURNS)
-        while self._serves_another(target) and self.env.monotonic() < target.due:
+        while self.serves_another(target) and self.env.monotonic() < target.due:
             if self._changed(target) * TURNS >= turn * len(self.fleet.members()):
                 break
             await curio.sleep(POLL_S)
@@ -240,7 +246,8 @@
 
         """
         now = self.env.monotonic()
-        until = now + (LATE_DRAIN_S if now > target.due + LAST_SENT_S else DRAIN_S)
+        ends = target.due + LAST_SENT_S
+        until = max(now + LATE_DRAIN_S, min(now + DRAIN_S, ends - EMPTIED_BEFORE_S))
         while self.env.monotonic() < until:
             report = await self.engine.report()
             if report is not None and not report.running and not report.queued:
@@ -254,7 +261,7 @@
 
         """
         weights = target.weights
-        replaces = self._serves_another(target)
+        replaces = self.serves_another(target)
         if self._part(target) is None:
             self.changing_to = weights.version
             await self._tell()
@@ -263,14 +270,7 @@
             if replaces:
                 await curio.sleep(TELL_S)
                 draining = await self.env.spawn(self._drained, target)
-            for index in layers.pieces(target.layers, target.pieces):
-                if not await self.engine.stage(weights.model, index, held.pieces[index]):
-                    return
-            if draining is not None:
-                await draining.join()
-            if await self.engine.start(
-                weights.model, weights.version, layers.first, layers.end, replaces
-            ):
+            if await self._ordered(target, held, layers, replaces, draining):
                 await self._until_served(target, layers)
         finally:
             if draining is not None:
@@ -278,6 +278,30 @@
             self.changing_to = 0
             await self._tell()
 
+    async def _ordered(
+        self,
+        target: Target,
+        held: PieceSet,
+        layers: Layers,
+        replaces: bool,
+        draining: curio.Task | None,
+    ) -> bool:
+        """
+        Lay the pieces, wait until what runs has ended, give the order; False if the
+        engine did not take it.
+
+        """
+        weights = target.weights
+        async with self.ordering:
+            for index in layers.pieces(target.layers, target.pieces):
+                if not await self.engine.stage(weights.model, index, held.pieces[index]):
+                    return False
+            if draining is not None:
+                await draining.join()
+            return await self.engine.start(
+                weights.model, weights.version, layers.first, layers.end, replaces
+            )
+
     async def _tell(self) -> None:
         """
         Announce this daemon's state; a replica that does not answer (it may have
--- a/packages/millforkd/millforkd/proxy/admission.py
+++ b/packages/millforkd/millforkd/proxy/admission.py
@@ -11,7 +11,9 @@
 from millfork_core.verdicts import Reason, Refusal, Refused
 from millfork_routing.documents import Organisation, Route
 from millfork_routing.routes import RouteTable, pick_service, priority_of
-from millfork_routing.servers import Choice, Wanted
+from millfork_scheduling.admission import Prospect, is_worth_sending, overdue_ms
+from millfork_scheduling.placement import Choice, Wanted
+from millfork_scheduling.returning import after_full_engines
 from millfork_web.server import Exchange
 from millforkd.proxy.job import Job
 from millforkd.versions import Versions
@@ -21,16 +23,6 @@
 # A caller's deadline differs by a few ms from the next one's; one that waited
 # for a place has lost more.
 RETURNING_MS: Final = 120
-# Of the aim for the first token; the rest is for the way and what the prediction can't
-# know. For a caller that comes back too: with less, more are refused twice than others
-# come in time; with more, a long queue makes everyone late.
-FIRST_SHARE: Final = 0.75
-HALF: Final = 0.5
-# When a refused caller may come back, in ms: a place comes free in about a
-# tenth of a second; spread, so that they do not come back at once.
-LEAST_WAIT_MS: Final = 150
-MOST_WAIT_MS: Final = 600
-SPREAD_WAIT_MS: Final = 250
 
 
 class Admission:
@@ -78,7 +70,7 @@
             began,
             began + limit_ms / 1000,
             table.version,
-            self._is_returning(route, caller),
+            self._elapsed_ms(route, caller),
         )
 
     def as_of_now(self, wanted: Wanted, last_send: bool) -> Wanted:
@@ -98,36 +90,35 @@
             endings=self.versions.endings(model),
         )
 
-    def _is_returning(self, route: Route, caller: CallerRequest) -> bool:
+    def _elapsed_ms(self, route: Route, caller: CallerRequest) -> int:
         """
-        Whether clearly less time is left to the caller than others of the
-        route begin with: it was refused before.
+        The time since the caller's first try, in ms: clearly less is left to one that
+        was refused before than others of the route begin with.
 
         """
         deadline_ms = caller.deadline_ms
         if deadline_ms is None:
-            return False
+            return 0
         usual = max(self.deadlines.get(route.name, 0), deadline_ms)
         self.deadlines[route.name] = usual
-        return usual - deadline_ms > RETURNING_MS
+        elapsed = usual - deadline_ms
+        return elapsed if elapsed > RETURNING_MS else 0
 
     def wait_ms(self, job: Job, choice: Choice) -> int:
         """
         0 if a request is worth sending; else when its caller may come back.
 
-        It is refused where its first token would be late: it may be in time when
-        it comes back.
-
         """
-        expected = choice.first_token_ms
-        job.expected_ms = expected
-        if job.wanted.engine is None or self._is_half_empty(choice):
+        job.expected_ms = choice.first_token_ms
+        if job.wanted.engine is None:
             return 0
-        limit = job.route.target_ms * FIRST_SHARE
-        if expected <= limit:
+        now = self.env.monotonic()
+        server = choice.server
+        left_ms = job.route.target_ms - job.elapsed_ms - (now - job.began) * 1000
+        prospect = Prospect(choice.first_token_ms, left_ms, server.occupied(now), server.slots)
+        if is_worth_sending(prospect):
             return 0
-        late = min(expected - limit, MOST_WAIT_MS)
-        return int(LEAST_WAIT_MS + late + self.env.random.random() * SPREAD_WAIT_MS)
+        return after_full_engines(overdue_ms(prospect), self.env.random)
 
     def _organisation(
         self, table: RouteTable, route: Route, caller: CallerRequest
@@ -138,11 +129,3 @@
         if holder is None and not route.public:
             raise Refused(Refusal(Reason.UNAUTHENTICATED, detail='unknown key'))
         return holder
-
-    def _is_half_empty(self, choice: Choice) -> bool:
-        """
-        Whether the back end has so many places that a wait is none of load.
-
-        """
-        server = choice.server
-        return server.occupied(self.env.monotonic()) < server.slots * HALF
--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -15,7 +15,7 @@
 from millfork_core.logs import Part, logger
 from millfork_core.sockets import connect, is_quiet
 from millfork_core.verdicts import Reason, Verdict
-from millfork_routing.server import Server
+from millfork_scheduling.server import Server
 from millfork_web.models import Headers
 
 READ_BYTES: Final = 64 * 1024
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -16,7 +16,7 @@
 from millfork_routing.budget import SharedBudget
 from millfork_routing.documents import Document
 from millfork_routing.routes import RouteTable
-from millfork_routing.servers import ServerBook
+from millfork_scheduling.book import ServerBook
 from millfork_settings.seeded import SeededSettings, socket_pair
 from millfork_web.models import Response
 from millfork_web.problem import problem
@@ -62,7 +62,7 @@
         self.view = feed.view
         self.registry = feed.registry
         self.following = feed.following
-        self.versions = Versions(env, self.view, promises.version_ms)
+        self.versions = Versions(env, self.view, promises.version_ms, self.following.switch_ends)
         self.admission = Admission(env, self.versions)
         self.book = ServerBook(env.zone, env.random, env.monotonic, lambda: self.following.entries)
         self.pools = Pools(env)
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -15,7 +15,9 @@
 from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
 from millfork_routing.budget import SharedBudget
 from millfork_routing.documents import EngineFigures, RouteKind
-from millfork_routing.servers import Choice, ServerBook
+from millfork_scheduling.book import ServerBook
+from millfork_scheduling.placement import Choice
+from millfork_scheduling.returning import after_refusal, while_nothing_serves
 from millfork_web.server import CallerGone, Exchange
 from millforkd.proxy.admission import Admission
 from millforkd.proxy.connections import Pools, SendFailed, ServerConnection
@@ -25,20 +27,6 @@
 
 # Of the deadline, so that the last word reaches the caller before it leaves.
 LAST_WORD_S: Final = 0.03
-# When to come back after a refusal, by reason, in ms. Short, as callers have
-# seconds and a place comes free in a fraction of one.
-RETRY_AFTER_MS: Final[dict[Reason, int]] = {
-    Reason.NOT_READY: 500,
-    Reason.UNREACHABLE: 300,
-    Reason.BUSY: 300,
-    Reason.RETRY_BUDGET: 500,
-    Reason.EXPIRED: 0,
-}
-# When to come back where nothing can serve a request at the moment: engines change
-# their weights within two seconds, servers are replaced within some. Callers have
-# one more try, and heed up to a third of their 6 s.
-NOTHING_SERVES_MS: Final = 1500
-NOTHING_SERVES_SPREAD_MS: Final = 400
 # A version that a server refused is not asked of it again this long; its
 # next report says more.
 REFUSED_VERSION_S: Final = 0.5
@@ -205,7 +193,7 @@
     def _no_server(self, job: Job) -> Refusal:
         if job.failures:
             return self._final(job, job.failures[-1].reason)
-        wait_ms = NOTHING_SERVES_MS + int(self.env.random.random() * NOTHING_SERVES_SPREAD_MS)
+        wait_ms = while_nothing_serves(self.env.random)
         return Refusal(Reason.NO_ENDPOINT, Verdict.NOT_RUN, 'no server', wait_ms)
 
     def _final(self, job: Job, reason: Reason) -> Refusal:
@@ -216,7 +204,7 @@
         detail = '; '.join(failed.detail for failed in job.failures)
         if job.may_have_run:
             return Refusal(reason, Verdict.MAY_HAVE_RUN, detail)
-        return Refusal(reason, Verdict.NOT_RUN, detail, RETRY_AFTER_MS.get(reason, 300))
+        return Refusal(reason, Verdict.NOT_RUN, detail, after_refusal(reason))
 
     # One back end.
 
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -10,8 +10,8 @@
 from millfork_core.ids import InstanceId
 from millfork_core.verdicts import Reason, Verdict
 from millfork_routing.documents import Organisation, Route
-from millfork_routing.server import Server
-from millfork_routing.servers import Choice, Wanted
+from millfork_scheduling.placement import Choice, Wanted
+from millfork_scheduling.server import Server
 from millfork_web.server import Exchange
 
 # The rank at an engine of a request whose route has the usual rank.
@@ -94,9 +94,8 @@
     began: float
     deadline: float
     document_version: int
-    # Whether the caller was here before: less time is left to it than callers
-    # of the route begin with.
-    returning: bool = False
+    # The time since the caller's first try, in ms, by what is left to it; 0: this is it.
+    elapsed_ms: int = 0
     expected_ms: float = 0.0
     tried: list[InstanceId] = field(default_factory=list)
     failures: list[Failed] = field(default_factory=list)
@@ -120,6 +119,14 @@
             return None
         return min(max(USUAL_URGENCY + self.priority - USUAL_PRIORITY, 0), LEAST_URGENCY)
 
+    @property
+    def returning(self) -> bool:
+        """
+        Whether the caller was here before.
+
+        """
+        return self.elapsed_ms > 0
+
     @property
     def may_have_run(self) -> bool:
         return any(failed.verdict is not Verdict.NOT_RUN for failed in self.failures)
--- a/packages/millforkd/millforkd/proxy/relaying.py
+++ b/packages/millforkd/millforkd/proxy/relaying.py
@@ -10,7 +10,7 @@
 from millfork_adapter.adapter import Adapter
 from millfork_core.environment import Environment
 from millfork_core.verdicts import Reason, Verdict
-from millfork_routing.servers import ServerBook
+from millfork_scheduling.book import ServerBook
 from millfork_web.models import Response, without
 from millforkd.proxy.connections import SendFailed, ServerConnection
 from millforkd.proxy.events import EventSplitter, NotEvents
--- a/packages/millforkd/millforkd/replica/daemon.py
+++ b/packages/millforkd/millforkd/replica/daemon.py
@@ -28,11 +28,12 @@
 from millfork_web.server import Server
 from millfork_wire import messages
 from millfork_wire.connection import Connection
-from millfork_wire.messages import Done, Message
+from millfork_wire.messages import Done, Message, VersionSwitch
 from millforkd.admin import Admin
 from millforkd.replica.control import Control
 from millforkd.replica.mesh import Mesh
 from millforkd.seeded import peers_for
+from millforkd.versions import Versions
 
 STATE_FOLDER: Final = 'state'
 # A leader gives way before it stops, so that the others need not wait for
@@ -75,7 +76,8 @@
             self.replica.learn_address(address)
         self.answers = StateAnswers(self.node)
         self.registry = Registry(env, heartbeat_s)
-        self.followers = Followers(env, self.replica, self.registry)
+        self.versions = Versions(env, self.replica.view, settings.promises.version_ms)
+        self.followers = Followers(env, self.replica, self.registry, self._switches)
         self.mesh = Mesh(
             env,
             self.peers,
@@ -102,6 +104,12 @@
         )
         self.admin = Admin(env, settings, self.is_ready)
 
+    def _switches(self) -> list[VersionSwitch]:
+        if not self.replica.cluster:
+            return []
+        self.versions.refresh()
+        return self.versions.switches()
+
     @property
     def in_progress(self) -> int:
         return self.server.active
--- a/packages/millforkd/millforkd/versions.py
+++ b/packages/millforkd/millforkd/versions.py
@@ -6,7 +6,9 @@
 
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Final
 
 from millfork_core.environment import Environment
@@ -14,11 +16,13 @@
 from millfork_state.commands import decode_versioned
 from millfork_state.keys import VERSION_PREFIX
 from millfork_state.view import View
+from millfork_wire.messages import VersionSwitch
 from millforkd.switching import LAST_SENT_S
 
 # A request that has not begun on the old version is taken back this long
 # before it no longer may.
 CUT_S: Final = 0.15
+NOT_TOLD: Final[Mapping[tuple[str, int], float]] = MappingProxyType({})
 
 log = logger(Part.PROXY)
 
@@ -38,10 +42,18 @@
 
     """
 
-    def __init__(self, env: Environment, view: View, switch_ms: int) -> None:
+    def __init__(
+        self,
+        env: Environment,
+        view: View,
+        switch_ms: int,
+        switch_ends: Mapping[tuple[str, int], float] = NOT_TOLD,
+    ) -> None:
         self.env = env
         self.view = view
         self.switch_s = switch_ms / 1000
+        # What the replica said of versions that were named before this process knew.
+        self.switch_ends = switch_ends
         self.named: dict[str, list[_Named]] = {}
         self.first = True
 
@@ -57,13 +69,37 @@
             named = self.named.setdefault(model, [])
             if named and named[-1].version >= version:
                 continue
-            # What stood at this process's start may have been named long ago.
-            wait = 0.0 if self.first else self.switch_s - LAST_SENT_S
-            ends = now if self.first else now + self.switch_s - CUT_S
-            named.append(_Named(version, now + wait, ends))
-            log.info('Version named. model={} version={} due_s={:.1f}', model, version, wait)
+            ends = self._switch_end(model, version, now)
+            due = max(ends - LAST_SENT_S, now)
+            named.append(_Named(version, due, ends - CUT_S))
+            log.info('Version named. model={} version={} due_s={:.1f}', model, version, due - now)
         self.first = False
 
+    def _switch_end(self, model: str, version: int, now: float) -> float:
+        """
+        When requests may no longer begin on what came before a version. What stood at
+        this process's start, and of which the replica says nothing, was named long ago.
+
+        """
+        ends = now if self.first else now + self.switch_s
+        told = self.switch_ends.get((model, version))
+        if told is None:
+            return ends
+        return told if self.first else min(told, ends)
+
+    def switches(self) -> list[VersionSwitch]:
+        """
+        The versions named lately, for processes that hear of them later.
+
+        """
+        now = self.env.monotonic()
+        return [
+            VersionSwitch(model, item.version, int((item.ends + CUT_S - now) * 1000))
+            for model, named in self.named.items()
+            for item in named
+            if item.ends + CUT_S > now
+        ]
+
     def least(self, model: str) -> int:
         """
         The oldest version on which a request may begin now.
--- a/tests/fail_first.py
+++ b/tests/fail_first.py
@@ -48,6 +48,7 @@
 S = 'packages/millfork-state/millfork_state/'
 W = 'packages/millfork-weights/millfork_weights/'
 R = 'packages/millfork-routing/millfork_routing/'
+C = 'packages/millfork-scheduling/millfork_scheduling/'
 
 
 def scenario(name: str) -> str:
@@ -301,7 +302,7 @@
         'a slow engine gets nothing that its version would outlive',
         'tests/test_servers.py::'
         'test_a_slow_back_end_gets_nothing_that_would_begin_after_its_version_ends',
-        (Edit(R + 'servers.py', 'wanted.ends_at(version) - SURELY_S', "float('inf')"),),
+        (Edit(C + 'placement.py', 'wanted.ends_at(version) - SURELY_S', "float('inf')"),),
     ),
     Mutation(
         'the origin is drawn once for all zones',
@@ -347,6 +348,17 @@
             ),
         ),
     ),
+    Mutation(
+        'late requests leave slots to those who can be in time',
+        'tests/test_routing_model.py::test_under_lasting_load_slots_go_to_those_who_can_be_in_time',
+        (Edit(C + 'admission.py', 'LATE_SHARE: Final = 0.75', 'LATE_SHARE: Final = 10.0'),),
+    ),
+    Mutation(
+        'an ended version is taken from its engine',
+        'tests/test_rollouts.py::'
+        'test_a_version_that_ends_before_the_next_is_here_is_taken_from_the_engine',
+        (Edit(D + 'beside/expiry.py', 'and self._has_ended(target):', 'and False:'),),
+    ),
     Mutation(
         'engines change in turns',
         'tests/test_rollouts.py::test_an_engine_changes_once_those_of_the_turns_before_have',
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -10,8 +10,8 @@
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ServiceName, ZoneId
 from millfork_core.verdicts import Reason, Verdict
-from millfork_routing.server import Server
-from millfork_routing.servers import Choice
+from millfork_scheduling.placement import Choice
+from millfork_scheduling.server import Server
 from millforkd.proxy.connections import SendFailed
 from millforkd.proxy.forwarding import OVERTAKEN_S, SILENT_SERVER_S, Forwarding
 from millforkd.proxy.job import Attempt
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -13,10 +13,12 @@
 from millfork_core.ids import InstanceId, ZoneId
 from millfork_core.ranks import rank
 from millfork_registry.records import EndpointState, ServedVersion
+from millforkd.beside.expiry import Expiry
 from millforkd.beside.fleet import Fleet
 from millforkd.beside.pieces import PieceStore, WeightsId
 from millforkd.beside.rollout import DRAIN_S, LATE_DRAIN_S, TURNS, Rollout
 from millforkd.beside.target import Target
+from millforkd.switching import LAST_SENT_S
 
 LAYERS, PIECES = 4, 8
 DUE_S = 1.2
@@ -220,6 +222,51 @@
     curio.run(run)
 
 
+class StalledGathering(StandInGathering):
+    """
+    Brings so many pieces, then no more.
+
+    """
+
+    def __init__(self, count):
+        super().__init__()
+        self.count = count
+
+    async def gather(self, held, wanted):
+        held.pieces.update(dict.fromkeys(range(self.count), b'piece'))
+        await curio.sleep(30)
+
+
+def test_a_version_that_ends_before_the_next_is_here_is_taken_from_the_engine():
+    async def run():
+        engines = Engines(0, StandInEngine(running=3), StalledGathering(3))
+        rollout = engines.rollout
+        expiry = Expiry(engines.env, engines.engine, rollout.store, rollout)
+        task = await engines.run()
+        watching = await curio.spawn(expiry.keep, daemon=True)
+        await engines.until(lambda: engines.engine.orders)
+        ends = engines.target.due + LAST_SENT_S
+        assert engines.target.due < engines.env.monotonic() < ends
+        assert engines.engine.orders == [(2, 0, 1, False, 3)]
+        assert engines.engine.laid == [0, 1]
+        await task.cancel()
+        await watching.cancel()
+
+    curio.run(run)
+
+
+def test_a_version_that_has_not_ended_stays():
+    async def run():
+        engines = Engines(0, StandInEngine(), StalledGathering(3))
+        engines.target = replace(engines.target, due=float('inf'))
+        rollout = engines.rollout
+        expiry = Expiry(engines.env, engines.engine, rollout.store, rollout)
+        rollout.report = await engines.engine.report()
+        assert not expiry._has_ended(engines.target)
+
+    curio.run(run)
+
+
 def test_turns_take_equal_parts_of_the_engines():
     counts = [0] * TURNS
     for position in range(len(NAMES)):
--- a/tests/test_routing_model.py
+++ b/tests/test_routing_model.py
@@ -3,9 +3,11 @@
 
 """
 
+from collections import Counter
+
 import pytest
 
-from millfork_routing.servers import ServerBook
+from millfork_scheduling.book import ServerBook
 from millfork_standins.bench.engine_model import Agenda, EngineModel, Generation
 from millfork_standins.bench.routing import FleetShape, RandomBook, RoundRobinBook, RoutingModel
 from tests.test_servers import ENGINE
@@ -55,6 +57,16 @@
     assert built.share('in time') > 1.5 * plain.share('in time')
 
 
+def test_under_lasting_load_slots_go_to_those_who_can_be_in_time():
+    load = SHAPE.capacity * 1.2
+    counted = sum(
+        (RoutingModel(SHAPE, ServerBook, load, seed).run(10.0).counts for seed in range(3)),
+        Counter(),
+    )
+    assert counted['in time'] > 0.6 * counted['asked']
+    assert counted['late'] < 0.2 * counted['asked']
+
+
 def test_a_seed_gives_the_same_run():
     runs = [RoutingModel(SHAPE, ServerBook, 50.0, 3).run(6.0) for _ in range(2)]
     assert runs[0] == runs[1]
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -13,10 +13,11 @@
 from millfork_registry.records import EndpointState, Lease, LeaseState, ServedVersion
 from millfork_routing.budget import USED_SHARE, SharedBudget
 from millfork_routing.documents import EngineFigures
-from millfork_routing.paths import pair_up
-from millfork_routing.prediction import first_token_ms
-from millfork_routing.server import MOST_SUSPICION_S
-from millfork_routing.servers import ServerBook, Wanted
+from millfork_scheduling.book import ServerBook
+from millfork_scheduling.paths import pair_up
+from millfork_scheduling.placement import Wanted
+from millfork_scheduling.prediction import first_token_ms
+from millfork_scheduling.server import MOST_SUSPICION_S
 
 ENGINE = EngineFigures(
     slots=16,
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -11,7 +11,7 @@
 
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, Revision, ServiceName, ZoneId
-from millfork_routing.servers import Wanted
+from millfork_scheduling.placement import Wanted
 from millfork_state.commands import Versioned, encode_versioned
 from millfork_state.keys import version_key
 from millfork_state.view import Held, View
