Callers wait for an entry that starts, up to 1 s and a quarter of their time

Cause: after all lost power, entries run 0.7 s before they have a document. Each caller was turned away and came back 0.5 s later with all others, for the only other try it has. Engines without a report count as loaded by the other entries as much as by this one.

--- a/packages/millfork-scheduling/millfork_scheduling/server.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server.py
@@ -105,11 +105,12 @@
         """
         Requests there: the last report, which lags, corrected by what this
         entry has begun and ended since, and by what the others will have:
-        they see the same report and choose alike.
+        they see the same report and choose alike. Without a report the others are
+        taken to have as many.
 
         """
         if now - self.reported_at > REPORT_VALID_S:
-            return self.mine
+            return self.mine * entries
         begun = self.mine - self.mine_at_report
         return max(self.reported + begun * (entries if begun > 0 else 1), self.mine)
 
@@ -119,7 +120,7 @@
 
         """
         if now - self.reported_at > REPORT_VALID_S:
-            return self.mine_unread
+            return self.mine_unread * entries
         begun = self.mine_unread - self.mine_unread_at_report
         return max(self.reported_unread + begun * (entries if begun > 0 else 1), self.mine_unread)
 
--- a/packages/millforkd/millforkd/proxy/admission.py
+++ b/packages/millforkd/millforkd/proxy/admission.py
@@ -6,8 +6,11 @@
 from dataclasses import replace
 from typing import Final
 
+import curio
+
 from millfork_adapter.exchange import CallerRequest
 from millfork_core.environment import Environment
+from millfork_core.logs import Part, logger
 from millfork_core.verdicts import Reason, Refusal, Refused
 from millfork_routing.documents import Organisation, Route
 from millfork_routing.routes import RouteTable, pick_service, priority_of
@@ -23,6 +26,14 @@
 # A caller's deadline differs by a few ms from the next one's; one that waited
 # for a place has lost more.
 RETURNING_MS: Final = 120
+# An entry that starts has its first document and leases 0.5 s to 0.8 s later, as long as
+# replicas that start with it take to hear of each other. Those who come meanwhile wait:
+# turned away, all of them would come back together, for the only other try they have.
+BEGINNING_S: Final = 1.0
+# Of a caller's time, what it waits then at most.
+BEGINNING_SHARE: Final = 0.25
+
+log = logger(Part.PROXY)
 
 
 class Admission:
@@ -35,9 +46,27 @@
         self.env = env
         self.versions = versions
         self.table: RouteTable | None = None
+        self.begun = curio.Event()
+        self.began = env.monotonic()
         # The longest deadline seen, by route, in ms.
         self.deadlines: dict[str, int] = {}
 
+    async def until_begun(self, caller: CallerRequest) -> None:
+        """
+        Wait until there is something to serve with, while it may come any moment.
+
+        """
+        if self.begun.is_set():
+            return
+        wait_s = self.began + BEGINNING_S - self.env.monotonic()
+        if caller.deadline_ms is not None:
+            wait_s = min(wait_s, caller.deadline_ms * BEGINNING_SHARE / 1000)
+        try:
+            async with curio.timeout_after(max(wait_s, 0.0)):
+                await self.begun.wait()
+        except curio.TaskTimeout:
+            log.info('Nothing to serve with yet. id={} waited_s={:.2f}', caller.request_id, wait_s)
+
     def admit(self, exchange: Exchange, caller: CallerRequest) -> Job:
         """
         The job of a request.
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -79,6 +79,7 @@
             await self.endings.refuse(exchange, '', Refusal(Reason.BAD_REQUEST, detail=str(error)))
             return
         try:
+            await self.admission.until_begun(caller)
             job = self.admission.admit(exchange, caller)
         except Refused as error:
             log.info(
