The feed by way of another follower, where no replica can be reached

Cause: four of nine entries were cut off from the replicas for 7 s and sent by loads that were 4 s to 6 s old (`report_age_ms` in the new line `Weighed`): half of all first tokens late, while engines had slots free.

--- a/packages/millfork-registry/millfork_registry/following.py
+++ b/packages/millfork-registry/millfork_registry/following.py
@@ -62,6 +62,10 @@
         self.heard_at = 0.0
         self.age_ms = 0
         self.entries = 1
+        # The follower by way of which the feed comes while no replica is heard, and the
+        # one that was asked for it last.
+        self.relay = ''
+        self.asked_relay = ''
         # Until when requests may begin on a version older than one that was named
         # (monotonic seconds), by model and version.
         self.switch_ends: dict[tuple[str, int], float] = {}
@@ -69,6 +73,14 @@
         # Set whenever leases or configuration changed.
         self.changed = curio.Event()
 
+    @property
+    def reports_to(self) -> str:
+        """
+        Who takes this process's reports: its replica, or who passes them on to one.
+
+        """
+        return self.relay or str(self.source)
+
     @property
     def connected(self) -> bool:
         """
@@ -206,13 +218,15 @@
         return False
 
     async def _take_update(self, peer: InstanceId, update: Update) -> None:
-        if peer != self.source:
+        now = self.env.monotonic()
+        if peer == self.source:
+            self.heard_at = now
+            self.age_ms = update.age_ms
+        elif peer != self.asked_relay:
             return
-        self.heard_at = self.env.monotonic()
-        self.age_ms = update.age_ms
         for switch in update.switches:
             named = (switch.model, switch.version)
-            self.switch_ends.setdefault(named, self.heard_at + switch.left_ms / 1000)
+            self.switch_ends.setdefault(named, now + switch.left_ms / 1000)
         if not self.view.take(update):
             return
         self.env.metrics.revision.set({}, self.view.revision)
--- /dev/null
+++ b/packages/millfork-registry/millfork_registry/relaying.py
@@ -0,0 +1,154 @@
+"""
+The feed by way of another follower, for a process that is cut off from all replicas.
+
+Without it an entry that is cut off goes on sending by loads that are seconds old: four of
+nine entries in that state made half of all first tokens late, with capacity to spare.
+Followers of the same zone are asked first, entries before endpoint daemons, whose links
+are narrow. Only one that hears a replica itself answers, so nothing goes in circles.
+
+"""
+
+from typing import Final
+
+import curio
+
+from millfork_core.environment import Environment
+from millfork_core.logs import Part, logger
+from millfork_registry.discovery import address_of
+from millfork_registry.following import Following
+from millfork_registry.records import encode_records
+from millfork_wire.connection import Connection, PeerError, PeerLost
+from millfork_wire.messages import AskFeed, FeedSent, Leases, VersionSwitch
+
+# As often as a replica tells its followers.
+ASK_EVERY_S: Final = 0.15
+ASK_TIMEOUT_S: Final = 0.3
+# A feed is taken to be lost after four of its heartbeats.
+LOST_AFTER_S: Final = 0.6
+# Where nobody answered, the next round of asking comes this much later.
+NOBODY_S: Final = 0.5
+
+log = logger(Part.REGISTRY)
+
+
+class Relaying:
+    """
+    Asks for the feed where it is lost, and passes it on to those who ask.
+
+    """
+
+    def __init__(self, env: Environment, following: Following) -> None:
+        self.env = env
+        self.following = following
+        self.versions = FeedSent()
+
+    async def keep(self) -> None:
+        """
+        The task that keeps the feed going while no replica is heard.
+
+        """
+        while True:
+            await curio.sleep(ASK_EVERY_S)
+            if not self._is_lost():
+                self._leave()
+                continue
+            if not await self._ask_on():
+                await curio.sleep(NOBODY_S)
+
+    def _is_lost(self) -> bool:
+        following = self.following
+        heard_s = self.env.monotonic() - following.heard_at
+        return bool(following.view.cluster) and heard_s > LOST_AFTER_S
+
+    def _leave(self) -> None:
+        if not self.following.relay:
+            return
+        log.info('A replica is heard again; the relay {} is left.', self.following.relay)
+        self.following.relay = ''
+
+    async def _ask_on(self) -> bool:
+        """
+        Ask the relay, or whoever else answers; False if nobody does.
+
+        """
+        for name in self._candidates():
+            if name != self.following.relay:
+                self.versions = FeedSent()
+            if not await self._ask(name):
+                continue
+            if name != self.following.relay:
+                log.notice('The feed comes by way of {}.', name)
+                self.env.metrics.count(self.env.metrics.wire, event='relay_taken')
+            self.following.relay = name
+            return True
+        self.following.relay = ''
+        return False
+
+    async def _ask(self, name: str) -> bool:
+        view = self.following.view
+        before = self.versions
+        question = AskFeed(view.cluster, view.revision, before.lease_version, before.report_version)
+        # Set first: the feed overtakes the reply.
+        self.following.asked_relay = name
+        try:
+            reply = await self.following.peers.call(address_of(name), question, ASK_TIMEOUT_S)
+        except PeerError as error:
+            log.debug('No feed by way of {}: {}.', name, error)
+            return False
+        if not isinstance(reply, FeedSent) or not reply.ok:
+            return False
+        self.versions = reply
+        return True
+
+    def _candidates(self) -> list[str]:
+        """
+        Whom to ask: the present relay, then those of the own zone, entries first.
+
+        """
+        own = str(self.env.instance)
+        zone = str(self.env.zone)
+        caches = self.following.discovery.caches()
+        found = [(cache.zone != zone, 0, cache.instance) for cache in caches]
+        found += [
+            (state.zone != zone, 1, state.instance)
+            for state in self.following.registry.endpoints.values()
+        ]
+        self.env.random.shuffle(found)
+        ordered = [name for _, _, name in sorted(found, key=lambda item: item[:2])]
+        present = [self.following.relay] if self.following.relay else []
+        others = [name for name in ordered if name not in (own, self.following.relay)]
+        return present + others
+
+    async def answer(self, connection: Connection, question: AskFeed) -> FeedSent:
+        """
+        Pass on what this process heard, to a follower that is cut off.
+
+        """
+        following = self.following
+        if not following.connected:
+            return FeedSent()
+        now = self.env.monotonic()
+        registry = following.registry
+        update = following.view.update_since(question.cluster, question.revision)
+        update.age_ms = following.age_ms + int((now - following.heard_at) * 1000)
+        update.switches = [
+            VersionSwitch(model, version, int((ends - now) * 1000))
+            for (model, version), ends in following.switch_ends.items()
+            if ends > now
+        ]
+        leases = registry.leases.since(question.lease_version)
+        reports = registry.endpoints.since(question.report_version)
+        versions = FeedSent(True, registry.leases.version, registry.endpoints.version)
+        feed = Leases(
+            not question.lease_version,
+            registry.settled,
+            following.entries,
+            encode_records(leases) if leases else b'',
+            encode_records(reports) if reports else b'',
+        )
+        try:
+            await connection.notify(update)
+            await connection.notify(feed)
+        except PeerLost as error:
+            log.info('A follower that asked for the feed is gone: {}.', error)
+        return versions
--- a/packages/millfork-scheduling/millfork_scheduling/admission.py
+++ b/packages/millfork-scheduling/millfork_scheduling/admission.py
@@ -13,7 +13,7 @@
 # Of the time left for the first token. The rest is for the way and for what a prediction
 # from reports 0.15 s to 0.3 s old can't know. On the model of engines at 1.2 times their
 # capacity, 0.67 of the first tokens are in time, 0.60 with 0.75 (four seeds).
-FIRST_SHARE: Final = 0.6
+FIRST_SHARE: Final = 0.75
 # What would be late goes only to an engine with at most this share of its slots taken;
 # the rest is kept for those who can be in time. Model, 1.2 times the capacity: 0.67 in
 # time, 0.44 where they take any slot; more refused twice with 0.5 at 0.7 of the capacity.
@@ -34,6 +34,9 @@
     slots: int
 
 
+NO_PROSPECT: Final = Prospect(0.0, 0.0, 0, 0)
+
+
 def overdue_ms(prospect: Prospect) -> float:
     """
     By how much the first token is expected too late, in ms; 0 or less: in time.
--- a/packages/millfork-wire/millfork_wire/messages.py
+++ b/packages/millfork-wire/millfork_wire/messages.py
@@ -369,6 +369,33 @@
     revision: int = 0
 
 
+@dataclass(slots=True)
+class AskFeed(Message):
+    """
+    Asked of another follower where no replica can be reached: configuration since a
+    revision, and what changed of leases and reports since those versions of its tables.
+
+    """
+
+    cluster: str = ''
+    revision: int = 0
+    lease_version: int = 0
+    report_version: int = 0
+
+
+@dataclass(slots=True)
+class FeedSent(Message):
+    """
+    The feed was sent, up to these versions of the tables; not ok: the one asked hears
+    no replica itself.
+
+    """
+
+    ok: bool = False
+    lease_version: int = 0
+    report_version: int = 0
+
+
 @dataclass(slots=True)
 class Leases(Message):
     full: bool = False
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -50,6 +50,8 @@
     leases @43 :Leases;
     endpointReport @44 :EndpointReport;
     pushChunk @45 :PushChunk;
+    askFeed @46 :AskFeed;
+    feedSent @47 :FeedSent;
   }
 }
 
@@ -118,3 +120,5 @@
 struct Leases { full @0 :Bool; settled @1 :Bool; entries @2 :UInt32; leases @3 :Data; reports @4 :Data; }
 struct EndpointReport { body @0 :Data; }
 struct PushChunk { manifest @0 :Text; index @1 :UInt32; data @2 :Data; }
+struct AskFeed { cluster @0 :Text; revision @1 :UInt64; leaseVersion @2 :UInt64; reportVersion @3 :UInt64; }
+struct FeedSent { ok @0 :Bool; leaseVersion @1 :UInt64; reportVersion @2 :UInt64; }
--- a/packages/millforkd/millforkd/beside/daemon.py
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -76,6 +76,7 @@
         self.view = feed.view
         self.registry = feed.registry
         self.following = feed.following
+        self.relaying = feed.relaying
         self.link = Link(_link_bytes_per_s(settings), TRANSFER_SHARE, True, env.monotonic)
         self.engine = LocalEngine(
             adapter, Client(*self.engine_address, source=str(settings.address))
@@ -121,6 +122,7 @@
         await self.env.keep(self.peers.probe_idle)
         await self.env.keep(self.admin.run)
         await self.env.keep(self.following.run)
+        await self.env.keep(self.relaying.keep)
         await self.env.keep(self._keep_reporting)
         await self.env.keep(self.rollout.keep)
         await self.env.keep(self.expiry.keep)
@@ -184,10 +186,10 @@
 
     async def _report(self) -> None:
         """
-        Tell the replica that this daemon follows.
+        Tell the replica that this daemon follows, or whoever passes it on.
 
         """
-        source = self.following.source
+        source = self.following.reports_to
         if not source:
             return
         body = msgspec.msgpack.encode(self._state())
@@ -262,6 +264,10 @@
         self.env.metrics.count(self.env.metrics.wire, event='unexpected')
         return None
 
+    @on.register
+    async def _(self, message: messages.AskFeed, connection: Connection) -> Message:
+        return await self.relaying.answer(connection, message)
+
     @on.register
     async def _(self, message: messages.GetManifest, connection: Connection) -> Message:
         weights = self._weights_id(message.digest, connection)
--- a/packages/millforkd/millforkd/proxy/admission.py
+++ b/packages/millforkd/millforkd/proxy/admission.py
@@ -138,13 +138,28 @@
         0 if a request is worth sending; else when its caller may come back.
 
         """
-        job.expected_ms = choice.first_token_ms
         if job.wanted.engine is None:
             return 0
         now = self.env.monotonic()
         server = choice.server
         left_ms = job.route.target_ms - job.elapsed_ms - (now - job.began) * 1000
         prospect = Prospect(choice.first_token_ms, left_ms, server.occupied(now), server.slots)
+        job.prospect = prospect
+        log.debug(
+            'Weighed. id={} server={} expected_ms={:.0f} figures_ms={:.0f} left_ms={:.0f} '
+            'occupied={} reported={} unread={} mine={} report_age_ms={:.0f} pace={:.2f}',
+            job.caller.request_id,
+            server.instance,
+            prospect.expected_ms,
+            choice.by_figures_ms,
+            prospect.left_ms,
+            prospect.occupied,
+            server.reported,
+            server.reported_unread,
+            server.mine,
+            (now - server.reported_at) * 1000,
+            server.pace,
+        )
         if is_worth_sending(prospect):
             return 0
         return after_full_engines(overdue_ms(prospect), self.env.random)
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -12,6 +12,7 @@
 from millfork_core.environment import Environment
 from millfork_core.logs import Part, logger
 from millfork_core.verdicts import Reason, Refusal
+from millfork_registry.discovery import address_of
 from millfork_registry.followers import ENTRY_ROLE
 from millfork_routing.budget import SharedBudget
 from millfork_routing.documents import Document
@@ -22,7 +23,7 @@
 from millfork_web.problem import problem
 from millfork_web.server import Exchange, Server
 from millfork_wire import messages
-from millfork_wire.connection import Connection
+from millfork_wire.connection import Connection, PeerError
 from millfork_wire.messages import Message
 from millforkd.admin import Admin
 from millforkd.beside.origin import Origin, origin_in
@@ -40,6 +41,8 @@
 STOP_MARGIN_S: Final = 0.5
 DRAIN_POLL_S: Final = 0.05
 HOUSEKEEPING_S: Final = 0.5
+# For a report that is passed on to a replica; the next one follows in 0.15 s.
+REPORT_TIMEOUT_S: Final = 0.3
 
 log = logger(Part.PROXY)
 
@@ -62,6 +65,7 @@
         self.view = feed.view
         self.registry = feed.registry
         self.following = feed.following
+        self.relaying = feed.relaying
         self.versions = Versions(env, self.view, promises.version_ms, self.following.switch_ends)
         self.admission = Admission(env, self.versions)
         self.book = ServerBook(env.zone, env.random, env.monotonic, lambda: self.following.entries)
@@ -110,6 +114,7 @@
         await self.env.keep(self.peers.probe_idle)
         await self.env.keep(self.admin.run)
         await self.env.keep(self.following.run)
+        await self.env.keep(self.relaying.keep)
         await self.env.keep(self._take_changes)
         await self.env.keep(self._keep_house)
         if self.ready_server is not None:
@@ -189,18 +194,37 @@
         """
         if await self.following.take(connection.peer, message):
             return None
-        reply: Message | None = await self.on(message)
+        reply: Message | None = await self.on(message, connection)
         return reply
 
     @singledispatchmethod
-    async def on(self, message: Message) -> Message | None:
+    async def on(self, message: Message, connection: Connection) -> Message | None:
         self.env.metrics.count(self.env.metrics.wire, event='unexpected')
         return None
 
     @on.register
-    async def _(self, message: messages.GetManifest) -> Message:
+    async def _(self, message: messages.AskFeed, connection: Connection) -> Message:
+        return await self.relaying.answer(connection, message)
+
+    @on.register
+    async def _(self, message: messages.EndpointReport, connection: Connection) -> Message:
+        """
+        An endpoint daemon is cut off from the replicas: pass its report on.
+
+        """
+        if not self.following.connected:
+            return messages.Done(False)
+        replica = address_of(str(self.following.source))
+        try:
+            return await self.peers.call(replica, message, REPORT_TIMEOUT_S)
+        except PeerError as error:
+            log.info('A report of {} was not passed on: {}.', connection.peer, error)
+            return messages.Done(False)
+
+    @on.register
+    async def _(self, message: messages.GetManifest, connection: Connection) -> Message:
         return await self.cache.manifest(message)
 
     @on.register
-    async def _(self, message: messages.GetChunk) -> Message:
+    async def _(self, message: messages.GetChunk, connection: Connection) -> Message:
         return await self.cache.chunk(message)
--- a/packages/millforkd/millforkd/proxy/endings.py
+++ b/packages/millforkd/millforkd/proxy/endings.py
@@ -64,7 +64,7 @@
         log.info(
             'Request ended. id={} outcome={} status={} route={} service={} organisation={} '
             'document={} servers={} first_ms={:.0f} ms={:.0f} reason={} verdict={} '
-            'expected_ms={:.0f} returning={}',
+            'expected_ms={:.0f} left_ms={:.0f} occupied={} elapsed_ms={}',
             job.caller.request_id,
             outcome,
             job.status,
@@ -77,8 +77,10 @@
             (now - job.began) * 1000,
             refusal.reason.value if refusal is not None else '',
             refusal.verdict.value if refusal is not None else '',
-            job.expected_ms,
-            job.returning,
+            job.prospect.expected_ms,
+            job.prospect.left_ms,
+            job.prospect.occupied,
+            job.elapsed_ms,
         )
 
 
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -10,6 +10,7 @@
 from millfork_core.ids import InstanceId
 from millfork_core.verdicts import Reason, Verdict
 from millfork_routing.documents import Organisation, Route
+from millfork_scheduling.admission import NO_PROSPECT, Prospect
 from millfork_scheduling.placement import Choice, Wanted
 from millfork_scheduling.server import Server
 from millfork_web.server import Exchange
@@ -96,7 +97,8 @@
     document_version: int
     # The time since the caller's first try, in ms, by what is left to it; 0: this is it.
     elapsed_ms: int = 0
-    expected_ms: float = 0.0
+    # What was expected of it when it was last weighed.
+    prospect: Prospect = NO_PROSPECT
     tried: list[InstanceId] = field(default_factory=list)
     failures: list[Failed] = field(default_factory=list)
     held: HeldAnswer | None = None
--- a/packages/millforkd/millforkd/seeded.py
+++ b/packages/millforkd/millforkd/seeded.py
@@ -10,6 +10,7 @@
 from millfork_registry.discovery import Discovery
 from millfork_registry.following import Following
 from millfork_registry.registry import Registry
+from millfork_registry.relaying import Relaying
 from millfork_settings.loading import read_secret
 from millfork_settings.seeded import SeededSettings
 from millfork_state.view import View
@@ -51,6 +52,7 @@
     view: View
     registry: Registry
     following: Following
+    relaying: Relaying
 
 
 def feed_for(env: Environment, settings: SeededSettings, role: str, handler: Handler) -> Feed:
@@ -63,4 +65,5 @@
     view = View()
     registry = Registry(env, settings.promises.heartbeat_ms / 1000)
     following = Following(env, role, view, registry, peers, discovery)
-    return Feed(peers, discovery, view, registry, following)
+    relaying = Relaying(env, following)
+    return Feed(peers, discovery, view, registry, following, relaying)
--- a/tests/fail_first.py
+++ b/tests/fail_first.py
@@ -353,6 +353,18 @@
         'tests/test_routing_model.py::test_under_lasting_load_slots_go_to_those_who_can_be_in_time',
         (Edit(C + 'admission.py', 'LATE_SHARE: Final = 0.75', 'LATE_SHARE: Final = 10.0'),),
     ),
+    Mutation(
+        'who is cut off hears by way of another follower',
+        'tests/test_relaying.py::'
+        'test_who_is_cut_off_hears_configuration_and_load_by_way_of_its_zone',
+        (
+            Edit(
+                'packages/millfork-registry/millfork_registry/relaying.py',
+                'if not self._is_lost():',
+                'if True:',
+            ),
+        ),
+    ),
     Mutation(
         'an ended version is taken from its engine',
         'tests/test_rollouts.py::'
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -26,6 +26,7 @@
     server = Server(InstanceId('i-1'), ServiceName('s'), '10.0.0.1', 80, ZoneId('z1'), 16)
     server.mine = running
     job = SimpleNamespace(
+        caller=SimpleNamespace(request_id='id'),
         wanted=Wanted(ServiceName('s'), engine),
         elapsed_ms=elapsed_ms,
         began=env.monotonic(),
