--- a/packages/millfork-scheduling/millfork_scheduling/book.py
+++ b/packages/millfork-scheduling/millfork_scheduling/book.py
@@ -105,6 +105,15 @@
                 server.served = state.served
                 server.refused.clear()
 
+    def is_informed(self) -> bool:
+        """
+        Whether there are back ends, and the load of each engine among them is known: an
+        entry that starts would else send all who waited for it to the first few.
+
+        """
+        engines = [server for server in self.servers.values() if server.served]
+        return bool(self.servers) and all(server.beside for server in engines)
+
     def choose(self, wanted: Wanted, tried: set[InstanceId]) -> Choice | None:
         """
         The back end for a request; None if there is none that can serve it.
--- a/packages/millforkd/millforkd/proxy/admission.py
+++ b/packages/millforkd/millforkd/proxy/admission.py
@@ -3,6 +3,7 @@
 
 """
 
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Final
 
@@ -10,11 +11,12 @@
 
 from millfork_adapter.exchange import CallerRequest
 from millfork_core.environment import Environment
+from millfork_core.ids import ServiceName
 from millfork_core.logs import Part, logger
 from millfork_core.verdicts import Reason, Refusal, Refused
 from millfork_routing.documents import Organisation, Route
 from millfork_routing.routes import RouteTable, pick_service, priority_of
-from millfork_scheduling.admission import Prospect, is_worth_sending, overdue_ms
+from millfork_scheduling.admission import Confidence, Prospect, is_worth_sending, overdue_ms
 from millfork_scheduling.placement import Choice, Wanted
 from millfork_scheduling.returning import after_full_engines
 from millfork_web.server import Exchange
@@ -42,9 +44,14 @@
 
     """
 
-    def __init__(self, env: Environment, versions: Versions) -> None:
+    def __init__(
+        self, env: Environment, versions: Versions, entries: Callable[[], int] = lambda: 1
+    ) -> None:
         self.env = env
         self.versions = versions
+        # How many entries there are, as far as is known.
+        self.entries = entries
+        self.confidence: dict[ServiceName, Confidence] = {}
         self.table: RouteTable | None = None
         self.begun = curio.Event()
         self.began = env.monotonic()
@@ -143,11 +150,13 @@
         now = self.env.monotonic()
         server = choice.server
         left_ms = job.route.target_ms - job.elapsed_ms - (now - job.began) * 1000
-        prospect = Prospect(choice.first_token_ms, left_ms, server.occupied(now), server.slots)
+        occupied = server.occupied(now, self.entries())
+        prospect = Prospect(choice.first_token_ms, left_ms, occupied, server.slots)
         job.prospect = prospect
         log.debug(
             'Weighed. id={} server={} expected_ms={:.0f} figures_ms={:.0f} left_ms={:.0f} '
-            'occupied={} reported={} unread={} mine={} report_age_ms={:.0f} pace={:.2f}',
+            'occupied={} reported={} unread={} mine={} report_age_ms={:.0f} pace={:.2f} '
+            'share={:.2f}',
             job.caller.request_id,
             server.instance,
             prospect.expected_ms,
@@ -159,10 +168,26 @@
             server.mine,
             (now - server.reported_at) * 1000,
             server.pace,
+            self._confidence_in(job).share,
         )
-        if is_worth_sending(prospect):
+        share = self._confidence_in(job).share
+        if is_worth_sending(prospect, share):
+            job.expected_in_time = overdue_ms(prospect, share) <= 0
             return 0
-        return after_full_engines(overdue_ms(prospect), self.env.random)
+        return after_full_engines(overdue_ms(prospect, share), self.env.random)
+
+    def note_first_token(self, job: Job) -> None:
+        """
+        The first token of a job is here: learn whether it was in time, as expected.
+
+        """
+        if not job.expected_in_time:
+            return
+        took_ms = (self.env.monotonic() - job.began) * 1000 + job.elapsed_ms
+        self._confidence_in(job).note(took_ms <= job.route.target_ms)
+
+    def _confidence_in(self, job: Job) -> Confidence:
+        return self.confidence.setdefault(job.wanted.service, Confidence())
 
     def _organisation(
         self, table: RouteTable, route: Route, caller: CallerRequest
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -67,7 +67,7 @@
         self.following = feed.following
         self.relaying = feed.relaying
         self.versions = Versions(env, self.view, promises.version_ms, self.following.switch_ends)
-        self.admission = Admission(env, self.versions)
+        self.admission = Admission(env, self.versions, lambda: self.following.entries)
         self.book = ServerBook(env.zone, env.random, env.monotonic, lambda: self.following.entries)
         self.pools = Pools(env)
         self.budget = SharedBudget(
@@ -160,7 +160,7 @@
             for server in self.book.take_leases(self.registry.leases.values()):
                 await self.pools.drop(server)
             self.book.take_reports(self.registry.endpoints.values())
-            if self.admission.table is not None and self.book.servers:
+            if self.admission.table is not None and self.book.is_informed():
                 await self.admission.begun.set()
 
     def _take_document(self) -> None:
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -64,7 +64,7 @@
         self.book = book
         self.pools = pools
         self.budget = budget
-        self.relaying = Relaying(env, adapter, book)
+        self.relaying = Relaying(env, adapter, book, admission)
         self.endings = Endings(env, adapter)
 
     async def answer(self, exchange: Exchange) -> None:
