The version in between by when the change is over; engines about to change left alone

Cause: the ways to the newest version were compared by when its pieces are here, not by when the engine serves it, 1 s later.

--- a/packages/millforkd/millforkd/beside/expiry.py
+++ b/packages/millforkd/millforkd/beside/expiry.py
@@ -4,10 +4,13 @@
 Entries stop sending in time, but what they sent last may lie in a slow link, and nothing
 calls it back there: a request was seen to begin 1.1 s after it was sent. The daemon
 beside the engine has no link to cross. It has the engine hold a single layer of the next
-version instead, so that whatever still comes is refused as not run.
+version instead, so that whatever still comes is refused as not run. An engine that is
+about to have the next version whole is left alone: it takes no other order until what
+runs has ended, and would change 0.5 s to 1.5 s later.
 
 """
 
+from collections import deque
 from typing import Final
 
 import curio
@@ -22,6 +25,10 @@
 from millforkd.switching import LAST_SENT_S
 
 POLL_S: Final = 0.05
+# The next version is about to be here if its pieces, as they came in the last second,
+# take no longer than this. On a link that delays requests by so much, they take longer.
+ABOUT_TO_COME_S: Final = 0.5
+RATE_OVER_S: Final = 1.0
 
 log = logger(Part.WEIGHTS)
 
@@ -41,6 +48,8 @@
         self.rollout = rollout
         # The version that the engine was last emptied for.
         self.emptied_for = 0
+        # When how many pieces of the target were here, over the last second.
+        self.arrivals: deque[tuple[float, int]] = deque()
 
     async def keep(self) -> None:
         """
@@ -50,9 +59,38 @@
         while True:
             await curio.sleep(POLL_S)
             target = self.rollout.target()
-            if target is not None and self._has_ended(target):
+            if target is None:
+                continue
+            held = self.store.of(target.weights)
+            self._note_arrivals(len(held.pieces))
+            if not self._has_ended(target):
+                continue
+            if self._remaining_s(target, held) > ABOUT_TO_COME_S:
                 await self._empty(target)
 
+    def _note_arrivals(self, count: int) -> None:
+        now = self.env.monotonic()
+        if self.arrivals and count < self.arrivals[-1][1]:
+            # Another version is brought by now.
+            self.arrivals.clear()
+        self.arrivals.append((now, count))
+        while now - self.arrivals[0][0] > RATE_OVER_S:
+            self.arrivals.popleft()
+
+    def _remaining_s(self, target: Target, held: PieceSet) -> float:
+        """
+        Seconds until the rest of the pieces is here, at the rate of the last second.
+
+        """
+        began, before = self.arrivals[0]
+        came = len(held.pieces) - before
+        missing = target.pieces - len(held.pieces)
+        if not missing:
+            return 0.0
+        if not came:
+            return float('inf')
+        return missing * (self.env.monotonic() - began) / came
+
     def _has_ended(self, target: Target) -> bool:
         """
         Whether the engine still serves, whole, what nothing may begin on any more.
--- a/packages/millforkd/millforkd/beside/target.py
+++ b/packages/millforkd/millforkd/beside/target.py
@@ -127,14 +127,17 @@
     def _by_way_of_s(self, figures: EngineFigures, version: int, now: float, ends: float) -> float:
         """
         For how long the engine would serve nothing on its way to the newest
-        with another version in between, the second change included.
+        with another version in between, the second change included. An engine that
+        has not changed when entries stop sending to the old version stands idle with
+        all others, until its pieces are here and the change is over.
 
         """
         here_at = now + self._bringing_s(figures, version)
         whole_s = figures.pieces * figures.piece_bytes / self.bytes_per_s
-        before_s = max(here_at - max(now, ends), 0.0)
+        served_until = max(now, ends - LAST_SENT_S)
+        before_s = max(here_at + CHANGE_S - served_until, 0.0)
         last_sent = self._ends_at(figures, version) - LAST_SENT_S
-        after_s = max(here_at + whole_s - last_sent, 0.0)
+        after_s = max(here_at + whole_s + CHANGE_S - last_sent, 0.0)
         return before_s + after_s + CHANGE_S
 
     def _direct_s(self, figures: EngineFigures, newest: int, now: float, ends: float) -> float:
@@ -146,7 +149,8 @@
             return 0.0
         if self._is_stuck(newest, now):
             return float('inf')
-        return max(now + self._bringing_s(figures, newest) - max(now, ends), 0.0)
+        here_at = now + self._bringing_s(figures, newest)
+        return max(here_at + CHANGE_S - max(now, ends - LAST_SENT_S), 0.0)
 
     def _bringing_s(self, figures: EngineFigures, version: int) -> float:
         """
--- a/tests/fail_first.py
+++ b/tests/fail_first.py
@@ -369,7 +369,13 @@
         'an ended version is taken from its engine',
         'tests/test_rollouts.py::'
         'test_a_version_that_ends_before_the_next_is_here_is_taken_from_the_engine',
-        (Edit(D + 'beside/expiry.py', 'and self._has_ended(target):', 'and False:'),),
+        (
+            Edit(
+                D + 'beside/expiry.py',
+                'if not self._has_ended(target):\n                continue',
+                'if True:\n                continue',
+            ),
+        ),
     ),
     Mutation(
         'engines change in turns',
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -255,6 +255,33 @@
     curio.run(run)
 
 
+class SlowGathering(StandInGathering):
+    """
+    Brings one piece after the other, so that the last comes just before the old version ends.
+
+    """
+
+    async def gather(self, held, wanted):
+        for index in wanted:
+            await curio.sleep(0.95 * (DUE_S + LAST_SENT_S) / len(wanted))
+            held.pieces[index] = b'piece'
+
+
+def test_an_engine_that_is_about_to_have_the_next_version_takes_no_order_before():
+    async def run():
+        engines = Engines(0, StandInEngine(running=3), SlowGathering())
+        rollout = engines.rollout
+        expiry = Expiry(engines.env, engines.engine, rollout.store, rollout)
+        task = await engines.run()
+        watching = await curio.spawn(expiry.keep, daemon=True)
+        await engines.until(lambda: engines.engine.orders)
+        assert engines.engine.orders == [(2, 0, LAYERS, True, 3)]
+        await task.cancel()
+        await watching.cancel()
+
+    curio.run(run)
+
+
 def test_a_version_that_has_not_ended_stays():
     async def run():
         engines = Engines(0, StandInEngine(), StalledGathering(3))
