Trial: late requests make way by the pressure that first tries feel

Hypothesis: where no first try is kept from being in time, late ones may take every free slot. It knows nothing when it is needed most, just after a start.

--- a/packages/millfork-scheduling/millfork_scheduling/admission.py
+++ b/packages/millfork-scheduling/millfork_scheduling/admission.py
@@ -12,18 +12,16 @@
 
 # Of the time left for the first token, what a prediction may take. The rest is for the way
 # and for what reports 0.15 s to 0.3 s old can't tell, which is more where many entries
-# choose alike: so the share is learned from how many of those that were to be in time came
-# late. It holds still where one in twenty does. Model at 1.2 times the capacity, in time:
-# 0.71 (six engines) and 0.62 (23) with it, 0.67 and 0.42 with 0.75 for all.
-FIRST_SHARE: Final = 0.75
-LEAST_SHARE: Final = 0.4
-MOST_SHARE: Final = 0.9
-RAISED_IN_TIME: Final = 0.004
-LOWERED_WHEN_LATE: Final = 0.076
-# What would be late goes only to an engine with at most this share of its slots taken;
-# the rest is kept for those who can be in time. Model, 1.2 times the capacity: 0.74 in
-# time, 0.07 where they take any slot.
-LATE_SHARE: Final = 0.75
+# choose alike. Model of 23 engines at 1.2 times their capacity: 0.57 in time, 0.43 with
+# 0.75.
+FIRST_SHARE: Final = 0.6
+# What would be late takes any slot that is free, but for a part of them that is kept for
+# those who can be in time: as large as the share of first tries that full engines kept
+# from being in time lately. Model of 6 engines at 1.2 times their capacity: 0.67 in time,
+# 0.54 where they take any free slot, 0.07 where they queue; 0.95 at 0.8 either way.
+LEAST_LATE_SHARE: Final = 0.3
+# One first try's weight in that share: an entry sees some ten a second.
+PRESSURE_WEIGHT: Final = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,42 +37,56 @@
     occupied: int
     slots: int
 
+    @property
+    def full(self) -> bool:
+        """
+        Whether all slots are taken.
+
+        """
+        return self.occupied >= self.slots
+
 
 NO_PROSPECT: Final = Prospect(0.0, 0.0, 0, 0)
 
 
-class Confidence:
+class Pressure:
     """
-    How much of the time left a prediction may take, by what came of earlier ones.
+    The share of first tries that full engines kept from being in time, lately.
 
     """
 
     def __init__(self) -> None:
-        self.share = FIRST_SHARE
+        self.level = 0.0
+
+    def note(self, kept: bool) -> None:
+        """
+        Take one first try: whether full engines kept it from being in time.
+
+        """
+        self.level += PRESSURE_WEIGHT * (float(kept) - self.level)
 
-    def note(self, in_time: bool) -> None:
+    @property
+    def late_share(self) -> float:
         """
-        Take what came of a request that was expected to be in time.
+        The share of an engine's slots that what would be late may take.
 
         """
-        step = RAISED_IN_TIME if in_time else -LOWERED_WHEN_LATE
-        self.share = min(max(self.share + step, LEAST_SHARE), MOST_SHARE)
+        return max(1.0 - self.level, LEAST_LATE_SHARE)
 
 
-def overdue_ms(prospect: Prospect, share: float) -> float:
+def overdue_ms(prospect: Prospect) -> float:
     """
-    By how much the first token is expected too late, in ms; 0 or less: in time. `share`
-    is how much of the time left a prediction may take.
+    By how much the first token is expected too late, in ms; 0 or less: in time.
 
     """
-    return prospect.expected_ms - max(prospect.left_ms, 0.0) * share
+    return prospect.expected_ms - max(prospect.left_ms, 0.0) * FIRST_SHARE
 
 
-def is_worth_sending(prospect: Prospect, share: float) -> bool:
+def is_worth_sending(prospect: Prospect, pressure: Pressure) -> bool:
     """
     Whether it would be in time, or takes a slot that nobody in time is likely to want.
 
     """
-    if overdue_ms(prospect, share) <= 0:
+    if overdue_ms(prospect) <= 0:
         return True
-    return prospect.occupied < prospect.slots * LATE_SHARE
+    return prospect.occupied < prospect.slots * pressure.late_share
--- a/packages/millfork-scheduling/millfork_scheduling/server.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server.py
@@ -114,6 +114,16 @@
         begun = self.mine - self.mine_at_report
         return max(self.reported + begun * (entries if begun > 0 else 1), self.mine)
 
+    def taken(self, now: float, entries: int) -> int:
+        """
+        Requests there as `occupied` tells, without what the others may have begun since
+        a report: that is a guess, and would turn callers away from free slots.
+
+        """
+        if now - self.reported_at > REPORT_VALID_S:
+            return self.occupied(now, entries)
+        return self.occupied(now)
+
     def unread(self, now: float, entries: int = 1) -> int:
         """
         Requests there that have no first token yet, as `occupied` is known.
--- a/packages/millforkd/millforkd/proxy/admission.py
+++ b/packages/millforkd/millforkd/proxy/admission.py
@@ -16,7 +16,12 @@
 from millfork_core.verdicts import Reason, Refusal, Refused
 from millfork_routing.documents import Organisation, Route
 from millfork_routing.routes import RouteTable, pick_service, priority_of
-from millfork_scheduling.admission import Confidence, Prospect, is_worth_sending, overdue_ms
+from millfork_scheduling.admission import (
+    Pressure,
+    Prospect,
+    is_worth_sending,
+    overdue_ms,
+)
 from millfork_scheduling.placement import Choice, Wanted
 from millfork_scheduling.returning import after_full_engines
 from millfork_web.server import Exchange
@@ -51,7 +56,7 @@
         self.versions = versions
         # How many entries there are, as far as is known.
         self.entries = entries
-        self.confidence: dict[ServiceName, Confidence] = {}
+        self.pressure: dict[ServiceName, Pressure] = {}
         self.table: RouteTable | None = None
         self.begun = curio.Event()
         self.began = env.monotonic()
@@ -150,13 +155,13 @@
         now = self.env.monotonic()
         server = choice.server
         left_ms = job.route.target_ms - job.elapsed_ms - (now - job.began) * 1000
-        occupied = server.occupied(now, self.entries())
+        occupied = server.taken(now, self.entries())
         prospect = Prospect(choice.first_token_ms, left_ms, occupied, server.slots)
         job.prospect = prospect
         log.debug(
             'Weighed. id={} server={} expected_ms={:.0f} figures_ms={:.0f} left_ms={:.0f} '
             'occupied={} reported={} unread={} mine={} report_age_ms={:.0f} pace={:.2f} '
-            'share={:.2f}',
+            'pressure={:.2f}',
             job.caller.request_id,
             server.instance,
             prospect.expected_ms,
@@ -168,26 +173,28 @@
             server.mine,
             (now - server.reported_at) * 1000,
             server.pace,
-            self._confidence_in(job).share,
+            self._pressure_on(job).level,
         )
-        share = self._confidence_in(job).share
-        if is_worth_sending(prospect, share):
-            job.expected_in_time = overdue_ms(prospect, share) <= 0
+        pressure = self._pressure_on(job)
+        if is_worth_sending(prospect, pressure):
             return 0
-        return after_full_engines(overdue_ms(prospect, share), self.env.random)
+        if not job.returning:
+            pressure.note(kept=True)
+        return after_full_engines(overdue_ms(prospect), self.env.random)
 
     def note_first_token(self, job: Job) -> None:
         """
-        The first token of a job is here: learn whether it was in time, as expected.
+        The first token of a job is here: learn whether full engines made it late.
 
         """
-        if not job.expected_in_time:
+        if job.returning:
             return
-        took_ms = (self.env.monotonic() - job.began) * 1000 + job.elapsed_ms
-        self._confidence_in(job).note(took_ms <= job.route.target_ms)
+        took_ms = (self.env.monotonic() - job.began) * 1000
+        late = took_ms > job.route.target_ms
+        self._pressure_on(job).note(kept=late and job.prospect.full)
 
-    def _confidence_in(self, job: Job) -> Confidence:
-        return self.confidence.setdefault(job.wanted.service, Confidence())
+    def _pressure_on(self, job: Job) -> Pressure:
+        return self.pressure.setdefault(job.wanted.service, Pressure())
 
     def _organisation(
         self, table: RouteTable, route: Route, caller: CallerRequest
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -99,7 +99,6 @@
     elapsed_ms: int = 0
     # What was expected of it when it was last weighed.
     prospect: Prospect = NO_PROSPECT
-    expected_in_time: bool = False
     tried: list[InstanceId] = field(default_factory=list)
     failures: list[Failed] = field(default_factory=list)
     held: HeldAnswer | None = None
--- a/tests/fail_first.py
+++ b/tests/fail_first.py
@@ -351,7 +351,11 @@
     Mutation(
         'late requests leave slots to those who can be in time',
         'tests/test_routing_model.py::test_under_lasting_load_slots_go_to_those_who_can_be_in_time',
-        (Edit(C + 'admission.py', 'LATE_SHARE: Final = 0.75', 'LATE_SHARE: Final = 10.0'),),
+        (
+            Edit(
+                C + 'admission.py', 'return max(1.0 - self.level, LEAST_LATE_SHARE)', 'return 10.0'
+            ),
+        ),
     ),
     Mutation(
         'who is cut off hears by way of another follower',
