--- a/packages/millfork/millfork/__main__.py
+++ b/packages/millfork/millfork/__main__.py
@@ -59,6 +59,7 @@
         FLAGS.timeout,
         FLAGS.undo,
         FLAGS.json,
+        FLAGS.every,
     )
 
 
--- a/packages/millfork/millfork/cli/constants.py
+++ b/packages/millfork/millfork/cli/constants.py
@@ -20,6 +20,8 @@
   status                        show every rollout; --watch follows it
   drain INSTANCE                give an instance no new work; --undo ends that
   check FILE                    check settings or a declaration, without a fleet
+  explain LOG ...               what became of requests, by cause and moment, from the
+                                logs of entries; --every sets the span in seconds
 
 examples:
   millfork check declaration.yaml
--- a/packages/millfork/millfork/core.py
+++ b/packages/millfork/millfork/core.py
@@ -14,6 +14,7 @@
 from millfork.cli.argtypes import BadArgument, parse_labels
 from millfork.cli.constants import USAGE
 from millfork.client import Control, Unreachable
+from millfork.explain import Ended, read, table
 from millfork.models import Arguments, Environment
 from millfork.status import line, refuse, watch
 from millfork_core.status import ExitStatus
@@ -146,6 +147,25 @@
     return ExitStatus.SUCCESS
 
 
+async def explain(arguments: Arguments, env: Environment) -> ExitStatus:
+    if not arguments.operands:
+        raise BadArgument('explain LOG ... expected')
+    requests: list[Ended] = []
+    for name in arguments.operands:
+        try:
+            with Path(name).open(errors='replace') as log:
+                requests += read(log)
+        except OSError as error:
+            env.err(f'millfork: {error}')
+            return ExitStatus.ERROR
+    if not requests:
+        env.err('millfork: no request ended in these logs')
+        return ExitStatus.ERROR
+    for row in table(requests, arguments.every):
+        env.out(row)
+    return ExitStatus.SUCCESS
+
+
 COMMANDS: Final[dict[str, Command]] = {
     'apply': apply,
     'remove': remove,
@@ -154,4 +174,5 @@
     'status': status,
     'drain': drain,
     'check': check,
+    'explain': explain,
 }
--- a/packages/millfork/millfork/models.py
+++ b/packages/millfork/millfork/models.py
@@ -25,6 +25,8 @@
     timeout: float = 600.0
     undo: bool = False
     json: bool = False
+    # Seconds that one line of `explain` covers.
+    every: float = 2.0
 
 
 @dataclass
--- a/packages/millforkd/millforkd/beside/expiry.py
+++ b/packages/millforkd/millforkd/beside/expiry.py
@@ -63,11 +63,18 @@
                 continue
             held = self.store.of(target.weights)
             self._note_arrivals(len(held.pieces))
-            if not self._has_ended(target):
-                continue
-            if self._remaining_s(target, held) > ABOUT_TO_COME_S:
+            if self._is_due(target, held):
                 await self._empty(target)
 
+    def _is_due(self, target: Target, held: PieceSet) -> bool:
+        """
+        Whether the version has ended, and the next one is not about to be here.
+
+        """
+        if not self._has_ended(target):
+            return False
+        return self._remaining_s(target, held) > ABOUT_TO_COME_S
+
     def _note_arrivals(self, count: int) -> None:
         now = self.env.monotonic()
         if self.arrivals and count < self.arrivals[-1][1]:
--- a/tests/fail_first.py
+++ b/tests/fail_first.py
@@ -376,8 +376,8 @@
         (
             Edit(
                 D + 'beside/expiry.py',
-                'if not self._has_ended(target):\n                continue',
-                'if True:\n                continue',
+                'if self._is_due(target, held):',
+                'if False:',
             ),
         ),
     ),
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -19,6 +19,7 @@
 from millforkd.beside.rollout import DRAIN_S, LATE_DRAIN_S, TURNS, Rollout
 from millforkd.beside.target import Target
 from millforkd.switching import LAST_SENT_S
+from tests.test_servers import Clock
 
 LAYERS, PIECES = 4, 8
 DUE_S = 1.2
@@ -255,29 +256,23 @@
     curio.run(run)
 
 
-class SlowGathering(StandInGathering):
-    """
-    Brings one piece after the other, so that the last comes just before the old version ends.
-
-    """
-
-    async def gather(self, held, wanted):
-        for index in wanted:
-            await curio.sleep(0.95 * (DUE_S + LAST_SENT_S) / len(wanted))
-            held.pieces[index] = b'piece'
-
-
-def test_an_engine_that_is_about_to_have_the_next_version_takes_no_order_before():
+@pytest.mark.parametrize(('here', 'due'), [(3, True), (6, True), (7, False)])
+def test_an_engine_that_is_about_to_have_the_next_version_takes_no_order_before(here, due):
     async def run():
-        engines = Engines(0, StandInEngine(running=3), SlowGathering())
+        engines = Engines(0)
+        clock = Clock()
+        engines.env.monotonic = clock
+        engines.target = replace(engines.target, due=clock.now + 1.0)
         rollout = engines.rollout
+        rollout.report = await engines.engine.report()
         expiry = Expiry(engines.env, engines.engine, rollout.store, rollout)
-        task = await engines.run()
-        watching = await curio.spawn(expiry.keep, daemon=True)
-        await engines.until(lambda: engines.engine.orders)
-        assert engines.engine.orders == [(2, 0, LAYERS, True, 3)]
-        await task.cancel()
-        await watching.cancel()
+        held = rollout.store.of(engines.target.weights)
+        clock.now = engines.target.due + LAST_SENT_S - 1.0
+        for count in range(here - 3, here + 1):
+            held.pieces = dict.fromkeys(range(count), b'piece')
+            expiry._note_arrivals(count)
+            clock.now += 0.32
+        assert expiry._is_due(engines.target, held) == due
 
     curio.run(run)
 
