--- a/packages/millfork-scheduling/millfork_scheduling/book.py
+++ b/packages/millfork-scheduling/millfork_scheduling/book.py
@@ -105,16 +105,6 @@
                 server.served = state.served
                 server.refused.clear()
 
-    def is_informed(self) -> bool:
-        """
-        Whether the load of half of the engines is known: one whose daemon is slow or
-        gone must not hold up the rest.
-
-        """
-        engines = [server for server in self.servers.values() if server.served]
-        known = sum(bool(server.beside) for server in engines)
-        return bool(engines) and known * 2 >= len(engines)
-
     def choose(self, wanted: Wanted, tried: set[InstanceId]) -> Choice | None:
         """
         The back end for a request; None if there is none that can serve it.
--- a/packages/millforkd/millforkd/proxy/admission.py
+++ b/packages/millforkd/millforkd/proxy/admission.py
@@ -11,17 +11,11 @@
 
 from millfork_adapter.exchange import CallerRequest
 from millfork_core.environment import Environment
-from millfork_core.ids import ServiceName
 from millfork_core.logs import Part, logger
 from millfork_core.verdicts import Reason, Refusal, Refused
 from millfork_routing.documents import Organisation, Route
 from millfork_routing.routes import RouteTable, pick_service, priority_of
-from millfork_scheduling.admission import (
-    Pressure,
-    Prospect,
-    is_worth_sending,
-    overdue_ms,
-)
+from millfork_scheduling.admission import Prospect, is_worth_sending, overdue_ms
 from millfork_scheduling.placement import Choice, Wanted
 from millfork_scheduling.returning import after_full_engines
 from millfork_web.server import Exchange
@@ -33,10 +27,9 @@
 # A caller's deadline differs by a few ms from the next one's; one that waited
 # for a place has lost more.
 RETURNING_MS: Final = 120
-# An entry that starts has its first document, leases and loads 0.5 s to 0.8 s later, as
-# long as replicas that start with it take to hear of each other. Those who come meanwhile
-# wait: turned away, all of them would come back together, for the only other try they
-# have; and without loads they would all go to the first few engines known.
+# An entry that starts has its first document and leases 0.5 s to 0.8 s later, as long as
+# replicas that start with it take to hear of each other. Those who come meanwhile wait:
+# turned away, all of them would come back together, for the only other try they have.
 BEGINNING_S: Final = 1.0
 # Of a caller's time, what it waits then at most.
 BEGINNING_SHARE: Final = 0.25
@@ -57,11 +50,9 @@
         self.versions = versions
         # How many entries there are, as far as is known.
         self.entries = entries
-        self.pressure: dict[ServiceName, Pressure] = {}
         self.table: RouteTable | None = None
-        # Set once there are a document and back ends, and once loads are known.
+        # Set once there are a document and back ends.
         self.begun = curio.Event()
-        self.informed = curio.Event()
         self.began = env.monotonic()
         # The longest deadline seen, by route, in ms.
         self.deadlines: dict[str, int] = {}
@@ -71,25 +62,14 @@
         Wait for a document and back ends, while they may come any moment.
 
         """
-        await self._until(self.begun, caller)
-
-    async def until_informed(self, job: Job) -> None:
-        """
-        Wait for the loads of engines, while they may come any moment.
-
-        """
-        if job.wanted.engine is not None:
-            await self._until(self.informed, job.caller)
-
-    async def _until(self, event: curio.Event, caller: CallerRequest) -> None:
-        if event.is_set():
+        if self.begun.is_set():
             return
         wait_s = self.began + BEGINNING_S - self.env.monotonic()
         if caller.deadline_ms is not None:
             wait_s = min(wait_s, caller.deadline_ms * BEGINNING_SHARE / 1000)
         try:
             async with curio.timeout_after(max(wait_s, 0.0)):
-                await event.wait()
+                await self.begun.wait()
         except curio.TaskTimeout:
             log.debug('Not ready in {:.2f} s. id={}', wait_s, caller.request_id)
 
@@ -174,8 +154,7 @@
         job.prospect = prospect
         log.debug(
             'Weighed. id={} server={} expected_ms={:.0f} figures_ms={:.0f} left_ms={:.0f} '
-            'occupied={} reported={} unread={} mine={} report_age_ms={:.0f} pace={:.2f} '
-            'pressure={:.2f}',
+            'occupied={} reported={} unread={} mine={} report_age_ms={:.0f} pace={:.2f}',
             job.caller.request_id,
             server.instance,
             prospect.expected_ms,
@@ -187,29 +166,11 @@
             server.mine,
             (now - server.reported_at) * 1000,
             server.pace,
-            self._pressure_on(job).level,
         )
-        pressure = self._pressure_on(job)
-        if is_worth_sending(prospect, pressure):
+        if is_worth_sending(prospect):
             return 0
-        if not job.returning:
-            pressure.note(kept=True)
         return after_full_engines(overdue_ms(prospect), self.env.random)
 
-    def note_first_token(self, job: Job) -> None:
-        """
-        The first token of a job is here: learn whether full engines made it late.
-
-        """
-        if job.returning:
-            return
-        took_ms = (self.env.monotonic() - job.began) * 1000
-        late = took_ms > job.route.target_ms
-        self._pressure_on(job).note(kept=late and job.prospect.full)
-
-    def _pressure_on(self, job: Job) -> Pressure:
-        return self.pressure.setdefault(job.wanted.service, Pressure())
-
     def _organisation(
         self, table: RouteTable, route: Route, caller: CallerRequest
     ) -> Organisation | None:
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -162,8 +162,6 @@
             self.book.take_reports(self.registry.endpoints.values())
             if self.admission.table is not None and self.book.servers:
                 await self.admission.begun.set()
-            if self.book.is_informed():
-                await self.admission.informed.set()
 
     def _take_document(self) -> None:
         found = document_in(self.view, self.adapter, self.document_revision)
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -64,7 +64,7 @@
         self.book = book
         self.pools = pools
         self.budget = budget
-        self.relaying = Relaying(env, adapter, book, admission)
+        self.relaying = Relaying(env, adapter, book)
         self.endings = Endings(env, adapter)
 
     async def answer(self, exchange: Exchange) -> None:
@@ -91,7 +91,6 @@
             await self.endings.refuse(exchange, caller.request_id, error.refusal)
             return
         job.began = began
-        await self.admission.until_informed(job)
         await self._serve_watched(job)
 
     async def _serve_watched(self, job: Job) -> None:
--- a/packages/millforkd/millforkd/proxy/relaying.py
+++ b/packages/millforkd/millforkd/proxy/relaying.py
@@ -12,7 +12,6 @@
 from millfork_core.verdicts import Reason, Verdict
 from millfork_scheduling.book import ServerBook
 from millfork_web.models import Response, without
-from millforkd.proxy.admission import Admission
 from millforkd.proxy.connections import SendFailed, ServerConnection
 from millforkd.proxy.events import EventSplitter, NotEvents
 from millforkd.proxy.job import Attempt, HeldAnswer, Job
@@ -30,13 +29,10 @@
 
     """
 
-    def __init__(
-        self, env: Environment, adapter: Adapter, book: ServerBook, admission: Admission
-    ) -> None:
+    def __init__(self, env: Environment, adapter: Adapter, book: ServerBook) -> None:
         self.env = env
         self.adapter = adapter
         self.book = book
-        self.admission = admission
 
     async def hold(self, connection: ServerConnection) -> HeldAnswer:
         """
@@ -114,7 +110,6 @@
             took_ms = (self.env.monotonic() - attempt.began) * 1000
             late_ms = took_ms - attempt.choice.by_figures_ms
             self.book.note_first_token(attempt.server, late_ms)
-            self.admission.note_first_token(job)
         attempt.note_first()
 
     async def _event_bytes(self, job: Job, connection: ServerConnection) -> bytes:
