In a rush, the other entries are taken to have their part

Cause, from a log of all machines losing power: 0.2 s after the first documents the nine entries had sent 26 to 30 requests to each of the four engines known by then (16 slots), as each counted only its own against the first report of an empty engine; the first tokens of the next 1.2 s were late. Change: where an entry began more than one request at an engine since its report, the others are counted to have done alike, for what would be late. Ruled out: counting so from the first request on (tried: turned callers away from engines with free slots).

--- a/packages/millfork-scheduling/millfork_scheduling/server.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server.py
@@ -116,13 +116,15 @@
 
     def taken(self, now: float, entries: int) -> int:
         """
-        Requests there as `occupied` tells, without what the others may have begun since
-        a report: that is a guess, and would turn callers away from free slots.
+        Requests there as `occupied` tells, but where this entry began only one since the
+        report, that says nothing of the others: callers would be turned away from free
+        slots. Where it began more, there is a rush, and the others do alike.
 
         """
         if now - self.reported_at > REPORT_VALID_S:
             return self.occupied(now, entries)
-        return self.occupied(now)
+        rush = max(self.mine - self.mine_at_report - 1, 0)
+        return self.occupied(now) + rush * (entries - 1)
 
     def unread(self, now: float, entries: int = 1) -> int:
         """
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -255,3 +255,19 @@
     assert book.choose(wanted, {InstanceId('i-quick')}) is None
     clock.now += 1.0
     assert book.choose(wanted, set()) is None
+
+
+@pytest.mark.parametrize(('begun', 'taken'), [(0, 4), (1, 5), (2, 14), (3, 23)])
+def test_of_a_rush_the_others_are_taken_to_have_their_part(book, clock, begun, taken):
+    book.take_leases([lease(1)])
+    book.take_reports([report(1, running=4)])
+    server = book.servers[InstanceId('i-1')]
+    server.mine += begun
+    assert server.taken(clock.now, 9) == taken
+
+
+def test_without_a_report_the_others_are_taken_to_have_as_many(book, clock):
+    book.take_leases([lease(1)])
+    server = book.servers[InstanceId('i-1')]
+    server.mine = 2
+    assert server.taken(clock.now, 9) == 18
