--- /dev/null
+++ b/packages/millfork-scheduling/millfork_scheduling/admission.py
@@ -0,0 +1,55 @@
+"""
+Whether a request is worth sending to the engine that was chosen for it.
+
+It answers lasting load near and above what the engines carry. There each request that is
+served late holds a slot for as long as one in time would, and those that came back after
+a refusal are late already: sent alike, they fill the engines, and nobody is in time.
+
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+# Of the time left for the first token, what a prediction may take. The rest is for the way
+# and for what reports 0.15 s to 0.3 s old can't tell.
+FIRST_SHARE: Final = 0.75
+# What would be late goes only to an engine with fewer of its slots taken than this share;
+# the rest is kept for those who can be in time. Model of 6 engines at 1.2 times their
+# capacity: 0.69 of the first tokens in time, 0.43 where it takes any free slot, 0.06 where
+# it queues like the others.
+LATE_SHARE: Final = 0.75
+
+
+@dataclass(frozen=True, slots=True)
+class Prospect:
+    """
+    What is expected of a request at an engine: the time to its first token and the time
+    left in which one is wanted (ms; none left: below 0), the requests there and its slots.
+
+    """
+
+    expected_ms: float
+    left_ms: float
+    occupied: int
+    slots: int
+
+
+NO_PROSPECT: Final = Prospect(0.0, 0.0, 0, 0)
+
+
+def overdue_ms(prospect: Prospect) -> float:
+    """
+    By how much the first token is expected too late, in ms; 0 or less: in time.
+
+    """
+    return prospect.expected_ms - max(prospect.left_ms, 0.0) * FIRST_SHARE
+
+
+def is_worth_sending(prospect: Prospect) -> bool:
+    """
+    Whether it would be in time, or takes a slot that nobody in time is likely to want.
+
+    """
+    if overdue_ms(prospect) <= 0:
+        return True
+    return prospect.occupied < prospect.slots * LATE_SHARE
--- a/packages/millfork-routing/millfork_routing/server.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server.py
@@ -7,10 +7,10 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from millfork_core.ids import InstanceId, ServiceName, ZoneId
+from millfork_core.ids import NO_INSTANCE, InstanceId, ServiceName, ZoneId
 from millfork_registry.records import ServedVersion
 from millfork_routing.documents import EngineFigures
-from millfork_routing.prediction import first_token_ms, usual_service_s
+from millfork_scheduling.prediction import first_token_ms, usual_service_s
 
 # A back end that failed is left alone this long, doubling with each failure.
 FIRST_SUSPICION_S: Final = 0.5
@@ -73,6 +73,8 @@
     served: tuple[ServedVersion, ...] = ()
     # What its last heartbeat said; an endpoint's report is newer.
     lease_served: tuple[ServedVersion, ...] = ()
+    # The endpoint daemon beside it, once one has reported.
+    beside: InstanceId = NO_INSTANCE
     changing: bool = False
     report_sequence: int = -1
     # Requests of this entry there, and those of them without a first token.
@@ -103,21 +105,34 @@
         """
         Requests there: the last report, which lags, corrected by what this
         entry has begun and ended since, and by what the others will have:
-        they see the same report and choose alike.
+        they see the same report and choose alike. Without a report the others are
+        taken to have as many.
 
         """
         if now - self.reported_at > REPORT_VALID_S:
-            return self.mine
+            return self.mine * entries
         begun = self.mine - self.mine_at_report
         return max(self.reported + begun * (entries if begun > 0 else 1), self.mine)
 
+    def taken(self, now: float, entries: int) -> int:
+        """
+        Requests there as `occupied` tells, but where this entry began only one since the
+        report, that says nothing of the others: callers would be turned away from free
+        slots. Where it began more, there is a rush, and the others do alike.
+
+        """
+        if now - self.reported_at > REPORT_VALID_S:
+            return self.occupied(now, entries)
+        rush = max(self.mine - self.mine_at_report - 1, 0)
+        return self.occupied(now) + rush * (entries - 1)
+
     def unread(self, now: float, entries: int = 1) -> int:
         """
         Requests there that have no first token yet, as `occupied` is known.
 
         """
         if now - self.reported_at > REPORT_VALID_S:
-            return self.mine_unread
+            return self.mine_unread * entries
         begun = self.mine_unread - self.mine_unread_at_report
         return max(self.reported_unread + begun * (entries if begun > 0 else 1), self.mine_unread)
 
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -50,6 +50,8 @@
     leases @43 :Leases;
     endpointReport @44 :EndpointReport;
     pushChunk @45 :PushChunk;
+    askFeed @46 :AskFeed;
+    feedSent @47 :FeedSent;
   }
 }
 
@@ -79,9 +81,11 @@
 
 struct Item { key @0 :Text; value @1 :Data; revision @2 :UInt64; }
 struct Subscribe { cluster @0 :Text; revision @1 :UInt64; }
+struct VersionSwitch { model @0 :Text; version @1 :UInt64; leftMs @2 :UInt32; }
 struct Update {
   cluster @0 :Text; fromRevision @1 :UInt64; revision @2 :UInt64; full @3 :Bool;
   items @4 :List(Item); removed @5 :List(Text); ageMs @6 :UInt32;
+  switches @7 :List(VersionSwitch);
 }
 struct AskRevision {}
 struct RevisionIs { cluster @0 :Text; revision @1 :UInt64; }
@@ -116,3 +120,5 @@
 struct Leases { full @0 :Bool; settled @1 :Bool; entries @2 :UInt32; leases @3 :Data; reports @4 :Data; }
 struct EndpointReport { body @0 :Data; }
 struct PushChunk { manifest @0 :Text; index @1 :UInt32; data @2 :Data; }
+struct AskFeed { cluster @0 :Text; revision @1 :UInt64; leaseVersion @2 :UInt64; reportVersion @3 :UInt64; }
+struct FeedSent { ok @0 :Bool; leaseVersion @1 :UInt64; reportVersion @2 :UInt64; }
--- a/packages/millforkd/millforkd/beside/daemon.py
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -24,6 +24,7 @@
 from millfork_wire.messages import Chunk, Done, EndpointReport, Manifest, Message
 from millforkd.admin import Admin
 from millforkd.beside.engine import LocalEngine
+from millforkd.beside.expiry import Expiry
 from millforkd.beside.fleet import Fleet
 from millforkd.beside.gathering import Gathering
 from millforkd.beside.layout import serves_whole
@@ -75,6 +76,7 @@
         self.view = feed.view
         self.registry = feed.registry
         self.following = feed.following
+        self.relaying = feed.relaying
         self.link = Link(_link_bytes_per_s(settings), TRANSFER_SHARE, True, env.monotonic)
         self.engine = LocalEngine(
             adapter, Client(*self.engine_address, source=str(settings.address))
@@ -88,7 +90,7 @@
         )
         self.targets = Targets(
             env,
-            Versions(env, self.view, settings.promises.version_ms),
+            Versions(env, self.view, settings.promises.version_ms, self.following.switch_ends),
             self.store,
             self._served_version,
             self.link.rate,
@@ -102,6 +104,7 @@
             self._target,
             self._report,
         )
+        self.expiry = Expiry(env, self.engine, self.store, self.rollout)
         self.admin = Admin(env, settings, lambda: bool(self.view.cluster))
         self.document: Document | None = None
         self.document_revision = 0
@@ -119,8 +122,10 @@
         await self.env.keep(self.peers.probe_idle)
         await self.env.keep(self.admin.run)
         await self.env.keep(self.following.run)
+        await self.env.keep(self.relaying.keep)
         await self.env.keep(self._keep_reporting)
         await self.env.keep(self.rollout.keep)
+        await self.env.keep(self.expiry.keep)
 
     async def reload(self, settings: SeededSettings) -> None:
         """
@@ -181,10 +186,10 @@
 
     async def _report(self) -> None:
         """
-        Tell the replica that this daemon follows.
+        Tell the replica that this daemon follows, or whoever passes it on.
 
         """
-        source = self.following.source
+        source = self.following.reports_to
         if not source:
             return
         body = msgspec.msgpack.encode(self._state())
@@ -259,6 +264,10 @@
         self.env.metrics.count(self.env.metrics.wire, event='unexpected')
         return None
 
+    @on.register
+    async def _(self, message: messages.AskFeed, connection: Connection) -> Message:
+        return await self.relaying.answer(connection, message)
+
     @on.register
     async def _(self, message: messages.GetManifest, connection: Connection) -> Message:
         weights = self._weights_id(message.digest, connection)
--- a/packages/millforkd/millforkd/proxy/admission.py
+++ b/packages/millforkd/millforkd/proxy/admission.py
@@ -3,15 +3,21 @@
 
 """
 
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Final
 
+import curio
+
 from millfork_adapter.exchange import CallerRequest
 from millfork_core.environment import Environment
+from millfork_core.logs import Part, logger
 from millfork_core.verdicts import Reason, Refusal, Refused
 from millfork_routing.documents import Organisation, Route
 from millfork_routing.routes import RouteTable, pick_service, priority_of
-from millfork_routing.servers import Choice, Wanted
+from millfork_scheduling.admission import Prospect, is_worth_sending, overdue_ms
+from millfork_scheduling.placement import Choice, Wanted
+from millfork_scheduling.returning import after_full_engines
 from millfork_web.server import Exchange
 from millforkd.proxy.job import Job
 from millforkd.versions import Versions
@@ -21,16 +27,14 @@
 # A caller's deadline differs by a few ms from the next one's; one that waited
 # for a place has lost more.
 RETURNING_MS: Final = 120
-# Of the aim for the first token; the rest is for the way and what the prediction can't
-# know. For a caller that comes back too: with less, more are refused twice than others
-# come in time; with more, a long queue makes everyone late.
-FIRST_SHARE: Final = 0.75
-HALF: Final = 0.5
-# When a refused caller may come back, in ms: a place comes free in about a
-# tenth of a second; spread, so that they do not come back at once.
-LEAST_WAIT_MS: Final = 150
-MOST_WAIT_MS: Final = 600
-SPREAD_WAIT_MS: Final = 250
+# An entry that starts has its first document and leases 0.5 s to 0.8 s later, as long as
+# replicas that start with it take to hear of each other. Those who come meanwhile wait:
+# turned away, all of them would come back together, for the only other try they have.
+BEGINNING_S: Final = 1.0
+# Of a caller's time, what it waits then at most.
+BEGINNING_SHARE: Final = 0.25
+
+log = logger(Part.PROXY)
 
 
 class Admission:
@@ -39,13 +43,36 @@
 
     """
 
-    def __init__(self, env: Environment, versions: Versions) -> None:
+    def __init__(
+        self, env: Environment, versions: Versions, entries: Callable[[], int] = lambda: 1
+    ) -> None:
         self.env = env
         self.versions = versions
+        # How many entries there are, as far as is known.
+        self.entries = entries
         self.table: RouteTable | None = None
+        # Set once there are a document and back ends.
+        self.begun = curio.Event()
+        self.began = env.monotonic()
         # The longest deadline seen, by route, in ms.
         self.deadlines: dict[str, int] = {}
 
+    async def until_begun(self, caller: CallerRequest) -> None:
+        """
+        Wait for a document and back ends, while they may come any moment.
+
+        """
+        if self.begun.is_set():
+            return
+        wait_s = self.began + BEGINNING_S - self.env.monotonic()
+        if caller.deadline_ms is not None:
+            wait_s = min(wait_s, caller.deadline_ms * BEGINNING_SHARE / 1000)
+        try:
+            async with curio.timeout_after(max(wait_s, 0.0)):
+                await self.begun.wait()
+        except curio.TaskTimeout:
+            log.debug('Not ready in {:.2f} s. id={}', wait_s, caller.request_id)
+
     def admit(self, exchange: Exchange, caller: CallerRequest) -> Job:
         """
         The job of a request.
@@ -78,7 +105,7 @@
             began,
             began + limit_ms / 1000,
             table.version,
-            self._is_returning(route, caller),
+            self._elapsed_ms(route, caller),
         )
 
     def as_of_now(self, wanted: Wanted, last_send: bool) -> Wanted:
@@ -98,36 +125,51 @@
             endings=self.versions.endings(model),
         )
 
-    def _is_returning(self, route: Route, caller: CallerRequest) -> bool:
+    def _elapsed_ms(self, route: Route, caller: CallerRequest) -> int:
         """
-        Whether clearly less time is left to the caller than others of the
-        route begin with: it was refused before.
+        The time since the caller's first try, in ms: clearly less is left to one that
+        was refused before than others of the route begin with.
 
         """
         deadline_ms = caller.deadline_ms
         if deadline_ms is None:
-            return False
+            return 0
         usual = max(self.deadlines.get(route.name, 0), deadline_ms)
         self.deadlines[route.name] = usual
-        return usual - deadline_ms > RETURNING_MS
+        elapsed = usual - deadline_ms
+        return elapsed if elapsed > RETURNING_MS else 0
 
     def wait_ms(self, job: Job, choice: Choice) -> int:
         """
         0 if a request is worth sending; else when its caller may come back.
 
-        It is refused where its first token would be late: it may be in time when
-        it comes back.
-
         """
-        expected = choice.first_token_ms
-        job.expected_ms = expected
-        if job.wanted.engine is None or self._is_half_empty(choice):
+        if job.wanted.engine is None:
             return 0
-        limit = job.route.target_ms * FIRST_SHARE
-        if expected <= limit:
+        now = self.env.monotonic()
+        server = choice.server
+        left_ms = job.route.target_ms - job.elapsed_ms - (now - job.began) * 1000
+        occupied = server.taken(now, self.entries())
+        prospect = Prospect(choice.first_token_ms, left_ms, occupied, server.slots)
+        job.prospect = prospect
+        log.debug(
+            'Weighed. id={} server={} expected_ms={:.0f} figures_ms={:.0f} left_ms={:.0f} '
+            'occupied={} reported={} unread={} mine={} report_age_ms={:.0f} pace={:.2f}',
+            job.caller.request_id,
+            server.instance,
+            prospect.expected_ms,
+            choice.by_figures_ms,
+            prospect.left_ms,
+            prospect.occupied,
+            server.reported,
+            server.reported_unread,
+            server.mine,
+            (now - server.reported_at) * 1000,
+            server.pace,
+        )
+        if is_worth_sending(prospect):
             return 0
-        late = min(expected - limit, MOST_WAIT_MS)
-        return int(LEAST_WAIT_MS + late + self.env.random.random() * SPREAD_WAIT_MS)
+        return after_full_engines(overdue_ms(prospect), self.env.random)
 
     def _organisation(
         self, table: RouteTable, route: Route, caller: CallerRequest
@@ -138,11 +180,3 @@
         if holder is None and not route.public:
             raise Refused(Refusal(Reason.UNAUTHENTICATED, detail='unknown key'))
         return holder
-
-    def _is_half_empty(self, choice: Choice) -> bool:
-        """
-        Whether the back end has so many places that a wait is none of load.
-
-        """
-        server = choice.server
-        return server.occupied(self.env.monotonic()) < server.slots * HALF
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -10,8 +10,9 @@
 from millfork_core.ids import InstanceId
 from millfork_core.verdicts import Reason, Verdict
 from millfork_routing.documents import Organisation, Route
-from millfork_routing.server import Server
-from millfork_routing.servers import Choice, Wanted
+from millfork_scheduling.admission import NO_PROSPECT, Prospect
+from millfork_scheduling.placement import Choice, Wanted
+from millfork_scheduling.server import Server
 from millfork_web.server import Exchange
 
 # The rank at an engine of a request whose route has the usual rank.
@@ -94,10 +95,10 @@
     began: float
     deadline: float
     document_version: int
-    # Whether the caller was here before: less time is left to it than callers
-    # of the route begin with.
-    returning: bool = False
-    expected_ms: float = 0.0
+    # The time since the caller's first try, in ms, by what is left to it; 0: this is it.
+    elapsed_ms: int = 0
+    # What was expected of it when it was last weighed.
+    prospect: Prospect = NO_PROSPECT
     tried: list[InstanceId] = field(default_factory=list)
     failures: list[Failed] = field(default_factory=list)
     held: HeldAnswer | None = None
@@ -120,6 +121,14 @@
             return None
         return min(max(USUAL_URGENCY + self.priority - USUAL_PRIORITY, 0), LEAST_URGENCY)
 
+    @property
+    def returning(self) -> bool:
+        """
+        Whether the caller was here before.
+
+        """
+        return self.elapsed_ms > 0
+
     @property
     def may_have_run(self) -> bool:
         return any(failed.verdict is not Verdict.NOT_RUN for failed in self.failures)
--- a/tests/fail_first.py
+++ b/tests/fail_first.py
@@ -48,6 +48,7 @@
 S = 'packages/millfork-state/millfork_state/'
 W = 'packages/millfork-weights/millfork_weights/'
 R = 'packages/millfork-routing/millfork_routing/'
+C = 'packages/millfork-scheduling/millfork_scheduling/'
 
 
 def scenario(name: str) -> str:
@@ -301,7 +302,7 @@
         'a slow engine gets nothing that its version would outlive',
         'tests/test_servers.py::'
         'test_a_slow_back_end_gets_nothing_that_would_begin_after_its_version_ends',
-        (Edit(R + 'servers.py', 'wanted.ends_at(version) - SURELY_S', "float('inf')"),),
+        (Edit(C + 'placement.py', 'wanted.ends_at(version) - SURELY_S', "float('inf')"),),
     ),
     Mutation(
         'the origin is drawn once for all zones',
@@ -347,6 +348,52 @@
             ),
         ),
     ),
+    Mutation(
+        'late requests leave slots to those who can be in time',
+        'tests/test_routing_model.py::test_under_lasting_load_slots_go_to_those_who_can_be_in_time',
+        (
+            Edit(
+                C + 'admission.py',
+                'LATE_SHARE: Final = 0.75',
+                'LATE_SHARE: Final = 10.0',
+            ),
+        ),
+    ),
+    Mutation(
+        'entries that see the same loads choose differently',
+        'tests/test_routing_model.py::test_many_entries_do_not_choose_the_same_engine',
+        (
+            Edit(
+                C + 'placement.py',
+                'weigh(_few(able, outlook.zone, random), random=random) or',
+                'None or',
+            ),
+        ),
+    ),
+    Mutation(
+        'who is cut off hears by way of another follower',
+        'tests/test_relaying.py::'
+        'test_who_is_cut_off_hears_configuration_and_load_by_way_of_its_zone',
+        (
+            Edit(
+                'packages/millfork-registry/millfork_registry/relaying.py',
+                'if not self._is_lost():',
+                'if True:',
+            ),
+        ),
+    ),
+    Mutation(
+        'an ended version is taken from its engine',
+        'tests/test_rollouts.py::'
+        'test_a_version_that_ends_before_the_next_is_here_is_taken_from_the_engine',
+        (
+            Edit(
+                D + 'beside/expiry.py',
+                'if self._is_due(target, held):',
+                'if False:',
+            ),
+        ),
+    ),
     Mutation(
         'engines change in turns',
         'tests/test_rollouts.py::test_an_engine_changes_once_those_of_the_turns_before_have',
--- /dev/null
+++ b/tests/test_beginning.py
@@ -0,0 +1,70 @@
+"""
+An entry that starts: callers wait for its first document, not for ever.
+
+"""
+
+import curio
+import pytest
+
+from millfork_adapter.exchange import CallerRequest
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_state.view import View
+from millforkd.proxy import admission as admissions
+from millforkd.proxy.admission import Admission
+from millforkd.versions import Versions
+
+
+def admission():
+    env = Environment(InstanceId('a:1'), ZoneId('z1'))
+    return Admission(env, Versions(env, View(), 8000))
+
+
+def caller(deadline_ms):
+    return CallerRequest('id', 'host', '/', deadline_ms=deadline_ms)
+
+
+async def waited_s(made, wait):
+    began = made.env.monotonic()
+    await wait
+    return made.env.monotonic() - began
+
+
+def test_a_caller_waits_until_there_is_something_to_serve_with():
+    async def run():
+        made = admission()
+        waiting = await curio.spawn(made.until_begun, caller(6000))
+        await curio.sleep(0)
+        assert not waiting.terminated
+        await made.begun.set()
+        await waiting.join()
+        assert made.env.monotonic() - made.began < admissions.BEGINNING_S
+
+    curio.run(run)
+
+
+@pytest.mark.parametrize(('deadline_ms', 'most_s'), [(400, 0.1), (60_000, 0.2)])
+def test_it_waits_for_no_more_than_a_part_of_its_time_and_of_the_beginning(
+    monkeypatch, deadline_ms, most_s
+):
+    monkeypatch.setattr(admissions, 'BEGINNING_S', 0.2)
+
+    async def run():
+        made = admission()
+        took_s = await waited_s(made, made.until_begun(caller(deadline_ms)))
+        assert most_s * 0.9 < took_s < most_s + 1.0
+        again_s = await waited_s(made, made.until_begun(caller(deadline_ms)))
+        assert again_s < most_s + 1.0
+
+    curio.run(run)
+
+
+def test_later_nobody_waits(monkeypatch):
+    monkeypatch.setattr(admissions, 'BEGINNING_S', 0.0)
+
+    async def run():
+        made = admission()
+        async with curio.timeout_after(5.0):
+            await made.until_begun(caller(6000))
+
+    curio.run(run)
--- a/tests/test_routing_model.py
+++ b/tests/test_routing_model.py
@@ -3,9 +3,11 @@
 
 """
 
+from collections import Counter
+
 import pytest
 
-from millfork_routing.servers import ServerBook
+from millfork_scheduling.book import ServerBook
 from millfork_standins.bench.engine_model import Agenda, EngineModel, Generation
 from millfork_standins.bench.routing import FleetShape, RandomBook, RoundRobinBook, RoutingModel
 from tests.test_servers import ENGINE
@@ -49,12 +51,28 @@
 
 @pytest.mark.parametrize('book', [RandomBook, RoundRobinBook])
 def test_more_first_tokens_are_in_time_than_without_a_look_at_the_load(book):
-    rate = SHAPE.capacity * 0.9
+    rate = SHAPE.capacity * 1.2
     built = RoutingModel(SHAPE, ServerBook, rate, 1).run(10.0)
     plain = RoutingModel(SHAPE, book, rate, 1).run(10.0)
     assert built.share('in time') > 1.5 * plain.share('in time')
 
 
+def test_under_lasting_load_slots_go_to_those_who_can_be_in_time():
+    load = SHAPE.capacity * 1.2
+    counted = sum(
+        (RoutingModel(SHAPE, ServerBook, load, seed).run(10.0).counts for seed in range(3)),
+        Counter(),
+    )
+    assert counted['in time'] > 0.6 * counted['asked']
+    assert counted['late'] < 0.2 * counted['asked']
+
+
+def test_many_entries_do_not_choose_the_same_engine():
+    shape = FleetShape('many entries', 24, 12, 40)
+    found = RoutingModel(shape, ServerBook, shape.capacity * 1.2, 1).run(6.0)
+    assert found.share('in time') > 0.5
+
+
 def test_a_seed_gives_the_same_run():
     runs = [RoutingModel(SHAPE, ServerBook, 50.0, 3).run(6.0) for _ in range(2)]
     assert runs[0] == runs[1]
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -13,10 +13,11 @@
 from millfork_registry.records import EndpointState, Lease, LeaseState, ServedVersion
 from millfork_routing.budget import USED_SHARE, SharedBudget
 from millfork_routing.documents import EngineFigures
-from millfork_routing.paths import pair_up
-from millfork_routing.prediction import first_token_ms
-from millfork_routing.server import MOST_SUSPICION_S
-from millfork_routing.servers import ServerBook, Wanted
+from millfork_scheduling.book import ServerBook
+from millfork_scheduling.paths import pair_up
+from millfork_scheduling.placement import Wanted
+from millfork_scheduling.prediction import first_token_ms
+from millfork_scheduling.server import MOST_SUSPICION_S
 
 ENGINE = EngineFigures(
     slots=16,
@@ -254,3 +255,19 @@
     assert book.choose(wanted, {InstanceId('i-quick')}) is None
     clock.now += 1.0
     assert book.choose(wanted, set()) is None
+
+
+@pytest.mark.parametrize(('begun', 'taken'), [(0, 4), (1, 5), (2, 14), (3, 23)])
+def test_of_a_rush_the_others_are_taken_to_have_their_part(book, clock, begun, taken):
+    book.take_leases([lease(1)])
+    book.take_reports([report(1, running=4)])
+    server = book.servers[InstanceId('i-1')]
+    server.mine += begun
+    assert server.taken(clock.now, 9) == taken
+
+
+def test_without_a_report_the_others_are_taken_to_have_as_many(book, clock):
+    book.take_leases([lease(1)])
+    server = book.servers[InstanceId('i-1')]
+    server.mine = 2
+    assert server.taken(clock.now, 9) == 18
