--- /dev/null
+++ b/tests/mutations.py
@@ -0,0 +1,406 @@
+"""
+The mechanisms to take out, each with the proof that must then fail.
+
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+
+@dataclass(frozen=True, slots=True)
+class Edit:
+    """
+    A text that stands once in a file, and what replaces it.
+
+    """
+
+    path: str
+    old: str
+    new: str
+
+
+@dataclass(frozen=True, slots=True)
+class Mutation:
+    """
+    A mechanism taken out by edits, and the test that must then fail.
+
+    """
+
+    name: str
+    test: str
+    edits: tuple[Edit, ...]
+
+
+D = 'packages/millforkd/millforkd/'
+S = 'packages/millfork-state/millfork_state/'
+W = 'packages/millfork-weights/millfork_weights/'
+R = 'packages/millfork-routing/millfork_routing/'
+C = 'packages/millfork-scheduling/millfork_scheduling/'
+
+
+def scenario(name: str) -> str:
+    return f'tests/test_scenarios.py::test_scenario[{name}]'
+
+
+MUTATIONS: Final = (
+    Mutation(
+        'weights are whole before they are loaded',
+        scenario('rollout_under_load'),
+        (
+            Edit(
+                D + 'endpoint/rollout.py',
+                'if holding is None or not holding.whole:',
+                'if holding is None or not holding.share > 0.3:',
+            ),
+            Edit(
+                W + 'store.py',
+                'return self.folder / WHOLE_FILE\n\n    @property\n    def share',
+                'return self.folder / (WHOLE_FILE if self.whole else PARTIAL_FILE)\n\n'
+                '    @property\n    def share',
+            ),
+        ),
+    ),
+    Mutation(
+        'every chunk is verified',
+        scenario('corrupt_and_stalled_origin'),
+        (
+            Edit(
+                W + 'store.py',
+                'return digest_of(data) == self.manifest.chunks[index]',
+                'return True',
+            ),
+        ),
+    ),
+    Mutation(
+        'pieces of an answer are counted',
+        'tests/test_attempts.py',
+        (
+            Edit(
+                D + 'entry/attempts.py',
+                'if (message.parts, message.bytes) != (self.next_sequence, self.received):',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'nothing runs before its start',
+        scenario('frozen_endpoint'),
+        (Edit(D + 'endpoint/door.py', 'await reservation.started.wait()', 'pass'),),
+    ),
+    Mutation(
+        'keys are claimed by quorum',
+        scenario('entry_killed_under_filings'),
+        (
+            Edit(
+                D + 'entry/callers.py',
+                "'' if repeatable else key,",
+                "'',",
+            ),
+        ),
+    ),
+    Mutation(
+        'a leaving endpoint refuses, told by any entry',
+        scenario('leaving_endpoint'),
+        (
+            Edit(
+                D + 'endpoint/daemon.py',
+                'return self.stopping or self.told_leaving or listed or drained',
+                'return self.stopping or drained',
+            ),
+            Edit(
+                D + 'entry/book.py',
+                'return facts is not None and facts.leaving',
+                'return False',
+            ),
+        ),
+    ),
+    Mutation(
+        'a planned stop waits',
+        scenario('planned_stops'),
+        (
+            Edit(D + 'entry/daemon.py', 'while self.server.active:', 'while False:'),
+            Edit(D + 'endpoint/door.py', 'while self.reservations:', 'while False:'),
+        ),
+    ),
+    Mutation(
+        'a voter is an instance with its disk',
+        scenario('lost_disk_does_not_vote'),
+        (
+            Edit(
+                S + 'election.py',
+                'if reply.granted and (voter, reply.disk) in replica.members:\n'
+                '                granted.add((voter, reply.disk))',
+                'if reply.granted:\n                granted.add((voter, reply.disk))',
+            ),
+            Edit(
+                S + 'replica.py',
+                'and request.cluster == self.cluster\n',
+                'and self.cluster in ("", request.cluster)\n',
+            ),
+            Edit(
+                S + 'replica.py',
+                'if request.cluster != self.cluster or request.term < self.term:',
+                'if self.cluster not in ("", request.cluster) or request.term < self.term:',
+            ),
+            Edit(
+                S + 'leadership.py',
+                'if progress.address.instance == instance and progress.disk == disk:',
+                'if progress.address.instance == instance:',
+            ),
+            Edit(
+                S + 'leadership.py',
+                'if voter in replica.members and progress.acked_at >= moment:',
+                'if progress.acked_at >= moment:',
+            ),
+        ),
+    ),
+    Mutation(
+        'what is accepted has a majority',
+        'tests/test_history_runs.py::test_a_leader_that_is_cut_off_accepts_nothing',
+        (
+            Edit(
+                S + 'leadership.py',
+                'index = held[replica.majority - 1]',
+                'index = held[0]',
+            ),
+            Edit(
+                S + 'leadership.py',
+                'if self._acked_since(since) < replica.majority:',
+                'if False:',
+            ),
+            Edit(
+                S + 'leadership.py',
+                'enough = self._acked_since(began) >= replica.majority',
+                'enough = True',
+            ),
+        ),
+    ),
+    Mutation(
+        'a command sent again gets its first answer',
+        'tests/test_history_runs.py',
+        (
+            Edit(
+                S + 'machine.py',
+                'if first is not None:\n            return first',
+                'if False:\n            return first',
+            ),
+        ),
+    ),
+    Mutation(
+        'operators who raced get a conflict',
+        'tests/test_history_runs.py',
+        (
+            Edit(
+                S + 'machine.py',
+                'if self._last_change(change.key) > change.expect:',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'a torn record is dropped by its checksum',
+        'tests/test_storage.py',
+        (
+            Edit(
+                S + 'storage.py',
+                'if not length or len(body) != length or zlib.crc32(body) != checksum:',
+                'if not length or len(body) != length:',
+            ),
+        ),
+    ),
+    Mutation(
+        'replicas learn from their log alone',
+        scenario('restart_after_many_changes'),
+        (
+            Edit(
+                S + 'subscription.py',
+                'if self.replica is not None:\n            return\n        if update.revision',
+                'if update.revision',
+            ),
+        ),
+    ),
+    Mutation(
+        'a successor numbers its orders higher',
+        'tests/test_fencing.py',
+        (
+            Edit(
+                D + 'endpoint/engine.py',
+                'self.number = FencingNumber(self.status.fencing_number + 1)',
+                'self.number = FencingNumber(1)',
+            ),
+        ),
+    ),
+    Mutation(
+        'an answer from other weights is withheld',
+        'tests/test_door.py',
+        (Edit(D + 'endpoint/door.py', 'if version != reservation.version:', 'if False:'),),
+    ),
+    Mutation(
+        'a manifest is only what was accepted',
+        'tests/test_weights.py',
+        (
+            Edit(
+                W + 'manifest.py',
+                'if digest is not None and digest_of(body) != digest:',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'nothing is served from before what the zone has seen',
+        'tests/test_subscription.py',
+        (Edit(S + 'subscription.py', 'self.floor = max([0, *answers])', 'self.floor = 0'),),
+    ),
+    Mutation(
+        'an append is acknowledged once it is durable',
+        'tests/test_replica.py',
+        (
+            Edit(
+                S + 'replica.py',
+                'if entries and self.storage.durable < entries[-1].index:',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'operators see their own keys alone',
+        'tests/test_isolation.py',
+        (
+            Edit(
+                D + 'entry/operators.py',
+                "return key == f'{ORGANISATIONS}{own}'",
+                'return True',
+            ),
+        ),
+    ),
+    Mutation(
+        'a deployment is looked up within the caller organisation',
+        'tests/test_isolation.py',
+        (
+            Edit(
+                D + 'entry/callers.py',
+                "service = f'{organisation}/{name}'",
+                'service = next((k.removeprefix(DEPLOYMENTS) for k in self.view.items'
+                " if k.startswith(DEPLOYMENTS) and k.endswith('/' + name)), '')",
+            ),
+        ),
+    ),
+    Mutation(
+        'a slow engine gets nothing that its version would outlive',
+        'tests/test_servers.py::'
+        'test_a_slow_back_end_gets_nothing_that_would_begin_after_its_version_ends',
+        (Edit(C + 'placement.py', 'wanted.ends_at(version) - SURELY_S', "float('inf')"),),
+    ),
+    Mutation(
+        'the origin is drawn once for all zones',
+        'tests/test_caches.py::test_the_origin_is_drawn_once_for_all_zones',
+        (
+            Edit(
+                D + 'proxy/cache.py',
+                'if not draw and await self._left_to_drawer(held, index):',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'a piece is left to a drawer that is at it',
+        'tests/test_caches.py::test_a_piece_that_its_drawer_brings_is_not_drawn_beside_it',
+        (Edit(D + 'proxy/cache.py', 'self.not_yet[place] < PATIENCE', 'not self.not_yet[place]'),),
+    ),
+    Mutation(
+        'a silent drawer is passed over',
+        'tests/test_caches.py::test_a_drawer_that_was_silent_is_passed_over_for_a_while',
+        (Edit(D + 'beside/silence.py', 'if until > self.monotonic():', 'if False:'),),
+    ),
+    Mutation(
+        'a connection that is silent beside others is left',
+        'tests/test_forwarding.py::test_a_connection_that_went_silent_beside_others_that_work_is_left',
+        (
+            Edit(
+                D + 'proxy/forwarding.py',
+                'if server.answered_since(job.urgency, attempt.began + OVERTAKEN_S):',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'a late heartbeat does not bring back a back end that was replaced',
+        'tests/test_registry.py::'
+        'test_a_new_back_end_ends_the_lease_of_the_one_before_it_at_its_address',
+        (
+            Edit(
+                'packages/millfork-registry/millfork_registry/registry.py',
+                'held.state is LeaseState.EXPIRED:',
+                'False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'late requests leave slots to those who can be in time',
+        'tests/test_routing_model.py::test_under_lasting_load_slots_go_to_those_who_can_be_in_time',
+        (
+            Edit(
+                C + 'admission.py',
+                'LATE_SHARE: Final = 0.75',
+                'LATE_SHARE: Final = 10.0',
+            ),
+        ),
+    ),
+    Mutation(
+        'entries that see the same loads choose differently',
+        'tests/test_routing_model.py::test_many_entries_do_not_choose_the_same_engine',
+        (
+            Edit(
+                C + 'placement.py',
+                'weigh(_few(able, outlook.zone, random), random=random) or',
+                'None or',
+            ),
+        ),
+    ),
+    Mutation(
+        'who is cut off hears by way of another follower',
+        'tests/test_relaying.py::'
+        'test_who_is_cut_off_hears_configuration_and_load_by_way_of_its_zone',
+        (
+            Edit(
+                'packages/millfork-registry/millfork_registry/relaying.py',
+                'if not self._is_lost():',
+                'if True:',
+            ),
+        ),
+    ),
+    Mutation(
+        'an ended version is taken from its engine',
+        'tests/test_rollouts.py::'
+        'test_a_version_that_ends_before_the_next_is_here_is_taken_from_the_engine',
+        (
+            Edit(
+                D + 'beside/expiry.py',
+                'if self._is_due(target, held):',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'engines change in turns',
+        'tests/test_rollouts.py::test_an_engine_changes_once_those_of_the_turns_before_have',
+        (
+            Edit(
+                D + 'beside/rollout.py',
+                'if self._changed(target) * TURNS >= turn',
+                'if self._changed(target) * TURNS >= 0 * turn',
+            ),
+        ),
+    ),
+    Mutation(
+        'a version that does not come is not waited for',
+        'tests/test_versions.py::'
+        'test_a_version_in_between_comes_first_where_the_newest_does_not_come',
+        (Edit(D + 'beside/target.py', 'if self._is_stuck(newest, now):', 'if False:'),),
+    ),
+    Mutation(
+        'who started first comes back to its own zone',
+        'tests/test_subscription.py::test_who_started_first_comes_back_to_its_own_zone',
+        (Edit(S + 'subscription.py', 'if await self._has_nearer():', 'if False:'),),
+    ),
+)
--- a/tests/test_fail_first.py
+++ b/tests/test_fail_first.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from tests.fail_first import MUTATIONS, ROOT
+from tests.fail_first import ROOT
+from tests.mutations import MUTATIONS
 
 
 @pytest.mark.parametrize('mutation', MUTATIONS, ids=lambda mutation: mutation.name)
