Engines of the last turn drain until their version ends, not 0.35 s before

Ruled out: the choice among few engines (the same ones were able). Change: the drain is bound by the end of the version only; the emptying of an engine that has nothing to change to keeps its 0.35 s.

--- a/packages/millforkd/millforkd/beside/expiry.py
+++ b/packages/millforkd/millforkd/beside/expiry.py
@@ -20,11 +20,15 @@
 from millforkd.beside.engine import LocalEngine
 from millforkd.beside.layout import Layers
 from millforkd.beside.pieces import PieceSet, PieceStore
-from millforkd.beside.rollout import EMPTIED_BEFORE_S, Rollout
+from millforkd.beside.rollout import Rollout
 from millforkd.beside.target import Target
 from millforkd.switching import LAST_SENT_S
 
 POLL_S: Final = 0.05
+# The engine is emptied so long before requests may not begin on the old version any more:
+# the order takes two polls and a few calls on the same instance, and this daemon may have
+# learned of the version 0.2 s after the entries.
+EMPTIED_BEFORE_S: Final = 0.35
 # The next version is about to be here if its pieces, as they came in the last second,
 # take no longer than this. On a link that delays requests by so much, they take longer.
 ABOUT_TO_COME_S: Final = 0.5
--- a/packages/millforkd/millforkd/beside/rollout.py
+++ b/packages/millforkd/millforkd/beside/rollout.py
@@ -34,10 +34,6 @@
 # Once the old version has ended, the engines that change are missed more than what
 # is left on them.
 LATE_DRAIN_S: Final = 0.3
-# An engine holds an old version no longer than until so long before requests may not
-# begin on it any more: the order takes two polls and a few calls on the same instance,
-# and this daemon may have learned of the version 0.2 s after the entries.
-EMPTIED_BEFORE_S: Final = 0.35
 POLL_S: Final = 0.1
 # The engines change in this many turns: fewer would take half of the capacity
 # away at once, more do not fit into the time that is left once the pieces are here.
@@ -242,12 +238,13 @@
 
     async def _drained(self, target: Target) -> None:
         """
-        Wait until the engine has nothing left to do, for a while at most.
+        Wait until the engine has nothing left to do, for a while at most, and not beyond
+        the end of its version: nothing may begin on it then.
 
         """
         now = self.env.monotonic()
         ends = target.due + LAST_SENT_S
-        until = max(now + LATE_DRAIN_S, min(now + DRAIN_S, ends - EMPTIED_BEFORE_S))
+        until = max(now + LATE_DRAIN_S, min(now + DRAIN_S, ends))
         while self.env.monotonic() < until:
             report = await self.engine.report()
             if report is not None and not report.running and not report.queued:
