Read again: two attributes that nothing reads any more are gone

No behaviour changes, no assertion does. Run: format, lint, types, and the tests of servers, admission, beginning, routing model, forwarding, versions, fail-first list, pages; the whole suite not again.

--- a/packages/millfork-scheduling/millfork_scheduling/book.py
+++ b/packages/millfork-scheduling/millfork_scheduling/book.py
@@ -91,7 +91,6 @@
             if server is None or state.sequence <= server.report_sequence:
                 continue
             server.report_sequence = state.sequence
-            server.beside = InstanceId(state.instance)
             if not state.reachable:
                 continue
             server.changing = bool(state.changing_to)
--- a/packages/millfork-scheduling/millfork_scheduling/server.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from millfork_core.ids import NO_INSTANCE, InstanceId, ServiceName, ZoneId
+from millfork_core.ids import InstanceId, ServiceName, ZoneId
 from millfork_registry.records import ServedVersion
 from millfork_routing.documents import EngineFigures
 from millfork_scheduling.prediction import first_token_ms, usual_service_s
@@ -73,8 +73,6 @@
     served: tuple[ServedVersion, ...] = ()
     # What its last heartbeat said; an endpoint's report is newer.
     lease_served: tuple[ServedVersion, ...] = ()
-    # The endpoint daemon beside it, once one has reported.
-    beside: InstanceId = NO_INSTANCE
     changing: bool = False
     report_sequence: int = -1
     # Requests of this entry there, and those of them without a first token.
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -121,14 +121,6 @@
             return None
         return min(max(USUAL_URGENCY + self.priority - USUAL_PRIORITY, 0), LEAST_URGENCY)
 
-    @property
-    def returning(self) -> bool:
-        """
-        Whether the caller was here before.
-
-        """
-        return self.elapsed_ms > 0
-
     @property
     def may_have_run(self) -> bool:
         return any(failed.verdict is not Verdict.NOT_RUN for failed in self.failures)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -30,7 +30,6 @@
         caller=SimpleNamespace(request_id='id'),
         wanted=Wanted(ServiceName('s'), engine),
         elapsed_ms=elapsed_ms,
-        returning=elapsed_ms > 0,
         began=made.env.monotonic(),
         route=SimpleNamespace(target_ms=TARGET_MS),
     )
