Logs tell an entry's part of the repeats, and how long before its version's end a request was sent

Neither the entries that the fixed allowance is divided by, nor what was spent, stood in any log line; nor could it be told from an entry's log whether a late first token was of a request sent in time. No decision changes.

--- a/packages/millfork-routing/millfork_routing/budget.py
+++ b/packages/millfork-routing/millfork_routing/budget.py
@@ -24,6 +24,20 @@
     repeats: deque[float] = field(default_factory=deque)
 
 
+@dataclass(frozen=True, slots=True)
+class BudgetPart:
+    """
+    One entry's part for a service: repeats sent and requests within the window, the
+    repeats allowed, and the number of entries that the fixed allowance was divided by.
+
+    """
+
+    spent: int
+    requests: int
+    allowed: float
+    entries: int
+
+
 class SharedBudget:
     """
     One entry's part of the budget, for each service.
@@ -58,13 +72,22 @@
         Take one repeat, if there is one left.
 
         """
-        window = self._window(service)
-        allowed = self.ratio * len(window.requests) + self.slack / max(self.entries(), 1)
-        if len(window.repeats) + 1 > USED_SHARE * allowed:
+        part = self.part(service)
+        if part.spent + 1 > part.allowed:
             return False
-        window.repeats.append(self.monotonic())
+        self.windows[service].repeats.append(self.monotonic())
         return True
 
+    def part(self, service: ServiceName) -> BudgetPart:
+        """
+        This entry's part as it is now.
+
+        """
+        window = self._window(service)
+        entries = max(self.entries(), 1)
+        allowed = self.ratio * len(window.requests) + self.slack / entries
+        return BudgetPart(len(window.repeats), len(window.requests), USED_SHARE * allowed, entries)
+
     def _window(self, service: ServiceName) -> _Window:
         window = self.windows.setdefault(service, _Window())
         since = self.monotonic() - self.window_s
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -10,6 +10,7 @@
 
 from millfork_adapter.adapter import Adapter
 from millfork_core.environment import Environment
+from millfork_core.ids import ServiceName
 from millfork_core.logs import Part, logger
 from millfork_core.verdicts import Reason, Refusal
 from millfork_registry.discovery import address_of
@@ -97,6 +98,8 @@
         self.admin = Admin(env, settings, self.is_ready)
         self.stopping = False
         self.document_revision = 0
+        # The repeats within the window that were last logged, by service.
+        self.repeats_logged: dict[ServiceName, int] = {}
 
     @property
     def in_progress(self) -> int:
@@ -177,6 +180,22 @@
         while True:
             await curio.sleep(HOUSEKEEPING_S)
             await self.pools.close_old()
+            self._log_repeats()
+
+    def _log_repeats(self) -> None:
+        for service in list(self.budget.windows):
+            part = self.budget.part(service)
+            if part.spent == self.repeats_logged.get(service, 0):
+                continue
+            self.repeats_logged[service] = part.spent
+            log.info(
+                'Repeats. service={} spent={} allowed={:.1f} requests={} entries={}',
+                service,
+                part.spent,
+                part.allowed,
+                part.requests,
+                part.entries,
+            )
 
     async def _answer_ready(self, exchange: Exchange) -> None:
         if not self.adapter.is_ready_call(exchange.request):
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -269,6 +269,16 @@
                 self._check_waiting(job, attempt, version)
                 self._check_silence(job, attempt, connection)
 
+    def _note_version(self, job: Job, version: int | None) -> None:
+        engine = job.wanted.engine
+        if engine is None or version is None:
+            return
+        ends = self.admission.versions.ends_at(engine.model, version)
+        job.sent_version = version
+        job.sent_before_end_ms = float('inf')
+        if ends is not None:
+            job.sent_before_end_ms = (ends - self.env.monotonic()) * 1000
+
     def _check_waiting(self, job: Job, attempt: Attempt, version: int | None) -> None:
         """
         :raises SendFailed: if the back end will not begin the request soon.
@@ -331,6 +341,7 @@
             self.budget.note_request(job.wanted.service)
         job.tried += [part.instance for part in attempt.choice.servers]
         headers = self.adapter.forward(request, orders)
+        self._note_version(job, version)
         await connection.send(request.method, request.path, headers, request.body)
         await self._read_head(job, attempt, connection, version)
         server.heard_at = self.env.monotonic()
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -101,6 +101,10 @@
     prospect: Prospect = NO_PROSPECT
     tried: list[InstanceId] = field(default_factory=list)
     failures: list[Failed] = field(default_factory=list)
+    # The version of the weights that the last sending named (0: none), and how long before
+    # its end that was, in ms (infinity: no newer one was named).
+    sent_version: int = 0
+    sent_before_end_ms: float = float('inf')
     held: HeldAnswer | None = None
     status: int = 0
     first_at: float | None = None
