The end of a version is counted from a question, and the ends of all versions are kept

Cause: a replica pushed how many ms an older version had left, and a follower added that to its own clock when it read it. One that stood still for 3.4 s read it 3.4 s late and went on by an end 3.4 s late (its log: due_s=7.1 at 21.30 s, beside 7.1 at 18.04 s elsewhere). Ruled out: the clock of the machine (monotonic clocks only); the replica, which had it right. Change: followers ask, and count from when they asked; replicas ask each other, so one that was restarted learns it too; every version told of has its own end; until the first answer a version counts from the last question that did not cover it.

--- a/packages/millfork-registry/millfork_registry/followers.py
+++ b/packages/millfork-registry/millfork_registry/followers.py
@@ -6,7 +6,6 @@
 
 """
 
-from collections.abc import Callable
 from typing import Final
 
 import curio
@@ -17,7 +16,7 @@
 from millfork_registry.registry import Registry
 from millfork_state.replica import Replica
 from millfork_wire.connection import Connection, PeerLost
-from millfork_wire.messages import CacheAddress, Follow, Leases, VersionSwitch
+from millfork_wire.messages import CacheAddress, Follow, Leases
 
 # A follower goes elsewhere after several of these without a word. Entries hear
 # of the engines' load as often.
@@ -58,18 +57,9 @@
 
     """
 
-    def __init__(
-        self,
-        env: Environment,
-        replica: Replica,
-        registry: Registry,
-        switches: Callable[[], list[VersionSwitch]] = list,
-    ) -> None:
+    def __init__(self, env: Environment, replica: Replica, registry: Registry) -> None:
         self.env = env
         self.replica = replica
-        # The versions named lately: a follower that starts, or hears of one late, does
-        # not know by itself how long ago that was.
-        self.switches = switches
         self.registry = registry
         self.rows: dict[str, Follower] = {}
         # Entries that follow other replicas, by replica.
@@ -139,7 +129,6 @@
                 if follower.role != REPLICA_ROLE:
                     update = self.replica.view.update_since(cluster, revision)
                     update.age_ms = self.replica.age_ms()
-                    update.switches = self.switches()
                     cluster, revision = update.cluster, update.revision
                     await follower.connection.notify(update)
                 await follower.connection.notify(self._leases_for(follower))
--- a/packages/millfork-registry/millfork_registry/following.py
+++ b/packages/millfork-registry/millfork_registry/following.py
@@ -17,9 +17,19 @@
 from millfork_registry.discovery import Discovery
 from millfork_registry.records import decode_leases, decode_states
 from millfork_registry.registry import Registry
+from millfork_registry.switch_ends import Answer, SwitchEnds
+from millfork_state.keys import VERSION_PREFIX
 from millfork_state.view import View
 from millfork_wire.connection import Connection, PeerError, PeerLost
-from millfork_wire.messages import FindReplicas, Follow, Leases, Message, Update
+from millfork_wire.messages import (
+    FindReplicas,
+    Follow,
+    Leases,
+    Message,
+    Replicas,
+    Update,
+    VersionSwitch,
+)
 from millfork_wire.peers import PeerAddress, Peers
 
 # Four heartbeats of the feed; a replica that is slower is left.
@@ -66,9 +76,8 @@
         # one that was asked for it last.
         self.relay = ''
         self.asked_relay = ''
-        # Until when requests may begin on a version older than one that was named
-        # (monotonic seconds), by model and version.
-        self.switch_ends: dict[tuple[str, int], float] = {}
+        # When requests may no longer begin on what came before a version.
+        self.switch_ends = SwitchEnds()
         self.asked_at = 0.0
         # Set whenever leases or configuration changed.
         self.changed = curio.Event()
@@ -108,7 +117,7 @@
         return sorted(addresses, key=lambda address: address.instance == self.source)
 
     async def _begin(self, address: PeerAddress) -> bool:
-        reply = await self.discovery.ask(address, FindReplicas())
+        reply = await self._ask(address)
         if reply is None or not reply.cluster:
             return False
         if reply.age_ms > STALE_MS and await self._fresher_than(address, reply.age_ms):
@@ -127,6 +136,40 @@
         log.info('Following replica {}. age_ms={}', address.instance, reply.age_ms)
         return True
 
+    async def _ask(self, address: PeerAddress) -> Replicas | None:
+        """
+        Ask a replica whom it knows, and what it knows of versions named lately.
+
+        """
+        asked_at = self.env.monotonic()
+        reply = await self.discovery.ask(address, FindReplicas())
+        if reply is not None and reply.cluster:
+            source = str(address.instance)
+            await self.note_switches(source, asked_at, reply.revision, reply.switches)
+        return reply
+
+    async def note_switches(
+        self, source: str, asked_at: float, revision: int, switches: list[VersionSwitch]
+    ) -> None:
+        """
+        Take what an answer to a question of `asked_at` told of versions named lately.
+
+        """
+        answer = Answer(source, asked_at, self.env.monotonic(), revision, switches)
+        if self.switch_ends.note(answer):
+            await self.changed.set()
+
+    def _has_unanswered_version(self) -> bool:
+        """
+        Whether a version was named that the last answer did not cover.
+
+        """
+        return any(
+            not self.switch_ends.covers(held.revision)
+            for key, held in self.view.items.items()
+            if key.startswith(VERSION_PREFIX)
+        )
+
     async def _fresher_than(self, address: PeerAddress, age_ms: int) -> bool:
         """
         Whether another replica has heard the leader more lately.
@@ -158,9 +201,9 @@
                 reason = 'silent'
                 await connection.close()
                 break
-            if now - self.asked_at > ASK_EVERY_S:
+            if now - self.asked_at > ASK_EVERY_S or self._has_unanswered_version():
                 self.asked_at = now
-                await self.discovery.ask(address, FindReplicas())
+                await self._ask(address)
             if now - looked_at > LOOK_NEARER_S:
                 looked_at = now
                 if await self._has_nearer(address):
@@ -224,9 +267,6 @@
             self.age_ms = update.age_ms
         elif peer != self.asked_relay:
             return
-        for switch in update.switches:
-            named = (switch.model, switch.version)
-            self.switch_ends.setdefault(named, now + switch.left_ms / 1000)
         if not self.view.take(update):
             return
         self.env.metrics.revision.set({}, self.view.revision)
--- a/packages/millfork-registry/millfork_registry/relaying.py
+++ b/packages/millfork-registry/millfork_registry/relaying.py
@@ -8,6 +8,7 @@
 
 """
 
+from collections.abc import Callable
 from typing import Final
 
 import curio
@@ -41,6 +42,8 @@
         self.env = env
         self.following = following
         self.versions = FeedSent()
+        # The versions named lately, as this process knows of them.
+        self.switches: Callable[[], list[VersionSwitch]] = list
 
     async def keep(self) -> None:
         """
@@ -90,6 +93,7 @@
         question = AskFeed(view.cluster, view.revision, before.lease_version, before.report_version)
         # Set first: the feed overtakes the reply.
         self.following.asked_relay = name
+        asked_at = self.env.monotonic()
         try:
             reply = await self.following.peers.call(address_of(name), question, ASK_TIMEOUT_S)
         except PeerError as error:
@@ -98,6 +102,7 @@
         if not isinstance(reply, FeedSent) or not reply.ok:
             return False
         self.versions = reply
+        await self.following.note_switches(name, asked_at, reply.revision, reply.switches)
         return True
 
     def _candidates(self) -> list[str]:
@@ -131,14 +136,15 @@
         registry = following.registry
         update = following.view.update_since(question.cluster, question.revision)
         update.age_ms = following.age_ms + int((now - following.heard_at) * 1000)
-        update.switches = [
-            VersionSwitch(model, version, int((ends - now) * 1000))
-            for (model, version), ends in following.switch_ends.items()
-            if ends > now
-        ]
         leases = registry.leases.since(question.lease_version)
         reports = registry.endpoints.since(question.report_version)
-        versions = FeedSent(True, registry.leases.version, registry.endpoints.version)
+        versions = FeedSent(
+            True,
+            registry.leases.version,
+            registry.endpoints.version,
+            following.view.revision,
+            self.switches(),
+        )
         feed = Leases(
             not question.lease_version,
             registry.settled,
--- a/packages/millfork-wire/millfork_wire/messages.py
+++ b/packages/millfork-wire/millfork_wire/messages.py
@@ -186,7 +186,6 @@
     items: list[Item] = field(default_factory=list)
     removed: list[str] = field(default_factory=list)
     age_ms: int = 0
-    switches: list[VersionSwitch] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -360,6 +359,9 @@
     caches: list[CacheAddress] = field(default_factory=list)
     # The availability zone of the replica that answers.
     zone: str = ''
+    # The revision of its configuration, and the versions named lately.
+    revision: int = 0
+    switches: list[VersionSwitch] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -394,6 +396,9 @@
     ok: bool = False
     lease_version: int = 0
     report_version: int = 0
+    # The revision of its configuration, and the versions named lately.
+    revision: int = 0
+    switches: list[VersionSwitch] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -85,7 +85,6 @@
 struct Update {
   cluster @0 :Text; fromRevision @1 :UInt64; revision @2 :UInt64; full @3 :Bool;
   items @4 :List(Item); removed @5 :List(Text); ageMs @6 :UInt32;
-  switches @7 :List(VersionSwitch);
 }
 struct AskRevision {}
 struct RevisionIs { cluster @0 :Text; revision @1 :UInt64; }
@@ -114,11 +113,16 @@
 struct Chunk { found @0 :Bool; data @1 :Data; reason @2 :Text; }
 
 struct FindReplicas { instance @0 :Text; cluster @1 :Text; entries @2 :UInt32; }
-struct Replicas { cluster @0 :Text; leader @1 :Text; known @2 :List(Text); ageMs @3 :UInt32; entries @4 :UInt32; caches @5 :List(CacheAddress); zone @6 :Text; }
+struct Replicas { cluster @0 :Text; leader @1 :Text; known @2 :List(Text); ageMs @3 :UInt32; entries @4 :UInt32; caches @5 :List(CacheAddress); zone @6 :Text;
+  revision @7 :UInt64; switches @8 :List(VersionSwitch);
+}
 struct CacheAddress { instance @0 :Text; zone @1 :Text; }
 struct Follow { role @0 :Text; cluster @1 :Text; revision @2 :UInt64; }
 struct Leases { full @0 :Bool; settled @1 :Bool; entries @2 :UInt32; leases @3 :Data; reports @4 :Data; }
 struct EndpointReport { body @0 :Data; }
 struct PushChunk { manifest @0 :Text; index @1 :UInt32; data @2 :Data; }
 struct AskFeed { cluster @0 :Text; revision @1 :UInt64; leaseVersion @2 :UInt64; reportVersion @3 :UInt64; }
-struct FeedSent { ok @0 :Bool; leaseVersion @1 :UInt64; reportVersion @2 :UInt64; }
+struct FeedSent {
+  ok @0 :Bool; leaseVersion @1 :UInt64; reportVersion @2 :UInt64;
+  revision @3 :UInt64; switches @4 :List(VersionSwitch);
+}
--- a/packages/millforkd/millforkd/beside/daemon.py
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -88,9 +88,17 @@
         self.gathering = Gathering(
             env, self.peers, self.fleet, origin, self.discovery.caches, self.pushing, self.link
         )
+        versions = Versions(
+            env,
+            self.view,
+            settings.promises.version_ms,
+            self.following.switch_ends,
+            first_hand=False,
+        )
+        self.relaying.switches = versions.switches
         self.targets = Targets(
             env,
-            Versions(env, self.view, settings.promises.version_ms, self.following.switch_ends),
+            versions,
             self.store,
             self._served_version,
             self.link.rate,
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -67,7 +67,10 @@
         self.registry = feed.registry
         self.following = feed.following
         self.relaying = feed.relaying
-        self.versions = Versions(env, self.view, promises.version_ms, self.following.switch_ends)
+        self.versions = Versions(
+            env, self.view, promises.version_ms, self.following.switch_ends, first_hand=False
+        )
+        self.relaying.switches = self.versions.switches
         self.admission = Admission(env, self.versions, lambda: self.following.entries)
         self.book = ServerBook(env.zone, env.random, env.monotonic, lambda: self.following.entries)
         self.pools = Pools(env)
--- a/packages/millforkd/millforkd/replica/daemon.py
+++ b/packages/millforkd/millforkd/replica/daemon.py
@@ -76,8 +76,7 @@
             self.replica.learn_address(address)
         self.answers = StateAnswers(self.node)
         self.registry = Registry(env, heartbeat_s)
-        self.versions = Versions(env, self.replica.view, settings.promises.version_ms)
-        self.followers = Followers(env, self.replica, self.registry, self._switches)
+        self.followers = Followers(env, self.replica, self.registry)
         self.mesh = Mesh(
             env,
             self.peers,
@@ -86,6 +85,13 @@
             self.discovery,
             self.followers,
             heartbeat_s,
+            self._switches,
+        )
+        self.versions = Versions(
+            env,
+            self.replica.view,
+            settings.promises.version_ms,
+            self.mesh.switch_ends,
         )
         self.proposals = Proposals(
             env, self.peers, self.replica.others, self.node, LEADER_TIMEOUT_S
--- a/packages/millforkd/millforkd/replica/mesh.py
+++ b/packages/millforkd/millforkd/replica/mesh.py
@@ -3,6 +3,7 @@
 
 """
 
+from collections.abc import Callable
 from typing import Final
 
 import curio
@@ -16,9 +17,10 @@
 from millfork_registry.followers import REPLICA_ROLE, Followers
 from millfork_registry.records import Lease, decode_leases, decode_states, encode_records
 from millfork_registry.registry import Change, Registry
+from millfork_registry.switch_ends import Answer, SwitchEnds
 from millfork_state.replica import Replica
 from millfork_wire.connection import Connection, PeerError
-from millfork_wire.messages import FindReplicas, Follow, Leases, Replicas
+from millfork_wire.messages import FindReplicas, Follow, Leases, Replicas, VersionSwitch
 from millfork_wire.peers import PeerAddress, Peers
 
 ASK_EVERY_S: Final = 0.5
@@ -69,8 +71,13 @@
         discovery: Discovery,
         followers: Followers,
         heartbeat_s: float,
+        switches: Callable[[], list[VersionSwitch]] = list,
     ) -> None:
         self.env = env
+        # The versions named lately: who starts, or hears of one late, does not know by
+        # itself how long ago that was.
+        self.switches = switches
+        self.switch_ends = SwitchEnds()
         self.peers = peers
         self.replica = replica
         self.registry = registry
@@ -108,6 +115,7 @@
         question = FindReplicas(
             str(self.env.instance), self.replica.cluster, self.followers.entries_here
         )
+        asked_at = self.env.monotonic()
         reply = await self.discovery.ask(address, question)
         if reply is None:
             self.followers.entries_elsewhere.pop(str(address.instance), None)
@@ -115,6 +123,10 @@
         self.heard[str(address.instance)] = self.env.monotonic()
         self.replica.learn_address(address)
         self.followers.entries_elsewhere[str(address.instance)] = reply.entries
+        answered_at = self.env.monotonic()
+        self.switch_ends.note(
+            Answer(str(address.instance), asked_at, answered_at, reply.revision, reply.switches)
+        )
         await self._follow(address)
 
     async def _follow(self, address: PeerAddress) -> None:
@@ -160,6 +172,8 @@
             self.followers.entries_here,
             named(caches, None if message.instance else zone),
             str(self.env.zone),
+            self.replica.view.revision,
+            self.switches(),
         )
 
     async def on_leases(self, message: Leases) -> None:
