Replicas note a version when it is named, and answers that agree move no end

A replica worked out the end only when asked (0.2 s late in one log); what is left is told in whole ms, so that a slow answer that agreed lowered an end by as long as it had taken.

--- a/packages/millfork-registry/millfork_registry/switch_ends.py
+++ b/packages/millfork-registry/millfork_registry/switch_ends.py
@@ -11,10 +11,14 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import Final
 
 from millfork_wire.messages import VersionSwitch
 
-MS_PER_S = 1000
+MS_PER_S: Final = 1000
+# Replicas learn of a version a few ms apart; so much is no other end, as requests are
+# taken back 0.15 s before it.
+AGREE_S: Final = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +75,7 @@
         # only by the same one's, whose earlier answer was slower.
         if (
             known is not None
-            and known.at <= latest
+            and known.at <= latest + AGREE_S
             and (known.source != answer.source or known.at >= earliest)
         ):
             return False
--- a/packages/millforkd/millforkd/replica/daemon.py
+++ b/packages/millforkd/millforkd/replica/daemon.py
@@ -39,6 +39,8 @@
 # A leader gives way before it stops, so that the others need not wait for
 # its silence.
 STOP_PAUSE_S: Final = 0.1
+# Versions are looked for this often, should the word of a change be missed.
+LEARN_AFTER_S: Final = 0.15
 # How long one call to the leader may take.
 LEADER_TIMEOUT_S: Final = 0.8
 
@@ -116,6 +118,18 @@
         self.versions.refresh()
         return self.versions.switches()
 
+    async def _learn_versions(self) -> None:
+        """
+        The task that notes when a version was named: its end counts from there.
+
+        """
+        view = self.replica.view
+        while True:
+            mark = view.mark
+            if self.replica.cluster:
+                self.versions.refresh()
+            await view.wait_beyond(mark, LEARN_AFTER_S)
+
     @property
     def in_progress(self) -> int:
         return self.server.active
@@ -134,6 +148,7 @@
         await self.env.keep(self.admin.run)
         await self.env.keep(self.mesh.keep)
         await self.env.keep(self.followers.wake_on_configuration)
+        await self.env.keep(self._learn_versions)
         await self.env.keep(self.node.run)
         await self.env.keep(self.node.keep_snapshots)
         await self.env.keep(self.server.run)
--- a/tests/test_switch_ends.py
+++ b/tests/test_switch_ends.py
@@ -103,3 +103,10 @@
     assert replica.switches() == []
     told.note(answer(clock.now, 0.0, 3.0))
     assert [item.left_ms for item in replica.switches()] == [3000]
+
+
+def test_a_slow_answer_that_agrees_moves_no_end(told):
+    told.note(answer(100.0, 0.002, 6.0))
+    # What is left is told in whole ms.
+    assert not told.note(answer(100.5, 1.0, 4.999, source='other'))
+    assert told.at('m', 2) == pytest.approx(106.0)
