--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -183,6 +183,7 @@
         while True:
             await curio.sleep(HOUSEKEEPING_S)
             await self.pools.close_old()
+            self.budget.count_entries()
             self._log_repeats()
 
     def _log_repeats(self) -> None:
