What a caller waited for an entry to start is taken from its time

Cause, from reading: the deadline was counted from the end of the wait, which lasts up to a quarter of the time. Ruled out: route time-outs, which were counted alike. Change: a request's time counts from when it came.

--- a/packages/millforkd/millforkd/proxy/admission.py
+++ b/packages/millforkd/millforkd/proxy/admission.py
@@ -73,9 +73,10 @@
         except curio.TaskTimeout:
             log.debug('Not ready in {:.2f} s. id={}', wait_s, caller.request_id)
 
-    def admit(self, exchange: Exchange, caller: CallerRequest) -> Job:
+    def admit(self, exchange: Exchange, caller: CallerRequest, came_at: float) -> Job:
         """
-        The job of a request.
+        The job of a request that came at a moment (monotonic seconds): its time counts
+        from there, also where it waited since.
 
         :raises Refused: if no document allows it.
 
@@ -89,11 +90,11 @@
         organisation = self._organisation(table, route, caller)
         name = pick_service(route, self.env.random.random())
         service = table.services[name]
-        began = self.env.monotonic()
         limit_ms = route.timeout_ms
         if caller.deadline_ms is not None:
             limit_ms = min(limit_ms, caller.deadline_ms)
-        if limit_ms < MIN_SENT_MS:
+        deadline = came_at + limit_ms / 1000
+        if (deadline - self.env.monotonic()) * 1000 < MIN_SENT_MS:
             raise Refused(Refusal(Reason.EXPIRED, detail='no time is left'))
         return Job(
             exchange,
@@ -102,8 +103,8 @@
             organisation,
             Wanted(name, service.engine, prompt_tokens=caller.prompt_tokens),
             priority_of(route, organisation),
-            began,
-            began + limit_ms / 1000,
+            came_at,
+            deadline,
             table.version,
             self._elapsed_ms(route, caller),
         )
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -72,7 +72,7 @@
         Answer one request.
 
         """
-        began = self.env.monotonic()
+        came_at = self.env.monotonic()
         try:
             caller = self.adapter.read_caller(exchange.request)
         except BadCall as error:
@@ -80,7 +80,7 @@
             return
         try:
             await self.admission.until_begun(caller)
-            job = self.admission.admit(exchange, caller)
+            job = self.admission.admit(exchange, caller, came_at)
         except Refused as error:
             log.info(
                 'Refused. id={} reason={} detail={}',
@@ -90,7 +90,6 @@
             )
             await self.endings.refuse(exchange, caller.request_id, error.refusal)
             return
-        job.began = began
         await self._serve_watched(job)
 
     async def _serve_watched(self, job: Job) -> None:
--- a/tests/test_beginning.py
+++ b/tests/test_beginning.py
@@ -8,7 +8,10 @@
 
 from millfork_adapter.exchange import CallerRequest
 from millfork_core.environment import Environment
-from millfork_core.ids import InstanceId, ZoneId
+from millfork_core.ids import InstanceId, ServiceName, ZoneId
+from millfork_core.verdicts import Reason, Refused
+from millfork_routing.documents import Document, Route, RouteKind, Service, Share
+from millfork_routing.routes import RouteTable
 from millfork_state.view import View
 from millforkd.proxy import admission as admissions
 from millforkd.proxy.admission import Admission
@@ -68,3 +71,22 @@
             await made.until_begun(caller(6000))
 
     curio.run(run)
+
+
+def route_table():
+    shares = (Share(ServiceName('s'), 1),)
+    route = Route('r', 'host', '/', RouteKind.SAFE, 4000, 300, 1, shares, 2, True, False, 0)
+    return RouteTable(Document(1, (route,), (Service(ServiceName('s'), 4),), ()))
+
+
+def test_what_a_caller_waited_is_taken_from_its_time():
+    # The deadline was counted from the end of the wait, so that back ends were handed up to
+    # a quarter more time than the caller had left: 1500 ms of 1500 after a wait of 375.
+    made = admission()
+    made.table = route_table()
+    came_at = made.env.monotonic() - 0.375
+    job = made.admit(None, caller(1500), came_at)
+    assert job.left_s(came_at) == pytest.approx(1.5)
+    with pytest.raises(Refused) as refused:
+        made.admit(None, caller(370), came_at)
+    assert refused.value.refusal.reason is Reason.EXPIRED
