Only the leader knows when a version was named; others are told, or tell nothing

Change: the leader counts from when it learned of a version; all others count from questions along the way to it, and the latest answer stands, as each is early by its way. Before an answer a follower goes on for 2 s.

--- a/packages/millfork-registry/millfork_registry/following.py
+++ b/packages/millfork-registry/millfork_registry/following.py
@@ -17,7 +17,8 @@
 from millfork_registry.discovery import Discovery
 from millfork_registry.records import decode_leases, decode_states
 from millfork_registry.registry import Registry
-from millfork_registry.switch_ends import Answer, SwitchEnds
+from millfork_registry.switch_ends import SwitchEnds
+from millfork_state.commands import decode_versioned
 from millfork_state.keys import VERSION_PREFIX
 from millfork_state.view import View
 from millfork_wire.connection import Connection, PeerError, PeerLost
@@ -143,31 +144,27 @@
         """
         asked_at = self.env.monotonic()
         reply = await self.discovery.ask(address, FindReplicas())
-        if reply is not None and reply.cluster:
-            source = str(address.instance)
-            await self.note_switches(source, asked_at, reply.revision, reply.switches)
+        if reply is not None:
+            await self.note_switches(asked_at, reply.switches)
         return reply
 
-    async def note_switches(
-        self, source: str, asked_at: float, revision: int, switches: list[VersionSwitch]
-    ) -> None:
+    async def note_switches(self, asked_at: float, switches: list[VersionSwitch]) -> None:
         """
         Take what an answer to a question of `asked_at` told of versions named lately.
 
         """
-        answer = Answer(source, asked_at, self.env.monotonic(), revision, switches)
-        if self.switch_ends.note(answer):
+        if self.switch_ends.note(asked_at, switches):
             await self.changed.set()
 
-    def _has_unanswered_version(self) -> bool:
+    def _knows_of_untold(self) -> bool:
         """
-        Whether a version was named that the last answer did not cover.
+        Whether a version was named of which no answer told yet.
 
         """
         return any(
-            not self.switch_ends.covers(held.revision)
-            for key, held in self.view.items.items()
-            if key.startswith(VERSION_PREFIX)
+            self.switch_ends.at(key.removeprefix(VERSION_PREFIX), decode_versioned(value).version)
+            is None
+            for key, value in self.view.prefixed(VERSION_PREFIX).items()
         )
 
     async def _fresher_than(self, address: PeerAddress, age_ms: int) -> bool:
@@ -201,7 +198,7 @@
                 reason = 'silent'
                 await connection.close()
                 break
-            if now - self.asked_at > ASK_EVERY_S or self._has_unanswered_version():
+            if now - self.asked_at > ASK_EVERY_S or self._knows_of_untold():
                 self.asked_at = now
                 await self._ask(address)
             if now - looked_at > LOOK_NEARER_S:
--- a/packages/millfork-registry/millfork_registry/relaying.py
+++ b/packages/millfork-registry/millfork_registry/relaying.py
@@ -102,7 +102,7 @@
         if not isinstance(reply, FeedSent) or not reply.ok:
             return False
         self.versions = reply
-        await self.following.note_switches(name, asked_at, reply.revision, reply.switches)
+        await self.following.note_switches(asked_at, reply.switches)
         return True
 
     def _candidates(self) -> list[str]:
@@ -142,7 +142,6 @@
             True,
             registry.leases.version,
             registry.endpoints.version,
-            following.view.revision,
             self.switches(),
         )
         feed = Leases(
--- a/packages/millfork-wire/millfork_wire/messages.py
+++ b/packages/millfork-wire/millfork_wire/messages.py
@@ -359,8 +359,7 @@
     caches: list[CacheAddress] = field(default_factory=list)
     # The availability zone of the replica that answers.
     zone: str = ''
-    # The revision of its configuration, and the versions named lately.
-    revision: int = 0
+    # The versions named lately, as far as it was told of them.
     switches: list[VersionSwitch] = field(default_factory=list)
 
 
@@ -396,8 +395,7 @@
     ok: bool = False
     lease_version: int = 0
     report_version: int = 0
-    # The revision of its configuration, and the versions named lately.
-    revision: int = 0
+    # The versions named lately, as far as it was told of them.
     switches: list[VersionSwitch] = field(default_factory=list)
 
 
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -114,7 +114,7 @@
 
 struct FindReplicas { instance @0 :Text; cluster @1 :Text; entries @2 :UInt32; }
 struct Replicas { cluster @0 :Text; leader @1 :Text; known @2 :List(Text); ageMs @3 :UInt32; entries @4 :UInt32; caches @5 :List(CacheAddress); zone @6 :Text;
-  revision @7 :UInt64; switches @8 :List(VersionSwitch);
+  switches @7 :List(VersionSwitch);
 }
 struct CacheAddress { instance @0 :Text; zone @1 :Text; }
 struct Follow { role @0 :Text; cluster @1 :Text; revision @2 :UInt64; }
@@ -124,5 +124,5 @@
 struct AskFeed { cluster @0 :Text; revision @1 :UInt64; leaseVersion @2 :UInt64; reportVersion @3 :UInt64; }
 struct FeedSent {
   ok @0 :Bool; leaseVersion @1 :UInt64; reportVersion @2 :UInt64;
-  revision @3 :UInt64; switches @4 :List(VersionSwitch);
+  switches @3 :List(VersionSwitch);
 }
--- a/packages/millforkd/millforkd/beside/daemon.py
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -41,7 +41,7 @@
 from millforkd.beside.target import Target, Targets
 from millforkd.document import document_in
 from millforkd.seeded import feed_for
-from millforkd.versions import Versions
+from millforkd.versions import UNTOLD_MS, Versions, never_leads
 
 # A server takes and ends about two requests in this time.
 REPORT_EVERY_S: Final = 0.15
@@ -93,7 +93,8 @@
             self.view,
             settings.promises.version_ms,
             self.following.switch_ends,
-            first_hand=False,
+            untold_ms=UNTOLD_MS,
+            leads=never_leads,
         )
         self.relaying.switches = versions.switches
         self.targets = Targets(
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -34,7 +34,7 @@
 from millforkd.proxy.connections import Pools
 from millforkd.proxy.forwarding import Forwarding
 from millforkd.seeded import feed_for
-from millforkd.versions import Versions
+from millforkd.versions import UNTOLD_MS, Versions, never_leads
 
 # The balancer asks each second and needs two misses to look away.
 BALANCER_LOOKS_AWAY_S: Final = 2.5
@@ -68,7 +68,12 @@
         self.following = feed.following
         self.relaying = feed.relaying
         self.versions = Versions(
-            env, self.view, promises.version_ms, self.following.switch_ends, first_hand=False
+            env,
+            self.view,
+            promises.version_ms,
+            self.following.switch_ends,
+            untold_ms=UNTOLD_MS,
+            leads=never_leads,
         )
         self.relaying.switches = self.versions.switches
         self.admission = Admission(env, self.versions, lambda: self.following.entries)
@@ -162,7 +167,8 @@
             await self.following.changed.wait()
             self.following.changed.clear()
             self._take_document()
-            self.versions.refresh()
+            if self.view.cluster:
+                self.versions.refresh()
             for server in self.book.take_leases(self.registry.leases.values()):
                 await self.pools.drop(server)
             self.book.take_reports(self.registry.endpoints.values())
--- a/packages/millforkd/millforkd/replica/daemon.py
+++ b/packages/millforkd/millforkd/replica/daemon.py
@@ -21,7 +21,7 @@
 from millfork_state.formation import Seeds
 from millfork_state.node import StateNode
 from millfork_state.proposals import Proposals
-from millfork_state.replica import Replica
+from millfork_state.replica import Replica, ReplicaState
 from millfork_state.reports import Reports
 from millfork_state.storage import open_storage
 from millfork_state.view import View
@@ -94,6 +94,8 @@
             self.replica.view,
             settings.promises.version_ms,
             self.mesh.switch_ends,
+            untold_ms=0,
+            leads=self._leads,
         )
         self.proposals = Proposals(
             env, self.peers, self.replica.others, self.node, LEADER_TIMEOUT_S
@@ -112,6 +114,9 @@
         )
         self.admin = Admin(env, settings, self.is_ready)
 
+    def _leads(self) -> bool:
+        return self.replica.state is ReplicaState.LEADER
+
     def _switches(self) -> list[VersionSwitch]:
         if not self.replica.cluster:
             return []
--- a/packages/millforkd/millforkd/replica/mesh.py
+++ b/packages/millforkd/millforkd/replica/mesh.py
@@ -17,7 +17,7 @@
 from millfork_registry.followers import REPLICA_ROLE, Followers
 from millfork_registry.records import Lease, decode_leases, decode_states, encode_records
 from millfork_registry.registry import Change, Registry
-from millfork_registry.switch_ends import Answer, SwitchEnds
+from millfork_registry.switch_ends import SwitchEnds
 from millfork_state.replica import Replica
 from millfork_wire.connection import Connection, PeerError
 from millfork_wire.messages import FindReplicas, Follow, Leases, Replicas, VersionSwitch
@@ -74,8 +74,8 @@
         switches: Callable[[], list[VersionSwitch]] = list,
     ) -> None:
         self.env = env
-        # The versions named lately: who starts, or hears of one late, does not know by
-        # itself how long ago that was.
+        # The versions named lately, for those who ask: whoever starts, or hears of one
+        # late, does not know by itself how long ago that was.
         self.switches = switches
         self.switch_ends = SwitchEnds()
         self.peers = peers
@@ -123,10 +123,7 @@
         self.heard[str(address.instance)] = self.env.monotonic()
         self.replica.learn_address(address)
         self.followers.entries_elsewhere[str(address.instance)] = reply.entries
-        answered_at = self.env.monotonic()
-        self.switch_ends.note(
-            Answer(str(address.instance), asked_at, answered_at, reply.revision, reply.switches)
-        )
+        self.switch_ends.note(asked_at, reply.switches)
         await self._follow(address)
 
     async def _follow(self, address: PeerAddress) -> None:
@@ -172,7 +169,6 @@
             self.followers.entries_here,
             named(caches, None if message.instance else zone),
             str(self.env.zone),
-            self.replica.view.revision,
             self.switches(),
         )
 
--- a/packages/millforkd/millforkd/versions.py
+++ b/packages/millforkd/millforkd/versions.py
@@ -6,7 +6,7 @@
 
 """
 
-from dataclasses import dataclass
+from collections.abc import Callable
 from typing import Final
 
 from millfork_core.environment import Environment
@@ -21,22 +21,29 @@
 # A request that has not begun on the old version is taken back this long
 # before it no longer may.
 CUT_S: Final = 0.15
+# A process that heard of a version, but not yet when it was named, goes on with the one
+# before it for so long: an answer comes within 0.8 s, over a squeezed link within 1.5 s.
+UNTOLD_MS: Final = 2000
 # A correction of an end is logged from here on; answers differ by the time they take.
 LOGGED_S: Final = 0.1
 
 log = logger(Part.PROXY)
 
 
-@dataclass(frozen=True, slots=True)
-class _Estimate:
+def always_leads() -> bool:
     """
-    When requests may no longer begin on what came before a version, as this process takes
-    it by itself; where it is not certain, the first answer of a replica replaces it.
+    The case of a process that is told of versions by nobody.
 
     """
+    return True
 
-    ends: float
-    certain: bool
+
+def never_leads() -> bool:
+    """
+    The case of a follower.
+
+    """
+    return False
 
 
 class Versions:
@@ -51,17 +58,21 @@
         view: View,
         switch_ms: int,
         told: SwitchEnds | None = None,
-        first_hand: bool = True,
+        untold_ms: int = 0,
+        leads: Callable[[], bool] = always_leads,
     ) -> None:
         self.env = env
         self.view = view
         self.switch_s = switch_ms / MS_PER_S
-        # What replicas answered.
+        # What others answered.
         self.told = told if told is not None else SwitchEnds()
-        # Whether names reach this process from the log, and not by way of a replica.
-        self.first_hand = first_hand
+        self.untold_s = min(untold_ms, switch_ms) / MS_PER_S
+        # Whether this process names versions itself, and so knows when that was.
+        self.leads = leads
         self.started = False
-        self.estimates: dict[str, dict[int, _Estimate]] = {}
+        # When this process learned of each version, by model; what stood at its start
+        # was named nobody here knows when, and is taken for long ago.
+        self.learned: dict[str, dict[int, float]] = {}
         self.logged: dict[tuple[str, int], float] = {}
 
     def refresh(self) -> None:
@@ -69,34 +80,20 @@
         Take what the configuration in force names.
 
         """
-        for key, held in self.view.items.items():
-            if not key.startswith(VERSION_PREFIX):
-                continue
+        now = self.env.monotonic()
+        for key, value in self.view.prefixed(VERSION_PREFIX).items():
             model = key.removeprefix(VERSION_PREFIX)
-            version = decode_versioned(held.value).version
-            estimates = self.estimates.setdefault(model, {})
-            if version not in estimates:
-                estimates[version] = self._estimate(held.revision)
+            version = decode_versioned(value).version
+            learned = self.learned.setdefault(model, {})
+            learned.setdefault(version, now if self.started else float('-inf'))
             self._log_ends(model)
         self.started = True
 
-    def _estimate(self, revision: int) -> _Estimate:
-        now = self.env.monotonic()
-        if self.first_hand:
-            # What stood at the start was named nobody here knows when.
-            return _Estimate(now + self.switch_s if self.started else now, self.started)
-        asked_at = self.told.asked_at
-        if asked_at is None or self.told.covers(revision):
-            # A replica that knew of it did not count it among those named lately.
-            return _Estimate(now, False)
-        # It was named after the last question whose answer did not cover it.
-        return _Estimate(asked_at + self.switch_s, False)
-
     def _log_ends(self, model: str) -> None:
         now = self.env.monotonic()
         for version, ends in self._ends(model).items():
             before = self.logged.get((model, version))
-            if before is not None and abs(before - ends) < LOGGED_S:
+            if before is not None and (before == ends or abs(before - ends) < LOGGED_S):
                 continue
             self.logged[(model, version)] = ends
             log.info(
@@ -104,7 +101,7 @@
                 'named' if before is None else 'end corrected',
                 model,
                 version,
-                ends - LAST_SENT_S - now,
+                max(ends - now, 0) - LAST_SENT_S,
             )
 
     def _ends(self, model: str) -> dict[int, float]:
@@ -113,32 +110,37 @@
         what came before it.
 
         """
-        estimates = self.estimates.get(model, {})
+        learned = self.learned.get(model, {})
         return {
-            version: self._end(model, version, estimates.get(version))
-            for version in sorted({*estimates, *self.told.versions(model)})
+            version: self._end(model, version, learned.get(version, float('-inf')))
+            for version in sorted({*learned, *self.told.versions(model)})
         }
 
-    def _end(self, model: str, version: int, estimate: _Estimate | None) -> float:
+    def _end(self, model: str, version: int, learned_at: float) -> float:
         told = self.told.at(model, version)
-        if estimate is None:
-            return told if told is not None else float('inf')
-        if told is None:
-            return estimate.ends
-        return min(told, estimate.ends) if estimate.certain else told
+        if self.leads():
+            own = learned_at + self.switch_s
+            return own if told is None else max(told, own)
+        return told if told is not None else learned_at + self.untold_s
 
     def switches(self) -> list[VersionSwitch]:
         """
-        The versions named lately, for processes that hear of them later.
+        The versions named lately, for processes that ask: those of which this one was
+        told, or which it named itself. The newest is among them also when all before it
+        has ended, as one that was away doesn't know that.
 
         """
         now = self.env.monotonic()
-        return [
-            VersionSwitch(model, version, int((ends - now) * MS_PER_S))
-            for model in self.estimates
-            for version, ends in self._ends(model).items()
-            if ends > now
-        ]
+        found = []
+        for model in self.learned:
+            newest = self.newest(model)
+            for version, ends in self._ends(model).items():
+                if not self.leads() and self.told.at(model, version) is None:
+                    continue
+                if ends <= now and version != newest:
+                    continue
+                found.append(VersionSwitch(model, version, int(max(ends - now, 0) * MS_PER_S)))
+        return found
 
     def least(self, model: str) -> int:
         """
--- /dev/null
+++ b/tests/test_version_ends_after_restart.py
@@ -0,0 +1,169 @@
+"""
+Ends of versions that a replica tells after it was away for longer than an older version
+may be begun on: the others count the version among those named lately no more, so nothing
+lowers what the replica that comes back takes for the end.
+
+"""
+
+import re
+import shutil
+import signal
+
+import pytest
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_registry.switch_ends import SwitchEnds
+from millfork_standins.seeded import SeededFleet
+from millfork_state.storage import LOG_FILE, RECORD
+from millfork_state.view import View
+from millfork_wire.messages import VersionSwitch
+from millforkd.replica.daemon import STATE_FOLDER
+from millforkd.versions import CUT_S, UNTOLD_MS, Versions, never_leads
+from tests.test_seeded_fleet import document, request
+from tests.test_servers import Clock
+from tests.test_version_ends import LEARNED, name_version, pass_time
+from tests.test_versions import SWITCH_MS, SWITCH_S, name
+from tests.utils.fleets import wait_until
+
+VERSION_MS = 3000
+# Answers tell whole ms, and take some.
+AGREE_S = 0.1
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    made = SeededFleet(tmp_path, entries=1, version_ms=VERSION_MS)
+    try:
+        made.start()
+        made.add_back_end('plain', 'i-1')
+        assert made.put(document(1, '/safe/')).status == 200
+        wait_until(lambda: made.ask(request('/safe/x')).status == 200)
+        yield made
+    finally:
+        made.close()
+
+
+def due_s(fleet, host):
+    """
+    The `due_s` of each line in a process's log that tells of version 2.
+
+    """
+    return [float(found[3]) for found in LEARNED.finditer(fleet.log(host)) if found[2] == '2']
+
+
+@pytest.mark.parametrize('disk', ['kept', 'lost'])
+def test_a_replica_that_was_away_beyond_an_end_tells_of_no_later_one(fleet, disk):
+    entry = fleet.entry_hosts[0]
+    away = fleet.replica_hosts[2]
+    fleet.kill(away)
+    (fleet.folder / f'{away}.log').unlink()
+    name_version(fleet, 2, entry)
+    pass_time(VERSION_MS / 1000 + 1)
+    if disk == 'lost':
+        shutil.rmtree(fleet.folder / away)
+    fleet.start_one(away)
+    wait_until(lambda: due_s(fleet, away))
+    # It ended before this process began.
+    assert max(due_s(fleet, away)) <= 0
+
+
+def followed(fleet):
+    """
+    The replica that the entry follows.
+
+    """
+    return re.findall(r'Following replica ([\d.]+)', fleet.log(fleet.entry_hosts[0]))[-1]
+
+
+def lose_commit_mark(folder):
+    """
+    Drop the last commit mark from a replica's log, as a loss of power does: it is not synced.
+
+    """
+    log = folder / STATE_FOLDER / LOG_FILE
+    data = log.read_bytes()
+    at = data.rindex(b'\xa4type\xa1c')
+    # Its record: a head of fixed size, then a map of two.
+    log.write_bytes(data[: at - 1 - RECORD.size])
+
+
+def test_an_entry_that_starts_is_told_no_later_end_by_a_replica_that_was_away(fleet):
+    entry = fleet.entry_hosts[0]
+    first = followed(fleet)
+    fleet.kill(first)
+    wait_until(lambda: followed(fleet) != first)
+    name_version(fleet, 2, entry)
+    pass_time(VERSION_MS / 1000 + 1)
+    fleet.kill(entry)
+    (fleet.folder / f'{entry}.log').unlink()
+    fleet.start_one(first)
+    fleet.start_one(entry)
+    wait_until(lambda: due_s(fleet, entry))
+    pass_time(1.0)
+    assert max(due_s(fleet, entry)) <= 0
+
+
+def test_no_ended_version_comes_back_when_a_replica_lost_power(fleet):
+    entry = fleet.entry_hosts[0]
+    first = followed(fleet)
+    name_version(fleet, 2, entry)
+    pass_time(VERSION_MS / 1000 + 1)
+    told = len(due_s(fleet, entry))
+    fleet.kill(first)
+    lose_commit_mark(fleet.folder / first)
+    wait_until(lambda: followed(fleet) != first)
+    other = followed(fleet)
+    (fleet.folder / f'{first}.log').unlink()
+    fleet.start_one(first)
+    wait_until(lambda: due_s(fleet, first))
+    # The entry goes back to the one that it prefers.
+    fleet.signal(other, signal.SIGSTOP)
+    try:
+        wait_until(lambda: followed(fleet) == first)
+        pass_time(1.0)
+    finally:
+        fleet.signal(other, signal.SIGCONT)
+    assert due_s(fleet, entry)[told:] == []
+
+
+def test_a_version_that_ended_stays_ended_when_the_same_replica_restarts():
+    clock, view, told = Clock(), View(), SwitchEnds()
+    env = Environment(InstanceId('a:1'), ZoneId('zone'), monotonic=clock)
+    entry = Versions(env, view, SWITCH_MS, told, UNTOLD_MS, never_leads)
+    named = VersionSwitch('m', 2, SWITCH_MS)
+    told.note(clock.now, [named])
+    name(view, entry, 2)
+    clock.now += SWITCH_S + 60
+    assert entry.least('m') == 2
+    # The replica was killed, and takes the version for one that was named just now.
+    told.note(clock.now, [named])
+    assert entry.least('m') == 2
+
+
+def test_replicas_that_asked_each_other_slowly_once_do_not_keep_an_end_too_early():
+    clock = Clock()
+    views = [View(), View()]
+    told = [SwitchEnds(), SwitchEnds()]
+    replicas = []
+    for number in range(2):
+        env = Environment(InstanceId(f'r{number}:1'), ZoneId('zone'), monotonic=clock)
+        made = Versions(env, views[number], SWITCH_MS, told[number])
+        made.refresh()
+        replicas.append(made)
+    for number in range(2):
+        name(views[number], replicas[number], 2)
+    true_end = clock.now + SWITCH_S
+
+    def ask(asker, answerer, took_s):
+        asked_at = clock.now
+        clock.now += took_s
+        told[asker].note(asked_at, replicas[answerer].switches())
+
+    # One question was on its way for half a second; all others are answered at once.
+    ask(0, 1, 0.5)
+    for _ in range(4):
+        ask(1, 0, 0.002)
+        ask(0, 1, 0.002)
+        clock.now += 0.5
+    assert replicas[0].ends_at('m', 1) == pytest.approx(true_end - CUT_S, abs=AGREE_S)
