--- /dev/null
+++ b/tests/test_leases_after_a_freeze.py
@@ -0,0 +1,64 @@
+"""
+While one replica stands still for longer than a lease lasts, no other one, nor that one when
+it goes on, ends a lease whose owner has got heartbeats all the time.
+
+"""
+
+import signal
+
+import pytest
+
+from millfork_platform import standins
+from millfork_standins.seeded import CONTROL_PORT, BackEnd, SeededFleet, call
+from tests.test_seeded_fleet import document, request
+from tests.test_version_ends import pass_time
+from tests.utils.fleets import wait_until
+
+# Each freeze ends at another moment of the rounds in which replicas ask each other.
+FREEZES_S = [3.8, 3.8, 3.8, 3.8, 4.4, 4.9]
+
+
+class FaithfulBackEnd(BackEnd):
+    """
+    It sends its heartbeats to the first replica alone, which always takes them.
+
+    """
+
+    def heartbeat(self):
+        owner = self.fleet.replica_hosts[0]
+        return call(owner, CONTROL_PORT, standins.heartbeat(self._lease())).status == 200
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    made = SeededFleet(tmp_path)
+    try:
+        made.start()
+        made.back_ends.append(FaithfulBackEnd(made.back_host, 'plain', 'i-1', made))
+        assert made.put(document(1, '/safe/')).status == 200
+        wait_until(lambda: made.ask(request('/safe/x')).status == 200)
+        yield made
+    finally:
+        made.close()
+
+
+def test_no_lease_ends_while_its_owner_hears_the_back_end(fleet):
+    pass_time(2.0)
+    for number, frozen_s in enumerate(FREEZES_S):
+        struck = fleet.replica_hosts[1 + number % 2]
+        fleet.signal(struck, signal.SIGSTOP)
+        pass_time(frozen_s)
+        fleet.signal(struck, signal.SIGCONT)
+        pass_time(1.3)
+    # Long enough for anything to put it right.
+    pass_time(10.0)
+    ended = [
+        f'{host} {line}'
+        for host in (*fleet.replica_hosts, *fleet.entry_hosts)
+        for line in fleet.log(host).splitlines()
+        if 'Lease ' in line
+    ]
+    served = fleet.ask(request('/safe/x')).status
+    assert (served, [line for line in ended if 'Lease expired' in line]) == (200, []), '\n'.join(
+        ended
+    )
--- /dev/null
+++ b/tests/test_leases_of_lost_owners.py
@@ -0,0 +1,70 @@
+"""
+A replica that wrongly takes another one for lost (it was frozen, or only the link between
+the two was cut) lets the other's leases run out. A third replica, which hears both, takes
+that word, as its own copy has the same sequence: renewals are told to nobody. The owner,
+whose sequence is higher, notes nothing, so nothing ever corrects the third.
+
+"""
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_registry.followers import REPLICA_ROLE, Follower, Followers
+from millfork_registry.records import Lease, LeaseState, decode_leases
+from millfork_registry.registry import Change, Registry
+from tests.test_servers import Clock
+
+HEARTBEAT_S = 1.2
+
+
+class Told:
+    """
+    One replica, and what it has told each other one.
+
+    """
+
+    def __init__(self, name, clock):
+        self.env = Environment(InstanceId(name), ZoneId('zone'), monotonic=clock)
+        self.registry = Registry(self.env, HEARTBEAT_S)
+        self.followers = Followers(self.env, None, self.registry)
+        self.feeds = {}
+
+    def tell(self, other):
+        feed = self.feeds.setdefault(other, Follower(None, REPLICA_ROLE))
+        message = self.followers._leases_for(feed)
+        for lease in decode_leases(message.leases):
+            other.registry.take(lease)
+
+
+def beat(replica, sequence):
+    lease = Lease('i-1', 's', '10.0.0.1', 80, 'zone', 1, LeaseState.READY, sequence)
+    return replica.registry.take_heartbeat(lease)
+
+
+def test_a_back_end_that_beats_on_is_usable_at_replicas_that_hear_its_owner():
+    clock = Clock()
+    owner, third, apart = Told('o:1', clock), Told('y:1', clock), Told('z:1', clock)
+    assert beat(owner, 1) is Change.CHANGED
+    for replica in (owner, third, apart):
+        for other in {owner, third, apart} - {replica}:
+            replica.tell(other)
+    # Only the link between the owner and one replica is cut, or that one is frozen.
+    for sequence in range(2, 8):
+        clock.now += HEARTBEAT_S
+        beat(owner, sequence)
+        owner.tell(third)
+        apart.registry.expire({'o:1'})
+        apart.tell(third)
+        third.tell(apart)
+        third.tell(owner)
+        third.registry.expire(set())
+        owner.registry.expire(set())
+    # The link is back; the owner goes on getting heartbeats for a minute.
+    for sequence in range(8, 60):
+        clock.now += HEARTBEAT_S
+        beat(owner, sequence)
+        for replica in (owner, third, apart):
+            for other in {owner, third, apart} - {replica}:
+                replica.tell(other)
+            replica.registry.expire(set())
+    assert owner.registry.leases.get('i-1').state is LeaseState.READY
+    assert third.registry.leases.get('i-1').state is LeaseState.READY
--- /dev/null
+++ b/tests/test_reports_of_earlier_lives.py
@@ -0,0 +1,55 @@
+"""
+Reports that an entry still holds of the engine that lived at an address before.
+
+"""
+
+from random import Random
+
+from millfork_core.ids import InstanceId, ServiceName, ZoneId
+from millfork_registry.records import EndpointState, Lease, LeaseState, ServedVersion
+from millfork_scheduling.book import ServerBook
+from millfork_scheduling.placement import Wanted
+from tests.test_servers import ENGINE, Clock
+
+WHOLE = (ServedVersion('m', 1, 0, 16),)
+
+
+def lease(instance, sequence, served):
+    return Lease(instance, 's', '10.0.0.1', 80, 'z1', 16, LeaseState.READY, sequence, 'r:1', served)
+
+
+def report(sequence, served, changing_to=0):
+    return EndpointState(
+        'e-1', 's', 'z1', '10.0.0.1', 80, sequence, reachable=True, served=served,
+        changing_to=changing_to,
+    )  # fmt: skip
+
+
+def test_a_new_engine_is_not_taken_to_serve_what_the_one_before_it_served():
+    clock = Clock()
+    book = ServerBook(ZoneId('z1'), Random(1), clock)
+    book.take_leases([lease('i-old', 9, WHOLE)])
+    old = report(5_000_000, WHOLE)
+    book.take_reports([old])
+    # It crashed 3 s ago; its successor holds no layers, and says so in its first heartbeat.
+    clock.now += 3.0
+    book.take_leases([lease('i-new', 1, ())])
+    book.take_reports([old])
+    assert book.choose(Wanted(ServiceName('s'), ENGINE), set()) is None
+
+
+def test_a_machine_whose_clock_began_anew_is_believed_again():
+    clock = Clock()
+    book = ServerBook(ZoneId('z1'), Random(1), clock)
+    book.take_leases([lease('i-old', 9, WHOLE)])
+    old = report(5_000_000, WHOLE, changing_to=2)
+    book.take_reports([old])
+    book.take_leases([lease('i-new', 1, ())])
+    # The registry drops the last report of the old life only 3.5 s after it.
+    book.take_reports([old])
+    for second in range(60):
+        clock.now += 1.0
+        book.take_reports([report(20_000 + 1000 * second, WHOLE)])
+    choice = book.choose(Wanted(ServiceName('s'), ENGINE), set())
+    assert choice is not None
+    assert choice.server.instance == InstanceId('i-new')
