A replica that stood still ends no lease, and an owner tells again; no report of an earlier life

Cause: replicas took an owner for lost by what they had heard when their own round ended, also when they had stood still, or had waited 2 s for one that was frozen; the renewals of a lease are told to nobody, so a third replica took their word for good. A report was applied to any engine at its address, and its number compared with that of an earlier life. Change: replicas are asked side by side, feeds count as signs of life, a round that came 1.5 s late counts anew, an owner that hears its lease ended tells it again; a new engine begins with the number of the report last seen at its address, and any other number is a newer report.

--- a/packages/millfork-registry/millfork_registry/registry.py
+++ b/packages/millfork-registry/millfork_registry/registry.py
@@ -117,7 +117,7 @@
         """
         held = self.leases.get(lease.instance)
         if held is not None and lease.order <= held.order:
-            return Change.NONE
+            return self._tell_again(held) if self._is_wrongly_ended(held, lease) else Change.NONE
         self.heard[lease.instance] = self.env.monotonic()
         if held is not None and not lease.says_more_than(held):
             self.leases.renew(lease.instance, lease)
@@ -141,6 +141,33 @@
             )
         return Change.CHANGED
 
+    def _is_wrongly_ended(self, held: Lease, told: Lease) -> bool:
+        """
+        Whether another process takes a lease for run out that is renewed here.
+
+        """
+        owned = held.owner == str(self.env.instance) and held.state not in ENDED
+        return owned and told.state is LeaseState.EXPIRED
+
+    def _tell_again(self, held: Lease) -> Change:
+        """
+        Others know an older sequence only, as renewals are not told: without this word
+        they took the back end for gone until its state changed.
+
+        """
+        log.info('Lease told again. instance={} sequence={}', held.instance, held.sequence)
+        self.leases.put(held.instance, held)
+        return Change.CHANGED
+
+    def count_anew(self) -> None:
+        """
+        Let no lease run out for silence before now, as this process did not listen.
+
+        """
+        now = self.env.monotonic()
+        for lease in self.leases.values():
+            self.heard[lease.instance] = now
+
     def take_endpoint(self, state: EndpointState) -> Change:
         """
         Take an endpoint daemon's state; only a newer one counts.
--- a/packages/millfork-scheduling/millfork_scheduling/book.py
+++ b/packages/millfork-scheduling/millfork_scheduling/book.py
@@ -62,7 +62,7 @@
     def _take_lease(self, key: InstanceId, lease: Lease) -> None:
         server = self.servers.get(key)
         if server is None:
-            self.servers[key] = Server(
+            made = Server(
                 key,
                 ServiceName(lease.service),
                 lease.host,
@@ -72,6 +72,12 @@
                 lease.served,
                 lease.served,
             )
+            before = self.by_address.get((lease.host, lease.port))
+            if before is not None:
+                # What was last reported there was of the engine before this one: its
+                # weights and load were else taken for those of an empty engine.
+                made.report_sequence = before.report_sequence
+            self.servers[key] = made
             return
         if lease.served == server.lease_served:
             return
@@ -88,7 +94,9 @@
         now = self.monotonic()
         for state in states:
             server = self.by_address.get((state.host, state.port))
-            if server is None or state.sequence <= server.report_sequence:
+            # Any other one is newer: the registry takes a lower sequence only where an
+            # instance's clock began anew.
+            if server is None or state.sequence == server.report_sequence:
                 continue
             server.report_sequence = state.sequence
             if not state.reachable:
--- a/packages/millforkd/millforkd/replica/daemon.py
+++ b/packages/millforkd/millforkd/replica/daemon.py
@@ -206,7 +206,7 @@
 
     @on.register
     async def _(self, message: messages.Leases, connection: Connection) -> Message:
-        await self.mesh.on_leases(message)
+        await self.mesh.on_leases(connection.peer, message)
         return Done(True)
 
     @on.register
--- a/packages/millforkd/millforkd/replica/mesh.py
+++ b/packages/millforkd/millforkd/replica/mesh.py
@@ -29,6 +29,9 @@
 SPREAD_TIMEOUT_S: Final = 0.7
 # An owner that was not heard this long no longer watches its leases.
 OWNER_LOST_S: Final = 2.0
+# A round comes each half second; one that is later by more shows that this process did
+# not run meanwhile.
+STOOD_STILL_S: Final = 1.5
 # Replicas that answered this lately are named to others.
 NAMED_WITHIN_S: Final = 20.0
 # Replicas ask each other twice a second; what one said is believed this long.
@@ -87,6 +90,10 @@
         self.started_at = env.monotonic()
         self.followed: dict[InstanceId, Connection] = {}
         self.heard: dict[str, float] = {}
+        # Those that are being asked: one that is frozen takes 2 s to fail, and the others
+        # are not to wait for it.
+        self.meeting: set[InstanceId] = set()
+        self.round_at = env.monotonic()
 
     async def keep(self) -> None:
         """
@@ -95,9 +102,11 @@
         """
         while True:
             self._learn_members()
-            async with curio.TaskGroup() as group:
-                for address in self.discovery.addresses():
-                    await group.spawn(self._meet, address)
+            self._note_standstill()
+            for address in self.discovery.addresses():
+                if address.instance not in self.meeting:
+                    self.meeting.add(address.instance)
+                    await self.env.spawn(self._meet_once, address)
             if self.env.monotonic() - self.started_at > self.settle_s:
                 self.registry.settled = True
             self.registry.forget_silent_endpoints()
@@ -111,6 +120,27 @@
                 self.discovery.learn(instance)
                 self.replica.learn_address(address_of(instance))
 
+    def _note_standstill(self) -> None:
+        """
+        A process that stood still heard nobody, which says nothing of the others.
+
+        """
+        now = self.env.monotonic()
+        stood_s = now - self.round_at
+        self.round_at = now
+        if stood_s < STOOD_STILL_S:
+            return
+        log.warning('This process stood still. seconds={:.1f}', stood_s)
+        self.started_at = now
+        self.heard.clear()
+        self.registry.count_anew()
+
+    async def _meet_once(self, address: PeerAddress) -> None:
+        try:
+            await self._meet(address)
+        finally:
+            self.meeting.discard(address.instance)
+
     async def _meet(self, address: PeerAddress) -> None:
         question = FindReplicas(
             str(self.env.instance), self.replica.cluster, self.followers.entries_here
@@ -172,11 +202,12 @@
             self.switches(),
         )
 
-    async def on_leases(self, message: Leases) -> None:
+    async def on_leases(self, peer: InstanceId, message: Leases) -> None:
         """
         Take what another replica knows, and pass it on to followers.
 
         """
+        self.heard[str(peer)] = self.env.monotonic()
         try:
             leases = decode_leases(message.leases)
             endpoints = decode_states(message.reports)
