Tests that fail: an ended version stays where nothing of the next one is here

With the origin down when a version is named, no engine has a whole layer of it to hold, and Expiry._empty does nothing: every engine keeps the ended version.

--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -225,17 +225,19 @@
 
 class StalledGathering(StandInGathering):
     """
-    Brings so many pieces, then no more.
+    Brings so many pieces, then no more until the test says so.
 
     """
 
     def __init__(self, count):
         super().__init__()
         self.count = count
+        self.resume = curio.Event()
 
     async def gather(self, held, wanted):
         held.pieces.update(dict.fromkeys(range(self.count), b'piece'))
-        await curio.sleep(30)
+        await self.resume.wait()
+        await super().gather(held, wanted)
 
 
 def test_a_version_that_ends_before_the_next_is_here_is_taken_from_the_engine():
@@ -256,6 +258,62 @@
     curio.run(run)
 
 
+def test_an_ended_version_is_taken_where_nothing_of_the_next_one_is_here():
+    """
+    An origin was down when version 2 was named. All six engines kept version 1 until the
+    first layer of the next one came: it ended 8.0 s after it was replaced, and was taken
+    from them 12.15 s to 12.31 s after. A layer that lies at the engine will do.
+
+    """
+
+    async def run():
+        engines = Engines(0, StandInEngine(running=3), StalledGathering(0))
+        rollout = engines.rollout
+        expiry = Expiry(engines.env, engines.engine, rollout.store, rollout)
+        task = await engines.run()
+        watching = await curio.spawn(expiry.keep, daemon=True)
+        await engines.until(lambda: engines.engine.orders)
+        ends = engines.target.due + LAST_SENT_S
+        assert engines.target.due < engines.env.monotonic() < ends
+        (order,) = engines.engine.orders
+        assert order == (1, LAYERS // 2, LAYERS // 2 + 1, False, 3)
+        assert engines.engine.laid == []
+        await engines.gathering.resume.set()
+        await engines.until(lambda: engines.engine.served == (NEW,))
+        assert engines.engine.orders == [order, (2, 0, LAYERS, True, 0)]
+        await task.cancel()
+        await watching.cancel()
+
+    curio.run(run)
+
+
+@pytest.mark.parametrize(
+    ('served', 'layers', 'orders'),
+    [
+        ((OLD,), LAYERS, 1),
+        ((ServedVersion('m', 1, 0, 2),), LAYERS, 1),
+        ((ServedVersion('m', 1, 2, 3),), LAYERS, 0),
+        ((ServedVersion('m', 1, 0, 1),), 1, 0),
+        ((), LAYERS, 0),
+    ],
+)
+def test_an_engine_is_left_a_single_layer_once(served, layers, orders):
+    async def run():
+        engines = Engines(0, StandInEngine(served))
+        engines.target = replace(engines.target, layers=layers, due=0.0)
+        rollout = engines.rollout
+        rollout.report = await engines.engine.report()
+        expiry = Expiry(engines.env, engines.engine, rollout.store, rollout)
+        for version in (2, 3, 2):
+            engines.target = replace(engines.target, weights=WeightsId('m', version))
+            if expiry._has_ended(engines.target):
+                await expiry._empty(engines.target)
+            rollout.report = await engines.engine.report()
+        assert len(engines.engine.orders) == orders
+
+    curio.run(run)
+
+
 @pytest.mark.parametrize(('here', 'due'), [(3, True), (6, True), (7, False)])
 def test_an_engine_that_is_about_to_have_the_next_version_takes_no_order_before(here, due):
     async def run():
