--- a/packages/millforkd/millforkd/beside/expiry.py
+++ b/packages/millforkd/millforkd/beside/expiry.py
@@ -4,9 +4,11 @@
 Entries stop sending in time, but what they sent last may lie in a slow link, and nothing
 calls it back there: a request was seen to begin 1.1 s after it was sent. The daemon
 beside the engine has no link to cross. It has the engine hold a single layer of the next
-version instead, so that whatever still comes is refused as not run. An engine that is
-about to have the next version whole is left alone: it takes no other order until what
-runs has ended, and would change 0.5 s to 1.5 s later.
+version instead, so that whatever still comes is refused as not run. Where no layer of
+the next version is here (an origin that is down, a daemon that has just started), it is a
+layer of the version served, whose pieces lie at the engine. An engine that is about to
+have the next version whole is left alone: it takes no other order until what runs has
+ended, and would change 0.5 s to 1.5 s later.
 
 """
 
@@ -17,9 +19,10 @@
 
 from millfork_core.environment import Environment
 from millfork_core.logs import Part, logger
+from millfork_registry.records import ServedVersion
 from millforkd.beside.engine import LocalEngine
 from millforkd.beside.layout import Layers
-from millforkd.beside.pieces import PieceSet, PieceStore
+from millforkd.beside.pieces import PieceSet, PieceStore, WeightsId
 from millforkd.beside.rollout import Rollout
 from millforkd.beside.target import Target
 from millforkd.switching import LAST_SENT_S
@@ -104,39 +107,77 @@
 
     def _has_ended(self, target: Target) -> bool:
         """
-        Whether the engine still serves, whole, what nothing may begin on any more.
+        Whether the engine still serves what nothing may begin on any more.
 
         """
         if self.emptied_for == target.weights.version or self.rollout.changing_to:
             return False
-        if not self.rollout.serves_another(target):
+        if not self.rollout.serves_another(target) or not self._serves_layers():
             return False
         return self.env.monotonic() > target.due + LAST_SENT_S - EMPTIED_BEFORE_S
 
+    def _serves_layers(self) -> bool:
+        """
+        Whether the engine serves more than the single layer that it is left.
+
+        """
+        return any(item.end is None or item.end - item.first > 1 for item in self.rollout.served)
+
     async def _empty(self, target: Target) -> None:
-        held = self.store.of(target.weights)
-        layer = _whole_layer(held, target)
-        if layer is None:
-            return
         async with self.rollout.ordering:
             if not self._has_ended(target):
                 return
-            weights = target.weights
-            for index in layer.pieces(target.layers, target.pieces):
-                if not await self.engine.stage(weights.model, index, held.pieces[index]):
-                    return
-            if not await self.engine.start(
-                weights.model, weights.version, layer.first, layer.end, False
-            ):
-                return
-        self.emptied_for = weights.version
+            left = await self._order_single(target)
+        if left is None:
+            return
+        self.emptied_for = target.weights.version
         log.notice(
-            'Took the ended version from the engine. next={} layer={} since_s={:.2f}',
-            weights,
-            layer.first,
+            'Took the ended version from the engine. next={} left={}@{} layer={} since_s={:.2f}',
+            target.weights,
+            left.model,
+            left.version,
+            left.first,
             self.env.monotonic() - target.since,
         )
 
+    async def _order_single(self, target: Target) -> ServedVersion | None:
+        """
+        Have the engine hold a single layer: of the next version, which the rollout then
+        goes on from, or else of its own. None if it does not take the order.
+
+        """
+        weights = target.weights
+        held = self.store.of(weights)
+        layer = _whole_layer(held, target)
+        if layer is None:
+            return await self._order_own(target)
+        for index in layer.pieces(target.layers, target.pieces):
+            if not await self.engine.stage(weights.model, index, held.pieces[index]):
+                return None
+        return await self._ordered(weights, layer)
+
+    async def _order_own(self, target: Target) -> ServedVersion | None:
+        """
+        Have the engine hold a single layer of what it serves. Its pieces lie there, as
+        others are laid only for an order; by itself a layer makes no token.
+
+        """
+        if target.layers < 2:
+            # It would be the whole model.
+            return None
+        serves = self.rollout.served[0]
+        # Neither the first nor the last, where there are others: no path begins or ends
+        # with it, whatever an entry that knows of no newer version makes of it.
+        middle = target.layers // 2
+        layer = Layers(middle, middle + 1)
+        return await self._ordered(WeightsId(serves.model, serves.version), layer)
+
+    async def _ordered(self, weights: WeightsId, layer: Layers) -> ServedVersion | None:
+        model, version = weights.model, weights.version
+        if not await self.engine.start(model, version, layer.first, layer.end, False):
+            return None
+        return ServedVersion(model, version, layer.first, layer.end)
+
 
 def _whole_layer(held: PieceSet, target: Target) -> Layers | None:
     """
