An entry looks at the version again just before it sends

Cause: _attempt chooses by versions.least, then Pool.take may need CONNECT_TIMEOUT_S (0.4 s), and _exchange sends whatever the version's end has come to by then. Change: _exchange raises NotSent (VERSION_MISMATCH, NOT_RUN) where the version is under versions.least by now, or the engine has none whole any more (it would have got the request with no version expected). The attempt is logged as failed, but leaves nothing in job.tried: max_attempts is not used up, the next engine is weighed like a first one if nothing was sent before, and without one the refusal is that of a request that finds none. A repeat that was paid for and not sent pays for the next sending. Not a loop without end: the next choice knows the later least, and each version ends once. An unreachable engine still counts as tried and is paid for, as before.

--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -43,6 +43,17 @@
 log = logger(Part.PROXY)
 
 
+class NotSent(SendFailed):
+    """
+    What a back end was chosen for has changed while a connection to it came up, so
+    nothing was sent.
+
+    """
+
+    def __init__(self, reason: Reason, detail: str) -> None:
+        super().__init__(reason, Verdict.NOT_RUN, detail)
+
+
 class Forwarding:
     """
     Serves callers' requests.
@@ -144,6 +155,7 @@
         Send a job to one back end after another; None once it is answered.
 
         """
+        paid = False
         while True:
             refusal = self._barred(job)
             if refusal is not None:
@@ -154,15 +166,16 @@
             if choice is None:
                 return self._no_server(job)
             server = choice.server
-            if not job.failures and not job.started:
+            if not job.tried and not job.started:
                 wait_ms = self.admission.wait_ms(job, choice)
                 if wait_ms:
                     return Refusal(Reason.BUSY, Verdict.NOT_RUN, 'all servers are busy', wait_ms)
-            if job.tried and not self.budget.spend(job.wanted.service):
+            if job.tried and not paid and not self.budget.spend(job.wanted.service):
                 return self._final(job, Reason.RETRY_BUDGET)
             failed = await self._send(job, choice)
             if failed is None:
                 return None
+            paid = not failed.sent
             job.failures.append(failed)
             self.env.metrics.retried(failed.reason)
             log.info(
@@ -192,7 +205,7 @@
         return None
 
     def _no_server(self, job: Job) -> Refusal:
-        if job.failures:
+        if job.tried:
             return self._final(job, job.failures[-1].reason)
         wait_ms = while_nothing_serves(self.env.random)
         return Refusal(Reason.NO_ENDPOINT, Verdict.NOT_RUN, 'no server', wait_ms)
@@ -226,6 +239,8 @@
                 keep_s = await self._exchange(job, attempt, connection)
             server.note_service_time(self.env.monotonic() - attempt.began)
             return None
+        except NotSent as error:
+            return Failed(error.reason, error.verdict, error.detail, sent=False)
         except SendFailed as error:
             return self._failed(job, choice, error.reason, error.verdict, error.detail)
         except curio.TaskTimeout:
@@ -279,6 +294,20 @@
         if ends is not None:
             job.sent_before_end_ms = (ends - self.env.monotonic()) * 1000
 
+    def _check_version(self, engine: EngineFigures, version: int | None) -> None:
+        """
+        A connection may take 0.4 s to come up, and nothing calls back from a slow link
+        what is sent too late.
+
+        :raises NotSent: if a request may not be sent to a version (None: the engine has
+            none whole by now) any more.
+
+        """
+        least = self.admission.versions.least(engine.model)
+        if version is None or version < least:
+            detail = f'the engine has version {version}, the oldest to be sent to is {least}'
+            raise NotSent(Reason.VERSION_MISMATCH, detail)
+
     def _check_waiting(self, job: Job, attempt: Attempt, version: int | None) -> None:
         """
         :raises SendFailed: if the back end will not begin the request soon.
@@ -326,6 +355,7 @@
         version = None
         if job.wanted.engine is not None:
             version = attempt.choice.version(job.wanted.engine.layers)
+            self._check_version(job.wanted.engine, version)
         now = self.env.monotonic()
         orders = SendOrders(
             str(server.instance),
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -64,6 +64,8 @@
     reason: Reason
     verdict: Verdict
     detail: str
+    # False: nothing was sent, so the next sending repeats no more than this one would have.
+    sent: bool = True
 
 
 @dataclass(frozen=True, slots=True)
