--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -3,6 +3,7 @@
 
 """
 
+import hashlib
 from dataclasses import dataclass, field, replace
 
 import curio
@@ -293,7 +294,7 @@
     [
         ((OLD,), LAYERS, 1),
         ((ServedVersion('m', 1, 0, 2),), LAYERS, 1),
-        ((ServedVersion('m', 1, 0, 1),), LAYERS, 1),
+        ((ServedVersion('m', 1, 0, 1),), LAYERS, 0),
         ((ServedVersion('m', 1, 2, 3),), LAYERS, 0),
         ((ServedVersion('m', 1, 0, 1),), 1, 0),
         ((), LAYERS, 0),
@@ -308,6 +309,7 @@
         expiry = Expiry(engines.env, engines.engine, rollout.store, rollout)
         for version in (2, 3, 2):
             engines.target = replace(engines.target, weights=WeightsId('m', version))
+            rollout.looked_for = engines.target.weights
             if expiry._has_ended(engines.target):
                 await expiry._empty(engines.target)
             rollout.report = await engines.engine.report()
@@ -316,6 +318,44 @@
     curio.run(run)
 
 
+@pytest.mark.parametrize(('lies', 'orders'), [(False, 1), (True, 0)])
+def test_a_daemon_that_has_started_looks_first_whose_pieces_lie_at_the_engine(lies, orders):
+    """
+    Daemons were killed with all pieces of version 2 laid and the order not given yet.
+    Those that came after them had an engine of version 1 take layer 8 of 16 from these,
+    0.08 s before they had looked at what lies there: 'version=1 layers=8-9 status=202',
+    then 'Took staged pieces. weights=tilo440000@2 good=96 bad=0'.
+
+    """
+
+    async def run():
+        engines = Engines(0, StandInEngine(), StalledGathering(0))
+        rollout = engines.rollout
+        rollout.report = await engines.engine.report()
+        expiry = Expiry(engines.env, engines.engine, rollout.store, rollout)
+        engines.target = replace(engines.target, due=0.0)
+        await expiry._empty(engines.target)
+        assert engines.engine.orders == []
+        held = rollout.store.of(engines.target.weights)
+        data = b'piece'
+        digest = hashlib.sha256(data).hexdigest() if lies else 'd'
+
+        async def bring_digests(held):
+            await held.learn_digests((digest,) + ('d',) * (PIECES - 1))
+            return True
+
+        async def staged(model, index):
+            return data
+
+        engines.gathering.bring_digests = bring_digests
+        engines.engine.staged = staged
+        await rollout._look_at_staged(held)
+        await expiry._empty(engines.target)
+        assert len(engines.engine.orders) == orders
+
+    curio.run(run)
+
+
 @pytest.mark.parametrize(('here', 'due'), [(3, True), (6, True), (7, False)])
 def test_an_engine_that_is_about_to_have_the_next_version_takes_no_order_before(here, due):
     async def run():
