A daemon looks first whose pieces lie at its engine

Cause: that the pieces of the version served lie at the engine was taken for granted. The layer is one of those that the engine holds.

--- a/packages/millforkd/millforkd/beside/expiry.py
+++ b/packages/millforkd/millforkd/beside/expiry.py
@@ -151,17 +151,20 @@
 
     async def _order_own(self, target: Target) -> ServedVersion | None:
         """
-        Have the engine hold a single layer of what it serves. Its pieces lie there, as
-        others are laid only for an order; by itself a layer makes no token.
+        Have the engine hold a single layer of what it serves; by itself it makes no token.
+        Its pieces lie there, unless a daemon before this one has laid others.
 
         """
-        if target.layers < 2:
-            # It would be the whole model.
+        if self.rollout.looked_for != target.weights or self.rollout.lying == target.weights:
             return None
         serves = self.rollout.served[0]
-        # Neither the first nor the last, where there are others: no path begins or ends
-        # with it, whatever an entry that knows of no newer version makes of it.
-        middle = target.layers // 2
+        end = serves.end if serves.end is not None else target.layers
+        if end - serves.first <= 1:
+            return None
+        # Neither the first nor the last of the model, where there are others: no path
+        # begins or ends with it, whatever an entry that knows of no newer version makes of
+        # it.
+        middle = (serves.first + end) // 2
         layer = Layers(middle, middle + 1)
         return await self._ordered(WeightsId(serves.model, serves.version), layer)
 
--- a/packages/millforkd/millforkd/beside/rollout.py
+++ b/packages/millforkd/millforkd/beside/rollout.py
@@ -73,6 +73,10 @@
         self.changing_to = 0
         # Held while pieces are laid for an order and the order is given.
         self.ordering = curio.Lock()
+        # The target whose pieces were looked for at the engine last, and the one of which
+        # some lay there, left by a daemon that ended before it gave the order.
+        self.looked_for: WeightsId | None = None
+        self.lying: WeightsId | None = None
         # The place is kept once chosen, as others move on meanwhile.
         self.place: tuple[WeightsId, Place] | None = None
 
@@ -140,8 +144,7 @@
         """
         began = self.env.monotonic()
         held = self.store.of(target.weights)
-        if not held.digests:
-            await self._adopt_staged(held)
+        await self._look_at_staged(held)
         goal = self._goal(target, held)
         if not await self._gathered(held, target, goal):
             return
@@ -202,6 +205,11 @@
                 await task.cancel()
         return bool(held.digests) and not held.missing(wanted)
 
+    async def _look_at_staged(self, held: PieceSet) -> None:
+        if not held.digests:
+            await self._adopt_staged(held)
+        self.looked_for = held.weights
+
     async def _adopt_staged(self, held: PieceSet) -> None:
         """
         Take what already lies at the engine, if it is of this version.
@@ -220,6 +228,7 @@
             if not good and bad >= STAGED_TRIED:
                 break
         if good:
+            self.lying = held.weights
             log.info('Took staged pieces. weights={} good={} bad={}', held.weights, good, bad)
 
     async def _turn_came(self, target: Target) -> bool:
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -404,6 +404,19 @@
             ),
         ),
     ),
+    Mutation(
+        'a daemon looks first whose pieces lie at its engine',
+        'tests/test_rollouts.py::'
+        'test_a_daemon_that_has_started_looks_first_whose_pieces_lie_at_the_engine',
+        (
+            Edit(
+                D + 'beside/expiry.py',
+                'if self.rollout.looked_for != target.weights or '
+                'self.rollout.lying == target.weights:',
+                'if False:',
+            ),
+        ),
+    ),
     Mutation(
         'an emptied engine has nothing to end',
         'tests/test_rollouts.py::'
