--- a/packages/millforkd/millforkd/beside/rollout.py
+++ b/packages/millforkd/millforkd/beside/rollout.py
@@ -73,6 +73,10 @@
         self.changing_to = 0
         # Held while pieces are laid for an order and the order is given.
         self.ordering = curio.Lock()
+        # The target whose pieces were looked for at the engine last, and the one of which
+        # some lay there, left by a daemon that ended before it gave the order.
+        self.looked_for: WeightsId | None = None
+        self.lying: WeightsId | None = None
         # The place is kept once chosen, as others move on meanwhile.
         self.place: tuple[WeightsId, Place] | None = None
 
@@ -110,6 +114,17 @@
         """
         return bool(self.served) and self._part(target) is None
 
+    def is_emptied(self, target: Target) -> bool:
+        """
+        Whether the engine has neither the first layer nor the last, and so no work: paths
+        are of two.
+
+        """
+        return all(
+            item.first > 0 and item.end is not None and item.end < target.layers
+            for item in self.served
+        )
+
     async def keep(self) -> None:
         """
         The task that follows the target.
@@ -129,8 +144,7 @@
         """
         began = self.env.monotonic()
         held = self.store.of(target.weights)
-        if not held.digests:
-            await self._adopt_staged(held)
+        await self._look_at_staged(held)
         goal = self._goal(target, held)
         if not await self._gathered(held, target, goal):
             return
@@ -191,6 +205,11 @@
                 await task.cancel()
         return bool(held.digests) and not held.missing(wanted)
 
+    async def _look_at_staged(self, held: PieceSet) -> None:
+        if not held.digests:
+            await self._adopt_staged(held)
+        self.looked_for = held.weights
+
     async def _adopt_staged(self, held: PieceSet) -> None:
         """
         Take what already lies at the engine, if it is of this version.
@@ -209,6 +228,7 @@
             if not good and bad >= STAGED_TRIED:
                 break
         if good:
+            self.lying = held.weights
             log.info('Took staged pieces. weights={} good={} bad={}', held.weights, good, bad)
 
     async def _turn_came(self, target: Target) -> bool:
@@ -258,7 +278,8 @@
 
         """
         weights = target.weights
-        replaces = self.serves_another(target)
+        # One that was emptied has nothing to end, and takes the order 0.3 s sooner.
+        replaces = self.serves_another(target) and not self.is_emptied(target)
         if self._part(target) is None:
             self.changing_to = weights.version
             await self._tell()
