--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -356,6 +356,28 @@
     curio.run(run)
 
 
+def test_an_ended_version_is_taken_though_the_target_has_just_moved_on():
+    """
+    Three engines behind squeezed links kept version 1 beyond its end at 22.0 s: 88 of 96
+    pieces of version 2 were here, but version 4 had become the target at 21.51 s and no
+    piece nor digest of it had come. A request that its entry had given up at 21.7 s came
+    through the link at 22.02 s and began 8,132 ms after version 2 was acknowledged.
+
+    """
+
+    async def run():
+        engines = Engines(0, StandInEngine(), StalledGathering(0))
+        rollout = engines.rollout
+        rollout.report = await engines.engine.report()
+        expiry = Expiry(engines.env, engines.engine, rollout.store, rollout)
+        rollout.looked_for = WeightsId('m', 2)
+        engines.target = replace(engines.target, weights=WeightsId('m', 4), due=0.0)
+        await expiry._empty(engines.target)
+        assert engines.engine.orders == [(1, LAYERS // 2, LAYERS // 2 + 1, False, 0)]
+
+    curio.run(run)
+
+
 @pytest.mark.parametrize(('here', 'due'), [(3, True), (6, True), (7, False)])
 def test_an_engine_that_is_about_to_have_the_next_version_takes_no_order_before(here, due):
     async def run():
