--- a/packages/millforkd/millforkd/beside/expiry.py
+++ b/packages/millforkd/millforkd/beside/expiry.py
@@ -155,7 +155,7 @@
         Its pieces lie there, unless a daemon before this one has laid others.
 
         """
-        if self.rollout.looked_for is None or self.rollout.lying == target.weights:
+        if not self.rollout.has_looked or self.rollout.lying == target.weights:
             return None
         serves = self.rollout.served[0]
         end = serves.end if serves.end is not None else target.layers
--- a/packages/millforkd/millforkd/beside/rollout.py
+++ b/packages/millforkd/millforkd/beside/rollout.py
@@ -73,9 +73,9 @@
         self.changing_to = 0
         # Held while pieces are laid for an order and the order is given.
         self.ordering = curio.Lock()
-        # The target whose pieces were looked for at the engine last, and the one of which
-        # some lay there, left by a daemon that ended before it gave the order.
-        self.looked_for: WeightsId | None = None
+        # Whether this daemon has looked whose pieces lie at the engine, and the target of
+        # which some lay there, left by a daemon that ended before it gave the order.
+        self.has_looked = False
         self.lying: WeightsId | None = None
         # The place is kept once chosen, as others move on meanwhile.
         self.place: tuple[WeightsId, Place] | None = None
@@ -208,7 +208,7 @@
     async def _look_at_staged(self, held: PieceSet) -> None:
         if not held.digests:
             await self._adopt_staged(held)
-        self.looked_for = held.weights
+        self.has_looked = True
 
     async def _adopt_staged(self, held: PieceSet) -> None:
         """
--- a/tests/fail_first.py
+++ b/tests/fail_first.py
@@ -15,10 +15,13 @@
 from pathlib import Path
 from typing import Final
 
-from tests.mutations import MUTATIONS, Mutation
+from tests.mutation import Mutation
+from tests.mutations_listed import LISTED_FLEETS
+from tests.mutations_seeded import SEEDED_FLEETS
 
 ROOT: Final = Path(__file__).parent.parent
 TIMEOUT_S: Final = 240
+MUTATIONS: Final = LISTED_FLEETS + SEEDED_FLEETS
 
 
 def apply(mutation: Mutation, tree: Path) -> None:
--- /dev/null
+++ b/tests/mutations_seeded.py
@@ -0,0 +1,301 @@
+"""
+Mechanisms of seeded fleets.
+
+"""
+
+from typing import Final
+
+from tests.mutation import C, D, Edit, G, Mutation, R
+
+SEEDED_FLEETS: Final = (
+    Mutation(
+        'a slow engine gets nothing that its version would outlive',
+        'tests/test_servers.py::'
+        'test_a_slow_back_end_gets_nothing_that_would_begin_after_its_version_ends',
+        (Edit(C + 'placement.py', 'wanted.ends_at(version) - SURELY_S', "float('inf')"),),
+    ),
+    Mutation(
+        'the origin is drawn once for all zones',
+        'tests/test_caches.py::test_the_origin_is_drawn_once_for_all_zones',
+        (
+            Edit(
+                D + 'proxy/cache.py',
+                'if not draw and await self._left_to_drawer(held, index):',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'a piece is left to a drawer that is at it',
+        'tests/test_caches.py::test_a_piece_that_its_drawer_brings_is_not_drawn_beside_it',
+        (Edit(D + 'proxy/cache.py', 'self.not_yet[place] < PATIENCE', 'not self.not_yet[place]'),),
+    ),
+    Mutation(
+        'a silent drawer is passed over',
+        'tests/test_caches.py::test_a_drawer_that_was_silent_is_passed_over_for_a_while',
+        (Edit(D + 'beside/silence.py', 'if until > self.monotonic():', 'if False:'),),
+    ),
+    Mutation(
+        'a connection that is silent beside others is left',
+        'tests/test_forwarding.py::test_a_connection_that_went_silent_beside_others_that_work_is_left',
+        (
+            Edit(
+                D + 'proxy/forwarding.py',
+                'if server.answered_since(job.urgency, attempt.began + OVERTAKEN_S):',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'a late heartbeat does not bring back a back end that was replaced',
+        'tests/test_registry.py::'
+        'test_a_new_back_end_ends_the_lease_of_the_one_before_it_at_its_address',
+        (
+            Edit(
+                'packages/millfork-registry/millfork_registry/registry.py',
+                'held.state is LeaseState.EXPIRED:',
+                'False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'late requests leave slots to those who can be in time',
+        'tests/test_routing_model.py::test_under_lasting_load_slots_go_to_those_who_can_be_in_time',
+        (
+            Edit(
+                C + 'admission.py',
+                'LATE_SHARE: Final = 0.75',
+                'LATE_SHARE: Final = 10.0',
+            ),
+        ),
+    ),
+    Mutation(
+        'entries that see the same loads choose differently',
+        'tests/test_routing_model.py::test_many_entries_do_not_choose_the_same_engine',
+        (
+            Edit(
+                C + 'placement.py',
+                'weigh(_few(able, outlook.zone, random), random=random) or',
+                'None or',
+            ),
+        ),
+    ),
+    Mutation(
+        'who is cut off hears by way of another follower',
+        'tests/test_relaying.py::'
+        'test_who_is_cut_off_hears_configuration_and_load_by_way_of_its_zone',
+        (
+            Edit(
+                'packages/millfork-registry/millfork_registry/relaying.py',
+                'if not self._is_lost():',
+                'if True:',
+            ),
+        ),
+    ),
+    Mutation(
+        'an ended version is taken from its engine',
+        'tests/test_rollouts.py::'
+        'test_a_version_that_ends_before_the_next_is_here_is_taken_from_the_engine',
+        (
+            Edit(
+                D + 'beside/expiry.py',
+                'if self._is_due(target, held):',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'an ended version is taken where nothing of the next one is here',
+        'tests/test_rollouts.py::'
+        'test_an_ended_version_is_taken_where_nothing_of_the_next_one_is_here',
+        (
+            Edit(
+                D + 'beside/expiry.py',
+                'return await self._order_own(target)',
+                'return None',
+            ),
+        ),
+    ),
+    Mutation(
+        'an engine is left a single layer once',
+        'tests/test_rollouts.py::test_an_engine_is_left_a_single_layer_once',
+        (
+            Edit(
+                D + 'beside/expiry.py',
+                'if end - serves.first <= 1:',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'a daemon looks first whose pieces lie at its engine',
+        'tests/test_rollouts.py::'
+        'test_a_daemon_that_has_started_looks_first_whose_pieces_lie_at_the_engine',
+        (
+            Edit(
+                D + 'beside/expiry.py',
+                'if not self.rollout.has_looked or self.rollout.lying == target.weights:',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'an emptied engine has nothing to end',
+        'tests/test_rollouts.py::'
+        'test_an_ended_version_is_taken_where_nothing_of_the_next_one_is_here',
+        (
+            Edit(
+                D + 'beside/rollout.py',
+                'self.serves_another(target) and not self.is_emptied(target)',
+                'self.serves_another(target)',
+            ),
+        ),
+    ),
+    Mutation(
+        'nothing is sent to a version that ends while a connection comes up',
+        'tests/test_forwarding.py::'
+        'test_nothing_is_sent_to_a_version_that_ends_while_a_connection_comes_up',
+        (
+            Edit(
+                D + 'proxy/forwarding.py',
+                'if version is None or version < least:',
+                'if version is None:',
+            ),
+        ),
+    ),
+    Mutation(
+        'nothing is sent to an engine that has no whole version by then',
+        'tests/test_forwarding.py::'
+        'test_nothing_is_sent_to_an_engine_that_has_no_whole_version_by_then',
+        (
+            Edit(
+                D + 'proxy/forwarding.py',
+                'if version is None or version < least:',
+                'if version is not None and version < least:',
+            ),
+        ),
+    ),
+    Mutation(
+        'a repeat that was not sent is paid for once',
+        'tests/test_forwarding.py::test_a_repeat_that_was_not_sent_is_paid_for_once',
+        (
+            Edit(
+                D + 'proxy/forwarding.py',
+                'paid = not failed.sent',
+                'paid = False',
+            ),
+        ),
+    ),
+    Mutation(
+        'engines change in turns',
+        'tests/test_rollouts.py::test_an_engine_changes_once_those_of_the_turns_before_have',
+        (
+            Edit(
+                D + 'beside/rollout.py',
+                'if self._changed(target) * TURNS >= turn',
+                'if self._changed(target) * TURNS >= 0 * turn',
+            ),
+        ),
+    ),
+    Mutation(
+        'a version that does not come is not waited for',
+        'tests/test_versions.py::'
+        'test_a_version_in_between_comes_first_where_the_newest_does_not_come',
+        (Edit(D + 'beside/target.py', 'if self._is_stuck(newest, now):', 'if False:'),),
+    ),
+    Mutation(
+        'the end of a version counts from the question',
+        'tests/test_switch_ends.py::'
+        'test_however_late_an_answer_is_given_or_read_no_end_is_later_than_the_true_one',
+        (
+            Edit(
+                G + 'switch_ends.py',
+                'ends = asked_at + switch.left_ms / MS_PER_S',
+                'ends = asked_at + 0.5 + switch.left_ms / MS_PER_S',
+            ),
+        ),
+    ),
+    Mutation(
+        'what has ended does not come back',
+        'tests/test_switch_ends.py::test_what_has_ended_does_not_come_back',
+        (Edit(G + 'switch_ends.py', '(known <= asked_at or ends <= known)', 'ends <= known'),),
+    ),
+    Mutation(
+        'every version told of has its own end',
+        'tests/test_switch_ends.py::test_the_end_of_a_version_that_another_one_followed_is_kept',
+        (
+            Edit(
+                D + 'versions.py',
+                'sorted({*learned, *self.told.versions(model)})',
+                'sorted(learned)',
+            ),
+        ),
+    ),
+    Mutation(
+        'only who led or was told tells of a version',
+        'tests/test_switch_ends.py::test_only_who_led_or_was_told_tells_of_a_version',
+        (
+            Edit(
+                D + 'versions.py',
+                'if not self.leads() and self.told.at(model, version) is None:',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'who is cut off is told the ends by way of another follower',
+        'tests/test_relaying.py::test_who_is_cut_off_is_told_when_a_version_ends',
+        (
+            Edit(
+                G + 'relaying.py',
+                'await self.following.note_switches(asked_at, reply.switches)',
+                'pass',
+            ),
+        ),
+    ),
+    Mutation(
+        'a process has no fixed allowance of repeats in its first window',
+        'tests/test_repeat_budget.py',
+        (
+            Edit(
+                R + 'budget.py',
+                'if self.monotonic() - self.began < self.window_s:',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'the fixed allowance is divided by the most entries known lately',
+        'tests/test_repeat_budget.py',
+        (
+            Edit(
+                R + 'budget.py',
+                'return self.most_entries.note(max(self.entries(), 1), self.monotonic())',
+                'return max(self.entries(), 1)',
+            ),
+        ),
+    ),
+    Mutation(
+        'an owner that hears its lease ended tells it again',
+        'tests/test_leases_of_lost_owners.py',
+        (
+            Edit(
+                G + 'registry.py',
+                'self.leases.put(held.instance, held)',
+                'pass',
+            ),
+        ),
+    ),
+    Mutation(
+        'a new engine does not take over the report of the one before it',
+        'tests/test_reports_of_earlier_lives.py::'
+        'test_a_new_engine_is_not_taken_to_serve_what_the_one_before_it_served',
+        (
+            Edit(
+                C + 'book.py',
+                'made.report_sequence = before.report_sequence',
+                'pass',
+            ),
+        ),
+    ),
+)
--- a/tests/test_fail_first.py
+++ b/tests/test_fail_first.py
@@ -5,8 +5,7 @@
 
 import pytest
 
-from tests.fail_first import ROOT
-from tests.mutations import MUTATIONS
+from tests.fail_first import MUTATIONS, ROOT
 
 
 @pytest.mark.parametrize('mutation', MUTATIONS, ids=lambda mutation: mutation.name)
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -17,7 +17,7 @@
 from millfork_registry.relaying import Relaying
 from millfork_state.view import Held, View
 from millfork_wire.connection import PeerTimedOut
-from millfork_wire.messages import AskFeed, CacheAddress
+from millfork_wire.messages import AskFeed, CacheAddress, VersionSwitch
 
 CUT, NEAR, FAR = '10.0.0.1:7', '10.0.0.2:7', '10.1.0.3:7'
 ZONES = {CUT: 'here', NEAR: 'here', FAR: 'there'}
@@ -136,3 +136,16 @@
         assert cut.view.items['key'].value == b'old'
 
     curio.run(run)
+
+
+def test_who_is_cut_off_is_told_when_a_version_ends(followers):
+    async def run():
+        cut = followers.relaying[CUT].following
+        followers.relaying[NEAR].switches = lambda: [VersionSwitch('m', 2, 3000)]
+        began = cut.env.monotonic()
+        task = await curio.spawn(followers.relaying[CUT].keep, daemon=True)
+        await followers.until(lambda: cut.switch_ends.at('m', 2) is not None, (NEAR, FAR))
+        assert began + 3.0 <= cut.switch_ends.at('m', 2) <= cut.env.monotonic() + 3.0
+        await task.cancel()
+
+    curio.run(run)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -309,7 +309,7 @@
         expiry = Expiry(engines.env, engines.engine, rollout.store, rollout)
         for version in (2, 3, 2):
             engines.target = replace(engines.target, weights=WeightsId('m', version))
-            rollout.looked_for = engines.target.weights
+            rollout.has_looked = True
             if expiry._has_ended(engines.target):
                 await expiry._empty(engines.target)
             rollout.report = await engines.engine.report()
@@ -370,7 +370,7 @@
         rollout = engines.rollout
         rollout.report = await engines.engine.report()
         expiry = Expiry(engines.env, engines.engine, rollout.store, rollout)
-        rollout.looked_for = WeightsId('m', 2)
+        rollout.has_looked = True
         engines.target = replace(engines.target, weights=WeightsId('m', 4), due=0.0)
         await expiry._empty(engines.target)
         assert engines.engine.orders == [(1, LAYERS // 2, LAYERS // 2 + 1, False, 0)]
