Tests that fail: who follows a replica that is cut off hears of changes late or never

Two causes, reproduced on real processes with the leader and the followed replica given: entry-5 followed entry-1, entry-3 led, entry-1's links stood still: in force after 6.5 s of 5 s allowed (one trial), as silence counts after 5 s and is looked for every 2 s. Only the link from entry-1 to the leader stood still: entry-4, on entry-1, had the change in none of 30 s (one trial).

--- a/tests/test_subscription.py
+++ b/tests/test_subscription.py
@@ -1,6 +1,12 @@
 """
 Taking configuration from an upstream: forwards only, and never with a gap.
 
+An entry that followed a replica whose link stood still had a change 6.5 s after it
+was accepted, beside 0.0 s elsewhere (log: 'Following entry-2' 6.5 s after the stall):
+silence was noted after five seconds, and looked for every two. An entry that followed
+a replica that was only cut off from the leader never had it (30 s, no second
+'Following'): a replica was left for silence alone, however old its word was.
+
 """
 
 import curio
@@ -16,7 +22,7 @@
 from millfork_state.upstream import FANOUT, ancestors, candidates, zone_order
 from millfork_state.view import Held, View
 from millfork_wire.connection import PeerTimedOut, PeerUnreachable
-from millfork_wire.messages import Item, Report, RevisionIs, Subscribe, Update
+from millfork_wire.messages import AskRevision, Item, Report, RevisionIs, Subscribe, Update
 from millfork_wire.peers import PeerAddress
 
 CLUSTER = ClusterId('cluster')
@@ -49,6 +55,8 @@
         self.closed = False
 
     async def call(self, request, timeout):
+        if isinstance(request, AskRevision):
+            return RevisionIs(CLUSTER, 2)
         self.asked.append(request)
         for event in self.early:
             await self.subscription.on_update(self, event)
@@ -123,6 +131,10 @@
             raise PeerUnreachable('not started yet')
         return self.near
 
+    async def call(self, address, message, timeout):
+        connection = await self.connect(address)
+        return await connection.call(message, timeout)
+
 
 def test_who_started_first_comes_back_to_its_own_zone(monkeypatch):
     monkeypatch.setattr(upstreams, 'HEARTBEAT_S', 0.01)
@@ -147,6 +159,163 @@
     curio.run(run)
 
 
+class FakeReplica:
+    """
+    A replica as seen from a subscriber: how old its leader's word is, and whether
+    its link stands still.
+
+    """
+
+    def __init__(self, name, age_ms=0):
+        self.peer = InstanceId(name)
+        self.age_ms = age_ms
+        self.is_silent = False
+        self.closed = False
+        self.subscribed = 0
+
+    async def call(self, request, timeout):
+        if isinstance(request, Subscribe):
+            self.subscribed += 1
+        if self.is_silent:
+            raise PeerTimedOut('its link stands still')
+        if isinstance(request, AskRevision):
+            return RevisionIs(CLUSTER, 2, self.age_ms)
+        update = full(2, a=b'1')
+        update.age_ms = self.age_ms
+        return update
+
+    async def notify(self, message):
+        pass
+
+
+class ReplicaPeers:
+    """
+    Reaches replicas by name.
+
+    """
+
+    def __init__(self, *replicas):
+        self.replicas = {replica.peer: replica for replica in replicas}
+
+    async def connect(self, address):
+        return self.replicas[address.instance]
+
+    async def call(self, address, message, timeout):
+        return await self.replicas[address.instance].call(message, timeout)
+
+    async def beat(self, made):
+        """
+        Send heartbeats to a subscriber, from all whose links work.
+
+        """
+        while True:
+            for replica in self.replicas.values():
+                if replica.is_silent:
+                    continue
+                update = full(2, a=b'1')
+                update.age_ms = replica.age_ms
+                await made.on_update(replica, update)
+            await curio.sleep(0.05)
+
+
+def following(*replicas):
+    made = subscription(Upstream([]))
+    made.replicas = [PeerAddress(replica.peer, '127.0.0.1', 1) for replica in replicas]
+    made.peers = ReplicaPeers(*replicas)
+    return made
+
+
+async def turn_to(made, name, bound_s):
+    async with curio.timeout_after(bound_s):
+        while made.upstream != name:
+            await curio.sleep(0.01)
+
+
+def test_upstream_that_is_silent_is_left_within_two_heartbeats():
+    # Heartbeats come every 2 s.
+    first, second = FakeReplica('r1'), FakeReplica('r2')
+    made = following(first, second)
+
+    async def run():
+        await curio.spawn(made.peers.beat, made, daemon=True)
+        await curio.spawn(made.follow, daemon=True)
+        await turn_to(made, 'r1', 1)
+        first.is_silent = True
+        await turn_to(made, 'r2', 2 * upstreams.HEARTBEAT_S)
+
+    curio.run(run)
+
+
+def test_upstream_that_was_silent_is_asked_last():
+    first, second = FakeReplica('r1'), FakeReplica('r2')
+    made = following(first, second)
+
+    async def run():
+        await curio.spawn(made.peers.beat, made, daemon=True)
+        await curio.spawn(made.follow, daemon=True)
+        await turn_to(made, 'r1', 1)
+        first.is_silent = True
+        await turn_to(made, 'r2', 10)
+
+    curio.run(run)
+    assert (first.subscribed, second.subscribed) == (1, 1)
+
+
+def test_upstream_cut_off_from_the_leader_is_left_for_a_replica_that_hears_it():
+    first, second, third = FakeReplica('r1'), FakeReplica('r2'), FakeReplica('r3')
+    made = following(first, second, third)
+
+    async def run():
+        await curio.spawn(made.peers.beat, made, daemon=True)
+        await curio.spawn(made.follow, daemon=True)
+        await turn_to(made, 'r1', 1)
+        first.age_ms = second.age_ms = upstreams.STALE_MS + 1
+        await turn_to(made, 'r3', 5)
+
+    curio.run(run)
+    assert (first.subscribed, second.subscribed, third.subscribed) == (1, 0, 1)
+
+
+def test_where_no_replica_hears_a_leader_the_upstream_is_kept(monkeypatch):
+    monkeypatch.setattr(upstreams, 'HEARTBEAT_S', 0.05)
+    first, second = FakeReplica('r1'), FakeReplica('r2')
+    made = following(first, second)
+
+    async def run():
+        await curio.spawn(made.peers.beat, made, daemon=True)
+        await curio.spawn(made.follow, daemon=True)
+        await turn_to(made, 'r1', 1)
+        first.age_ms = second.age_ms = upstreams.STALE_MS + 1
+        with pytest.raises(curio.TaskTimeout):
+            await turn_to(made, 'r2', 2)
+
+    curio.run(run)
+    assert (first.subscribed, second.subscribed) == (1, 0)
+
+
+@pytest.mark.parametrize('trouble', ['silent', 'cut off from the leader'])
+def test_upstream_that_is_nearer_is_taken_again_once_it_is_in_touch(monkeypatch, trouble):
+    monkeypatch.setattr(upstreams, 'LOOK_NEARER_S', 0.05)
+    first, second = FakeReplica('r1'), FakeReplica('r2')
+    made = following(first, second)
+
+    async def run():
+        await curio.spawn(made.peers.beat, made, daemon=True)
+        await curio.spawn(made.follow, daemon=True)
+        await turn_to(made, 'r1', 1)
+        first.is_silent = trouble == 'silent'
+        first.age_ms = upstreams.STALE_MS + 1
+        await turn_to(made, 'r2', 10)
+        with pytest.raises(curio.TaskTimeout):
+            await turn_to(made, 'r1', 2)
+        first.is_silent = False
+        first.age_ms = 0
+        await turn_to(made, 'r1', 5)
+
+    curio.run(run)
+    assert (first.subscribed, second.subscribed) == (2, 1)
+
+
 @pytest.mark.parametrize(
     'update', [full(1, a=b'old'), delta(0, 1, a=b'old'), Update('foreign', 0, 9, True)]
 )
