Who follows a replica that is cut off turns to another within seconds

Apart from it, a replica was never left for the age of its leader's word. Who left an upstream asked it first again, and went back to a nearer one as soon as a connection to it stood open, silent or not. Ruled out: a shorter age for all levels of the tree, and faster heartbeats (DESIGN.md). Change: silence counts after 3 s and is looked for every 0.5 s; who was silent or stale is asked last; a replica whose leader's word is 3 s old is left for another one that tells it hears the leader (RevisionIs carries the age); only a nearer one that tells so is gone back to; each leaving is logged with its reason.

--- a/packages/millfork-wire/millfork_wire/messages.py
+++ b/packages/millfork-wire/millfork_wire/messages.py
@@ -197,6 +197,7 @@
 class RevisionIs(Message):
     cluster: str = ''
     revision: int = 0
+    age_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -87,7 +87,7 @@
   items @4 :List(Item); removed @5 :List(Text); ageMs @6 :UInt32;
 }
 struct AskRevision {}
-struct RevisionIs { cluster @0 :Text; revision @1 :UInt64; }
+struct RevisionIs { cluster @0 :Text; revision @1 :UInt64; ageMs @2 :UInt32; }
 struct Report { instance @0 :Text; incarnation @1 :UInt64; sequence @2 :UInt64; body @3 :Data; }
 struct Reports { reports @0 :List(Report); revision @1 :UInt64; }
 
--- a/packages/millforkd/millforkd/member.py
+++ b/packages/millforkd/millforkd/member.py
@@ -18,7 +18,7 @@
 from millfork_state.view import View
 from millfork_web.server import Exchange, Server
 from millfork_wire.connection import Connection, Handler
-from millfork_wire.messages import AskRevision, Message, RevisionIs, Subscribe, Update
+from millfork_wire.messages import AskRevision, Message, Subscribe, Update
 from millfork_wire.messages import Reports as ReportsMessage
 from millfork_wire.peers import PeerAddress, Peers
 from millforkd.admin import answer_admin
@@ -105,7 +105,7 @@
             await self.reports.take(message.reports)
             return None
         if isinstance(message, AskRevision):
-            return RevisionIs(self.view.cluster, self.view.revision)
+            return self.subscription.on_ask_revision()
         return await self.role_handler(connection, message)
 
     def is_ready(self) -> bool:
