Tests of upstreams: the wanted replica wins its elections

Cause: with equal election time-outs, the replica that was to lead won none of 20 elections in one run (entry-2), so the fixture failed before the test began. Change: the others wait 5 s.

--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -22,6 +22,10 @@
 from millfork_standins.requests import fetch
 from tests.utils.fleets import control, wait_until
 
+# Beside the 1500 ms of the one that is to lead: with the same for all, entry-2 won none
+# of 20 elections in one run.
+LATE_ELECTION_MS = 5000
+MOST_ELECTIONS = 20
 LEADER_LINE = re.compile(r' Leader of term (\d+)')
 # As in the scenario.
 IN_FORCE_S = 5.0
@@ -41,11 +45,15 @@
 
     def start(self):
         fleet = self.fleet
+        for replica in fleet.replicas:
+            if replica.name != self.wanted:
+                replica.settings['state'] = {'election_ms': LATE_ELECTION_MS}
         fleet.start_standins()
         self._start('entry-1', 'entry-2', 'entry-3')
         wait_until(self.leader)
-        while self.leader() != self.wanted:
-            self._depose(self.leader())
+        for _ in range(MOST_ELECTIONS):
+            if self.leader() != self.wanted:
+                self._depose(self.leader())
         # Entry-2 is not on the list yet, or entry-5 would follow it.
         for name in ('entry-1', 'entry-3', 'entry-4', 'entry-5'):
             fleet.list_instance(fleet.instances[name])
