--- a/tests/mutations_listed.py
+++ b/tests/mutations_listed.py
@@ -255,4 +255,21 @@
         'tests/test_subscription.py::test_who_started_first_comes_back_to_its_own_zone',
         (Edit(S + 'subscription.py', 'if await self._has_nearer():', 'if False:'),),
     ),
+    Mutation(
+        'a replica cut off from the leader is left for one that hears it',
+        'tests/test_subscription.py::'
+        'test_upstream_cut_off_from_the_leader_is_left_for_a_replica_that_hears_it',
+        (Edit(S + 'subscription.py', 'if await self._is_stale():', 'if False:'),),
+    ),
+    Mutation(
+        'who was silent is asked last',
+        'tests/test_subscription.py::test_upstream_that_was_silent_is_asked_last',
+        (
+            Edit(
+                S + 'subscription.py',
+                'found.sort(key=lambda address: address.instance == self.avoided)',
+                'pass',
+            ),
+        ),
+    ),
 )
