--- a/packages/millfork-routing/millfork_routing/budget.py
+++ b/packages/millfork-routing/millfork_routing/budget.py
@@ -2,8 +2,8 @@
 The budget of repeats that all entries share, without talking about it.
 
 Each entry may send its part: a ratio of its own requests, and an equal part
-of the fixed allowance. The parts sum to less than the whole, whatever entries
-know of each other:
+of the fixed allowance. The parts sum to less than the whole, also where entries
+know little of each other:
 
 - The process before this one may have spent the part of this entry, so a process
   has none of the fixed allowance in its first window.
