Test that fails: a restart forgets what was spent of the ratio

Found by the property itself in a whole run; its example is kept. The time that an example may take is no longer limited: 0.72 s beside other processes and 0.05 s alone, and no promise.

--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -7,7 +7,7 @@
 
 """
 
-from hypothesis import example, given
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from millfork_core.ids import ServiceName
@@ -86,9 +86,21 @@
 )
 
 
+# An example runs 40 entries for up to half a minute of their time: 0.05 s to 0.7 s.
+@settings(deadline=None)
 @given(st.lists(st.tuples(TROUBLES, st.integers(1, 8), st.booleans()), max_size=8))
 @example([('calm', 8, True), ('all restart', 4, True), ('all restart', 4, True)])
 @example([('cut in three', 8, False), ('calm', 20, True)])
+@example(
+    [
+        ('cut', 5, True),
+        ('all restart', 4, False),
+        ('calm', 8, True),
+        ('half restart', 5, True),
+        ('cut in three', 3, False),
+        ('calm', 8, True),
+    ]
+)
 def test_restarts_and_cuts_never_take_the_entries_beyond_the_budget(days):
     fleet = Fleet()
     for _ in range(CALM_TICKS):
