A process has little of the ratio of repeats in its first window

Cause: a restart forgets what was spent of the ratio as well: 720 repeats of 712 allowed, an example that the property found in a whole run. Ruled out: the count of entries (40 throughout). Change: 0.2 of the ratio in the first window, beside the 0.7 of the whole that the process before may have spent. After: the example holds, and 1200 fresh ones.

--- a/packages/millfork-routing/millfork_routing/budget.py
+++ b/packages/millfork-routing/millfork_routing/budget.py
@@ -6,7 +6,7 @@
 know little of each other:
 
 - The process before this one may have spent the part of this entry, so a process
-  has none of the fixed allowance in its first window.
+  has little of the ratio and none of the fixed allowance in its first window.
 - The allowance is divided by the most entries known lately: those that can't be
   seen now, behind a cut or because they start again, draw on it all the same.
 
@@ -25,6 +25,9 @@
 # Of the whole budget; the rest is for entries that were just added, and for sends that
 # reach their back end later than others, within one window.
 USED_SHARE: Final = 0.7
+# Of the ratio, in a process's first window: the one before it may have spent the share
+# above in the same window, and both together are less than the whole.
+FIRST_SHARE: Final = 0.2
 # Entries count for so long after they were last seen, in seconds: regions lose each
 # other for minutes.
 ENTRIES_REMEMBERED_S: Final = 600.0
@@ -127,9 +130,8 @@
         entries = self.count_entries()
         allowed = self.ratio * len(window.requests)
         if self.monotonic() - self.began < self.window_s:
-            entries = 0
-        else:
-            allowed += self.slack / entries
+            return BudgetPart(len(window.repeats), len(window.requests), FIRST_SHARE * allowed, 0)
+        allowed += self.slack / entries
         return BudgetPart(len(window.repeats), len(window.requests), USED_SHARE * allowed, entries)
 
     def count_entries(self) -> int:
