The budget of repeats goes by what a majority of the replicas has seen

Cause: entries that begin during a cut know of their own side only, and each side divided the whole fixed allowance by itself (320 repeats of 272 allowed, the known red test). Ruled out: a count kept in the log (a leader on one side would count the same few), half for everyone (a cut in three takes more).

Change: an entry has none of the fixed allowance before it was in touch with a majority for a whole window; only one side of a cut is. Replicas tell the most entries that they knew of within ten minutes, and an entry behind a cut forgets nothing while it lasts. The fixture of test_forwarding now says that its one entry is in touch, as it was taken to be before.

Open: the entries and all replicas of the majority's side restart within one cut, so that nobody there has known the others.

--- /dev/null
+++ b/packages/millfork-core/millfork_core/windows.py
@@ -0,0 +1,38 @@
+"""
+Figures over a window of time.
+
+"""
+
+from collections import deque
+
+
+class MostLately:
+    """
+    The highest of the numbers seen within a time, in seconds.
+
+    """
+
+    def __init__(self, within_s: float) -> None:
+        self.within_s = within_s
+        # Falling numbers, and when each was last seen.
+        self.seen: deque[tuple[float, int]] = deque()
+
+    @property
+    def most(self) -> int:
+        """
+        The highest as of the last `note`; 0 if there was none.
+
+        """
+        return self.seen[0][1] if self.seen else 0
+
+    def note(self, number: int, now: float) -> int:
+        """
+        Take the number as it is now; returns the highest.
+
+        """
+        while self.seen and self.seen[-1][1] <= number:
+            self.seen.pop()
+        self.seen.append((now, number))
+        while now - self.seen[0][0] > self.within_s:
+            self.seen.popleft()
+        return self.most
--- a/packages/millfork-registry/millfork_registry/followers.py
+++ b/packages/millfork-registry/millfork_registry/followers.py
@@ -12,6 +12,7 @@
 
 from millfork_core.environment import Environment
 from millfork_core.logs import Part, logger
+from millfork_core.windows import MostLately
 from millfork_registry.records import encode_records
 from millfork_registry.registry import Registry
 from millfork_state.replica import Replica
@@ -23,6 +24,8 @@
 HEARTBEAT_S: Final = 0.15
 # Changes within this time leave in one message.
 GATHER_S: Final = 0.02
+# As long as entries remember each other: regions lose each other for minutes.
+ENTRIES_REMEMBERED_S: Final = 600.0
 
 REPLICA_ROLE: Final = 'replica'
 ENTRY_ROLE: Final = 'entry'
@@ -64,6 +67,9 @@
         self.rows: dict[str, Follower] = {}
         # Entries that follow other replicas, by replica.
         self.entries_elsewhere: dict[str, int] = {}
+        # Entries that start during a cut hear of those behind it, which share the fixed
+        # allowance of repeats with them: they were else divided by one side alone.
+        self.most_entries = MostLately(ENTRIES_REMEMBERED_S)
 
     @property
     def entries_here(self) -> int:
@@ -171,4 +177,5 @@
             self.entries,
             encode_records(leases) if leases else b'',
             encode_records(endpoints) if endpoints else b'',
+            self.most_entries.note(self.entries, self.env.monotonic()),
         )
--- a/packages/millfork-registry/millfork_registry/following.py
+++ b/packages/millfork-registry/millfork_registry/following.py
@@ -72,7 +72,9 @@
         self.source = NO_INSTANCE
         self.heard_at = 0.0
         self.age_ms = 0
+        # Entries that the replica knows of now, and the most that it knew of lately.
         self.entries = 1
+        self.most_entries = 1
         # The follower by way of which the feed comes while no replica is heard, and the
         # one that was asked for it last.
         self.relay = ''
@@ -280,6 +282,7 @@
         if peer == self.source:
             self.heard_at = self.env.monotonic()
             self.entries = max(message.entries, 1)
+            self.most_entries = max(message.most_entries, self.entries)
         try:
             leases = decode_leases(message.leases)
             endpoints = decode_states(message.reports)
--- a/packages/millfork-registry/millfork_registry/relaying.py
+++ b/packages/millfork-registry/millfork_registry/relaying.py
@@ -150,6 +150,7 @@
             following.entries,
             encode_records(leases) if leases else b'',
             encode_records(reports) if reports else b'',
+            following.most_entries,
         )
         try:
             await connection.notify(update)
--- a/packages/millfork-routing/millfork_routing/budget.py
+++ b/packages/millfork-routing/millfork_routing/budget.py
@@ -9,6 +9,10 @@
   has little of the ratio and none of the fixed allowance in its first window.
 - The allowance is divided by the most entries known lately: those that can't be
   seen now, behind a cut or because they start again, draw on it all the same.
+- An entry has none of the allowance before it was in touch with a majority of the
+  replicas for a whole window. Only one side of a cut is, so the sides can't both divide
+  the whole allowance by the entries that they see: two halves of 40 entries, all begun
+  during a cut, sent 320 repeats of 272 allowed.
 
 Without these, 40 entries that were killed three times in 10 s sent 844 repeats of
 736 allowed, while servers turned four of five requests away.
@@ -21,6 +25,7 @@
 from typing import Final
 
 from millfork_core.ids import ServiceName
+from millfork_core.windows import MostLately
 
 # Of the whole budget; the rest is for entries that were just added, and for sends that
 # reach their back end later than others, within one window.
@@ -28,8 +33,8 @@
 # Of the ratio, in a process's first window: the one before it may have spent the share
 # above in the same window, and both together are less than the whole.
 FIRST_SHARE: Final = 0.2
-# Entries count for so long after they were last seen, in seconds: regions lose each
-# other for minutes.
+# Entries count for so long after they were last seen, in seconds of touch with a majority
+# of the replicas: a zone's machines come back within minutes of a loss of power.
 ENTRIES_REMEMBERED_S: Final = 600.0
 
 
@@ -44,7 +49,7 @@
     """
     One entry's part for a service: repeats sent and requests within the window, the
     repeats allowed, and the number of entries that the fixed allowance was divided by (0:
-    this process has none of it yet).
+    this process has none of it).
 
     """
 
@@ -54,51 +59,43 @@
     entries: int
 
 
-class _MostLately:
+def never_in_touch() -> bool:
     """
-    The highest of the numbers seen within a time.
+    The case of an entry that knows nothing of a majority of the replicas.
 
     """
-
-    def __init__(self, within_s: float) -> None:
-        self.within_s = within_s
-        # Falling numbers, and when each was last seen.
-        self.seen: deque[tuple[float, int]] = deque()
-
-    def note(self, number: int, now: float) -> int:
-        """
-        Take the number as it is now; returns the highest.
-
-        """
-        while self.seen and self.seen[-1][1] <= number:
-            self.seen.pop()
-        self.seen.append((now, number))
-        while now - self.seen[0][0] > self.within_s:
-            self.seen.popleft()
-        return self.seen[0][1]
+    return False
 
 
 class SharedBudget:
     """
     One entry's part of the budget, for each service.
 
+    `entries` tells how many entries there are as far as a replica knows, `in_touch`
+    whether that replica is in touch with a majority of them now.
+
     """
 
     def __init__(
         self,
         ratio: float,
-        slack: int,
+        slack: float,
         window_s: float,
         entries: Callable[[], int],
         monotonic: Callable[[], float],
+        in_touch: Callable[[], bool] = never_in_touch,
     ) -> None:
         self.ratio = ratio
         self.slack = slack
         self.window_s = window_s
         self.entries = entries
         self.monotonic = monotonic
+        self.in_touch = in_touch
         self.began = monotonic()
-        self.most_entries = _MostLately(ENTRIES_REMEMBERED_S)
+        # Since when it has been in touch; once that was a whole window, a loss of touch
+        # no longer changes it.
+        self.in_touch_since: float | None = None
+        self.most_entries = MostLately(ENTRIES_REMEMBERED_S)
         self.windows: dict[ServiceName, _Window] = {}
 
     def note_request(self, service: ServiceName) -> None:
@@ -130,9 +127,14 @@
         entries = self.count_entries()
         allowed = self.ratio * len(window.requests)
         if self.monotonic() - self.began < self.window_s:
-            return BudgetPart(len(window.repeats), len(window.requests), FIRST_SHARE * allowed, 0)
-        allowed += self.slack / entries
-        return BudgetPart(len(window.repeats), len(window.requests), USED_SHARE * allowed, entries)
+            allowed *= FIRST_SHARE
+        else:
+            allowed *= USED_SHARE
+        if self._has_allowance():
+            allowed += USED_SHARE * self.slack / entries
+        else:
+            entries = 0
+        return BudgetPart(len(window.repeats), len(window.requests), allowed, entries)
 
     def count_entries(self) -> int:
         """
@@ -140,7 +142,24 @@
         remembered that can't be seen any more.
 
         """
-        return self.most_entries.note(max(self.entries(), 1), self.monotonic())
+        now = self.monotonic()
+        entries = max(self.entries(), 1)
+        if not self.in_touch():
+            if not self._has_allowance():
+                self.in_touch_since = None
+            # Those behind the cut draw on the allowance for as long as it lasts.
+            return max(self.most_entries.most, entries)
+        if self.in_touch_since is None:
+            self.in_touch_since = now
+        return self.most_entries.note(entries, now)
+
+    def _has_allowance(self) -> bool:
+        """
+        Whether this entry knows of all that draw on the fixed allowance.
+
+        """
+        since = self.in_touch_since
+        return since is not None and self.monotonic() - since >= self.window_s
 
     def _window(self, service: ServiceName) -> _Window:
         window = self.windows.setdefault(service, _Window())
--- a/packages/millfork-wire/millfork_wire/messages.py
+++ b/packages/millfork-wire/millfork_wire/messages.py
@@ -404,9 +404,11 @@
 class Leases(Message):
     full: bool = False
     settled: bool = False
+    # Entries known now, and the most known lately.
     entries: int = 0
     leases: bytes = b''
     reports: bytes = b''
+    most_entries: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -83,8 +83,9 @@
             promises.retry_ratio,
             promises.retry_slack,
             promises.retry_window_s,
-            lambda: self.following.entries,
+            lambda: self.following.most_entries,
             env.monotonic,
+            lambda: self.following.connected,
         )
         self.forwarding = Forwarding(
             env, adapter, self.admission, self.book, self.pools, self.budget
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -106,7 +106,8 @@
             server = Server(InstanceId(f'i-{number}'), ServiceName('s'), 'h', 80, ZoneId('z1'), 16)
             server.served = (ServedVersion(ENGINE.model, version),)
             self.servers.append(server)
-        self.budget = SharedBudget(0.0, 20, 10.0, lambda: 1, self.clock)
+        self.budget = SharedBudget(0.0, 20, 10.0, lambda: 1, self.clock, lambda: True)
+        self.budget.count_entries()
         self.clock.now += 11.0
         env = Environment(InstanceId('a:1'), ZoneId('z1'), monotonic=self.clock)
         versions = SimpleNamespace(least=lambda model: self.least, ends_at=lambda *args: None)
--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -39,12 +39,27 @@
         # What replicas tell of the number of entries.
         self.told = ENTRIES
         self.unknown_ticks = 0
-        self.budgets = [self.started() for _ in range(ENTRIES)]
+        self.budgets = [self.started(position) for position in range(ENTRIES)]
         self.requests = []
         self.repeats = []
 
-    def started(self):
-        return SharedBudget(RATIO, SLACK, WINDOW_S, lambda: self.told, self.clock)
+    def started(self, position=None):
+        return SharedBudget(
+            RATIO,
+            SLACK,
+            WINDOW_S,
+            lambda: self.told,
+            self.clock,
+            lambda: self.in_touch(position),
+        )
+
+    def in_touch(self, position):
+        """
+        In a cut, every second entry is on the side that has a majority of the replicas.
+
+        """
+        is_cut = self.told in (ENTRIES // 2, ENTRIES // 3)
+        return not is_cut or (position is not None and position % 2 == 0)
 
     def tick(self, spends):
         """
@@ -68,11 +83,11 @@
 
     def strike(self, trouble):
         if trouble == 'all restart':
-            self.budgets = [self.started() for _ in range(ENTRIES)]
+            self.budgets = [self.started(position) for position in range(ENTRIES)]
             self.told = 1
             self.unknown_ticks = KNOWN_AGAIN_TICKS
         if trouble == 'half restart':
-            self.budgets[::2] = [self.started() for _ in range(ENTRIES // 2)]
+            self.budgets[::2] = [self.started(position) for position in range(0, ENTRIES, 2)]
         if trouble == 'cut':
             self.told = ENTRIES // 2
         if trouble == 'cut in three':
--- a/tests/test_repeat_budget_in_cuts.py
+++ b/tests/test_repeat_budget_in_cuts.py
@@ -4,7 +4,13 @@
 
 """
 
+from types import SimpleNamespace
+
+from millfork_registry.followers import ENTRY_ROLE, Follower, Followers
+from millfork_registry.registry import Registry
+from millfork_routing.budget import ENTRIES_REMEMBERED_S
 from tests.test_repeat_budget import ENTRIES, RATIO, SERVICE, SLACK, TICK_S, WINDOW_S, Fleet
+from tests.test_servers import Clock
 
 # One request of each entry in so many ticks; all but a few are turned away.
 EACH_TICKS = 4
@@ -27,3 +33,44 @@
         since = fleet.clock.now - WINDOW_S
         sent = sum(moment > since for moment in repeats)
         assert sent <= RATIO * sum(moment > since for moment in requests) + SLACK
+
+
+def allowances(fleet):
+    """
+    What all have of the fixed allowance, after windows without a request.
+
+    """
+    for _ in range(int(3 * WINDOW_S / TICK_S)):
+        fleet.clock.now += TICK_S
+        for budget in fleet.budgets:
+            budget.count_entries()
+    return sum(budget.part(SERVICE).allowed for budget in fleet.budgets)
+
+
+def test_the_side_of_a_cut_with_a_majority_has_its_part_of_the_allowance():
+    fleet = Fleet()
+    fleet.told = ENTRIES // 2
+    fleet.budgets = [fleet.started(position) for position in range(ENTRIES)]
+    assert SLACK / 2 < allowances(fleet) <= SLACK
+
+
+def test_entries_behind_a_cut_keep_their_part_for_as_long_as_it_lasts():
+    fleet = Fleet()
+    assert SLACK / 2 < allowances(fleet) <= SLACK
+    before = fleet.budgets[1].part(SERVICE).allowed
+    fleet.told = ENTRIES // 2
+    fleet.clock.now += 2 * ENTRIES_REMEMBERED_S
+    assert fleet.budgets[1].part(SERVICE).allowed == before
+
+
+def test_a_replica_tells_of_the_most_entries_that_it_knew_of_lately():
+    clock = Clock()
+    replica = SimpleNamespace(env=SimpleNamespace(instance='a', monotonic=clock))
+    registry = Registry(SimpleNamespace(instance='a', monotonic=clock), 1.0)
+    followers = Followers(replica.env, replica, registry)
+    follower = Follower(None, ENTRY_ROLE)
+    followers.entries_elsewhere = {'b': ENTRIES}
+    assert followers._leases_for(follower).most_entries == ENTRIES
+    followers.entries_elsewhere = {}
+    told = followers._leases_for(follower)
+    assert (told.entries, told.most_entries) == (0, ENTRIES)
