Figures of a deployment are required by role and stop no daemon

Ruled out: the followers' own settings (all others said 7.0 only after the leader's word).

Change: each role's promises are required in its settings, a test compares them with what its code reads and its template names; they take any number, brought within limits, or the default with a warning at the start. drain_ms went, nothing read it. Tests of processes start them from the templates.

--- a/packages/millfork-settings/millfork_settings/models.py
+++ b/packages/millfork-settings/millfork_settings/models.py
@@ -3,17 +3,28 @@
 
 """
 
+import math
 from enum import Enum
 from ipaddress import IPv4Address
 from pathlib import Path
 from typing import Annotated, Self
 
-from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, model_validator
 
 Port = Annotated[int, Field(ge=1, le=65535)]
 Name = Annotated[str, Field(pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$')]
 
 
+def rounded_down(value: object) -> object:
+    """
+    A count that is given as a fraction, as the count below it; anything else as it is.
+
+    """
+    if isinstance(value, float) and math.isfinite(value):
+        return math.floor(value)
+    return value
+
+
 class Role(Enum):
     """
     What a daemon does.
@@ -90,10 +101,11 @@
         1500, ge=100, le=30000, description='Silence after which a replica seeks election, in ms.'
     )
     snapshot_entries: int = Field(1000, ge=10, description='Log entries between two snapshots.')
-    losses: int | None = Field(
+    losses: Annotated[int | None, BeforeValidator(rounded_down)] = Field(
         None,
         ge=0,
-        description='Disks that may be lost at once; a silent voter leaves while enough are left.',
+        description='Disks that may be lost at once, a fraction rounded down; a silent voter '
+        'leaves while enough are left.',
     )
 
     @model_validator(mode='after')
--- a/packages/millfork-settings/millfork_settings/seeded.py
+++ b/packages/millfork-settings/millfork_settings/seeded.py
@@ -6,15 +6,23 @@
 
 """
 
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 from ipaddress import IPv4Address
 from pathlib import Path
-from typing import Annotated, Any, Self
+from typing import Annotated, Any, Final, Self
 
-from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic import BaseModel, ConfigDict, Field, PrivateAttr, model_validator
+from pydantic.fields import FieldInfo
 
 from millfork_settings.models import Port, StateSettings, Strict
 
+# A day: no bound of a fleet is longer, and in ms it fits the messages' 32 bits.
+MOST_S: Final = 86_400
+MOST_MS: Final = 1000 * MOST_S
+
 Socket = Annotated[str, Field(pattern=r'^[0-9.]+:[0-9]+$')]
 
 
@@ -69,32 +77,124 @@
     service: str = Field(description='The service it belongs to.')
 
 
+@dataclass(frozen=True, slots=True)
+class Replaced:
+    """
+    A figure that could not be used as it was given, and what serves instead.
+
+    """
+
+    key: str
+    given: str
+    used: float
+
+
 class PromiseSettings(Strict):
     """
-    Bounds that the platform holds the fleet to; an empty one is not in force
-    there and keeps its default.
+    Bounds that the platform holds the fleet to.
+
+    The platform fills them in, so none that it gives stops a daemon: what is beyond the
+    limits is brought within them, and where no number is given the default serves; `replaced`
+    tells of both. Left out of the file, a figure that the role needs is an error.
 
     """
 
-    @model_validator(mode='before')
+    heartbeat_ms: float = Field(
+        1200, ge=10, le=MOST_MS, description='Time between heartbeats of a back end.'
+    )
+    grace_s: float = Field(
+        8, ge=0, le=MOST_S, description='Time from SIGTERM to the end, in seconds.'
+    )
+    retry_ratio: float = Field(
+        0.2, ge=0, le=1000, description='Repeats per request that all may send.'
+    )
+    retry_window_s: float = Field(
+        10, ge=0.01, le=3600, description='The window of that ratio, in seconds.'
+    )
+    retry_slack: float = Field(
+        100, ge=0, le=1e9, description='Repeats always allowed in a window, for all.'
+    )
+    version_ms: float = Field(
+        8000,
+        ge=0,
+        le=MOST_MS,
+        description='Nothing begins on older weights this long after a new version.',
+    )
+    transfer_mbps: float = Field(
+        0, ge=0, le=1e9, description="The link's rate in Mbit/s; 0: not limited."
+    )
+    _replaced: tuple[Replaced, ...] = PrivateAttr(())
+
+    @property
+    def replaced(self) -> tuple[Replaced, ...]:
+        return self._replaced
+
+    @model_validator(mode='wrap')
     @classmethod
-    def drop_empty(cls, values: Any) -> Any:
+    def use_what_can_be(cls, values: Any, handler: Callable[[Any], Self]) -> Self:
         if not isinstance(values, dict):
-            return values
-        return {key: value for key, value in values.items() if value is not None}
+            return handler(values)
+        used = {**values}
+        replaced = []
+        for name, info in cls.model_fields.items():
+            if name not in values:
+                continue
+            used[name] = _usable(values[name], info)
+            if used[name] != _number(values[name]):
+                replaced.append(Replaced(f'promises.{name}', str(values[name]), used[name]))
+        made = handler(used)
+        made._replaced = tuple(replaced)
+        return made
+
+
+def _usable(value: object, info: FieldInfo) -> float:
+    """
+    The number given, brought within the limits of its setting; its default if none is.
 
-    heartbeat_ms: int = Field(1200, ge=10, description='Time between heartbeats of a back end.')
-    drain_ms: int = Field(
-        2000, ge=0, description='A leaving back end gets no request this long after its word.'
-    )
-    grace_s: float = Field(8.0, ge=0, description='Time from SIGTERM to the end, in seconds.')
-    retry_ratio: float = Field(0.2, ge=0, description='Repeats per request that all may send.')
-    retry_window_s: float = Field(10.0, gt=0, description='The window of that ratio, in seconds.')
-    retry_slack: int = Field(100, ge=0, description='Repeats always allowed in a window, for all.')
-    version_ms: int = Field(
-        8000, ge=0, description='Nothing begins on older weights this long after a new version.'
-    )
-    transfer_mbps: float = Field(0, ge=0, description="The link's rate in Mbit/s; 0: not limited.")
+    """
+    number = _number(value)
+    if number is None:
+        return float(info.default)
+    return min(max(number, limit_of(info, 'ge')), limit_of(info, 'le'))
+
+
+def limit_of(info: FieldInfo, side: str) -> float:
+    """
+    The least (`ge`) or the most (`le`) that a promise may be.
+
+    """
+    return next(float(getattr(item, side)) for item in info.metadata if hasattr(item, side))
+
+
+def _number(value: object) -> float | None:
+    """
+    A number as YAML gives it; it takes `1e+22` for a text.
+
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float | str):
+        return None
+    try:
+        # By way of a text, as an integer may be beyond all floats.
+        number = float(str(value))
+    except ValueError:
+        return None
+    return None if math.isnan(number) else number
+
+
+# The promises that the code of each role reads; a default that stood in for one of them
+# ended versions 2 s before their time on a whole fleet.
+PROMISES_OF: Final = {
+    SeededRole.ENTRY: (
+        'heartbeat_ms',
+        'grace_s',
+        'retry_ratio',
+        'retry_window_s',
+        'retry_slack',
+        'version_ms',
+    ),
+    SeededRole.REPLICA: ('heartbeat_ms', 'version_ms'),
+    SeededRole.ENDPOINT: ('heartbeat_ms', 'version_ms', 'transfer_mbps'),
+}
 
 
 class SeededSettings(BaseModel):
@@ -129,7 +229,8 @@
     )
     state: StateSettings = Field(default_factory=StateSettings, description='Replicated state.')
     promises: PromiseSettings = Field(
-        default_factory=PromiseSettings, description='Bounds to be kept.'
+        default_factory=PromiseSettings,
+        description='Bounds to be kept; those that the role reads are required.',
     )
     beside: BesideSettings | None = Field(None, description='The engine beside an endpoint.')
 
@@ -151,4 +252,11 @@
             raise ValueError('role replica needs data_folder')
         if self.role is SeededRole.ENDPOINT and self.beside is None:
             raise ValueError('role endpoint needs beside')
+        missing = [
+            f'promises.{name}'
+            for name in PROMISES_OF[self.role]
+            if name not in self.promises.model_fields_set
+        ]
+        if missing:
+            raise ValueError(f'role {self.role.value} needs {", ".join(missing)}')
         return self
--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -1,8 +1,8 @@
 """
 A seeded fleet of real processes on loopback addresses, for tests.
 
-Replicas and entries are started with `deploy/millforkd.py` from settings as
-the platform would write them; the operator and the back ends are stand-ins
+Daemons are started with `deploy/millforkd.py` from settings as the platform writes
+them; the operator and the back ends are stand-ins
 that speak through the adapter's own names.
 
 """
@@ -20,11 +20,11 @@
 from pathlib import Path
 from typing import Final
 
-import yaml
-
 from millfork_platform import standins
+from millfork_platform.templates import Place, settings_text
 from millfork_registry.records import Lease, LeaseState
 from millfork_routing.documents import Document
+from millfork_settings.seeded import SeededRole
 from millfork_web.models import Request
 
 ROOT: Final = Path(__file__).parents[3]
@@ -32,6 +32,7 @@
 CONTROL_PORT: Final = 8000
 CALLERS_PORT: Final = 8005
 READY_PORT: Final = 8002
+ENGINE_PORT: Final = 8001
 HEARTBEAT_S: Final = 0.3
 BOUND_S: Final = 20.0
 CALL_TIMEOUT_S: Final = 5.0
@@ -177,7 +178,12 @@
     """
 
     def __init__(
-        self, folder: Path, replicas: int = 3, entries: int = 1, version_ms: int = 0
+        self,
+        folder: Path,
+        replicas: int = 3,
+        entries: int = 1,
+        version_ms: int = 0,
+        endpoints: int = 0,
     ) -> None:
         self.folder = folder
         # For how long an older version of weights may be begun on.
@@ -187,11 +193,13 @@
         self.replica_hosts = [f'{network}.1.{number}' for number in range(1, replicas + 1)]
         self.entry_hosts = [f'{network}.2.{number}' for number in range(1, entries + 1)]
         self.back_host = f'{network}.3.1'
+        # Endpoint daemons; nothing answers as the engine beside them.
+        self.endpoint_hosts = [f'{network}.4.{number}' for number in range(1, endpoints + 1)]
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.back_ends: list[BackEnd] = []
 
     def start(self) -> None:
-        for host in (*self.replica_hosts, *self.entry_hosts):
+        for host in (*self.replica_hosts, *self.entry_hosts, *self.endpoint_hosts):
             self.start_one(host, first_start=True)
 
     def start_one(self, host: str, first_start: bool = False) -> None:
@@ -200,37 +208,37 @@
 
         """
         path = self.folder / f'{host}.yaml'
-        path.write_text(yaml.safe_dump(self._settings(host, first_start)))
+        path.write_text(self._settings(host, first_start))
         command = [sys.executable, str(ROOT / 'deploy' / 'millforkd.py'), f'--settings={path}']
         with (self.folder / f'{host}.log').open('ab') as log:
             self.processes[host] = subprocess.Popen(command, stdout=log, stderr=log)
 
-    def _settings(self, host: str, first_start: bool) -> dict[str, object]:
-        settings: dict[str, object] = {
-            'instance': f'{host}:{WIRE_PORT}',
-            'zone': 'zone',
-            'address': host,
-            'ports': {'wire': WIRE_PORT},
-            'seeds': [f'{replica}:{CONTROL_PORT}' for replica in self.replica_hosts[:3]],
-            'first_start': first_start,
-            'promises': {
-                'heartbeat_ms': int(HEARTBEAT_S * 1000),
-                'grace_s': 8,
-                'version_ms': self.version_ms,
-            },
-        }
+    def _settings(self, host: str, first_start: bool) -> str:
+        role = self._role(host)
+        place = Place(
+            host,
+            host,
+            'zone',
+            'region',
+            WIRE_PORT,
+            CONTROL_PORT,
+            CALLERS_PORT,
+            READY_PORT,
+            [f'{replica}:{CONTROL_PORT}' for replica in self.replica_hosts[:3]],
+            first_start,
+            int(HEARTBEAT_S * 1000),
+            data_folder=self.folder / host,
+            engine=f'{host}:{ENGINE_PORT}',
+            service='engines',
+        )
+        place.bounds['version_ms'] = self.version_ms
+        template = ROOT / 'deploy' / 'settings' / f'{role.value}.yaml'
+        return settings_text(template.read_text(), place)
+
+    def _role(self, host: str) -> SeededRole:
         if host in self.replica_hosts:
-            settings['role'] = 'replica'
-            settings['listen'] = {'control': f'{host}:{CONTROL_PORT}'}
-            settings['data_folder'] = str(self.folder / host)
-            settings['state'] = {'heartbeat_ms': 100, 'election_ms': 500, 'losses': 1}
-            return settings
-        settings['role'] = 'entry'
-        settings['listen'] = {
-            'callers': f'{host}:{CALLERS_PORT}',
-            'ready': f'{host}:{READY_PORT}',
-        }
-        return settings
+            return SeededRole.REPLICA
+        return SeededRole.ENTRY if host in self.entry_hosts else SeededRole.ENDPOINT
 
     def log(self, host: str) -> str:
         return (self.folder / f'{host}.log').read_text()
--- a/packages/millforkd/millforkd/running.py
+++ b/packages/millforkd/millforkd/running.py
@@ -82,6 +82,13 @@
         ','.join(settings.seeds),
         settings.first_start,
     )
+    for figure in settings.promises.replaced:
+        log.warning(
+            'Setting {} can not be used as given: {!r}. {:g} serves instead.',
+            figure.key,
+            figure.given,
+            figure.used,
+        )
     return await run_daemon(env, lambda: build_seeded(env, settings, adapter), path)
 
 
--- a/packages/millforkd/millforkd/versions.py
+++ b/packages/millforkd/millforkd/versions.py
@@ -56,7 +56,7 @@
         self,
         env: Environment,
         view: View,
-        switch_ms: int,
+        switch_ms: float,
         told: SwitchEnds | None = None,
         untold_ms: int = 0,
         leads: Callable[[], bool] = always_leads,
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -259,8 +259,8 @@
         (
             Edit(
                 R + 'budget.py',
-                'if self.monotonic() - self.began < self.window_s:',
-                'if False:',
+                'return since is not None and self.monotonic() - since >= self.window_s',
+                'return since is not None',
             ),
         ),
     ),
@@ -270,8 +270,30 @@
         (
             Edit(
                 R + 'budget.py',
-                'return self.most_entries.note(max(self.entries(), 1), self.monotonic())',
-                'return max(self.entries(), 1)',
+                'return self.most_entries.note(entries, now)',
+                'return entries',
+            ),
+        ),
+    ),
+    Mutation(
+        'entries have none of the allowance before a majority of the replicas was heard',
+        'tests/test_repeat_budget_in_cuts.py',
+        (
+            Edit(
+                R + 'budget.py',
+                'if not self.in_touch():',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'a replica tells of the most entries that it knew of lately',
+        'tests/test_repeat_budget_in_cuts.py',
+        (
+            Edit(
+                G + 'followers.py',
+                'self.most_entries.note(self.entries, self.env.monotonic())',
+                'self.entries',
             ),
         ),
     ),
@@ -298,4 +320,26 @@
             ),
         ),
     ),
+    Mutation(
+        'the leader goes by the end of versions that its deployment gives',
+        'tests/test_promises.py::test_older_weights_end_when_the_deployment_says_at_every_role',
+        (
+            Edit(
+                'deploy/settings/replica.yaml',
+                'version_ms: {{bounds.version_ms}}',
+                'version_ms: 8000',
+            ),
+        ),
+    ),
+    Mutation(
+        'a bound that is no whole number stops no daemon',
+        'tests/test_promises.py',
+        (
+            Edit(
+                'packages/millfork-settings/millfork_settings/seeded.py',
+                'used[name] = _usable(values[name], info)',
+                'used[name] = int(values[name])',
+            ),
+        ),
+    ),
 )
--- /dev/null
+++ b/tests/test_promises.py
@@ -0,0 +1,147 @@
+"""
+On a whole fleet nothing was served for five seconds after new weights were named: the
+replicas' settings lacked the time for which older weights may be used, so the leader, whose
+word counts, went by a default of 8 s in place of 10 s. `Version named. due_s=7.1` stood in
+its log, `Version end corrected. due_s=7.0` in those of all others, and 94 daemons took the
+old weights from their engines 2.5 s before the new ones were there; 3,208 requests were
+refused.
+
+Where a bound was a fraction, as `retry_slack` of 45.4, no entry started at all: `Input should
+be a valid integer, got a number with a fractional part`.
+
+"""
+
+import re
+from datetime import datetime
+from pathlib import Path
+
+import pytest
+import yaml
+from hypothesis import given
+from hypothesis import strategies as st
+
+from millfork_core.ids import ServiceName
+from millfork_platform import standins
+from millfork_routing.documents import Document, Service
+from millfork_settings.errors import BadFile
+from millfork_settings.loading import load
+from millfork_settings.seeded import (
+    PROMISES_OF,
+    PromiseSettings,
+    SeededRole,
+    SeededSettings,
+    limit_of,
+)
+from millfork_standins.seeded import SeededFleet
+from millforkd.versions import LAST_SENT_S
+from tests.test_seeded import filled
+from tests.test_servers import ENGINE
+from tests.utils.fleets import wait_until
+
+ROOT = Path(__file__).parent.parent
+PACKAGE = ROOT / 'packages' / 'millforkd' / 'millforkd'
+# Where the code of each role reads promises.
+READERS = {
+    SeededRole.ENTRY: ('proxy/*.py', 'seeded.py'),
+    SeededRole.REPLICA: ('replica/*.py',),
+    SeededRole.ENDPOINT: ('beside/*.py', 'seeded.py'),
+}
+LEARNED = re.compile(
+    r'(\S+) \w+ proxy: Version (?:named|end corrected)\. model=m version=2 due_s=(-?[\d.]+)'
+)
+# A name is in force everywhere within this time; log lines give tenths of a second.
+TOLERANCE_S = 0.8
+
+NUMBERS = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(-10, 10**25),
+    st.floats(),
+    st.sampled_from(['', 'fast', '1e400', '-0.0', '45.4']),
+)
+
+
+def reads(role):
+    """
+    The promises that a role's code reads.
+
+    """
+    texts = [path.read_text() for glob in READERS[role] for path in PACKAGE.glob(glob)]
+    return {name for text in texts for name in re.findall(r'promises\.([a-z_]+)', text)}
+
+
+@pytest.mark.parametrize('role', SeededRole, ids=lambda role: role.value)
+def test_each_template_names_the_promises_that_its_role_reads(role):
+    text = (ROOT / 'deploy' / 'settings' / f'{role.value}.yaml').read_text()
+    named = set(re.findall(r'^  ([a-z_]+): \{\{', text.partition('promises:')[2], re.M))
+    assert set(PROMISES_OF[role]) == reads(role) == named
+
+
+@pytest.mark.parametrize('role', SeededRole, ids=lambda role: role.value)
+def test_settings_without_a_promise_of_their_role_are_refused(role, tmp_path):
+    for name in PROMISES_OF[role]:
+        head, mark, promises = filled(f'{role.value}.yaml').partition('promises:')
+        path = tmp_path / 'settings.yaml'
+        path.write_text(head + mark + re.sub(f'  {name}: .*\n', '', promises))
+        with pytest.raises(BadFile, match=f'promises.{name}'):
+            load(path, SeededSettings)
+
+
+@given(st.dictionaries(st.sampled_from(sorted(PromiseSettings.model_fields)), NUMBERS))
+def test_whatever_a_deployment_bounds_every_role_starts(bounds):
+    for role in SeededRole:
+        text = filled(f'{role.value}.yaml', **bounds)
+        settings = SeededSettings.model_validate(yaml.safe_load(text))
+        for name, info in PromiseSettings.model_fields.items():
+            value = getattr(settings.promises, name)
+            assert limit_of(info, 'ge') <= value <= limit_of(info, 'le')
+
+
+@pytest.mark.parametrize(
+    ('given_value', 'used', 'replaced'),
+    [
+        (45.4, 45.4, False),
+        ('1e+2', 100.0, False),
+        (None, 100.0, True),
+        (True, 100.0, True),
+        ('many', 100.0, True),
+        (-3, 0.0, True),
+        (10**400, 1e9, True),
+        (float('nan'), 100.0, True),
+    ],
+)
+def test_a_figure_that_can_not_be_used_is_replaced_and_told(given_value, used, replaced):
+    promises = PromiseSettings(retry_slack=given_value)
+    assert promises.retry_slack == used
+    assert [figure.key for figure in promises.replaced] == ['promises.retry_slack'] * replaced
+
+
+@pytest.mark.parametrize('version_ms', [4000, 12000])
+def test_older_weights_end_when_the_deployment_says_at_every_role(tmp_path, version_ms):
+    fleet = SeededFleet(tmp_path, entries=1, endpoints=1, version_ms=version_ms)
+    try:
+        fleet.start()
+        engines = Service(ServiceName('engines'), 64, ENGINE)
+        assert fleet.put(Document(1, services=(engines,))).status == 200
+        assert fleet.control(standins.name_version('m', 2)).status == 200
+        named = datetime.now().timestamp()
+        hosts = (*fleet.replica_hosts, *fleet.entry_hosts, *fleet.endpoint_hosts)
+        for host in hosts:
+            wait_until(lambda host=host: end_at(fleet, host) is not None)
+            wait_until(
+                lambda host=host: abs(end_at(fleet, host) - named - version_ms / 1000) < TOLERANCE_S
+            )
+    finally:
+        fleet.close()
+
+
+def end_at(fleet, host):
+    """
+    When requests may no longer begin on older weights, by the last word of a log.
+
+    """
+    found = LEARNED.findall(fleet.log(host))
+    if not found:
+        return None
+    moment, due_s = found[-1]
+    return datetime.fromisoformat(moment).timestamp() + float(due_s) + LAST_SENT_S
--- a/tests/test_seeded.py
+++ b/tests/test_seeded.py
@@ -3,7 +3,6 @@
 
 """
 
-import re
 import tomllib
 from pathlib import Path
 
@@ -14,6 +13,7 @@
 
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ZoneId
+from millfork_platform.templates import Place, settings_text
 from millfork_registry.discovery import address_of
 from millfork_settings.errors import BadFile
 from millfork_settings.loading import load
@@ -28,40 +28,20 @@
 from millfork_state.view import View
 
 ROOT = Path(__file__).parent.parent
-VALUES = {
-    'ip': '10.1.0.40',
-    'port_range.0': '7700',
-    'node_name': 'front-1',
-    'zone': 'z1',
-    'region': 'r1',
-    'listen.front': '10.1.0.40:8005',
-    'listen.ready': '10.1.0.40:8002',
-    'listen.control': '10.1.0.40:8000',
-    'seeds|json': '["10.1.0.43:8000","10.2.0.39:8000"]',
-    'first_start|json': 'true',
-    'data_dir': '/data/replica',
-    'heartbeat_ms': '1200',
-    'fault_tolerance.machines': '1',
-    'bounds.drain_ms': '2000',
-    'bounds.grace_s': '8',
-    'bounds.retry_ratio': '0.2',
-    'bounds.retry_window_s': '10',
-    'bounds.retry_slack': '102',
-    'limits.link_mbps': '3.65',
-    'app': '10.1.0.44:8001',
-    'service': 's',
-}
-
-
-def filled(name):
-    text = (ROOT / 'deploy' / 'settings' / name).read_text()
-    return re.sub(r'\{\{([^}]+)\}\}', lambda gap: VALUES.get(gap.group(1), ''), text)
+SEEDS = ['10.1.0.43:8000', '10.2.0.39:8000']
+
+
+def filled(name, **bounds):
+    place = Place('front-1', '10.1.0.40', 'z1', 'r1', 7700, 8000, 8005, 8002, SEEDS, True)
+    place.engine, place.service = '10.1.0.44:8001', 's'
+    place.bounds.update(bounds)
+    return settings_text((ROOT / 'deploy' / 'settings' / name).read_text(), place)
 
 
 @pytest.mark.parametrize('role', SeededRole, ids=lambda role: role.value)
 def test_each_template_makes_good_settings_also_with_empty_bounds(role, tmp_path):
     path = tmp_path / 'settings.yaml'
-    path.write_text(filled(f'{role.value}.yaml'))
+    path.write_text(filled(f'{role.value}.yaml', version_ms=None))
     settings = load(path, SeededSettings)
     assert settings.role is role
     assert settings.seed_instances == ['10.1.0.43:7700', '10.2.0.39:7700']
