Incarnations of back ends, and what another writer may send

Cause: a back end that starts again under its id counts its heartbeats anew, and records were ordered by that count alone: its heartbeats were older than what was held, for as long as its first life had lasted, and after a goodbye for 120 s. Entries and daemons kept what they knew of the process before it. And what is read from outside was believed without limits: a sequence of 2**70 ended the feed of all followers (OverflowError), a keep-alive of a superscript digit ended a request (ValueError); any heartbeat could end the lease of the back end whose address it named.

Change: Incarnation, decoded once in platform/, orders records of the registry, goodbyes, neighbours at an address, reports and the last words spread; an entry makes a new Server for each and takes back what waits for the old one; a daemon forgets orders, staged pieces and the ended version taken. Numbers have limits, addresses and digests are checked, a heartbeat of an undeclared service is refused; refusals are counted, and logged once a second for each reason. Counts of a deployment may be fractions and are rounded.

fail_first now runs platform/ of the copy, too: it ran the installed one, so that a mechanism taken out there was not seen to be missing. test_engine_calls used 'a' as a digest, which is refused now; it is a whole one instead.

Seen to fail without: eight mechanisms (tests/mutations_seeded.py).

--- a/packages/millfork-adapter/millfork_adapter/calls.py
+++ b/packages/millfork-adapter/millfork_adapter/calls.py
@@ -5,6 +5,7 @@
 
 from dataclasses import dataclass
 
+from millfork_core.ids import Incarnation
 from millfork_registry.records import Lease
 from millfork_routing.documents import Document
 
@@ -29,11 +30,12 @@
 @dataclass(frozen=True, slots=True)
 class Goodbye:
     """
-    A back end gives its lease back.
+    A back end gives its lease back; None where it does not say which incarnation of it.
 
     """
 
     instance: str
+    incarnation: Incarnation | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/millfork-adapter/millfork_adapter/exchange.py
+++ b/packages/millfork-adapter/millfork_adapter/exchange.py
@@ -5,6 +5,8 @@
 
 from dataclasses import dataclass
 
+from millfork_core.ids import UNTOLD_INCARNATION, Incarnation
+
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
@@ -85,7 +87,8 @@
 class EngineReport:
     """
     An engine's state. `served` names model, version, first layer, and the
-    layer before which it ends (None: the model whole).
+    layer before which it ends (None: the model whole). The memory of an incarnation
+    before this one is gone, and its orders.
 
     """
 
@@ -96,6 +99,7 @@
     pace: float
     busy: bool
     served: tuple[tuple[str, int, int, int | None], ...]
+    incarnation: Incarnation = UNTOLD_INCARNATION
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/millfork-core/millfork_core/ids.py
+++ b/packages/millfork-core/millfork_core/ids.py
@@ -17,5 +17,8 @@
 Term = NewType('Term', int)
 LogIndex = NewType('LogIndex', int)
 FencingNumber = NewType('FencingNumber', int)
+# One run of a back end's process: when it started, in ms since 1970; 0 where not told.
+Incarnation = NewType('Incarnation', int)
 
 NO_INSTANCE = InstanceId('')
+UNTOLD_INCARNATION = Incarnation(0)
--- a/packages/millfork-registry/millfork_registry/records.py
+++ b/packages/millfork-registry/millfork_registry/records.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from millfork_core.ids import UNTOLD_INCARNATION, Incarnation
+
 
 class LeaseState(Enum):
     """
@@ -19,7 +21,7 @@
     DRAINING = 'draining'
     # Its heartbeats stopped; a later one renews the lease.
     EXPIRED = 'expired'
-    # It said that it leaves; its id never comes back.
+    # It said that it leaves; only another incarnation of its id comes back.
     GONE = 'gone'
 
 
@@ -45,8 +47,8 @@
 
 class Lease(msgspec.Struct, frozen=True, array_like=True):
     """
-    One life of a back end. `sequence` rises with each of its heartbeats,
-    `owner` is the replica that took the last one.
+    One incarnation of a back end. `sequence` rises with each of its heartbeats and
+    begins anew with the next incarnation; `owner` is the replica that took the last one.
 
     """
 
@@ -60,14 +62,17 @@
     sequence: int
     owner: str = ''
     served: tuple[ServedVersion, ...] = ()
+    incarnation: Incarnation = UNTOLD_INCARNATION
 
     @property
-    def order(self) -> tuple[bool, int, bool]:
+    def order(self) -> tuple[Incarnation, bool, int, bool]:
         """
-        What makes one record of a life newer than another.
+        What makes one record of a back end newer than another: first the incarnation,
+        as sequences of two can't be compared.
 
         """
         return (
+            self.incarnation,
             self.state is LeaseState.GONE,
             self.sequence,
             self.state is LeaseState.EXPIRED,
@@ -78,7 +83,15 @@
         Whether anyone but the owner needs to hear of this record.
 
         """
-        return (self.state, self.host, self.port, self.owner, self.served) != (
+        return (
+            self.incarnation,
+            self.state,
+            self.host,
+            self.port,
+            self.owner,
+            self.served,
+        ) != (
+            older.incarnation,
             older.state,
             older.host,
             older.port,
@@ -138,6 +151,8 @@
     changing_to: int = 0
     # What it brings to its engine first of a version that is on its way.
     goal: ServedVersion | None = None
+    # Of the engine.
+    incarnation: Incarnation = UNTOLD_INCARNATION
 
     @property
     def order(self) -> int:
--- a/packages/millfork-registry/millfork_registry/registry.py
+++ b/packages/millfork-registry/millfork_registry/registry.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from millfork_core.environment import Environment
+from millfork_core.ids import UNTOLD_INCARNATION, Incarnation
 from millfork_core.logs import Part, logger
 from millfork_registry.records import EndpointState, Lease, LeaseState
 from millfork_registry.table import Table
@@ -69,10 +70,12 @@
         """
         other = self._live_neighbour(lease)
         held = self.leases.get(lease.instance)
-        if other is not None and held is not None and held.state is LeaseState.EXPIRED:
+        if other is not None and _was_before(lease, other, held):
             log.info(
-                'Late heartbeat ignored. instance={} sequence={} address={}:{} held_by={}',
+                'Late heartbeat ignored. instance={} incarnation={} sequence={} address={}:{} '
+                'held_by={}',
                 lease.instance,
+                lease.incarnation,
                 lease.sequence,
                 lease.host,
                 lease.port,
@@ -80,7 +83,7 @@
             )
             return Change.NONE
         owner = str(self.env.instance)
-        if other is not None and held is None:
+        if other is not None and _replaces(lease, other, held):
             self.take(msgspec.structs.replace(other, state=LeaseState.EXPIRED, owner=owner))
         return self.take(msgspec.structs.replace(lease, owner=owner))
 
@@ -97,18 +100,22 @@
             return None
         return other
 
-    def take_goodbye(self, instance: str) -> Change:
+    def take_goodbye(self, instance: str, incarnation: Incarnation | None = None) -> Change:
         """
-        Take a back end's word that it leaves.
+        Take a back end's word that it leaves; without an incarnation it is of the one
+        that is known.
 
         """
         held = self.leases.get(instance)
         owner = str(self.env.instance)
         if held is None:
             # Unknown here, perhaps known elsewhere: the word is kept.
-            gone = Lease(instance, '', '', 0, '', 0, LeaseState.GONE, 0, owner)
+            told = incarnation or UNTOLD_INCARNATION
+            gone = Lease(instance, '', '', 0, '', 0, LeaseState.GONE, 0, owner, incarnation=told)
             return self.take(gone)
-        return self.take(msgspec.structs.replace(held, state=LeaseState.GONE, owner=owner))
+        of = held.incarnation if incarnation is None else incarnation
+        gone = msgspec.structs.replace(held, state=LeaseState.GONE, owner=owner, incarnation=of)
+        return self.take(gone)
 
     def take(self, lease: Lease) -> Change:
         """
@@ -127,12 +134,16 @@
             self.ended[lease.instance] = self.env.monotonic()
         else:
             self.ended.pop(lease.instance, None)
+            if held is not None:
+                self._leave_address(held)
             self.at_address[lease.host, lease.port] = lease.instance
-        if held is None or held.state is not lease.state:
+        if held is None or (held.state, held.incarnation) != (lease.state, lease.incarnation):
             log.info(
-                'Lease {}. instance={} service={} address={}:{} sequence={} owner={}',
+                'Lease {}. instance={} incarnation={} service={} address={}:{} sequence={} '
+                'owner={}',
                 lease.state.value,
                 lease.instance,
+                lease.incarnation,
                 lease.service,
                 lease.host,
                 lease.port,
@@ -147,7 +158,8 @@
 
         """
         owned = held.owner == str(self.env.instance) and held.state not in ENDED
-        return owned and told.state is LeaseState.EXPIRED
+        same = told.incarnation == held.incarnation
+        return owned and same and told.state is LeaseState.EXPIRED
 
     def _tell_again(self, held: Lease) -> Change:
         """
@@ -232,8 +244,34 @@
 
     def _forget_lease(self, key: str) -> None:
         lease = self.leases.get(key)
-        if lease is not None and self.at_address.get((lease.host, lease.port)) == key:
-            del self.at_address[lease.host, lease.port]
+        if lease is not None:
+            self._leave_address(lease)
         self.leases.drop(key)
         self.heard.pop(key, None)
         self.ended.pop(key, None)
+
+    def _leave_address(self, lease: Lease) -> None:
+        if self.at_address.get((lease.host, lease.port)) == lease.instance:
+            del self.at_address[lease.host, lease.port]
+
+
+def _was_before(lease: Lease, other: Lease, held: Lease | None) -> bool:
+    """
+    Whether a heartbeat is of a process that lived at its address before another one.
+
+    """
+    if lease.incarnation and other.incarnation:
+        return lease.incarnation < other.incarnation
+    if held is None or held.incarnation != lease.incarnation:
+        return False
+    return held.state is LeaseState.EXPIRED
+
+
+def _replaces(lease: Lease, other: Lease, held: Lease | None) -> bool:
+    """
+    Whether a heartbeat tells that the other process at its address has ended.
+
+    """
+    if lease.incarnation and other.incarnation:
+        return lease.incarnation > other.incarnation
+    return held is None or held.incarnation < lease.incarnation
--- a/packages/millfork-scheduling/millfork_scheduling/book.py
+++ b/packages/millfork-scheduling/millfork_scheduling/book.py
@@ -47,9 +47,16 @@
 
         """
         usable = {InstanceId(lease.instance): lease for lease in leases if lease.usable}
-        dropped = [server for key, server in self.servers.items() if key not in usable]
-        for server in dropped:
-            del self.servers[server.instance]
+        dropped = []
+        for key, server in list(self.servers.items()):
+            lease = usable.get(key)
+            if lease is not None and lease.incarnation == server.incarnation:
+                continue
+            # Nothing that was learned of one incarnation holds for the next: its weights,
+            # load, failures and connections ended with it.
+            server.replaced = lease is not None
+            dropped.append(server)
+            del self.servers[key]
         for key, lease in usable.items():
             self._take_lease(key, lease)
         self.by_service = {}
@@ -70,7 +77,8 @@
                 ZoneId(lease.zone),
                 max(lease.slots, 1),
                 lease.served,
-                lease.served,
+                lease.incarnation,
+                lease_served=lease.served,
             )
             before = self.by_address.get((lease.host, lease.port))
             if before is not None:
@@ -101,6 +109,11 @@
             server.report_sequence = state.sequence
             if not state.reachable:
                 continue
+            if _is_of_another(state, server):
+                if state.incarnation > server.incarnation:
+                    # The engine that the lease is of has ended.
+                    server.served = ()
+                continue
             server.changing = bool(state.changing_to)
             server.reported = state.running + state.queued
             server.reported_unread = state.queued
@@ -170,3 +183,13 @@
                 refused = [part.refused.get(path.version, now) for part in path.servers]
                 return path.version >= wanted.least_version and max(refused) <= now
         return False
+
+
+def _is_of_another(state: EndpointState, server: Server) -> bool:
+    """
+    Whether a report is of another incarnation of an engine than the one known.
+
+    """
+    if not state.incarnation or not server.incarnation:
+        return False
+    return state.incarnation != server.incarnation
--- a/packages/millfork-scheduling/millfork_scheduling/server.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server.py
@@ -7,7 +7,13 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from millfork_core.ids import InstanceId, ServiceName, ZoneId
+from millfork_core.ids import (
+    UNTOLD_INCARNATION,
+    Incarnation,
+    InstanceId,
+    ServiceName,
+    ZoneId,
+)
 from millfork_registry.records import ServedVersion
 from millfork_routing.documents import EngineFigures
 from millfork_scheduling.prediction import first_token_ms, usual_service_s
@@ -71,6 +77,9 @@
     zone: ZoneId
     slots: int
     served: tuple[ServedVersion, ...] = ()
+    incarnation: Incarnation = UNTOLD_INCARNATION
+    # Whether another incarnation has taken its place: what was sent here is lost.
+    replaced: bool = False
     # What its last heartbeat said; an endpoint's report is newer.
     lease_served: tuple[ServedVersion, ...] = ()
     changing: bool = False
--- a/packages/millforkd/millforkd/beside/daemon.py
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -189,7 +189,7 @@
             report = await self.engine.report()
             if (report is None) != (self.rollout.report is None):
                 log.notice('The engine {}.', 'is silent' if report is None else 'answers')
-            self.rollout.report = report
+            self.rollout.take_report(report)
             await self._report()
             await curio.sleep(REPORT_EVERY_S)
 
@@ -229,6 +229,7 @@
             self._held(served),
             self.rollout.changing_to,
             self.rollout.goal,
+            self.rollout.incarnation,
         )
 
     def _held(self, served: tuple[ServedVersion, ...]) -> tuple[HeldVersion, ...]:
--- a/packages/millforkd/millforkd/beside/expiry.py
+++ b/packages/millforkd/millforkd/beside/expiry.py
@@ -18,6 +18,7 @@
 import curio
 
 from millfork_core.environment import Environment
+from millfork_core.ids import UNTOLD_INCARNATION
 from millfork_core.logs import Part, logger
 from millfork_registry.records import ServedVersion
 from millforkd.beside.engine import LocalEngine
@@ -53,8 +54,8 @@
         self.engine = engine
         self.store = store
         self.rollout = rollout
-        # The version that the engine was last emptied for.
-        self.emptied_for = 0
+        # The version that the engine was last emptied for, and which incarnation of it.
+        self.emptied_for = (UNTOLD_INCARNATION, 0)
         # When how many pieces of the target were here, over the last second.
         self.arrivals: deque[tuple[float, int]] = deque()
 
@@ -110,7 +111,8 @@
         Whether the engine still serves what nothing may begin on any more.
 
         """
-        if self.emptied_for == target.weights.version or self.rollout.changing_to:
+        emptied = self.emptied_for == (self.rollout.incarnation, target.weights.version)
+        if emptied or self.rollout.changing_to:
             return False
         if not self.rollout.serves_another(target):
             return False
@@ -120,10 +122,11 @@
         async with self.rollout.ordering:
             if not self._has_ended(target):
                 return
+            emptied = (self.rollout.incarnation, target.weights.version)
             left = await self._order_single(target)
         if left is None:
             return
-        self.emptied_for = target.weights.version
+        self.emptied_for = emptied
         log.notice(
             'Took the ended version from the engine. next={} left={}@{} layer={} since_s={:.2f}',
             target.weights,
--- a/packages/millforkd/millforkd/beside/rollout.py
+++ b/packages/millforkd/millforkd/beside/rollout.py
@@ -15,6 +15,7 @@
 
 from millfork_adapter.exchange import EngineReport
 from millfork_core.environment import Environment
+from millfork_core.ids import UNTOLD_INCARNATION
 from millfork_core.logs import Part, logger
 from millfork_registry.records import ServedVersion
 from millforkd.beside.engine import LocalEngine
@@ -70,6 +71,8 @@
         self.target = target
         self.announce = announce
         self.report: EngineReport | None = None
+        # The engine's, by its reports.
+        self.incarnation = UNTOLD_INCARNATION
         self.changing_to = 0
         # Held while pieces are laid for an order and the order is given.
         self.ordering = curio.Lock()
@@ -80,6 +83,23 @@
         # The place is kept once chosen, as others move on meanwhile.
         self.place: tuple[WeightsId, Place] | None = None
 
+    def take_report(self, report: EngineReport | None) -> None:
+        """
+        Take what the engine answered; None if it is silent.
+
+        """
+        self.report = report
+        if report is None or report.incarnation == self.incarnation:
+            return
+        log.notice(
+            'Incarnation of the engine. before={} now={}', self.incarnation, report.incarnation
+        )
+        self.incarnation = report.incarnation
+        # Whatever was known of the engine ended with its process; pieces may lie there.
+        self.has_looked = False
+        self.lying = None
+        self.place = None
+
     @property
     def served(self) -> tuple[ServedVersion, ...]:
         """
@@ -334,10 +354,14 @@
 
     async def _until_served(self, target: Target, layers: Layers) -> None:
         until = self.env.monotonic() + START_TIMEOUT_S
+        ordered = self.incarnation
         while self.env.monotonic() < until:
             report = await self.engine.report()
             if report is not None:
-                self.report = report
+                self.take_report(report)
+            if self.incarnation != ordered:
+                log.warning('The engine started again before it served {}.', target.weights)
+                return
             part = self._part(target)
             if part is not None and part.first <= layers.first and layers.end <= part.end:
                 return
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -320,6 +320,9 @@
                 detail = f'version {version} ends before the request began'
                 raise SendFailed(Reason.VERSION_MISMATCH, Verdict.MAY_HAVE_RUN, detail)
         for server in attempt.choice.servers:
+            if server.replaced:
+                detail = f'{server.instance} has started again'
+                raise SendFailed(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, detail)
             if server.changing:
                 detail = 'the engine changes its weights first'
                 raise SendFailed(Reason.NOT_SERVABLE, Verdict.MAY_HAVE_RUN, detail)
--- a/packages/millforkd/millforkd/replica/control.py
+++ b/packages/millforkd/millforkd/replica/control.py
@@ -4,6 +4,7 @@
 """
 
 import zlib
+from collections import Counter
 from functools import singledispatchmethod
 from typing import Final
 
@@ -21,6 +22,7 @@
     UnknownCall,
 )
 from millfork_core.environment import Environment
+from millfork_core.ids import Incarnation, ServiceName
 from millfork_core.logs import Part, logger
 from millfork_core.verdicts import Reason, Refusal, Refused
 from millfork_registry.followers import Followers
@@ -34,12 +36,16 @@
 from millfork_web.models import Response
 from millfork_web.problem import problem
 from millfork_web.server import Exchange
+from millforkd.document import document_in
 from millforkd.replica.mesh import Mesh
 
 # The operator asks another replica after a second.
 PATIENCE_S: Final = 0.9
 # Documents are text; this halves the log's bytes for a millisecond.
 COMPRESSION_LEVEL: Final = 1
+# Another writer may call at any rate: a line for each reason at most so often.
+LOG_EVERY_S: Final = 1.0
+MOST_LOGGED_CHARS: Final = 100
 
 log = logger(Part.CONTROL)
 
@@ -67,8 +73,14 @@
         self.followers = followers
         self.mesh = mesh
         self.proposals = proposals
+        # The services declared; None: nothing is yet.
+        self.services: frozenset[ServiceName] | None = None
+        self.services_revision = 0
+        # By reason: when a refusal was last logged, and how many there were since.
+        self.refused_logged: dict[Reason, float] = {}
+        self.refused_unlogged: Counter[Reason] = Counter()
         # Back ends whose last word a majority of the replicas has.
-        self.spread: set[str] = set()
+        self.spread: set[tuple[str, Incarnation, LeaseState]] = set()
 
     async def answer(self, exchange: Exchange) -> None:
         """
@@ -86,7 +98,16 @@
 
     def _refuse(self, refusal: Refusal) -> Response:
         self.env.metrics.refused(refusal.reason, 'control')
-        log.warning('Refused a call. reason={} detail={}', refusal.reason.value, refusal.detail)
+        self.refused_unlogged[refusal.reason] += 1
+        now = self.env.monotonic()
+        if now - self.refused_logged.get(refusal.reason, float('-inf')) >= LOG_EVERY_S:
+            log.warning(
+                'Refused a call. reason={} detail={} calls={}',
+                refusal.reason.value,
+                refusal.detail,
+                self.refused_unlogged.pop(refusal.reason),
+            )
+            self.refused_logged[refusal.reason] = now
         return problem(refusal)
 
     @singledispatchmethod
@@ -103,9 +124,26 @@
     async def _(self, call: UnknownCall) -> Response:
         raise Refused(Refusal(Reason.NOT_FOUND))
 
+    def _check_service(self, service: str) -> None:
+        """
+        A heartbeat of a service that isn't declared is of another system: taken, it would
+        end the lease of a back end whose id or address it names.
+
+        :raises Refused: if the service is in no document.
+
+        """
+        found = document_in(self.view, self.adapter, self.services_revision)
+        if found is not None:
+            document, self.services_revision = found
+            self.services = frozenset(item.name for item in document.services)
+        if self.services is not None and service not in self.services:
+            detail = f'service {service[:MOST_LOGGED_CHARS]!r} is not declared'
+            raise Refused(Refusal(Reason.INVALID, detail=detail))
+
     @on.register
     async def _(self, call: Heartbeat) -> Response:
         lease = call.lease
+        self._check_service(lease.service)
         change = self.registry.take_heartbeat(lease)
         if change is Change.CHANGED:
             await self.followers.wake()
@@ -115,11 +153,22 @@
 
     @on.register
     async def _(self, call: Goodbye) -> Response:
-        if self.registry.take_goodbye(call.instance) is Change.CHANGED:
+        if self._may_be_of_another_incarnation(call):
+            raise Refused(Refusal(Reason.NOT_READY, detail='the back end is not known here yet'))
+        if self.registry.take_goodbye(call.instance, call.incarnation) is Change.CHANGED:
             await self.followers.wake()
         await self._spread_last_word(call.instance)
         return self.adapter.accepted()
 
+    def _may_be_of_another_incarnation(self, call: Goodbye) -> bool:
+        """
+        Whether others may know an incarnation that this word, taken here as of none,
+        would not end: callers would be sent to it after its acknowledgement.
+
+        """
+        known = self.registry.leases.get(call.instance) is not None
+        return call.incarnation is None and not known and not self.registry.settled
+
     async def _spread_last_word(self, instance: str) -> None:
         """
         A back end that leaves is told so only once a majority of the
@@ -127,8 +176,10 @@
 
         """
         lease = self.registry.leases.get(instance)
-        key = f'{instance}/{lease.state.value}' if lease is not None else instance
-        if lease is None or key in self.spread:
+        if lease is None or lease.state is LeaseState.READY:
+            return
+        key = (instance, lease.incarnation, lease.state)
+        if key in self.spread:
             return
         if not await self.mesh.spread(lease):
             raise Refused(Refusal(Reason.NO_QUORUM, detail='too few replicas know of it'))
--- a/tests/fail_first.py
+++ b/tests/fail_first.py
@@ -52,7 +52,7 @@
     with tempfile.TemporaryDirectory(prefix='millfork-fail-first-') as folder:
         tree = copy_tree(Path(folder))
         apply(mutation, tree)
-        paths = [str(path) for path in (tree / 'packages').iterdir()]
+        paths = [str(tree / 'platform'), *(str(path) for path in (tree / 'packages').iterdir())]
         environment = {**os.environ, 'PYTHONPATH': ':'.join(paths)}
         command = [sys.executable, '-m', 'pytest', '-q', '-x', '-p', 'no:cacheprovider']
         done = subprocess.run(
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -342,4 +342,92 @@
             ),
         ),
     ),
+    Mutation(
+        'records of a back end are ordered by incarnation first',
+        'tests/test_incarnations.py',
+        (
+            Edit(
+                G + 'records.py',
+                '            self.incarnation,\n            self.state is LeaseState.GONE,',
+                '            self.state is LeaseState.GONE,',
+            ),
+        ),
+    ),
+    Mutation(
+        'an entry begins anew with each incarnation',
+        'tests/test_incarnations.py',
+        (
+            Edit(
+                C + 'book.py',
+                'if lease is not None and lease.incarnation == server.incarnation:',
+                'if lease is not None:',
+            ),
+        ),
+    ),
+    Mutation(
+        'a report of another incarnation says nothing of the one known',
+        'tests/test_incarnations.py',
+        (
+            Edit(
+                C + 'book.py',
+                '    return state.incarnation != server.incarnation',
+                '    return False',
+            ),
+        ),
+    ),
+    Mutation(
+        'a daemon forgets what it did to an earlier incarnation',
+        'tests/test_incarnations.py',
+        (
+            Edit(
+                D + 'beside/expiry.py',
+                'emptied = self.emptied_for == (self.rollout.incarnation, target.weights.version)',
+                'emptied = self.emptied_for[1] == target.weights.version',
+            ),
+        ),
+    ),
+    Mutation(
+        'a later process ends the one before it at its address',
+        'tests/test_incarnations.py',
+        (
+            Edit(
+                G + 'registry.py',
+                '        return lease.incarnation > other.incarnation',
+                '        return held is None',
+            ),
+        ),
+    ),
+    Mutation(
+        'a moved back end leaves its old address',
+        'tests/test_incarnations.py',
+        (
+            Edit(
+                G + 'registry.py',
+                '                self._leave_address(held)',
+                '                pass',
+            ),
+        ),
+    ),
+    Mutation(
+        'numbers from outside are believed within limits',
+        'tests/test_foreign_messages.py',
+        (
+            Edit(
+                'platform/millfork_platform/numbers.py',
+                'Whole = Annotated[int, Meta(ge=0, le=MOST)]',
+                'Whole = int',
+            ),
+        ),
+    ),
+    Mutation(
+        'a heartbeat of a service that is not declared is refused',
+        'tests/test_foreign_messages.py',
+        (
+            Edit(
+                D + 'replica/control.py',
+                'if self.services is not None and service not in self.services:',
+                'if False:',
+            ),
+        ),
+    ),
 )
--- /dev/null
+++ b/tests/test_foreign_messages.py
@@ -0,0 +1,277 @@
+"""
+Heartbeats, reports and documents that another writer sent: fields missing or of another
+type, numbers beyond all bounds, bytes that can't be read. A sequence over 64 bits was taken
+for a heartbeat, and the feed that was to tell others of it ended with `OverflowError: can't
+serialize ints < -2**63 or > 2**64 - 1`. An answer with `keep-alive: timeout=\xb2` ended its
+request with `ValueError: could not convert string to float`.
+
+"""
+
+import copy
+import json
+from types import SimpleNamespace
+
+import curio
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from millfork_adapter.calls import BadCall, Goodbye, Heartbeat, PutDocument
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_core.verdicts import Reason
+from millfork_platform import PlatformAdapter, names, standins
+from millfork_registry.records import LeaseState, decode_leases, encode_records
+from millfork_registry.registry import Registry
+from millfork_routing.routes import RouteTable
+from millfork_state.view import View
+from millfork_web.models import Request
+from millforkd.replica.control import Control
+from tests.test_incarnations import FIRST, lease
+from tests.test_platform import BEAT, DOCUMENT, post
+from tests.test_registry import HEARTBEAT_S, Clock
+from tests.test_seeded_fleet import document
+
+ADAPTER = PlatformAdapter()
+REPORT = {
+    'stage': 'both',
+    'models': [{'name': 'm', 'version': 1, 'adapters': []}],
+    'layers': {'from': 0, 'target_version': 16, 'version': 1},
+    'busy': False,
+    'seq': 2,
+    'queued': 1,
+    'running': 12,
+    'kv_used': 41000,
+    'kv_total': 90000,
+    'pace': 1.0,
+    'born': FIRST,
+}
+HEADERS = sorted(
+    {value for value in vars(names).values() if isinstance(value, str) and '/' not in value}
+)
+LIST = {'model': 'm', 'version': 2, 'digests': ['a' * 64]}
+ODD = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(-(10**400), 10**400),
+    st.integers(-5, 5),
+    st.floats(),
+    st.text(max_size=20),
+    st.sampled_from(['1e999', '127.0.0.1:\xb2', '1.2.3:80', '10.0.0.9:0', '10.0.0.9:99999']),
+    st.lists(st.integers(), max_size=2),
+    st.dictionaries(st.text(max_size=3), st.integers(), max_size=2),
+)
+
+
+def places_in(value, path=()):
+    """
+    The path of every value in a message.
+
+    """
+    found = [path] if path else []
+    items = value.items() if isinstance(value, dict) else enumerate(value)
+    if isinstance(value, dict | list):
+        for key, item in items:
+            found += (
+                places_in(item, (*path, key)) if isinstance(item, dict | list) else [(*path, key)]
+            )
+    return found
+
+
+@st.composite
+def mutated(draw, message):
+    """
+    A message with some of its values replaced or left out, as bytes, at times cut short.
+
+    """
+    changed = copy.deepcopy(message)
+    for path in draw(st.lists(st.sampled_from(places_in(message)), max_size=3, unique=True)):
+        try:
+            holder = changed
+            for key in path[:-1]:
+                holder = holder[key]
+            if draw(st.booleans()):
+                holder[path[-1]] = draw(ODD)
+            else:
+                del holder[path[-1]]
+        except (KeyError, IndexError, TypeError):
+            continue
+    data = json.dumps(changed).encode()
+    if draw(st.integers(0, 9)) == 0:
+        data = data[: draw(st.integers(0, len(data)))]
+    if draw(st.integers(0, 9)) == 0:
+        data += draw(st.binary(max_size=3))
+    return data
+
+
+@settings(max_examples=300, deadline=None)
+@given(mutated({**BEAT, 'born': FIRST}))
+def test_a_heartbeat_is_taken_whole_or_refused(body):
+    try:
+        call = post('/v1/Instances.Heartbeat/i-1', body)
+    except BadCall:
+        return
+    assert isinstance(call, Heartbeat)
+    records = [call.lease]
+    assert decode_leases(encode_records(records)) == records
+    assert 0 < call.lease.port < 65536
+    assert call.lease.state in (LeaseState.READY, LeaseState.DRAINING)
+
+
+@settings(max_examples=300, deadline=None)
+@given(mutated(DOCUMENT))
+def test_a_document_is_taken_whole_or_refused(body):
+    try:
+        call = post('/v1/Config.Put', body)
+    except BadCall:
+        return
+    assert isinstance(call, PutDocument)
+    RouteTable(call.document)
+    for route in call.document.routes:
+        assert route.timeout_ms / 1000 >= 0
+
+
+@settings(max_examples=200, deadline=None)
+@given(mutated(REPORT))
+def test_an_engine_report_is_taken_whole_or_refused(body):
+    try:
+        report = ADAPTER.read_report(body)
+    except BadCall:
+        return
+    assert msgspec.msgpack.encode([report.running, report.queued, report.incarnation])
+
+
+@given(mutated(LIST))
+def test_a_list_of_pieces_is_taken_whole_or_refused(body):
+    try:
+        pieces = ADAPTER.read_piece_list(body)
+    except BadCall:
+        return
+    assert all(len(bytes.fromhex(digest)) == 32 for digest in pieces.digests)
+
+
+@given(mutated({'model': 'm', 'version': 2}), mutated({'born': FIRST}))
+def test_other_calls_are_taken_or_refused(version, goodbye):
+    for path, body in (('/v1/version-put', version), ('/v1/Instances.Leave/i-1', goodbye)):
+        try:
+            post(path, body)
+        except BadCall:
+            continue
+
+
+@given(st.dictionaries(st.sampled_from(HEADERS), st.text()))
+def test_any_headers_are_read_or_refused(headers):
+    pairs = list(headers.items())
+    ADAPTER.read_answer(200, pairs)
+    try:
+        caller = ADAPTER.read_caller(Request('GET', '/x', pairs))
+    except BadCall:
+        return
+    assert caller.deadline_ms is None or caller.deadline_ms >= 0
+
+
+def test_a_keep_alive_that_is_no_number_is_passed_over():
+    assert ADAPTER.read_answer(200, [('keep-alive', 'timeout=\xb2')]).keep_s is None
+
+
+def test_a_goodbye_names_its_incarnation_where_it_says_anything():
+    path = '/v1/Instances.Leave/i-1'
+    assert post(path, b'') == Goodbye('i-1', None)
+    assert post(path, {'born': FIRST}) == Goodbye('i-1', FIRST)
+    assert post(path, {}) == Goodbye('i-1', 0)
+
+
+def test_counts_of_a_deployment_played_at_a_share_are_rounded():
+    body = copy.deepcopy(DOCUMENT)
+    body['services'][0]['max_conns'] = 66.6
+    body['services'][0]['engine']['slots'] = 0.4
+    body['routes'][0]['timeout_ms'] = 6000.5
+    found = post('/v1/Config.Put', body).document
+    assert found.services[0].max_connections == 66
+    assert found.services[0].engine.slots == 1
+    assert found.routes[0].timeout_ms == 6001
+
+
+# At a replica.
+
+
+class Calls:
+    """
+    The calls of one replica, which knows one document and one back end.
+
+    """
+
+    def __init__(self):
+        self.clock = Clock()
+        self.env = Environment(InstanceId('a:1'), ZoneId('z1'), monotonic=self.clock)
+        self.registry = Registry(self.env, HEARTBEAT_S)
+        self.registry.take_heartbeat(lease(FIRST, 5))
+        self.woken = 0
+        followers = SimpleNamespace(wake=self.wake)
+        self.control = Control(
+            self.env, ADAPTER, View(), self.registry, followers, None, None
+        )  # fmt: skip
+        self.control.services = frozenset({'s'})
+        self.statuses = []
+
+    async def wake(self):
+        self.woken += 1
+
+    def send(self, request):
+        async def respond(response):
+            self.statuses.append(response.status)
+
+        curio.run(self.control.answer, SimpleNamespace(request=request, respond=respond))
+        return self.statuses[-1]
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'service': 'elsewhere'},
+        {'state': 'odd'},
+        {'seq': 2**70},
+        {'seq': None},
+        {'born': 1.5},
+        {'address': '10.0.0.1'},
+        {'slots': -1},
+    ],
+)
+def test_a_foreign_heartbeat_is_refused_and_what_is_held_stays(change):
+    calls = Calls()
+    held = calls.registry.leases.get('i-1')
+    body = {**BEAT, 'address': '10.0.0.1:80', 'born': FIRST + 1, **change}
+    for name in ('i-1', 'i-2'):
+        request = Request('POST', f'{names.HEARTBEAT_PATH}{name}', [], json.dumps(body).encode())
+        assert 400 <= calls.send(request) < 500
+    assert list(calls.registry.leases.values()) == [held]
+    assert calls.woken == 0
+
+
+def test_refused_calls_are_all_counted_and_logged_once_in_a_while(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        'millforkd.replica.control.log',
+        SimpleNamespace(warning=lambda text, *args: lines.append(args)),
+    )
+    calls = Calls()
+    request = Request('POST', names.PUT_DOCUMENT_PATH, [], b'\xff')
+    for _ in range(50):
+        calls.send(request)
+    calls.clock.now += 2.0
+    calls.send(request)
+    assert [line[2] for line in lines] == [1, 50]
+    counted = calls.env.metrics.refusals.get(
+        {'reason': Reason.BAD_REQUEST.value, 'part': 'control'}
+    )
+    assert counted == 51
+
+
+def test_a_service_that_no_document_names_is_refused_once_there_is_one():
+    calls = Calls()
+    calls.control.services = None
+    beat = standins.heartbeat(lease(FIRST, 6))
+    assert calls.send(beat) == 200
+    calls.control.services = frozenset(item.name for item in document(1).services)
+    assert calls.send(standins.heartbeat(lease(FIRST, 7))) == 422
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -260,8 +260,10 @@
     ).encode()
     report = ADAPTER.read_report(body)
     assert (report.running, report.queued, report.served) == (3, 1, (('m', 1, 0, None),))
-    pieces = ADAPTER.read_piece_list(b'{"model":"m","version":2,"digests":["a"]}')
-    assert pieces.digests == ('a',)
+    digest = 'a' * 64
+    body = f'{{"model":"m","version":2,"digests":["{digest}"]}}'.encode()
+    pieces = ADAPTER.read_piece_list(body)
+    assert pieces.digests == (digest,)
     assert ADAPTER.piece_request('m', 2, 5).path == '/v1/piece/m?item_count=5&version=2'
     assert ADAPTER.stage_request('m', 5, b'x').method == 'PUT'
     order = json.loads(ADAPTER.start_request('m', 2, 8, 16, False).body)
