A daemon imports only what its role runs

Ruled out: compiled files that are not kept (they are), the collector during imports (no difference within noise).

--- a/packages/millfork-registry/millfork_registry/followers.py
+++ b/packages/millfork-registry/millfork_registry/followers.py
@@ -15,6 +15,7 @@
 from millfork_core.windows import MostLately
 from millfork_registry.records import encode_records
 from millfork_registry.registry import Registry
+from millfork_registry.roles import ENTRY_ROLE, REPLICA_ROLE
 from millfork_state.replica import Replica
 from millfork_wire.connection import Connection, PeerLost
 from millfork_wire.messages import CacheAddress, Follow, Leases
@@ -27,9 +28,6 @@
 # As long as entries remember each other: regions lose each other for minutes.
 ENTRIES_REMEMBERED_S: Final = 600.0
 
-REPLICA_ROLE: Final = 'replica'
-ENTRY_ROLE: Final = 'entry'
-ENDPOINT_ROLE: Final = 'endpoint'
 
 log = logger(Part.REGISTRY)
 
--- a/packages/millfork-settings/millfork_settings/declarations.py
+++ b/packages/millfork-settings/millfork_settings/declarations.py
@@ -7,7 +7,7 @@
 
 from pydantic import Field
 
-from millfork_settings.models import Name, Strict
+from millfork_settings.common import Name, Strict
 
 LabelValue = Annotated[str, Field(pattern=r'^[A-Za-z0-9._-]{1,63}$')]
 TokenHash = Annotated[str, Field(pattern=r'^[0-9a-f]{64}$')]
--- a/packages/millfork-settings/millfork_settings/seeded.py
+++ b/packages/millfork-settings/millfork_settings/seeded.py
@@ -17,7 +17,7 @@
 from pydantic import BaseModel, ConfigDict, Field, PrivateAttr, model_validator
 from pydantic.fields import FieldInfo
 
-from millfork_settings.models import Port, StateSettings, Strict
+from millfork_settings.common import Port, StateSettings, Strict
 
 # A day: no bound of a fleet is longer, and in ms it fits the messages' 32 bits.
 MOST_S: Final = 86_400
--- a/packages/millfork-standins/millfork_standins/settings.py
+++ b/packages/millfork-standins/millfork_standins/settings.py
@@ -7,7 +7,8 @@
 
 from pydantic import Field
 
-from millfork_settings.models import Address, Strict
+from millfork_settings.common import Strict
+from millfork_settings.models import Address
 
 
 class EngineSettings(Strict):
--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -15,7 +15,7 @@
 from millfork_core.environment import Environment
 from millfork_core.ids import NO_INSTANCE, ClusterId, InstanceId
 from millfork_core.logs import Part, logger
-from millfork_settings.models import StateSettings
+from millfork_settings.common import StateSettings
 from millfork_state.commands import (
     AnyCommand,
     SetMembers,
--- a/packages/millforkd/millforkd/beside/daemon.py
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -13,8 +13,8 @@
 from millfork_core.environment import Environment
 from millfork_core.logs import Part, logger
 from millfork_registry.discovery import address_of
-from millfork_registry.followers import ENDPOINT_ROLE
 from millfork_registry.records import EndpointState, HeldVersion, ServedVersion
+from millfork_registry.roles import ENDPOINT_ROLE
 from millfork_routing.documents import Document, EngineFigures
 from millfork_settings.seeded import SeededSettings, socket_pair
 from millfork_web.client import Client
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -14,7 +14,7 @@
 from millfork_core.logs import Part, logger
 from millfork_core.verdicts import Reason, Refusal
 from millfork_registry.discovery import address_of
-from millfork_registry.followers import ENTRY_ROLE
+from millfork_registry.roles import ENTRY_ROLE
 from millfork_routing.budget import SharedBudget
 from millfork_routing.documents import Document
 from millfork_routing.routes import RouteTable
--- a/packages/millforkd/millforkd/replica/mesh.py
+++ b/packages/millforkd/millforkd/replica/mesh.py
@@ -14,9 +14,10 @@
 from millfork_core.logs import Part, logger
 from millfork_registry.caches import named
 from millfork_registry.discovery import Discovery, address_of
-from millfork_registry.followers import REPLICA_ROLE, Followers
+from millfork_registry.followers import Followers
 from millfork_registry.records import Lease, decode_leases, decode_states, encode_records
 from millfork_registry.registry import Change, Registry
+from millfork_registry.roles import REPLICA_ROLE
 from millfork_registry.switch_ends import SwitchEnds
 from millfork_state.replica import Replica
 from millfork_wire.connection import Connection, PeerError
--- a/packages/millforkd/millforkd/running.py
+++ b/packages/millforkd/millforkd/running.py
@@ -10,20 +10,14 @@
 
 import curio
 
-from millfork_adapter.adapter import Adapter
-from millfork_core import logs
 from millfork_core.environment import Environment
-from millfork_core.ids import InstanceId, ZoneId
 from millfork_core.logs import Part, logger
 from millfork_core.signals import StopSignals
 from millfork_core.status import ExitStatus
 from millfork_settings.errors import BadFile
 from millfork_settings.loading import load
-from millfork_settings.seeded import SeededRole, SeededSettings
+from millfork_settings.seeded import SeededSettings
 from millfork_state.storage import CorruptStorage
-from millforkd.beside.daemon import BesideDaemon
-from millforkd.proxy.daemon import ProxyDaemon
-from millforkd.replica.daemon import ReplicaDaemon
 from millforkd.stopping import Drains, drain_or_end
 
 # The settings file may change without a signal.
@@ -51,47 +45,6 @@
     async def reload(self, settings: SeededSettings) -> None: ...
 
 
-def build_seeded(env: Environment, settings: SeededSettings, adapter: Adapter) -> Daemon:
-    """
-    The daemon of the role that the settings name.
-
-    """
-    if settings.role is SeededRole.ENTRY:
-        return ProxyDaemon(env, settings, adapter)
-    if settings.role is SeededRole.REPLICA:
-        return ReplicaDaemon(env, settings, adapter)
-    return BesideDaemon(env, settings, adapter)
-
-
-async def serve_seeded(path: Path, settings: SeededSettings, adapter: Adapter) -> ExitStatus:
-    """
-    Run a role of a seeded fleet. SIGHUP, or a change of the file, reloads the
-    settings.
-
-    """
-    env = Environment(InstanceId(settings.instance), ZoneId(settings.zone))
-    logs.set_up_bounded(
-        settings.log_level, lambda fate: env.metrics.count(env.metrics.log_lines, fate=fate)
-    )
-    log.notice(
-        'Starting. role={} name={} instance={} zone={} seeds={} first_start={}',
-        settings.role.value,
-        settings.name,
-        settings.instance,
-        settings.zone,
-        ','.join(settings.seeds),
-        settings.first_start,
-    )
-    for figure in settings.promises.replaced:
-        log.warning(
-            'Setting {} can not be used as given: {!r}. {:g} serves instead.',
-            figure.key,
-            figure.given,
-            figure.used,
-        )
-    return await run_daemon(env, lambda: build_seeded(env, settings, adapter), path)
-
-
 async def run_daemon(
     env: Environment, build: Callable[[], Daemon], reloads_from: Path | None = None
 ) -> ExitStatus:
--- /dev/null
+++ b/packages/millforkd/millforkd/seeded_fleet.py
@@ -0,0 +1,81 @@
+"""
+The roles of a fleet whose daemons find each other from seeds.
+
+"""
+
+from pathlib import Path
+
+import curio
+
+from millfork_adapter.adapter import Adapter
+from millfork_core import logs
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_core.logs import Part, logger
+from millfork_core.status import ExitStatus
+from millfork_settings.loading import load
+from millfork_settings.seeded import SeededRole, SeededSettings
+from millforkd.running import Daemon, run_daemon
+
+log = logger(Part.DAEMON)
+
+
+def run_seeded(path: Path, check_only: bool, adapter: Adapter) -> ExitStatus:
+    """
+    Run a daemon of a seeded fleet until it is told to stop.
+
+    :raises BadFile: if its settings can't be used.
+
+    """
+    settings = load(path, SeededSettings)
+    if check_only:
+        print(f'{path}: good')
+        return ExitStatus.SUCCESS
+    status: ExitStatus = curio.run(_serve, path, settings, adapter)
+    return status
+
+
+async def _serve(path: Path, settings: SeededSettings, adapter: Adapter) -> ExitStatus:
+    """
+    Run a role. SIGHUP, or a change of the file, reloads the settings.
+
+    """
+    env = Environment(InstanceId(settings.instance), ZoneId(settings.zone))
+    logs.set_up_bounded(
+        settings.log_level, lambda fate: env.metrics.count(env.metrics.log_lines, fate=fate)
+    )
+    log.notice(
+        'Starting. role={} name={} instance={} zone={} seeds={} first_start={}',
+        settings.role.value,
+        settings.name,
+        settings.instance,
+        settings.zone,
+        ','.join(settings.seeds),
+        settings.first_start,
+    )
+    for figure in settings.promises.replaced:
+        log.warning(
+            'Setting {} can not be used as given: {!r}. {:g} serves instead.',
+            figure.key,
+            figure.given,
+            figure.used,
+        )
+    return await run_daemon(env, lambda: build(env, settings, adapter), path)
+
+
+def build(env: Environment, settings: SeededSettings, adapter: Adapter) -> Daemon:
+    """
+    The daemon of the role that the settings name; others are not imported.
+
+    """
+    if settings.role is SeededRole.ENTRY:
+        from millforkd.proxy.daemon import ProxyDaemon
+
+        return ProxyDaemon(env, settings, adapter)
+    if settings.role is SeededRole.REPLICA:
+        from millforkd.replica.daemon import ReplicaDaemon
+
+        return ReplicaDaemon(env, settings, adapter)
+    from millforkd.beside.daemon import BesideDaemon
+
+    return BesideDaemon(env, settings, adapter)
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -18,7 +18,7 @@
 from millfork_adapter.exchange import EngineReport
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ServiceName, ZoneId
-from millfork_registry.followers import REPLICA_ROLE, Follower, Followers
+from millfork_registry.followers import Follower, Followers
 from millfork_registry.records import (
     EndpointState,
     Lease,
@@ -27,6 +27,7 @@
     decode_leases,
 )
 from millfork_registry.registry import Change, Registry
+from millfork_registry.roles import REPLICA_ROLE
 from millfork_scheduling.book import ServerBook
 from millfork_scheduling.placement import Wanted
 from millforkd.beside.expiry import Expiry
--- a/tests/test_leases_of_lost_owners.py
+++ b/tests/test_leases_of_lost_owners.py
@@ -8,9 +8,10 @@
 
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ZoneId
-from millfork_registry.followers import REPLICA_ROLE, Follower, Followers
+from millfork_registry.followers import Follower, Followers
 from millfork_registry.records import Lease, LeaseState, decode_leases
 from millfork_registry.registry import Change, Registry
+from millfork_registry.roles import REPLICA_ROLE
 from tests.test_servers import Clock
 
 HEARTBEAT_S = 1.2
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -8,7 +8,7 @@
 
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ZoneId
-from millfork_settings.models import StateSettings
+from millfork_settings.common import StateSettings
 from millfork_state.commands import Apply, Change, SetMembers, encode_command
 from millfork_state.election import campaign
 from millfork_state.leadership import Leadership
--- a/tests/test_seeded.py
+++ b/tests/test_seeded.py
@@ -15,9 +15,9 @@
 from millfork_core.ids import InstanceId, ZoneId
 from millfork_platform.templates import Place, settings_text
 from millfork_registry.discovery import address_of
+from millfork_settings.common import StateSettings
 from millfork_settings.errors import BadFile
 from millfork_settings.loading import load
-from millfork_settings.models import StateSettings
 from millfork_settings.seeded import SeededRole, SeededSettings
 from millfork_state.commands import Raise, SetMembers, decode_versioned, encode_command
 from millfork_state.formation import Seeds
