Entries hear of the loads of their zone's engines three times as often

Hypothesis: on a fleet of many entries the age of loads binds, not their number: what one entry knows of its own is a hundredth.

Change: a daemon reports each 0.05 s, a replica tells the entries of its own zone as often; other zones as before, so nothing more crosses regions. Both stretch with the number of daemons and rows, so that a replica takes 240 reports a second and a follower 1,200 rows. The configuration's age goes with the heartbeat as before; leases are taken only when they changed. The model has the large shape, with zones.

Also: the edit of a mechanism that moved in registry.py.

--- a/packages/millfork-registry/millfork_registry/followers.py
+++ b/packages/millfork-registry/millfork_registry/followers.py
@@ -6,11 +6,13 @@
 
 """
 
+from collections.abc import Callable
 from typing import Final
 
 import curio
 
 from millfork_core.environment import Environment
+from millfork_core.ids import ClusterId, Revision
 from millfork_core.logs import Part, logger
 from millfork_core.windows import MostLately
 from millfork_registry.records import encode_records
@@ -20,8 +22,7 @@
 from millfork_wire.connection import Connection, PeerLost
 from millfork_wire.messages import CacheAddress, Follow, Leases
 
-# A follower goes elsewhere after several of these without a word. Entries hear
-# of the engines' load as often.
+# A follower goes elsewhere after several of these without a word.
 HEARTBEAT_S: Final = 0.15
 # Changes within this time leave in one message.
 GATHER_S: Final = 0.02
@@ -32,6 +33,14 @@
 log = logger(Part.REGISTRY)
 
 
+def at_heartbeats(rows: int, same_zone: bool) -> float:
+    """
+    The pace of followers that need no word on load between two heartbeats.
+
+    """
+    return HEARTBEAT_S
+
+
 class Follower:
     """
     One process that follows this replica.
@@ -46,6 +55,9 @@
         self.endpoint_version = 0
         self.sent_full = False
         self.replaced = False
+        # When it was last told of the configuration, and the mark of that.
+        self.updated_at = float('-inf')
+        self.updated_mark: tuple[ClusterId, Revision] | None = None
 
     @property
     def active(self) -> bool:
@@ -58,8 +70,16 @@
 
     """
 
-    def __init__(self, env: Environment, replica: Replica, registry: Registry) -> None:
+    def __init__(
+        self,
+        env: Environment,
+        replica: Replica,
+        registry: Registry,
+        pace: Callable[[int, bool], float] = at_heartbeats,
+    ) -> None:
         self.env = env
+        # Seconds between two messages of so many rows, to a follower of this zone or not.
+        self.pace = pace
         self.replica = replica
         self.registry = registry
         self.rows: dict[str, Follower] = {}
@@ -130,7 +150,7 @@
         try:
             while follower.active:
                 follower.wake.clear()
-                if follower.role != REPLICA_ROLE:
+                if self._wants_update(follower):
                     update = self.replica.view.update_since(cluster, revision)
                     update.age_ms = self.replica.age_ms()
                     cluster, revision = update.cluster, update.revision
@@ -144,9 +164,36 @@
                 del self.rows[follower.connection.peer]
                 log.info('Follower {} is gone. role={}', follower.connection.peer, follower.role)
 
+    def _wants_update(self, follower: Follower) -> bool:
+        """
+        Whether to tell of the configuration: it changed, or its age is to be told. Between
+        two heartbeats an entry hears only of its engines' load.
+
+        """
+        if follower.role == REPLICA_ROLE:
+            return False
+        now = self.env.monotonic()
+        mark = self.replica.view.mark
+        is_due = now - follower.updated_at >= HEARTBEAT_S - GATHER_S
+        if mark == follower.updated_mark and not is_due:
+            return False
+        follower.updated_at = now
+        follower.updated_mark = mark
+        return True
+
+    def interval_s(self, follower: Follower) -> float:
+        """
+        Between two messages to a follower that nothing new is to be told of but load.
+
+        """
+        if follower.role != ENTRY_ROLE:
+            return HEARTBEAT_S
+        same_zone = follower.connection.hello.zone == str(self.env.zone)
+        return self.pace(len(self.registry.endpoints), same_zone)
+
     async def _pause(self, follower: Follower) -> None:
         try:
-            async with curio.timeout_after(HEARTBEAT_S):
+            async with curio.timeout_after(self.interval_s(follower)):
                 await follower.wake.wait()
             await curio.sleep(GATHER_S)
         except curio.TaskTimeout:
--- a/packages/millfork-registry/millfork_registry/table.py
+++ b/packages/millfork-registry/millfork_registry/table.py
@@ -45,7 +45,12 @@
         self.rows[key] = (record, self.rows[key][1])
 
     def drop(self, key: str) -> None:
-        self.rows.pop(key, None)
+        """
+        Take a record out; a change, though none that others are told of.
+
+        """
+        if self.rows.pop(key, None) is not None:
+            self.version += 1
 
     def values(self) -> Iterator[Record]:
         for record, _ in self.rows.values():
--- a/packages/millfork-standins/millfork_standins/bench/routing.py
+++ b/packages/millfork-standins/millfork_standins/bench/routing.py
@@ -23,6 +23,7 @@
 from millfork_scheduling.book import ServerBook
 from millfork_scheduling.placement import Choice, Wanted
 from millfork_scheduling.prediction import read_ms
+from millfork_scheduling.reporting import USUAL_S, feed_interval_s, report_interval_s
 from millfork_standins.bench.engine_model import Agenda, EngineModel, Generation
 from millfork_standins.bench.rows import Sheet
 from millfork_state.view import View
@@ -32,27 +33,24 @@
 from millforkd.versions import Versions
 
 SERVICE: Final = ServiceName('engines')
-ZONES: Final = 3
 # Until then the engines fill up; requests of this time are not counted.
 WARM_UP_S: Final = 3.0
 SECONDS: Final = 18.0
 QUICK_SECONDS: Final = 8.0
-# Endpoint daemons report this often, and a replica tells it entries as often.
-REPORT_S: Final = 0.15
 # One way, within a zone and to another, in seconds.
 NEAR_S: Final = 0.0015
 FAR_S: Final = 0.004
 # Mean tokens of prompts and answers, their spread (of the logarithm), the largest.
 PROMPT: Final = (930, 0.83, 3900)
-ANSWER: Final = (100, 0.7, 250)
-TARGET_MS: Final = 440
-FACTORS: Final = (0.5, 0.9, 1.2, 1.5)
+FACTORS: Final = (0.5, 0.9, 1.05, 1.2, 1.5)
 
 
 @dataclass(frozen=True, slots=True)
 class FleetShape:
     """
-    A fleet: its engines and their slots, its entries.
+    A fleet: its engines and their slots, its entries, its zones; mean tokens of answers,
+    their spread (of the logarithm) and the largest; what a step takes, prompt tokens read in
+    a second, and until when a first token is in time, in ms.
 
     """
 
@@ -60,6 +58,11 @@
     engines: int
     slots: int
     entries: int
+    zones: int = 3
+    answer: tuple[int, float, int] = (100, 0.7, 250)
+    step_ms: float = 9.27
+    read_per_s: float = 20_700
+    target_ms: int = 440
 
     @property
     def capacity(self) -> float:
@@ -68,15 +71,16 @@
         writes in so many passes, between which the prompts of the others are read.
 
         """
-        figures = _figures(self.slots)
-        passes = ANSWER[0] / figures.steps_per_event
+        figures = _figures(self)
+        passes = self.answer[0] / figures.steps_per_event
         step_ms = figures.step_ms + figures.per_sequence_ms * self.slots
         writing_ms = passes * figures.steps_per_event * step_ms
         reading_ms = self.slots * read_ms(figures, PROMPT[0])
         return self.engines * self.slots * 1000 / (writing_ms + reading_ms)
 
 
-SHAPES: Final = (FleetShape('small', 6, 16, 7), FleetShape('grown', 24, 12, 40))
+LARGE: Final = FleetShape('large', 60, 8, 98, 5, (70, 0.7, 180), 13.9, 13_800, 580)
+SHAPES: Final = (FleetShape('small', 6, 16, 7), FleetShape('grown', 24, 12, 40), LARGE)
 
 
 class RandomBook(ServerBook):
@@ -153,12 +157,24 @@
 
     """
 
-    def __init__(self, shape: FleetShape, book: type[ServerBook], rate: float, seed: int) -> None:
+    def __init__(
+        self,
+        shape: FleetShape,
+        book: type[ServerBook],
+        rate: float,
+        seed: int,
+        tells_zones_sooner: bool = True,
+    ) -> None:
         self.shape = shape
+        # Between two reports of an engine, and two messages of a replica to its zone.
+        self.report_s = self.feed_s = USUAL_S
+        if tells_zones_sooner:
+            self.report_s = report_interval_s(-(-shape.engines // shape.zones))
+            self.feed_s = feed_interval_s(shape.engines, same_zone=True)
         self.rate = rate
         self.random = Random(seed)
         self.agenda = Agenda()
-        self.figures = _figures(shape.slots)
+        self.figures = _figures(shape)
         self.engines = [EngineModel(self.agenda, self.figures) for _ in range(shape.engines)]
         self.admits_all = book is not ServerBook
         self.books = [self._book(book, number) for number in range(shape.entries)]
@@ -169,17 +185,17 @@
             book: Admission(env, Versions(env, View(), 0), lambda: shape.entries)
             for book in self.books
         }
-        self.route = _route()
+        self.route = _route(shape)
         self.outcomes = Outcomes()
 
     def _book(self, book: type[ServerBook], number: int) -> ServerBook:
         made = book(
-            ZoneId(f'z{number % ZONES}'),
+            ZoneId(f'z{number % self.shape.zones}'),
             Random(self.random.random()),
             self.agenda.monotonic,
             lambda: self.shape.entries,
         )
-        made.take_leases(_lease(index, self.shape.slots) for index in range(self.shape.engines))
+        made.take_leases(_lease(index, self.shape) for index in range(self.shape.engines))
         return made
 
     def run(self, seconds: float) -> Outcomes:
@@ -188,24 +204,32 @@
 
         """
         for index in range(len(self.engines)):
-            self.agenda.after(self.random.random() * REPORT_S, partial(self._report, index))
+            self.agenda.after(self.random.random() * USUAL_S, partial(self._report, index, 0.0))
         self._arrive()
         self.agenda.run_until(seconds)
         return self.outcomes
 
-    def _report(self, index: int) -> None:
-        engine = self.engines[index]
-        state = _state(index, self.agenda.now, len(engine.running), len(engine.queue))
-        self.agenda.after(self.random.random() * REPORT_S, lambda: self._deliver(state))
-        self.agenda.after(REPORT_S, partial(self._report, index))
+    def _report(self, index: int, told_far_at: float) -> None:
+        """
+        An engine's load goes to the entries of its zone, and now and then to all others.
 
-    def _deliver(self, state: EndpointState) -> None:
-        for book in self.books:
-            book.take_reports([state])
+        """
+        engine = self.engines[index]
+        zone = f'z{index % self.shape.zones}'
+        state = _state(index, zone, self.agenda.now, len(engine.running), len(engine.queue))
+        self._tell(state, self.feed_s, near=True)
+        if self.agenda.now - told_far_at > USUAL_S - self.report_s / 2:
+            told_far_at = self.agenda.now
+            self._tell(state, USUAL_S, near=False)
+        self.agenda.after(self.report_s, partial(self._report, index, told_far_at))
+
+    def _tell(self, state: EndpointState, within_s: float, near: bool) -> None:
+        books = [book for book in self.books if (str(book.zone) == state.zone) == near]
+        self.agenda.after(self.random.random() * within_s, partial(_deliver, books, state))
 
     def _arrive(self) -> None:
         self.agenda.after(self.random.expovariate(self.rate), self._arrive)
-        asked = Asked(self._size(PROMPT), self._size(ANSWER), self.agenda.now)
+        asked = Asked(self._size(PROMPT), self._size(self.shape.answer), self.agenda.now)
         if asked.at > WARM_UP_S:
             self.outcomes.counts['asked'] += 1
         self._send(asked)
@@ -262,7 +286,7 @@
         self.agenda.after(way_s, lambda: engine.add(generation))
 
     def _note_first(self, asked: Asked, first_ms: float) -> None:
-        self._count(asked, 'in time' if first_ms <= TARGET_MS else 'late')
+        self._count(asked, 'in time' if first_ms <= self.shape.target_ms else 'late')
         if asked.at > WARM_UP_S:
             self.outcomes.first_ms.append(first_ms)
 
@@ -271,18 +295,23 @@
             self.outcomes.counts[outcome] += 1
 
 
-def _figures(slots: int) -> EngineFigures:
+def _deliver(books: list[ServerBook], state: EndpointState) -> None:
+    for book in books:
+        book.take_reports([state])
+
+
+def _figures(shape: FleetShape) -> EngineFigures:
     return EngineFigures(
-        slots=slots,
+        slots=shape.slots,
         tokens=317_000,
-        step_ms=9.27,
+        step_ms=shape.step_ms,
         per_sequence_ms=0.0232,
         per_context_ms=0.0322,
-        read_per_s=20_700,
+        read_per_s=shape.read_per_s,
         pairs_ms_per_million=1.18,
         steps_per_event=5,
         usual_prompt=PROMPT[0],
-        usual_answer=ANSWER[0],
+        usual_answer=shape.answer[0],
         model='m',
         layers=16,
         pieces=96,
@@ -291,24 +320,26 @@
     )
 
 
-def _route() -> Route:
+def _route(shape: FleetShape) -> Route:
     shares = (Share(SERVICE, 1),)
     return Route(
-        'r', 'host', '/', RouteKind.STREAMING, 6000, TARGET_MS, 1, shares, 2, True, True, 400
-    )
+        'r', 'host', '/', RouteKind.STREAMING, 6000, shape.target_ms, 1, shares, 2, True, True, 400
+    )  # fmt: skip
 
 
-def _lease(index: int, slots: int) -> Lease:
+def _lease(index: int, shape: FleetShape) -> Lease:
     served = (ServedVersion('m', 1, 0, 16),)
-    zone = f'z{index % ZONES}'
-    return Lease(f'i-{index}', SERVICE, 'h', index, zone, slots, LeaseState.READY, 1, 'r', served)
+    zone = f'z{index % shape.zones}'
+    return Lease(
+        f'i-{index}', SERVICE, 'h', index, zone, shape.slots, LeaseState.READY, 1, 'r', served
+    )
 
 
-def _state(index: int, now: float, running: int, queued: int) -> EndpointState:
+def _state(index: int, zone: str, now: float, running: int, queued: int) -> EndpointState:
     return EndpointState(
         f'e-{index}',
         SERVICE,
-        f'z{index % ZONES}',
+        zone,
         'h',
         index,
         int(now * 1000),
@@ -325,7 +356,7 @@
 
     """
     seconds = QUICK_SECONDS if quick else SECONDS
-    settings = {'seconds': seconds, 'target_ms': TARGET_MS, 'repetitions': repetitions}
+    settings = {'seconds': seconds, 'repetitions': repetitions}
     sheet = Sheet('routing', settings)
     for seed in range(repetitions):
         for shape in SHAPES:
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -107,6 +107,8 @@
         self.admin = Admin(env, settings, self.is_ready)
         self.stopping = False
         self.document_revision = 0
+        # The change of leases that the book has.
+        self.leases_taken = -1
         # The repeats within the window that were last logged, by service.
         self.repeats_logged: dict[ServiceName, int] = {}
 
@@ -170,8 +172,11 @@
             self._take_document()
             if self.view.cluster:
                 self.versions.refresh()
-            for server in self.book.take_leases(self.registry.leases.values()):
-                await self.pools.drop(server)
+            # Loads change twenty times a second, leases seldom.
+            if self.registry.leases.version != self.leases_taken:
+                self.leases_taken = self.registry.leases.version
+                for server in self.book.take_leases(self.registry.leases.values()):
+                    await self.pools.drop(server)
             self.book.take_reports(self.registry.endpoints.values())
             if self.admission.table is not None and self.book.servers:
                 await self.admission.begun.set()
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -53,8 +53,8 @@
         (
             Edit(
                 'packages/millfork-registry/millfork_registry/registry.py',
-                'held.state is LeaseState.EXPIRED:',
-                'False:',
+                'return held.state is LeaseState.EXPIRED',
+                'return False',
             ),
         ),
     ),
@@ -430,4 +430,15 @@
             ),
         ),
     ),
+    Mutation(
+        'a zone hears of its engines sooner',
+        'tests/test_routing_model.py::'
+        'test_on_a_fleet_of_many_entries_a_zone_hears_of_its_engines_sooner',
+        (Edit(C + 'reporting.py', 'LEAST_S: Final = 0.05', 'LEAST_S: Final = 0.15'),),
+    ),
+    Mutation(
+        'entries of a zone hear of loads between two heartbeats',
+        'tests/test_routing_model.py',
+        (Edit(G + 'followers.py', 'if follower.role != ENTRY_ROLE:', 'if True:'),),
+    ),
 )
