Waiting for an answer stands apart from the path of a request

forwarding.py held the attempt, its checks and the story (415 lines, 356 now); when to wait no longer is a module of its own. No behaviour changes; its mechanism in the fail-first list moved along. A test for requests that wait at an earlier incarnation.

--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -24,20 +24,13 @@
 from millforkd.proxy.endings import Endings
 from millforkd.proxy.job import Attempt, Failed, Job
 from millforkd.proxy.relaying import Relaying
+from millforkd.proxy.waiting import Waiting
 
 # Of the deadline, so that the last word reaches the caller before it leaves.
 LAST_WORD_S: Final = 0.03
 # A version that a server refused is not asked of it again this long; its
 # next report says more.
 REFUSED_VERSION_S: Final = 0.5
-# A request that waits for its answer is looked after this often.
-HEAD_POLL_S: Final = 0.25
-# Under load a server sends this entry something many times in this time.
-SILENT_SERVER_S: Final = 1.2
-# A server that answers what was sent this much later has passed a request over, or
-# its connection is silent while others work: requests of one rank begin in turn, and
-# reading the longest prompt takes 0.2 s.
-OVERTAKEN_S: Final = 0.3
 BROKEN: Final = frozenset({Reason.UNREACHABLE, Reason.CONNECTION_LOST, Reason.TRUNCATED})
 
 log = logger(Part.PROXY)
@@ -76,6 +69,7 @@
         self.pools = pools
         self.budget = budget
         self.relaying = Relaying(env, adapter, book)
+        self.waiting = Waiting(env, admission)
         self.endings = Endings(env, adapter)
 
     async def answer(self, exchange: Exchange) -> None:
@@ -263,26 +257,6 @@
                 server.note_failure(now)
         return Failed(reason, verdict, detail)
 
-    async def _read_head(
-        self, job: Job, attempt: Attempt, connection: ServerConnection, version: int | None
-    ) -> None:
-        """
-        Wait for an answer to begin. A request that may run again is taken
-        back from a back end that will not begin it soon.
-
-        """
-        if not job.route.repeatable:
-            await connection.read_head()
-            return
-        while True:
-            try:
-                async with curio.timeout_after(HEAD_POLL_S):
-                    await connection.read_head()
-                return
-            except curio.TaskTimeout:
-                self._check_waiting(job, attempt, version)
-                self._check_silence(job, attempt, connection)
-
     def _note_version(self, job: Job, version: int | None) -> None:
         engine = job.wanted.engine
         if engine is None or version is None:
@@ -307,42 +281,6 @@
             detail = f'the engine has version {version}, the oldest to be sent to is {least}'
             raise NotSent(Reason.VERSION_MISMATCH, detail)
 
-    def _check_waiting(self, job: Job, attempt: Attempt, version: int | None) -> None:
-        """
-        :raises SendFailed: if the back end will not begin the request soon.
-
-        """
-        now = self.env.monotonic()
-        engine = job.wanted.engine
-        if engine is not None and version is not None:
-            ends = self.admission.versions.ends_at(engine.model, version)
-            if ends is not None and now > ends - HEAD_POLL_S:
-                detail = f'version {version} ends before the request began'
-                raise SendFailed(Reason.VERSION_MISMATCH, Verdict.MAY_HAVE_RUN, detail)
-        for server in attempt.choice.servers:
-            if server.replaced:
-                detail = f'{server.instance} has started again'
-                raise SendFailed(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, detail)
-            if server.changing:
-                detail = 'the engine changes its weights first'
-                raise SendFailed(Reason.NOT_SERVABLE, Verdict.MAY_HAVE_RUN, detail)
-
-    def _check_silence(self, job: Job, attempt: Attempt, connection: ServerConnection) -> None:
-        """
-        :raises SendFailed: if nothing came for too long from the back end, or on
-            this connection while the back end answers later requests.
-
-        """
-        now = self.env.monotonic()
-        server = attempt.server
-        silent_s = now - max(attempt.began, server.heard_at)
-        if server.answered_since(job.urgency, attempt.began + OVERTAKEN_S):
-            silent_s = now - attempt.began
-        if silent_s > SILENT_SERVER_S:
-            connection.lost = True
-            detail = f'nothing from the server for {silent_s:.1f} s'
-            raise SendFailed(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, detail)
-
     async def _exchange(
         self, job: Job, attempt: Attempt, connection: ServerConnection
     ) -> float | None:
@@ -375,7 +313,7 @@
         headers = self.adapter.forward(request, orders)
         self._note_version(job, version)
         await connection.send(request.method, request.path, headers, request.body)
-        await self._read_head(job, attempt, connection, version)
+        await self.waiting.read_head(job, attempt, connection, version)
         server.heard_at = self.env.monotonic()
         server.note_answered(job.urgency, attempt.began)
         head = self.adapter.read_answer(connection.status, connection.headers)
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -40,7 +40,7 @@
         'tests/test_forwarding.py::test_a_connection_that_went_silent_beside_others_that_work_is_left',
         (
             Edit(
-                D + 'proxy/forwarding.py',
+                D + 'proxy/waiting.py',
                 'if server.answered_since(job.urgency, attempt.began + OVERTAKEN_S):',
                 'if False:',
             ),
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -16,8 +16,10 @@
 from millfork_scheduling.placement import Choice, Wanted
 from millfork_scheduling.server import Server
 from millforkd.proxy.connections import SendFailed
-from millforkd.proxy.forwarding import OVERTAKEN_S, SILENT_SERVER_S, Forwarding
+from millforkd.proxy.forwarding import Forwarding
 from millforkd.proxy.job import Attempt, Failed, Job
+from millforkd.proxy.waiting import OVERTAKEN_S, SILENT_SERVER_S
+from millforkd.proxy.waiting import Waiting as ProxyWaiting
 from tests.test_servers import ENGINE, Clock
 
 LONG_S = SILENT_SERVER_S + 0.1
@@ -32,14 +34,14 @@
     def __init__(self, urgency=5):
         self.clock = Clock()
         env = Environment(InstanceId('a:1'), ZoneId('z1'), monotonic=self.clock)
-        self.forwarding = Forwarding(env, None, None, None, None, None)
+        self.waiting = ProxyWaiting(env, None)
         self.server = Server(InstanceId('i-1'), ServiceName('s'), '10.0.0.1', 80, ZoneId('z1'), 16)
         self.job = SimpleNamespace(urgency=urgency)
         self.attempt = Attempt(Choice(self.server), self.clock.now)
         self.connection = SimpleNamespace(lost=False)
 
     def check(self):
-        self.forwarding._check_silence(self.job, self.attempt, self.connection)
+        self.waiting.check_silence(self.job, self.attempt, self.connection)
 
     def answers(self, sent_later_s, urgency=5):
         """
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -7,6 +7,7 @@
 """
 
 from random import Random
+from types import SimpleNamespace
 
 import curio
 import msgspec
@@ -29,9 +30,12 @@
 from millfork_registry.registry import Change, Registry
 from millfork_registry.roles import REPLICA_ROLE
 from millfork_scheduling.book import ServerBook
-from millfork_scheduling.placement import Wanted
+from millfork_scheduling.placement import Choice, Wanted
 from millforkd.beside.expiry import Expiry
 from millforkd.beside.pieces import WeightsId
+from millforkd.proxy.connections import SendFailed
+from millforkd.proxy.job import Attempt
+from millforkd.proxy.waiting import Waiting
 from tests.test_registry import HEARTBEAT_S, LEASE_S, Clock, state_of
 from tests.test_rollouts import Engines
 from tests.test_servers import ENGINE
@@ -149,6 +153,18 @@
     assert book.choose(Wanted(ServiceName('s'), ENGINE), set()) is None
 
 
+def test_a_request_that_waits_at_an_earlier_incarnation_is_taken_back(clock):
+    book = ServerBook(ZoneId('z1'), Random(1), clock)
+    book.take_leases([lease(FIRST, 9)])
+    attempt = Attempt(Choice(book.servers['i-1']), clock.now)
+    job = SimpleNamespace(wanted=Wanted(ServiceName('s')))
+    waiting = Waiting(Environment(InstanceId('a:1'), ZoneId('z1'), monotonic=clock), None)
+    waiting.check_engine(job, attempt, None)
+    book.take_leases([lease(SECOND, 1)])
+    with pytest.raises(SendFailed):
+        waiting.check_engine(job, attempt, None)
+
+
 # The daemon beside an engine.
 
 
