--- a/packages/millfork-scheduling/millfork_scheduling/reporting.py
+++ b/packages/millfork-scheduling/millfork_scheduling/reporting.py
@@ -28,12 +28,12 @@
 ROWS_PER_S: Final = 1200.0
 
 
-def report_interval_s(daemons: int) -> float:
+def report_interval_s(daemons: int, same_zone: bool) -> float:
     """
     Between two reports of one daemon, of so many that report to the same replica.
 
     """
-    return _within(daemons / REPORTS_PER_S)
+    return _within(daemons / REPORTS_PER_S) if same_zone else USUAL_S
 
 
 def feed_interval_s(rows: int, same_zone: bool) -> float:
--- a/packages/millfork-standins/millfork_standins/bench/routing.py
+++ b/packages/millfork-standins/millfork_standins/bench/routing.py
@@ -169,7 +169,7 @@
         # Between two reports of an engine, and two messages of a replica to its zone.
         self.report_s = self.feed_s = USUAL_S
         if tells_zones_sooner:
-            self.report_s = report_interval_s(-(-shape.engines // shape.zones))
+            self.report_s = report_interval_s(-(-shape.engines // shape.zones), same_zone=True)
             self.feed_s = feed_interval_s(shape.engines, same_zone=True)
         self.rate = rate
         self.random = Random(seed)
--- a/packages/millforkd/millforkd/beside/daemon.py
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -190,15 +190,14 @@
                 log.notice('The engine {}.', 'is silent' if report is None else 'answers')
             self.rollout.take_report(report)
             await self._report()
-            await curio.sleep(report_interval_s(self._reporting_alike()))
+            await curio.sleep(self._interval_s())
 
-    def _reporting_alike(self) -> int:
-        """
-        The daemons that report where this one does: those of its zone.
-
-        """
+    def _interval_s(self) -> float:
         zone = str(self.env.zone)
-        return sum(state.zone == zone for state in self.registry.endpoints.values())
+        # The daemons of a zone report to the same replica.
+        alike = sum(state.zone == zone for state in self.registry.endpoints.values())
+        told_in = self.discovery.zone_of(str(self.following.source))
+        return report_interval_s(alike, same_zone=told_in == zone)
 
     async def _report(self) -> None:
         """
--- a/tests/test_routing_model.py
+++ b/tests/test_routing_model.py
@@ -108,8 +108,9 @@
 
 
 def test_what_reports_cost_does_not_grow_with_the_fleet():
-    assert report_interval_s(12) == LEAST_S
-    assert report_interval_s(255) == USUAL_S
+    assert report_interval_s(12, same_zone=True) == LEAST_S
+    assert report_interval_s(255, same_zone=True) == USUAL_S
+    assert report_interval_s(12, same_zone=False) == USUAL_S
     assert feed_interval_s(60, same_zone=True) == LEAST_S
     assert feed_interval_s(60, same_zone=False) == USUAL_S
     assert feed_interval_s(2800, same_zone=True) == USUAL_S
