--- a/packages/millfork-registry/millfork_registry/followers.py
+++ b/packages/millfork-registry/millfork_registry/followers.py
@@ -6,13 +6,11 @@
 
 """
 
-from collections.abc import Callable
 from typing import Final
 
 import curio
 
 from millfork_core.environment import Environment
-from millfork_core.ids import ClusterId, Revision
 from millfork_core.logs import Part, logger
 from millfork_core.windows import MostLately
 from millfork_registry.records import encode_records
@@ -22,7 +20,8 @@
 from millfork_wire.connection import Connection, PeerLost
 from millfork_wire.messages import CacheAddress, Follow, Leases
 
-# A follower goes elsewhere after several of these without a word.
+# A follower goes elsewhere after several of these without a word. Entries hear
+# of the engines' load as often.
 HEARTBEAT_S: Final = 0.15
 # Changes within this time leave in one message.
 GATHER_S: Final = 0.02
@@ -33,14 +32,6 @@
 log = logger(Part.REGISTRY)
 
 
-def at_heartbeats(rows: int, same_zone: bool) -> float:
-    """
-    The pace of followers that need no word on load between two heartbeats.
-
-    """
-    return HEARTBEAT_S
-
-
 class Follower:
     """
     One process that follows this replica.
@@ -55,9 +46,6 @@
         self.endpoint_version = 0
         self.sent_full = False
         self.replaced = False
-        # When it was last told of the configuration, and the mark of that.
-        self.updated_at = float('-inf')
-        self.updated_mark: tuple[ClusterId, Revision] | None = None
 
     @property
     def active(self) -> bool:
@@ -70,16 +58,8 @@
 
     """
 
-    def __init__(
-        self,
-        env: Environment,
-        replica: Replica,
-        registry: Registry,
-        pace: Callable[[int, bool], float] = at_heartbeats,
-    ) -> None:
+    def __init__(self, env: Environment, replica: Replica, registry: Registry) -> None:
         self.env = env
-        # Seconds between two messages of so many rows, to a follower of this zone or not.
-        self.pace = pace
         self.replica = replica
         self.registry = registry
         self.rows: dict[str, Follower] = {}
@@ -150,7 +130,7 @@
         try:
             while follower.active:
                 follower.wake.clear()
-                if self._wants_update(follower):
+                if follower.role != REPLICA_ROLE:
                     update = self.replica.view.update_since(cluster, revision)
                     update.age_ms = self.replica.age_ms()
                     cluster, revision = update.cluster, update.revision
@@ -164,36 +144,9 @@
                 del self.rows[follower.connection.peer]
                 log.info('Follower {} is gone. role={}', follower.connection.peer, follower.role)
 
-    def _wants_update(self, follower: Follower) -> bool:
-        """
-        Whether to tell of the configuration: it changed, or its age is to be told. Between
-        two heartbeats an entry hears only of its engines' load.
-
-        """
-        if follower.role == REPLICA_ROLE:
-            return False
-        now = self.env.monotonic()
-        mark = self.replica.view.mark
-        is_due = now - follower.updated_at >= HEARTBEAT_S - GATHER_S
-        if mark == follower.updated_mark and not is_due:
-            return False
-        follower.updated_at = now
-        follower.updated_mark = mark
-        return True
-
-    def interval_s(self, follower: Follower) -> float:
-        """
-        Between two messages to a follower that nothing new is to be told of but load.
-
-        """
-        if follower.role != ENTRY_ROLE:
-            return HEARTBEAT_S
-        same_zone = follower.connection.hello.zone == str(self.env.zone)
-        return self.pace(len(self.registry.endpoints), same_zone)
-
     async def _pause(self, follower: Follower) -> None:
         try:
-            async with curio.timeout_after(self.interval_s(follower)):
+            async with curio.timeout_after(HEARTBEAT_S):
                 await follower.wake.wait()
             await curio.sleep(GATHER_S)
         except curio.TaskTimeout:
--- a/packages/millforkd/millforkd/beside/daemon.py
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -16,7 +16,6 @@
 from millfork_registry.records import EndpointState, HeldVersion, ServedVersion
 from millfork_registry.roles import ENDPOINT_ROLE
 from millfork_routing.documents import Document, EngineFigures
-from millfork_scheduling.reporting import report_interval_s
 from millfork_settings.seeded import SeededSettings, socket_pair
 from millfork_web.client import Client
 from millfork_weights.links import Link
@@ -44,6 +43,8 @@
 from millforkd.seeded import feed_for
 from millforkd.versions import UNTOLD_MS, Versions, never_leads
 
+# A server takes and ends about two requests in this time.
+REPORT_EVERY_S: Final = 0.15
 REPORT_TIMEOUT_S: Final = 0.5
 # Of the link, for transfers; the rest is for the engine's requests and answers,
 # which take about 3% of 3.65 Mbit/s at full load.
@@ -190,14 +191,7 @@
                 log.notice('The engine {}.', 'is silent' if report is None else 'answers')
             self.rollout.take_report(report)
             await self._report()
-            await curio.sleep(self._interval_s())
-
-    def _interval_s(self) -> float:
-        zone = str(self.env.zone)
-        # The daemons of a zone report to the same replica.
-        alike = sum(state.zone == zone for state in self.registry.endpoints.values())
-        told_in = self.discovery.zone_of(str(self.following.source))
-        return report_interval_s(alike, same_zone=told_in == zone)
+            await curio.sleep(REPORT_EVERY_S)
 
     async def _report(self) -> None:
         """
--- a/packages/millforkd/millforkd/replica/daemon.py
+++ b/packages/millforkd/millforkd/replica/daemon.py
@@ -16,7 +16,6 @@
 from millfork_registry.followers import Followers
 from millfork_registry.records import decode_state
 from millfork_registry.registry import Change, Registry
-from millfork_scheduling.reporting import feed_interval_s
 from millfork_settings.seeded import SeededSettings, socket_pair
 from millfork_state.answers import StateAnswers
 from millfork_state.formation import Seeds
@@ -79,7 +78,7 @@
             self.replica.learn_address(address)
         self.answers = StateAnswers(self.node)
         self.registry = Registry(env, heartbeat_s)
-        self.followers = Followers(env, self.replica, self.registry, feed_interval_s)
+        self.followers = Followers(env, self.replica, self.registry)
         self.mesh = Mesh(
             env,
             self.peers,
