--- a/packages/millfork-registry/millfork_registry/records.py
+++ b/packages/millfork-registry/millfork_registry/records.py
@@ -160,18 +160,17 @@
 
     def says_more_than(self, older: 'EndpointState | None') -> bool:
         """
-        Whether this should reach others without delay: load may wait.
+        Whether this should reach others without delay: load may wait, and how far a
+        version has come. Told at once, each piece that came made a replica wake all its
+        followers, in other regions too, up to 50 times a second while weights change.
 
         """
-        if older is None:
-            return True
-        return (self.reachable, self.served, self.held, self.changing_to, self.goal) != (
-            older.reachable,
-            older.served,
-            older.held,
-            older.changing_to,
-            older.goal,
-        )
+        return older is None or self._news != older._news
+
+    @property
+    def _news(self) -> tuple[object, ...]:
+        held = {(item.model, item.version) for item in self.held}
+        return (self.reachable, self.served, held, self.changing_to, self.goal)
 
 
 _LEASES = msgspec.msgpack.Decoder(list[Lease])
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -474,4 +474,15 @@
             ),
         ),
     ),
+    Mutation(
+        'how far a version has come wakes nobody',
+        'tests/test_registry.py',
+        (
+            Edit(
+                G + 'records.py',
+                'held = {(item.model, item.version) for item in self.held}',
+                'held = self.held',
+            ),
+        ),
+    ),
 )
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -12,6 +12,7 @@
 from millfork_core.ids import InstanceId, ZoneId
 from millfork_registry.records import (
     EndpointState,
+    HeldVersion,
     Lease,
     LeaseState,
     decode_leases,
@@ -149,6 +150,21 @@
     assert registry.take_endpoint(state) is Change.NONE
 
 
+def test_how_far_a_version_has_come_may_wait_in_an_endpoint_report(registry):
+    """
+    While weights change each daemon holds another piece every 0.05 s: told at once, a
+    replica sends to each of its followers as often as it can.
+
+    """
+    first = EndpointState('e:1', 'service', 'zone', '10.0.0.1', 80, 1, reachable=True)
+    registry.take_endpoint(first)
+    begun = msgspec.structs.replace(first, sequence=2, held=(HeldVersion('m', 2, 0, 3),))
+    assert registry.take_endpoint(begun) is Change.CHANGED
+    further = msgspec.structs.replace(first, sequence=3, held=(HeldVersion('m', 2, 0, 9),))
+    assert registry.take_endpoint(further) is Change.RENEWED
+    assert registry.endpoints.since(registry.endpoints.version - 1) == [further]
+
+
 def test_leases_go_over_the_wire_as_they_are():
     records = [lease('i-1'), lease('i-2', state=LeaseState.GONE)]
     assert decode_leases(encode_records(records)) == records
