--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -410,7 +410,7 @@
     ),
     Mutation(
         'numbers from outside are believed within limits',
-        'tests/test_foreign_messages.py',
+        'tests/test_platform_foreign_messages.py',
         (
             Edit(
                 'platform/millfork_platform/numbers.py',
@@ -421,7 +421,7 @@
     ),
     Mutation(
         'a heartbeat of a service that is not declared is refused',
-        'tests/test_foreign_messages.py',
+        'tests/test_platform_foreign_messages.py',
         (
             Edit(
                 D + 'replica/control.py',
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -180,7 +180,7 @@
         rollout.lying = WeightsId('m', 2)
         expiry = Expiry(rollout.env, rollout.engine, rollout.store, rollout)
         expiry.emptied_for = (rollout.incarnation, 2)
-        target = msgspec_target(rollout)
+        target = ended_target(rollout)
         assert not expiry._has_ended(target)
         rollout.take_report(None)
         rollout.take_report(engine_report(SECOND))
@@ -190,7 +190,7 @@
     curio.run(run)
 
 
-def msgspec_target(rollout):
+def ended_target(rollout):
     """
     The rollout's target, whose version before it has ended.
 
