--- a/packages/millfork-core/millfork_core/windows.py
+++ b/packages/millfork-core/millfork_core/windows.py
@@ -4,6 +4,12 @@
 """
 
 from collections import deque
+from typing import Final
+
+# Entries count for so long after they were last seen, in seconds, at replicas and at each
+# other (there: of touch with a majority of the replicas): a zone's machines come back within
+# minutes of a loss of power, and regions lose each other for as long.
+ENTRIES_REMEMBERED_S: Final = 600.0
 
 
 class MostLately:
--- a/packages/millfork-registry/millfork_registry/followers.py
+++ b/packages/millfork-registry/millfork_registry/followers.py
@@ -12,7 +12,7 @@
 
 from millfork_core.environment import Environment
 from millfork_core.logs import Part, logger
-from millfork_core.windows import MostLately
+from millfork_core.windows import ENTRIES_REMEMBERED_S, MostLately
 from millfork_registry.records import encode_records
 from millfork_registry.registry import Registry
 from millfork_registry.roles import ENTRY_ROLE, REPLICA_ROLE
@@ -25,8 +25,6 @@
 HEARTBEAT_S: Final = 0.15
 # Changes within this time leave in one message.
 GATHER_S: Final = 0.02
-# As long as entries remember each other: regions lose each other for minutes.
-ENTRIES_REMEMBERED_S: Final = 600.0
 
 
 log = logger(Part.REGISTRY)
--- a/packages/millfork-routing/millfork_routing/budget.py
+++ b/packages/millfork-routing/millfork_routing/budget.py
@@ -25,7 +25,7 @@
 from typing import Final
 
 from millfork_core.ids import ServiceName
-from millfork_core.windows import MostLately
+from millfork_core.windows import ENTRIES_REMEMBERED_S, MostLately
 
 # Of the whole budget; the rest is for entries that were just added, and for sends that
 # reach their back end later than others, within one window.
@@ -33,9 +33,6 @@
 # Of the ratio, in a process's first window: the one before it may have spent the share
 # above in the same window, and both together are less than the whole.
 FIRST_SHARE: Final = 0.2
-# Entries count for so long after they were last seen, in seconds of touch with a majority
-# of the replicas: a zone's machines come back within minutes of a loss of power.
-ENTRIES_REMEMBERED_S: Final = 600.0
 
 
 @dataclass(slots=True)
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -174,7 +174,7 @@
             self._take_document()
             if self.view.cluster:
                 self.versions.refresh()
-            # Loads change twenty times a second, leases seldom.
+            # Loads change with each message of the feed, leases seldom.
             if self.registry.leases.version != self.leases_taken:
                 self.leases_taken = self.registry.leases.version
                 # A back end that is new here may have been reported on before.
--- a/tests/test_repeat_budget_in_cuts.py
+++ b/tests/test_repeat_budget_in_cuts.py
@@ -6,10 +6,10 @@
 
 from types import SimpleNamespace
 
+from millfork_core.windows import ENTRIES_REMEMBERED_S
 from millfork_registry.followers import Follower, Followers
 from millfork_registry.registry import Registry
 from millfork_registry.roles import ENTRY_ROLE
-from millfork_routing.budget import ENTRIES_REMEMBERED_S
 from tests.test_repeat_budget import ENTRIES, RATIO, SERVICE, SLACK, TICK_S, WINDOW_S, Fleet
 from tests.test_servers import Clock
 
