Sight: what a request says, and under which requests a back end ended, in the entries' logs

No decision changes. Attempts that broke off name the request's fingerprint, a keyed hash of caller, path and body; a back end whose address refuses connections after answers broke off is logged with the fingerprints of all that this entry had there.

--- a/packages/millfork-core/millfork_core/ids.py
+++ b/packages/millfork-core/millfork_core/ids.py
@@ -13,6 +13,8 @@
 ClusterId = NewType('ClusterId', str)
 DiskId = NewType('DiskId', str)
 Digest = NewType('Digest', str)
+# What a request says and who says it, as a keyed hash in hex: the same for each try of it.
+Fingerprint = NewType('Fingerprint', str)
 Revision = NewType('Revision', int)
 Term = NewType('Term', int)
 LogIndex = NewType('LogIndex', int)
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -32,8 +32,9 @@
 from millforkd.proxy.admission import Admission
 from millforkd.proxy.cache import PieceCache
 from millforkd.proxy.connections import Pools
+from millforkd.proxy.fingerprints import Fingerprints
 from millforkd.proxy.forwarding import Forwarding
-from millforkd.seeded import feed_for
+from millforkd.seeded import feed_for, fleet_key
 from millforkd.versions import UNTOLD_MS, Versions, never_leads
 
 # The balancer asks each second and needs two misses to look away.
@@ -88,7 +89,13 @@
             lambda: self.following.connected,
         )
         self.forwarding = Forwarding(
-            env, adapter, self.admission, self.book, self.pools, self.budget
+            env,
+            adapter,
+            self.admission,
+            self.book,
+            self.pools,
+            self.budget,
+            Fingerprints(fleet_key(settings), lambda: self.view.cluster),
         )
         self.document: Document | None = None
         origin = Origin(env, adapter, str(settings.address), lambda: origin_in(self.document))
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -22,6 +22,8 @@
 from millforkd.proxy.admission import Admission
 from millforkd.proxy.connections import Pools, SendFailed, ServerConnection
 from millforkd.proxy.endings import Endings
+from millforkd.proxy.ends import Ends
+from millforkd.proxy.fingerprints import Fingerprints
 from millforkd.proxy.job import Attempt, Failed, Job
 from millforkd.proxy.relaying import Relaying
 from millforkd.proxy.waiting import Waiting
@@ -61,6 +63,7 @@
         book: ServerBook,
         pools: Pools,
         budget: SharedBudget,
+        fingerprints: Fingerprints,
     ) -> None:
         self.env = env
         self.adapter = adapter
@@ -68,6 +71,8 @@
         self.book = book
         self.pools = pools
         self.budget = budget
+        self.fingerprints = fingerprints
+        self.ends = Ends(env)
         self.relaying = Relaying(env, adapter, book)
         self.waiting = Waiting(env, admission)
         self.endings = Endings(env, adapter)
@@ -172,13 +177,15 @@
             job.failures.append(failed)
             self.env.metrics.retried(failed.reason)
             log.info(
-                'Attempt failed. id={} server={} reason={} verdict={} detail={} ms={:.0f}',
+                'Attempt failed. id={} server={} reason={} verdict={} detail={} ms={:.0f} '
+                'fingerprint={}',
                 job.caller.request_id,
                 server.instance,
                 failed.reason.value,
                 failed.verdict.value,
                 failed.detail,
                 (self.env.monotonic() - job.began) * 1000,
+                job.fingerprint or '',
             )
 
     def _barred(self, job: Job) -> Refusal | None:
@@ -235,6 +242,7 @@
         except NotSent as error:
             return Failed(error.reason, error.verdict, error.detail, sent=False)
         except SendFailed as error:
+            await self._note_broken(job, choice, error)
             return self._failed(job, choice, error.reason, error.verdict, error.detail)
         except curio.TaskTimeout:
             verdict = Verdict.NOT_RUN if connection is None else Verdict.MAY_HAVE_RUN
@@ -244,6 +252,12 @@
             if connection is not None:
                 await pool.give_back(connection, keep_s)
 
+    async def _note_broken(self, job: Job, choice: Choice, error: SendFailed) -> None:
+        if error.verdict is Verdict.NOT_RUN or error.reason not in BROKEN:
+            return
+        for server in choice.servers:
+            await self.ends.note_broken(server, self.fingerprints.of(job))
+
     def _failed(
         self, job: Job, choice: Choice, reason: Reason, verdict: Verdict, detail: str
     ) -> Failed:
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from millfork_adapter.exchange import CallerRequest
-from millfork_core.ids import InstanceId
+from millfork_core.ids import Fingerprint, InstanceId
 from millfork_core.verdicts import Reason, Verdict
 from millfork_routing.documents import Organisation, Route
 from millfork_scheduling.admission import NO_PROSPECT, Prospect
@@ -114,6 +114,8 @@
     last_event: int | None = None
     started: bool = False
     caller_gone: bool = False
+    # What it says, once somebody asked.
+    fingerprint: Fingerprint | None = None
 
     @property
     def urgency(self) -> int | None:
--- a/packages/millforkd/millforkd/seeded.py
+++ b/packages/millforkd/millforkd/seeded.py
@@ -22,18 +22,26 @@
 PRIVATE_NETWORK_KEY: Final = b'millfork private network'
 
 
+def fleet_key(settings: SeededSettings) -> bytes:
+    """
+    The secret that the daemons of a fleet share.
+
+    """
+    key_file = settings.fleet_key_file
+    return read_secret(key_file) if key_file is not None else PRIVATE_NETWORK_KEY
+
+
 def peers_for(env: Environment, settings: SeededSettings, handler: Handler) -> Peers:
     """
     The connections of a seeded daemon.
 
     """
-    key_file = settings.fleet_key_file
     return Peers(
         env,
         settings.role.value,
         str(settings.address),
         settings.ports.wire,
-        read_secret(key_file) if key_file is not None else PRIVATE_NETWORK_KEY,
+        fleet_key(settings),
         handler,
         closes_silent=True,
     )
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -8,6 +8,7 @@
 import curio
 import pytest
 
+from millfork_adapter.exchange import CallerRequest
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ServiceName, ZoneId
 from millfork_core.verdicts import Reason, Verdict
@@ -16,6 +17,7 @@
 from millfork_scheduling.placement import Choice, Wanted
 from millfork_scheduling.server import Server
 from millforkd.proxy.connections import SendFailed
+from millforkd.proxy.fingerprints import Fingerprints
 from millforkd.proxy.forwarding import Forwarding
 from millforkd.proxy.job import Attempt, Failed, Job
 from millforkd.proxy.waiting import OVERTAKEN_S, SILENT_SERVER_S
@@ -122,12 +124,15 @@
         adapter = SimpleNamespace(forward=lambda request, orders: [])
         book = SimpleNamespace(choose=self.choose)
         pools = SimpleNamespace(of=self.pool_of)
-        self.forwarding = Forwarding(env, adapter, admission, book, pools, self.budget)
+        fingerprints = Fingerprints(b'key', lambda: 'cluster')
+        self.forwarding = Forwarding(
+            env, adapter, admission, book, pools, self.budget, fingerprints
+        )
         route = SimpleNamespace(repeatable=False, max_attempts=2)
         exchange = SimpleNamespace(
             request=SimpleNamespace(method='POST', path='/', headers=[], body=b'')
         )
-        caller = SimpleNamespace(request_id='id', last_event_id=None)
+        caller = CallerRequest('id', 'h.example', '/')
         now = self.clock.now
         self.job = Job(
             exchange, caller, route, None, Wanted(ServiceName('s'), ENGINE), 1, now, now + 6.0, 1
