--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -18,7 +18,7 @@
 from http.client import HTTPConnection, HTTPException
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 from millfork_platform import standins
 from millfork_platform.templates import Place, settings_text
@@ -36,6 +36,8 @@
 HEARTBEAT_S: Final = 0.3
 BOUND_S: Final = 20.0
 CALL_TIMEOUT_S: Final = 5.0
+# A request that says this ends each back end that runs it.
+CRASHING_BODY: Final = b'this ends the back end that runs it'
 
 
 @dataclass(slots=True)
@@ -79,8 +81,12 @@
         self._answer()
 
     def _answer(self) -> None:
-        self.rfile.read(int(self.headers.get('content-length', 0)))
+        asked = self.rfile.read(int(self.headers.get('content-length', 0)))
         self.server.executed.append({key.lower(): value for key, value in self.headers.items()})
+        if asked == CRASHING_BODY:
+            self.close_connection = True
+            self.server.crash()
+            return
         if self.server.breaks_off:
             self.close_connection = True
             self.connection.shutdown(socket.SHUT_RDWR)
@@ -121,9 +127,35 @@
         self.release = threading.Event()
         self.release.set()
         self.ended = threading.Event()
+        self.open: set[socket.socket] = set()
         threading.Thread(target=self.serve_forever, daemon=True).start()
         threading.Thread(target=self._beat, daemon=True).start()
 
+    def get_request(self) -> tuple[socket.socket, Any]:
+        """
+        Take a connection, and remember it.
+
+        """
+        sock, address = super().get_request()
+        self.open.add(sock)
+        return sock, address
+
+    def crash(self) -> None:
+        """
+        End as a process does: all connections and the address at once, and no word to
+        anyone.
+
+        """
+        self.ended.set()
+        self.socket.close()
+        for sock in list(self.open):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                # Its caller closed it before.
+                continue
+        threading.Thread(target=self.shutdown, daemon=True).start()
+
     def _lease(self) -> Lease:
         host, port = self.advertised or (str(self.server_address[0]), int(self.server_address[1]))
         self.sequence += 1
--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,72 @@
+"""
+A request may end each back end that runs it, and its callers send it again: with another
+id, to any entry. Nothing counted ends by what a request says, so each try was a new
+request and ended as many back ends as its route allows sends. On a fleet of six engines
+one such request ended ten of them within 14 s, another 14 within 10 s, and the answers of
+up to 17 other callers broke off with each:
+
+    46.0074 Attempt failed. server=i-4971819193 reason=truncated verdict=may_have_run
+    46.0136 Attempt failed. server=i-4971819193 reason=truncated verdict=may_have_run
+
+Once a request has ended three back ends, and a moment has passed in which all entries hear
+of it, at most three more sends may come of it.
+
+"""
+
+import itertools
+
+import pytest
+
+from millfork_standins.seeded import CRASHING_BODY, SeededFleet
+from tests.test_seeded_fleet import document, request
+from tests.test_version_ends import pass_time
+from tests.utils.fleets import wait_until
+
+TRIES = 8
+ENDS = 3
+MOST_AFTER = 3
+# Within this all entries have to hear of it.
+HEARD_S = 3.0
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    made = SeededFleet(tmp_path, entries=2)
+    try:
+        made.start()
+        for number in range(2 * TRIES + 4):
+            made.add_back_end('plain', f'i-{number}')
+        assert made.put(document(1, '/safe/')).status == 200
+        for entry in (0, 1):
+            wait_until(lambda entry=entry: made.ask(request('/safe/x'), entry).status == 200)
+        yield made
+    finally:
+        made.close()
+
+
+def crashing(path='/safe/x'):
+    return request(path, 'POST', body=CRASHING_BODY)
+
+
+def end_three(fleet):
+    """
+    Callers come back to one entry after the other until three back ends have ended.
+
+    """
+    entries = itertools.cycle((0, 1))
+    wait_until(lambda: ended(fleet) >= ENDS or fleet.ask(crashing(), next(entries)) is None)
+
+
+def ended(fleet):
+    return sum(back_end.ended.is_set() for back_end in fleet.back_ends)
+
+
+def test_a_request_that_ends_back_ends_is_sent_no_more_by_any_entry(fleet):
+    end_three(fleet)
+    pass_time(HEARD_S)
+    before = ended(fleet)
+    replies = [fleet.ask(crashing(), number % 2) for number in range(TRIES)]
+    assert ended(fleet) - before <= MOST_AFTER
+    assert {reply.status for reply in replies} == {502}
+    for entry in (0, 1):
+        assert fleet.ask(request('/safe/x', 'POST', body=b'another'), entry).status == 200
