A request that ends back ends is sent no more, by any entry

Cause: nothing counted ends by what a request says. Each try of the same request, with a new id and at any entry, was a new one and ended as many back ends as its route allows sends. Ruled out: more sends within a try than the route allows (three at most by id), entries out of touch or started anew (neither in the logs).

Change: an entry proves an end by the address that refuses connections, and counts it for the fingerprints that it had there; entries and replicas join what they know by way of the feed. A request that ended three back ends one after another is refused, finally and at once (502, quarantined); the leader writes the verdict into the replicated state, so that it outlives a loss of power. An answer that comes whole clears a request.

--- a/packages/millfork-core/millfork_core/verdicts.py
+++ b/packages/millfork-core/millfork_core/verdicts.py
@@ -44,6 +44,7 @@
     TRUNCATED = 'truncated'
     EXPIRED = 'expired'
     RETRY_BUDGET = 'retry_budget'
+    QUARANTINED = 'quarantined'
     KEY_IN_PROGRESS = 'key_in_progress'
     KEY_REUSED = 'key_reused'
     KEY_MAY_HAVE_RUN = 'key_may_have_run'
@@ -71,6 +72,7 @@
     Reason.CONNECTION_LOST: 502,
     Reason.BACKEND_FAILED: 502,
     Reason.TRUNCATED: 502,
+    Reason.QUARANTINED: 502,
     Reason.VERSION_MISMATCH: 502,
 }
 DEFAULT_HTTP_STATUS: Final = 503
--- a/packages/millfork-registry/millfork_registry/followers.py
+++ b/packages/millfork-registry/millfork_registry/followers.py
@@ -16,6 +16,7 @@
 from millfork_registry.records import encode_records
 from millfork_registry.registry import Registry
 from millfork_registry.roles import ENTRY_ROLE, REPLICA_ROLE
+from millfork_registry.suspects import encode_suspicions
 from millfork_state.replica import Replica
 from millfork_wire.connection import Connection, PeerLost
 from millfork_wire.messages import CacheAddress, Follow, Leases
@@ -25,6 +26,7 @@
 HEARTBEAT_S: Final = 0.15
 # Changes within this time leave in one message.
 GATHER_S: Final = 0.02
+TOLD_OF_SUSPECTS: Final = (ENTRY_ROLE, REPLICA_ROLE)
 
 
 log = logger(Part.REGISTRY)
@@ -42,6 +44,7 @@
         self.wake = curio.Event()
         self.lease_version = 0
         self.endpoint_version = 0
+        self.suspicion_version = 0
         self.sent_full = False
         self.replaced = False
 
@@ -159,6 +162,7 @@
         registry = self.registry
         leases = registry.leases.since(follower.lease_version)
         endpoints = registry.endpoints.since(follower.endpoint_version)
+        suspicions = registry.suspects.table.since(follower.suspicion_version)
         full = not follower.sent_full
         if follower.role == REPLICA_ROLE and not full:
             own = str(self.env.instance)
@@ -166,6 +170,7 @@
             endpoints = [state for state in endpoints if state.owner == own]
         follower.lease_version = registry.leases.version
         follower.endpoint_version = registry.endpoints.version
+        follower.suspicion_version = registry.suspects.table.version
         follower.sent_full = True
         return Leases(
             full,
@@ -174,4 +179,6 @@
             encode_records(leases) if leases else b'',
             encode_records(endpoints) if endpoints else b'',
             self.most_entries.note(self.entries, self.env.monotonic()),
+            # An endpoint daemon sends nobody anything, and its link is narrow.
+            encode_suspicions(suspicions if follower.role in TOLD_OF_SUSPECTS else []),
         )
--- a/packages/millfork-registry/millfork_registry/following.py
+++ b/packages/millfork-registry/millfork_registry/following.py
@@ -17,6 +17,7 @@
 from millfork_registry.discovery import Discovery
 from millfork_registry.records import decode_leases, decode_states
 from millfork_registry.registry import Registry
+from millfork_registry.suspects import decode_suspicions
 from millfork_registry.switch_ends import SwitchEnds
 from millfork_state.commands import decode_versioned
 from millfork_state.keys import VERSION_PREFIX
@@ -286,6 +287,7 @@
         try:
             leases = decode_leases(message.leases)
             endpoints = decode_states(message.reports)
+            suspicions = decode_suspicions(message.suspicions)
         except msgspec.DecodeError as error:
             log.warning('Leases from {} can not be read: {}.', peer, error)
             return
@@ -293,6 +295,7 @@
             self.registry.take(lease)
         for state in endpoints:
             self.registry.take_endpoint(state)
+        await self.registry.suspects.hear(suspicions)
         if message.full and message.settled:
             self.registry.settled = True
             self.registry.keep_only(
--- a/packages/millfork-registry/millfork_registry/registry.py
+++ b/packages/millfork-registry/millfork_registry/registry.py
@@ -17,6 +17,7 @@
 from millfork_core.ids import UNTOLD_INCARNATION, Incarnation
 from millfork_core.logs import Part, logger
 from millfork_registry.records import EndpointState, Lease, LeaseState
+from millfork_registry.suspects import Suspects
 from millfork_registry.table import Table
 
 # A lease runs out after this many heartbeats that did not come.
@@ -53,6 +54,7 @@
         self.lease_s = heartbeat_s * MISSED_HEARTBEATS
         self.leases: Table[Lease] = Table()
         self.endpoints: Table[EndpointState] = Table()
+        self.suspects = Suspects(env.monotonic)
         self.heard: dict[str, float] = {}
         self.ended: dict[str, float] = {}
         # The back end that was last known to live at an address.
--- a/packages/millfork-registry/millfork_registry/relaying.py
+++ b/packages/millfork-registry/millfork_registry/relaying.py
@@ -18,6 +18,7 @@
 from millfork_registry.discovery import address_of
 from millfork_registry.following import Following
 from millfork_registry.records import encode_records
+from millfork_registry.suspects import encode_suspicions
 from millfork_wire.connection import Connection, PeerError, PeerLost
 from millfork_wire.messages import AskFeed, FeedSent, Leases, VersionSwitch
 
@@ -90,7 +91,13 @@
     async def _ask(self, name: str) -> bool:
         view = self.following.view
         before = self.versions
-        question = AskFeed(view.cluster, view.revision, before.lease_version, before.report_version)
+        question = AskFeed(
+            view.cluster,
+            view.revision,
+            before.lease_version,
+            before.report_version,
+            before.suspicion_version,
+        )
         # Set first: the feed overtakes the reply.
         self.following.asked_relay = name
         asked_at = self.env.monotonic()
@@ -138,11 +145,13 @@
         update.age_ms = following.age_ms + int((now - following.heard_at) * 1000)
         leases = registry.leases.since(question.lease_version)
         reports = registry.endpoints.since(question.report_version)
+        suspicions = registry.suspects.table.since(question.suspicion_version)
         versions = FeedSent(
             True,
             registry.leases.version,
             registry.endpoints.version,
             self.switches(),
+            registry.suspects.table.version,
         )
         feed = Leases(
             not question.lease_version,
@@ -151,6 +160,7 @@
             encode_records(leases) if leases else b'',
             encode_records(reports) if reports else b'',
             following.most_entries,
+            encode_suspicions(suspicions),
         )
         try:
             await connection.notify(update)
--- a/packages/millfork-wire/millfork_wire/messages.py
+++ b/packages/millfork-wire/millfork_wire/messages.py
@@ -386,6 +386,7 @@
     revision: int = 0
     lease_version: int = 0
     report_version: int = 0
+    suspicion_version: int = 0
 
 
 @dataclass(slots=True)
@@ -401,6 +402,7 @@
     report_version: int = 0
     # The versions named lately, as far as it was told of them.
     switches: list[VersionSwitch] = field(default_factory=list)
+    suspicion_version: int = 0
 
 
 @dataclass(slots=True)
@@ -412,6 +414,8 @@
     leases: bytes = b''
     reports: bytes = b''
     most_entries: int = 0
+    # Requests under which back ends ended.
+    suspicions: bytes = b''
 
 
 @dataclass(slots=True)
@@ -419,6 +423,16 @@
     body: bytes = b''
 
 
+@dataclass(slots=True)
+class SuspicionReport(Message):
+    """
+    Requests under which back ends ended, as an entry knows them.
+
+    """
+
+    body: bytes = b''
+
+
 @dataclass(slots=True)
 class PushChunk(Message):
     manifest: str = ''
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -52,6 +52,7 @@
     pushChunk @45 :PushChunk;
     askFeed @46 :AskFeed;
     feedSent @47 :FeedSent;
+    suspicionReport @48 :SuspicionReport;
   }
 }
 
@@ -118,11 +119,12 @@
 }
 struct CacheAddress { instance @0 :Text; zone @1 :Text; }
 struct Follow { role @0 :Text; cluster @1 :Text; revision @2 :UInt64; }
-struct Leases { full @0 :Bool; settled @1 :Bool; entries @2 :UInt32; leases @3 :Data; reports @4 :Data; mostEntries @5 :UInt32; }
+struct Leases { full @0 :Bool; settled @1 :Bool; entries @2 :UInt32; leases @3 :Data; reports @4 :Data; mostEntries @5 :UInt32; suspicions @6 :Data; }
 struct EndpointReport { body @0 :Data; }
+struct SuspicionReport { body @0 :Data; }
 struct PushChunk { manifest @0 :Text; index @1 :UInt32; data @2 :Data; }
-struct AskFeed { cluster @0 :Text; revision @1 :UInt64; leaseVersion @2 :UInt64; reportVersion @3 :UInt64; }
+struct AskFeed { cluster @0 :Text; revision @1 :UInt64; leaseVersion @2 :UInt64; reportVersion @3 :UInt64; suspicionVersion @4 :UInt64; }
 struct FeedSent {
   ok @0 :Bool; leaseVersion @1 :UInt64; reportVersion @2 :UInt64;
-  switches @3 :List(VersionSwitch);
+  switches @3 :List(VersionSwitch); suspicionVersion @4 :UInt64;
 }
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 import curio
+import msgspec
 
 from millfork_adapter.adapter import Adapter
 from millfork_core.environment import Environment
@@ -15,6 +16,7 @@
 from millfork_core.verdicts import Reason, Refusal
 from millfork_registry.discovery import address_of
 from millfork_registry.roles import ENTRY_ROLE
+from millfork_registry.suspects import decode_suspicions
 from millfork_routing.budget import SharedBudget
 from millfork_routing.documents import Document
 from millfork_routing.routes import RouteTable
@@ -34,6 +36,8 @@
 from millforkd.proxy.connections import Pools
 from millforkd.proxy.fingerprints import Fingerprints
 from millforkd.proxy.forwarding import Forwarding
+from millforkd.proxy.quarantine import Quarantine
+from millforkd.proxy.suspicions import SuspicionTeller
 from millforkd.seeded import feed_for, fleet_key
 from millforkd.versions import UNTOLD_MS, Versions, never_leads
 
@@ -95,8 +99,13 @@
             self.book,
             self.pools,
             self.budget,
-            Fingerprints(fleet_key(settings), lambda: self.view.cluster),
+            Quarantine(
+                self.registry.suspects,
+                self.view,
+                Fingerprints(fleet_key(settings), lambda: self.view.cluster),
+            ),
         )
+        self.suspicions = SuspicionTeller(env, self.peers, self.following, self.registry.suspects)
         self.document: Document | None = None
         origin = Origin(env, adapter, str(settings.address), lambda: origin_in(self.document))
         self.cache = PieceCache(env, self.peers, origin, self.discovery.caches)
@@ -139,6 +148,7 @@
         await self.env.keep(self.following.run)
         await self.env.keep(self.relaying.keep)
         await self.env.keep(self._take_changes)
+        await self.env.keep(self.suspicions.keep)
         await self.env.keep(self._keep_house)
         if self.ready_server is not None:
             await self.env.keep(self.ready_server.run)
@@ -208,6 +218,7 @@
             await curio.sleep(HOUSEKEEPING_S)
             await self.pools.close_old()
             self.budget.count_entries()
+            self.registry.suspects.forget_old()
             self._log_repeats()
 
     def _log_repeats(self) -> None:
@@ -268,6 +279,21 @@
             log.info('A report of {} was not passed on: {}.', connection.peer, error)
             return messages.Done(False)
 
+    @on.register
+    async def _(self, message: messages.SuspicionReport, connection: Connection) -> Message:
+        """
+        An entry is cut off from the replicas: take what it knows, and pass it on.
+
+        """
+        try:
+            told = decode_suspicions(message.body)
+        except msgspec.DecodeError as error:
+            log.warning('Suspicions of {} can not be read: {}.', connection.peer, error)
+            return messages.Done(False)
+        for suspicion in told:
+            await self.registry.suspects.note(suspicion)
+        return messages.Done(True)
+
     @on.register
     async def _(self, message: messages.GetManifest, connection: Connection) -> Message:
         return await self.cache.manifest(message)
--- a/packages/millforkd/millforkd/proxy/endings.py
+++ b/packages/millforkd/millforkd/proxy/endings.py
@@ -94,6 +94,9 @@
     """
     if refusal.reason in CLIENT_ERRORS:
         return refusal.http_status
+    if refusal.reason is Reason.QUARANTINED:
+        # Final: whoever reads 'not run' comes back, and this one never will be.
+        return LOST_STATUS
     if refusal.verdict is Verdict.NOT_RUN:
         return NOT_RUN_STATUS
     return TIMED_OUT_STATUS if refusal.reason is Reason.TIMED_OUT else LOST_STATUS
--- a/packages/millforkd/millforkd/proxy/ends.py
+++ b/packages/millforkd/millforkd/proxy/ends.py
@@ -7,6 +7,7 @@
 
 """
 
+from dataclasses import dataclass, field
 from typing import Final
 
 import curio
@@ -15,57 +16,89 @@
 from millfork_core.ids import Fingerprint, InstanceId
 from millfork_core.logs import Part, logger
 from millfork_core.sockets import connect
+from millfork_registry.suspects import Suspects, Suspicion
 from millfork_scheduling.server import Server
 
-# All that breaks off with a back end does so within a few milliseconds.
+# All that breaks off with a back end does so within a few milliseconds; and an address that
+# closes at this moment may reset a connection before it refuses the next.
 GATHER_S: Final = 0.01
-# An address that closes at this moment may reset a connection before it refuses the next.
 LOOKS: Final = 2
 # Zones are a few milliseconds apart; silence tells nothing, as behind a cut.
 PROBE_TIMEOUT_S: Final = 0.4
+# A request waits for the answer this long before it goes to the next back end: what it
+# ended there is to count for it, and a look takes some ms where the address answers.
+PROVE_WITHIN_S: Final = 0.05
 
 log = logger(Part.PROXY)
 
 
+@dataclass(slots=True)
+class _Look:
+    """
+    One look at a back end, with what is known of the requests that broke off there from
+    before they were sent.
+
+    """
+
+    broken: dict[Fingerprint, Suspicion] = field(default_factory=dict)
+    done: curio.Event = field(default_factory=curio.Event)
+
+    def add(self, before: Suspicion) -> None:
+        held = self.broken.get(before.fingerprint, before)
+        self.broken[before.fingerprint] = max(held, before, key=lambda item: item.order)
+
+
 class Ends:
     """
     Looks at each back end under which answers broke off, once for all of them.
 
     """
 
-    def __init__(self, env: Environment) -> None:
+    def __init__(self, env: Environment, suspects: Suspects) -> None:
         self.env = env
-        # By back end that is being looked at: the requests that broke off there.
-        self.broken: dict[InstanceId, set[Fingerprint]] = {}
+        self.suspects = suspects
+        self.looks: dict[InstanceId, _Look] = {}
 
-    async def note_broken(self, server: Server, fingerprint: Fingerprint) -> None:
+    async def note_broken(self, server: Server, before: Suspicion) -> None:
         """
-        An answer of a back end broke off, after a request was sent to it.
+        An answer of a back end broke off; `before` is what was known of the request when
+        it was sent there. Returns once the back end was looked at, or soon.
 
         """
-        gathered = self.broken.get(server.instance)
-        if gathered is not None:
-            gathered.add(fingerprint)
-            return
-        self.broken[server.instance] = {fingerprint}
-        await self.env.spawn(self._look_at, server)
-
-    async def _look_at(self, server: Server) -> None:
+        look = self.looks.get(server.instance)
+        if look is None:
+            look = _Look()
+            self.looks[server.instance] = look
+            await self.env.spawn(self._look_at, server, look)
+        look.add(before)
         try:
-            ended = False
-            for _ in range(LOOKS):
-                await curio.sleep(GATHER_S)
-                ended = ended or server.replaced or await self._refuses(server)
+            async with curio.timeout_after(PROVE_WITHIN_S):
+                await look.done.wait()
+        except curio.TaskTimeout:
+            log.debug('Not known yet whether a back end ended. server={}', server.instance)
+
+    async def _look_at(self, server: Server, look: _Look) -> None:
+        try:
+            ended = await self._has_ended(server)
         finally:
-            fingerprints = self.broken.pop(server.instance)
-        if not ended:
-            return
-        log.info(
-            'Back end ended. server={} requests={} fingerprints={}',
-            server.instance,
-            len(fingerprints),
-            ','.join(sorted(fingerprints)),
-        )
+            del self.looks[server.instance]
+        if ended:
+            log.info(
+                'Back end ended. server={} requests={} fingerprints={}',
+                server.instance,
+                len(look.broken),
+                ','.join(sorted(look.broken)),
+            )
+            for before in look.broken.values():
+                await self.suspects.note(before.with_end())
+        await look.done.set()
+
+    async def _has_ended(self, server: Server) -> bool:
+        for _ in range(LOOKS):
+            await curio.sleep(GATHER_S)
+            if server.replaced or await self._refuses(server):
+                return True
+        return False
 
     async def _refuses(self, server: Server) -> bool:
         """
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -23,8 +23,8 @@
 from millforkd.proxy.connections import Pools, SendFailed, ServerConnection
 from millforkd.proxy.endings import Endings
 from millforkd.proxy.ends import Ends
-from millforkd.proxy.fingerprints import Fingerprints
 from millforkd.proxy.job import Attempt, Failed, Job
+from millforkd.proxy.quarantine import Quarantine
 from millforkd.proxy.relaying import Relaying
 from millforkd.proxy.waiting import Waiting
 
@@ -63,7 +63,7 @@
         book: ServerBook,
         pools: Pools,
         budget: SharedBudget,
-        fingerprints: Fingerprints,
+        quarantine: Quarantine,
     ) -> None:
         self.env = env
         self.adapter = adapter
@@ -71,8 +71,8 @@
         self.book = book
         self.pools = pools
         self.budget = budget
-        self.fingerprints = fingerprints
-        self.ends = Ends(env)
+        self.quarantine = quarantine
+        self.ends = Ends(env, quarantine.suspects)
         self.relaying = Relaying(env, adapter, book)
         self.waiting = Waiting(env, admission)
         self.endings = Endings(env, adapter)
@@ -170,22 +170,27 @@
                     return Refusal(Reason.BUSY, Verdict.NOT_RUN, 'all servers are busy', wait_ms)
             if job.tried and not paid and not self.budget.spend(job.wanted.service):
                 return self._final(job, Reason.RETRY_BUDGET)
+            before = self.quarantine.known(job)
             failed = await self._send(job, choice)
             if failed is None:
                 return None
+            if failed.verdict is not Verdict.NOT_RUN and failed.reason in BROKEN:
+                for part in choice.servers:
+                    await self.ends.note_broken(part, before)
             paid = not failed.sent
             job.failures.append(failed)
             self.env.metrics.retried(failed.reason)
             log.info(
                 'Attempt failed. id={} server={} reason={} verdict={} detail={} ms={:.0f} '
-                'fingerprint={}',
+                'fingerprint={} ends={}',
                 job.caller.request_id,
                 server.instance,
                 failed.reason.value,
                 failed.verdict.value,
                 failed.detail,
                 (self.env.monotonic() - job.began) * 1000,
-                job.fingerprint or '',
+                before.fingerprint,
+                self.quarantine.known(job).ends,
             )
 
     def _barred(self, job: Job) -> Refusal | None:
@@ -195,6 +200,9 @@
         """
         if job.left_s(self.env.monotonic()) < LAST_WORD_S:
             return self._final(job, Reason.TIMED_OUT if job.tried else Reason.EXPIRED)
+        if self.quarantine.bars(job):
+            detail = 'back ends end when they run this request'
+            return self._final(job, Reason.QUARANTINED, detail)
         if not job.failures:
             return None
         last = job.failures[-1]
@@ -210,12 +218,12 @@
         wait_ms = while_nothing_serves(self.env.random)
         return Refusal(Reason.NO_ENDPOINT, Verdict.NOT_RUN, 'no server', wait_ms)
 
-    def _final(self, job: Job, reason: Reason) -> Refusal:
+    def _final(self, job: Job, reason: Reason, why: str = '') -> Refusal:
         """
         The refusal of a job, with the verdict over all of its attempts.
 
         """
-        detail = '; '.join(failed.detail for failed in job.failures)
+        detail = why or '; '.join(failed.detail for failed in job.failures)
         if job.may_have_run:
             return Refusal(reason, Verdict.MAY_HAVE_RUN, detail)
         return Refusal(reason, Verdict.NOT_RUN, detail, after_refusal(reason))
@@ -238,11 +246,12 @@
                 connection = await pool.take(fresh=not job.route.repeatable)
                 keep_s = await self._exchange(job, attempt, connection)
             server.note_service_time(self.env.monotonic() - attempt.began)
+            if connection.reusable:
+                await self.quarantine.clear(job)
             return None
         except NotSent as error:
             return Failed(error.reason, error.verdict, error.detail, sent=False)
         except SendFailed as error:
-            await self._note_broken(job, choice, error)
             return self._failed(job, choice, error.reason, error.verdict, error.detail)
         except curio.TaskTimeout:
             verdict = Verdict.NOT_RUN if connection is None else Verdict.MAY_HAVE_RUN
@@ -252,12 +261,6 @@
             if connection is not None:
                 await pool.give_back(connection, keep_s)
 
-    async def _note_broken(self, job: Job, choice: Choice, error: SendFailed) -> None:
-        if error.verdict is Verdict.NOT_RUN or error.reason not in BROKEN:
-            return
-        for server in choice.servers:
-            await self.ends.note_broken(server, self.fingerprints.of(job))
-
     def _failed(
         self, job: Job, choice: Choice, reason: Reason, verdict: Verdict, detail: str
     ) -> Failed:
--- /dev/null
+++ b/packages/millforkd/millforkd/proxy/quarantine.py
@@ -0,0 +1,72 @@
+"""
+An entry's side of the quarantine: what may not be sent, and what is cleared.
+
+"""
+
+from millfork_core.ids import Fingerprint, Revision
+from millfork_registry.suspects import Suspects, Suspicion, decode_epoch
+from millfork_scheduling.quarantine import is_at_fault
+from millfork_state.commands import decode_versioned
+from millfork_state.keys import QUARANTINE_PREFIX
+from millfork_state.view import View
+from millforkd.proxy.fingerprints import Fingerprints
+from millforkd.proxy.job import Job
+
+
+class Quarantine:
+    """
+    What this entry knows of requests that ended back ends: by suspicions, and by the
+    verdicts in the replicated state, which outlive a loss of power of the whole fleet.
+
+    """
+
+    def __init__(self, suspects: Suspects, view: View, fingerprints: Fingerprints) -> None:
+        self.suspects = suspects
+        self.view = view
+        self.fingerprints = fingerprints
+        self.revision = Revision(-1)
+        # By fingerprint: the epoch in which the verdict was given.
+        self.verdicts: dict[Fingerprint, int] = {}
+
+    def known(self, job: Job) -> Suspicion:
+        """
+        What is known of a job's request at this moment.
+
+        """
+        return self.suspects.of(self.fingerprints.of(job))
+
+    def bars(self, job: Job) -> bool:
+        """
+        Whether a job may not be sent.
+
+        """
+        self._refresh()
+        if not self.suspects.table and not self.verdicts:
+            return False
+        suspicion = self.known(job)
+        if is_at_fault(suspicion):
+            return True
+        verdict_epoch = self.verdicts.get(suspicion.fingerprint)
+        return verdict_epoch is not None and verdict_epoch >= suspicion.epoch
+
+    def _refresh(self) -> None:
+        if self.view.revision == self.revision:
+            return
+        self.revision = self.view.revision
+        self.verdicts = {
+            Fingerprint(key.removeprefix(QUARANTINE_PREFIX)): decode_epoch(
+                decode_versioned(value).body
+            )
+            for key, value in self.view.prefixed(QUARANTINE_PREFIX).items()
+        }
+
+    async def clear(self, job: Job) -> None:
+        """
+        A job's answer came whole: its request does not end what runs it.
+
+        """
+        if not self.suspects.table:
+            return
+        suspicion = self.known(job)
+        if suspicion.ends:
+            await self.suspects.note(suspicion.cleared())
--- a/packages/millforkd/millforkd/replica/daemon.py
+++ b/packages/millforkd/millforkd/replica/daemon.py
@@ -3,6 +3,7 @@
 
 """
 
+import time
 from functools import singledispatchmethod
 from typing import Final
 
@@ -16,6 +17,7 @@
 from millfork_registry.followers import Followers
 from millfork_registry.records import decode_state
 from millfork_registry.registry import Change, Registry
+from millfork_registry.suspects import decode_suspicions
 from millfork_settings.seeded import SeededSettings, socket_pair
 from millfork_state.answers import StateAnswers
 from millfork_state.formation import Seeds
@@ -32,6 +34,7 @@
 from millforkd.admin import Admin
 from millforkd.replica.control import Control
 from millforkd.replica.mesh import Mesh
+from millforkd.replica.quarantine import Verdicts
 from millforkd.seeded import peers_for
 from millforkd.versions import Versions
 
@@ -100,6 +103,14 @@
         self.proposals = Proposals(
             env, self.peers, self.replica.others, self.node, LEADER_TIMEOUT_S
         )
+        self.verdicts = Verdicts(
+            env,
+            self.replica.view,
+            self.registry.suspects,
+            self.proposals,
+            self._leads,
+            lambda: int(time.time() * 1000),
+        )
         self.control = Control(
             env,
             adapter,
@@ -154,6 +165,7 @@
         await self.env.keep(self.mesh.keep)
         await self.env.keep(self.followers.wake_on_configuration)
         await self.env.keep(self._learn_versions)
+        await self.env.keep(self.verdicts.keep)
         await self.env.keep(self.node.run)
         await self.env.keep(self.node.keep_snapshots)
         await self.env.keep(self.server.run)
@@ -209,6 +221,17 @@
         await self.mesh.on_leases(connection.peer, message)
         return Done(True)
 
+    @on.register
+    async def _(self, message: messages.SuspicionReport, connection: Connection) -> Message:
+        try:
+            told = decode_suspicions(message.body)
+        except msgspec.DecodeError as error:
+            log.warning('Suspicions of {} can not be read: {}.', connection.peer, error)
+            return Done(False)
+        if await self.registry.suspects.hear(told):
+            await self.followers.wake()
+        return Done(True)
+
     @on.register
     async def _(self, message: messages.EndpointReport, connection: Connection) -> Message:
         try:
--- a/packages/millforkd/millforkd/replica/mesh.py
+++ b/packages/millforkd/millforkd/replica/mesh.py
@@ -18,6 +18,7 @@
 from millfork_registry.records import Lease, decode_leases, decode_states, encode_records
 from millfork_registry.registry import Change, Registry
 from millfork_registry.roles import REPLICA_ROLE
+from millfork_registry.suspects import decode_suspicions
 from millfork_registry.switch_ends import SwitchEnds
 from millfork_state.replica import Replica
 from millfork_wire.connection import Connection, PeerError
@@ -212,6 +213,7 @@
         try:
             leases = decode_leases(message.leases)
             endpoints = decode_states(message.reports)
+            suspicions = decode_suspicions(message.suspicions)
         except msgspec.DecodeError as error:
             log.warning('Leases can not be read: {}.', error)
             return
@@ -219,7 +221,8 @@
         changes += [self.registry.take_endpoint(state) for state in endpoints]
         if message.full and message.settled:
             self.registry.settled = True
-        if Change.CHANGED in changes:
+        news = await self.registry.suspects.hear(suspicions)
+        if news or Change.CHANGED in changes:
             await self.followers.wake()
 
     async def spread(self, lease: Lease) -> bool:
--- /dev/null
+++ b/packages/millforkd/millforkd/replica/quarantine.py
@@ -0,0 +1,120 @@
+"""
+The replicas' side of the quarantine: verdicts that outlast every process.
+
+Suspicions are kept in memory. A loss of power of the whole fleet would forget them, and a
+request that had ended three back ends would end three more; so the leader writes down
+which requests are at fault, and takes that back when an answer has cleared one.
+
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+import curio
+
+from millfork_core.environment import Environment
+from millfork_core.ids import Fingerprint
+from millfork_core.logs import Part, logger
+from millfork_core.verdicts import Refused
+from millfork_registry.suspects import Suspects, Suspicion, decode_epoch, encode_epoch
+from millfork_scheduling.quarantine import is_at_fault
+from millfork_state.commands import AnyCommand, Apply, Change, Raise, decode_versioned
+from millfork_state.keys import QUARANTINE_PREFIX, quarantine_key
+from millfork_state.proposals import Proposals
+from millfork_state.view import Held, View
+
+LOOK_EVERY_S: Final = 0.25
+PATIENCE_S: Final = 0.9
+# A verdict is forgotten after a day, as software is replaced that fails on a request.
+HELD_MS: Final = 24 * 3600 * 1000
+# With a key and a value of some ten bytes each, 0.1 MB of state.
+MOST_HELD: Final = 1000
+ID_BITS: Final = 128
+
+log = logger(Part.CONTROL)
+
+
+class Verdicts:
+    """
+    Keeps the verdicts in the replicated state; only the leader acts.
+
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        view: View,
+        suspects: Suspects,
+        proposals: Proposals,
+        leads: Callable[[], bool],
+        now_ms: Callable[[], int],
+    ) -> None:
+        self.env = env
+        self.view = view
+        self.suspects = suspects
+        self.proposals = proposals
+        self.leads = leads
+        self.now_ms = now_ms
+
+    async def keep(self) -> None:
+        """
+        The task that writes verdicts down and takes them back.
+
+        """
+        while True:
+            await curio.sleep(LOOK_EVERY_S)
+            self.suspects.forget_old()
+            if self.leads():
+                await self.settle()
+
+    async def settle(self) -> None:
+        """
+        Bring the replicated state up to what is known now.
+
+        """
+        for suspicion in list(self.suspects.table.values()):
+            held = self.view.items.get(quarantine_key(suspicion.fingerprint))
+            if held is None and is_at_fault(suspicion):
+                await self._give(suspicion)
+                continue
+            if held is not None and suspicion.epoch > _epoch_of(held):
+                await self._take_back(suspicion.fingerprint, 'an answer came whole')
+        await self._forget_old()
+
+    async def _give(self, suspicion: Suspicion) -> None:
+        key = quarantine_key(suspicion.fingerprint)
+        verdict = Raise(key, self.now_ms(), encode_epoch(suspicion.epoch))
+        if await self._propose(verdict):
+            log.warning(
+                'Request in quarantine. fingerprint={} ends={}',
+                suspicion.fingerprint,
+                suspicion.ends,
+            )
+
+    async def _take_back(self, fingerprint: Fingerprint, reason: str) -> None:
+        change = Change(quarantine_key(fingerprint))
+        command_id = f'{self.env.random.getrandbits(ID_BITS):x}'
+        if await self._propose(Apply(command_id, [change])):
+            log.notice('Request out of quarantine. fingerprint={} reason={}', fingerprint, reason)
+
+    async def _forget_old(self) -> None:
+        held = self.view.prefixed(QUARANTINE_PREFIX)
+        given = {key: decode_versioned(value).version for key, value in held.items()}
+        oldest_first = sorted(given, key=lambda key: given[key])
+        over = len(given) - MOST_HELD
+        for number, key in enumerate(oldest_first):
+            if number >= over and self.now_ms() - given[key] < HELD_MS:
+                return
+            await self._take_back(Fingerprint(key.removeprefix(QUARANTINE_PREFIX)), 'old')
+
+    async def _propose(self, command: AnyCommand) -> bool:
+        try:
+            await self.proposals.propose(command, PATIENCE_S)
+        except Refused as error:
+            log.info('A verdict waits: {}.', error)
+            return False
+        return True
+
+
+def _epoch_of(held: Held) -> int:
+    return decode_epoch(decode_versioned(held.value).body)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -14,6 +14,7 @@
 """
 
 import itertools
+import threading
 
 import pytest
 
@@ -70,3 +71,40 @@
     assert {reply.status for reply in replies} == {502}
     for entry in (0, 1):
         assert fleet.ask(request('/safe/x', 'POST', body=b'another'), entry).status == 200
+
+
+def test_a_verdict_outlives_all_processes_at_once(fleet):
+    end_three(fleet)
+    wait_until(lambda: any('Request in quarantine' in fleet.log(h) for h in fleet.replica_hosts))
+    before = ended(fleet)
+    hosts = list(fleet.processes)
+    for host in hosts:
+        fleet.kill(host)
+    for host in hosts:
+        fleet.start_one(host)
+    for entry in (0, 1):
+        wait_until(lambda entry=entry: fleet.ask(request('/safe/x'), entry).status == 200)
+    replies = [fleet.ask(crashing(), number % 2) for number in range(TRIES)]
+    assert ended(fleet) == before
+    assert {reply.headers['millfork-reason'] for reply in replies} == {'quarantined'}
+
+
+def test_what_broke_off_beside_it_is_served(fleet):
+    """
+    Another request that was on a back end as it ended is sent on, and its whole answer
+    clears it at all entries.
+
+    """
+    for back_end in fleet.back_ends:
+        back_end.release.clear()
+    replies = []
+    slow = request('/safe/x', 'POST', body=b'innocent')
+    asking = threading.Thread(target=lambda: replies.append(fleet.ask(slow)))
+    asking.start()
+    wait_until(lambda: any(back_end.executed_ids() for back_end in fleet.back_ends))
+    running = next(back_end for back_end in fleet.back_ends if back_end.executed_ids())
+    for back_end in fleet.back_ends:
+        back_end.release.set()
+    running.crash()
+    asking.join()
+    assert replies[0].status == 200
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -13,13 +13,16 @@
 from millfork_core.ids import InstanceId, ServiceName, ZoneId
 from millfork_core.verdicts import Reason, Verdict
 from millfork_registry.records import ServedVersion
+from millfork_registry.suspects import Suspects
 from millfork_routing.budget import SharedBudget
 from millfork_scheduling.placement import Choice, Wanted
 from millfork_scheduling.server import Server
+from millfork_state.view import View
 from millforkd.proxy.connections import SendFailed
 from millforkd.proxy.fingerprints import Fingerprints
 from millforkd.proxy.forwarding import Forwarding
 from millforkd.proxy.job import Attempt, Failed, Job
+from millforkd.proxy.quarantine import Quarantine
 from millforkd.proxy.waiting import OVERTAKEN_S, SILENT_SERVER_S
 from millforkd.proxy.waiting import Waiting as ProxyWaiting
 from tests.test_servers import ENGINE, Clock
@@ -125,9 +128,8 @@
         book = SimpleNamespace(choose=self.choose)
         pools = SimpleNamespace(of=self.pool_of)
         fingerprints = Fingerprints(b'key', lambda: 'cluster')
-        self.forwarding = Forwarding(
-            env, adapter, admission, book, pools, self.budget, fingerprints
-        )
+        quarantine = Quarantine(Suspects(self.clock), View(), fingerprints)
+        self.forwarding = Forwarding(env, adapter, admission, book, pools, self.budget, quarantine)
         route = SimpleNamespace(repeatable=False, max_attempts=2)
         exchange = SimpleNamespace(
             request=SimpleNamespace(method='POST', path='/', headers=[], body=b'')
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -9,12 +9,13 @@
 import pytest
 
 from millfork_core.environment import Environment
-from millfork_core.ids import ClusterId, InstanceId, Revision, ZoneId
+from millfork_core.ids import ClusterId, Fingerprint, InstanceId, Revision, ZoneId
 from millfork_registry.discovery import Discovery
 from millfork_registry.following import Following
 from millfork_registry.records import EndpointState
 from millfork_registry.registry import Registry
 from millfork_registry.relaying import Relaying
+from millfork_registry.suspects import Suspicion
 from millfork_state.view import Held, View
 from millfork_wire.connection import PeerTimedOut
 from millfork_wire.messages import AskFeed, CacheAddress, VersionSwitch
@@ -114,6 +115,20 @@
     curio.run(run)
 
 
+def test_who_is_cut_off_hears_of_suspects_by_way_of_its_zone(followers):
+    async def run():
+        cut = followers.relaying[CUT].following.registry.suspects
+        near = followers.relaying[NEAR].following.registry.suspects
+        suspicion = Suspicion(Fingerprint('ab'), 0, 2)
+        await near.hear([suspicion])
+        task = await curio.spawn(followers.relaying[CUT].keep, daemon=True)
+        await followers.until(lambda: cut.of(suspicion.fingerprint) == suspicion, (NEAR,))
+        assert not cut.untold
+        await task.cancel()
+
+    curio.run(run)
+
+
 def test_the_relay_is_left_once_a_replica_is_heard_again(followers):
     async def run():
         cut = followers.relaying[CUT].following
