A stripe of which nothing comes gets another root

Cause: each endpoint plans the trees from the instances that it knows of; where views differ for a moment, each may take another for the root of a stripe, and whoever is no root drew only after ten rounds of waiting for everyone: five minutes.

Change: of a stripe of which nothing came for six stalls (12 s at the usual 2 s), whoever stands first in its tree becomes another root, the next one a stall later. Ruled out: a shorter wait for all, which would have all draw from an origin that stands still.

--- a/packages/millfork-weights/millfork_weights/transfer.py
+++ b/packages/millfork-weights/millfork_weights/transfer.py
@@ -28,6 +28,11 @@
 MANIFEST_TIMEOUT_S: Final = 0.5
 ORIGIN_AFTER_ROUNDS: Final = 10
 PATIENCE: Final = 3
+# Each instance plans the trees from the instances that it knows of, so where their views
+# differ for a moment each may take another for the root of a stripe. Of a stripe of which
+# nothing comes for so many stalls, whoever stands first in its tree becomes another root,
+# and the next one a stall later: an origin that stands still is not drawn from by all.
+ROOTLESS_STALLS: Final = 6
 WHOLE_PEERS_ASKED: Final = 3
 BUSY: Final = 'busy'
 NOT_YET: Final = 'not_yet'
@@ -113,6 +118,9 @@
         self.suspects: dict[InstanceId, Suspicion] = {}
         self.whole_peers: list[InstanceId] = []
         self.trees: list[Tree] = []
+        # By stripe: when something of it last came, and whether this instance became a root.
+        self.came_at: dict[int, float] = {}
+        self.adopted: set[int] = set()
 
     async def run(self, name: str, version: str, digest: Digest, holders: list[Holder]) -> Holding:
         """
@@ -126,6 +134,7 @@
         self.trees = settings.planner(digest, holders, settings.stripes, settings.origin_copies)
         manifest = await self._manifest(name, version, digest)
         holding = await self.store.open(digest, manifest)
+        self.came_at = dict.fromkeys(range(len(self.trees)), self.env.monotonic())
         async with curio.TaskGroup() as group:
             for stripe, tree in enumerate(self.trees):
                 indexes = iter(range(stripe, len(manifest.chunks), settings.stripes))
@@ -237,9 +246,9 @@
         Ask source after source until the chunk is here and right.
 
         """
-        is_root = tree.is_root(self.env.instance)
         rounds = 0
         while True:
+            is_root = self._is_root(tree, index)
             found = await self._fetch_from_any(holding, index, self._whole_first(index))
             if found is Found.TAKEN:
                 return
@@ -255,6 +264,39 @@
                 return
             await curio.sleep(PAUSE_S)
 
+    def _is_root(self, tree: Tree, index: int) -> bool:
+        """
+        Whether this instance draws a chunk's stripe from the origin: by plan, or since
+        nobody else seems to.
+
+        """
+        stripe = index % self.settings.stripes
+        if tree.is_root(self.env.instance) or stripe in self.adopted:
+            return True
+        if not self._is_rootless(index):
+            return False
+        log.warning(
+            'Nothing of stripe {} came for {:.1f} s; it is drawn from the origin here.',
+            stripe,
+            self.env.monotonic() - self.came_at[stripe],
+        )
+        self._count('rootless', ORIGIN)
+        self.adopted.add(stripe)
+        return True
+
+    def _is_rootless(self, index: int) -> bool:
+        """
+        Whether nobody seems to draw a chunk's stripe, and it is this instance's turn; it then
+        asks no more peers before it draws.
+
+        """
+        stripe = index % self.settings.stripes
+        if stripe in self.adopted or self.trees[stripe].is_root(self.env.instance):
+            return False
+        turn = self.trees[stripe].order.index(self.env.instance)
+        silent_s = self.env.monotonic() - self.came_at[stripe]
+        return silent_s > (ROOTLESS_STALLS + turn) * self.settings.stall_s
+
     def _spread(self, tree: Tree) -> list[InstanceId]:
         """
         The parent, then the other earlier nodes in random order: each node's
@@ -274,6 +316,8 @@
         for source in sources:
             if self.suspects.get(source, NOT_SUSPECT).until > self.env.monotonic():
                 continue
+            if self._is_rootless(index):
+                return found
             answer = await self._fetch_from_peer(holding, index, source)
             if answer is Found.TAKEN:
                 return answer
@@ -301,7 +345,7 @@
         request = GetChunk(holding.digest, index, int(stall_s * 1000))
         timeout = 3 * stall_s + 2 * size / self.link.rate
         patience = PATIENCE
-        while patience:
+        while patience and not self._is_rootless(index):
             patience -= 1
             try:
                 reply = await self.peers.call(address, request, timeout)
@@ -346,6 +390,7 @@
             log.warning('Chunk {} from {} is corrupt.', index, source or kind)
             return False
         await holding.put(index, data)
+        self.came_at[index % self.settings.stripes] = self.env.monotonic()
         self._count('taken', kind)
         return True
 
