Intervals count the time in which a machine was suspended

The steady clock stands still while a machine is suspended; ends of versions, leases and loads were then taken for newer than they are. All intervals go by the clock that counts that time. The test fails on the clock as it was (version 1 still sent to after its end).

--- a/packages/millfork-core/millfork_core/environment.py
+++ b/packages/millfork-core/millfork_core/environment.py
@@ -3,13 +3,13 @@
 
 """
 
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from random import Random
 
 import curio
 
+from millfork_core.clocks import elapsed_s
 from millfork_core.ids import InstanceId, ZoneId
 from millfork_core.logs import Part, logger
 from millfork_core.metrics import Metrics
@@ -27,7 +27,7 @@
     instance: InstanceId
     zone: ZoneId
     metrics: Metrics = field(default_factory=Metrics)
-    monotonic: Callable[[], float] = time.monotonic
+    monotonic: Callable[[], float] = elapsed_s
     random: Random = field(default_factory=Random)
     failed: curio.Event = field(default_factory=curio.Event)
     # Set at the end: what is cancelled then must start nothing in its place.
