--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -5,7 +5,7 @@
 
 from typing import Final
 
-from tests.mutation import C, D, Edit, G, Mutation, R
+from tests.mutation import C, D, Edit, G, Mutation, R, W
 
 SEEDED_FLEETS: Final = (
     Mutation(
@@ -485,4 +485,49 @@
             ),
         ),
     ),
+    Mutation(
+        'a request that ends back ends is sent no more',
+        'tests/test_quarantine.py::'
+        'test_a_request_is_barred_after_its_third_end_and_by_a_verdict_alone',
+        (Edit(D + 'proxy/quarantine.py', 'if is_at_fault(suspicion):', 'if False:'),),
+    ),
+    Mutation(
+        'an end counts only where the address takes no connections',
+        'tests/test_quarantine.py::'
+        'test_an_answer_that_broke_off_counts_only_where_the_back_end_has_ended',
+        (
+            Edit(
+                D + 'proxy/ends.py',
+                'if server.replaced or await self._refuses(server):',
+                'if True:',
+            ),
+        ),
+    ),
+    Mutation(
+        'an answer that came whole clears a request',
+        'tests/test_quarantine.py::test_a_verdict_is_taken_back_once_an_answer_came_whole',
+        (Edit(D + 'proxy/quarantine.py', 'if suspicion.ends:', 'if False:'),),
+    ),
+    Mutation(
+        'a verdict is written down',
+        'tests/test_crashing_requests.py::test_a_verdict_outlives_all_processes_at_once',
+        (Edit(D + 'replica/quarantine.py', 'if self.leads():', 'if False:'),),
+    ),
+    Mutation(
+        'a stripe of which nothing comes gets another root',
+        'tests/test_transfer_without_root.py::'
+        'test_a_stripe_that_nobody_draws_comes_within_half_a_minute',
+        (Edit(W + 'transfer.py', 'if not self._is_rootless(index):', 'if True:'),),
+    ),
+    Mutation(
+        'time counts while a machine is suspended',
+        'tests/test_suspension.py',
+        (
+            Edit(
+                'packages/millfork-core/millfork_core/clocks.py',
+                'time.CLOCK_BOOTTIME',
+                'time.CLOCK_MONOTONIC',
+            ),
+        ),
+    ),
 )
