What is known of suspects outlives replicas that start anew; no Retry-After in quarantine

A follower tells all that it knows to the replica that it begins to follow: replicas that all started at once had forgotten the first ends of a request, and an entry that started with them never heard.

--- a/packages/millfork-registry/millfork_registry/following.py
+++ b/packages/millfork-registry/millfork_registry/following.py
@@ -138,6 +138,7 @@
         self.asked_at = self.heard_at
         self.age_ms = reply.age_ms
         log.info('Following replica {}. age_ms={}', address.instance, reply.age_ms)
+        await self.registry.suspects.tell_again()
         return True
 
     async def _ask(self, address: PeerAddress) -> Replicas | None:
--- a/packages/millfork-registry/millfork_registry/suspects.py
+++ b/packages/millfork-registry/millfork_registry/suspects.py
@@ -14,15 +14,18 @@
 import msgspec
 
 from millfork_core.ids import Fingerprint
+from millfork_core.logs import Part, logger
 from millfork_registry.table import Table
 
-# Callers come back within seconds; a back end that starts again takes some more to serve.
-REMEMBERED_S: Final = 600.0
+# A job that runs each hour may end one back end with each of its tries.
+REMEMBERED_S: Final = 24 * 3600.0
 # A caller that varies its body makes a record with each back end that it ends; 4,096 are
 # 0.3 MB, more than 60 engines of 16 requests have under way when all end at once.
 MOST_SUSPECTS: Final = 4096
 EPOCH_BYTES: Final = 8
 
+log = logger(Part.REGISTRY)
+
 
 class Suspicion(msgspec.Struct, frozen=True, array_like=True):
     """
@@ -110,10 +113,10 @@
         Take what another process knows; whether anything of it was new.
 
         """
-        changed = False
+        new = []
         for suspicion in told:
             if self._put(suspicion):
-                changed = True
+                new.append(suspicion.ends)
                 self.untold.pop(suspicion.fingerprint, None)
                 continue
             held = self.of(suspicion.fingerprint)
@@ -121,7 +124,19 @@
                 # The other may have started anew, and others who hear from it too.
                 self.untold[held.fingerprint] = held
                 await self.news.set()
-        return changed
+        if new:
+            log.info('Heard of suspects. requests={} most_ends={}', len(new), max(new))
+        return bool(new)
+
+    async def tell_again(self) -> None:
+        """
+        Tell all, as whoever is heard from now on may have started anew.
+
+        """
+        for suspicion in self.table.values():
+            self.untold[suspicion.fingerprint] = suspicion
+        if self.untold:
+            await self.news.set()
 
     def _put(self, suspicion: Suspicion) -> bool:
         if suspicion.order <= self.of(suspicion.fingerprint).order:
--- a/packages/millfork-scheduling/millfork_scheduling/returning.py
+++ b/packages/millfork-scheduling/millfork_scheduling/returning.py
@@ -27,6 +27,8 @@
     Reason.BUSY: 300,
     Reason.RETRY_BUDGET: 500,
     Reason.EXPIRED: 0,
+    # Waiting changes nothing.
+    Reason.QUARANTINED: 0,
 }
 USUAL_WAIT_MS: Final = 300
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -14,6 +14,7 @@
 """
 
 import itertools
+import re
 import threading
 
 import pytest
@@ -108,3 +109,33 @@
     running.crash()
     asking.join()
     assert replies[0].status == 200
+
+
+def test_ends_are_remembered_while_all_replicas_start_anew(fleet):
+    """
+    One end is known to one entry as all replicas lose what they keep in memory.
+
+    """
+    assert fleet.ask(crashing()).status in (502, 503)
+    known = ended(fleet)
+    for host in fleet.replica_hosts:
+        fleet.kill(host)
+    for host in fleet.replica_hosts:
+        fleet.start_one(host)
+    second = fleet.entry_hosts[1]
+    fleet.kill(second)
+    fleet.start_one(second)
+    wait_until(lambda: fleet.ask(request('/safe/x'), 1).status == 200)
+    wait_until(lambda: told_again(fleet, known))
+    for _ in range(TRIES):
+        fleet.ask(crashing(), 1)
+    assert ended(fleet) <= ENDS
+
+
+def told_again(fleet, known):
+    """
+    Whether the entry that started anew has heard of what the other one knows.
+
+    """
+    heard = re.findall(r'Heard of suspects.* most_ends=(\d+)', fleet.log(fleet.entry_hosts[1]))
+    return str(known) in heard
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -92,6 +92,19 @@
     curio.run(run)
 
 
+def test_a_replica_that_started_anew_is_told_all_by_its_followers():
+    async def run():
+        suspects = Suspects(Clock())
+        suspicion = Suspicion(FINGERPRINT, 0, 2)
+        await suspects.hear([suspicion])
+        assert not suspects.untold
+        await suspects.tell_again()
+        assert suspects.untold == {FINGERPRINT: suspicion}
+        assert suspects.news.is_set()
+
+    curio.run(run)
+
+
 STEPS = st.lists(
     st.tuples(st.sampled_from(['end', 'clear', 'tell']), st.integers(0, 2), st.integers(0, 2)),
     max_size=30,
