Messages between daemons by what they are about; one place makes a follower's versions

Also the stand-in of a back end that ends: its address went on taking connections while another thread polled it, so an end was not proven once beside load (test_ends_are_remembered, no line 'Back end ended' after 'Attempt failed ... truncated'). It stops listening first.

--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -147,6 +147,8 @@
 
         """
         self.ended.set()
+        # Closed alone, it went on taking connections while another thread polls it.
+        self.socket.shutdown(socket.SHUT_RDWR)
         self.socket.close()
         for sock in list(self.open):
             try:
--- /dev/null
+++ b/packages/millfork-wire/millfork_wire/messages/basic.py
@@ -0,0 +1,39 @@
+"""
+What every connection speaks: the handshake, and answers that say no more than yes or no.
+
+"""
+
+from dataclasses import dataclass
+
+from millfork_wire.messages.base import Message
+
+
+@dataclass(slots=True)
+class Hello(Message):
+    version: int = 0
+    instance: str = ''
+    zone: str = ''
+    role: str = ''
+    nonce: bytes = b''
+    target: str = ''
+
+
+@dataclass(slots=True)
+class Proof(Message):
+    mac: bytes = b''
+
+
+@dataclass(slots=True)
+class Ping(Message):
+    pass
+
+
+@dataclass(slots=True)
+class Done(Message):
+    ok: bool = False
+
+
+@dataclass(slots=True)
+class Failure(Message):
+    reason: str = ''
+    detail: str = ''
--- /dev/null
+++ b/packages/millfork-wire/millfork_wire/messages/weights.py
@@ -0,0 +1,46 @@
+"""
+Pieces of weights, and the lists of them.
+
+"""
+
+from dataclasses import dataclass
+
+from millfork_wire.messages.base import Message
+
+
+@dataclass(slots=True)
+class GetManifest(Message):
+    digest: str = ''
+    # Whether the one asked is to draw it from the origin, not to ask another.
+    draw: bool = False
+
+
+@dataclass(slots=True)
+class Manifest(Message):
+    found: bool = False
+    body: bytes = b''
+    whole: bool = False
+    reason: str = ''
+
+
+@dataclass(slots=True)
+class GetChunk(Message):
+    manifest: str = ''
+    index: int = 0
+    wait_ms: int = 0
+    # Whether the one asked is to draw it from the origin, not to ask another.
+    draw: bool = False
+
+
+@dataclass(slots=True)
+class Chunk(Message):
+    found: bool = False
+    data: bytes = b''
+    reason: str = ''
+
+
+@dataclass(slots=True)
+class PushChunk(Message):
+    manifest: str = ''
+    index: int = 0
+    data: bytes = b''
--- a/packages/millforkd/millforkd/beside/daemon.py
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -41,7 +41,6 @@
 from millforkd.beside.target import Target, Targets
 from millforkd.document import document_in
 from millforkd.seeded import feed_for
-from millforkd.versions import UNTOLD_MS, Versions, never_leads
 
 # A server takes and ends about two requests in this time.
 REPORT_EVERY_S: Final = 0.15
@@ -88,18 +87,9 @@
         self.gathering = Gathering(
             env, self.peers, self.fleet, origin, self.discovery.caches, self.pushing, self.link
         )
-        versions = Versions(
-            env,
-            self.view,
-            settings.promises.version_ms,
-            self.following.switch_ends,
-            untold_ms=UNTOLD_MS,
-            leads=never_leads,
-        )
-        self.relaying.switches = versions.switches
         self.targets = Targets(
             env,
-            versions,
+            feed.versions,
             self.store,
             self._served_version,
             self.link.rate,
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -39,7 +39,6 @@
 from millforkd.proxy.quarantine import Quarantine
 from millforkd.proxy.suspicions import SuspicionTeller
 from millforkd.seeded import feed_for, fleet_key
-from millforkd.versions import UNTOLD_MS, Versions, never_leads
 
 # The balancer asks each second and needs two misses to look away.
 BALANCER_LOOKS_AWAY_S: Final = 2.5
@@ -72,15 +71,7 @@
         self.registry = feed.registry
         self.following = feed.following
         self.relaying = feed.relaying
-        self.versions = Versions(
-            env,
-            self.view,
-            promises.version_ms,
-            self.following.switch_ends,
-            untold_ms=UNTOLD_MS,
-            leads=never_leads,
-        )
-        self.relaying.switches = self.versions.switches
+        self.versions = feed.versions
         self.admission = Admission(env, self.versions, lambda: self.following.entries)
         self.book = ServerBook(env.zone, env.random, env.monotonic, lambda: self.following.entries)
         self.pools = Pools(env)
--- a/packages/millforkd/millforkd/seeded.py
+++ b/packages/millforkd/millforkd/seeded.py
@@ -16,6 +16,7 @@
 from millfork_state.view import View
 from millfork_wire.connection import Handler
 from millfork_wire.peers import Peers
+from millforkd.versions import UNTOLD_MS, Versions, never_leads
 
 # Without a key file the handshake proves only that a peer is a millforkd:
 # the network between the instances must then be private.
@@ -61,6 +62,7 @@
     registry: Registry
     following: Following
     relaying: Relaying
+    versions: Versions
 
 
 def feed_for(env: Environment, settings: SeededSettings, role: str, handler: Handler) -> Feed:
@@ -74,4 +76,13 @@
     registry = Registry(env, settings.promises.heartbeat_ms / 1000)
     following = Following(env, role, view, registry, peers, discovery)
     relaying = Relaying(env, following)
-    return Feed(peers, discovery, view, registry, following, relaying)
+    versions = Versions(
+        env,
+        view,
+        settings.promises.version_ms,
+        following.switch_ends,
+        untold_ms=UNTOLD_MS,
+        leads=never_leads,
+    )
+    relaying.switches = versions.switches
+    return Feed(peers, discovery, view, registry, following, relaying, versions)
