Entries ask the daemons beside engines for loads before they choose

Ruled out: who came back; where the entries choose (as many compared).

Change: where one of the engines compared has 0.7 of its slots taken, the daemons beside them are asked what runs and waits there now. Entries draw from 32 engines of their zone and 16 of others, as they keep a connection to each daemon. The model of routing does the same.

--- /dev/null
+++ b/packages/millfork-scheduling/millfork_scheduling/asking.py
@@ -0,0 +1,26 @@
+"""
+When to ask for the load of engines before one of them is chosen.
+
+It answers load near and above what the engines carry, where what entries know of engines is
+up to 0.3 s old and others send meanwhile: the engine that looks best is full when the request
+gets there. Where all engines compared have slots to spare, as old a report will do.
+
+"""
+
+from collections.abc import Iterable
+from typing import Final
+
+from millfork_scheduling.server import Server
+
+# Of its slots, what one engine of those compared has taken at least. Model of 23 engines and
+# 39 entries at 0.9 and 1.2 times their capacity, in time: 0.95 and 0.79, 0.90 and 0.67 where
+# nobody is asked, 0.95 and 0.79 where all are always; a third fewer are asked at 0.9.
+ASKED_SHARE: Final = 0.7
+
+
+def is_worth_asking(servers: Iterable[Server], now: float, entries: int) -> bool:
+    """
+    Whether the choice among some engines may hang on what happened since their reports.
+
+    """
+    return any(server.taken(now, entries) >= ASKED_SHARE * server.slots for server in servers)
--- a/packages/millfork-scheduling/millfork_scheduling/book.py
+++ b/packages/millfork-scheduling/millfork_scheduling/book.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable, Iterable
+from heapq import nsmallest
 from random import Random
 from typing import Final
 
@@ -17,16 +18,22 @@
     Choice,
     Outlook,
     Wanted,
+    beginning,
     choose_engine,
     choose_plain,
+    few,
 )
-from millfork_scheduling.server import REPORT_VALID_S, Lateness, Server
+from millfork_scheduling.server import REPORT_VALID_S, Lateness, Load, Server
 
 # As many engines are looked at one by one for each request.
 MOST_LOOKED_AT: Final = 24
 # Of more, so many are drawn on either side to find the few to compare: with a third of
 # them unable, fewer than two of 16 will do once in a million requests.
 DRAWN: Final = 16
+# Of each service, among how many engines of the own zone and of others an entry draws: it
+# keeps a connection to the daemons beside them.
+MOST_NEAR: Final = 32
+MOST_FAR: Final = 16
 # One first token's weight in the mean lateness: an entry sees some ten a second,
 # so the mean follows a change of load within a second.
 LATENESS_WEIGHT: Final = 0.1
@@ -53,7 +60,7 @@
         self.monotonic = monotonic
         self.servers: dict[InstanceId, Server] = {}
         self.by_service: dict[ServiceName, list[Server]] = {}
-        # The same, those of the own zone and all others.
+        # Those to draw from, of the own zone and of all others.
         self.near: dict[ServiceName, list[Server]] = {}
         self.far: dict[ServiceName, list[Server]] = {}
         # Counts what may change who is a path; the paths found at one count, by service
@@ -94,6 +101,8 @@
             side = self.near if server.zone == self.zone else self.far
             side.setdefault(server.service, []).append(server)
             self.by_address[(server.host, server.port)] = server
+        _keep_least(self.near, MOST_NEAR)
+        _keep_least(self.far, MOST_FAR)
 
     def _take_lease(self, key: InstanceId, lease: Lease) -> None:
         server = self.servers.get(key)
@@ -108,6 +117,7 @@
                 lease.served,
                 lease.incarnation,
                 lease_served=lease.served,
+                draw_order=self.random.random(),
             )
             before = self.by_address.get((lease.host, lease.port))
             if before is not None:
@@ -138,7 +148,7 @@
             server.report_sequence = state.sequence
             if not state.reachable:
                 continue
-            if _is_of_another(state, server):
+            if server.is_another(state.incarnation):
                 if state.incarnation > server.incarnation:
                     # The engine that the lease is of has ended.
                     server.served = ()
@@ -148,19 +158,40 @@
             if (changing, state.served) != (server.changing, server.served):
                 self.changes += 1
             server.changing = changing
-            server.reported = state.running + state.queued
-            server.reported_unread = state.queued
-            server.mine_at_report = server.mine
-            server.mine_unread_at_report = server.mine_unread
-            server.pace = state.pace
-            server.reported_at = now
+            server.daemon = state.instance
+            load = Load(state.running, state.queued, state.pace, server.mine, server.mine_unread)
+            server.take_load(load, now)
             if state.served != server.served:
                 server.served = state.served
                 server.refused.clear()
 
-    def choose(self, wanted: Wanted, tried: set[InstanceId]) -> Choice | None:
+    def compare(self, wanted: Wanted, tried: set[InstanceId]) -> list[Server]:
         """
-        The back end for a request; None if there is none that can serve it.
+        The few engines among which to choose, with the second parts of paths; none for a
+        plain service.
+
+        """
+        if wanted.engine is None:
+            return []
+        now = self.monotonic()
+        paths = self._paths(wanted.service, wanted.engine, wanted.newest_version)
+        drawn = self._draw(wanted, paths, tried, now)
+        if drawn:
+            return drawn
+        by_first = {path.first.instance: path.second for path in paths}
+        able = beginning(self._trusted(wanted, paths, tried, now), wanted.engine, paths)
+        return [
+            part
+            for server in few(able, self.zone, self.random)
+            for part in self._parts(server, by_first, wanted)
+        ]
+
+    def choose(
+        self, wanted: Wanted, tried: set[InstanceId], compared: list[Server] | None = None
+    ) -> Choice | None:
+        """
+        The back end for a request, one of those compared if any still will do; None if there
+        is none that can serve it.
 
         """
         now = self.monotonic()
@@ -169,12 +200,26 @@
         if wanted.engine is None:
             return self._choose_of_all(wanted, [], tried, outlook)
         paths = self._paths(wanted.service, wanted.engine, wanted.newest_version)
-        drawn = self._draw(wanted, paths, tried, now)
+        if compared is None:
+            drawn = self._draw(wanted, paths, tried, now)
+        else:
+            drawn = [server for server in compared if self._still(server, wanted, paths, tried)]
         choice = None
         if drawn:
             choice = choose_engine(drawn, wanted, wanted.engine, paths, outlook, self.random)
         return choice or self._choose_of_all(wanted, paths, tried, outlook)
 
+    def _still(
+        self, server: Server, wanted: Wanted, paths: list[Path], tried: set[InstanceId]
+    ) -> bool:
+        """
+        Whether an engine that was compared a moment ago will still do.
+
+        """
+        if self.servers.get(server.instance) is not server or server.instance in tried:
+            return False
+        return self._able(server, wanted, paths, self.monotonic())
+
     def _paths(self, service: ServiceName, engine: EngineFigures, newest: int) -> list[Path]:
         """
         The paths as they are; found anew only where something changed.
@@ -197,10 +242,10 @@
         (one process, one run).
 
         """
+        if len(self.by_service.get(wanted.service, [])) <= MOST_LOOKED_AT:
+            return []
         near = self.near.get(wanted.service, [])
         far = self.far.get(wanted.service, [])
-        if len(near) + len(far) <= MOST_LOOKED_AT:
-            return []
         by_first = {path.first.instance: path.second for path in paths}
         drawn: list[Server] = []
         for servers, count in ((near, NEAR_COMPARED), (far, FAR_COMPARED)):
@@ -237,20 +282,27 @@
     def _choose_of_all(
         self, wanted: Wanted, paths: list[Path], tried: set[InstanceId], outlook: Outlook
     ) -> Choice | None:
-        now = outlook.now
-        servers = self.by_service.get(wanted.service, [])
-        able = [
-            server
-            for server in servers
-            if server.instance not in tried and self._able(server, wanted, paths, now)
-        ]
-        if not able:
+        trusted = self._trusted(wanted, paths, tried, outlook.now)
+        if not trusted:
             return None
-        trusted = [server for server in able if server.suspect_until <= now] or able
         if wanted.engine is None:
             return choose_plain(trusted, outlook, self.random)
         return choose_engine(trusted, wanted, wanted.engine, paths, outlook, self.random)
 
+    def _trusted(
+        self, wanted: Wanted, paths: list[Path], tried: set[InstanceId], now: float
+    ) -> list[Server]:
+        """
+        All back ends that can serve a request, without the suspected ones if others can.
+
+        """
+        able = [
+            server
+            for server in self.by_service.get(wanted.service, [])
+            if server.instance not in tried and self._able(server, wanted, paths, now)
+        ]
+        return [server for server in able if server.suspect_until <= now] or able
+
     def note_first_token(self, server: Server, late_ms: float) -> None:
         """
         Take one first token's lateness, against the figures, into the means
@@ -287,11 +339,11 @@
         return False
 
 
-def _is_of_another(state: EndpointState, server: Server) -> bool:
+def _keep_least(servers: dict[ServiceName, list[Server]], most: int) -> None:
     """
-    Whether a report is of another incarnation of an engine than the one known.
+    Keep, of each service, so many by their order of drawing.
 
     """
-    if not state.incarnation or not server.incarnation:
-        return False
-    return state.incarnation != server.incarnation
+    for service, found in servers.items():
+        if len(found) > most:
+            servers[service] = nsmallest(most, found, key=lambda server: server.draw_order)
--- a/packages/millfork-scheduling/millfork_scheduling/placement.py
+++ b/packages/millfork-scheduling/millfork_scheduling/placement.py
@@ -147,6 +147,19 @@
     Of a few engines the one at which the first token is expected soonest, near ones
     first; None if none would begin before its version ends.
 
+    """
+    by_first = {path.first.instance: path for path in paths}
+    able = beginning(servers, engine, paths)
+    weigh = partial(_best, wanted=wanted, engine=engine, by_first=by_first, outlook=outlook)
+    # Of the few, all may be about to change their version: then any other will do.
+    return weigh(few(able, outlook.zone, random), random=random) or weigh(able, random=random)
+
+
+def beginning(servers: list[Server], engine: EngineFigures, paths: list[Path]) -> list[Server]:
+    """
+    Those of some back ends to which a request can be sent: they hold the model whole, or
+    begin a path whose second part is among them.
+
     """
     by_first = {path.first.instance: path for path in paths}
     able: list[Server] = []
@@ -158,12 +171,10 @@
             # The second part of a path, or a first whose second is out.
             continue
         able.append(server)
-    weigh = partial(_best, wanted=wanted, engine=engine, by_first=by_first, outlook=outlook)
-    # Of the few, all may be about to change their version: then any other will do.
-    return weigh(_few(able, outlook.zone, random), random=random) or weigh(able, random=random)
+    return able
 
 
-def _few(servers: list[Server], zone: ZoneId, random: Random) -> list[Server]:
+def few(servers: list[Server], zone: ZoneId, random: Random) -> list[Server]:
     """
     Some engines at random, most of them near; as many where no zone has enough.
 
--- a/packages/millfork-scheduling/millfork_scheduling/server.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server.py
@@ -63,7 +63,22 @@
         self.at = now
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
+class Load:
+    """
+    What runs at an engine and what waits, over 1 how much slower than usual it is, and which
+    requests of this entry, and of those the ones without a first token, are among them.
+
+    """
+
+    running: int
+    queued: int
+    pace: float
+    mine: int
+    mine_unread: int
+
+
+@dataclass(slots=True, eq=False)
 class Server:
     """
     One back end as this entry sees it.
@@ -84,6 +99,10 @@
     lease_served: tuple[ServedVersion, ...] = ()
     changing: bool = False
     report_sequence: int = -1
+    # The instance of the endpoint daemon beside it; empty until it reported.
+    daemon: str = ''
+    # Which ones are drawn where there are many: those with the least, the same ones always.
+    draw_order: float = 0.0
     # Requests of this entry there, and those of them without a first token.
     mine: int = 0
     mine_unread: int = 0
@@ -108,6 +127,27 @@
     # Versions that it refused lately, and until when to believe that.
     refused: dict[int, float] = field(default_factory=dict)
 
+    def is_another(self, incarnation: Incarnation) -> bool:
+        """
+        Whether what was told is of another incarnation than this one, as far as is known.
+
+        """
+        if not incarnation or not self.incarnation:
+            return False
+        return incarnation != self.incarnation
+
+    def take_load(self, load: Load, now: float) -> None:
+        """
+        Take what runs and waits there, as told at this moment.
+
+        """
+        self.reported = load.running + load.queued
+        self.reported_unread = load.queued
+        self.mine_at_report = load.mine
+        self.mine_unread_at_report = load.mine_unread
+        self.pace = load.pace
+        self.reported_at = now
+
     def occupied(self, now: float, entries: int = 1) -> int:
         """
         Requests there: the last report, which lags, corrected by what this
--- a/packages/millfork-standins/millfork_standins/bench/returning.py
+++ b/packages/millfork-standins/millfork_standins/bench/returning.py
@@ -72,7 +72,7 @@
     def _elapsed_ms(self, asked: Asked, book: ServerBook) -> int:
         truth = super()._elapsed_ms(asked, book)
         found = self._judged(asked, book, truth)
-        self.taken[asked.returning, found > 0] += 1
+        self.taken[asked.returning, found > ALIKE_MS] += 1
         return found
 
     def _judged(self, asked: Asked, book: ServerBook, truth: int) -> int:
--- a/packages/millfork-standins/millfork_standins/bench/routing.py
+++ b/packages/millfork-standins/millfork_standins/bench/routing.py
@@ -8,6 +8,7 @@
 
 import math
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from functools import partial
 from itertools import cycle
@@ -20,9 +21,11 @@
 from millfork_core.ids import InstanceId, ServiceName, ZoneId
 from millfork_registry.records import EndpointState, Lease, LeaseState, ServedVersion
 from millfork_routing.documents import EngineFigures, Route, RouteKind, Share
+from millfork_scheduling.asking import is_worth_asking
 from millfork_scheduling.book import ServerBook
 from millfork_scheduling.placement import Choice, Wanted
 from millfork_scheduling.prediction import read_ms
+from millfork_scheduling.server import Load, Server
 from millfork_standins.bench.engine_model import Agenda, EngineModel, Generation
 from millfork_standins.bench.rows import Sheet
 from millfork_state.view import View
@@ -39,6 +42,8 @@
 # One way, within a zone and to another, in seconds.
 NEAR_S: Final = 0.0015
 FAR_S: Final = 0.004
+# From a question for an engine's load until the daemon beside it has looked.
+LOOK_S: Final = 0.002
 # Mean tokens of prompts and answers, their spread (of the logarithm), the largest.
 PROMPT: Final = (930, 0.83, 3900)
 # Endpoint daemons report this often, and a replica tells it entries as often.
@@ -90,7 +95,9 @@
 
     """
 
-    def choose(self, wanted: Wanted, tried: set[InstanceId]) -> Choice | None:
+    def choose(
+        self, wanted: Wanted, tried: set[InstanceId], compared: list[Server] | None = None
+    ) -> Choice | None:
         return Choice(self.random.choice(self.by_service[wanted.service]))
 
 
@@ -102,7 +109,9 @@
 
     turns: 'cycle[int] | None' = None
 
-    def choose(self, wanted: Wanted, tried: set[InstanceId]) -> Choice | None:
+    def choose(
+        self, wanted: Wanted, tried: set[InstanceId], compared: list[Server] | None = None
+    ) -> Choice | None:
         servers = self.by_service[wanted.service]
         if self.turns is None:
             begin = self.random.randrange(len(servers))
@@ -170,6 +179,7 @@
         counted_from_s: float = WARM_UP_S,
     ) -> None:
         self.shape = shape
+        self.look_s = LOOK_S
         self.counted_from_s = counted_from_s
         # Between two reports of an engine to its zone, and two messages of a replica there.
         self.near_report_s = near_report_s
@@ -261,7 +271,43 @@
     def _send(self, asked: Asked) -> None:
         book = self.random.choice(self.books)
         wanted = Wanted(SERVICE, self.figures, 0, 1, asked.prompt)
-        choice = book.choose(wanted, set())
+        if self.admits_all:
+            self._choose(asked, book, wanted, None)
+            return
+        compared = book.compare(wanted, set())
+        if not is_worth_asking(compared, self.agenda.now, self.shape.entries):
+            self._choose(asked, book, wanted, compared)
+            return
+        unanswered = set(compared)
+
+        def take(server: Server, load: Load) -> None:
+            server.take_load(load, self.agenda.now)
+            unanswered.remove(server)
+            if not unanswered:
+                self._choose(asked, book, wanted, compared)
+
+        for server in compared:
+            self._ask(book, server, take)
+
+    def _ask(self, book: ServerBook, server: Server, take: Callable[[Server, Load], None]) -> None:
+        """
+        Ask the daemon beside an engine for its load.
+
+        """
+        way_s = NEAR_S if server.zone == book.zone else FAR_S
+        mine, mine_unread = server.mine, server.mine_unread
+
+        def look() -> None:
+            engine = self.engines[server.port]
+            load = Load(len(engine.running), len(engine.queue), 1.0, mine, mine_unread)
+            self.agenda.after(way_s, partial(take, server, load))
+
+        self.agenda.after(way_s + self.look_s, look)
+
+    def _choose(
+        self, asked: Asked, book: ServerBook, wanted: Wanted, compared: list[Server] | None
+    ) -> None:
+        choice = book.choose(wanted, set(), compared)
         if choice is None:
             self._count(asked, 'refused')
             return
--- a/packages/millfork-wire/millfork_wire/messages/__init__.py
+++ b/packages/millfork-wire/millfork_wire/messages/__init__.py
@@ -25,6 +25,7 @@
     SuspicionReport,
     VersionSwitch,
 )
+from millfork_wire.messages.loads import AskLoad, EngineLoad
 from millfork_wire.messages.requests import (
     Cancel,
     Cancelled,
@@ -81,6 +82,7 @@
     'AppendReply',
     'AppendRequest',
     'AskFeed',
+    'AskLoad',
     'AskRevision',
     'AskTurnedAway',
     'CacheAddress',
@@ -90,6 +92,7 @@
     'Done',
     'End',
     'EndpointReport',
+    'EngineLoad',
     'Entry',
     'Failure',
     'FeedSent',
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -56,6 +56,8 @@
     noteTurnedAway @49 :NoteTurnedAway;
     askTurnedAway @50 :AskTurnedAway;
     turnedAwayBefore @51 :TurnedAwayBefore;
+    askLoad @52 :AskLoad;
+    engineLoad @53 :EngineLoad;
   }
 }
 
@@ -133,4 +135,6 @@
 }
 struct NoteTurnedAway { fingerprint @0 :Data; elapsedMs @1 :UInt32; }
 struct AskTurnedAway { fingerprint @0 :Data; }
+struct AskLoad {}
+struct EngineLoad { known @0 :Bool; running @1 :UInt32; queued @2 :UInt32; pacePercent @3 :UInt32; incarnation @4 :UInt64; }
 struct TurnedAwayBefore { found @0 :Bool; elapsedMs @1 :UInt32; }
--- a/packages/millforkd/millforkd/beside/daemon.py
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -28,6 +28,7 @@
 from millforkd.beside.fleet import Fleet
 from millforkd.beside.gathering import Gathering
 from millforkd.beside.layout import serves_whole
+from millforkd.beside.load import EngineLoads
 from millforkd.beside.origin import Origin, origin_in
 from millforkd.beside.pieces import (
     PieceSet,
@@ -103,6 +104,7 @@
             self._target,
             self._report,
         )
+        self.loads = EngineLoads(env, self.engine, lambda: self.rollout.report is not None)
         self.expiry = Expiry(env, self.engine, self.store, self.rollout)
         self.admin = Admin(env, settings, lambda: bool(self.view.cluster))
         self.document: Document | None = None
@@ -268,6 +270,10 @@
     async def _(self, message: messages.AskFeed, connection: Connection) -> Message:
         return await self.relaying.answer(connection, message)
 
+    @on.register
+    async def _(self, message: messages.AskLoad, connection: Connection) -> Message:
+        return await self.loads.now()
+
     @on.register
     async def _(self, message: messages.GetManifest, connection: Connection) -> Message:
         weights = self._weights_id(message.digest, connection)
--- a/packages/millforkd/millforkd/beside/silence.py
+++ b/packages/millforkd/millforkd/beside/silence.py
@@ -17,8 +17,11 @@
 
     """
 
-    def __init__(self, monotonic: Callable[[], float]) -> None:
+    def __init__(
+        self, monotonic: Callable[[], float], passed_over_s: float = PASSED_OVER_S
+    ) -> None:
         self.monotonic = monotonic
+        self.passed_over_s = passed_over_s
         self.until: dict[str, float] = {}
 
     def note(self, instance: str) -> None:
@@ -26,7 +29,7 @@
         Pass over a peer that did not answer.
 
         """
-        self.until[instance] = self.monotonic() + PASSED_OVER_S
+        self.until[instance] = self.monotonic() + self.passed_over_s
 
     def is_silent(self, instance: str) -> bool:
         """
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -32,6 +32,7 @@
 from millforkd.beside.origin import Origin, origin_in
 from millforkd.document import document_in
 from millforkd.proxy.admission import Admission
+from millforkd.proxy.asking import LoadQuestions
 from millforkd.proxy.cache import PieceCache
 from millforkd.proxy.connections import Pools
 from millforkd.proxy.fingerprints import Fingerprints
@@ -95,6 +96,7 @@
             self.budget,
             Quarantine(self.registry.suspects, self.view, fingerprints),
             self.recall,
+            LoadQuestions(env, self.peers, self.book),
         )
         self.suspicions = SuspicionTeller(env, self.peers, self.following, self.registry.suspects)
         self.document: Document | None = None
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -20,6 +20,7 @@
 from millfork_scheduling.returning import after_refusal, while_nothing_serves
 from millfork_web.server import CallerGone, Exchange
 from millforkd.proxy.admission import Admission
+from millforkd.proxy.asking import LoadQuestions
 from millforkd.proxy.connections import Pools, SendFailed, ServerConnection
 from millforkd.proxy.endings import Endings
 from millforkd.proxy.ends import Ends
@@ -66,6 +67,7 @@
         budget: SharedBudget,
         quarantine: Quarantine,
         recall: Recall,
+        loads: LoadQuestions,
     ) -> None:
         self.env = env
         self.adapter = adapter
@@ -75,6 +77,7 @@
         self.budget = budget
         self.quarantine = quarantine
         self.recall = recall
+        self.loads = loads
         self.ends = Ends(env, quarantine.suspects)
         self.relaying = Relaying(env, adapter, book)
         self.waiting = Waiting(env, admission)
@@ -173,7 +176,7 @@
                 return refusal
             last_send = len(job.tried) + 1 >= job.route.max_attempts
             job.wanted = self.admission.as_of_now(job.wanted, last_send)
-            choice = self.book.choose(job.wanted, set(job.tried))
+            choice = await self._choose(job)
             if choice is None:
                 return self._no_server(job)
             server = choice.server
@@ -207,6 +210,16 @@
                 self.quarantine.known(job).ends,
             )
 
+    async def _choose(self, job: Job) -> Choice | None:
+        """
+        The back end for a job, by loads as they are now where the choice hangs on them.
+
+        """
+        tried = set(job.tried)
+        compared = self.book.compare(job.wanted, tried)
+        await self.loads.refresh(compared)
+        return self.book.choose(job.wanted, tried, compared or None)
+
     async def _look_up_first_try(self, job: Job, choice: Choice) -> None:
         if not self.admission.hinges_on_first_try(job, choice):
             return
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -131,7 +131,7 @@
         (
             Edit(
                 C + 'placement.py',
-                'weigh(_few(able, outlook.zone, random), random=random) or',
+                'weigh(few(able, outlook.zone, random), random=random) or',
                 'None or',
             ),
         ),
--- a/tests/test_drawn_deployments.py
+++ b/tests/test_drawn_deployments.py
@@ -59,7 +59,6 @@
     assert found.turned_away == 0
 
 
-# 0.476 in time, 0.702 for one that sees all its own choices.
 SPLIT = FleetShape('drawn', 4, 10, 13, 1, (60, 0.7, 298), 13.563952005542404, 13_000, 423)
 
 
@@ -67,6 +66,15 @@
 @example(SPLIT, 13, 0.9, 1.2)
 @given(SHAPES, SEEDS, LEAST_TIMES, st.sampled_from([0.9, 1.2, 1.5]))
 def test_split_knowledge_loses_no_more_than_a_stated_part(shape, seed, least, factor):
+    """
+    Thirteen entries before four engines had 0.476 of first tokens in time, a single one that
+    sees all its own choices 0.702. Each entry went by reports up to 0.3 s old, during which the
+    others sent: the engine that looked best was full when the request got there, and 0.25 of
+    first tokens came late (0.08 with one entry). Reports each 0.02 s instead of 0.15 s gave
+    0.66; knowing exactly who came back gave nothing (0.52 for 0.52). An entry now asks the
+    daemons beside the engines that it compares, where one of them is nearly full.
+
+    """
     built = played(shape, factor, seed, Way.BUILT, least)
     single = played(replace(shape, entries=1), factor, seed, Way.KNOWN, least)
     in_time = built.outcomes.share('in time')
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -126,12 +126,13 @@
             hinges_on_first_try=lambda job, choice: False,
         )
         adapter = SimpleNamespace(forward=lambda request, orders: [])
-        book = SimpleNamespace(choose=self.choose)
+        book = SimpleNamespace(compare=lambda wanted, tried: [], choose=self.choose)
+        loads = SimpleNamespace(refresh=self.refresh)
         pools = SimpleNamespace(of=self.pool_of)
         fingerprints = Fingerprints(b'key', lambda: 'cluster')
         quarantine = Quarantine(Suspects(self.clock), View(), fingerprints)
         self.forwarding = Forwarding(
-            env, adapter, admission, book, pools, self.budget, quarantine, recall=None
+            env, adapter, admission, book, pools, self.budget, quarantine, None, loads
         )
         route = SimpleNamespace(repeatable=False, max_attempts=2)
         exchange = SimpleNamespace(
@@ -143,7 +144,10 @@
             exchange, caller, route, None, Wanted(ServiceName('s'), ENGINE), 1, now, now + 6.0, 1
         )
 
-    def choose(self, wanted, tried):
+    async def refresh(self, servers):
+        pass
+
+    def choose(self, wanted, tried, compared):
         return Choice(self.servers.pop(0)) if self.servers else None
 
     def pool_of(self, server):
