--- a/tests/test_version_ends_after_restart.py
+++ b/tests/test_version_ends_after_restart.py
@@ -89,6 +89,17 @@
 
 
 def test_an_entry_that_starts_is_told_no_later_end_by_a_replica_that_was_away(fleet):
+    """
+    A version is named while a replica is away, and has long ended what came before it when
+    that replica and an entry start together. The replica told its state as fresh as soon as it
+    heard its leader, before it had what was committed meanwhile, so the entry followed it
+    (`Following replica. age_ms=36`, at revision 1), heard of the version 58 ms later, took it
+    for one named just then (`Version named. version=2 due_s=1.1`) and could have sent requests
+    to the ended one until it was told better 0.2 s later (`Version end corrected. due_s=-0.9`).
+    It came in 4 of 15 runs, five at a time beside other work. A replica's age now counts from
+    when it holds all that was committed.
+
+    """
     entry = fleet.entry_hosts[0]
     first = followed(fleet)
     fleet.kill(first)
