A late heartbeat of an unknown back end ends no lease of a live one

Callers lost a back end for 6.0 s: a heartbeat of a process that had ended came late to a replica that never knew it, at an address where another one lives by now.

Cause: without a known start of both processes, whoever was unknown counted as the newer one, whatever its sequence. `Lease expired. instance=i-2 sequence=5` at 0.3 s, `Late heartbeat ignored. instance=i-2 held_by=i-1` at 1.5 s, 2.7 s, 3.9 s and 5.1 s, `Lease ready. instance=i-2` at 6.3 s. Ruled out: known incarnations, which are compared, and a known sender, whose record tells that it ended.

Change: an unknown back end at the address of a live one is taken at once by its first heartbeat (sequence 1), else by its second here, half a pause later at least. One that has ended sends no more; two that were held up come together. A new one whose first heartbeats were lost is taken one heartbeat later than before.

After: the live one stays usable in all cases of the test. A late first heartbeat of a process that ended after it is still believed.

--- a/packages/millfork-registry/millfork_registry/registry.py
+++ b/packages/millfork-registry/millfork_registry/registry.py
@@ -25,6 +25,11 @@
 # A record that ended is remembered this long, so that a late heartbeat of
 # the same life changes nothing.
 REMEMBERED_S: Final = 120.0
+# A back end without a known start counts as new at a used address by its first heartbeat, or
+# by two of them apart by this share of the usual pause: one that has ended sends no more, and
+# two that were held up come together.
+FIRST_SEQUENCE: Final = 1
+APART_SHARE: Final = 0.5
 # An endpoint daemon reports at least each second.
 REPORT_LIFETIME_S: Final = 3.5
 ENDED: Final = (LeaseState.GONE, LeaseState.EXPIRED)
@@ -52,6 +57,7 @@
     def __init__(self, env: Environment, heartbeat_s: float) -> None:
         self.env = env
         self.lease_s = heartbeat_s * MISSED_HEARTBEATS
+        self.apart_s = heartbeat_s * APART_SHARE
         self.leases: Table[Lease] = Table()
         self.endpoints: Table[EndpointState] = Table()
         self.suspects = Suspects(env.monotonic)
@@ -59,6 +65,8 @@
         self.ended: dict[str, float] = {}
         # The back end that was last known to live at an address.
         self.at_address: dict[tuple[str, int], str] = {}
+        # Unknown back ends at the address of a live one: sequence and time of the heartbeat.
+        self.newcomers: dict[str, tuple[int, float]] = {}
         # Whether what is not here is known not to exist.
         self.settled = False
 
@@ -84,11 +92,37 @@
                 other.instance,
             )
             return Change.NONE
+        if other is not None and held is None and self._may_have_ended(lease, other):
+            log.info(
+                'Heartbeat of an unknown back end waits for its next one. instance={} '
+                'sequence={} address={}:{} held_by={}',
+                lease.instance,
+                lease.sequence,
+                lease.host,
+                lease.port,
+                other.instance,
+            )
+            return Change.NONE
         owner = str(self.env.instance)
         if other is not None and _replaces(lease, other, held):
             self.take(msgspec.structs.replace(other, state=LeaseState.EXPIRED, owner=owner))
         return self.take(msgspec.structs.replace(lease, owner=owner))
 
+    def _may_have_ended(self, lease: Lease, other: Lease) -> bool:
+        """
+        Whether a heartbeat of an unknown back end may be a late one, of a process that lived
+        at its address before the one that is known.
+
+        """
+        if (lease.incarnation and other.incarnation) or lease.sequence <= FIRST_SEQUENCE:
+            return False
+        now = self.env.monotonic()
+        sequence, at = self.newcomers.setdefault(lease.instance, (lease.sequence, now))
+        if lease.sequence <= sequence or now - at < self.apart_s:
+            return True
+        del self.newcomers[lease.instance]
+        return False
+
     def _live_neighbour(self, lease: Lease) -> Lease | None:
         """
         Another back end whose lease at the same address has not ended.
@@ -228,6 +262,9 @@
             )
             self.take(ended)
             expired.append(ended)
+        for key, (_, came_at) in list(self.newcomers.items()):
+            if now - came_at > REMEMBERED_S:
+                del self.newcomers[key]
         for key, ended_at in list(self.ended.items()):
             if now - ended_at > REMEMBERED_S:
                 self._forget_lease(key)
--- /dev/null
+++ b/tests/test_delayed_heartbeats.py
@@ -0,0 +1,111 @@
+"""
+A heartbeat that comes after its back end has ended and another one lives at the address.
+
+A back end's heartbeat may come seconds late, at any replica. At one that never knew its sender
+(it had started since, or forgotten the record) a late heartbeat looked like the first of a new
+back end, and ended the lease of the live one at the address: `Lease expired. instance=i-2
+sequence=5`, then four times `Late heartbeat ignored. instance=i-2 held_by=i-1` of the live
+one's own, until `Lease ready. instance=i-2` 6.0 s later. Callers lost a back end for as long.
+Where back ends tell when their process started, that decides; this is about those that don't.
+
+"""
+
+import pytest
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_registry.records import Lease, LeaseState
+from millfork_registry.registry import Change, Registry
+from tests.test_servers import Clock
+
+HEARTBEAT_S = 1.2
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def replica(clock):
+    return Registry(Environment(InstanceId('a:1'), ZoneId('zone'), monotonic=clock), HEARTBEAT_S)
+
+
+def lease(instance, sequence, owner='', incarnation=0):
+    return Lease(
+        instance, 'service', '10.0.0.1', 80, 'zone', 4, LeaseState.READY, sequence, owner,
+        incarnation=incarnation,
+    )  # fmt: skip
+
+
+def usable(replica):
+    return [item.instance for item in replica.leases.values() if item.usable]
+
+
+def test_a_late_heartbeat_of_one_that_was_never_known_ends_no_lease(replica, clock):
+    replica.take_heartbeat(lease('i-2', 5))
+    clock.now += 0.3
+    assert replica.take_heartbeat(lease('i-1', 31)) is Change.NONE
+    assert usable(replica) == ['i-2']
+    clock.now += 0.9
+    assert replica.take_heartbeat(lease('i-2', 6)) is Change.RENEWED
+    assert usable(replica) == ['i-2']
+
+
+def test_nor_does_the_same_one_again(replica, clock):
+    """
+    A back end that got no answer within a second sends the same heartbeat to another replica.
+
+    """
+    replica.take_heartbeat(lease('i-2', 5))
+    for _ in range(3):
+        assert replica.take_heartbeat(lease('i-1', 31)) is Change.NONE
+        clock.now += HEARTBEAT_S
+        replica.take_heartbeat(lease('i-2', 6))
+    assert usable(replica) == ['i-2']
+
+
+def test_nor_do_two_that_were_held_up_together(replica, clock):
+    replica.take_heartbeat(lease('i-2', 5))
+    replica.take_heartbeat(lease('i-1', 31))
+    clock.now += 0.01
+    assert replica.take_heartbeat(lease('i-1', 32)) is Change.NONE
+    assert usable(replica) == ['i-2']
+
+
+def test_nor_one_at_a_replica_that_has_the_lease_from_another(replica, clock):
+    replica.take(lease('i-2', 5, owner='b:1'))
+    assert replica.take_heartbeat(lease('i-1', 31)) is Change.NONE
+    assert usable(replica) == ['i-2']
+
+
+def test_a_new_back_end_whose_first_heartbeats_were_lost_is_taken_by_its_second_here(
+    replica, clock
+):
+    replica.take_heartbeat(lease('i-1', 40))
+    replica.take_heartbeat(lease('i-2', 4))
+    clock.now += HEARTBEAT_S
+    assert replica.take_heartbeat(lease('i-2', 5)) is Change.CHANGED
+    assert usable(replica) == ['i-2']
+
+
+def test_the_first_heartbeat_of_a_new_back_end_is_taken_at_once(replica):
+    replica.take_heartbeat(lease('i-1', 40))
+    assert replica.take_heartbeat(lease('i-2', 1)) is Change.CHANGED
+    assert usable(replica) == ['i-2']
+
+
+def test_where_both_tell_when_they_started_that_decides(replica):
+    replica.take_heartbeat(lease('i-2', 5, incarnation=2000))
+    assert replica.take_heartbeat(lease('i-1', 31, incarnation=1000)) is Change.NONE
+    assert replica.take_heartbeat(lease('i-3', 4, incarnation=3000)) is Change.CHANGED
+    assert usable(replica) == ['i-3']
+
+
+def test_what_waits_for_its_next_heartbeat_is_forgotten(replica, clock):
+    replica.take_heartbeat(lease('i-2', 5))
+    replica.take_heartbeat(lease('i-1', 31))
+    clock.now += 200
+    replica.take_heartbeat(lease('i-2', 150))
+    replica.expire(set())
+    assert replica.newcomers == {}
