Ends of versions count from when the naming came into the log, not from its commit

Cause: a replica learned of a version when it applied the entry. `Version named. version=2 due_s=7.1` at 1.5 s after the entry had come, so the end at 9.5 s in place of 8. Ruled out: followers and other replicas, which go by the leader's word.

Change: a replica notes when an entry that raises a version comes into its log and counts from there; an entry found in the log at a start, from the start; one that another leader replaced says nothing.

Left: after all replicas lost power just after the acknowledgement the end is later by as long as they were away.

--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -16,6 +16,7 @@
 from millfork_core.ids import NO_INSTANCE, ClusterId, InstanceId
 from millfork_core.logs import Part, logger
 from millfork_settings.common import StateSettings
+from millfork_state.arrivals import Arrivals
 from millfork_state.commands import (
     AnyCommand,
     SetMembers,
@@ -77,6 +78,7 @@
         self.peers = peers
         self.others = [address for address in addresses if address.instance != env.instance]
         self.machine = Machine(view)
+        self.arrivals = Arrivals(env.monotonic)
         self.state = ReplicaState.FOLLOWER
         self.leader: InstanceId = NO_INSTANCE
         self.leader_heard = env.monotonic()
@@ -139,7 +141,11 @@
             log.warning('Dropped a torn write of {} bytes.', self.storage.torn_bytes)
             self.env.metrics.count(self.env.metrics.state, event='torn_tail')
         self._find_members()
-        await self.advance_commit(max(self.commit, self.storage.commit_hint))
+        known_committed = max(self.commit, self.storage.commit_hint)
+        for entry in self.storage.entries:
+            if entry.index > known_committed:
+                self.arrivals.note(entry.index, decode_command(entry.payload))
+        await self.advance_commit(known_committed)
         log.info(
             'Recovered revision {} at log index {}.', self.view.revision, self.storage.last_index
         )
@@ -159,7 +165,13 @@
         """
         replaced = bool(entries) and entries[0].index <= self.storage.last_index
         self.storage.write_entries(entries)
-        membership = any(isinstance(decode_command(entry.payload), SetMembers) for entry in entries)
+        if replaced:
+            self.arrivals.drop_from(entries[0].index)
+        membership = False
+        for entry in entries:
+            command = decode_command(entry.payload)
+            self.arrivals.note(entry.index, command)
+            membership = membership or isinstance(command, SetMembers)
         if replaced or membership:
             self._find_members()
 
--- a/packages/millforkd/millforkd/replica/daemon.py
+++ b/packages/millforkd/millforkd/replica/daemon.py
@@ -99,6 +99,7 @@
             self.mesh.switch_ends,
             untold_ms=0,
             leads=self._leads,
+            arrived=self.replica.arrivals.of,
         )
         self.proposals = Proposals(
             env, self.peers, self.replica.others, self.node, LEADER_TIMEOUT_S
--- a/packages/millforkd/millforkd/versions.py
+++ b/packages/millforkd/millforkd/versions.py
@@ -54,6 +54,14 @@
     return False
 
 
+def never_arrived(key: str, version: int) -> float | None:
+    """
+    The case of a process that keeps no log.
+
+    """
+    return None
+
+
 class Versions:
     """
     The versions named, as this process learned of them.
@@ -69,6 +77,7 @@
         untold_ms: int = 0,
         leads: Callable[[], bool] = always_leads,
         is_current: Callable[[], bool] = always_current,
+        arrived: Callable[[str, int], float | None] = never_arrived,
     ) -> None:
         self.env = env
         self.view = view
@@ -80,6 +89,8 @@
         self.leads = leads
         # Whether the view is up to date, as far as this process knows.
         self.is_current = is_current
+        # When the entry that named a version came into this process's log.
+        self.arrived = arrived
         self.started = False
         # When this process learned of each version, by model; what it heard of before its
         # view was up to date was named nobody here knows when, and is taken for long ago.
@@ -96,10 +107,22 @@
             model = key.removeprefix(VERSION_PREFIX)
             version = decode_versioned(value).version
             learned = self.learned.setdefault(model, {})
-            learned.setdefault(version, now if self.started else float('-inf'))
+            if version not in learned:
+                learned[version] = self._named_at(key, version, now)
             self._log_ends(model)
         self.started = self.started or self.is_current()
 
+    def _named_at(self, key: str, version: int, now: float) -> float:
+        """
+        When a version was named, as far as this process can tell; never earlier than that by
+        more than the time to commit it.
+
+        """
+        if not self.started:
+            return float('-inf')
+        arrived = self.arrived(key, version)
+        return now if arrived is None else arrived
+
     def _log_ends(self, model: str) -> None:
         now = self.env.monotonic()
         for version, ends in self._ends(model).items():
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -20,6 +20,30 @@
         'test_where_callers_begin_with_different_times_a_short_one_tells_nothing',
         (Edit(C + 'first_tries.py', 'if deadline_ms >= shortest - margin_ms:', 'if False:'),),
     ),
+    Mutation(
+        'a version counts from when its entry came into the log',
+        'tests/test_ends_after_an_election.py::'
+        'test_a_leader_elected_after_the_naming_counts_from_when_the_entry_came',
+        (
+            Edit(
+                D + 'versions.py',
+                'return now if arrived is None else arrived',
+                'return now',
+            ),
+        ),
+    ),
+    Mutation(
+        'a late heartbeat of an unknown back end ends no lease',
+        'tests/test_delayed_heartbeats.py::'
+        'test_a_late_heartbeat_of_one_that_was_never_known_ends_no_lease',
+        (
+            Edit(
+                'packages/millfork-registry/millfork_registry/registry.py',
+                'if other is not None and held is None and self._may_have_ended(lease, other):',
+                'if False:',
+            ),
+        ),
+    ),
     Mutation(
         'nobody is turned away for the few engines compared',
         'tests/test_drawn_deployments.py::'
--- /dev/null
+++ b/tests/test_ends_after_an_election.py
@@ -0,0 +1,108 @@
+"""
+A version that is named just before its leader is lost.
+
+The leader that was lost had acknowledged version 2 at 0.0 s. The next one had the entry in its
+log all the time, but learned of the version when it committed it, 1.5 s later, and counted the
+end of version 1 from there: `Version named. version=2 due_s=7.1` at 1.5 s, so that requests
+could have begun on version 1 until 9.5 s after the acknowledgement in place of 8.
+
+"""
+
+import curio
+import pytest
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_settings.common import StateSettings
+from millfork_state.arrivals import MOST_KEPT, Arrivals
+from millfork_state.commands import Raise, Versioned, encode_versioned
+from millfork_state.keys import version_key
+from millfork_state.replica import Replica, ReplicaState
+from millfork_state.storage import LogEntry, Storage
+from millfork_state.view import View
+from millforkd.versions import CUT_S, Versions
+from tests.test_replica import append, entry, genesis
+from tests.test_servers import Clock
+from tests.test_versions import SWITCH_MS, SWITCH_S
+
+ELECTION_S = 1.5
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+def replica_on(folder, clock):
+    env = Environment(InstanceId('b'), ZoneId('zone'), monotonic=clock)
+    made = Replica(env, StateSettings(), Storage(folder), View(), None, [])
+    curio.run(made.recover)
+    return made
+
+
+def versions_of(replica):
+    made = Versions(
+        replica.env, replica.view, SWITCH_MS, leads=lambda: True, arrived=replica.arrivals.of
+    )
+    made.refresh()
+    return made
+
+
+def named(index, version=2, term=1):
+    value = encode_versioned(Versioned(version, b''))
+    return entry(index, term, Raise(version_key('m'), version, value))
+
+
+def lead(replica, term=2):
+    """
+    Win an election, and commit all that is in the log with an entry of the own term.
+
+    """
+    curio.run(replica.enter_term, term)
+    replica.state = ReplicaState.LEADER
+    index = replica.storage.last_index + 1
+    curio.run(replica.write, [LogEntry(term, index, entry(index).payload)])
+    curio.run(replica.advance_commit, index)
+
+
+def test_a_leader_elected_after_the_naming_counts_from_when_the_entry_came(tmp_path, clock):
+    replica = replica_on(tmp_path, clock)
+    versions = versions_of(replica)
+    append(replica, [genesis(replica), named(2)], commit=1)
+    came_at = clock.now
+    clock.now += ELECTION_S
+    lead(replica)
+    versions.refresh()
+    assert versions.ends_at('m', 1) == pytest.approx(came_at + SWITCH_S - CUT_S)
+
+
+def test_one_that_restarts_meanwhile_counts_from_its_start_at_the_latest(tmp_path, clock):
+    before = replica_on(tmp_path, clock)
+    append(before, [genesis(before), named(2)], commit=1)
+    clock.now += 0.4
+    replica = replica_on(tmp_path, clock)
+    versions = versions_of(replica)
+    started_at = clock.now
+    clock.now += ELECTION_S
+    lead(replica)
+    versions.refresh()
+    assert versions.ends_at('m', 1) == pytest.approx(started_at + SWITCH_S - CUT_S)
+
+
+def test_an_entry_that_another_leader_replaced_says_nothing(tmp_path, clock):
+    replica = replica_on(tmp_path, clock)
+    versions = versions_of(replica)
+    append(replica, [genesis(replica), named(2)], commit=1)
+    clock.now += ELECTION_S
+    append(replica, [entry(2, 2)], prev=(1, 1), commit=2, term=2)
+    clock.now += 1.0
+    append(replica, [named(3, term=2)], prev=(2, 2), commit=3, term=2)
+    versions.refresh()
+    assert versions.ends_at('m', 1) == pytest.approx(clock.now + SWITCH_S - CUT_S)
+
+
+def test_what_is_kept_of_arrivals_is_bounded(clock):
+    arrivals = Arrivals(clock)
+    for index in range(2 * MOST_KEPT):
+        arrivals.note(index, Raise('key', index, b''))
+    assert len(arrivals.came) == MOST_KEPT
