A replica that starts in a cut does not say that it knows all leases

Cause: time alone counted. It is enough for back ends that reach that replica; those of the others are known by following them. Ruled out: symmetric cuts, where what is dropped can't be reached either; entries that follow within the first 2.5 heartbeats, which drop nothing.

Change: besides the time, a majority of the members is followed, this replica included. Until then followers keep what they know.

--- a/packages/millforkd/millforkd/replica/mesh.py
+++ b/packages/millforkd/millforkd/replica/mesh.py
@@ -38,7 +38,8 @@
 NAMED_WITHIN_S: Final = 20.0
 # Replicas ask each other twice a second; what one said is believed this long.
 HEARD_WITHIN_S: Final = 2.0
-# A replica that starts knows all leases after this many heartbeats at most.
+# Back ends that reach a replica that starts have told it of themselves after this many
+# heartbeats at most.
 SETTLED_HEARTBEATS: Final = 2.5
 
 log = logger(Part.REGISTRY)
@@ -109,13 +110,33 @@
                 if address.instance not in self.meeting:
                     self.meeting.add(address.instance)
                     await self.env.spawn(self._meet_once, address)
-            if self.env.monotonic() - self.started_at > self.settle_s:
-                self.registry.settled = True
+            self.note_settled()
             self.registry.forget_silent_endpoints()
             if self.registry.expire(self._lost_owners()):
                 await self.followers.wake()
             await curio.sleep(ASK_EVERY_S)
 
+    def note_settled(self) -> None:
+        """
+        After some heartbeats a replica knows the leases of all back ends that reach it, and
+        by a majority of the replicas those of all others; by itself it does not, in a cut.
+
+        """
+        if self.registry.settled:
+            return
+        if self.env.monotonic() - self.started_at <= self.settle_s:
+            return
+        members = [instance for instance, _ in self.replica.members]
+        known = sum(
+            instance == self.env.instance or self._follows(instance) for instance in members
+        )
+        if known > len(members) // 2:
+            self.registry.settled = True
+
+    def _follows(self, instance: str) -> bool:
+        connection = self.followed.get(InstanceId(instance))
+        return connection is not None and not connection.closed
+
     def _learn_members(self) -> None:
         for instance, _ in self.replica.members:
             if instance != self.env.instance:
--- /dev/null
+++ b/tests/test_settled_leases.py
@@ -0,0 +1,116 @@
+"""
+When a replica that starts may say that it knows all leases.
+
+Who follows a replica that says so drops every lease that is not among its own. A replica that
+started again while it was cut off from the others said so after 2.5 heartbeats, whatever it
+had heard: an entry that then followed it had `i-1` of three back ends left, the one whose
+heartbeats came to that replica, though it reached all three.
+
+"""
+
+from types import SimpleNamespace
+
+import curio
+import pytest
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_registry.followers import Follower, Followers
+from millfork_registry.following import Following
+from millfork_registry.records import Lease, LeaseState
+from millfork_registry.registry import Registry
+from millfork_registry.roles import ENTRY_ROLE
+from millforkd.replica.mesh import SETTLED_HEARTBEATS, Mesh
+from tests.test_servers import Clock
+
+HEARTBEAT_S = 1.2
+NAMES = ['a:1', 'b:1', 'c:1']
+LONG_S = 10 * SETTLED_HEARTBEATS * HEARTBEAT_S
+
+
+def lease(instance, owner):
+    return Lease(instance, 's', '10.0.0.1', int(instance[2:]), 'z', 4, LeaseState.READY, 1, owner)
+
+
+class Restarted:
+    """
+    A replica of three that has just started, and what it tells an entry that follows it.
+
+    """
+
+    def __init__(self):
+        self.clock = Clock()
+        self.env = Environment(InstanceId('a:1'), ZoneId('z'), monotonic=self.clock)
+        self.registry = Registry(self.env, HEARTBEAT_S)
+        self.followers = Followers(self.env, None, self.registry)
+        self.replica = SimpleNamespace(members=[(name, 'disk') for name in NAMES])
+        self.mesh = Mesh(
+            self.env, None, self.replica, self.registry, None, self.followers, HEARTBEAT_S
+        )
+
+    def follow(self, *names):
+        """
+        Follow other replicas; they answer.
+
+        """
+        for name in names:
+            self.mesh.followed[InstanceId(name)] = SimpleNamespace(closed=False)
+
+    def pass_time(self, seconds):
+        self.clock.now += seconds
+        self.mesh.note_settled()
+
+    def left_at(self, entry):
+        message = self.followers._leases_for(Follower(None, ENTRY_ROLE))
+        following = Following(self.env, ENTRY_ROLE, None, entry, None, None)
+        curio.run(following._take_leases, InstanceId('a:1'), message)
+        return sorted(item.instance for item in entry.leases.values())
+
+
+@pytest.fixture
+def restarted():
+    return Restarted()
+
+
+def test_a_replica_that_is_cut_off_does_not_say_that_it_knows_all_leases(restarted):
+    entry = Registry(restarted.env, HEARTBEAT_S)
+    for instance, owner in (('i-1', 'a:1'), ('i-2', 'b:1'), ('i-3', 'c:1')):
+        entry.take(lease(instance, owner))
+    restarted.registry.take_heartbeat(lease('i-1', 'a:1'))
+    restarted.pass_time(LONG_S)
+    assert not restarted.registry.settled
+    assert restarted.left_at(entry) == ['i-1', 'i-2', 'i-3']
+
+
+def test_it_says_so_once_it_follows_a_majority_and_had_the_time(restarted):
+    restarted.follow('b:1')
+    restarted.pass_time(0.5)
+    assert not restarted.registry.settled
+    restarted.pass_time(SETTLED_HEARTBEATS * HEARTBEAT_S)
+    assert restarted.registry.settled
+
+
+def test_it_says_so_after_the_cut(restarted):
+    restarted.pass_time(LONG_S)
+    restarted.follow('c:1')
+    restarted.pass_time(0.5)
+    assert restarted.registry.settled
+
+
+def test_one_that_it_follows_no_more_does_not_count(restarted):
+    restarted.follow('b:1')
+    restarted.mesh.followed[InstanceId('b:1')].closed = True
+    restarted.pass_time(LONG_S)
+    assert not restarted.registry.settled
+
+
+def test_a_replica_of_one_knows_all_that_there_is(restarted):
+    restarted.replica.members = [('a:1', 'disk')]
+    restarted.pass_time(LONG_S)
+    assert restarted.registry.settled
+
+
+def test_a_replica_without_members_knows_of_no_majority(restarted):
+    restarted.replica.members = []
+    restarted.pass_time(LONG_S)
+    assert not restarted.registry.settled
