An engine whose daemon fell silent is sent to for less long before a version ends

Cause: what reaches beyond the entry's own margin is the daemon that takes the version away in time; nobody watched whether there is one.

Change: a daemon that reported once and has not for 0.6 s guards no engine, and what is sent there must surely begin 1.2 s before the end in place of 0.5 s.

Left: an entry that starts after the daemon fell silent never heard of it and goes by the usual margin, as it does for every engine before the first reports.

--- a/packages/millfork-scheduling/millfork_scheduling/placement.py
+++ b/packages/millfork-scheduling/millfork_scheduling/placement.py
@@ -47,6 +47,9 @@
 # A request is sent to a version that ends only where its first token is expected
 # this long before: a slow link (0.91 Mbit/s were seen) makes one 0.9 s late.
 SURELY_S: Final = 0.5
+# The same where no daemon beside the engine takes the version away in time: a request was
+# seen to begin 1.1 s after it was sent.
+SURELY_UNGUARDED_S: Final = 1.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,7 +230,9 @@
     if version is None or version >= wanted.newest_version:
         return False
     latest_ms = max(expected_ms, choice.by_figures_ms)
-    return now + latest_ms / 1000 > wanted.ends_at(version) - SURELY_S
+    unguarded = any(server.is_unguarded(now) for server in choice.servers)
+    surely_s = SURELY_UNGUARDED_S if unguarded else SURELY_S
+    return now + latest_ms / 1000 > wanted.ends_at(version) - surely_s
 
 
 def _extra_cost(choice: Choice, wanted: Wanted, engine: EngineFigures, zone: ZoneId) -> float:
--- a/packages/millfork-scheduling/millfork_scheduling/server.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server.py
@@ -31,6 +31,8 @@
 SERVER_LATENESS_WEIGHT: Final = 0.5
 # A stuck engine's lateness says nothing of the others.
 MOST_LATENESS_MS: Final = 800.0
+# A daemon reports each 0.15 s; one that doesn't for so long is gone, stands still, or is cut off.
+DAEMON_SILENT_S: Final = 0.6
 # A report older than this says nothing about the load now.
 REPORT_VALID_S: Final = 2.0
 
@@ -136,6 +138,13 @@
             return False
         return incarnation != self.incarnation
 
+    def is_unguarded(self, now: float) -> bool:
+        """
+        Whether the daemon beside it reported once and does so no more.
+
+        """
+        return bool(self.daemon) and now - self.reported_at > DAEMON_SILENT_S
+
     def take_load(self, load: Load, now: float) -> None:
         """
         Take what runs and waits there, as told at this moment.
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -44,6 +44,18 @@
             ),
         ),
     ),
+    Mutation(
+        'an engine without its daemon is sent to for less long before a version ends',
+        'tests/test_unguarded_engines.py::'
+        'test_nothing_sent_behind_a_slow_link_begins_after_the_end',
+        (Edit(C + 'placement.py', 'SURELY_UNGUARDED_S if unguarded', 'SURELY_S if unguarded'),),
+    ),
+    Mutation(
+        'a replica that is cut off does not say that it knows all leases',
+        'tests/test_settled_leases.py::'
+        'test_a_replica_that_is_cut_off_does_not_say_that_it_knows_all_leases',
+        (Edit(D + 'replica/mesh.py', 'if known > len(members) // 2:', 'if True:'),),
+    ),
     Mutation(
         'nobody is turned away for the few engines compared',
         'tests/test_drawn_deployments.py::'
--- /dev/null
+++ b/tests/test_unguarded_engines.py
@@ -0,0 +1,65 @@
+"""
+The end of a version at an engine whose daemon is gone.
+
+Entries stop sending to a version a while before its end, but a request was seen to begin 1.1 s
+after it was sent, behind a slow link. The daemon beside the engine takes the version away
+in time; one that was killed, or stands still, does not, and a request sent 0.9 s before the
+end began 0.2 s after it. Its reports stop: an entry that has none for a while counts on nobody
+there.
+
+"""
+
+from random import Random
+
+import pytest
+
+from millfork_core.ids import ServiceName, ZoneId
+from millfork_registry.records import EndpointState, Lease, LeaseState, ServedVersion
+from millfork_scheduling.book import ServerBook
+from millfork_scheduling.placement import Wanted
+from millforkd.versions import CUT_S
+from tests.test_servers import ENGINE, Clock
+
+SERVICE = ServiceName('s')
+OLD = (ServedVersion('m', 1, 0, 16),)
+LINK_S = 1.1
+REPORT_S = 0.15
+
+
+def last_sent_before(end_s, daemon_silent_s):
+    """
+    How long before the end of version 1 the last request is sent to an engine that serves it,
+    in seconds, of requests that come every 10 ms.
+
+    """
+    clock = Clock()
+    began = clock.now
+    book = ServerBook(ZoneId('z1'), Random(1), clock)
+    book.take_leases(
+        [Lease('i-1', SERVICE, '10.0.0.1', 80, 'z1', 16, LeaseState.READY, 1, 'r', OLD)]
+    )
+    last = None
+    reported = began - REPORT_S
+    for step in range(int(end_s * 100)):
+        clock.now = began + step / 100
+        lives = began + end_s - clock.now > daemon_silent_s
+        if lives and clock.now - reported >= REPORT_S:
+            reported = clock.now
+            state = EndpointState(
+                'e-1', SERVICE, 'z1', '10.0.0.1', 80, int(clock.now * 1000), reachable=True,
+                served=OLD,
+            )  # fmt: skip
+            book.take_reports([state])
+        wanted = Wanted(SERVICE, ENGINE, 0, 2, 900, endings=((2, began + end_s - CUT_S),))
+        if book.choose(wanted, set()) is not None:
+            last = clock.now
+    return began + end_s - last
+
+
+@pytest.mark.parametrize('daemon_silent_s', [2.0, 3.0, 8.0])
+def test_nothing_sent_behind_a_slow_link_begins_after_the_end(daemon_silent_s):
+    assert last_sent_before(10.0, daemon_silent_s) > LINK_S
+
+
+def test_an_engine_with_a_daemon_beside_it_is_sent_to_for_longer():
+    assert last_sent_before(10.0, 0.0) < LINK_S
