Connections on which questions stay unanswered are closed if they are silent for long

Open connections may go silent for good while new ones work. A question to another process (loads, who was turned away) was given up after milliseconds and left its connection open, so the next ones were asked in vain, up to 13 s until a ping found out: the rule on long-silent connections had no test here. `test_a_connection_that_is_silent_for_good_is_closed_and_dialled_anew` failed before.

--- a/packages/millforkd/millforkd/proxy/asking.py
+++ b/packages/millforkd/millforkd/proxy/asking.py
@@ -12,16 +12,15 @@
 import curio
 
 from millfork_core.environment import Environment
-from millfork_core.ids import Incarnation, InstanceId
+from millfork_core.ids import Incarnation
 from millfork_core.logs import Part, logger
-from millfork_registry.discovery import address_of
 from millfork_scheduling.asking import is_worth_asking
 from millfork_scheduling.book import ServerBook
 from millfork_scheduling.server import Load, Server
-from millfork_wire.connection import Connection, PeerError
+from millfork_wire.connection import Connection
 from millfork_wire.messages import AskLoad, EngineLoad
 from millfork_wire.peers import Peers
-from millforkd.beside.silence import SilentPeers
+from millforkd.proxy.questions import Questions
 
 # The way to another region takes 8 ms there and back, and the engine's answer to its daemon
 # some more.
@@ -42,11 +41,8 @@
 
     def __init__(self, env: Environment, peers: Peers, book: ServerBook) -> None:
         self.env = env
-        self.peers = peers
         self.book = book
-        self.slow = SilentPeers(env.monotonic, PASSED_OVER_S)
-        # The daemons to which a connection is coming up.
-        self.dialled: set[str] = set()
+        self.questions = Questions(env, peers, 'load_untold', PASSED_OVER_S)
 
     async def refresh(self, servers: list[Server]) -> None:
         """
@@ -58,7 +54,9 @@
             return
         asked = []
         for server in servers:
-            connection = await self._connection(server)
+            if not server.daemon:
+                continue
+            connection = await self.questions.connection(server.daemon)
             if connection is None:
                 continue
             asked.append(await self.env.spawn(self._ask, server, connection))
@@ -69,46 +67,14 @@
         except curio.TaskTimeout:
             self.env.metrics.count(self.env.metrics.wire, event='load_late')
 
-    async def _connection(self, server: Server) -> Connection | None:
-        """
-        The connection to the daemon beside an engine, if there is one and it answers in time.
-
-        """
-        daemon = server.daemon
-        if not daemon or self.slow.is_silent(daemon):
-            return None
-        connection = self.peers.connections.get(InstanceId(daemon))
-        if connection is not None and not connection.closed:
-            return connection
-        if daemon not in self.dialled:
-            # A caller does not wait for one to come up.
-            self.dialled.add(daemon)
-            await self.env.spawn(self._dial, daemon)
-        return None
-
-    async def _dial(self, daemon: str) -> None:
-        try:
-            await self.peers.connect(address_of(daemon))
-        except PeerError as error:
-            self.slow.note(daemon)
-            log.info('No connection to a daemon beside an engine. to={} why={}', daemon, error)
-        finally:
-            self.dialled.discard(daemon)
-
     async def _ask(self, server: Server, connection: Connection) -> None:
         asked_at = self.env.monotonic()
+        daemon = server.daemon
         mine, mine_unread = server.mine, server.mine_unread
-        try:
-            # Not by `Peers.call`, which ends connections that are silent for as long.
-            reply = await connection.call(AskLoad(), ANSWER_TIMEOUT_S)
-        except PeerError as error:
-            self.slow.note(server.daemon)
-            self.env.metrics.count(self.env.metrics.wire, event='load_untold')
-            log.info('Not told of a load. asked={} why={}', server.daemon, error)
-            return
+        reply = await self.questions.ask(daemon, connection, AskLoad(), ANSWER_TIMEOUT_S)
         now = self.env.monotonic()
-        if now - asked_at > WAIT_S:
-            self.slow.note(server.daemon)
+        if reply is None or now - asked_at > WAIT_S:
+            self.questions.silent.note(daemon)
         if not isinstance(reply, EngineLoad) or not reply.known:
             return
         if server.is_another(Incarnation(reply.incarnation)):
--- a/packages/millforkd/millforkd/proxy/recall.py
+++ b/packages/millforkd/millforkd/proxy/recall.py
@@ -12,12 +12,10 @@
 from typing import Final
 
 from millfork_core.environment import Environment
-from millfork_core.ids import InstanceId
 from millfork_core.logs import Part, logger
 from millfork_core.ranks import rank
-from millfork_registry.discovery import address_of
 from millfork_scheduling.turned_away import TurnedAway
-from millfork_wire.connection import Connection, PeerError, PeerLost
+from millfork_wire.connection import PeerLost
 from millfork_wire.messages import (
     AskTurnedAway,
     CacheAddress,
@@ -25,9 +23,9 @@
     TurnedAwayBefore,
 )
 from millfork_wire.peers import Peers
-from millforkd.beside.silence import SilentPeers
 from millforkd.proxy.fingerprints import Fingerprints
 from millforkd.proxy.job import Job
+from millforkd.proxy.questions import Questions
 
 # The way within a zone takes 1 ms to 3 ms there and back. A twentieth of the shortest aims.
 ASK_TIMEOUT_S: Final = 0.02
@@ -51,12 +49,11 @@
         fingerprints: Fingerprints,
     ) -> None:
         self.env = env
-        self.peers = peers
         # The entries that others are told of.
         self.known = known
         self.fingerprints = fingerprints
         self.table = TurnedAway()
-        self.silent = SilentPeers(env.monotonic)
+        self.questions = Questions(env, peers, 'first_try_unknown')
 
     async def note(self, job: Job) -> None:
         """
@@ -110,38 +107,22 @@
         names = [
             entry.instance
             for entry in self.known()
-            if entry.zone == zone and not self.silent.is_silent(entry.instance)
+            if entry.zone == zone and not self.questions.silent.is_silent(entry.instance)
         ]
         key = fingerprint.hex()
         return max(names, key=lambda name: rank(key, name), default=str(self.env.instance))
 
     async def _ask(self, keeper: str, message: AskTurnedAway) -> int:
-        connection = self.peers.connections.get(InstanceId(keeper))
-        if connection is None or connection.closed:
-            # A caller does not wait for one to come up.
-            await self.env.spawn(self._connect, keeper)
-            return 0
-        try:
-            # Not by `Peers.call`, which ends connections that are silent for as long.
-            reply = await connection.call(message, ASK_TIMEOUT_S)
-        except PeerError as error:
-            self.env.metrics.count(self.env.metrics.wire, event='first_try_unknown')
-            log.info('Not told of a first try. asked={} why={}', keeper, error)
+        connection = await self.questions.connection(keeper)
+        if connection is None:
             return 0
+        reply = await self.questions.ask(keeper, connection, message, ASK_TIMEOUT_S)
         if not isinstance(reply, TurnedAwayBefore) or not reply.found:
             return 0
         return reply.elapsed_ms
 
-    async def _connect(self, keeper: str) -> Connection | None:
-        try:
-            return await self.peers.connect(address_of(keeper))
-        except PeerError as error:
-            log.info('No connection to who remembers requests. to={} why={}', keeper, error)
-            self.silent.note(keeper)
-            return None
-
     async def _tell(self, keeper: str, message: NoteTurnedAway) -> None:
-        connection = await self._connect(keeper)
+        connection = await self.questions.connect(keeper)
         if connection is None:
             return
         try:
--- a/tests/test_load_questions.py
+++ b/tests/test_load_questions.py
@@ -18,6 +18,7 @@
 from millfork_wire.messages import EngineLoad
 from millforkd.beside.load import SHARED_S, EngineLoads
 from millforkd.proxy.asking import PASSED_OVER_S, WAIT_S, LoadQuestions
+from millforkd.proxy.questions import SILENT_S
 from tests.test_servers import ENGINE, Clock
 
 SERVICE = ServiceName('s')
@@ -78,7 +79,7 @@
                 raise PeerTimedOut('silent')
             return self.loads[name]
 
-        return SimpleNamespace(closed=False, call=call)
+        return SimpleNamespace(closed=False, call=call, last_heard=self.clock.now)
 
     async def connect(self, address):
         self.dialled.append(address.instance)
@@ -133,7 +134,7 @@
         async with curio.timeout_after(FOREVER_S / 2):
             await fleet.choose()
         # It has not answered by now; what the entry does when the answer is overdue.
-        fleet.questions.slow.note('10.0.0.1:10')
+        fleet.questions.questions.silent.note('10.0.0.1:10')
         fleet.asked.clear()
         await fleet.choose()
 
@@ -160,7 +161,7 @@
 
     curio.run(run)
     assert fleet.server(0).reported == 25
-    assert fleet.questions.slow.is_silent('10.0.0.1:10')
+    assert fleet.questions.questions.silent.is_silent('10.0.0.1:10')
 
 
 def test_a_daemon_that_gives_no_answer_is_passed_over(fleet):
@@ -170,11 +171,44 @@
         async def call(message, timeout):
             raise PeerTimedOut('silent')
 
-        await fleet.questions._ask(server, SimpleNamespace(call=call))
+        connection = SimpleNamespace(call=call, last_heard=fleet.clock.now)
+        await fleet.questions._ask(server, connection)
 
     curio.run(run)
     assert fleet.server(0).reported == 8
-    assert fleet.questions.slow.is_silent('10.0.0.1:10')
+    assert fleet.questions.questions.silent.is_silent('10.0.0.1:10')
+
+
+def test_a_connection_that_is_silent_for_good_is_closed_and_dialled_anew(fleet):
+    """
+    Open connections may go silent without a reset while new ones work. Questions on one were
+    given up after some milliseconds and left it open, so its daemon was asked in vain until a
+    ping found out, 13 s later.
+
+    """
+    connection = fleet.peers.connections[InstanceId('10.0.0.1:10')]
+    connection.peer = '10.0.0.1:10'
+
+    async def call(message, timeout):
+        raise PeerTimedOut('silent')
+
+    async def close():
+        connection.closed = True
+
+    connection.call, connection.close = call, close
+
+    async def run():
+        await fleet.choose()
+        assert not connection.closed
+        fleet.clock.now += SILENT_S + PASSED_OVER_S
+        await fleet.choose()
+        assert connection.closed
+        fleet.clock.now += PASSED_OVER_S + 0.01
+        await fleet.choose()
+        await curio.sleep(0)
+
+    curio.run(run)
+    assert fleet.dialled == ['10.0.0.1:10']
 
 
 def test_a_caller_waits_for_no_connection(fleet):
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -46,7 +46,10 @@
         if address.instance in self.cut:
             raise PeerUnreachable('cut off')
         return SimpleNamespace(
-            closed=False, notify=self.notify_of(address.instance), call=self.call_of(address)
+            closed=False,
+            last_heard=self.clock.now,
+            notify=self.notify_of(address.instance),
+            call=self.call_of(address),
         )
 
     def notify_of(self, name):
@@ -97,7 +100,8 @@
         if name in self.zone.cut:
             return None
         address = SimpleNamespace(instance=name)
-        return SimpleNamespace(closed=False, call=self.zone.call_of(address))
+        call = self.zone.call_of(address)
+        return SimpleNamespace(closed=False, last_heard=self.zone.clock.now, call=call)
 
 
 @pytest.fixture
