--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -56,6 +56,12 @@
         'test_a_replica_that_is_cut_off_does_not_say_that_it_knows_all_leases',
         (Edit(D + 'replica/mesh.py', 'if known > len(members) // 2:', 'if True:'),),
     ),
+    Mutation(
+        'a back end that is silent is looked at again',
+        'tests/test_silent_ends.py::'
+        'test_a_back_end_that_was_silent_and_refuses_then_has_ended',
+        (Edit(D + 'proxy/ends.py', 'elif found is Address.SILENT:', 'elif False:'),),
+    ),
     Mutation(
         'nobody is turned away for the few engines compared',
         'tests/test_drawn_deployments.py::'
