--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -12,7 +12,7 @@
         'a slow engine gets nothing that its version would outlive',
         'tests/test_servers.py::'
         'test_a_slow_back_end_gets_nothing_that_would_begin_after_its_version_ends',
-        (Edit(C + 'placement.py', 'wanted.ends_at(version) - SURELY_S', "float('inf')"),),
+        (Edit(C + 'placement.py', 'wanted.ends_at(version) - surely_s', "float('inf')"),),
     ),
     Mutation(
         'first tries are told from returns where callers begin with different times',
@@ -61,6 +61,35 @@
         'tests/test_silent_ends.py::test_a_back_end_that_was_silent_and_refuses_then_has_ended',
         (Edit(D + 'proxy/ends.py', 'elif found is Address.SILENT:', 'elif False:'),),
     ),
+    Mutation(
+        'no refusal promises not run after an attempt that may have run',
+        'tests/test_promised_refusals.py::'
+        'test_no_refusal_promises_not_run_after_an_attempt_that_may_have_run',
+        (
+            Edit(
+                D + 'proxy/forwarding.py',
+                'if job.may_have_run:\n            return Refusal(reason, Verdict.MAY',
+                'if False:\n            return Refusal(reason, Verdict.MAY',
+            ),
+        ),
+    ),
+    Mutation(
+        'engines are drawn by some entry where entries are few',
+        'tests/test_choice_at_size.py::test_every_engine_is_drawn_by_some_entry',
+        (
+            Edit(
+                C + 'book.py',
+                'share = DRAWN_BY * len(servers) // max(self.entries(), 1)',
+                'share = 0',
+            ),
+        ),
+    ),
+    Mutation(
+        'a connection on which questions stay unanswered is closed',
+        'tests/test_load_questions.py::'
+        'test_a_connection_that_is_silent_for_good_is_closed_and_dialled_anew',
+        (Edit(D + 'proxy/questions.py', 'await self._close_if_silent(connection)', 'pass'),),
+    ),
     Mutation(
         'nobody is turned away for the few engines compared',
         'tests/test_drawn_deployments.py::'
@@ -478,9 +507,9 @@
         'tests/test_incarnations.py',
         (
             Edit(
-                C + 'book.py',
-                '    return state.incarnation != server.incarnation',
-                '    return False',
+                C + 'server.py',
+                'return incarnation != self.incarnation',
+                'return False',
             ),
         ),
     ),
@@ -567,7 +596,7 @@
         (
             Edit(
                 C + 'book.py',
-                'if len(near) + len(far) <= MOST_LOOKED_AT:',
+                'if len(self.by_service.get(wanted.service, [])) <= MOST_LOOKED_AT:',
                 'if True:',
             ),
         ),
@@ -607,8 +636,8 @@
         (
             Edit(
                 D + 'proxy/ends.py',
-                'if server.replaced or await self._refuses(server):',
-                'if True:',
+                'return Address.ANSWERS\n',
+                'return Address.REFUSES\n',
             ),
         ),
     ),
--- /dev/null
+++ b/tests/test_promised_refusals.py
@@ -0,0 +1,51 @@
+"""
+What a refusal promises, and how long a caller is held for one.
+
+A status that says 'not run' binds: the request has not run and never will, whatever became of
+its attempts. Who can't be served hears so at once: the questions that are asked first (engines'
+loads, who was turned away) together take less than an eighth of the shortest aim.
+
+"""
+
+from types import SimpleNamespace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_core.verdicts import Reason, Verdict
+from millforkd.proxy.asking import WAIT_S
+from millforkd.proxy.endings import status_of
+from millforkd.proxy.forwarding import Forwarding
+from millforkd.proxy.job import Failed, Job
+from millforkd.proxy.recall import ASK_TIMEOUT_S
+
+PROMISES = {408, 421, 429, 503}
+SHORTEST_AIM_S = 0.38
+HELD_SHARE = 1 / 8
+
+FAILURES = st.lists(
+    st.builds(Failed, st.sampled_from(Reason), st.sampled_from(Verdict), st.just('detail')),
+    max_size=3,
+)
+
+
+def refusal_after(failures, reason):
+    env = Environment(InstanceId('a:1'), ZoneId('z1'))
+    forwarding = SimpleNamespace(env=env)
+    job = Job(None, None, None, None, None, 1, 0.0, 6.0, 1, failures=failures)
+    return Forwarding._final(forwarding, job, reason)
+
+
+@given(FAILURES, st.sampled_from([*Reason]))
+def test_no_refusal_promises_not_run_after_an_attempt_that_may_have_run(failures, reason):
+    refusal = refusal_after(failures, reason)
+    may_have_run = any(failed.verdict is not Verdict.NOT_RUN for failed in failures)
+    if may_have_run:
+        assert refusal.verdict is not Verdict.NOT_RUN
+        assert status_of(refusal) not in PROMISES
+
+
+def test_who_is_turned_away_is_not_held_for_questions():
+    assert WAIT_S + ASK_TIMEOUT_S < HELD_SHARE * SHORTEST_AIM_S
