--- a/packages/millfork-scheduling/millfork_scheduling/book.py
+++ b/packages/millfork-scheduling/millfork_scheduling/book.py
@@ -19,10 +19,10 @@
     Choice,
     Outlook,
     Wanted,
-    beginning,
+    able_to_begin,
     choose_engine,
     choose_plain,
-    few,
+    draw_few,
 )
 from millfork_scheduling.server import REPORT_VALID_S, Lateness, Load, Server
 
@@ -186,10 +186,10 @@
         if drawn:
             return drawn
         by_first = {path.first.instance: path.second for path in paths}
-        able = beginning(self._trusted(wanted, paths, tried, now), wanted.engine, paths)
+        able = able_to_begin(self._trusted(wanted, paths, tried, now), wanted.engine, paths)
         return [
             part
-            for server in few(able, self.zone, self.random)
+            for server in draw_few(able, self.zone, self.random)
             for part in self._parts(server, by_first, wanted)
         ]
 
--- a/packages/millfork-scheduling/millfork_scheduling/placement.py
+++ b/packages/millfork-scheduling/millfork_scheduling/placement.py
@@ -152,13 +152,13 @@
 
     """
     by_first = {path.first.instance: path for path in paths}
-    able = beginning(servers, engine, paths)
+    able = able_to_begin(servers, engine, paths)
     weigh = partial(_best, wanted=wanted, engine=engine, by_first=by_first, outlook=outlook)
     # Of the few, all may be about to change their version: then any other will do.
-    return weigh(few(able, outlook.zone, random), random=random) or weigh(able, random=random)
+    return weigh(draw_few(able, outlook.zone, random), random=random) or weigh(able, random=random)
 
 
-def beginning(servers: list[Server], engine: EngineFigures, paths: list[Path]) -> list[Server]:
+def able_to_begin(servers: list[Server], engine: EngineFigures, paths: list[Path]) -> list[Server]:
     """
     Those of some back ends to which a request can be sent: they hold the model whole, or
     begin a path whose second part is among them.
@@ -177,7 +177,7 @@
     return able
 
 
-def few(servers: list[Server], zone: ZoneId, random: Random) -> list[Server]:
+def draw_few(servers: list[Server], zone: ZoneId, random: Random) -> list[Server]:
     """
     Some engines at random, most of them near; as many where no zone has enough.
 
--- a/packages/millfork-scheduling/millfork_scheduling/server.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server.py
@@ -68,8 +68,8 @@
 @dataclass(frozen=True, slots=True)
 class Load:
     """
-    What runs at an engine and what waits, over 1 how much slower than usual it is, and which
-    requests of this entry, and of those the ones without a first token, are among them.
+    The requests that run and wait at an engine, its pace (over 1: slower than usual), and how
+    many of the requests are this entry's: all of them, and those without a first token.
 
     """
 
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -213,7 +213,7 @@
         (
             Edit(
                 C + 'placement.py',
-                'weigh(few(able, outlook.zone, random), random=random) or',
+                'weigh(draw_few(able, outlook.zone, random), random=random) or',
                 'None or',
             ),
         ),
