Entries log and count what back ends say of themselves in their answers

Observability first: nothing told whether an entry learns of a limit that a back end names. Each answer's head is now read for it, and a line and a counter tell when a limit begins, changes or ends, with value, request and way of telling. Nothing is decided by it yet.

Ruled out by the lines to come: an entry that was never told.

--- a/packages/millfork-adapter/millfork_adapter/exchange.py
+++ b/packages/millfork-adapter/millfork_adapter/exchange.py
@@ -4,6 +4,7 @@
 """
 
 from dataclasses import dataclass
+from typing import Final
 
 from millfork_core.ids import UNTOLD_INCARNATION, Incarnation
 
@@ -63,6 +64,21 @@
     path: tuple[PathPart, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Backpressure:
+    """
+    What a back end says of itself in the head of an answer: the requests a second that it
+    takes from all entries together (None: no limit). `unread` tells what makes no sense.
+
+    """
+
+    limit_per_s: float | None = None
+    unread: str = ''
+
+
+NO_BACKPRESSURE: Final = Backpressure()
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
     """
@@ -81,6 +97,7 @@
     signed: bool = False
     closing: bool = False
     keep_s: float | None = None
+    backpressure: Backpressure = NO_BACKPRESSURE
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/millfork-core/millfork_core/metrics.py
+++ b/packages/millfork-core/millfork_core/metrics.py
@@ -36,6 +36,10 @@
         self.connections = self._counter(
             'millfork_connections_total', 'Connections to back ends by event.'
         )
+        self.backpressure = self._counter(
+            'millfork_backpressure_total',
+            'What back ends said of themselves, by signal, turn and way of telling.',
+        )
         self.log_lines = self._counter('millfork_log_lines_total', 'Log lines by fate.')
         self.request_seconds = Histogram(
             'millfork_request_seconds',
--- a/packages/millfork-scheduling/millfork_scheduling/server.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server.py
@@ -16,6 +16,7 @@
 )
 from millfork_registry.records import ServedVersion
 from millfork_routing.documents import EngineFigures
+from millfork_scheduling.availability import Availability
 from millfork_scheduling.prediction import first_token_ms, usual_service_s
 
 # A back end that failed is left alone this long, doubling with each failure.
@@ -97,6 +98,8 @@
     incarnation: Incarnation = UNTOLD_INCARNATION
     # Whether another incarnation has taken its place: what was sent here is lost.
     replaced: bool = False
+    # What it said of itself.
+    availability: Availability = field(default_factory=Availability)
     # What its last heartbeat said; an endpoint's report is newer.
     lease_served: tuple[ServedVersion, ...] = ()
     changing: bool = False
--- /dev/null
+++ b/packages/millforkd/millforkd/proxy/backpressure.py
@@ -0,0 +1,74 @@
+"""
+What back ends say of themselves: taken from their answers, logged and counted.
+
+"""
+
+from collections.abc import Iterable
+
+from millfork_adapter.exchange import AnswerHead
+from millfork_core.environment import Environment
+from millfork_core.logs import Part, logger
+from millfork_scheduling.availability import SignalChange, ToldBy
+from millfork_scheduling.server import Server
+from millforkd.proxy.job import Job
+
+log = logger(Part.PROXY)
+
+
+class BackpressureIntake:
+    """
+    Takes what was told of back ends.
+
+    """
+
+    def __init__(self, env: Environment) -> None:
+        self.env = env
+
+    def take_answer(self, job: Job, server: Server, head: AnswerHead) -> None:
+        """
+        Take what an answer to a job says of the back end that gave it.
+
+        """
+        told = head.backpressure
+        if told.unread:
+            self.env.metrics.count(
+                self.env.metrics.backpressure, signal='unread', turn='', told_by='answer'
+            )
+            log.warning(
+                'A back end says of itself what can not be read. server={} id={} {}',
+                server.instance,
+                job.caller.request_id,
+                told.unread,
+            )
+        changes = server.availability.take_answer(told)
+        self.note(server, changes, ToldBy.ANSWER, job.caller.request_id)
+
+    def note(
+        self,
+        server: Server,
+        changes: Iterable[SignalChange],
+        told_by: ToldBy,
+        request_id: str = '',
+    ) -> None:
+        """
+        Log and count what changed.
+
+        """
+        for change in changes:
+            self.env.metrics.count(
+                self.env.metrics.backpressure,
+                signal=change.signal.value,
+                turn=change.turn.value,
+                told_by=told_by.value,
+            )
+            log.info(
+                'Back end signal. server={} incarnation={} signal={} turn={} value={:g} '
+                'told_by={} id={}',
+                server.instance,
+                server.incarnation,
+                change.signal.value,
+                change.turn.value,
+                change.value,
+                told_by.value,
+                request_id,
+            )
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -21,6 +21,7 @@
 from millfork_web.server import CallerGone, Exchange
 from millforkd.proxy.admission import Admission
 from millforkd.proxy.asking import LoadQuestions
+from millforkd.proxy.backpressure import BackpressureIntake
 from millforkd.proxy.connections import Pools, SendFailed, ServerConnection
 from millforkd.proxy.endings import Endings
 from millforkd.proxy.ends import Ends
@@ -78,6 +79,7 @@
         self.quarantine = quarantine
         self.recall = recall
         self.loads = loads
+        self.backpressure = BackpressureIntake(env)
         self.ends = Ends(env, quarantine.suspects)
         self.relaying = Relaying(env, adapter, book)
         self.waiting = Waiting(env, admission)
@@ -384,6 +386,7 @@
             raise SendFailed(
                 Reason.TRUNCATED, Verdict.MAY_HAVE_RUN, 'the answer belongs to another request'
             )
+        self.backpressure.take_answer(job, server, head)
         if head.not_run:
             await connection.drop_body()
             through_path = attempt.choice.path is not None
