--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -7,6 +7,7 @@
 
 """
 
+import itertools
 import os
 import signal
 import socket
@@ -14,6 +15,9 @@
 import sys
 import threading
 import time
+from bisect import bisect_left
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from http.client import HTTPConnection, HTTPException
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -36,6 +40,7 @@
 HEARTBEAT_S: Final = 0.3
 BOUND_S: Final = 20.0
 CALL_TIMEOUT_S: Final = 5.0
+LOAD_THREADS: Final = 32
 # A request that says this ends each back end that runs it.
 CRASHING_BODY: Final = b'this ends the back end that runs it'
 
@@ -82,6 +87,7 @@
 
     def _answer(self) -> None:
         asked = self.rfile.read(int(self.headers.get('content-length', 0)))
+        self.server.arrived_at.append(time.monotonic())
         self.server.executed.append({key.lower(): value for key, value in self.headers.items()})
         if asked == CRASHING_BODY:
             self.close_connection = True
@@ -93,7 +99,10 @@
             return
         self.server.release.wait(BOUND_S)
         body = b'answer'
+        time.sleep(self.server.works_s)
         self.send_response(200)
+        for name, value in self.server.says.items():
+            self.send_header(name, value)
         self.send_header(standins.REQUEST_ID, self.headers[standins.REQUEST_ID])
         self.send_header(standins.SIGNATURE, self.server.instance)
         self.send_header('content-length', str(len(body)))
@@ -123,6 +132,11 @@
         self.state = LeaseState.READY
         self.sequence = 0
         self.executed: list[dict[str, str]] = []
+        # Of each request, in monotonic seconds.
+        self.arrived_at: list[float] = []
+        # What it says of itself in the heads of all answers.
+        self.says: dict[str, str] = {}
+        self.works_s = 0.0
         self.breaks_off = False
         self.release = threading.Event()
         self.release.set()
@@ -173,6 +187,16 @@
             call(host, CONTROL_PORT, request).status == 200 for host in self.fleet.replica_hosts
         )
 
+    def most_in(self, seconds: float, since: float) -> int:
+        """
+        The most requests that came in any so many seconds, from a moment on.
+
+        """
+        times = [at for at in list(self.arrived_at) if at >= since]
+        return max(
+            (bisect_left(times, at + seconds) - first for first, at in enumerate(times)), default=0
+        )
+
     def _beat(self) -> None:
         while not self.ended.wait(HEARTBEAT_S):
             self.heartbeat()
@@ -316,6 +340,23 @@
         """
         return call(self.entry_hosts[entry], CALLERS_PORT, request)
 
+    def load(self, make: Callable[[], Request], per_s: float, seconds: float) -> list[Reply]:
+        """
+        Callers' requests at an even pace, spread over the entries; their answers.
+
+        """
+        began = time.monotonic()
+        pause = threading.Event()
+        with ThreadPoolExecutor(LOAD_THREADS) as pool:
+            replies = []
+            for number in itertools.count():
+                due = began + number / per_s
+                if due > began + seconds:
+                    break
+                pause.wait(max(due - time.monotonic(), 0))
+                replies.append(pool.submit(self.ask, make(), number % len(self.entry_hosts)))
+            return [reply.result() for reply in replies]
+
     def close(self) -> None:
         for back_end in self.back_ends:
             back_end.end()
