A back end that names a limit gets a share of it from each entry

Callers saw nothing: the two engines that named limits of 1.7 and 1 requests a second answered all they got, 22 and 16 requests in 4 s, and would have had to turn away, or fall behind, in need. Cause: what a back end says of itself in the heads of its answers was not read at all; no entry chose, counted or refused by it. Ruled out: a limit that each entry keeps for itself (six entries sent as before, 6 to 7 a second together), and sends that nobody counts.

Each entry now keeps to its share. Few entries save one request each; where all of them together could save more than a back end puts up with, each draws once a second whether it may send one. All back ends of a path count a send, repeats and resumed streams count too, and a back end that named a limit while a connection to it came up is not sent to. Where all that could serve are over their limits, a caller is refused at once, with when the next may go. The daemon beside an engine is told with each report and tells all entries with its own, both when a limit begins and when it is over; an answer to what was sent before the limit was named ends none; what one incarnation said outlives its lease, and the next begins clean.

--- a/packages/millfork-adapter/millfork_adapter/exchange.py
+++ b/packages/millfork-adapter/millfork_adapter/exchange.py
@@ -117,6 +117,7 @@
     busy: bool
     served: tuple[tuple[str, int, int, int | None], ...]
     incarnation: Incarnation = UNTOLD_INCARNATION
+    backpressure: Backpressure = NO_BACKPRESSURE
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/millfork-registry/millfork_registry/records.py
+++ b/packages/millfork-registry/millfork_registry/records.py
@@ -153,6 +153,8 @@
     goal: ServedVersion | None = None
     # Of the engine.
     incarnation: Incarnation = UNTOLD_INCARNATION
+    # Requests a second that the engine takes from all entries together, if it names a limit.
+    limit_per_s: float | None = None
 
     @property
     def order(self) -> int:
@@ -170,7 +172,14 @@
     @property
     def _news(self) -> tuple[object, ...]:
         held = {(item.model, item.version) for item in self.held}
-        return (self.reachable, self.served, held, self.changing_to, self.goal)
+        return (
+            self.reachable,
+            self.served,
+            held,
+            self.changing_to,
+            self.goal,
+            self.limit_per_s,
+        )
 
 
 _LEASES = msgspec.msgpack.Decoder(list[Lease])
--- a/packages/millfork-scheduling/millfork_scheduling/availability.py
+++ b/packages/millfork-scheduling/millfork_scheduling/availability.py
@@ -1,12 +1,28 @@
 """
-What one incarnation of a back end said of itself: what it takes, and for how long.
+What one incarnation of a back end said of itself, and whether it may be sent to.
+
+It answers a back end in need that names how many requests a second it takes. Only its answers
+tell when that is over, so some requests go on reaching it.
 
 """
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from enum import Enum
+from random import Random
+from typing import Final
 
 from millfork_adapter.exchange import Backpressure
+from millfork_core.ids import Incarnation, InstanceId
+from millfork_scheduling.limit_share import LimitShare
+
+# A daemon's report is up to this old when it comes: it may have been made before an answer
+# that named a limit.
+REPORT_LAG_S: Final = 0.6
+# An incarnation that leaves is gone within seconds; a lease behind a long cut may come back.
+REMEMBERED_S: Final = 3600.0
+# Three times as many as there are back ends at the two-year size.
+MOST_REMEMBERED: Final = 10_000
 
 
 class ToldBy(Enum):
@@ -39,6 +55,26 @@
     ENDED = 'ended'
 
 
+class ClosedFor(Enum):
+    """
+    Why a back end may not be sent to now, by its own word.
+
+    """
+
+    LIMITED = 'limited'
+
+
+@dataclass(frozen=True, slots=True)
+class Closure:
+    """
+    Why a back end may not be sent to, and in how many seconds it may be, as expected.
+
+    """
+
+    closed_for: ClosedFor
+    opens_in_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class SignalChange:
     """
@@ -54,25 +90,100 @@
 @dataclass(slots=True)
 class Availability:
     """
-    What one incarnation of a back end said of itself last.
+    What one incarnation of a back end said of itself last. Times are monotonic seconds.
 
     """
 
-    limit_per_s: float | None = None
+    random: Random = field(default_factory=Random)
+    limit: LimitShare | None = None
+    limit_named_at: float = float('-inf')
+
+    def take_answer(self, told: Backpressure, sent_at: float, now: float) -> list[SignalChange]:
+        """
+        Take what the answer to a request says that was sent at a moment; returns what changed.
+
+        """
+        if told.limit_per_s is not None:
+            return self._name_limit(told.limit_per_s, now)
+        if sent_at <= self.limit_named_at:
+            # The back end may have answered before it named the limit.
+            return []
+        return self._end_limit()
+
+    def take_report(self, told: Backpressure, now: float) -> list[SignalChange]:
+        """
+        Take what the daemon beside a back end was told; returns what changed.
+
+        """
+        if told.limit_per_s is not None:
+            return self._name_limit(told.limit_per_s, now)
+        if now - self.limit_named_at < REPORT_LAG_S:
+            return []
+        return self._end_limit()
+
+    def closure(self, now: float, entries: int) -> Closure | None:
+        """
+        Why nothing may be sent now by this entry, one of so many; None if something may.
 
-    def take_answer(self, told: Backpressure) -> list[SignalChange]:
         """
-        Take what the head of an answer says; returns what changed.
+        if self.limit is None or self.limit.has_one(now, entries):
+            return None
+        return Closure(ClosedFor.LIMITED, self.limit.next_in_s(now, entries))
 
+    def note_sent(self, now: float, entries: int) -> None:
         """
-        before, self.limit_per_s = self.limit_per_s, told.limit_per_s
-        return _limit_changes(before, told.limit_per_s)
+        Count a request that is sent.
 
+        """
+        if self.limit is not None:
+            self.limit.take(now, entries)
+
+    def _name_limit(self, limit_per_s: float, now: float) -> list[SignalChange]:
+        self.limit_named_at = now
+        if self.limit is None:
+            self.limit = LimitShare(self.random, limit_per_s, now)
+            return [SignalChange(Signal.LIMIT, Turn.BEGAN, limit_per_s)]
+        if not self.limit.change(limit_per_s):
+            return []
+        return [SignalChange(Signal.LIMIT, Turn.CHANGED, limit_per_s)]
+
+    def _end_limit(self) -> list[SignalChange]:
+        if self.limit is None:
+            return []
+        ended, self.limit = self.limit, None
+        return [SignalChange(Signal.LIMIT, Turn.ENDED, ended.limit_per_s)]
+
+
+class Availabilities:
+    """
+    The availability of each incarnation, kept also while its lease is away: another lease of
+    the same incarnation changes nothing of what it said.
+
+    """
 
-def _limit_changes(before: float | None, now: float | None) -> list[SignalChange]:
-    if before == now:
-        return []
-    if now is None:
-        return [SignalChange(Signal.LIMIT, Turn.ENDED, before or 0.0)]
-    turn = Turn.BEGAN if before is None else Turn.CHANGED
-    return [SignalChange(Signal.LIMIT, turn, now)]
+    def __init__(self, random: Random, monotonic: Callable[[], float]) -> None:
+        self.random = random
+        self.monotonic = monotonic
+        # In the order in which they were asked for last, and when that was.
+        self.known: dict[tuple[InstanceId, Incarnation], Availability] = {}
+        self.asked_at: dict[tuple[InstanceId, Incarnation], float] = {}
+
+    def of(self, instance: InstanceId, incarnation: Incarnation) -> Availability:
+        """
+        What an incarnation said of itself.
+
+        """
+        key = (instance, incarnation)
+        now = self.monotonic()
+        found = self.known.pop(key, None) or Availability(self.random)
+        self.asked_at.pop(key, None)
+        self.known[key] = found
+        self.asked_at[key] = now
+        self._forget_old(now)
+        return found
+
+    def _forget_old(self, now: float) -> None:
+        for key, asked_at in list(self.asked_at.items()):
+            if now - asked_at < REMEMBERED_S and len(self.known) <= MOST_REMEMBERED:
+                return
+            del self.known[key], self.asked_at[key]
--- a/packages/millfork-scheduling/millfork_scheduling/book.py
+++ b/packages/millfork-scheduling/millfork_scheduling/book.py
@@ -9,9 +9,11 @@
 from random import Random
 from typing import Final
 
+from millfork_adapter.exchange import Backpressure
 from millfork_core.ids import InstanceId, ServiceName, ZoneId
 from millfork_registry.records import EndpointState, Lease
 from millfork_routing.documents import EngineFigures
+from millfork_scheduling.availability import Availabilities, Closure, SignalChange
 from millfork_scheduling.paths import Path, pair_up
 from millfork_scheduling.placement import (
     FAR_COMPARED,
@@ -56,9 +58,12 @@
         random: Random,
         monotonic: Callable[[], float],
         entries: Callable[[], int] = lambda: 1,
+        most_entries: Callable[[], int] = lambda: 1,
     ) -> None:
         self.zone = zone
         self.entries = entries
+        # The most that were known lately: those that can't be seen now may send as well.
+        self.most_entries = most_entries
         # How much later than by the figures first tokens came lately, in ms.
         self.lateness: dict[ServiceName, Lateness] = {}
         self.random = random
@@ -73,6 +78,7 @@
         self.changes = 0
         self.paths: dict[tuple[ServiceName, int], tuple[int, list[Path]]] = {}
         self.by_address: dict[tuple[str, int], Server] = {}
+        self.availabilities = Availabilities(random, monotonic)
 
     def take_leases(self, leases: Iterable[Lease]) -> list[Server]:
         """
@@ -125,6 +131,7 @@
                 lease.incarnation,
                 lease_served=lease.served,
                 draw_order=self.random.random(),
+                availability=self.availabilities.of(key, lease.incarnation),
             )
             before = self.by_address.get((lease.host, lease.port))
             if before is not None:
@@ -140,12 +147,16 @@
             server.served = lease.served
             server.refused.clear()
 
-    def take_reports(self, states: Iterable[EndpointState]) -> None:
+    def take_reports(
+        self, states: Iterable[EndpointState]
+    ) -> list[tuple[Server, list[SignalChange]]]:
         """
-        Take what endpoint daemons said of the engines beside them.
+        Take what endpoint daemons said of the engines beside them; returns what changed of
+        what engines say of themselves.
 
         """
         now = self.monotonic()
+        changes = []
         for state in states:
             server = self.by_address.get((state.host, state.port))
             # Any other one is newer: the registry takes a lower sequence only where an
@@ -161,6 +172,9 @@
                     server.served = ()
                     self.changes += 1
                 continue
+            if server.incarnation and state.incarnation == server.incarnation:
+                told = Backpressure(state.limit_per_s)
+                changes.append((server, server.availability.take_report(told, now)))
             changing = bool(state.changing_to)
             if (changing, state.served) != (server.changing, server.served):
                 self.changes += 1
@@ -171,6 +185,7 @@
             if state.served != server.served:
                 server.served = state.served
                 server.refused.clear()
+        return changes
 
     def compare(self, wanted: Wanted, tried: set[InstanceId]) -> list[Server]:
         """
@@ -286,7 +301,7 @@
                 parts = self._parts(server, by_first, wanted)
                 if not parts or any(not self._free(part, tried, now) for part in parts):
                     continue
-                if self._able(server, wanted, paths, now):
+                if all(self._able(part, wanted, paths, now) for part in parts):
                     drawn += parts
                     found += 1
             if found < count:
@@ -333,6 +348,31 @@
         ]
         return [server for server in able if server.suspect_until <= now] or able
 
+    def closure(self, server: Server) -> Closure | None:
+        """
+        Why a back end may not be sent to by its own word; None if it may.
+
+        """
+        return server.availability.closure(self.monotonic(), max(self.most_entries(), 1))
+
+    def note_sent(self, servers: Iterable[Server]) -> None:
+        """
+        Count a request that is sent through some back ends.
+
+        """
+        for server in servers:
+            server.availability.note_sent(self.monotonic(), max(self.most_entries(), 1))
+
+    def soonest(self, service: ServiceName) -> Closure | None:
+        """
+        Of the back ends of a service that may not be sent to by their own word, the closure
+        that is over first; None if there is no such back end.
+
+        """
+        closures = [self.closure(server) for server in self.by_service.get(service, [])]
+        found = [closure for closure in closures if closure is not None]
+        return min(found, key=lambda closure: closure.opens_in_s, default=None)
+
     def note_first_token(self, server: Server, late_ms: float) -> None:
         """
         Take one first token's lateness, against the figures, into the means
@@ -348,6 +388,8 @@
 
     def _able(self, server: Server, wanted: Wanted, paths: list[Path], now: float) -> bool:
         engine = wanted.engine
+        if self.closure(server) is not None:
+            return False
         if engine is None:
             return True
         if server.changing:
--- a/packages/millfork-scheduling/millfork_scheduling/returning.py
+++ b/packages/millfork-scheduling/millfork_scheduling/returning.py
@@ -50,6 +50,16 @@
     return NOTHING_SERVES_MS + int(random.random() * NOTHING_SERVES_SPREAD_MS)
 
 
+def while_closed(opens_in_s: float, random: Random) -> int:
+    """
+    Milliseconds until a caller may come back where all back ends that could serve it are
+    closed by their own word. Others may begin to serve before.
+
+    """
+    wait_ms = min(max(opens_in_s * 1000, LEAST_WAIT_MS), NOTHING_SERVES_MS)
+    return int(wait_ms + random.random() * SPREAD_WAIT_MS)
+
+
 def after_refusal(reason: Reason) -> int:
     """
     Milliseconds until a caller may come back after another refusal.
--- a/packages/millfork-standins/millfork_standins/bench/__main__.py
+++ b/packages/millfork-standins/millfork_standins/bench/__main__.py
@@ -11,12 +11,13 @@
 from absl import app, flags
 
 from millfork_core.status import ExitStatus
-from millfork_standins.bench import cost, distribution, limits, returning, routing
+from millfork_standins.bench import cost, distribution, limit_shares, limits, returning, routing
 
 FLAGS: Final = flags.FLAGS
 EXPERIMENTS: Final[dict[str, Callable[[int, bool], Path]]] = {
     'distribution': distribution.run,
     'limits': limits.run,
+    'limit-shares': limit_shares.run,
     'cost': cost.run,
     'routing': routing.run,
     'returning': returning.run,
--- a/packages/millforkd/millforkd/beside/daemon.py
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from millfork_adapter.adapter import Adapter
+from millfork_adapter.exchange import EngineReport
 from millfork_core.environment import Environment
 from millfork_core.logs import Part, logger
 from millfork_registry.discovery import address_of
@@ -181,10 +182,17 @@
             report = await self.engine.report()
             if (report is None) != (self.rollout.report is None):
                 log.notice('The engine {}.', 'is silent' if report is None else 'answers')
+            self._log_backpressure(report)
             self.rollout.take_report(report)
             await self._report()
             await curio.sleep(REPORT_EVERY_S)
 
+    def _log_backpressure(self, report: EngineReport | None) -> None:
+        before = self.rollout.report
+        if report is None or before is None or report.backpressure == before.backpressure:
+            return
+        log.notice('The engine says of itself: {}', report.backpressure)
+
     async def _report(self) -> None:
         """
         Tell the replica that this daemon follows, or whoever passes it on.
@@ -222,6 +230,7 @@
             self.rollout.changing_to,
             self.rollout.goal,
             self.rollout.incarnation,
+            report.backpressure.limit_per_s if report is not None else None,
         )
 
     def _held(self, served: tuple[ServedVersion, ...]) -> tuple[HeldVersion, ...]:
--- a/packages/millforkd/millforkd/beside/engine.py
+++ b/packages/millforkd/millforkd/beside/engine.py
@@ -3,6 +3,7 @@
 
 """
 
+from dataclasses import replace
 from typing import Final
 
 import curio
@@ -52,10 +53,14 @@
             log.warning('The engine gives no report. status={}', response.status)
             return None
         try:
-            return self.adapter.read_report(response.body)
+            report = self.adapter.read_report(response.body)
         except BadCall as error:
             log.warning('The report of the engine can not be read: {}.', error)
             return None
+        head = self.adapter.read_answer(response.status, response.headers)
+        if head.backpressure.unread:
+            log.warning('The engine says what can not be read. {}', head.backpressure.unread)
+        return replace(report, backpressure=head.backpressure)
 
     async def stage(self, model: str, index: int, data: bytes) -> bool:
         """
--- a/packages/millforkd/millforkd/proxy/backpressure.py
+++ b/packages/millforkd/millforkd/proxy/backpressure.py
@@ -24,9 +24,10 @@
     def __init__(self, env: Environment) -> None:
         self.env = env
 
-    def take_answer(self, job: Job, server: Server, head: AnswerHead) -> None:
+    def take_answer(self, job: Job, server: Server, head: AnswerHead, sent_at: float) -> None:
         """
-        Take what an answer to a job says of the back end that gave it.
+        Take what an answer says of the back end that gave it, to a job that was sent there at
+        a moment (monotonic seconds).
 
         """
         told = head.backpressure
@@ -40,7 +41,7 @@
                 job.caller.request_id,
                 told.unread,
             )
-        changes = server.availability.take_answer(told)
+        changes = server.availability.take_answer(told, sent_at, self.env.monotonic())
         self.note(server, changes, ToldBy.ANSWER, job.caller.request_id)
 
     def note(
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -20,6 +20,7 @@
 from millfork_routing.budget import SharedBudget
 from millfork_routing.documents import Document
 from millfork_routing.routes import RouteTable
+from millfork_scheduling.availability import ToldBy
 from millfork_scheduling.book import ServerBook
 from millfork_settings.seeded import SeededSettings, socket_pair
 from millfork_web.models import Response
@@ -75,7 +76,13 @@
         self.relaying = feed.relaying
         self.versions = feed.versions
         self.admission = Admission(env, self.versions, lambda: self.following.entries)
-        self.book = ServerBook(env.zone, env.random, env.monotonic, lambda: self.following.entries)
+        self.book = ServerBook(
+            env.zone,
+            env.random,
+            env.monotonic,
+            lambda: self.following.entries,
+            lambda: self.following.most_entries,
+        )
         self.pools = Pools(env)
         self.budget = SharedBudget(
             promises.retry_ratio,
@@ -191,7 +198,9 @@
                 self.reports_taken = 0
                 for server in self.book.take_leases(self.registry.leases.values()):
                     await self.pools.drop(server)
-            self.book.take_reports(self.registry.endpoints.since(self.reports_taken))
+            told = self.book.take_reports(self.registry.endpoints.since(self.reports_taken))
+            for server, changes in told:
+                self.forwarding.backpressure.note(server, changes, ToldBy.DAEMON)
             self.reports_taken = self.registry.endpoints.version
             if self.admission.table is not None and self.book.servers:
                 await self.admission.begun.set()
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -17,7 +17,7 @@
 from millfork_routing.documents import EngineFigures, RouteKind
 from millfork_scheduling.book import ServerBook
 from millfork_scheduling.placement import Choice
-from millfork_scheduling.returning import after_refusal, while_nothing_serves
+from millfork_scheduling.returning import after_refusal, while_closed, while_nothing_serves
 from millfork_web.server import CallerGone, Exchange
 from millforkd.proxy.admission import Admission
 from millforkd.proxy.asking import LoadQuestions
@@ -263,6 +263,11 @@
     def _no_server(self, job: Job) -> Refusal:
         if job.tried:
             return self._final(job, job.failures[-1].reason)
+        closure = self.book.soonest(job.wanted.service)
+        if closure is not None:
+            wait_ms = while_closed(closure.opens_in_s, self.env.random)
+            reason = Reason(closure.closed_for.value)
+            return Refusal(reason, Verdict.NOT_RUN, 'no server takes more', wait_ms)
         wait_ms = while_nothing_serves(self.env.random)
         return Refusal(Reason.NO_ENDPOINT, Verdict.NOT_RUN, 'no server', wait_ms)
 
@@ -346,6 +351,19 @@
             detail = f'the engine has version {version}, the oldest to be sent to is {least}'
             raise NotSent(Reason.VERSION_MISMATCH, detail)
 
+    def _check_open(self, choice: Choice) -> None:
+        """
+        A back end may have said something of itself while a connection came up.
+
+        :raises NotSent: if a request may not be sent to it by its own word.
+
+        """
+        for server in choice.servers:
+            closure = self.book.closure(server)
+            if closure is not None:
+                detail = f'{server.instance} takes no more for {closure.opens_in_s:.1f} s'
+                raise NotSent(Reason(closure.closed_for.value), detail)
+
     async def _exchange(
         self, job: Job, attempt: Attempt, connection: ServerConnection
     ) -> float | None:
@@ -361,6 +379,7 @@
         if job.wanted.engine is not None:
             version = attempt.choice.version(job.wanted.engine.layers)
             self._check_version(job.wanted.engine, version)
+        self._check_open(attempt.choice)
         now = self.env.monotonic()
         orders = SendOrders(
             str(server.instance),
@@ -375,6 +394,7 @@
         if not job.tried:
             self.budget.note_request(job.wanted.service)
         job.tried += [part.instance for part in attempt.choice.servers]
+        self.book.note_sent(attempt.choice.servers)
         headers = self.adapter.forward(request, orders)
         self._note_version(job, version)
         await connection.send(request.method, request.path, headers, request.body)
@@ -386,7 +406,7 @@
             raise SendFailed(
                 Reason.TRUNCATED, Verdict.MAY_HAVE_RUN, 'the answer belongs to another request'
             )
-        self.backpressure.take_answer(job, server, head)
+        self.backpressure.take_answer(job, server, head, now)
         if head.not_run:
             await connection.drop_body()
             through_path = attempt.choice.path is not None
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -3,18 +3,20 @@
 
 """
 
+from random import Random
 from types import SimpleNamespace
 
 import curio
 import pytest
 
-from millfork_adapter.exchange import CallerRequest
+from millfork_adapter.exchange import Backpressure, CallerRequest
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ServiceName, ZoneId
 from millfork_core.verdicts import Reason, Verdict
 from millfork_registry.records import ServedVersion
 from millfork_registry.suspects import Suspects
 from millfork_routing.budget import SharedBudget
+from millfork_scheduling.book import ServerBook
 from millfork_scheduling.placement import Choice, Wanted
 from millfork_scheduling.server import Server
 from millfork_state.view import View
@@ -126,7 +128,8 @@
             hinges_on_first_try=lambda job, choice: False,
         )
         adapter = SimpleNamespace(forward=lambda request, orders: [])
-        book = SimpleNamespace(compare=lambda wanted, tried: [], choose=self.choose)
+        book = ServerBook(ZoneId('z1'), Random(1), self.clock)
+        book.choose = self.choose
         loads = SimpleNamespace(refresh=self.refresh)
         pools = SimpleNamespace(of=self.pool_of)
         fingerprints = Fingerprints(b'key', lambda: 'cluster')
@@ -224,3 +227,17 @@
     refusal = ending.run()
     assert ending.sent == []
     assert (refusal.reason, refusal.verdict) == (Reason.NO_ENDPOINT, Verdict.NOT_RUN)
+
+
+def test_nothing_is_sent_to_a_back_end_that_names_a_limit_while_a_connection_comes_up():
+    ending = Ending(2, 2)
+
+    def name_limit(server):
+        if server.instance == 'i-0':
+            now = ending.clock.now
+            server.availability.take_answer(Backpressure(0.1), now, now)
+
+    ending.ended = name_limit
+    ending.run()
+    assert ending.sent == ['i-1']
+    assert [failed.reason for failed in ending.job.failures][0] is Reason.LIMITED
