Daemons tell of their engines' limits also where engines do not say when they started

On fleets whose back ends have a new id with each start no incarnation is told, and what daemons reported of limits was passed over: each entry had to find out by its own requests, with six entries and a limit of 1 a second once in six seconds. A report of another incarnation is passed over before; where none is told, the next report corrects what came late from an engine that has ended.

The test fails without the change.

--- a/packages/millfork-scheduling/millfork_scheduling/book.py
+++ b/packages/millfork-scheduling/millfork_scheduling/book.py
@@ -172,9 +172,8 @@
                     server.served = ()
                     self.changes += 1
                 continue
-            if server.incarnation and state.incarnation == server.incarnation:
-                told = Backpressure(state.limit_per_s)
-                changes.append((server, server.availability.take_report(told, now)))
+            told = Backpressure(state.limit_per_s)
+            changes.append((server, server.availability.take_report(told, now)))
             changing = bool(state.changing_to)
             if (changing, state.served) != (server.changing, server.served):
                 self.changes += 1
--- a/tests/test_limit_shares.py
+++ b/tests/test_limit_shares.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from millfork_adapter.exchange import NO_BACKPRESSURE, Backpressure
-from millfork_core.ids import Incarnation, InstanceId, ServiceName, ZoneId
+from millfork_core.ids import UNTOLD_INCARNATION, Incarnation, InstanceId, ServiceName, ZoneId
 from millfork_registry.records import EndpointState, Lease, LeaseState, ServedVersion
 from millfork_scheduling.availability import REPORT_LAG_S, ClosedFor, Signal, Turn
 from millfork_scheduling.book import ServerBook
@@ -148,6 +148,12 @@
     assert book.closure(server(book, 1)) is None
 
 
+def test_daemons_tell_of_engines_that_do_not_say_when_they_started(book, clock):
+    book.take_leases([lease(1, UNTOLD_INCARNATION), lease(2)])
+    book.take_reports([report(1, 1, 0.5, UNTOLD_INCARNATION)])
+    assert book.closure(server(book, 1)) is not None
+
+
 def test_a_limit_is_of_one_incarnation(book, clock):
     name(book, 1, 0.2, clock.now)
     book.take_leases([lease(2)])
