--- a/packages/millfork-adapter/millfork_adapter/exchange.py
+++ b/packages/millfork-adapter/millfork_adapter/exchange.py
@@ -68,11 +68,15 @@
 class Backpressure:
     """
     What a back end says of itself in the head of an answer: the requests a second that it
-    takes from all entries together (None: no limit). `unread` tells what makes no sense.
+    takes from all entries together (None: no limit), whether it leaves, and for how many
+    seconds it wants nothing of the one it answers (None: it asks for no rest). `unread` tells
+    what makes no sense.
 
     """
 
     limit_per_s: float | None = None
+    leaving: bool = False
+    rest_s: float | None = None
     unread: str = ''
 
 
--- a/packages/millfork-scheduling/millfork_scheduling/availability.py
+++ b/packages/millfork-scheduling/millfork_scheduling/availability.py
@@ -42,6 +42,8 @@
     """
 
     LIMIT = 'limit'
+    LEAVING = 'leaving'
+    REST = 'rest'
 
 
 class Turn(Enum):
@@ -78,7 +80,8 @@
 @dataclass(frozen=True, slots=True)
 class SignalChange:
     """
-    A signal that began, changed or ended, and its value: of a limit, requests a second.
+    A signal that began, changed or ended, and its value: of a limit, requests a second; of a
+    rest, seconds.
 
     """
 
@@ -97,18 +100,29 @@
     random: Random = field(default_factory=Random)
     limit: LimitShare | None = None
     limit_named_at: float = float('-inf')
+    # An incarnation that leaves comes back no more, whatever its heartbeats say.
+    leaving: bool = False
 
     def take_answer(self, told: Backpressure, sent_at: float, now: float) -> list[SignalChange]:
         """
         Take what the answer to a request says that was sent at a moment; returns what changed.
 
         """
+        changes = self._take_leaving(told.leaving)
+        if told.rest_s:
+            changes.append(SignalChange(Signal.REST, Turn.BEGAN, told.rest_s))
         if told.limit_per_s is not None:
-            return self._name_limit(told.limit_per_s, now)
+            return changes + self._name_limit(told.limit_per_s, now)
         if sent_at <= self.limit_named_at:
             # The back end may have answered before it named the limit.
+            return changes
+        return changes + self._end_limit()
+
+    def _take_leaving(self, leaving: bool) -> list[SignalChange]:
+        if not leaving or self.leaving:
             return []
-        return self._end_limit()
+        self.leaving = True
+        return [SignalChange(Signal.LEAVING, Turn.BEGAN, 0.0)]
 
     def take_report(self, told: Backpressure, now: float) -> list[SignalChange]:
         """
