--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -93,6 +93,15 @@
             self.close_connection = True
             self.server.crash()
             return
+        if self.server.turns_away:
+            self.send_response(503)
+            self.send_header(standins.REQUEST_ID, self.headers[standins.REQUEST_ID])
+            self.send_header(standins.NOT_RUN, '1')
+            for name, value in self.server.says.items():
+                self.send_header(name, value)
+            self.send_header('content-length', '0')
+            self.end_headers()
+            return
         if self.server.breaks_off:
             self.close_connection = True
             self.connection.shutdown(socket.SHUT_RDWR)
@@ -138,6 +147,8 @@
         self.says: dict[str, str] = {}
         self.works_s = 0.0
         self.breaks_off = False
+        # Answers at once that it does not run the request.
+        self.turns_away = False
         self.release = threading.Event()
         self.release.set()
         self.ended = threading.Event()
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -8,13 +8,9 @@
 import pytest
 
 from millfork_platform import standins
-from millfork_standins.seeded import SeededFleet
-from tests.test_seeded_fleet import document, request
-from tests.utils.fleets import wait_until
+from tests.test_seeded_fleet import request
+from tests.utils.loaded import LOAD_PER_S, loaded_fleet
 
-ENTRIES = 3
-LOAD_PER_S = 45
-WORKS_S = 0.02
 # How long the word of a back end may take to be heeded, and the time that is looked at.
 HEEDED_S = 3.0
 WINDOW_S = 4.0
@@ -26,28 +22,8 @@
 
 @pytest.fixture
 def fleet(tmp_path):
-    made = SeededFleet(tmp_path, entries=ENTRIES)
-    try:
-        made.start()
-        for number in range(3):
-            made.add_back_end('plain', f'i-{number}').works_s = WORKS_S
-        assert made.put(document(1, '/safe/')).status == 200
-        for entry in range(ENTRIES):
-            wait_until(lambda entry=entry: made.ask(request('/safe/x'), entry).status == 200)
-        wait_until(lambda: all(back_end.executed for back_end in warmed(made)))
+    with loaded_fleet(tmp_path) as made:
         yield made
-    finally:
-        made.close()
-
-
-def warmed(fleet):
-    """
-    The back ends, after one more request to each entry.
-
-    """
-    for entry in range(ENTRIES):
-        fleet.ask(request('/safe/x'), entry)
-    return fleet.back_ends
 
 
 def play(fleet):
--- /dev/null
+++ b/tests/utils/loaded.py
@@ -0,0 +1,43 @@
+"""
+Three entries before three back ends, one of which would do for most of the load.
+
+"""
+
+from contextlib import contextmanager
+
+from millfork_standins.seeded import SeededFleet
+from tests.test_seeded_fleet import document, request
+from tests.utils.fleets import wait_until
+
+ENTRIES = 3
+LOAD_PER_S = 45
+
+
+@contextmanager
+def loaded_fleet(folder, works_s=0.02):
+    """
+    Such a fleet, every entry and back end of which has served; answers take `works_s`.
+
+    """
+    fleet = SeededFleet(folder, entries=ENTRIES)
+    try:
+        fleet.start()
+        for number in range(3):
+            fleet.add_back_end('plain', f'i-{number}').works_s = works_s
+        assert fleet.put(document(1, '/safe/')).status == 200
+        for entry in range(ENTRIES):
+            wait_until(lambda entry=entry: fleet.ask(request('/safe/x'), entry).status == 200)
+        wait_until(lambda: all(back_end.executed for back_end in warmed(fleet)))
+        yield fleet
+    finally:
+        fleet.close()
+
+
+def warmed(fleet):
+    """
+    The back ends, after one more request to each entry.
+
+    """
+    for entry in range(ENTRIES):
+        fleet.ask(request('/safe/x'), entry)
+    return fleet.back_ends
