A back end that says in an answer that it leaves is sent to no more

What was seen: a request reached an engine 2.4 s after the entry that sent it had passed on an answer that said that it leaves. Nobody lost an answer; the engine might have ended first. Cause: entries went by leases alone. The engine's heartbeats were not acknowledged for 2.7 s, while each of its answers told the entries, and none of them read it (`Lease draining` at 66.24 s is the first line about it, the answer came at 63.52 s). Ruled out: an entry that knew and was brought back by a heartbeat or a kept connection; it had no line of knowing.

An incarnation whose answer says that it leaves is closed for this entry for good: neither its heartbeats nor another lease of it, nor later answers open it; another incarnation begins clean. The daemon beside an engine tells all entries with its next report; its word holds as long as it says so, since where incarnations are not told a report may be of the engine before. It is no last resort either: where all leave, a caller is refused at once.

--- a/packages/millfork-registry/millfork_registry/records.py
+++ b/packages/millfork-registry/millfork_registry/records.py
@@ -155,6 +155,8 @@
     incarnation: Incarnation = UNTOLD_INCARNATION
     # Requests a second that the engine takes from all entries together, if it names a limit.
     limit_per_s: float | None = None
+    # Whether the engine says that it leaves.
+    leaving: bool = False
 
     @property
     def order(self) -> int:
@@ -179,6 +181,7 @@
             self.changing_to,
             self.goal,
             self.limit_per_s,
+            self.leaving,
         )
 
 
--- a/packages/millfork-scheduling/millfork_scheduling/availability.py
+++ b/packages/millfork-scheduling/millfork_scheduling/availability.py
@@ -2,7 +2,8 @@
 What one incarnation of a back end said of itself, and whether it may be sent to.
 
 It answers a back end in need that names how many requests a second it takes. Only its answers
-tell when that is over, so some requests go on reaching it.
+tell when that is over, so some requests go on reaching it. One that leaves may say so to
+entries before any replica takes its heartbeat, as behind a cut.
 
 """
 
@@ -63,6 +64,7 @@
 
     """
 
+    LEAVING = 'leaving'
     LIMITED = 'limited'
 
 
@@ -102,6 +104,9 @@
     limit_named_at: float = float('-inf')
     # An incarnation that leaves comes back no more, whatever its heartbeats say.
     leaving: bool = False
+    # What the daemon beside it said last: where incarnations are not told, its word may be
+    # of the engine before this one.
+    reported_leaving: bool = False
 
     def take_answer(self, told: Backpressure, sent_at: float, now: float) -> list[SignalChange]:
         """
@@ -129,17 +134,26 @@
         Take what the daemon beside a back end was told; returns what changed.
 
         """
+        changes = self._report_leaving(told.leaving)
         if told.limit_per_s is not None:
-            return self._name_limit(told.limit_per_s, now)
+            return changes + self._name_limit(told.limit_per_s, now)
         if now - self.limit_named_at < REPORT_LAG_S:
+            return changes
+        return changes + self._end_limit()
+
+    def _report_leaving(self, leaving: bool) -> list[SignalChange]:
+        before, self.reported_leaving = self.reported_leaving, leaving
+        if before == leaving or self.leaving:
             return []
-        return self._end_limit()
+        return [SignalChange(Signal.LEAVING, Turn.BEGAN if leaving else Turn.ENDED, 0.0)]
 
     def closure(self, now: float, entries: int) -> Closure | None:
         """
         Why nothing may be sent now by this entry, one of so many; None if something may.
 
         """
+        if self.leaving or self.reported_leaving:
+            return Closure(ClosedFor.LEAVING, float('inf'))
         if self.limit is None or self.limit.has_one(now, entries):
             return None
         return Closure(ClosedFor.LIMITED, self.limit.next_in_s(now, entries))
--- a/packages/millfork-scheduling/millfork_scheduling/book.py
+++ b/packages/millfork-scheduling/millfork_scheduling/book.py
@@ -172,7 +172,7 @@
                     server.served = ()
                     self.changes += 1
                 continue
-            told = Backpressure(state.limit_per_s)
+            told = Backpressure(state.limit_per_s, state.leaving)
             changes.append((server, server.availability.take_report(told, now)))
             changing = bool(state.changing_to)
             if (changing, state.served) != (server.changing, server.served):
--- a/packages/millforkd/millforkd/beside/daemon.py
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -231,6 +231,7 @@
             self.rollout.goal,
             self.rollout.incarnation,
             report.backpressure.limit_per_s if report is not None else None,
+            report.backpressure.leaving if report is not None else False,
         )
 
     def _held(self, served: tuple[ServedVersion, ...]) -> tuple[HeldVersion, ...]:
--- a/tests/test_limit_shares.py
+++ b/tests/test_limit_shares.py
@@ -61,10 +61,10 @@
     )
 
 
-def report(number, sequence, limit=None, incarnation=BORN):
+def report(number, sequence, limit=None, incarnation=BORN, leaving=False):
     return EndpointState(
         f'e-{number}', SERVICE, 'z1', '10.0.0.1', number, sequence, reachable=True, served=WHOLE,
-        incarnation=incarnation, limit_per_s=limit,
+        incarnation=incarnation, limit_per_s=limit, leaving=leaving,
     )  # fmt: skip
 
 
