A back end that asks for rest is sent to no more until it is over

What was seen: engines that turned all away with a rest of 3 s got 14 and 5 requests of one entry within it, where 2 may be; over a tenth of three kinds of request were not served for 4 s, as the repeats had the budget or no time left. Cause: the rest that a 503 or 429 asks for was not read, so that back end stayed as good a choice as before. Ruled out: rests that are known and ended by an answer under way, as no line knew of one.

An entry that was asked for rest sends nothing there until it is over, also where no other is left: a caller is then refused at once with when the first rest ends. Answers under way and shorter rests shorten none. Afterwards one request asks, and the others wait for its answer.

--- a/packages/millfork-core/millfork_core/verdicts.py
+++ b/packages/millfork-core/millfork_core/verdicts.py
@@ -36,6 +36,7 @@
     BUSY = 'busy'
     OVER_SHARE = 'over_share'
     LEAVING = 'leaving'
+    RESTING = 'resting'
     LIMITED = 'limited'
     NOT_SERVABLE = 'not_servable'
     ENGINE_EMPTY = 'engine_empty'
@@ -88,6 +89,7 @@
     Reason.BUSY: 1000,
     Reason.OVER_SHARE: 1000,
     Reason.LEAVING: 1000,
+    Reason.RESTING: 1000,
     Reason.LIMITED: 1000,
     Reason.NOT_SERVABLE: 2000,
     Reason.ENGINE_EMPTY: 2000,
--- a/packages/millfork-scheduling/millfork_scheduling/availability.py
+++ b/packages/millfork-scheduling/millfork_scheduling/availability.py
@@ -20,6 +20,10 @@
 # A daemon's report is up to this old when it comes: it may have been made before an answer
 # that named a limit.
 REPORT_LAG_S: Final = 0.6
+# Beyond this a rest is not believed: the back end would be closed for good.
+MOST_REST_S: Final = 300.0
+# A request that asks whether a rest is over has its answer by then, or says nothing.
+ANSWER_WITHIN_S: Final = 1.0
 # An incarnation that leaves is gone within seconds; a lease behind a long cut may come back.
 REMEMBERED_S: Final = 3600.0
 # Three times as many as there are back ends at the two-year size.
@@ -58,6 +62,47 @@
     ENDED = 'ended'
 
 
+@dataclass(slots=True)
+class Rest:
+    """
+    The rests that a back end asked this entry for. Once one is over, a single request asks
+    whether it takes more; the others wait for its answer. Times are monotonic seconds.
+
+    """
+
+    until: float
+    asked_at: float = float('-inf')
+
+    def extend(self, rest_s: float, now: float) -> None:
+        """
+        Take another rest; an answer that was under way shortens none.
+
+        """
+        self.until = max(self.until, now + min(rest_s, MOST_REST_S))
+        self.asked_at = float('-inf')
+
+    def opens_in_s(self, now: float) -> float:
+        """
+        Seconds until a request may be sent, 0 if one may now.
+
+        """
+        return max(self.until - now, self.asked_at + ANSWER_WITHIN_S - now, 0.0)
+
+    def note_sent(self, now: float) -> None:
+        """
+        A request is sent after the rest, to ask.
+
+        """
+        self.asked_at = now
+
+    def ends_with(self, sent_at: float) -> bool:
+        """
+        Whether the answer to what was sent at a moment, not turned away, ends it.
+
+        """
+        return sent_at >= self.until
+
+
 class ClosedFor(Enum):
     """
     Why a back end may not be sent to now, by its own word.
@@ -65,6 +110,7 @@
     """
 
     LEAVING = 'leaving'
+    RESTING = 'resting'
     LIMITED = 'limited'
 
 
@@ -83,7 +129,7 @@
 class SignalChange:
     """
     A signal that began, changed or ended, and its value: of a limit, requests a second; of a
-    rest, seconds.
+    rest, its seconds, and how long ago it was over when an answer ended it.
 
     """
 
@@ -102,20 +148,22 @@
     random: Random = field(default_factory=Random)
     limit: LimitShare | None = None
     limit_named_at: float = float('-inf')
+    rest: Rest | None = None
     # An incarnation that leaves comes back no more, whatever its heartbeats say.
     leaving: bool = False
     # What the daemon beside it said last: where incarnations are not told, its word may be
     # of the engine before this one.
     reported_leaving: bool = False
 
-    def take_answer(self, told: Backpressure, sent_at: float, now: float) -> list[SignalChange]:
+    def take_answer(
+        self, told: Backpressure, sent_at: float, now: float, turned_away: bool = False
+    ) -> list[SignalChange]:
         """
         Take what the answer to a request says that was sent at a moment; returns what changed.
 
         """
         changes = self._take_leaving(told.leaving)
-        if told.rest_s:
-            changes.append(SignalChange(Signal.REST, Turn.BEGAN, told.rest_s))
+        changes += self._take_rest(told.rest_s or 0.0, sent_at, now, turned_away)
         if told.limit_per_s is not None:
             return changes + self._name_limit(told.limit_per_s, now)
         if sent_at <= self.limit_named_at:
@@ -123,6 +171,20 @@
             return changes
         return changes + self._end_limit()
 
+    def _take_rest(
+        self, rest_s: float, sent_at: float, now: float, turned_away: bool
+    ) -> list[SignalChange]:
+        rest = self.rest
+        if rest_s:
+            turn = Turn.BEGAN if rest is None else Turn.CHANGED
+            self.rest = rest or Rest(now)
+            self.rest.extend(rest_s, now)
+            return [SignalChange(Signal.REST, turn, rest_s)]
+        if rest is None or turned_away or not rest.ends_with(sent_at):
+            return []
+        self.rest = None
+        return [SignalChange(Signal.REST, Turn.ENDED, now - rest.until)]
+
     def _take_leaving(self, leaving: bool) -> list[SignalChange]:
         if not leaving or self.leaving:
             return []
@@ -154,6 +216,9 @@
         """
         if self.leaving or self.reported_leaving:
             return Closure(ClosedFor.LEAVING, float('inf'))
+        rest_s = self.rest.opens_in_s(now) if self.rest is not None else 0.0
+        if rest_s:
+            return Closure(ClosedFor.RESTING, rest_s)
         if self.limit is None or self.limit.has_one(now, entries):
             return None
         return Closure(ClosedFor.LIMITED, self.limit.next_in_s(now, entries))
@@ -163,6 +228,8 @@
         Count a request that is sent.
 
         """
+        if self.rest is not None:
+            self.rest.note_sent(now)
         if self.limit is not None:
             self.limit.take(now, entries)
 
--- a/packages/millfork-scheduling/millfork_scheduling/returning.py
+++ b/packages/millfork-scheduling/millfork_scheduling/returning.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from millfork_core.verdicts import Reason
+from millfork_scheduling.availability import ClosedFor, Closure
 
 # A place comes free in about a tenth of a second; spread over more than that.
 LEAST_WAIT_MS: Final = 150
@@ -19,6 +20,8 @@
 # Where nothing can serve a request at the moment: engines change their weights within
 # two seconds, servers are replaced within some.
 NOTHING_SERVES_MS: Final = 1500
+# The longest wait for back ends that rest; others may have come by then.
+MOST_REST_MS: Final = 10_000
 NOTHING_SERVES_SPREAD_MS: Final = 400
 # After other refusals, by reason: short, as a place comes free in a fraction of a second.
 AFTER_REFUSAL_MS: Final[dict[Reason, int]] = {
@@ -50,13 +53,15 @@
     return NOTHING_SERVES_MS + int(random.random() * NOTHING_SERVES_SPREAD_MS)
 
 
-def while_closed(opens_in_s: float, random: Random) -> int:
+def while_closed(closure: Closure, random: Random) -> int:
     """
     Milliseconds until a caller may come back where all back ends that could serve it are
-    closed by their own word. Others may begin to serve before.
+    closed by their own word: when the first of them opens. Only a rest has an end that is
+    told; otherwise others may begin to serve, or another entry may have a place, before.
 
     """
-    wait_ms = min(max(opens_in_s * 1000, LEAST_WAIT_MS), NOTHING_SERVES_MS)
+    most_ms = MOST_REST_MS if closure.closed_for is ClosedFor.RESTING else NOTHING_SERVES_MS
+    wait_ms = min(max(closure.opens_in_s * 1000, LEAST_WAIT_MS), most_ms)
     return int(wait_ms + random.random() * SPREAD_WAIT_MS)
 
 
--- a/packages/millforkd/millforkd/proxy/backpressure.py
+++ b/packages/millforkd/millforkd/proxy/backpressure.py
@@ -41,7 +41,8 @@
                 job.caller.request_id,
                 told.unread,
             )
-        changes = server.availability.take_answer(told, sent_at, self.env.monotonic())
+        now = self.env.monotonic()
+        changes = server.availability.take_answer(told, sent_at, now, head.not_run)
         self.note(server, changes, ToldBy.ANSWER, job.caller.request_id)
 
     def note(
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -3,6 +3,7 @@
 
 """
 
+from dataclasses import replace
 from typing import Final
 
 import curio
@@ -261,11 +262,14 @@
         return None
 
     def _no_server(self, job: Job) -> Refusal:
-        if job.tried:
-            return self._final(job, job.failures[-1].reason)
         closure = self.book.soonest(job.wanted.service)
+        if job.tried:
+            refusal = self._final(job, job.failures[-1].reason)
+            if closure is None or refusal.verdict is not Verdict.NOT_RUN:
+                return refusal
+            return replace(refusal, retry_after_ms=while_closed(closure, self.env.random))
         if closure is not None:
-            wait_ms = while_closed(closure.opens_in_s, self.env.random)
+            wait_ms = while_closed(closure, self.env.random)
             reason = Reason(closure.closed_for.value)
             return Refusal(reason, Verdict.NOT_RUN, 'no server takes more', wait_ms)
         wait_ms = while_nothing_serves(self.env.random)
--- a/tests/test_closed_back_ends.py
+++ b/tests/test_closed_back_ends.py
@@ -11,9 +11,15 @@
 from millfork_adapter.exchange import NO_BACKPRESSURE, Backpressure
 from millfork_core.ids import UNTOLD_INCARNATION, Incarnation, ServiceName, ZoneId
 from millfork_platform.adapter import PlatformAdapter
-from millfork_scheduling.availability import ClosedFor, Turn
+from millfork_scheduling.availability import ANSWER_WITHIN_S, MOST_REST_S, ClosedFor, Closure, Turn
 from millfork_scheduling.book import ServerBook
 from millfork_scheduling.placement import Wanted
+from millfork_scheduling.returning import (
+    MOST_REST_MS,
+    NOTHING_SERVES_MS,
+    SPREAD_WAIT_MS,
+    while_closed,
+)
 from millfork_web.models import Response
 from millforkd.beside.engine import LocalEngine
 from tests.test_limit_shares import BORN, lease, report, server
@@ -102,3 +108,86 @@
 
     found = curio.run(LocalEngine(PlatformAdapter(), Client()).report)
     assert found.backpressure == Backpressure(2.5, leaving=True)
+
+
+RESTS = Backpressure(rest_s=3.0)
+
+
+def turn_away(book, number, told=RESTS, sent_ago_s=0.0):
+    now = book.monotonic()
+    return server(book, number).availability.take_answer(told, now - sent_ago_s, now, True)
+
+
+def test_a_back_end_that_rests_is_no_last_resort(book):
+    turn_away(book, 1)
+    assert {book.choose(Wanted(SERVICE), set()).server.instance for _ in range(20)} == {'i-2'}
+    turn_away(book, 2, Backpressure(rest_s=1.0))
+    assert book.choose(Wanted(SERVICE), set()) is None
+    soonest = book.soonest(SERVICE)
+    assert (soonest.closed_for, soonest.opens_in_s) == (ClosedFor.RESTING, pytest.approx(1.0))
+
+
+def test_answers_that_were_under_way_do_not_shorten_a_rest(book, clock):
+    turn_away(book, 1)
+    clock.now += 0.2
+    turn_away(book, 1, Backpressure(rest_s=0.5), sent_ago_s=0.3)
+    answer(book, 1, NO_BACKPRESSURE, sent_ago_s=0.4)
+    clock.now += 2.7
+    assert closed_for(book, 1) is ClosedFor.RESTING
+
+
+def test_one_request_asks_whether_a_rest_is_over(book, clock):
+    turn_away(book, 1)
+    clock.now += 3.1
+    assert closed_for(book, 1) is None
+    book.note_sent([server(book, 1)])
+    assert closed_for(book, 1) is ClosedFor.RESTING
+    clock.now += 0.1
+    ended = answer(book, 1, NO_BACKPRESSURE, sent_ago_s=0.1)
+    assert [change.turn for change in ended] == [Turn.ENDED]
+    book.note_sent([server(book, 1)])
+    assert closed_for(book, 1) is None
+
+
+def test_the_one_that_asks_may_be_turned_away_or_lost(book, clock):
+    turn_away(book, 1)
+    clock.now += 3.1
+    book.note_sent([server(book, 1)])
+    clock.now += 0.1
+    turn_away(book, 1, sent_ago_s=0.1)
+    clock.now += 2.9
+    assert closed_for(book, 1) is ClosedFor.RESTING
+    clock.now += 0.2
+    book.note_sent([server(book, 1)])
+    clock.now += ANSWER_WITHIN_S + 0.01
+    assert closed_for(book, 1) is None
+
+
+def test_no_rest_closes_a_back_end_for_good(book, clock):
+    turn_away(book, 1, Backpressure(rest_s=1e15))
+    clock.now += MOST_REST_S + 0.01
+    assert closed_for(book, 1) is None
+
+
+def test_a_rest_is_of_one_incarnation(book):
+    turn_away(book, 1)
+    book.take_leases([lease(2)])
+    book.take_leases([lease(1), lease(2)])
+    assert closed_for(book, 1) is ClosedFor.RESTING
+    book.take_leases([lease(1, LATER), lease(2)])
+    assert closed_for(book, 1) is None
+
+
+@pytest.mark.parametrize(
+    ('closure', 'least_ms'),
+    [
+        (Closure(ClosedFor.RESTING, 4.0), 4000),
+        (Closure(ClosedFor.RESTING, 200.0), MOST_REST_MS),
+        (Closure(ClosedFor.LIMITED, 0.5), 500),
+        (Closure(ClosedFor.LEAVING, float('inf')), NOTHING_SERVES_MS),
+    ],
+)
+def test_callers_are_told_when_the_first_back_end_opens(closure, least_ms):
+    waits = {while_closed(closure, Random(seed)) for seed in range(20)}
+    assert min(waits) >= least_ms
+    assert max(waits) <= least_ms + SPREAD_WAIT_MS
