Endpoints of listed fleets heed the rest that their back end asks for

It now refuses new requests at once while the rest lasts, 'not run' and with when it is over; what waited for its turn doesn't go there either; one request asks whether it is over. Entries pass such an endpoint over for as long, and try another.

Both tests fail without the change: the back end ran what came within its rest.

--- a/packages/millfork-routing/millfork_routing/retries.py
+++ b/packages/millfork-routing/millfork_routing/retries.py
@@ -19,6 +19,7 @@
         Reason.TIMED_OUT,
         Reason.BUSY,
         Reason.LEAVING,
+        Reason.RESTING,
         Reason.NOT_SERVABLE,
         Reason.ENGINE_EMPTY,
         Reason.VERSION_MISMATCH,
--- a/packages/millforkd/millforkd/endpoint/door.py
+++ b/packages/millforkd/millforkd/endpoint/door.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import math
 from typing import Final
 
 import curio
@@ -14,10 +15,12 @@
 from millfork_core.logs import logger
 from millfork_core.verdicts import Reason, Refusal, Verdict
 from millfork_routing.limits import FairQueue
+from millfork_scheduling.availability import Rest
 from millfork_settings.models import BackendKind, BackendSettings
 from millfork_state.proposals import Proposals
 from millfork_web.client import Client, ExchangeFailed, Reply
 from millfork_web.models import Headers, Response
+from millfork_web.retry_after import TURNED_AWAY, read_retry_after
 from millfork_wire.connection import Connection, PeerLost
 from millfork_wire.messages import (
     Cancel,
@@ -73,6 +76,8 @@
         self.reservations: dict[str, Reservation] = {}
         self.served: dict[str, str] = {}
         self.leaving = False
+        # What the back end asked for last.
+        self.rest: Rest | None = None
         self.entries: dict[str, Connection] = {}
         self.load_changed = curio.Event()
         if not self.is_engine:
@@ -133,11 +138,25 @@
             return Refusal(Reason.LEAVING, detail='this endpoint is leaving')
         if request.service not in self.served:
             return Refusal(Reason.NOT_SERVABLE, detail='not servable here')
+        resting = self._resting()
+        if resting is not None:
+            return resting
         wait_ms = self.queue.refuses(organisation, request.deadline_ms / 1000)
         if wait_ms:
             return Refusal(Reason.BUSY, detail='all places are taken', retry_after_ms=wait_ms)
         return None
 
+    def _resting(self) -> Refusal | None:
+        """
+        A refusal while the back end rests.
+
+        """
+        rest_s = self.rest.opens_in_s(self.env.monotonic()) if self.rest is not None else 0.0
+        if not rest_s:
+            return None
+        detail = 'the back end asked for rest'
+        return Refusal(Reason.RESTING, detail=detail, retry_after_ms=math.ceil(rest_s * 1000))
+
     async def on_start(self, connection: Connection, message: Start) -> None:
         """
         The entry's word that the request may run.
@@ -223,12 +242,19 @@
         request = reservation.request
         if self.is_engine and reservation.version not in self.served.values():
             return Refusal(Reason.NOT_SERVABLE, detail='its version left while it waited')
+        resting = self._resting()
+        if resting is not None:
+            return resting
         reservation.stage = Stage.SENT
+        sent_at = self.env.monotonic()
+        if self.rest is not None:
+            self.rest.note_sent(sent_at)
         left = max(reservation.until - self.env.monotonic(), 0.001)
         try:
             async with curio.timeout_after(left):
                 headers, body = self._to_back_end(reservation)
                 reply = await self.client.send(request.method, request.path, headers, body)
+                self._note_rest(reply, sent_at)
                 try:
                     return await self._pass_on(reservation, reply)
                 finally:
@@ -241,6 +267,31 @@
                 return Refusal(Reason.UNREACHABLE, Verdict.NOT_RUN, 'the back end is unreachable')
             return Refusal(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, 'the back end broke off')
 
+    def _note_rest(self, reply: Reply, sent_at: float) -> None:
+        """
+        Take what an answer says of rest: requests that come meanwhile are refused at once.
+
+        """
+        now = self.env.monotonic()
+        if reply.status not in TURNED_AWAY:
+            if self.rest is not None and self.rest.ends_with(sent_at):
+                log.info('The back end takes requests again.')
+                self.rest = None
+            return
+        asked = read_retry_after(reply.headers)
+        if asked.unread:
+            log.warning(
+                'The back end asks for rest in a way that can not be read: {}', asked.unread
+            )
+        if not asked.seconds:
+            return
+        self.rest = self.rest or Rest(now)
+        self.rest.extend(asked.seconds, now)
+        self.env.metrics.count(
+            self.env.metrics.backpressure, signal='rest', turn='began', told_by='answer'
+        )
+        log.info('The back end asks for rest. rest_s={:g} status={}', asked.seconds, reply.status)
+
     def _to_back_end(self, reservation: Reservation) -> tuple[Headers, bytes]:
         request = reservation.request
         headers = [
--- a/packages/millforkd/millforkd/entry/dispatch.py
+++ b/packages/millforkd/millforkd/entry/dispatch.py
@@ -157,5 +157,7 @@
             backend.suspect_until = now + SUSPECT_S
         if refusal.reason is Reason.BUSY:
             backend.busy[call.organisation] = Busy(now + BUSY_MEMORY_S, refusal.wait_ms)
+        if refusal.reason is Reason.RESTING:
+            backend.busy[call.organisation] = Busy(now + refusal.wait_ms / 1000, refusal.wait_ms)
         if refusal.reason is Reason.LEAVING:
             backend.leaving = True
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import time
 
 import curio
 import pytest
@@ -17,6 +18,7 @@
 from millfork_wire.connection import PeerLost
 from millfork_wire.messages import Cancel, End, Head, Part, Reserve, Start
 from millforkd.endpoint.door import Door
+from tests.test_servers import Clock
 
 VERSION = 'version-1'
 BODY = json.dumps({'model': 'main', 'prompt': 'p'}).encode()
@@ -98,7 +100,7 @@
 
     """
 
-    def __init__(self, kind=BackendKind.ENGINE, version=VERSION, status=200):
+    def __init__(self, kind=BackendKind.ENGINE, version=VERSION, status=200, clock=time.monotonic):
         settings = BackendSettings(
             kind=kind,
             service='pool',
@@ -107,7 +109,7 @@
             queue=1,
             coalesce_ms=0,
         )
-        env = Environment(InstanceId('e'), ZoneId('z'))
+        env = Environment(InstanceId('e'), ZoneId('z'), monotonic=clock)
         self.proposals = FakeProposals()
         self.door = Door(env, settings, '127.0.0.1', self.proposals)
         if kind is BackendKind.ENGINE:
@@ -256,3 +258,49 @@
     play(scene, reserve, lambda: lose(scene))
     assert scene.door.in_progress == 0
     assert scene.proposals.commands == []
+
+
+def test_a_back_end_that_asked_for_rest_is_asked_by_one_request_once_it_is_over():
+    clock = Clock()
+    scene = Scene(BackendKind.PLAIN, status=503, clock=clock)
+    scene.backend.response.headers.append(('retry-after', '3'))
+
+    async def run():
+        await scene.backend.gate.set()
+        assert (await scene.reserve('a')).ok
+        await scene.start('a')
+        await scene.settle_down()
+        refused = await scene.reserve('b')
+        assert (refused.ok, refused.reason) == (False, Reason.RESTING.value)
+        assert refused.retry_after_ms == pytest.approx(3000, abs=1)
+        clock.now += 3.01
+        scene.backend.gate = curio.Event()
+        scene.backend.response = Response(200, [], b'answer')
+        assert (await scene.reserve('c')).ok
+        await scene.start('c')
+        await scene.settle_down()
+        assert not (await scene.reserve('d')).ok
+        await scene.backend.gate.set()
+        await scene.settle_down()
+        assert (await scene.reserve('e')).ok
+
+    curio.run(run)
+    assert len(scene.backend.ran) == 2
+
+
+def test_what_waits_at_the_door_does_not_reach_a_back_end_that_rests():
+    scene = Scene(BackendKind.PLAIN, status=503)
+    scene.backend.response.headers.append(('retry-after', '3'))
+
+    async def run():
+        for name in ('a', 'b'):
+            assert (await scene.reserve(name)).ok
+            await scene.start(name)
+        await scene.settle_down()
+        await scene.backend.gate.set()
+        await scene.settle_down()
+
+    curio.run(run)
+    assert len(scene.backend.ran) == 1
+    end = scene.ends()[-1]
+    assert (end.reason, end.verdict) == (Reason.RESTING.value, Verdict.NOT_RUN.value)
