--- a/packages/millforkd/millforkd/endpoint/door.py
+++ b/packages/millforkd/millforkd/endpoint/door.py
@@ -13,6 +13,7 @@
 from millfork_core.ids import OrganisationId
 from millfork_core.logs import Part as LogPart
 from millfork_core.logs import logger
+from millfork_core.sockets import connect
 from millfork_core.verdicts import Reason, Refusal, Verdict
 from millfork_routing.limits import FairQueue
 from millfork_scheduling.availability import Rest
@@ -42,6 +43,9 @@
 LOAD_HEARTBEAT_S: Final = 8.0
 LOAD_PAUSE_S: Final = 0.1
 DRAIN_POLL_S: Final = 0.05
+# A back end that ends closes its address within a few ms of its connections.
+LOOK_AFTER_S: Final = 0.01
+LOOK_TIMEOUT_S: Final = 0.4
 REQUEST_ID_HEADER: Final = 'x-request-id'
 VERSION_HEADER: Final = 'millfork-version'
 PRIORITY_HEADER: Final = 'x-priority'
@@ -265,7 +269,11 @@
             if error.verdict is Verdict.NOT_RUN:
                 reservation.stage = Stage.STARTED
                 return Refusal(Reason.UNREACHABLE, Verdict.NOT_RUN, 'the back end is unreachable')
-            return Refusal(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, 'the back end broke off')
+            if await self._has_ended():
+                detail = 'the back end ended'
+                return Refusal(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, detail)
+            detail = 'the connection to the back end broke off'
+            return Refusal(Reason.TRUNCATED, Verdict.MAY_HAVE_RUN, detail)
 
     def _note_rest(self, reply: Reply, sent_at: float) -> None:
         """
@@ -292,6 +300,24 @@
         )
         log.info('The back end asks for rest. rest_s={:g} status={}', asked.seconds, reply.status)
 
+    async def _has_ended(self) -> bool:
+        """
+        Whether the address of the back end takes no connections any more. A connection may
+        break off by itself; one that closes may be refused a moment later.
+
+        """
+        await curio.sleep(LOOK_AFTER_S)
+        try:
+            async with curio.timeout_after(LOOK_TIMEOUT_S):
+                sock = await connect(*self.settings.address.pair)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, curio.TaskTimeout) as error:
+            log.info('Not known whether the back end ended: {}.', type(error).__name__)
+            return False
+        await sock.close()
+        return False
+
     def _to_back_end(self, reservation: Reservation) -> tuple[Headers, bytes]:
         request = reservation.request
         headers = [
@@ -352,7 +378,7 @@
         echoed = reply.header(REQUEST_ID_HEADER)
         if echoed and echoed != reservation.request.request_id:
             detail = 'the back end answered another request'
-            return Refusal(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, detail)
+            return Refusal(Reason.TRUNCATED, Verdict.MAY_HAVE_RUN, detail)
         if not self.is_engine:
             return None
         if reply.status in NOT_LOADED:
--- a/packages/millforkd/millforkd/entry/dispatch.py
+++ b/packages/millforkd/millforkd/entry/dispatch.py
@@ -17,6 +17,7 @@
 from millfork_wire.messages import End, Head, Part
 from millforkd.entry.attempts import Attempt, Call, Lost
 from millforkd.entry.book import EndpointBook
+from millforkd.entry.crashes import Crashes
 from millforkd.entry.delivery import Delivery
 
 SUSPECT_S: Final = 3.0
@@ -40,6 +41,7 @@
         self.settings = settings
         self.book = book
         self.budget = RetryBudget(settings.retry_ratio, settings.retry_floor, env.monotonic)
+        self.crashes = Crashes(env)
         self.attempts: dict[str, Attempt] = {}
         self.numbers = itertools.count(1)
         self.seed = f'{env.random.getrandbits(48):012x}'
@@ -72,6 +74,10 @@
         may_have_run = False
         self.budget.note_request(call.organisation, call.service)
         while True:
+            barred = self.crashes.bars(call)
+            if barred is not None:
+                refusal = barred
+                break
             backend = self._choose(call, tried)
             if backend is None:
                 refusal = last or self._no_endpoint(call)
@@ -79,7 +85,9 @@
             if last is not None and not self._may_spend(call, last):
                 refusal = replace(last, reason=Reason.RETRY_BUDGET)
                 break
+            known = self.crashes.known(call)
             refusal_or_none = await self._attempt(call, backend, delivery)
+            await self.crashes.note(known, refusal_or_none)
             if refusal_or_none is None:
                 return None
             last = refusal_or_none
--- /dev/null
+++ b/tests/test_ends_at_endpoints.py
@@ -0,0 +1,91 @@
+"""
+What an endpoint says of a back end that broke off, and what an entry takes from it.
+
+"""
+
+import curio
+import pytest
+
+from millfork_core.verdicts import Reason, Refusal, Verdict
+from millfork_settings.models import Address
+from millfork_web.client import ExchangeFailed
+from millforkd.entry.attempts import Call
+from millforkd.entry.delivery import Delivery
+from tests.test_dispatch import ScriptedDispatch
+from tests.test_door import Scene
+
+ENDED = Refusal(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, 'the back end ended')
+BROKE_OFF = Refusal(Reason.TRUNCATED, Verdict.MAY_HAVE_RUN, 'the connection broke off')
+UNSENT = Refusal(Reason.BACKEND_FAILED, Verdict.NOT_RUN, 'an endpoint failed')
+
+
+class BreakingBackend:
+    async def send(self, method, path, headers, body):
+        raise ExchangeFailed(Verdict.MAY_HAVE_RUN, 'reset')
+
+
+async def no_caller(sock, address):
+    await sock.close()
+
+
+@pytest.mark.parametrize(
+    ('listens', 'reason'), [(True, Reason.TRUNCATED), (False, Reason.BACKEND_FAILED)]
+)
+def test_only_a_back_end_whose_address_refuses_has_ended(listens, reason):
+    scene = Scene()
+    scene.door.client = BreakingBackend()
+
+    async def run():
+        sock = curio.tcp_server_socket('127.0.0.1', 0)
+        host, port = sock.getsockname()
+        scene.door.settings = scene.door.settings.model_copy(
+            update={'address': Address(host=host, port=port)}
+        )
+        if not listens:
+            await sock.close()
+        assert (await scene.reserve()).ok
+        await scene.start()
+        async with curio.timeout_after(5):
+            while not scene.ends():
+                await curio.sleep(0.01)
+        await sock.close()
+
+    curio.run(run)
+    [end] = scene.ends()
+    assert (end.reason, end.verdict) == (reason.value, Verdict.MAY_HAVE_RUN.value)
+
+
+class Callers:
+    """
+    Callers of one entry; each call is tried once, with the next outcome.
+
+    """
+
+    def __init__(self, outcomes):
+        self.dispatch = ScriptedDispatch(outcomes)
+
+    def call(self, body):
+        deadline = self.dispatch.env.monotonic() + 5
+        call = Call('o', 's', 'POST', '/', [], body, False, '', '', '', 0, deadline)
+        return curio.run(self.dispatch.run, call, Delivery(None))
+
+
+def test_a_call_is_barred_once_three_back_ends_ended_under_it():
+    callers = Callers([ENDED] * 3 + [None])
+    assert [callers.call(b'crash').reason for _ in range(3)] == [Reason.BACKEND_FAILED] * 3
+    barred = callers.call(b'crash')
+    assert (barred.reason, barred.verdict) == (Reason.QUARANTINED, Verdict.NOT_RUN)
+    assert callers.call(b'another') is None
+
+
+@pytest.mark.parametrize('outcome', [BROKE_OFF, UNSENT, None])
+def test_what_tells_of_no_end_bars_no_call(outcome):
+    callers = Callers([ENDED, ENDED, outcome, ENDED, None])
+    for _ in range(3):
+        callers.call(b'body')
+    if outcome is not None:
+        callers.call(b'body')
+        assert callers.call(b'body').reason is Reason.QUARANTINED
+        return
+    assert callers.call(b'body').reason is Reason.BACKEND_FAILED
+    assert callers.call(b'body') is None
