An entry that no replica told of others takes a small share of limits

An entry that starts behind a cut and hears the feed by way of another follower knew of one entry, itself, and took the whole of a back end's limit for its share. Until a replica that it follows tells the number, it counts as many as a large fleet has.

--- a/packages/millfork-registry/millfork_registry/following.py
+++ b/packages/millfork-registry/millfork_registry/following.py
@@ -76,6 +76,8 @@
         # Entries that the replica knows of now, and the most that it knew of lately.
         self.entries = 1
         self.most_entries = 1
+        # Whether any replica told of entries yet.
+        self.entries_told = False
         # The follower by way of which the feed comes while no replica is heard, and the
         # one that was asked for it last.
         self.relay = ''
@@ -285,6 +287,7 @@
             self.heard_at = self.env.monotonic()
             self.entries = max(message.entries, 1)
             self.most_entries = max(message.most_entries, self.entries)
+            self.entries_told = True
         try:
             leases = decode_leases(message.leases)
             endpoints = decode_states(message.reports)
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -51,6 +51,8 @@
 HOUSEKEEPING_S: Final = 0.5
 # For a report that is passed on to a replica; the next one follows in 0.15 s.
 REPORT_TIMEOUT_S: Final = 0.3
+# The entries of a large fleet.
+UNTOLD_ENTRIES: Final = 380
 
 log = logger(Part.PROXY)
 
@@ -81,7 +83,7 @@
             env.random,
             env.monotonic,
             lambda: self.following.entries,
-            lambda: self.following.most_entries,
+            self.most_entries,
         )
         self.pools = Pools(env)
         self.budget = SharedBudget(
@@ -130,6 +132,14 @@
         # The repeats within the window that were last logged, by service.
         self.repeats_logged: dict[ServiceName, int] = {}
 
+    def most_entries(self) -> int:
+        """
+        The most entries known lately; many before any replica told, as this entry would else
+        take the whole of a limit for its share.
+
+        """
+        return self.following.most_entries if self.following.entries_told else UNTOLD_ENTRIES
+
     @property
     def in_progress(self) -> int:
         return self.server.active
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -3,6 +3,8 @@
 
 """
 
+from types import SimpleNamespace
+
 import curio
 
 from millfork_core.environment import Environment
@@ -13,7 +15,8 @@
 from millfork_registry.registry import Registry
 from millfork_state.view import View
 from millfork_wire.connection import PeerUnreachable
-from millfork_wire.messages import Done, FindReplicas, Follow, Replicas
+from millfork_wire.messages import Done, FindReplicas, Follow, Leases, Replicas
+from millforkd.proxy.daemon import UNTOLD_ENTRIES, ProxyDaemon
 
 ZONES = {'10.0.0.1:7': 'far', '10.0.0.2:7': 'near'}
 
@@ -112,3 +115,19 @@
         assert 'near' not in replicas.followed
 
     curio.run(run)
+
+
+def test_the_number_of_entries_is_told_by_the_replica_that_is_followed():
+    made = following(StandInReplicas())
+    made.source = InstanceId('10.0.0.1:7')
+    told = Leases(entries=6, most_entries=7)
+    daemon = SimpleNamespace(following=made)
+
+    async def run():
+        # By way of another follower.
+        await made.take(InstanceId('10.0.0.8:7'), told)
+        assert ProxyDaemon.most_entries(daemon) == UNTOLD_ENTRIES
+        await made.take(made.source, told)
+        assert ProxyDaemon.most_entries(daemon) == 7
+
+    curio.run(run)
