Soak: back ends name limits, ask for rest and turn away, by seed

Stand-ins had no back end that says anything of itself but by heartbeats, so no run could find an entry that does not heed it.

--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -88,17 +88,19 @@
     def _answer(self) -> None:
         asked = self.rfile.read(int(self.headers.get('content-length', 0)))
         self.server.arrived_at.append(time.monotonic())
-        self.server.executed.append({key.lower(): value for key, value in self.headers.items()})
+        turns_away = self.server.turns_away
+        if not turns_away:
+            headers = {key.lower(): value for key, value in self.headers.items()}
+            self.server.executed.append(headers)
         if asked == CRASHING_BODY:
             self.close_connection = True
             self.server.crash()
             return
-        if self.server.turns_away:
+        if turns_away:
             self.send_response(503)
             self.send_header(standins.REQUEST_ID, self.headers[standins.REQUEST_ID])
             self.send_header(standins.NOT_RUN, '1')
-            for name, value in self.server.says.items():
-                self.send_header(name, value)
+            self._say()
             self.send_header('content-length', '0')
             self.end_headers()
             return
@@ -110,14 +112,17 @@
         body = b'answer'
         time.sleep(self.server.works_s)
         self.send_response(200)
-        for name, value in self.server.says.items():
-            self.send_header(name, value)
+        self._say()
         self.send_header(standins.REQUEST_ID, self.headers[standins.REQUEST_ID])
         self.send_header(standins.SIGNATURE, self.server.instance)
         self.send_header('content-length', str(len(body)))
         self.end_headers()
         self.wfile.write(body)
 
+    def _say(self) -> None:
+        for name, value in self.server.says.items():
+            self.send_header(name, value)
+
     def log_message(self, format: str, *arguments: object) -> None:
         return None
 
--- a/packages/millfork-standins/millfork_standins/soak/__main__.py
+++ b/packages/millfork-standins/millfork_standins/soak/__main__.py
@@ -14,6 +14,7 @@
 SEED = flags.DEFINE_integer('seed', 1, 'Seed of the first run.', lower_bound=0)
 RUNS = flags.DEFINE_integer('runs', 1, 'Runs, each with the next seed.', lower_bound=1)
 SECONDS = flags.DEFINE_float('seconds', 20.0, 'Seconds of faults in a run.', lower_bound=1)
+BACKPRESSURE = flags.DEFINE_bool('backpressure', True, 'Back ends say things of themselves.')
 FOLDER = flags.DEFINE_string('folder', '', 'Where logs of runs are kept; empty: nowhere.')
 
 
@@ -23,7 +24,7 @@
         with tempfile.TemporaryDirectory(prefix='millfork-soak-') as scratch:
             folder = Path(FOLDER.value) / str(seed) if FOLDER.value else Path(scratch)
             folder.mkdir(parents=True, exist_ok=True)
-            verdict = Soak(folder, seed, SECONDS.value).run()
+            verdict = Soak(folder, seed, SECONDS.value, BACKPRESSURE.value).run()
         failed += bool(verdict.broken)
         statuses = ' '.join(f'{status}:{n}' for status, n in sorted(verdict.statuses.items()))
         print(
--- /dev/null
+++ b/packages/millfork-standins/millfork_standins/soak/backpressure.py
@@ -0,0 +1,134 @@
+"""
+What back ends say of themselves in a run, by seed, and whether entries heeded it.
+
+Drawn apart from the faults, which stay the same with and without it.
+
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+from typing import Final
+
+from millfork_platform import standins
+from millfork_standins.seeded import BackEnd
+
+MOST_GAP_S: Final = 4.0
+LEAST_S: Final = 4.0
+MOST_S: Final = 9.0
+LIMITS_PER_S: Final = (0.5, 5.0)
+RESTS_S: Final = (0.5, 3.0)
+# How long the word may take to be heeded, and in what time requests are counted.
+HEEDED_S: Final = 3.0
+WINDOW_S: Final = 4.0
+# An entry that was struck may know nothing, as may those that lost a connection with it: so
+# many callers send meanwhile.
+PER_STRIKE: Final = 6
+
+
+class Saying(Enum):
+    """
+    What a back end says in all its answers.
+
+    """
+
+    LIMIT = 'limit'
+    REST = 'rest'
+    TURNED_AWAY = 'turned_away'
+
+
+@dataclass(frozen=True, slots=True)
+class Said:
+    """
+    What one back end says from a moment on: seconds from the begin, how long, the value of a
+    limit (requests a second) or of a rest (seconds).
+
+    """
+
+    at_s: float
+    for_s: float
+    saying: Saying
+    back_end: int
+    value: float = 0.0
+
+
+def plan_sayings(seed: int, seconds: float, back_ends: int) -> list[Said]:
+    """
+    What back ends say in a run, in order; each one thing at a time.
+
+    """
+    random = Random(f'backpressure {seed}')
+    said: list[Said] = []
+    free_at = [0.0] * back_ends
+    at_s = 0.0
+    while True:
+        at_s += random.uniform(0.0, MOST_GAP_S)
+        if at_s >= seconds:
+            return said
+        back_end = random.randrange(back_ends)
+        if at_s < free_at[back_end]:
+            continue
+        saying = random.choice(list(Saying))
+        value = random.uniform(*(LIMITS_PER_S if saying is Saying.LIMIT else RESTS_S))
+        for_s = random.uniform(LEAST_S, MOST_S)
+        free_at[back_end] = at_s + for_s
+        said.append(Said(at_s, for_s, saying, back_end, value))
+
+
+def begin(back_end: BackEnd, said: Said) -> None:
+    """
+    Say it in all answers from now on.
+
+    """
+    if said.saying is Saying.LIMIT:
+        back_end.says = {standins.LIMIT: f'{said.value:.3f}'}
+        return
+    back_end.turns_away = True
+    if said.saying is Saying.REST:
+        back_end.says = {standins.RETRY_AFTER: f'{said.value:.3f}'}
+
+
+def end(back_end: BackEnd) -> None:
+    """
+    Say nothing any more.
+
+    """
+    back_end.turns_away = False
+    back_end.says = {}
+
+
+@dataclass(frozen=True, slots=True)
+class Period:
+    """
+    A back end that named a limit from one moment to another (monotonic seconds).
+
+    """
+
+    back_end: BackEnd
+    limit_per_s: float
+    began: float
+    ended: float
+
+
+def unheeded(periods: Iterable[Period], struck_at: list[float]) -> list[str]:
+    """
+    Limits that were not kept, in words; `struck_at` is when entries were struck.
+
+    """
+    found = []
+    for period in periods:
+        times = [
+            at for at in period.back_end.arrived_at if period.began + HEEDED_S <= at <= period.ended
+        ]
+        for first in times:
+            count = sum(first <= at < first + WINDOW_S for at in times)
+            strikes = sum(first - HEEDED_S - WINDOW_S <= at < first + WINDOW_S for at in struck_at)
+            allowed = 1.5 * period.limit_per_s * WINDOW_S + 5 + PER_STRIKE * strikes
+            if count > allowed:
+                found.append(
+                    f'{period.back_end.instance} named {period.limit_per_s:.2f} a second and got '
+                    f'{count} requests in {WINDOW_S:g} s, allowed {allowed:.0f}'
+                )
+                break
+    return found
--- a/packages/millfork-standins/millfork_standins/soak/run.py
+++ b/packages/millfork-standins/millfork_standins/soak/run.py
@@ -16,6 +16,15 @@
 from typing import Final
 
 from millfork_standins.seeded import SeededFleet
+from millfork_standins.soak.backpressure import (
+    Period,
+    Said,
+    Saying,
+    begin,
+    end,
+    plan_sayings,
+    unheeded,
+)
 from millfork_standins.soak.callers import SERVICE, Caller, Operator
 from millfork_standins.soak.checks import broken_promises
 from millfork_standins.soak.link import Link
@@ -67,9 +76,13 @@
 
     """
 
-    def __init__(self, folder: Path, seed: int, seconds: float) -> None:
+    def __init__(self, folder: Path, seed: int, seconds: float, backpressure: bool = False) -> None:
         self.seed = seed
         self.seconds = seconds
+        # What back ends say of themselves meanwhile, and what of it they said.
+        self.sayings = plan_sayings(seed, seconds, BACK_ENDS) if backpressure else []
+        self.limited: list[Period] = []
+        self.entries_struck_at: list[float] = []
         self.fleet = SeededFleet(folder, entries=ENTRIES)
         self.stop = threading.Event()
         self.links: list[Link] = []
@@ -120,7 +133,12 @@
 
     def _play(self, faults: list[Fault]) -> None:
         began = time.monotonic()
-        threads = []
+        threads = [
+            threading.Thread(target=self._say, args=(said, began), daemon=True)
+            for said in self.sayings
+        ]
+        for thread in threads:
+            thread.start()
         for fault in faults:
             while time.monotonic() - began < fault.at_s:
                 self._look_for_ended()
@@ -131,6 +149,16 @@
         for thread in threads:
             thread.join()
 
+    def _say(self, said: Said, began: float) -> None:
+        back_end = self.fleet.back_ends[said.back_end]
+        self.stop.wait(began + said.at_s - time.monotonic())
+        said_at = time.monotonic()
+        begin(back_end, said)
+        self.stop.wait(said.for_s)
+        end(back_end)
+        if said.saying is Saying.LIMIT:
+            self.limited.append(Period(back_end, said.value, said_at, time.monotonic()))
+
     # Faults.
 
     def _strike(self, fault: Fault) -> None:
@@ -142,11 +170,17 @@
                 return
             self.struck.add(fault.target)
         try:
+            self._note_struck(fault.target)
             self._strike_process(fault)
         finally:
+            self._note_struck(fault.target)
             with self.lock:
                 self.struck.discard(fault.target)
 
+    def _note_struck(self, host: str) -> None:
+        if host in self.fleet.entry_hosts:
+            self.entries_struck_at.append(time.monotonic())
+
     def _strike_link(self, link: Link, fault: Fault) -> None:
         if fault.kind is FaultKind.RESET:
             link.reset()
@@ -255,6 +289,7 @@
         answers = [answer for caller in self.callers for answer in caller.answers]
         executed = {back_end.instance: back_end.executed_ids() for back_end in self.fleet.back_ends}
         broken = [*self.broken, *self.operator.stale, *broken_promises(answers, executed)]
+        broken += unheeded(self.limited, self.entries_struck_at)
         return Verdict(
             self.seed,
             faults,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,8 +3,11 @@
 
 """
 
+from types import SimpleNamespace
+
 import pytest
 
+from millfork_standins.soak.backpressure import Period, Saying, plan_sayings, unheeded
 from millfork_standins.soak.callers import Answer
 from millfork_standins.soak.checks import broken_promises
 from millfork_standins.soak.plan import DISK_GAP_S, FaultKind, plan
@@ -13,6 +16,9 @@
 REPLICAS = ['r1', 'r2', 'r3']
 ENTRIES = ['e1', 'e2']
 SHORT_S = 6.0
+# A seed in which back ends name limits, ask for rest and turn away.
+BACKPRESSURE_SEED = 2
+BACKPRESSURE_S = 12.0
 # Seeds that ever failed, each with a line on the cause.
 REGRESSIONS = (
     # SIGHUP, and a planned stop, while a daemon started: it ended by the signal.
@@ -68,6 +74,26 @@
     assert len(broken_promises([answer], executed)) == 1
 
 
+def test_a_short_run_with_backpressure_breaks_no_promise(tmp_path):
+    verdict = Soak(tmp_path, BACKPRESSURE_SEED, BACKPRESSURE_S, backpressure=True).run()
+    assert verdict.broken == []
+    assert verdict.statuses[200]
+
+
+def test_back_ends_say_all_there_is_and_the_faults_stay_the_same():
+    said = [item for seed in range(20) for item in plan_sayings(seed, 20, 3)]
+    assert {item.saying for item in said} == set(Saying)
+    assert plan_sayings(7, 20, 3) == plan_sayings(7, 20, 3)
+
+
+@pytest.mark.parametrize(('count', 'strikes', 'broken'), [(17, 0, 0), (18, 0, 1), (18, 1, 0)])
+def test_a_limit_that_is_not_kept_is_found(count, strikes, broken):
+    arrived = [104 + number * 0.1 for number in range(count)]
+    back_end = SimpleNamespace(instance='i-1', arrived_at=arrived)
+    period = Period(back_end, 2.0, 100.0, 110.0)
+    assert len(unheeded([period], [104.0] * strikes)) == broken
+
+
 @pytest.mark.parametrize('seed', [1, *REGRESSIONS])
 def test_a_short_run_breaks_no_promise(seed, tmp_path):
     verdict = Soak(tmp_path, seed, SHORT_S).run()
