--- a/packages/millfork/millfork/explain.py
+++ b/packages/millfork/millfork/explain.py
@@ -28,11 +28,24 @@
     UNFORESEEN = 'late: unforeseen'
     BUSY = 'refused: busy'
     NOTHING_SERVES = 'refused: no server'
+    LIMITED = 'refused: limits'
+    RESTING = 'refused: rest'
+    LEAVING = 'refused: leaving'
     REFUSED = 'refused: other'
     FAILED = 'failed'
     LEFT = 'caller left'
 
 
+# By the reason that the entry gave.
+CAUSES_OF_REFUSALS: Final = {
+    'busy': Cause.BUSY,
+    'no_endpoint': Cause.NOTHING_SERVES,
+    'limited': Cause.LIMITED,
+    'resting': Cause.RESTING,
+    'leaving': Cause.LEAVING,
+}
+
+
 @dataclass(frozen=True, slots=True)
 class Ended:
     """
@@ -92,11 +105,7 @@
         return Cause.LEFT
     if ended.outcome != 'refused':
         return Cause.FAILED
-    if ended.reason == 'busy':
-        return Cause.BUSY
-    if ended.reason == 'no_endpoint':
-        return Cause.NOTHING_SERVES
-    return Cause.REFUSED
+    return CAUSES_OF_REFUSALS.get(ended.reason, Cause.REFUSED)
 
 
 def _cause_of_served(ended: Ended) -> Cause:
