A back end that turns requests away at once is left to others for a while

Cause: an attempt that was turned away counted as no failure of the back end, and left no request there, so by load, reports and failures it was the best choice, the more so the more it turned away (4 to 7 a second before, 11 to 21 while it did). Ruled out: the rest that it asks for, which is heeded since, as the same came without one.

What turns a request away is left alone for 0.05 s, twice as long with each one in a row, 2 s at most; an answer to what was sent since sets that back. Requests that were turned away together count once. Where all turn away, they are tried as before.

--- a/packages/millfork-scheduling/millfork_scheduling/server.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server.py
@@ -22,6 +22,10 @@
 # A back end that failed is left alone this long, doubling with each failure.
 FIRST_SUSPICION_S: Final = 0.5
 MOST_SUSPICION_S: Final = 4.0
+# One that turns a request away is left alone this long, doubling with each one in a row: it
+# may be full for a moment, or turn all away.
+FIRST_TURNED_AWAY_S: Final = 0.05
+MOST_TURNED_AWAY_S: Final = 2.0
 # One request's weight in a back end's failure rate.
 FAILURE_WEIGHT: Final = 0.1
 # One request's weight in the mean time of requests at an engine.
@@ -122,6 +126,9 @@
     reported_at: float = float('-inf')
     failures: int = 0
     failure_rate: float = 0.0
+    # Requests that it turned away one after another, and when it last did.
+    turned_away: int = 0
+    turned_away_at: float = float('-inf')
     suspect_until: float = float('-inf')
     # When this entry last received anything from it.
     heard_at: float = float('-inf')
@@ -232,6 +239,28 @@
         self.suspect_until = now + wait
         self.note_outcome(failed=True)
 
+    def note_turned_away(self, sent_at: float, now: float) -> None:
+        """
+        It turned away what was sent at a moment: leave it alone for a while, as what it does
+        not run takes no place there, and it would look the freest of all.
+
+        """
+        if sent_at < self.turned_away_at:
+            # Sent before the last one was known to be turned away: that says nothing more.
+            return
+        wait = min(FIRST_TURNED_AWAY_S * 2**self.turned_away, MOST_TURNED_AWAY_S)
+        self.turned_away += 1
+        self.turned_away_at = now
+        self.suspect_until = max(self.suspect_until, now + wait)
+
+    def note_taken(self, sent_at: float) -> None:
+        """
+        It took what was sent at a moment.
+
+        """
+        if sent_at >= self.turned_away_at:
+            self.turned_away = 0
+
     def note_outcome(self, failed: bool) -> None:
         """
         Count one request's outcome into the failure rate.
--- a/packages/millfork-standins/millfork_standins/bench/__main__.py
+++ b/packages/millfork-standins/millfork_standins/bench/__main__.py
@@ -11,7 +11,15 @@
 from absl import app, flags
 
 from millfork_core.status import ExitStatus
-from millfork_standins.bench import cost, distribution, limit_shares, limits, returning, routing
+from millfork_standins.bench import (
+    cost,
+    distribution,
+    limit_shares,
+    limits,
+    returning,
+    routing,
+    turning_away,
+)
 
 FLAGS: Final = flags.FLAGS
 EXPERIMENTS: Final[dict[str, Callable[[int, bool], Path]]] = {
@@ -21,6 +29,7 @@
     'cost': cost.run,
     'routing': routing.run,
     'returning': returning.run,
+    'turning-away': turning_away.run,
 }
 
 flags.DEFINE_enum('only', None, sorted(EXPERIMENTS), 'Run one experiment.')
--- a/packages/millfork-standins/millfork_standins/bench/routing.py
+++ b/packages/millfork-standins/millfork_standins/bench/routing.py
@@ -270,7 +270,7 @@
 
     def _send(self, asked: Asked) -> None:
         book = self.random.choice(self.books)
-        wanted = Wanted(SERVICE, self.figures, 0, 1, asked.prompt)
+        wanted = self._wanted(asked)
         if self.admits_all:
             self._choose(asked, book, wanted, None)
             return
@@ -289,6 +289,9 @@
         for server in compared:
             self._ask(book, server, take)
 
+    def _wanted(self, asked: Asked) -> Wanted:
+        return Wanted(SERVICE, self.figures, 0, 1, asked.prompt)
+
     def _ask(self, book: ServerBook, server: Server, take: Callable[[Server, Load], None]) -> None:
         """
         Ask the daemon beside an engine for its load.
--- a/packages/millforkd/millforkd/proxy/backpressure.py
+++ b/packages/millforkd/millforkd/proxy/backpressure.py
@@ -44,6 +44,10 @@
         now = self.env.monotonic()
         changes = server.availability.take_answer(told, sent_at, now, head.not_run)
         self.note(server, changes, ToldBy.ANSWER, job.caller.request_id)
+        if not head.not_run:
+            server.note_taken(sent_at)
+        elif not head.elsewhere:
+            server.note_turned_away(sent_at, now)
 
     def note(
         self,
--- a/tests/test_closed_back_ends.py
+++ b/tests/test_closed_back_ends.py
@@ -191,3 +191,31 @@
     waits = {while_closed(closure, Random(seed)) for seed in range(20)}
     assert min(waits) >= least_ms
     assert max(waits) <= least_ms + SPREAD_WAIT_MS
+
+
+def test_one_that_turns_away_is_left_to_others_for_longer_each_time(book, clock):
+    found = server(book, 1)
+    pauses = []
+    for _ in range(8):
+        found.note_turned_away(clock.now, clock.now)
+        pauses.append(found.suspect_until - clock.now)
+        clock.now = found.suspect_until
+    assert pauses == pytest.approx([0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 2.0, 2.0])
+    found.note_taken(clock.now)
+    found.note_turned_away(clock.now, clock.now)
+    assert found.suspect_until - clock.now == pytest.approx(0.05)
+
+
+def test_requests_turned_away_together_count_once(book, clock):
+    found = server(book, 1)
+    sent_at = clock.now
+    clock.now += 0.05
+    for _ in range(5):
+        found.note_turned_away(sent_at, clock.now)
+    assert found.turned_away == 1
+
+
+def test_where_all_turn_away_they_are_still_tried(book, clock):
+    for number in (1, 2):
+        server(book, number).note_turned_away(clock.now, clock.now)
+    assert book.choose(Wanted(SERVICE), set()) is not None
