--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -4,18 +4,15 @@
 """
 
 from dataclasses import replace
-from typing import Final
 
 import curio
 
 from millfork_adapter.adapter import Adapter
 from millfork_adapter.calls import BadCall
-from millfork_adapter.exchange import PathPart, SendOrders
 from millfork_core.environment import Environment
 from millfork_core.logs import Part, logger
 from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
 from millfork_routing.budget import SharedBudget
-from millfork_routing.documents import EngineFigures, RouteKind
 from millfork_scheduling.book import ServerBook
 from millfork_scheduling.placement import Choice
 from millfork_scheduling.returning import after_refusal, while_closed, while_nothing_serves
@@ -23,36 +20,18 @@
 from millforkd.proxy.admission import Admission
 from millforkd.proxy.asking import LoadQuestions
 from millforkd.proxy.backpressure import BackpressureIntake
-from millforkd.proxy.connections import Pools, SendFailed, ServerConnection
+from millforkd.proxy.connections import Pools
 from millforkd.proxy.endings import Endings
 from millforkd.proxy.ends import Ends
-from millforkd.proxy.job import Attempt, Failed, Job
+from millforkd.proxy.job import Job
 from millforkd.proxy.quarantine import Quarantine
 from millforkd.proxy.recall import Recall
 from millforkd.proxy.relaying import Relaying
-from millforkd.proxy.waiting import Waiting
-
-# Of the deadline, so that the last word reaches the caller before it leaves.
-LAST_WORD_S: Final = 0.03
-# A version that a server refused is not asked of it again this long; its
-# next report says more.
-REFUSED_VERSION_S: Final = 0.5
-BROKEN: Final = frozenset({Reason.UNREACHABLE, Reason.CONNECTION_LOST, Reason.TRUNCATED})
+from millforkd.proxy.sending import BROKEN, LAST_WORD_S, Sending
 
 log = logger(Part.PROXY)
 
 
-class NotSent(SendFailed):
-    """
-    What a back end was chosen for has changed while a connection to it came up, so
-    nothing was sent.
-
-    """
-
-    def __init__(self, reason: Reason, detail: str) -> None:
-        super().__init__(reason, Verdict.NOT_RUN, detail)
-
-
 class Forwarding:
     """
     Serves callers' requests.
@@ -83,7 +62,17 @@
         self.backpressure = BackpressureIntake(env)
         self.ends = Ends(env, quarantine.suspects)
         self.relaying = Relaying(env, adapter, book)
-        self.waiting = Waiting(env, admission)
+        self.sending = Sending(
+            env,
+            adapter,
+            admission,
+            book,
+            pools,
+            budget,
+            quarantine,
+            self.relaying,
+            self.backpressure,
+        )
         self.endings = Endings(env, adapter)
 
     async def answer(self, exchange: Exchange) -> None:
@@ -194,7 +183,7 @@
                 return self._final(job, Reason.RETRY_BUDGET)
             server = choice.server
             before = self.quarantine.known(job)
-            failed = await self._send(job, choice)
+            failed = await self.sending.send(job, choice)
             if failed is None:
                 return None
             if failed.verdict is not Verdict.NOT_RUN and failed.reason in BROKEN:
@@ -284,163 +273,3 @@
         if job.may_have_run:
             return Refusal(reason, Verdict.MAY_HAVE_RUN, detail)
         return Refusal(reason, Verdict.NOT_RUN, detail, after_refusal(reason))
-
-    # One back end.
-
-    async def _send(self, job: Job, choice: Choice) -> Failed | None:
-        """
-        One attempt; None if the caller has its answer.
-
-        """
-        server = choice.server
-        pool = self.pools.of(server)
-        attempt = Attempt(choice, self.env.monotonic())
-        attempt.begin()
-        connection = None
-        keep_s = None
-        try:
-            async with curio.timeout_after(job.left_s(self.env.monotonic()) - LAST_WORD_S):
-                connection = await pool.take(fresh=not job.route.repeatable)
-                keep_s = await self._exchange(job, attempt, connection)
-            server.note_service_time(self.env.monotonic() - attempt.began)
-            if connection.reusable:
-                await self.quarantine.clear(job)
-            return None
-        except NotSent as error:
-            return Failed(error.reason, error.verdict, error.detail, sent=False)
-        except SendFailed as error:
-            return self._failed(job, choice, error.reason, error.verdict, error.detail)
-        except curio.TaskTimeout:
-            verdict = Verdict.NOT_RUN if connection is None else Verdict.MAY_HAVE_RUN
-            return self._failed(job, choice, Reason.TIMED_OUT, verdict, 'the time is up')
-        finally:
-            attempt.end()
-            if connection is not None:
-                await pool.give_back(connection, keep_s)
-
-    def _failed(
-        self, job: Job, choice: Choice, reason: Reason, verdict: Verdict, detail: str
-    ) -> Failed:
-        now = self.env.monotonic()
-        for server in choice.servers:
-            if server.instance not in job.tried:
-                job.tried.append(server.instance)
-            silent = reason is Reason.TIMED_OUT and server.heard_at < job.began
-            # One that changes was told to break off what runs.
-            if (silent or reason in BROKEN) and not server.changing:
-                server.note_failure(now)
-        return Failed(reason, verdict, detail)
-
-    def _note_version(self, job: Job, version: int | None) -> None:
-        engine = job.wanted.engine
-        if engine is None or version is None:
-            return
-        ends = self.admission.versions.ends_at(engine.model, version)
-        job.sent_version = version
-        job.sent_before_end_ms = float('inf')
-        if ends is not None:
-            job.sent_before_end_ms = (ends - self.env.monotonic()) * 1000
-
-    def _check_version(self, engine: EngineFigures, version: int | None) -> None:
-        """
-        A connection may take 0.4 s to come up, and nothing calls back from a slow link
-        what is sent too late.
-
-        :raises NotSent: if a request may not be sent to a version (None: the engine has
-            none whole by now) any more.
-
-        """
-        least = self.admission.versions.least(engine.model)
-        if version is None or version < least:
-            detail = f'the engine has version {version}, the oldest to be sent to is {least}'
-            raise NotSent(Reason.VERSION_MISMATCH, detail)
-
-    def _check_open(self, choice: Choice) -> None:
-        """
-        A back end may have said something of itself while a connection came up.
-
-        :raises NotSent: if a request may not be sent to it by its own word.
-
-        """
-        for server in choice.servers:
-            closure = self.book.closure(server)
-            if closure is not None:
-                detail = f'{server.instance} takes no more for {closure.opens_in_s:.1f} s'
-                raise NotSent(Reason(closure.closed_for.value), detail)
-
-    async def _exchange(
-        self, job: Job, attempt: Attempt, connection: ServerConnection
-    ) -> float | None:
-        """
-        Send, read, pass on. Returns how long the connection may be kept.
-
-        :raises SendFailed: if the caller has no whole answer.
-
-        """
-        server = attempt.server
-        request = job.exchange.request
-        version = None
-        if job.wanted.engine is not None:
-            version = attempt.choice.version(job.wanted.engine.layers)
-            self._check_version(job.wanted.engine, version)
-        self._check_open(attempt.choice)
-        now = self.env.monotonic()
-        orders = SendOrders(
-            str(server.instance),
-            max(int(job.left_s(now) * 1000), 1),
-            job.organisation.name if job.organisation is not None else '',
-            self.admission.table is not None and self.admission.table.needs_keys,
-            version,
-            job.urgency,
-            job.resume_after if job.last_event is not None else None,
-            _parts_of(attempt.choice, job.wanted.engine),
-        )
-        if not job.tried:
-            self.budget.note_request(job.wanted.service)
-        job.tried += [part.instance for part in attempt.choice.servers]
-        self.book.note_sent(attempt.choice.servers)
-        headers = self.adapter.forward(request, orders)
-        self._note_version(job, version)
-        await connection.send(request.method, request.path, headers, request.body)
-        await self.waiting.read_head(job, attempt, connection, version)
-        server.heard_at = self.env.monotonic()
-        server.note_answered(job.urgency, attempt.began)
-        head = self.adapter.read_answer(connection.status, connection.headers)
-        if head.request_id and head.request_id != job.caller.request_id:
-            raise SendFailed(
-                Reason.TRUNCATED, Verdict.MAY_HAVE_RUN, 'the answer belongs to another request'
-            )
-        self.backpressure.take_answer(job, server, head, now)
-        if head.not_run:
-            await connection.drop_body()
-            through_path = attempt.choice.path is not None
-            if version is not None and (head.elsewhere or through_path):
-                server.refused[version] = self.env.monotonic() + REFUSED_VERSION_S
-            raise SendFailed(Reason.BUSY, Verdict.NOT_RUN, f'the server answered {head.status}')
-        if head.status >= 500 and job.route.repeatable and not job.started:
-            job.held = await self.relaying.hold(connection)
-            server.note_outcome(failed=True)
-            raise SendFailed(
-                Reason.BACKEND_FAILED, Verdict.RAN, f'the server answered {head.status}'
-            )
-        job.status = head.status
-        if job.route.kind is RouteKind.STREAMING and head.status < 300:
-            await self.relaying.stream(job, attempt, connection)
-        else:
-            await self.relaying.whole(job, connection)
-        server.note_outcome(failed=head.status >= 500)
-        return 0.0 if head.closing else head.keep_s
-
-
-def _parts_of(choice: Choice, engine: EngineFigures | None) -> tuple[PathPart, ...]:
-    """
-    The path of a choice, as the back end is told it.
-
-    """
-    path = choice.path
-    if path is None or engine is None:
-        return ()
-    return (
-        PathPart(path.first.host, path.first.port, 0, path.split),
-        PathPart(path.second.host, path.second.port, path.split, engine.layers),
-    )
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -8,6 +8,89 @@
 from tests.mutation import C, D, Edit, G, Mutation, R, W
 
 SEEDED_FLEETS: Final = (
+    Mutation(
+        'a back end that names a limit gets a share of it from each entry',
+        'tests/test_limit_shares.py::test_others_get_what_is_over_a_limit',
+        (
+            Edit(
+                C + 'availability.py',
+                'if self.limit is None or self.limit.has_one(now, entries):',
+                'if True:',
+            ),
+        ),
+    ),
+    Mutation(
+        'what many entries could save together is not saved',
+        'tests/test_limit_shares.py::test_the_sends_of_all_entries_keep_to_the_limit',
+        (Edit(C + 'limit_share.py', 'return entries * each <= tolerated', 'return True'),),
+    ),
+    Mutation(
+        'an answer to what was sent before a limit was named does not end it',
+        'tests/test_limit_shares.py::test_only_an_answer_to_what_was_sent_since_ends_a_limit',
+        (Edit(C + 'availability.py', 'if sent_at <= self.limit_named_at:', 'if False:'),),
+    ),
+    Mutation(
+        'nothing is sent to a back end that closed while a connection came up',
+        'tests/test_forwarding.py::'
+        'test_nothing_is_sent_to_a_back_end_that_names_a_limit_while_a_connection_comes_up',
+        (Edit(D + 'proxy/sending.py', 'if closure is not None:', 'if False:'),),
+    ),
+    Mutation(
+        'a back end that said that it leaves is sent to no more',
+        'tests/test_closed_back_ends.py::'
+        'test_neither_heartbeats_nor_answers_bring_back_one_that_leaves',
+        (Edit(C + 'availability.py', 'if self.leaving or self.reported_leaving:', 'if False:'),),
+    ),
+    Mutation(
+        'what an incarnation said outlives its lease',
+        'tests/test_closed_back_ends.py::test_a_rest_is_of_one_incarnation',
+        (
+            Edit(
+                C + 'availability.py',
+                'found = self.known.pop(key, None) or Availability(self.random)',
+                'found = Availability(self.random)',
+            ),
+        ),
+    ),
+    Mutation(
+        'a rest is not shortened by an answer that was under way',
+        'tests/test_closed_back_ends.py::test_answers_that_were_under_way_do_not_shorten_a_rest',
+        (
+            Edit(
+                C + 'availability.py',
+                'self.until = max(self.until, now + min(rest_s, MOST_REST_S))',
+                'self.until = now + min(rest_s, MOST_REST_S)',
+            ),
+        ),
+    ),
+    Mutation(
+        'one request asks whether a rest is over',
+        'tests/test_closed_back_ends.py::test_one_request_asks_whether_a_rest_is_over',
+        (Edit(C + 'availability.py', 'self.asked_at + ANSWER_WITHIN_S - now, 0.0', '0.0'),),
+    ),
+    Mutation(
+        'a back end that turns requests away is left to others for a while',
+        'tests/test_turned_away_at_once.py::'
+        'test_a_back_end_that_turns_all_away_draws_no_more_than_its_share',
+        (
+            Edit(
+                D + 'proxy/backpressure.py',
+                'server.note_turned_away(sent_at, now)',
+                'pass',
+            ),
+        ),
+    ),
+    Mutation(
+        'what waits at an endpoint does not reach a back end that rests',
+        'tests/test_door.py::test_what_waits_at_the_door_does_not_reach_a_back_end_that_rests',
+        (
+            Edit(
+                D + 'endpoint/door.py',
+                'self.rest.extend(asked.seconds, now)',
+                'pass',
+            ),
+        ),
+    ),
     Mutation(
         'a slow engine gets nothing that its version would outlive',
         'tests/test_servers.py::'
@@ -295,7 +378,7 @@
         'test_nothing_is_sent_to_a_version_that_ends_while_a_connection_comes_up',
         (
             Edit(
-                D + 'proxy/forwarding.py',
+                D + 'proxy/sending.py',
                 'if version is None or version < least:',
                 'if version is None:',
             ),
@@ -307,7 +390,7 @@
         'test_nothing_is_sent_to_an_engine_that_has_no_whole_version_by_then',
         (
             Edit(
-                D + 'proxy/forwarding.py',
+                D + 'proxy/sending.py',
                 'if version is None or version < least:',
                 'if version is not None and version < least:',
             ),
