--- a/packages/millfork-scheduling/millfork_scheduling/admission.py
+++ b/packages/millfork-scheduling/millfork_scheduling/admission.py
@@ -14,9 +14,7 @@
 # and for what reports 0.15 s to 0.3 s old can't tell.
 FIRST_SHARE: Final = 0.75
 # What would be late goes only to an engine with fewer of its slots taken than this share;
-# the rest is kept for those who can be in time. Model of 6 engines at 1.2 times their
-# capacity: 0.69 of the first tokens in time, 0.43 where it takes any free slot, 0.06 where
-# it queues like the others.
+# the rest is kept for those who can be in time.
 LATE_SHARE: Final = 0.75
 
 
--- a/packages/millfork-scheduling/millfork_scheduling/asking.py
+++ b/packages/millfork-scheduling/millfork_scheduling/asking.py
@@ -12,9 +12,7 @@
 
 from millfork_scheduling.server import Server
 
-# Of its slots, what one engine of those compared has taken at least. Model of 23 engines and
-# 39 entries at 0.9 and 1.2 times their capacity, in time: 0.95 and 0.79, 0.90 and 0.67 where
-# nobody is asked, 0.95 and 0.79 where all are always; a third fewer are asked at 0.9.
+# Of its slots, what one engine of those compared has taken at least.
 ASKED_SHARE: Final = 0.7
 
 
--- a/packages/millfork-scheduling/millfork_scheduling/book.py
+++ b/packages/millfork-scheduling/millfork_scheduling/book.py
@@ -30,8 +30,7 @@
 
 # As many engines are looked at one by one for each request.
 MOST_LOOKED_AT: Final = 24
-# Of more, so many are drawn on either side to find the few to compare: with a third of
-# them unable, fewer than two of 16 will do once in a million requests.
+# Of more, so many are drawn on either side to find the few to compare.
 DRAWN: Final = 16
 # Of each service, among how many engines of the own zone and of others an entry draws: it
 # keeps a connection to the daemons beside them. Where entries are few, more, so that each
@@ -282,9 +281,6 @@
         The few engines to compare, drawn without a look at all of them: none if there
         are not many, or of those drawn too few will do.
 
-        A look at each of 2,800 engines took 22 ms for one request, drawing takes 0.15 ms
-        (one process, one run).
-
         """
         if len(self.by_service.get(wanted.service, [])) <= MOST_LOOKED_AT:
             return []
--- a/packages/millfork-scheduling/millfork_scheduling/placement.py
+++ b/packages/millfork-scheduling/millfork_scheduling/placement.py
@@ -25,8 +25,7 @@
 # What each token of a path costs whose parts lie in two zones, in ms: the way
 # there and back.
 HOP_MS: Final = 5.0
-# What another zone costs an engine's request, in ms: the way there and back. With 25
-# fewer bytes go between regions, but more answers are late under load.
+# What another zone costs an engine's request, in ms: the way there and back.
 OTHER_ZONE_MS: Final = 10.0
 # What a failure rate of 1 costs an engine's request, in ms.
 FAILURE_MS: Final = 3000.0
@@ -37,18 +36,16 @@
 # not fuller by this.
 OTHER_ZONE_COST: Final = 0.15
 # The engines among which one is chosen: so many of the own zone and so many of others, at
-# random. Model of 24 engines and 40 entries, in time at 1.2 and 0.9 times their capacity:
-# 0.63 and 0.88; among all engines 0.29 and 0.80. Six engines and 7 entries: no difference.
+# random, as many entries would else all choose the same one.
 NEAR_COMPARED: Final = 2
 FAR_COMPARED: Final = 1
 # What an engine of a version that ends soon costs a request that could not go on
 # elsewhere, in ms: about as much as admission lets one wait.
 ENDING_MS: Final = 300.0
-# A request is sent to a version that ends only where its first token is expected
-# this long before: a slow link (0.91 Mbit/s were seen) makes one 0.9 s late.
+# A request is sent to a version that ends only where its first token is expected this long
+# before, as a slow link delays it.
 SURELY_S: Final = 0.5
-# The same where no daemon beside the engine takes the version away in time: a request was
-# seen to begin 1.1 s after it was sent.
+# The same where no daemon beside the engine takes the version away in time.
 SURELY_UNGUARDED_S: Final = 1.2
 
 
--- a/packages/millfork-scheduling/millfork_scheduling/quarantine.py
+++ b/packages/millfork-scheduling/millfork_scheduling/quarantine.py
@@ -11,9 +11,7 @@
 
 from millfork_registry.suspects import Suspicion
 
-# One end tells nothing, as all that ran there is under suspicion; of the requests that met
-# an end while one such request went from engine to engine, 89 met one, 2 two, and only
-# those at the end of their sends three (six engines, one day).
+# One end tells nothing, as all that ran there is under suspicion.
 ENDS: Final = 3
 
 
--- a/packages/millforkd/millforkd/proxy/asking.py
+++ b/packages/millforkd/millforkd/proxy/asking.py
@@ -22,12 +22,11 @@
 from millfork_wire.peers import Peers
 from millforkd.proxy.questions import Questions
 
-# The way to another region takes 8 ms there and back, and the engine's answer to its daemon
-# some more.
+# A caller waits for loads this long at most.
 WAIT_S: Final = 0.02
 # After this an answer says no more than the next report will.
 ANSWER_TIMEOUT_S: Final = 0.15
-# A link is full of weights for seconds, an engine's machine busy for a fraction of one.
+# A daemon that did not answer in time is not asked again for so long.
 PASSED_OVER_S: Final = 0.5
 
 log = logger(Part.PROXY)
