Words of incarnations are kept only while their lease is away; refusals name only back ends that could serve

Found on reading: what an incarnation said was forgotten an hour after its lease came, so one that said that it leaves after a longer life could come back with another lease; and a refusal named a back end that leaves where it could not have served anyway. Both have a test that failed. The daemon beside an engine also logs what the first report says.

--- a/packages/millfork-scheduling/millfork_scheduling/availability.py
+++ b/packages/millfork-scheduling/millfork_scheduling/availability.py
@@ -249,36 +249,36 @@
         return [SignalChange(Signal.LIMIT, Turn.ENDED, ended.limit_per_s)]
 
 
-class Availabilities:
+class LapsedAvailabilities:
     """
-    The availability of each incarnation, kept also while its lease is away: another lease of
-    the same incarnation changes nothing of what it said.
+    What incarnations said of themselves whose lease is away: when it comes back, nothing of
+    that has changed.
 
     """
 
     def __init__(self, random: Random, monotonic: Callable[[], float]) -> None:
         self.random = random
         self.monotonic = monotonic
-        # In the order in which they were asked for last, and when that was.
-        self.known: dict[tuple[InstanceId, Incarnation], Availability] = {}
-        self.asked_at: dict[tuple[InstanceId, Incarnation], float] = {}
+        # With the moment at which the lease went, the latest last.
+        self.kept: dict[tuple[InstanceId, Incarnation], tuple[float, Availability]] = {}
 
-    def of(self, instance: InstanceId, incarnation: Incarnation) -> Availability:
+    def keep(self, key: tuple[InstanceId, Incarnation], availability: Availability) -> None:
         """
-        What an incarnation said of itself.
+        The lease of an incarnation goes.
 
         """
-        key = (instance, incarnation)
         now = self.monotonic()
-        found = self.known.pop(key, None) or Availability(self.random)
-        self.asked_at.pop(key, None)
-        self.known[key] = found
-        self.asked_at[key] = now
-        self._forget_old(now)
-        return found
-
-    def _forget_old(self, now: float) -> None:
-        for key, asked_at in list(self.asked_at.items()):
-            if now - asked_at < REMEMBERED_S and len(self.known) <= MOST_REMEMBERED:
+        self.kept.pop(key, None)
+        self.kept[key] = (now, availability)
+        for other, (lapsed_at, _) in list(self.kept.items()):
+            if now - lapsed_at < REMEMBERED_S and len(self.kept) <= MOST_REMEMBERED:
                 return
-            del self.known[key], self.asked_at[key]
+            del self.kept[other]
+
+    def take_back(self, key: tuple[InstanceId, Incarnation]) -> Availability:
+        """
+        The lease of an incarnation comes, for the first time or again.
+
+        """
+        _, availability = self.kept.pop(key, (0.0, Availability(self.random)))
+        return availability
--- a/packages/millfork-scheduling/millfork_scheduling/book.py
+++ b/packages/millfork-scheduling/millfork_scheduling/book.py
@@ -13,7 +13,7 @@
 from millfork_core.ids import InstanceId, ServiceName, ZoneId
 from millfork_registry.records import EndpointState, Lease
 from millfork_routing.documents import EngineFigures
-from millfork_scheduling.availability import Availabilities, Closure, SignalChange
+from millfork_scheduling.availability import Closure, LapsedAvailabilities, SignalChange
 from millfork_scheduling.paths import Path, pair_up
 from millfork_scheduling.placement import (
     FAR_COMPARED,
@@ -77,7 +77,7 @@
         self.changes = 0
         self.paths: dict[tuple[ServiceName, int], tuple[int, list[Path]]] = {}
         self.by_address: dict[tuple[str, int], Server] = {}
-        self.availabilities = Availabilities(random, monotonic)
+        self.lapsed = LapsedAvailabilities(random, monotonic)
 
     def take_leases(self, leases: Iterable[Lease]) -> list[Server]:
         """
@@ -94,6 +94,7 @@
             # load, failures and connections ended with it.
             server.replaced = lease is not None
             dropped.append(server)
+            self.lapsed.keep((key, server.incarnation), server.availability)
             del self.servers[key]
         for key, lease in usable.items():
             self._take_lease(key, lease)
@@ -130,7 +131,7 @@
                 lease.incarnation,
                 lease_served=lease.served,
                 draw_order=self.random.random(),
-                availability=self.availabilities.of(key, lease.incarnation),
+                availability=self.lapsed.take_back((key, lease.incarnation)),
             )
             before = self.by_address.get((lease.host, lease.port))
             if before is not None:
@@ -358,13 +359,21 @@
         for server in servers:
             server.availability.note_sent(self.monotonic(), max(self.most_entries(), 1))
 
-    def soonest(self, service: ServiceName) -> Closure | None:
+    def soonest(self, wanted: Wanted) -> Closure | None:
         """
-        Of the back ends of a service that may not be sent to by their own word, the closure
-        that is over first; None if there is no such back end.
+        Of the back ends that could serve a request but for their own word, the closure that
+        is over first; None if there is no such back end.
 
         """
-        closures = [self.closure(server) for server in self.by_service.get(service, [])]
+        now = self.monotonic()
+        paths: list[Path] = []
+        if wanted.engine is not None:
+            paths = self._paths(wanted.service, wanted.engine, wanted.newest_version)
+        closures = [
+            self.closure(server)
+            for server in self.by_service.get(wanted.service, [])
+            if self._could_serve(server, wanted, paths, now)
+        ]
         found = [closure for closure in closures if closure is not None]
         return min(found, key=lambda closure: closure.opens_in_s, default=None)
 
@@ -382,9 +391,14 @@
         return self.lateness.setdefault(service, Lateness(LATENESS_WEIGHT))
 
     def _able(self, server: Server, wanted: Wanted, paths: list[Path], now: float) -> bool:
+        return self.closure(server) is None and self._could_serve(server, wanted, paths, now)
+
+    def _could_serve(self, server: Server, wanted: Wanted, paths: list[Path], now: float) -> bool:
+        """
+        Whether a back end has what a request needs, whatever it said of itself.
+
+        """
         engine = wanted.engine
-        if self.closure(server) is not None:
-            return False
         if engine is None:
             return True
         if server.changing:
--- a/packages/millforkd/millforkd/beside/daemon.py
+++ b/packages/millforkd/millforkd/beside/daemon.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from millfork_adapter.adapter import Adapter
-from millfork_adapter.exchange import EngineReport
+from millfork_adapter.exchange import NO_BACKPRESSURE, EngineReport
 from millfork_core.environment import Environment
 from millfork_core.logs import Part, logger
 from millfork_registry.discovery import address_of
@@ -188,8 +188,11 @@
             await curio.sleep(REPORT_EVERY_S)
 
     def _log_backpressure(self, report: EngineReport | None) -> None:
-        before = self.rollout.report
-        if report is None or before is None or report.backpressure == before.backpressure:
+        if report is None:
+            return
+        last = self.rollout.report
+        before = last.backpressure if last is not None else NO_BACKPRESSURE
+        if report.backpressure == before:
             return
         log.notice('The engine says of itself: {}', report.backpressure)
 
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -251,7 +251,7 @@
         return None
 
     def _no_server(self, job: Job) -> Refusal:
-        closure = self.book.soonest(job.wanted.service)
+        closure = self.book.soonest(job.wanted)
         if job.tried:
             refusal = self._final(job, job.failures[-1].reason)
             if closure is None or refusal.verdict is not Verdict.NOT_RUN:
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -47,8 +47,8 @@
         (
             Edit(
                 C + 'availability.py',
-                'found = self.known.pop(key, None) or Availability(self.random)',
-                'found = Availability(self.random)',
+                'self.kept[key] = (now, availability)',
+                'pass',
             ),
         ),
     ),
--- a/tests/test_closed_back_ends.py
+++ b/tests/test_closed_back_ends.py
@@ -11,7 +11,14 @@
 from millfork_adapter.exchange import NO_BACKPRESSURE, Backpressure
 from millfork_core.ids import UNTOLD_INCARNATION, Incarnation, ServiceName, ZoneId
 from millfork_platform.adapter import PlatformAdapter
-from millfork_scheduling.availability import ANSWER_WITHIN_S, MOST_REST_S, ClosedFor, Closure, Turn
+from millfork_scheduling.availability import (
+    ANSWER_WITHIN_S,
+    MOST_REST_S,
+    REMEMBERED_S,
+    ClosedFor,
+    Closure,
+    Turn,
+)
 from millfork_scheduling.book import ServerBook
 from millfork_scheduling.placement import Wanted
 from millfork_scheduling.returning import (
@@ -79,7 +86,7 @@
     answer(book, 1, LEAVES)
     answer(book, 2, LEAVES)
     assert book.choose(Wanted(SERVICE), set()) is None
-    assert book.soonest(SERVICE).closed_for is ClosedFor.LEAVING
+    assert book.soonest(Wanted(SERVICE)).closed_for is ClosedFor.LEAVING
 
 
 def test_the_daemon_beside_an_engine_tells_all_entries_that_it_leaves(book):
@@ -123,7 +130,7 @@
     assert {book.choose(Wanted(SERVICE), set()).server.instance for _ in range(20)} == {'i-2'}
     turn_away(book, 2, Backpressure(rest_s=1.0))
     assert book.choose(Wanted(SERVICE), set()) is None
-    soonest = book.soonest(SERVICE)
+    soonest = book.soonest(Wanted(SERVICE))
     assert (soonest.closed_for, soonest.opens_in_s) == (ClosedFor.RESTING, pytest.approx(1.0))
 
 
@@ -219,3 +226,18 @@
     for number in (1, 2):
         server(book, number).note_turned_away(clock.now, clock.now)
     assert book.choose(Wanted(SERVICE), set()) is not None
+
+
+def test_one_that_leaves_after_a_long_life_is_remembered(book, clock):
+    clock.now += 2 * REMEMBERED_S
+    answer(book, 1, LEAVES)
+    book.take_leases([lease(2), lease(3)])
+    clock.now += 5
+    book.take_leases([lease(1), lease(2)])
+    assert closed_for(book, 1) is ClosedFor.LEAVING
+
+
+def test_refusals_name_only_back_ends_that_could_serve(book):
+    book.take_reports([report(1, 1, changing_to=2), report(2, 1, changing_to=2)])
+    answer(book, 1, LEAVES)
+    assert book.soonest(Wanted(SERVICE, ENGINE, 0, 1, 900)) is None
--- a/tests/test_limit_shares.py
+++ b/tests/test_limit_shares.py
@@ -61,10 +61,10 @@
     )
 
 
-def report(number, sequence, limit=None, incarnation=BORN, leaving=False):
+def report(number, sequence, limit=None, incarnation=BORN, **fields):
     return EndpointState(
         f'e-{number}', SERVICE, 'z1', '10.0.0.1', number, sequence, reachable=True, served=WHOLE,
-        incarnation=incarnation, limit_per_s=limit, leaving=leaving,
+        incarnation=incarnation, limit_per_s=limit, **fields,
     )  # fmt: skip
 
 
@@ -101,7 +101,7 @@
     name(book, 1, 0.2, clock.now)
     name(book, 2, 0.2, clock.now)
     assert book.choose(Wanted(SERVICE), set()) is None
-    assert 0 < book.soonest(SERVICE).opens_in_s <= 6 / 0.2
+    assert 0 < book.soonest(Wanted(SERVICE)).opens_in_s <= 6 / 0.2
 
 
 def test_slots_of_limited_engines_are_not_free(book, clock):
