The fleet's index has a module of its own; a limit that changes in value wakes nobody

Found on reading: a daemon's report with another value of its engine's limit woke all followers of a replica, up to seven times a second for each engine in need. Whether there is a limit is told at once, its value with the next feed; the test failed before.

--- a/packages/millfork-registry/millfork_registry/records.py
+++ b/packages/millfork-registry/millfork_registry/records.py
@@ -180,7 +180,8 @@
             held,
             self.changing_to,
             self.goal,
-            self.limit_per_s,
+            # A limit that changes with each answer would wake all followers each time.
+            self.limit_per_s is not None,
             self.leaving,
         )
 
--- a/packages/millfork-scheduling/millfork_scheduling/book.py
+++ b/packages/millfork-scheduling/millfork_scheduling/book.py
@@ -14,6 +14,7 @@
 from millfork_registry.records import EndpointState, Lease
 from millfork_routing.documents import EngineFigures
 from millfork_scheduling.availability import Closure, LapsedAvailabilities, SignalChange
+from millfork_scheduling.fleet_index import FleetIndex
 from millfork_scheduling.paths import Path, pair_up
 from millfork_scheduling.placement import (
     FAR_COMPARED,
@@ -32,12 +33,6 @@
 MOST_LOOKED_AT: Final = 24
 # Of more, so many are drawn on either side to find the few to compare.
 DRAWN: Final = 16
-# Of each service, among how many engines of the own zone and of others an entry draws: it
-# keeps a connection to the daemons beside them. Where entries are few, more, so that each
-# engine is drawn by some of them.
-MOST_NEAR: Final = 32
-MOST_FAR: Final = 16
-DRAWN_BY: Final = 6
 # While less of all slots is taken, a caller is not turned away for the few compared.
 SPARE_SHARE: Final = 0.5
 # One first token's weight in the mean lateness: an entry sees some ten a second,
@@ -68,15 +63,11 @@
         self.random = random
         self.monotonic = monotonic
         self.servers: dict[InstanceId, Server] = {}
-        self.by_service: dict[ServiceName, list[Server]] = {}
-        # Those to draw from, of the own zone and of all others.
-        self.near: dict[ServiceName, list[Server]] = {}
-        self.far: dict[ServiceName, list[Server]] = {}
+        self.index = FleetIndex(zone, entries)
         # Counts what may change who is a path; the paths found at one count, by service
         # and newest version.
         self.changes = 0
         self.paths: dict[tuple[ServiceName, int], tuple[int, list[Path]]] = {}
-        self.by_address: dict[tuple[str, int], Server] = {}
         self.lapsed = LapsedAvailabilities(random, monotonic)
 
     def take_leases(self, leases: Iterable[Lease]) -> list[Server]:
@@ -98,24 +89,9 @@
             del self.servers[key]
         for key, lease in usable.items():
             self._take_lease(key, lease)
-        self._index()
-        return dropped
-
-    def _index(self) -> None:
         self.changes += 1
-        self.by_service = {}
-        self.near = {}
-        self.far = {}
-        self.by_address = {}
-        for server in self.servers.values():
-            self.by_service.setdefault(server.service, []).append(server)
-            side = self.near if server.zone == self.zone else self.far
-            side.setdefault(server.service, []).append(server)
-            self.by_address[(server.host, server.port)] = server
-        for service, servers in self.by_service.items():
-            share = DRAWN_BY * len(servers) // max(self.entries(), 1)
-            _keep_least(self.near, service, max(MOST_NEAR, share))
-            _keep_least(self.far, service, max(MOST_FAR, share))
+        self.index.rebuild(self.servers.values())
+        return dropped
 
     def _take_lease(self, key: InstanceId, lease: Lease) -> None:
         server = self.servers.get(key)
@@ -133,7 +109,7 @@
                 draw_order=self.random.random(),
                 availability=self.lapsed.take_back((key, lease.incarnation)),
             )
-            before = self.by_address.get((lease.host, lease.port))
+            before = self.index.by_address.get((lease.host, lease.port))
             if before is not None:
                 # What was last reported there was of the engine before this one: its
                 # weights and load were else taken for those of an empty engine.
@@ -158,7 +134,7 @@
         now = self.monotonic()
         changes = []
         for state in states:
-            server = self.by_address.get((state.host, state.port))
+            server = self.index.by_address.get((state.host, state.port))
             # Any other one is newer: the registry takes a lower sequence only where an
             # instance's clock began anew.
             if server is None or state.sequence == server.report_sequence:
@@ -217,7 +193,7 @@
         if engine is None:
             return []
         now = self.monotonic()
-        servers = self.near.get(wanted.service, []) + self.far.get(wanted.service, [])
+        servers = self.index.near.get(wanted.service, []) + self.index.far.get(wanted.service, [])
         able = [
             server
             for server in servers
@@ -271,7 +247,7 @@
         """
         changes, paths = self.paths.get((service, newest), (-1, []))
         if changes != self.changes:
-            paths = pair_up(self.by_service.get(service, []), engine, newest)
+            paths = pair_up(self.index.by_service.get(service, []), engine, newest)
             self.paths[service, newest] = (self.changes, paths)
         return paths
 
@@ -283,10 +259,10 @@
         are not many, or of those drawn too few will do.
 
         """
-        if len(self.by_service.get(wanted.service, [])) <= MOST_LOOKED_AT:
+        if len(self.index.by_service.get(wanted.service, [])) <= MOST_LOOKED_AT:
             return []
-        near = self.near.get(wanted.service, [])
-        far = self.far.get(wanted.service, [])
+        near = self.index.near.get(wanted.service, [])
+        far = self.index.far.get(wanted.service, [])
         by_first = {path.first.instance: path.second for path in paths}
         drawn: list[Server] = []
         for servers, count in ((near, NEAR_COMPARED), (far, FAR_COMPARED)):
@@ -339,7 +315,7 @@
         """
         able = [
             server
-            for server in self.by_service.get(wanted.service, [])
+            for server in self.index.by_service.get(wanted.service, [])
             if server.instance not in tried and self._able(server, wanted, paths, now)
         ]
         return [server for server in able if server.suspect_until <= now] or able
@@ -371,7 +347,7 @@
             paths = self._paths(wanted.service, wanted.engine, wanted.newest_version)
         closures = [
             self.closure(server)
-            for server in self.by_service.get(wanted.service, [])
+            for server in self.index.by_service.get(wanted.service, [])
             if self._could_serve(server, wanted, paths, now)
         ]
         found = [closure for closure in closures if closure is not None]
@@ -422,13 +398,3 @@
 
 def _share_taken(server: Server, now: float) -> float:
     return server.occupied(now) / server.slots
-
-
-def _keep_least(servers: dict[ServiceName, list[Server]], service: ServiceName, most: int) -> None:
-    """
-    Keep so many back ends of a service, by their order of drawing.
-
-    """
-    found = servers.get(service, [])
-    if len(found) > most:
-        servers[service] = nsmallest(most, found, key=lambda server: server.draw_order)
--- a/packages/millfork-standins/millfork_standins/bench/routing.py
+++ b/packages/millfork-standins/millfork_standins/bench/routing.py
@@ -98,7 +98,7 @@
     def choose(
         self, wanted: Wanted, tried: set[InstanceId], compared: list[Server] | None = None
     ) -> Choice | None:
-        return Choice(self.random.choice(self.by_service[wanted.service]))
+        return Choice(self.random.choice(self.index.by_service[wanted.service]))
 
 
 class RoundRobinBook(ServerBook):
@@ -112,7 +112,7 @@
     def choose(
         self, wanted: Wanted, tried: set[InstanceId], compared: list[Server] | None = None
     ) -> Choice | None:
-        servers = self.by_service[wanted.service]
+        servers = self.index.by_service[wanted.service]
         if self.turns is None:
             begin = self.random.randrange(len(servers))
             self.turns = cycle([*range(begin, len(servers)), *range(begin)])
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -161,8 +161,8 @@
         'tests/test_choice_at_size.py::test_every_engine_is_drawn_by_some_entry',
         (
             Edit(
-                C + 'book.py',
-                'share = DRAWN_BY * len(servers) // max(self.entries(), 1)',
+                C + 'fleet_index.py',
+                'share = DRAWN_BY * len(found) // max(self.entries(), 1)',
                 'share = 0',
             ),
         ),
@@ -679,7 +679,7 @@
         (
             Edit(
                 C + 'book.py',
-                'if len(self.by_service.get(wanted.service, [])) <= MOST_LOOKED_AT:',
+                'if len(self.index.by_service.get(wanted.service, [])) <= MOST_LOOKED_AT:',
                 'if True:',
             ),
         ),
--- a/tests/test_choice_at_size.py
+++ b/tests/test_choice_at_size.py
@@ -15,12 +15,10 @@
 from millfork_registry.records import EndpointState, Lease, LeaseState, ServedVersion
 from millfork_scheduling.book import (
     DRAWN,
-    DRAWN_BY,
-    MOST_FAR,
     MOST_LOOKED_AT,
-    MOST_NEAR,
     ServerBook,
 )
+from millfork_scheduling.fleet_index import DRAWN_BY, MOST_FAR, MOST_NEAR
 from millfork_scheduling.paths import pair_up
 from millfork_scheduling.placement import Outlook, Wanted
 from tests.test_servers import ENGINE, Clock
@@ -81,7 +79,7 @@
     for number in range(entries):
         book = ServerBook(ZoneId(f'z{number % ZONES}'), Random(number), Clock(), lambda: entries)
         book.take_leases(lease(number, NEW) for number in range(engines))
-        kept = [*book.near.get(SERVICE, []), *book.far.get(SERVICE, [])]
+        kept = [*book.index.near.get(SERVICE, []), *book.index.far.get(SERVICE, [])]
         assert len(kept) <= max(MOST_NEAR, share) + max(MOST_FAR, share)
         drawn.update(server.instance for server in kept)
     assert len(drawn) == engines
@@ -132,5 +130,5 @@
     for sequence, (number, served, changing) in enumerate(changes, 2):
         book._paths(SERVICE, ENGINE, 2)
         book.take_reports([report(number, sequence, served, 2 if changing else 0)])
-        fresh = pair_up(book.by_service[SERVICE], ENGINE, 2)
+        fresh = pair_up(book.index.by_service[SERVICE], ENGINE, 2)
         assert book._paths(SERVICE, ENGINE, 2) == fresh
--- a/tests/test_limit_shares.py
+++ b/tests/test_limit_shares.py
@@ -163,3 +163,10 @@
     assert book.closure(server(book, 1)) is None
     book.take_reports([report(1, 1, limit=0.2)])
     assert book.closure(server(book, 1)) is None
+
+
+def test_a_limit_that_changes_with_each_report_waits_for_the_next_feed():
+    first = report(1, 1, limit=2.0)
+    assert not report(1, 2, limit=2.1).says_more_than(first)
+    assert report(1, 2).says_more_than(first)
+    assert first.says_more_than(report(1, 0))
