Names: events of signals, planned signals of the soak

'Turn' is what the glossary calls engines that change their weights together. Log lines and the counter say event= for it. No behaviour changes.

--- a/packages/millfork-scheduling/millfork_scheduling/availability.py
+++ b/packages/millfork-scheduling/millfork_scheduling/availability.py
@@ -51,7 +51,7 @@
     REST = 'rest'
 
 
-class Turn(Enum):
+class SignalEvent(Enum):
     """
     What becomes of a signal.
 
@@ -134,7 +134,7 @@
     """
 
     signal: Signal
-    turn: Turn
+    event: SignalEvent
     value: float
 
 
@@ -176,20 +176,20 @@
     ) -> list[SignalChange]:
         rest = self.rest
         if rest_s:
-            turn = Turn.BEGAN if rest is None else Turn.CHANGED
+            event = SignalEvent.BEGAN if rest is None else SignalEvent.CHANGED
             self.rest = rest or Rest(now)
             self.rest.extend(rest_s, now)
-            return [SignalChange(Signal.REST, turn, rest_s)]
+            return [SignalChange(Signal.REST, event, rest_s)]
         if rest is None or turned_away or not rest.ends_with(sent_at):
             return []
         self.rest = None
-        return [SignalChange(Signal.REST, Turn.ENDED, now - rest.until)]
+        return [SignalChange(Signal.REST, SignalEvent.ENDED, now - rest.until)]
 
     def _take_leaving(self, leaving: bool) -> list[SignalChange]:
         if not leaving or self.leaving:
             return []
         self.leaving = True
-        return [SignalChange(Signal.LEAVING, Turn.BEGAN, 0.0)]
+        return [SignalChange(Signal.LEAVING, SignalEvent.BEGAN, 0.0)]
 
     def take_report(self, told: Backpressure, now: float) -> list[SignalChange]:
         """
@@ -207,7 +207,9 @@
         before, self.reported_leaving = self.reported_leaving, leaving
         if before == leaving or self.leaving:
             return []
-        return [SignalChange(Signal.LEAVING, Turn.BEGAN if leaving else Turn.ENDED, 0.0)]
+        return [
+            SignalChange(Signal.LEAVING, SignalEvent.BEGAN if leaving else SignalEvent.ENDED, 0.0)
+        ]
 
     def closure(self, now: float, entries: int) -> Closure | None:
         """
@@ -237,16 +239,16 @@
         self.limit_named_at = now
         if self.limit is None:
             self.limit = LimitShare(self.random, limit_per_s, now)
-            return [SignalChange(Signal.LIMIT, Turn.BEGAN, limit_per_s)]
+            return [SignalChange(Signal.LIMIT, SignalEvent.BEGAN, limit_per_s)]
         if not self.limit.change(limit_per_s):
             return []
-        return [SignalChange(Signal.LIMIT, Turn.CHANGED, limit_per_s)]
+        return [SignalChange(Signal.LIMIT, SignalEvent.CHANGED, limit_per_s)]
 
     def _end_limit(self) -> list[SignalChange]:
         if self.limit is None:
             return []
         ended, self.limit = self.limit, None
-        return [SignalChange(Signal.LIMIT, Turn.ENDED, ended.limit_per_s)]
+        return [SignalChange(Signal.LIMIT, SignalEvent.ENDED, ended.limit_per_s)]
 
 
 class LapsedAvailabilities:
--- a/packages/millfork-standins/millfork_standins/soak/backpressure.py
+++ b/packages/millfork-standins/millfork_standins/soak/backpressure.py
@@ -27,9 +27,9 @@
 PER_STRIKE: Final = 6
 
 
-class Saying(Enum):
+class SignalKind(Enum):
     """
-    What a back end says in all its answers.
+    What a back end says of itself in all its answers.
 
     """
 
@@ -39,59 +39,59 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Said:
+class PlannedSignal:
     """
-    What one back end says from a moment on: seconds from the begin, how long, the value of a
-    limit (requests a second) or of a rest (seconds).
+    What one back end says of itself from a moment on: seconds from the begin, how long, the
+    value of a limit (requests a second) or of a rest (seconds).
 
     """
 
     at_s: float
     for_s: float
-    saying: Saying
+    kind: SignalKind
     back_end: int
     value: float = 0.0
 
 
-def plan_sayings(seed: int, seconds: float, back_ends: int) -> list[Said]:
+def plan_signals(seed: int, seconds: float, back_ends: int) -> list[PlannedSignal]:
     """
     What back ends say in a run, in order; each one thing at a time.
 
     """
     random = Random(f'backpressure {seed}')
-    said: list[Said] = []
+    signals: list[PlannedSignal] = []
     free_at = [0.0] * back_ends
     at_s = 0.0
     while True:
         at_s += random.uniform(0.0, MOST_GAP_S)
         if at_s >= seconds:
-            return said
+            return signals
         back_end = random.randrange(back_ends)
         if at_s < free_at[back_end]:
             continue
-        saying = random.choice(list(Saying))
-        value = random.uniform(*(LIMITS_PER_S if saying is Saying.LIMIT else RESTS_S))
+        kind = random.choice(list(SignalKind))
+        value = random.uniform(*(LIMITS_PER_S if kind is SignalKind.LIMIT else RESTS_S))
         for_s = random.uniform(LEAST_S, MOST_S)
         free_at[back_end] = at_s + for_s
-        said.append(Said(at_s, for_s, saying, back_end, value))
+        signals.append(PlannedSignal(at_s, for_s, kind, back_end, value))
 
 
-def begin(back_end: BackEnd, said: Said) -> None:
+def begin(back_end: BackEnd, planned: PlannedSignal) -> None:
     """
-    Say it in all answers from now on.
+    Send a signal with all answers from now on.
 
     """
-    if said.saying is Saying.LIMIT:
-        back_end.says = {standins.LIMIT: f'{said.value:.3f}'}
+    if planned.kind is SignalKind.LIMIT:
+        back_end.says = {standins.LIMIT: f'{planned.value:.3f}'}
         return
     back_end.turns_away = True
-    if said.saying is Saying.REST:
-        back_end.says = {standins.RETRY_AFTER: f'{said.value:.3f}'}
+    if planned.kind is SignalKind.REST:
+        back_end.says = {standins.RETRY_AFTER: f'{planned.value:.3f}'}
 
 
 def end(back_end: BackEnd) -> None:
     """
-    Say nothing any more.
+    Send no signal any more.
 
     """
     back_end.turns_away = False
--- a/packages/millfork-standins/millfork_standins/soak/run.py
+++ b/packages/millfork-standins/millfork_standins/soak/run.py
@@ -18,11 +18,11 @@
 from millfork_standins.seeded import SeededFleet
 from millfork_standins.soak.backpressure import (
     Period,
-    Said,
-    Saying,
+    PlannedSignal,
+    SignalKind,
     begin,
     end,
-    plan_sayings,
+    plan_signals,
     unheeded,
 )
 from millfork_standins.soak.callers import SERVICE, Caller, Operator
@@ -79,8 +79,8 @@
     def __init__(self, folder: Path, seed: int, seconds: float, backpressure: bool = False) -> None:
         self.seed = seed
         self.seconds = seconds
-        # What back ends say of themselves meanwhile, and what of it they said.
-        self.sayings = plan_sayings(seed, seconds, BACK_ENDS) if backpressure else []
+        # What back ends say of themselves meanwhile, and when they named limits.
+        self.signals = plan_signals(seed, seconds, BACK_ENDS) if backpressure else []
         self.limited: list[Period] = []
         self.entries_struck_at: list[float] = []
         self.fleet = SeededFleet(folder, entries=ENTRIES)
@@ -134,8 +134,8 @@
     def _play(self, faults: list[Fault]) -> None:
         began = time.monotonic()
         threads = [
-            threading.Thread(target=self._say, args=(said, began), daemon=True)
-            for said in self.sayings
+            threading.Thread(target=self._signal, args=(planned, began), daemon=True)
+            for planned in self.signals
         ]
         for thread in threads:
             thread.start()
@@ -149,15 +149,15 @@
         for thread in threads:
             thread.join()
 
-    def _say(self, said: Said, began: float) -> None:
-        back_end = self.fleet.back_ends[said.back_end]
-        self.stop.wait(began + said.at_s - time.monotonic())
-        said_at = time.monotonic()
-        begin(back_end, said)
-        self.stop.wait(said.for_s)
+    def _signal(self, planned: PlannedSignal, began: float) -> None:
+        back_end = self.fleet.back_ends[planned.back_end]
+        self.stop.wait(began + planned.at_s - time.monotonic())
+        began_at = time.monotonic()
+        begin(back_end, planned)
+        self.stop.wait(planned.for_s)
         end(back_end)
-        if said.saying is Saying.LIMIT:
-            self.limited.append(Period(back_end, said.value, said_at, time.monotonic()))
+        if planned.kind is SignalKind.LIMIT:
+            self.limited.append(Period(back_end, planned.value, began_at, time.monotonic()))
 
     # Faults.
 
--- a/packages/millforkd/millforkd/endpoint/door.py
+++ b/packages/millforkd/millforkd/endpoint/door.py
@@ -296,7 +296,7 @@
         self.rest = self.rest or Rest(now)
         self.rest.extend(asked.seconds, now)
         self.env.metrics.count(
-            self.env.metrics.backpressure, signal='rest', turn='began', told_by='answer'
+            self.env.metrics.backpressure, signal='rest', event='began', told_by='answer'
         )
         log.info('The back end asks for rest. rest_s={:g} status={}', asked.seconds, reply.status)
 
--- a/packages/millforkd/millforkd/proxy/backpressure.py
+++ b/packages/millforkd/millforkd/proxy/backpressure.py
@@ -33,7 +33,7 @@
         told = head.backpressure
         if told.unread:
             self.env.metrics.count(
-                self.env.metrics.backpressure, signal='unread', turn='', told_by='answer'
+                self.env.metrics.backpressure, signal='unread', event='', told_by='answer'
             )
             log.warning(
                 'A back end says of itself what can not be read. server={} id={} {}',
@@ -64,16 +64,16 @@
             self.env.metrics.count(
                 self.env.metrics.backpressure,
                 signal=change.signal.value,
-                turn=change.turn.value,
+                event=change.event.value,
                 told_by=told_by.value,
             )
             log.info(
-                'Back end signal. server={} incarnation={} signal={} turn={} value={:g} '
+                'Back end signal. server={} incarnation={} signal={} event={} value={:g} '
                 'told_by={} id={}',
                 server.instance,
                 server.incarnation,
                 change.signal.value,
-                change.turn.value,
+                change.event.value,
                 change.value,
                 told_by.value,
                 request_id,
--- a/tests/test_closed_back_ends.py
+++ b/tests/test_closed_back_ends.py
@@ -17,7 +17,7 @@
     REMEMBERED_S,
     ClosedFor,
     Closure,
-    Turn,
+    SignalEvent,
 )
 from millfork_scheduling.book import ServerBook
 from millfork_scheduling.placement import Wanted
@@ -61,7 +61,7 @@
 
 @pytest.mark.parametrize('engine', [None, ENGINE])
 def test_neither_heartbeats_nor_answers_bring_back_one_that_leaves(book, clock, engine):
-    assert [change.turn for change in answer(book, 1, LEAVES)] == [Turn.BEGAN]
+    assert [change.event for change in answer(book, 1, LEAVES)] == [SignalEvent.BEGAN]
     # Its answer to a request that was sent before.
     clock.now += 1
     answer(book, 1, NO_BACKPRESSURE)
@@ -151,7 +151,7 @@
     assert closed_for(book, 1) is ClosedFor.RESTING
     clock.now += 0.1
     ended = answer(book, 1, NO_BACKPRESSURE, sent_ago_s=0.1)
-    assert [change.turn for change in ended] == [Turn.ENDED]
+    assert [change.event for change in ended] == [SignalEvent.ENDED]
     book.note_sent([server(book, 1)])
     assert closed_for(book, 1) is None
 
--- a/tests/test_limit_shares.py
+++ b/tests/test_limit_shares.py
@@ -12,7 +12,7 @@
 from millfork_adapter.exchange import NO_BACKPRESSURE, Backpressure
 from millfork_core.ids import UNTOLD_INCARNATION, Incarnation, InstanceId, ServiceName, ZoneId
 from millfork_registry.records import EndpointState, Lease, LeaseState, ServedVersion
-from millfork_scheduling.availability import REPORT_LAG_S, ClosedFor, Signal, Turn
+from millfork_scheduling.availability import REPORT_LAG_S, ClosedFor, Signal, SignalEvent
 from millfork_scheduling.book import ServerBook
 from millfork_scheduling.limit_share import LEAST_PER_S, LimitShare
 from millfork_scheduling.placement import Wanted
@@ -113,13 +113,15 @@
 
 def test_only_an_answer_to_what_was_sent_since_ends_a_limit(book, clock):
     named = name(book, 1, 2.0, clock.now - 0.1)
-    assert [(change.signal, change.turn) for change in named] == [(Signal.LIMIT, Turn.BEGAN)]
+    assert [(change.signal, change.event) for change in named] == [
+        (Signal.LIMIT, SignalEvent.BEGAN)
+    ]
     clock.now += 0.5
     availability = server(book, 1).availability
     assert availability.take_answer(NO_BACKPRESSURE, clock.now - 0.6, clock.now) == []
     assert availability.limit is not None
     ended = availability.take_answer(NO_BACKPRESSURE, clock.now - 0.1, clock.now)
-    assert [change.turn for change in ended] == [Turn.ENDED]
+    assert [change.event for change in ended] == [SignalEvent.ENDED]
     assert book.closure(server(book, 1)) is None
 
 
@@ -128,7 +130,7 @@
     clock.now += 1.5
     assert book.closure(server(book, 1)) is None
     changed = name(book, 1, 0.6, clock.now - 0.1)
-    assert [change.turn for change in changed] == [Turn.CHANGED]
+    assert [change.event for change in changed] == [SignalEvent.CHANGED]
     assert book.closure(server(book, 1)) is None
     book.note_sent([server(book, 1)])
     assert book.closure(server(book, 1)) is not None
@@ -137,7 +139,7 @@
 def test_one_daemon_tells_all_entries_when_a_limit_begins_and_ends(book, clock):
     [(told, changes)] = book.take_reports([report(1, 1, limit=0.5)])
     assert told.instance == 'i-1'
-    assert [change.turn for change in changes] == [Turn.BEGAN]
+    assert [change.event for change in changes] == [SignalEvent.BEGAN]
     assert book.closure(server(book, 1)) is not None
     # Made before the engine named its limit, as it comes this soon.
     clock.now += REPORT_LAG_S / 2
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from millfork_standins.soak.backpressure import Period, Saying, plan_sayings, unheeded
+from millfork_standins.soak.backpressure import Period, SignalKind, plan_signals, unheeded
 from millfork_standins.soak.callers import Answer
 from millfork_standins.soak.checks import broken_promises
 from millfork_standins.soak.plan import DISK_GAP_S, FaultKind, plan
@@ -81,9 +81,9 @@
 
 
 def test_back_ends_say_all_there_is_and_the_faults_stay_the_same():
-    said = [item for seed in range(20) for item in plan_sayings(seed, 20, 3)]
-    assert {item.saying for item in said} == set(Saying)
-    assert plan_sayings(7, 20, 3) == plan_sayings(7, 20, 3)
+    planned = [item for seed in range(20) for item in plan_signals(seed, 20, 3)]
+    assert {item.kind for item in planned} == set(SignalKind)
+    assert plan_signals(7, 20, 3) == plan_signals(7, 20, 3)
 
 
 @pytest.mark.parametrize(('count', 'strikes', 'broken'), [(17, 0, 0), (18, 0, 1), (18, 1, 0)])
