--- a/packages/millforkd/millforkd/endpoint/door.py
+++ b/packages/millforkd/millforkd/endpoint/door.py
@@ -4,7 +4,6 @@
 """
 
 import json
-import math
 from typing import Final
 
 import curio
@@ -13,15 +12,12 @@
 from millfork_core.ids import OrganisationId
 from millfork_core.logs import Part as LogPart
 from millfork_core.logs import logger
-from millfork_core.sockets import connect
 from millfork_core.verdicts import Reason, Refusal, Verdict
 from millfork_routing.limits import FairQueue
-from millfork_scheduling.availability import Rest
 from millfork_settings.models import BackendKind, BackendSettings
 from millfork_state.proposals import Proposals
 from millfork_web.client import Client, ExchangeFailed, Reply
 from millfork_web.models import Headers, Response
-from millfork_web.retry_after import TURNED_AWAY, read_retry_after
 from millfork_wire.connection import Connection, PeerLost
 from millfork_wire.messages import (
     Cancel,
@@ -36,16 +32,15 @@
     ServedVersion,
     Start,
 )
+from millforkd.endpoint.ends import has_ended
 from millforkd.endpoint.reservations import Reservation, Stage
+from millforkd.endpoint.resting import Resting
 from millforkd.settling import settle_claim
 
 START_PATIENCE_S: Final = 2.0
 LOAD_HEARTBEAT_S: Final = 8.0
 LOAD_PAUSE_S: Final = 0.1
 DRAIN_POLL_S: Final = 0.05
-# A back end that ends closes its address within a few ms of its connections.
-LOOK_AFTER_S: Final = 0.01
-LOOK_TIMEOUT_S: Final = 0.4
 REQUEST_ID_HEADER: Final = 'x-request-id'
 VERSION_HEADER: Final = 'millfork-version'
 PRIORITY_HEADER: Final = 'x-priority'
@@ -80,8 +75,7 @@
         self.reservations: dict[str, Reservation] = {}
         self.served: dict[str, str] = {}
         self.leaving = False
-        # What the back end asked for last.
-        self.rest: Rest | None = None
+        self.resting = Resting(env)
         self.entries: dict[str, Connection] = {}
         self.load_changed = curio.Event()
         if not self.is_engine:
@@ -142,7 +136,7 @@
             return Refusal(Reason.LEAVING, detail='this endpoint is leaving')
         if request.service not in self.served:
             return Refusal(Reason.NOT_SERVABLE, detail='not servable here')
-        resting = self._resting()
+        resting = self.resting.refusal()
         if resting is not None:
             return resting
         wait_ms = self.queue.refuses(organisation, request.deadline_ms / 1000)
@@ -150,17 +144,6 @@
             return Refusal(Reason.BUSY, detail='all places are taken', retry_after_ms=wait_ms)
         return None
 
-    def _resting(self) -> Refusal | None:
-        """
-        A refusal while the back end rests.
-
-        """
-        rest_s = self.rest.opens_in_s(self.env.monotonic()) if self.rest is not None else 0.0
-        if not rest_s:
-            return None
-        detail = 'the back end asked for rest'
-        return Refusal(Reason.RESTING, detail=detail, retry_after_ms=math.ceil(rest_s * 1000))
-
     async def on_start(self, connection: Connection, message: Start) -> None:
         """
         The entry's word that the request may run.
@@ -246,19 +229,18 @@
         request = reservation.request
         if self.is_engine and reservation.version not in self.served.values():
             return Refusal(Reason.NOT_SERVABLE, detail='its version left while it waited')
-        resting = self._resting()
+        resting = self.resting.refusal()
         if resting is not None:
             return resting
         reservation.stage = Stage.SENT
         sent_at = self.env.monotonic()
-        if self.rest is not None:
-            self.rest.note_sent(sent_at)
+        self.resting.note_sent(sent_at)
         left = max(reservation.until - self.env.monotonic(), 0.001)
         try:
             async with curio.timeout_after(left):
                 headers, body = self._to_back_end(reservation)
                 reply = await self.client.send(request.method, request.path, headers, body)
-                self._note_rest(reply, sent_at)
+                self.resting.note_answer(reply, sent_at)
                 try:
                     return await self._pass_on(reservation, reply)
                 finally:
@@ -269,55 +251,12 @@
             if error.verdict is Verdict.NOT_RUN:
                 reservation.stage = Stage.STARTED
                 return Refusal(Reason.UNREACHABLE, Verdict.NOT_RUN, 'the back end is unreachable')
-            if await self._has_ended():
+            if await has_ended(*self.settings.address.pair):
                 detail = 'the back end ended'
                 return Refusal(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, detail)
             detail = 'the connection to the back end broke off'
             return Refusal(Reason.TRUNCATED, Verdict.MAY_HAVE_RUN, detail)
 
-    def _note_rest(self, reply: Reply, sent_at: float) -> None:
-        """
-        Take what an answer says of rest: requests that come meanwhile are refused at once.
-
-        """
-        now = self.env.monotonic()
-        if reply.status not in TURNED_AWAY:
-            if self.rest is not None and self.rest.ends_with(sent_at):
-                log.info('The back end takes requests again.')
-                self.rest = None
-            return
-        asked = read_retry_after(reply.headers)
-        if asked.unread:
-            log.warning(
-                'The back end asks for rest in a way that can not be read: {}', asked.unread
-            )
-        if not asked.seconds:
-            return
-        self.rest = self.rest or Rest(now)
-        self.rest.extend(asked.seconds, now)
-        self.env.metrics.count(
-            self.env.metrics.backpressure, signal='rest', event='began', told_by='answer'
-        )
-        log.info('The back end asks for rest. rest_s={:g} status={}', asked.seconds, reply.status)
-
-    async def _has_ended(self) -> bool:
-        """
-        Whether the address of the back end takes no connections any more. A connection may
-        break off by itself; one that closes may be refused a moment later.
-
-        """
-        await curio.sleep(LOOK_AFTER_S)
-        try:
-            async with curio.timeout_after(LOOK_TIMEOUT_S):
-                sock = await connect(*self.settings.address.pair)
-        except ConnectionRefusedError:
-            return True
-        except (OSError, curio.TaskTimeout) as error:
-            log.info('Not known whether the back end ended: {}.', type(error).__name__)
-            return False
-        await sock.close()
-        return False
-
     def _to_back_end(self, reservation: Reservation) -> tuple[Headers, bytes]:
         request = reservation.request
         headers = [
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -85,7 +85,7 @@
         'tests/test_door.py::test_what_waits_at_the_door_does_not_reach_a_back_end_that_rests',
         (
             Edit(
-                D + 'endpoint/door.py',
+                D + 'endpoint/resting.py',
                 'self.rest.extend(asked.seconds, now)',
                 'pass',
             ),
--- a/tests/test_closed_back_ends.py
+++ b/tests/test_closed_back_ends.py
@@ -10,6 +10,7 @@
 
 from millfork_adapter.exchange import NO_BACKPRESSURE, Backpressure
 from millfork_core.ids import UNTOLD_INCARNATION, Incarnation, ServiceName, ZoneId
+from millfork_platform import standins
 from millfork_platform.adapter import PlatformAdapter
 from millfork_scheduling.availability import (
     ANSWER_WITHIN_S,
@@ -110,7 +111,7 @@
 def test_a_daemon_reads_what_its_engine_says_of_itself():
     class Client:
         async def fetch(self, method, path, headers, body, timeout):
-            said = [('server-leaving', '1'), ('server-limit', '2.5')]
+            said = [(standins.LEAVING, '1'), (standins.LIMIT, '2.5')]
             return Response(200, said, b'{"running":1,"queued":0}')
 
     found = curio.run(LocalEngine(PlatformAdapter(), Client()).report)
