--- a/packages/millfork-standins/millfork_standins/bench/limit_shares.py
+++ b/packages/millfork-standins/millfork_standins/bench/limit_shares.py
@@ -89,7 +89,7 @@
 
 class Owner:
     """
-    One process that is asked before each request, with a bucket of half a second.
+    One process that is asked before each request, with one bucket for all entries.
 
     """
 
