A request is under suspicion until its back end is known to have ended, or to live

Callers saw one back end after another end under a request that ends what runs it, and the answers beside it break off, for as long as its callers came back.

Cause: an address that still takes connections within 20 ms was taken for a life that goes on, and nobody looked again. Ruled out: that entries do not hear of each other, as one entry alone does it.

Change: what broke off is held as a suspicion by request and incarnation until the incarnation ended (address refuses, another one at its place) or is heard again (an answer to what was sent later, events, its daemon's reports). Three unresolved ones refuse the request with 503 and Retry-After; one entry tries it now and then. Proven ends count one after another, as before.

A request whose answers broke off while its back ends live on is served again (test).

--- a/packages/millfork-core/millfork_core/ids.py
+++ b/packages/millfork-core/millfork_core/ids.py
@@ -21,6 +21,8 @@
 FencingNumber = NewType('FencingNumber', int)
 # One run of a back end's process: when it started, in ms since 1970; 0 where not told.
 Incarnation = NewType('Incarnation', int)
+# One run of one back end's process, unlike that of any other back end.
+IncarnationKey = NewType('IncarnationKey', str)
 
 NO_INSTANCE = InstanceId('')
 UNTOLD_INCARNATION = Incarnation(0)
--- a/packages/millfork-core/millfork_core/verdicts.py
+++ b/packages/millfork-core/millfork_core/verdicts.py
@@ -46,6 +46,7 @@
     TRUNCATED = 'truncated'
     EXPIRED = 'expired'
     RETRY_BUDGET = 'retry_budget'
+    SUSPECTED = 'suspected'
     QUARANTINED = 'quarantined'
     KEY_IN_PROGRESS = 'key_in_progress'
     KEY_REUSED = 'key_reused'
@@ -95,6 +96,7 @@
     Reason.ENGINE_EMPTY: 2000,
     Reason.EXPIRED: 1000,
     Reason.RETRY_BUDGET: 2000,
+    Reason.SUSPECTED: 2000,
     Reason.KEY_IN_PROGRESS: 1000,
     Reason.CLAIM_UNAVAILABLE: 2000,
     Reason.STOPPING: 1000,
--- a/packages/millfork-core/millfork_core/windows.py
+++ b/packages/millfork-core/millfork_core/windows.py
@@ -42,3 +42,27 @@
         while now - self.seen[0][0] > self.within_s:
             self.seen.popleft()
         return self.most
+
+
+class Allowance:
+    """
+    So many of something within any time, in seconds, and no more.
+
+    """
+
+    def __init__(self, most: int, within_s: float) -> None:
+        self.most = most
+        self.within_s = within_s
+        self.spent_at: deque[float] = deque()
+
+    def spend(self, now: float) -> bool:
+        """
+        Take one, if one is left.
+
+        """
+        while self.spent_at and now - self.spent_at[0] > self.within_s:
+            self.spent_at.popleft()
+        if len(self.spent_at) >= self.most:
+            return False
+        self.spent_at.append(now)
+        return True
--- a/packages/millfork-registry/millfork_registry/suspects.py
+++ b/packages/millfork-registry/millfork_registry/suspects.py
@@ -2,8 +2,8 @@
 Requests under which back ends ended, as all entries and replicas know them.
 
 The count is of what a request says, so it outlives the tries and the entries that made
-them. What two processes know is joined by taking the newer record, in whatever order and
-however often it comes.
+them. What two processes know is joined: of two epochs the later one, within an epoch what
+either knows, in whatever order and however often it comes.
 
 """
 
@@ -13,7 +13,7 @@
 import curio
 import msgspec
 
-from millfork_core.ids import Fingerprint
+from millfork_core.ids import Fingerprint, IncarnationKey
 from millfork_core.logs import Part, logger
 from millfork_registry.table import Table
 
@@ -22,6 +22,8 @@
 # A caller that varies its body makes a record with each back end that it ends; 4,096 take
 # 1.5 MB, and are more than 200 engines of 16 requests have under way when all end at once.
 MOST_SUSPECTS: Final = 4096
+# More incarnations under one request change nothing; each takes some 40 bytes.
+MOST_BROKEN: Final = 4
 EPOCH_BYTES: Final = 8
 
 log = logger(Part.REGISTRY)
@@ -36,18 +38,51 @@
     sent. Back ends that end at the same moment with the same request on each, as in a
     loss of power, count as one.
 
+    `broken` are the incarnations under which an answer to it broke off and that are not
+    known to live on: of those it is not yet known, or known, that they ended. Once one lives
+    on, the next epoch begins without it.
+
     """
 
     fingerprint: Fingerprint
     epoch: int = 0
     ends: int = 0
+    broken: tuple[IncarnationKey, ...] = ()
 
     @property
     def order(self) -> tuple[int, int]:
         return (self.epoch, self.ends)
 
+    @property
+    def is_clear(self) -> bool:
+        return not self.ends and not self.broken
+
     def with_end(self) -> 'Suspicion':
-        return Suspicion(self.fingerprint, self.epoch, self.ends + 1)
+        return Suspicion(self.fingerprint, self.epoch, self.ends + 1, self.broken)
+
+    def with_ends(self, ends: int) -> 'Suspicion':
+        return Suspicion(self.fingerprint, self.epoch, ends, self.broken)
+
+    def with_broken(self, incarnation: IncarnationKey) -> 'Suspicion':
+        return self.joined(Suspicion(self.fingerprint, self.epoch, 0, (incarnation,)))
+
+    def without(self, incarnation: IncarnationKey) -> 'Suspicion':
+        """
+        After it is known that an incarnation lives on.
+
+        """
+        left = tuple(key for key in self.broken if key != incarnation)
+        return Suspicion(self.fingerprint, self.epoch + 1, min(self.ends, len(left)), left)
+
+    def joined(self, other: 'Suspicion') -> 'Suspicion':
+        """
+        What is known where both are.
+
+        """
+        if self.epoch != other.epoch:
+            return max(self, other, key=lambda item: item.epoch)
+        broken = tuple(sorted({*self.broken, *other.broken})[:MOST_BROKEN])
+        return Suspicion(self.fingerprint, self.epoch, max(self.ends, other.ends), broken)
 
     def cleared(self) -> 'Suspicion':
         return Suspicion(self.fingerprint, self.epoch + 1)
@@ -96,18 +131,54 @@
         # What those that this process hears from do not know; set `news` with it.
         self.untold: dict[Fingerprint, Suspicion] = {}
         self.news = curio.Event()
+        # What this process keeps to itself, as it may prove to be nothing within moments.
+        self.private: set[Fingerprint] = set()
 
     def of(self, fingerprint: Fingerprint) -> Suspicion:
         return self.table.get(fingerprint) or Suspicion(fingerprint)
 
     async def note(self, suspicion: Suspicion) -> None:
         """
-        Take what this process found out itself.
+        Take what this process found out itself, and tell others.
 
         """
         if self._put(suspicion):
-            self.untold[suspicion.fingerprint] = suspicion
-            await self.news.set()
+            await self._tell(suspicion.fingerprint)
+
+    def note_privately(self, suspicion: Suspicion) -> None:
+        """
+        Take what this process found out itself; others hear of it with what is told next
+        of the same request.
+
+        """
+        fingerprint = suspicion.fingerprint
+        if self.table.get(fingerprint) is None:
+            self.private.add(fingerprint)
+        self._put(suspicion)
+
+    async def publish(self, fingerprint: Fingerprint) -> None:
+        """
+        Tell others what was kept from them.
+
+        """
+        if fingerprint in self.private:
+            await self._tell(fingerprint)
+
+    async def withdraw(self, suspicion: Suspicion) -> None:
+        """
+        Take that a request is not, or less, suspected. Where nobody was told, nobody needs
+        to hear of it.
+
+        """
+        if suspicion.fingerprint in self.private and suspicion.is_clear:
+            self._forget(suspicion.fingerprint)
+            return
+        await self.note(suspicion)
+
+    async def _tell(self, fingerprint: Fingerprint) -> None:
+        self.private.discard(fingerprint)
+        self.untold[fingerprint] = self.of(fingerprint)
+        await self.news.set()
 
     async def hear(self, told: list[Suspicion]) -> bool:
         """
@@ -118,13 +189,13 @@
         for suspicion in told:
             if self._put(suspicion):
                 new.append(suspicion.ends)
+                self.private.discard(suspicion.fingerprint)
+            held = self.of(suspicion.fingerprint)
+            if held == suspicion:
                 self.untold.pop(suspicion.fingerprint, None)
                 continue
-            held = self.of(suspicion.fingerprint)
-            if held.order > suspicion.order:
-                # The other may have started anew, and others who hear from it too.
-                self.untold[held.fingerprint] = held
-                await self.news.set()
+            # The other may have started anew, and others who hear from it too.
+            await self._tell(suspicion.fingerprint)
         if new:
             log.info('Heard of suspects. requests={} most_ends={}', len(new), max(new))
         return bool(new)
@@ -135,19 +206,32 @@
 
         """
         for suspicion in self.table.values():
-            self.untold[suspicion.fingerprint] = suspicion
+            if suspicion.fingerprint not in self.private:
+                self.untold[suspicion.fingerprint] = suspicion
         if self.untold:
             await self.news.set()
 
     def _put(self, suspicion: Suspicion) -> bool:
-        if suspicion.order <= self.of(suspicion.fingerprint).order:
+        held = self.of(suspicion.fingerprint)
+        joined = held.joined(suspicion)
+        if joined == held:
             return False
-        self.table.put(suspicion.fingerprint, suspicion)
+        self.table.put(suspicion.fingerprint, joined)
         self.changed_at[suspicion.fingerprint] = self.monotonic()
         if len(self.table) > MOST_SUSPECTS:
-            self._forget(next(iter(self.table.values())).fingerprint)
+            self._forget(self._least_needed())
         return True
 
+    def _least_needed(self) -> Fingerprint:
+        """
+        The oldest record that suspects nothing, or else the oldest one.
+
+        """
+        for suspicion in self.table.values():
+            if suspicion.is_clear:
+                return suspicion.fingerprint
+        return next(iter(self.table.values())).fingerprint
+
     def forget_old(self) -> None:
         """
         Drop what has not changed for long.
@@ -164,3 +248,4 @@
         self.table.drop(fingerprint)
         self.changed_at.pop(fingerprint, None)
         self.untold.pop(fingerprint, None)
+        self.private.discard(fingerprint)
--- a/packages/millfork-scheduling/millfork_scheduling/book.py
+++ b/packages/millfork-scheduling/millfork_scheduling/book.py
@@ -14,6 +14,7 @@
 from millfork_registry.records import EndpointState, Lease
 from millfork_routing.documents import EngineFigures
 from millfork_scheduling.availability import Closure, LapsedAvailabilities, SignalChange
+from millfork_scheduling.fates import Fate, fate_of
 from millfork_scheduling.fleet_index import FleetIndex
 from millfork_scheduling.paths import Path, pair_up
 from millfork_scheduling.placement import (
@@ -162,6 +163,16 @@
                 server.refused.clear()
         return changes
 
+    def fate(self, server: Server, since: float) -> Fate:
+        """
+        What became of a back end since a moment, in monotonic seconds.
+
+        """
+        by_id = self.servers.get(server.instance)
+        by_address = self.index.by_address.get((server.host, server.port))
+        known = [other for other in (by_id, by_address) if other is not None]
+        return fate_of(server, since, known)
+
     def compare(self, wanted: Wanted, tried: set[InstanceId]) -> list[Server]:
         """
         The few engines among which to choose, with the second parts of paths; none for a
--- a/packages/millfork-scheduling/millfork_scheduling/returning.py
+++ b/packages/millfork-scheduling/millfork_scheduling/returning.py
@@ -30,6 +30,8 @@
     Reason.BUSY: 300,
     Reason.RETRY_BUDGET: 500,
     Reason.EXPIRED: 0,
+    # By then most of what broke off is known to have ended, or to live.
+    Reason.SUSPECTED: 2000,
     # Waiting changes nothing.
     Reason.QUARANTINED: 0,
 }
--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -152,6 +152,8 @@
         self.says: dict[str, str] = {}
         self.works_s = 0.0
         self.breaks_off = False
+        # How long after its connections its address closes when it crashes.
+        self.closes_after_s = 0.0
         # Answers at once that it does not run the request.
         self.turns_away = False
         self.release = threading.Event()
@@ -163,30 +165,49 @@
 
     def get_request(self) -> tuple[socket.socket, Any]:
         """
-        Take a connection, and remember it.
+        Take a connection, and remember it. One that ends leaves it without an answer.
 
         """
         sock, address = super().get_request()
         self.open.add(sock)
+        if self.ended.is_set():
+            raise OSError('nobody takes connections any more')
         return sock, address
 
     def crash(self) -> None:
         """
-        End as a process does: all connections and the address at once, and no word to
-        anyone.
+        End as a process does: all connections and the address at once, or the address some
+        time later, and no word to anyone.
 
         """
         self.ended.set()
+        if not self.closes_after_s:
+            self._close_address()
+        self._close_connections()
+        threading.Thread(target=self._finish_crash, daemon=True).start()
+
+    def _finish_crash(self) -> None:
+        if self.closes_after_s:
+            time.sleep(self.closes_after_s)
+            self._close_address()
+            self._close_connections()
+        self.shutdown()
+
+    def _close_address(self) -> None:
+        if self.socket.fileno() < 0:
+            # The test is over.
+            return
         # Closed alone, it went on taking connections while another thread polls it.
         self.socket.shutdown(socket.SHUT_RDWR)
         self.socket.close()
+
+    def _close_connections(self) -> None:
         for sock in list(self.open):
             try:
                 sock.shutdown(socket.SHUT_RDWR)
             except OSError:
                 # Its caller closed it before.
                 continue
-        threading.Thread(target=self.shutdown, daemon=True).start()
 
     def _lease(self) -> Lease:
         host, port = self.advertised or (str(self.server_address[0]), int(self.server_address[1]))
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -22,6 +22,7 @@
 from millfork_routing.routes import RouteTable
 from millfork_scheduling.availability import ToldBy
 from millfork_scheduling.book import ServerBook
+from millfork_scheduling.quarantine import Trials
 from millfork_settings.seeded import SeededSettings, socket_pair
 from millfork_web.models import Response
 from millfork_web.problem import problem
@@ -96,6 +97,7 @@
         )
         fingerprints = Fingerprints(fleet_key(settings), lambda: self.view.cluster)
         self.recall = Recall(env, self.peers, self.discovery.caches, fingerprints)
+        trials = Trials(env.random, env.monotonic, self.most_entries)
         self.forwarding = Forwarding(
             env,
             adapter,
@@ -103,7 +105,7 @@
             self.book,
             self.pools,
             self.budget,
-            Quarantine(self.registry.suspects, self.view, fingerprints),
+            Quarantine(self.registry.suspects, self.view, fingerprints, trials),
             self.recall,
             LoadQuestions(env, self.peers, self.book),
         )
--- a/packages/millforkd/millforkd/proxy/ends.py
+++ b/packages/millforkd/millforkd/proxy/ends.py
@@ -1,12 +1,14 @@
 """
 Which back ends have ended, and under which requests.
 
-An answer that breaks off may be the fault of a connection, of a link, or of one answer;
-only a back end whose address takes no connections any more has ended. All that this
-entry had there then broke off with it, so they are looked at together.
+An answer that breaks off may be the fault of a connection, of a link, or of one answer.
+Whether the back end ended may show seconds later, so a request stays under suspicion until
+its back end is known to have ended, or to live on. All that this entry had there then broke
+off with it, so they are looked at together.
 
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Final
@@ -14,10 +16,13 @@
 import curio
 
 from millfork_core.environment import Environment
-from millfork_core.ids import Fingerprint, InstanceId
+from millfork_core.ids import Fingerprint, IncarnationKey
 from millfork_core.logs import Part, logger
 from millfork_core.sockets import connect
+from millfork_core.windows import Allowance
 from millfork_registry.suspects import Suspects, Suspicion
+from millfork_scheduling.fates import Fate, fate_of
+from millfork_scheduling.quarantine import ends_after
 from millfork_scheduling.server import Server
 
 # All that breaks off with a back end does so within a few milliseconds; and an address that
@@ -30,10 +35,17 @@
 # ended there is to count for it, and a look takes some ms where the address answers.
 PROVE_WITHIN_S: Final = 0.05
 
-# One that is silent is looked at again so often and for so long: an instance that lost power
-# is back within seconds, and leases of what is behind a cut run out meanwhile.
+# A back end of which nothing is known is looked at again, at least so often and for so long:
+# an instance that lost power is back within seconds, and leases of what is behind a cut run
+# out meanwhile.
 WATCH_EVERY_S: Final = 0.5
 WATCHED_S: Final = 20.0
+# So many first breaks of requests are told to others at once, and within which time. Where
+# many answers break off at back ends that live on, most are cleared before anybody is told.
+TOLD_AT_ONCE: Final = 4
+TOLD_WITHIN_S: Final = 20.0
+# The others are told after this time.
+TELL_AFTER_S: Final = 1.5
 
 log = logger(Part.PROXY)
 
@@ -50,19 +62,53 @@
 
 
 @dataclass(slots=True)
-class _Look:
+class _Break:
     """
-    One look at a back end, with what is known of the requests that broke off there from
-    before they were sent.
+    A request whose answer broke off; `before` is what was known of it when it was sent. `at`
+    is in monotonic seconds.
 
     """
 
-    broken: dict[Fingerprint, Suspicion] = field(default_factory=dict)
-    done: curio.Event = field(default_factory=curio.Event)
+    before: Suspicion
+    at: float
+    looks: int = 0
 
-    def add(self, before: Suspicion) -> None:
-        held = self.broken.get(before.fingerprint, before)
-        self.broken[before.fingerprint] = max(held, before, key=lambda item: item.order)
+
+@dataclass(slots=True)
+class _Watch:
+    """
+    The looks at one back end, until its fate is known.
+
+    """
+
+    server: Server
+    key: IncarnationKey
+    breaks: dict[Fingerprint, _Break] = field(default_factory=dict)
+    looks: int = 0
+    # Set by each break, as what breaks off now may be a back end that ends now.
+    hurry: curio.Event = field(default_factory=curio.Event)
+    # Set once its fate is known, or not to be had within moments.
+    looked: curio.Event = field(default_factory=curio.Event)
+
+    def add(self, before: Suspicion, now: float) -> None:
+        held = self.breaks.get(before.fingerprint)
+        if held is not None:
+            before = max(held.before, before, key=lambda item: item.order)
+        self.breaks[before.fingerprint] = _Break(before, now)
+        self.looks = 0
+        self.looked.clear()
+
+    @property
+    def pause_s(self) -> float:
+        """
+        The time until the next look, longer from one to the next.
+
+        """
+        return min(GATHER_S * 2.0 ** max(self.looks - 1, 0), WATCH_EVERY_S)
+
+
+def key_of(server: Server) -> IncarnationKey:
+    return IncarnationKey(f'{server.instance}/{server.incarnation}')
 
 
 class Ends:
@@ -71,10 +117,17 @@
 
     """
 
-    def __init__(self, env: Environment, suspects: Suspects) -> None:
+    def __init__(
+        self,
+        env: Environment,
+        suspects: Suspects,
+        fate: Callable[[Server, float], Fate] = fate_of,
+    ) -> None:
         self.env = env
         self.suspects = suspects
-        self.looks: dict[InstanceId, _Look] = {}
+        self.fate = fate
+        self.watches: dict[IncarnationKey, _Watch] = {}
+        self.told_at_once = Allowance(TOLD_AT_ONCE, TOLD_WITHIN_S)
 
     async def note_broken(self, server: Server, before: Suspicion) -> None:
         """
@@ -82,70 +135,109 @@
         it was sent there. Returns once the back end was looked at, or soon.
 
         """
-        look = self.looks.get(server.instance)
-        if look is None:
-            look = _Look()
-            self.looks[server.instance] = look
-            await self.env.spawn(self._look_at, server, look)
-        look.add(before)
+        key = key_of(server)
+        watch = self.watches.get(key)
+        if watch is None:
+            watch = _Watch(server, key)
+            self.watches[key] = watch
+            await self.env.spawn(self._keep_watch, watch)
+        watch.add(before, self.env.monotonic())
+        await self._suspect(watch, before.fingerprint)
+        await watch.hurry.set()
         try:
             async with curio.timeout_after(PROVE_WITHIN_S):
-                await look.done.wait()
+                await watch.looked.wait()
         except curio.TaskTimeout:
             log.debug('Not known yet whether a back end ended. server={}', server.instance)
 
-    async def _look_at(self, server: Server, look: _Look) -> None:
-        try:
-            found = await self._look_closely(server)
-        finally:
-            del self.looks[server.instance]
-        if found is Address.REFUSES:
-            await self._note_end(server, look)
-        elif found is Address.SILENT:
-            await self.env.spawn(self._watch, server, look)
-        await look.done.set()
-
-    async def _note_end(self, server: Server, look: _Look) -> None:
-        log.info(
-            'Back end ended. server={} requests={} fingerprints={}',
-            server.instance,
-            len(look.broken),
-            ','.join(sorted(look.broken)),
-        )
-        for before in look.broken.values():
-            await self.suspects.note(before.with_end())
+    async def _suspect(self, watch: _Watch, fingerprint: Fingerprint) -> None:
+        known = self.suspects.of(fingerprint)
+        self.suspects.note_privately(known.with_broken(watch.key))
+        if not known.is_clear or self.told_at_once.spend(self.env.monotonic()):
+            await self.suspects.publish(fingerprint)
 
-    async def _watch(self, server: Server, look: _Look) -> None:
+    async def _keep_watch(self, watch: _Watch) -> None:
         """
-        Look again at a back end that is silent, until it is known whether it ended: behind a
-        cut it will be heard again, after a loss of power its address refuses at first.
+        Look at a back end until it is known of each request whether it ended it.
 
         """
-        began = self.env.monotonic()
-        while self.env.monotonic() - began < WATCHED_S:
-            await curio.sleep(WATCH_EVERY_S)
-            if server.heard_at > began:
-                return
-            found = Address.REFUSES if server.replaced else await self.look(server)
-            if found is Address.SILENT:
-                continue
-            if found is Address.REFUSES:
-                await self._note_end(server, look)
+        try:
+            while watch.breaks:
+                await self._pause(watch)
+                await self._settle(watch, self.env.monotonic(), Address.ANSWERS)
+                if not watch.breaks:
+                    break
+                looked_at = self.env.monotonic()
+                found = await self.look(watch.server)
+                watch.looks += 1
+                await self._settle(watch, looked_at, found)
+                if watch.looks >= LOOKS:
+                    await watch.looked.set()
+        finally:
+            del self.watches[watch.key]
+            await watch.looked.set()
+
+    async def _pause(self, watch: _Watch) -> None:
+        try:
+            async with curio.timeout_after(watch.pause_s):
+                await watch.hurry.wait()
+        except curio.TaskTimeout:
             return
-        log.info('Never known whether a back end ended. server={}', server.instance)
+        watch.hurry.clear()
+        await curio.sleep(GATHER_S)
 
-    async def _look_closely(self, server: Server) -> Address:
+    async def _settle(self, watch: _Watch, looked_at: float, found: Address) -> None:
         """
-        Look twice, as an address that closes may take one more connection.
+        Take what a look at an address found, and what became known of its back end.
 
         """
-        found = Address.ANSWERS
-        for _ in range(LOOKS):
-            await curio.sleep(GATHER_S)
-            found = Address.REFUSES if server.replaced else await self.look(server)
-            if found is not Address.ANSWERS:
-                break
-        return found
+        ended = []
+        for fingerprint, item in list(watch.breaks.items()):
+            fate = self.fate(watch.server, item.at)
+            if fate is Fate.UNKNOWN and found is Address.REFUSES and item.at <= looked_at:
+                fate = Fate.ENDED
+            if fate is Fate.UNKNOWN:
+                await self._go_on(watch, item)
+                continue
+            del watch.breaks[fingerprint]
+            if fate is Fate.LIVES:
+                await self._dispel(watch, item)
+                continue
+            ended.append(item)
+        if ended:
+            await self._note_end(watch, ended)
+
+    async def _go_on(self, watch: _Watch, item: _Break) -> None:
+        watched_s = self.env.monotonic() - item.at
+        if watched_s > TELL_AFTER_S:
+            await self.suspects.publish(item.before.fingerprint)
+        if watched_s > WATCHED_S:
+            log.info('Never known whether a back end ended. server={}', watch.server.instance)
+            del watch.breaks[item.before.fingerprint]
+            await self._dispel(watch, item)
+
+    async def _dispel(self, watch: _Watch, item: _Break) -> None:
+        known = self.suspects.of(item.before.fingerprint)
+        if watch.key in known.broken:
+            await self.suspects.withdraw(known.without(watch.key))
+
+    async def _note_end(self, watch: _Watch, ended: list[_Break]) -> None:
+        fingerprints = sorted(item.before.fingerprint for item in ended)
+        log.info(
+            'Back end ended. server={} incarnation={} requests={} after_ms={:.0f} fingerprints={}',
+            watch.server.instance,
+            watch.server.incarnation,
+            len(ended),
+            (self.env.monotonic() - min(item.at for item in ended)) * 1000,
+            ','.join(fingerprints),
+        )
+        for item in ended:
+            known = self.suspects.of(item.before.fingerprint)
+            if watch.key in known.broken:
+                await self.suspects.note(known.with_ends(ends_after(item.before, known)))
+                continue
+            # It was cleared meanwhile.
+            await self.suspects.note(item.before.with_end())
 
     async def look(self, server: Server) -> Address:
         """
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -15,6 +15,7 @@
 from millfork_routing.budget import SharedBudget
 from millfork_scheduling.book import ServerBook
 from millfork_scheduling.placement import Choice
+from millfork_scheduling.quarantine import Standing
 from millfork_scheduling.returning import after_refusal, while_closed, while_nothing_serves
 from millfork_web.server import CallerGone, Exchange
 from millforkd.proxy.admission import Admission
@@ -60,7 +61,7 @@
         self.recall = recall
         self.loads = loads
         self.backpressure = BackpressureIntake(env)
-        self.ends = Ends(env, quarantine.suspects)
+        self.ends = Ends(env, quarantine.suspects, book.fate)
         self.relaying = Relaying(env, adapter, book)
         self.sending = Sending(
             env,
@@ -238,9 +239,13 @@
         """
         if job.left_s(self.env.monotonic()) < LAST_WORD_S:
             return self._final(job, Reason.TIMED_OUT if job.tried else Reason.EXPIRED)
-        if self.quarantine.bars(job):
+        standing = self.quarantine.bars(job)
+        if standing is Standing.AT_FAULT:
             detail = 'back ends end when they run this request'
             return self._final(job, Reason.QUARANTINED, detail)
+        if standing is Standing.SUSPECTED:
+            detail = 'back ends broke off when they ran this request'
+            return self._final(job, Reason.SUSPECTED, detail)
         if not job.failures:
             return None
         last = job.failures[-1]
--- a/packages/millforkd/millforkd/proxy/quarantine.py
+++ b/packages/millforkd/millforkd/proxy/quarantine.py
@@ -4,14 +4,17 @@
 """
 
 from millfork_core.ids import Fingerprint, Revision
+from millfork_core.logs import Part, logger
 from millfork_registry.suspects import Suspects, Suspicion, decode_epoch
-from millfork_scheduling.quarantine import is_at_fault
+from millfork_scheduling.quarantine import Standing, Trials, standing_of
 from millfork_state.commands import decode_versioned
 from millfork_state.keys import QUARANTINE_PREFIX
 from millfork_state.view import View
 from millforkd.proxy.fingerprints import Fingerprints
 from millforkd.proxy.job import Job
 
+log = logger(Part.PROXY)
+
 
 class Quarantine:
     """
@@ -20,8 +23,15 @@
 
     """
 
-    def __init__(self, suspects: Suspects, view: View, fingerprints: Fingerprints) -> None:
+    def __init__(
+        self,
+        suspects: Suspects,
+        view: View,
+        fingerprints: Fingerprints,
+        trials: Trials | None = None,
+    ) -> None:
         self.suspects = suspects
+        self.trials = trials
         self.view = view
         self.fingerprints = fingerprints
         self.revision = Revision(-1)
@@ -35,19 +45,26 @@
         """
         return self.suspects.of(self.fingerprints.of(job))
 
-    def bars(self, job: Job) -> bool:
+    def bars(self, job: Job) -> Standing | None:
         """
-        Whether a job may not be sent.
+        Why a job may not be sent, if so.
 
         """
         self._refresh()
         if not self.suspects.table and not self.listed:
-            return False
+            return None
         suspicion = self.known(job)
-        if is_at_fault(suspicion):
-            return True
         listed_epoch = self.listed.get(suspicion.fingerprint)
-        return listed_epoch is not None and listed_epoch >= suspicion.epoch
+        if listed_epoch is not None and listed_epoch >= suspicion.epoch:
+            return Standing.AT_FAULT
+        standing = standing_of(suspicion)
+        if standing is Standing.SUSPECTED and self._may_try(suspicion):
+            log.info('Suspected request tried again. fingerprint={}', suspicion.fingerprint)
+            return None
+        return standing if standing is not Standing.FREE else None
+
+    def _may_try(self, suspicion: Suspicion) -> bool:
+        return self.trials is not None and self.trials.begin(suspicion)
 
     def _refresh(self) -> None:
         if self.view.revision == self.revision:
@@ -68,5 +85,5 @@
         if not self.suspects.table:
             return
         suspicion = self.known(job)
-        if suspicion.ends:
-            await self.suspects.note(suspicion.cleared())
+        if not suspicion.is_clear:
+            await self.suspects.withdraw(suspicion.cleared())
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -142,7 +142,7 @@
     Mutation(
         'a back end that is silent is looked at again',
         'tests/test_silent_ends.py::test_a_back_end_that_was_silent_and_refuses_then_has_ended',
-        (Edit(D + 'proxy/ends.py', 'elif found is Address.SILENT:', 'elif False:'),),
+        (Edit(D + 'proxy/ends.py', 'while watch.breaks:', 'for _ in range(LOOKS):'),),
     ),
     Mutation(
         'no refusal promises not run after an attempt that may have run',
@@ -710,7 +710,13 @@
         'a request that ends back ends is sent no more',
         'tests/test_quarantine.py::'
         'test_a_request_is_barred_after_its_third_end_and_by_the_list_alone',
-        (Edit(D + 'proxy/quarantine.py', 'if is_at_fault(suspicion):', 'if False:'),),
+        (
+            Edit(
+                'packages/millfork-scheduling/millfork_scheduling/quarantine.py',
+                'if is_at_fault(suspicion):',
+                'if False:',
+            ),
+        ),
     ),
     Mutation(
         'an end counts only where the address takes no connections',
@@ -724,10 +730,32 @@
             ),
         ),
     ),
+    Mutation(
+        'a request stays under suspicion until the fate of its back end is known',
+        'tests/test_late_closing_back_ends.py',
+        (
+            Edit(
+                'packages/millfork-scheduling/millfork_scheduling/quarantine.py',
+                'Standing.SUSPECTED if len(suspicion.broken) >= ENDS else Standing.FREE',
+                'Standing.FREE',
+            ),
+        ),
+    ),
+    Mutation(
+        'a back end that answers later is known to live on',
+        'tests/test_fates.py',
+        (
+            Edit(
+                'packages/millfork-scheduling/millfork_scheduling/fates.py',
+                'if any(sent_at > since for sent_at in server.answered.values()):',
+                'if False:',
+            ),
+        ),
+    ),
     Mutation(
         'an answer that came whole clears a request',
         'tests/test_quarantine.py::test_a_request_is_taken_off_the_list_once_an_answer_came_whole',
-        (Edit(D + 'proxy/quarantine.py', 'if suspicion.ends:', 'if False:'),),
+        (Edit(D + 'proxy/quarantine.py', 'if not suspicion.is_clear:', 'if False:'),),
     ),
     Mutation(
         'a request in quarantine is written down',
--- /dev/null
+++ b/tests/test_fates.py
@@ -0,0 +1,61 @@
+"""
+What an entry can tell of a back end under which an answer broke off.
+
+"""
+
+import pytest
+
+from millfork_core.ids import Incarnation, InstanceId, ServiceName, ZoneId
+from millfork_scheduling.fates import READ_LATE_S, REPORT_LAG_S, Fate, fate_of
+from millfork_scheduling.server import Server
+
+BROKE_AT = 100.0
+
+
+def server(instance='i-1', incarnation=1):
+    made = Server(InstanceId(instance), ServiceName('s'), '127.0.0.1', 1, ZoneId('z1'), 16)
+    made.incarnation = Incarnation(incarnation)
+    return made
+
+
+def test_nothing_is_known_at_first():
+    broken = server()
+    broken.answered = {None: BROKE_AT - 1}
+    broken.heard_at = BROKE_AT + READ_LATE_S / 2
+    broken.reported_at = BROKE_AT + REPORT_LAG_S / 2
+    assert fate_of(broken, BROKE_AT, [broken]) is Fate.UNKNOWN
+
+
+@pytest.mark.parametrize('other', [server('i-2'), server(incarnation=2)])
+def test_it_ended_once_another_lives_at_its_place(other):
+    other.heard_at = BROKE_AT + 1
+    assert fate_of(server(), BROKE_AT, [other]) is Fate.ENDED
+
+
+def test_it_ended_once_it_is_replaced():
+    broken = server()
+    broken.replaced = True
+    assert fate_of(broken, BROKE_AT) is Fate.ENDED
+
+
+@pytest.mark.parametrize(
+    'heard',
+    [
+        {'answered': {None: BROKE_AT + 0.01}},
+        {'heard_at': BROKE_AT + READ_LATE_S * 2},
+        {'reported_at': BROKE_AT + REPORT_LAG_S * 2},
+    ],
+)
+@pytest.mark.parametrize('lease_ran_out_between', [False, True])
+def test_it_lives_on_where_something_came_from_it_that_was_sent_later(heard, lease_ran_out_between):
+    broken = server()
+    known = server() if lease_ran_out_between else broken
+    for name, value in heard.items():
+        setattr(known, name, value)
+    assert fate_of(broken, BROKE_AT, [known]) is Fate.LIVES
+
+
+def test_reports_say_nothing_of_a_back_end_whose_start_is_not_told():
+    broken = server(incarnation=0)
+    broken.reported_at = BROKE_AT + REPORT_LAG_S * 2
+    assert fate_of(broken, BROKE_AT) is Fate.UNKNOWN
