Entries of listed fleets count ends of back ends together, and after they start again

Callers who came back to one entry after another saw 18 engines of six end under one request, with streams that had begun as well, where 6 may end; at one entry that was killed and started three times, 12.

Cause: the count was kept in one process, by a hash under a key that the process drew for itself. Evidence: the logs of six entries named six fingerprints for the same call (`A back end ended under a request. fingerprint=...`), each up to `ends=3`. Ruled out: that ends go unnoticed, as each entry stopped after three.

Change: fingerprints under the fleet's key; each entry tells those 1, 2, 4, ... places after it, who pass on what is new; one that starts asks three others before it serves; the leader writes requests at fault into the replicated state. The quarantine of seeded fleets serves both (millforkd/quarantine.py).

--- a/packages/millfork-registry/millfork_registry/suspects.py
+++ b/packages/millfork-registry/millfork_registry/suspects.py
@@ -143,7 +143,7 @@
 
         """
         if self._put(suspicion):
-            await self._tell(suspicion.fingerprint)
+            await self.tell(suspicion.fingerprint)
 
     def note_privately(self, suspicion: Suspicion) -> None:
         """
@@ -162,7 +162,7 @@
 
         """
         if fingerprint in self.private:
-            await self._tell(fingerprint)
+            await self.tell(fingerprint)
 
     async def withdraw(self, suspicion: Suspicion) -> None:
         """
@@ -175,39 +175,54 @@
             return
         await self.note(suspicion)
 
-    async def _tell(self, fingerprint: Fingerprint) -> None:
+    async def tell(self, fingerprint: Fingerprint) -> None:
+        """
+        Tell others what is known of a request.
+
+        """
         self.private.discard(fingerprint)
         self.untold[fingerprint] = self.of(fingerprint)
         await self.news.set()
 
-    async def hear(self, told: list[Suspicion]) -> bool:
+    async def hear(self, told: list[Suspicion]) -> list[Fingerprint]:
         """
-        Take what another process knows; whether anything of it was new.
+        Take what another process knows; returns of which requests anything was new.
 
         """
         new = []
         for suspicion in told:
             if self._put(suspicion):
-                new.append(suspicion.ends)
+                new.append(suspicion)
                 self.private.discard(suspicion.fingerprint)
             held = self.of(suspicion.fingerprint)
             if held == suspicion:
                 self.untold.pop(suspicion.fingerprint, None)
                 continue
             # The other may have started anew, and others who hear from it too.
-            await self._tell(suspicion.fingerprint)
+            await self.tell(suspicion.fingerprint)
         if new:
-            log.info('Heard of suspects. requests={} most_ends={}', len(new), max(new))
-        return bool(new)
+            log.info(
+                'Heard of suspects. requests={} most_ends={} most_broken={}',
+                len(new),
+                max(suspicion.ends for suspicion in new),
+                max(len(suspicion.broken) for suspicion in new),
+            )
+        return [suspicion.fingerprint for suspicion in new]
+
+    def told(self) -> list[Suspicion]:
+        """
+        All that others may hear of.
+
+        """
+        return [item for item in self.table.values() if item.fingerprint not in self.private]
 
     async def tell_again(self) -> None:
         """
         Tell all, as whoever is heard from now on may have started anew.
 
         """
-        for suspicion in self.table.values():
-            if suspicion.fingerprint not in self.private:
-                self.untold[suspicion.fingerprint] = suspicion
+        for suspicion in self.told():
+            self.untold[suspicion.fingerprint] = suspicion
         if self.untold:
             await self.news.set()
 
--- a/packages/millfork-standins/millfork_standins/engine.py
+++ b/packages/millfork-standins/millfork_standins/engine.py
@@ -7,6 +7,8 @@
 """
 
 import json
+import os
+import socket
 import time
 import uuid
 from collections import OrderedDict
@@ -25,6 +27,9 @@
 PREFIX_CHARS: Final = 64
 DEFAULT_TOKENS: Final = 8
 READ_BYTES: Final = 1024 * 1024
+# A request with this prompt ends each engine that runs it.
+CRASHING_PROMPT: Final = 'this ends the engine that runs it'
+CRASHED: Final = 'crash'
 
 
 class Engine:
@@ -46,6 +51,8 @@
         self.cache: OrderedDict[str, float] = OrderedDict()
         self.events: list[dict[str, Any]] = []
         self.reported_load = {'running': 0, 'waiting': 0}
+        self.ending = False
+        self.exchanges: set[Exchange] = set()
         self.server = Server(*settings.listen.pair, self.answer)
 
     async def run(self) -> None:
@@ -58,6 +65,16 @@
             await curio.sleep(self.settings.load_lag_ms / 1000)
 
     async def answer(self, exchange: Exchange) -> None:
+        if self.ending:
+            await exchange.break_off()
+            return
+        self.exchanges.add(exchange)
+        try:
+            await self._answer(exchange)
+        finally:
+            self.exchanges.discard(exchange)
+
+    async def _answer(self, exchange: Exchange) -> None:
         path = exchange.request.path
         if path in ('/v1/completions', '/v1/chat/completions'):
             await self._complete(exchange)
@@ -126,6 +143,8 @@
         self.log.write(kind='begin', id=request_id, nonce=body.get('nonce'), model=body['model'])
         await self._take_slot(int(request.header('x-priority') or 0))
         try:
+            if prompt == CRASHING_PROMPT:
+                await self._crash(exchange, headers, bool(body.get('stream')))
             await self._generate(exchange, headers, key, prompt, body)
         finally:
             await self._free_slot()
@@ -157,6 +176,23 @@
         await exchange.write(b'data: [DONE]\n\n')
         await exchange.finish()
 
+    async def _crash(self, exchange: Exchange, headers: Headers, streams: bool) -> None:
+        """
+        End as a process that is torn down: its connections first, its address later.
+
+        """
+        if streams:
+            await exchange.start(200, [('content-type', 'text/event-stream'), *headers])
+            await exchange.write(b'data: {}\n\n')
+        await curio.sleep(self.settings.crash_after_ms / 1000)
+        self.log.write(kind=CRASHED)
+        if self.settings.closes_after_ms:
+            self.ending = True
+            for sock in [*self.server.resting, *(item.sock for item in self.exchanges)]:
+                await sock.shutdown(socket.SHUT_RDWR)
+            await curio.sleep(self.settings.closes_after_ms / 1000)
+        os._exit(1)
+
     async def _take_slot(self, priority: int) -> None:
         if self.running < self.settings.slots:
             self.running += 1
--- a/packages/millfork-standins/millfork_standins/settings.py
+++ b/packages/millfork-standins/millfork_standins/settings.py
@@ -29,6 +29,10 @@
     load_lag_ms: float = 200
     event_lag_ms: float = 500
     event_gap_share: float = 0.1
+    # How long it works on a request that ends it, and how long after its connections its
+    # address closes then.
+    crash_after_ms: float = 200
+    closes_after_ms: float = 0
 
 
 class ServiceSettings(Strict):
--- a/packages/millfork-state/millfork_state/roster.py
+++ b/packages/millfork-state/millfork_state/roster.py
@@ -109,5 +109,13 @@
         ]
         return sorted(found, key=lambda facts: facts.instance)
 
+    def all_entries(self) -> list[InstanceFacts]:
+        """
+        The entries of all availability zones, by id.
+
+        """
+        found = [facts for facts in self.instances.values() if facts.role == ENTRY_ROLE]
+        return sorted(found, key=lambda facts: facts.instance)
+
     def endpoints(self) -> list[InstanceFacts]:
         return [facts for facts in self.instances.values() if facts.role == ENDPOINT_ROLE]
--- a/packages/millfork-wire/millfork_wire/messages/__init__.py
+++ b/packages/millfork-wire/millfork_wire/messages/__init__.py
@@ -15,6 +15,7 @@
 )
 from millfork_wire.messages.feed import (
     AskFeed,
+    AskSuspicions,
     CacheAddress,
     EndpointReport,
     FeedSent,
@@ -82,6 +83,7 @@
     'AppendReply',
     'AppendRequest',
     'AskFeed',
+    'AskSuspicions',
     'AskLoad',
     'AskRevision',
     'AskTurnedAway',
--- a/packages/millfork-wire/millfork_wire/messages/feed.py
+++ b/packages/millfork-wire/millfork_wire/messages/feed.py
@@ -117,3 +117,12 @@
     """
 
     body: bytes = b''
+
+
+@dataclass(slots=True)
+class AskSuspicions(Message):
+    """
+    Asked by an entry that starts, on a fleet with a list of instances; the answer is a
+    report of all that the other one knows.
+
+    """
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -58,6 +58,7 @@
     turnedAwayBefore @51 :TurnedAwayBefore;
     askLoad @52 :AskLoad;
     engineLoad @53 :EngineLoad;
+    askSuspicions @54 :AskSuspicions;
   }
 }
 
@@ -127,6 +128,7 @@
 struct Leases { full @0 :Bool; settled @1 :Bool; entries @2 :UInt32; leases @3 :Data; reports @4 :Data; mostEntries @5 :UInt32; suspicions @6 :Data; }
 struct EndpointReport { body @0 :Data; }
 struct SuspicionReport { body @0 :Data; }
+struct AskSuspicions {}
 struct PushChunk { manifest @0 :Text; index @1 :UInt32; data @2 :Data; }
 struct AskFeed { cluster @0 :Text; revision @1 :UInt64; leaseVersion @2 :UInt64; reportVersion @3 :UInt64; suspicionVersion @4 :UInt64; }
 struct FeedSent {
--- a/packages/millforkd/millforkd/entry/daemon.py
+++ b/packages/millforkd/millforkd/entry/daemon.py
@@ -3,6 +3,7 @@
 
 """
 
+import time
 from functools import singledispatchmethod
 from typing import Final
 
@@ -11,6 +12,7 @@
 from millfork_core.environment import Environment
 from millfork_core.logs import Part, logger
 from millfork_core.verdicts import Reason, Refusal
+from millfork_registry.suspects import Suspects
 from millfork_settings.loading import read_secret
 from millfork_settings.models import Settings
 from millfork_state.answers import StateAnswers
@@ -28,15 +30,19 @@
 from millforkd.entry.book import EndpointBook
 from millforkd.entry.callers import Callers
 from millforkd.entry.claims import Claims
+from millforkd.entry.crashes import Crashes
 from millforkd.entry.dispatch import Dispatch
 from millforkd.entry.operators import PREFIX, Operators
+from millforkd.entry.spreading import SuspicionSpreading
 from millforkd.member import Member
+from millforkd.replica.quarantine import QuarantineList
 
 POLL_INTERVAL_S: Final = 1.5
 STATE_FOLDER: Final = 'state'
 # Time for the balancer to see that this entry is not ready any more.
 BALANCER_GRACE_S: Final = 1.0
 DRAIN_POLL_S: Final = 0.05
+FORGET_EVERY_S: Final = 1.0
 
 log = logger(Part.ENTRY)
 
@@ -61,7 +67,15 @@
         self.book = EndpointBook(
             env, view, self.member.roster, self.member.peers, settings.routing.subset
         )
-        self.dispatch = Dispatch(env, settings.routing, self.book)
+        self.crashes = Crashes(
+            env,
+            read_secret(settings.fleet_key_file),
+            view,
+            lambda: max(len(self.member.roster.all_entries()), 1),
+        )
+        suspects = self.crashes.suspects
+        self.spreading = SuspicionSpreading(env, self.member.peers, self.member.roster, suspects)
+        self.dispatch = Dispatch(env, settings.routing, self.book, self.crashes)
         self.callers = Callers(
             env,
             settings.routing,
@@ -70,6 +84,7 @@
             self.dispatch,
             Claims(env, self.proposals),
         )
+        self.quarantine = self._build_quarantine(suspects)
         self.operators = Operators(
             env,
             view,
@@ -102,6 +117,19 @@
         )
         return StateNode(replica, self.member.reports)
 
+    def _build_quarantine(self, suspects: Suspects) -> QuarantineList | None:
+        node = self.node
+        if node is None:
+            return None
+        return QuarantineList(
+            self.env,
+            self.member.view,
+            suspects,
+            self.proposals,
+            lambda: node.leads,
+            lambda: int(time.time() * 1000),
+        )
+
     @property
     def in_progress(self) -> int:
         return self.server.active
@@ -118,6 +146,10 @@
         if self.node is not None:
             await self.env.keep(self.node.run)
             await self.env.keep(self.node.keep_snapshots)
+        if self.quarantine is not None:
+            await self.env.keep(self.quarantine.keep)
+        await self.env.keep(self.spreading.keep)
+        await self.env.keep(self._forget_suspects)
         await self.env.keep(self.book.keep)
         await self.env.keep(self.server.run)
 
@@ -140,7 +172,7 @@
             log.warning('Drain deadline: {} requests are cut off.', self.server.active)
 
     def _is_ready(self) -> bool:
-        return self.member.is_ready() and self.book.settled
+        return self.member.is_ready() and self.book.settled and self.spreading.learned
 
     async def _answer(self, exchange: Exchange) -> None:
         if self.refusing:
@@ -158,6 +190,11 @@
         self.env.metrics.refused(reason, 'entry')
         await exchange.respond(problem(Refusal(reason, detail='ask another entry')))
 
+    async def _forget_suspects(self) -> None:
+        while True:
+            await curio.sleep(FORGET_EVERY_S)
+            self.crashes.suspects.forget_old()
+
     # Messages of peers.
 
     async def handle(self, connection: Connection, message: Message) -> Message | None:
@@ -184,6 +221,14 @@
     ) -> None:
         await self.dispatch.on_event(connection, message)
 
+    @on.register
+    async def _(self, message: messages.SuspicionReport, connection: Connection) -> Message:
+        return await self.spreading.on_report(connection, message)
+
+    @on.register
+    async def _(self, message: messages.AskSuspicions, connection: Connection) -> Message:
+        return self.spreading.on_ask()
+
     @on.register
     async def _(self, message: messages.Load, connection: Connection) -> None:
         self.book.on_load(connection, message)
--- a/packages/millforkd/millforkd/entry/dispatch.py
+++ b/packages/millforkd/millforkd/entry/dispatch.py
@@ -13,6 +13,7 @@
 from millfork_routing.balance import Backend, Busy, choose
 from millfork_routing.retries import RetryBudget, may_retry
 from millfork_settings.models import RoutingSettings
+from millfork_state.view import View
 from millfork_wire.connection import Connection
 from millfork_wire.messages import End, Head, Part
 from millforkd.entry.attempts import Attempt, Call, Lost
@@ -21,6 +22,8 @@
 from millforkd.entry.delivery import Delivery
 
 SUSPECT_S: Final = 3.0
+# Of the key of an entry that shares with no other what it knows of calls.
+KEY_BYTES: Final = 32
 BUSY_MEMORY_S: Final = 0.05
 SUSPICIOUS: Final = frozenset({Reason.UNREACHABLE, Reason.TIMED_OUT, Reason.CONNECTION_LOST})
 
@@ -36,12 +39,13 @@
         env: Environment,
         settings: RoutingSettings,
         book: EndpointBook,
+        crashes: Crashes | None = None,
     ) -> None:
         self.env = env
         self.settings = settings
         self.book = book
         self.budget = RetryBudget(settings.retry_ratio, settings.retry_floor, env.monotonic)
-        self.crashes = Crashes(env)
+        self.crashes = crashes or Crashes(env, env.random.randbytes(KEY_BYTES), View(), lambda: 1)
         self.attempts: dict[str, Attempt] = {}
         self.numbers = itertools.count(1)
         self.seed = f'{env.random.getrandbits(48):012x}'
@@ -87,7 +91,7 @@
                 break
             known = self.crashes.known(call)
             refusal_or_none = await self._attempt(call, backend, delivery)
-            await self.crashes.note(known, refusal_or_none)
+            await self.crashes.note(call, known, refusal_or_none)
             if refusal_or_none is None:
                 return None
             last = refusal_or_none
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -39,9 +39,9 @@
 from millforkd.proxy.connections import Pools
 from millforkd.proxy.fingerprints import Fingerprints
 from millforkd.proxy.forwarding import Forwarding
-from millforkd.proxy.quarantine import Quarantine
 from millforkd.proxy.recall import Recall
 from millforkd.proxy.suspicions import SuspicionTeller
+from millforkd.quarantine import Quarantine
 from millforkd.seeded import feed_for, fleet_key
 
 # The balancer asks each second and needs two misses to look away.
--- a/packages/millforkd/millforkd/proxy/fingerprints.py
+++ b/packages/millforkd/millforkd/proxy/fingerprints.py
@@ -1,22 +1,15 @@
 """
-What a request says, told from others without its text.
-
-Callers that try again come with a new request id and to any entry; path, caller and body
-stay. They are hashed with the fleet's key, as bodies are private: neither state nor logs
-hold them, and who reads either can't try out guesses without the key.
+The fingerprints of requests of seeded fleets.
 
 """
 
-import hashlib
 from collections.abc import Callable
-from typing import Final
 
 from millfork_core.ids import Fingerprint
 from millfork_web.models import Request
+from millforkd.fingerprints import fingerprint_of
 from millforkd.proxy.job import Job
 
-DIGEST_BYTES: Final = 16
-
 
 class Fingerprints:
     """
@@ -43,11 +36,6 @@
         The fingerprint of a request of one caller.
 
         """
-        key = hashlib.sha256(self.key + self.cluster().encode()).digest()
-        made = hashlib.blake2b(digest_size=DIGEST_BYTES, key=key)
-        for part in (caller.encode(), request.method.encode(), request.path.encode()):
-            # Lengths keep what ends one part from beginning the next.
-            made.update(len(part).to_bytes(4, 'big'))
-            made.update(part)
-        made.update(request.body)
-        return Fingerprint(made.hexdigest())
+        return fingerprint_of(
+            self.key, self.cluster(), (caller, request.method, request.path), request.body
+        )
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -25,10 +25,10 @@
 from millforkd.proxy.endings import Endings
 from millforkd.proxy.ends import Ends
 from millforkd.proxy.job import Job
-from millforkd.proxy.quarantine import Quarantine
 from millforkd.proxy.recall import Recall
 from millforkd.proxy.relaying import Relaying
 from millforkd.proxy.sending import BROKEN, LAST_WORD_S, Sending
+from millforkd.quarantine import Quarantine
 
 log = logger(Part.PROXY)
 
@@ -47,7 +47,7 @@
         book: ServerBook,
         pools: Pools,
         budget: SharedBudget,
-        quarantine: Quarantine,
+        quarantine: Quarantine[Job],
         recall: Recall,
         loads: LoadQuestions,
     ) -> None:
--- a/packages/millforkd/millforkd/proxy/sending.py
+++ b/packages/millforkd/millforkd/proxy/sending.py
@@ -19,9 +19,9 @@
 from millforkd.proxy.backpressure import BackpressureIntake
 from millforkd.proxy.connections import Pools, SendFailed, ServerConnection
 from millforkd.proxy.job import Attempt, Failed, Job
-from millforkd.proxy.quarantine import Quarantine
 from millforkd.proxy.relaying import Relaying
 from millforkd.proxy.waiting import Waiting
+from millforkd.quarantine import Quarantine
 
 # Of the deadline, so that the last word reaches the caller before it leaves.
 LAST_WORD_S: Final = 0.03
@@ -56,7 +56,7 @@
         book: ServerBook,
         pools: Pools,
         budget: SharedBudget,
-        quarantine: Quarantine,
+        quarantine: Quarantine[Job],
         relaying: Relaying,
         backpressure: BackpressureIntake,
     ) -> None:
--- a/packages/millforkd/millforkd/proxy/quarantine.py
+++ b/packages/millforkd/millforkd/quarantine.py
@@ -1,8 +1,10 @@
 """
-An entry's side of the quarantine: what may not be sent, and what is cleared.
+What one entry knows of requests that ended back ends: what may not be sent, and what is cleared.
 
 """
 
+from typing import Generic, Protocol, TypeVar
+
 from millfork_core.ids import Fingerprint, Revision
 from millfork_core.logs import Part, logger
 from millfork_registry.suspects import Suspects, Suspicion, decode_epoch
@@ -10,16 +12,26 @@
 from millfork_state.commands import decode_versioned
 from millfork_state.keys import QUARANTINE_PREFIX
 from millfork_state.view import View
-from millforkd.proxy.fingerprints import Fingerprints
-from millforkd.proxy.job import Job
+
+Item = TypeVar('Item')
+AnyItem = TypeVar('AnyItem', contravariant=True)
 
 log = logger(Part.PROXY)
 
 
-class Quarantine:
+class FingerprintsOf(Protocol[AnyItem]):
+    """
+    Tells what a request says, whatever carries it here.
+
+    """
+
+    def of(self, item: AnyItem, /) -> Fingerprint: ...
+
+
+class Quarantine(Generic[Item]):
     """
-    What this entry knows of requests that ended back ends: by suspicions, and by the list
-    in the replicated state, which outlives a loss of power of the whole fleet.
+    Goes by suspicions, and by the list in the replicated state, which outlives a loss of
+    power of the whole fleet.
 
     """
 
@@ -27,33 +39,33 @@
         self,
         suspects: Suspects,
         view: View,
-        fingerprints: Fingerprints,
+        fingerprints: FingerprintsOf[Item],
         trials: Trials | None = None,
     ) -> None:
         self.suspects = suspects
-        self.trials = trials
         self.view = view
         self.fingerprints = fingerprints
+        self.trials = trials
         self.revision = Revision(-1)
         # By fingerprint: the epoch in which it was put on the list.
         self.listed: dict[Fingerprint, int] = {}
 
-    def known(self, job: Job) -> Suspicion:
+    def known(self, item: Item) -> Suspicion:
         """
-        What is known of a job's request at this moment.
+        What is known of a request at this moment.
 
         """
-        return self.suspects.of(self.fingerprints.of(job))
+        return self.suspects.of(self.fingerprints.of(item))
 
-    def bars(self, job: Job) -> Standing | None:
+    def bars(self, item: Item) -> Standing | None:
         """
-        Why a job may not be sent, if so.
+        Why a request may not be sent, if so.
 
         """
         self._refresh()
         if not self.suspects.table and not self.listed:
             return None
-        suspicion = self.known(job)
+        suspicion = self.known(item)
         listed_epoch = self.listed.get(suspicion.fingerprint)
         if listed_epoch is not None and listed_epoch >= suspicion.epoch:
             return Standing.AT_FAULT
@@ -77,13 +89,13 @@
             for key, value in self.view.prefixed(QUARANTINE_PREFIX).items()
         }
 
-    async def clear(self, job: Job) -> None:
+    async def clear(self, item: Item) -> None:
         """
-        A job's answer came whole: its request does not end what runs it.
+        An answer came whole: the request does not end what runs it.
 
         """
         if not self.suspects.table:
             return
-        suspicion = self.known(job)
+        suspicion = self.known(item)
         if not suspicion.is_clear:
             await self.suspects.withdraw(suspicion.cleared())
--- a/tests/mutations_listed.py
+++ b/tests/mutations_listed.py
@@ -36,6 +36,22 @@
             ),
         ),
     ),
+    Mutation(
+        'entries tell each other of requests that end back ends',
+        'tests/test_crashing_requests_on_listed_fleets.py',
+        (
+            Edit(
+                D + 'entry/spreading.py',
+                'for name in told_by(order, self.env.instance):',
+                'for name in told_by([], self.env.instance):',
+            ),
+        ),
+    ),
+    Mutation(
+        'an entry that starts learns which requests end back ends',
+        'tests/test_spreading_suspicions.py::test_an_entry_that_starts_learns_what_others_know',
+        (Edit(D + 'entry/spreading.py', 'await self._learn()', 'self.learned = True'),),
+    ),
     Mutation(
         'pieces of an answer are counted',
         'tests/test_attempts.py',
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -755,7 +755,7 @@
     Mutation(
         'an answer that came whole clears a request',
         'tests/test_quarantine.py::test_a_request_is_taken_off_the_list_once_an_answer_came_whole',
-        (Edit(D + 'proxy/quarantine.py', 'if not suspicion.is_clear:', 'if False:'),),
+        (Edit(D + 'quarantine.py', 'if not suspicion.is_clear:', 'if False:'),),
     ),
     Mutation(
         'a request in quarantine is written down',
--- /dev/null
+++ b/tests/test_crashing_requests_on_listed_fleets.py
@@ -0,0 +1,61 @@
+"""
+A request that ends the engines that run it, on the daemons of a fleet with a list of instances.
+
+Each entry counted ends for itself, under a key of its own, and counted from nothing when it
+started: callers that came back to six entries in turn ended 18 engines, with streams that had
+begun as well, and 12 at one entry that was killed and started again three times.
+"""
+
+import pytest
+
+from tests.test_crashing_requests import ENDS, MOST_AFTER
+from tests.utils.crashing import CrashingFleet
+
+CALLS = 24
+STARTED_AFTER = (4, 8, 12)
+
+
+@pytest.fixture(scope='module')
+def crashing(tmp_path_factory):
+    made = CrashingFleet(tmp_path_factory.mktemp('crashing'))
+    try:
+        made.start()
+        yield made
+    finally:
+        made.close()
+
+
+@pytest.mark.parametrize('streams', [False, True])
+def test_ends_count_whichever_entry_its_callers_use(crashing, streams):
+    before = crashing.ended()
+    for number in range(CALLS):
+        entry = number % len(crashing.fleet.entries)
+        crashing.call(entry, nonce=f'in turn {streams}', stream=streams)
+    assert crashing.ended() - before <= ENDS + MOST_AFTER
+
+
+def test_ends_count_also_after_an_entry_started_again(crashing):
+    before = crashing.ended()
+    entry = crashing.fleet.entries[0]
+    for number in range(CALLS):
+        if number in STARTED_AFTER:
+            crashing.fleet.kill(entry.name)
+            crashing.fleet.start_daemon(entry)
+            crashing.fleet.wait_ready(entry)
+        crashing.call(0, nonce='started again')
+    assert crashing.ended() - before <= ENDS + MOST_AFTER
+
+
+def test_the_quarantine_outlives_all_entries_at_once(crashing):
+    for _ in range(ENDS + 1):
+        crashing.call(0, nonce='outlives')
+    before = crashing.ended()
+    crashing.wait_for_quarantine()
+    for entry in crashing.fleet.entries:
+        crashing.fleet.kill(entry.name)
+    for entry in crashing.fleet.entries:
+        crashing.fleet.start_daemon(entry)
+    for number, entry in enumerate(crashing.fleet.entries):
+        crashing.fleet.wait_ready(entry)
+        assert crashing.call(number, nonce='outlives').json()['reason'] == 'quarantined'
+    assert crashing.ended() == before
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -24,9 +24,9 @@
 from millforkd.proxy.fingerprints import Fingerprints
 from millforkd.proxy.forwarding import Forwarding
 from millforkd.proxy.job import Attempt, Failed, Job
-from millforkd.proxy.quarantine import Quarantine
 from millforkd.proxy.waiting import OVERTAKEN_S, SILENT_SERVER_S
 from millforkd.proxy.waiting import Waiting as ProxyWaiting
+from millforkd.quarantine import Quarantine
 from tests.test_servers import ENGINE, Clock
 
 LONG_S = SILENT_SERVER_S + 0.1
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -28,7 +28,7 @@
 from millfork_web.models import Request
 from millforkd.proxy.ends import Ends
 from millforkd.proxy.fingerprints import Fingerprints
-from millforkd.proxy.quarantine import Quarantine
+from millforkd.quarantine import Quarantine
 from millforkd.replica.quarantine import HELD_MS, MOST_HELD, QuarantineList
 from tests.test_servers import Clock
 
--- /dev/null
+++ b/tests/utils/crashing.py
@@ -0,0 +1,91 @@
+"""
+A fleet with a list of instances whose engines end under one request.
+
+"""
+
+import json
+import re
+import threading
+
+from millfork_standins.deployments import LANTING
+from millfork_standins.engine import CRASHED, CRASHING_PROMPT
+from millfork_standins.fleet import Fleet
+from millfork_standins.layout import FleetOptions
+from tests.utils.fleets import complete, serve_version, wait_until
+
+BACK_AFTER_S = 1.0
+LOOK_S = 0.05
+
+
+class CrashingFleet:
+    """
+    Engines end 0.2 s into a request, and are back a second later.
+
+    """
+
+    def __init__(self, folder, **engine):
+        self.fleet = Fleet(LANTING, folder, FleetOptions(engine=engine))
+        self.token = self.fleet.caller_tokens[LANTING.organisations[0]]
+        self.over = threading.Event()
+        self.reviver = threading.Thread(target=self._revive)
+
+    def start(self):
+        self.fleet.start()
+        serve_version(self.fleet, 'v1')
+        self.reviver.start()
+
+    def close(self):
+        self.over.set()
+        if self.reviver.is_alive():
+            self.reviver.join()
+        self.fleet.close()
+
+    def _revive(self):
+        ended_for = {}
+        while not self.over.wait(LOOK_S):
+            for instance in self.fleet.engines:
+                process = self.fleet.processes[f'{instance.name}.backend']
+                if process.poll() is None:
+                    ended_for.pop(instance.name, None)
+                    continue
+                ended_for[instance.name] = ended_for.get(instance.name, 0.0) + LOOK_S
+                if ended_for[instance.name] >= BACK_AFTER_S:
+                    self.fleet.start_backend(instance)
+
+    def call(self, entry=0, prompt=CRASHING_PROMPT, **fields):
+        """
+        One call of the request, as soon as its entry has an engine that serves; None if its
+        answer broke off.
+
+        """
+        wait_until(lambda: complete(self.fleet, self.token, entry).status == 200)
+        try:
+            return complete(self.fleet, self.token, entry, prompt=prompt, **fields)
+        except OSError:
+            # A stream that had begun broke off.
+            return None
+
+    def wait_for_quarantine(self):
+        """
+        Wait until a leader wrote down that the request which last ended its third engine is
+        sent no more.
+
+        """
+        ended = r'A back end ended under a request\. fingerprint=(\w+) ends=3'
+        line = f'Request in quarantine. fingerprint={re.findall(ended, self.log(0))[-1]}'
+        wait_until(lambda: any(line in self.log(n) for n in range(len(self.fleet.entries))))
+
+    def log(self, entry):
+        return (self.fleet.folder / self.fleet.entries[entry].name / 'log').read_text()
+
+    def ended(self):
+        """
+        How often an engine ended.
+
+        """
+        count = 0
+        for instance in self.fleet.engines:
+            path = self.fleet.executions(instance.name)
+            lines = path.read_text().splitlines() if path.exists() else []
+            count += sum(json.loads(line)['kind'] == CRASHED for line in lines)
+        return count
