Endpoints of listed fleets find out later whether their back end ended, and tell entries

Cause: an endpoint looked at the address once, 10 ms after an answer broke off, and called one that still answered a broken connection; the logs had `truncated` with each call and no `A back end ended under a request`. Ends at one moment counted as one. Ruled out: that entries do not share ends, as one entry alone does it.

Change: the endpoint asks its engine for its incarnation, or looks again until the address refuses or something sent later is answered, and tells the entry (BackEndFate). `End` names the incarnation; the entry suspects the call meanwhile, and also where three incarnations broke off at once. An incarnation under which a call breaks off twice counts as one end. Looks and suspicions of seeded fleets and of listed ones are one piece each (millforkd/watching.py, millforkd/suspecting.py).

--- a/packages/millfork-registry/millfork_registry/suspects.py
+++ b/packages/millfork-registry/millfork_registry/suspects.py
@@ -24,6 +24,8 @@
 MOST_SUSPECTS: Final = 4096
 # More incarnations under one request change nothing; each takes some 40 bytes.
 MOST_BROKEN: Final = 4
+# What may prove to be nothing is kept from others for this long.
+PRIVATE_S: Final = 1.5
 EPOCH_BYTES: Final = 8
 
 log = logger(Part.REGISTRY)
@@ -131,8 +133,9 @@
         # What those that this process hears from do not know; set `news` with it.
         self.untold: dict[Fingerprint, Suspicion] = {}
         self.news = curio.Event()
-        # What this process keeps to itself, as it may prove to be nothing within moments.
-        self.private: set[Fingerprint] = set()
+        # What this process keeps to itself, as it may prove to be nothing within moments, and
+        # since when.
+        self.private: dict[Fingerprint, float] = {}
 
     def of(self, fingerprint: Fingerprint) -> Suspicion:
         return self.table.get(fingerprint) or Suspicion(fingerprint)
@@ -153,7 +156,7 @@
         """
         fingerprint = suspicion.fingerprint
         if self.table.get(fingerprint) is None:
-            self.private.add(fingerprint)
+            self.private[fingerprint] = self.monotonic()
         self._put(suspicion)
 
     async def publish(self, fingerprint: Fingerprint) -> None:
@@ -164,6 +167,16 @@
         if fingerprint in self.private:
             await self.tell(fingerprint)
 
+    async def publish_old(self) -> None:
+        """
+        Tell others what did not prove to be nothing.
+
+        """
+        since = self.monotonic() - PRIVATE_S
+        for fingerprint, kept_since in list(self.private.items()):
+            if kept_since < since:
+                await self.tell(fingerprint)
+
     async def withdraw(self, suspicion: Suspicion) -> None:
         """
         Take that a request is not, or less, suspected. Where nobody was told, nobody needs
@@ -180,7 +193,7 @@
         Tell others what is known of a request.
 
         """
-        self.private.discard(fingerprint)
+        self.private.pop(fingerprint, None)
         self.untold[fingerprint] = self.of(fingerprint)
         await self.news.set()
 
@@ -193,7 +206,7 @@
         for suspicion in told:
             if self._put(suspicion):
                 new.append(suspicion)
-                self.private.discard(suspicion.fingerprint)
+                self.private.pop(suspicion.fingerprint, None)
             held = self.of(suspicion.fingerprint)
             if held == suspicion:
                 self.untold.pop(suspicion.fingerprint, None)
@@ -263,4 +276,4 @@
         self.table.drop(fingerprint)
         self.changed_at.pop(fingerprint, None)
         self.untold.pop(fingerprint, None)
-        self.private.discard(fingerprint)
+        self.private.pop(fingerprint, None)
--- a/packages/millfork-scheduling/millfork_scheduling/quarantine.py
+++ b/packages/millfork-scheduling/millfork_scheduling/quarantine.py
@@ -15,7 +15,7 @@
 from random import Random
 from typing import Final
 
-from millfork_core.ids import Fingerprint
+from millfork_core.ids import Fingerprint, IncarnationKey
 from millfork_registry.suspects import Suspicion
 
 # One end tells nothing, as all that ran there is under suspicion.
@@ -55,13 +55,16 @@
     return Standing.SUSPECTED if len(suspicion.broken) >= ENDS else Standing.FREE
 
 
-def ends_after(before: Suspicion, now: Suspicion) -> int:
+def ends_after(before: Suspicion, now: Suspicion, ended: IncarnationKey) -> int:
     """
     The ends one after another under a request with one more, by what was known when it was
     sent there and what is known now: of what had broken off before, what lives on is no end.
 
     """
     earlier = set(before.broken) & set(now.broken)
+    if ended in earlier:
+        # It broke off there before, so this is no other end.
+        return max(before.ends, len(earlier))
     return max(before.ends, len(earlier)) + 1
 
 
--- a/packages/millfork-standins/millfork_standins/engine.py
+++ b/packages/millfork-standins/millfork_standins/engine.py
@@ -185,9 +185,10 @@
             await exchange.start(200, [('content-type', 'text/event-stream'), *headers])
             await exchange.write(b'data: {}\n\n')
         await curio.sleep(self.settings.crash_after_ms / 1000)
-        self.log.write(kind=CRASHED)
+        if not self.ending:
+            self.log.write(kind=CRASHED)
+        self.ending = True
         if self.settings.closes_after_ms:
-            self.ending = True
             for sock in [*self.server.resting, *(item.sock for item in self.exchanges)]:
                 await sock.shutdown(socket.SHUT_RDWR)
             await curio.sleep(self.settings.closes_after_ms / 1000)
--- a/packages/millfork-wire/millfork_wire/messages/__init__.py
+++ b/packages/millfork-wire/millfork_wire/messages/__init__.py
@@ -28,6 +28,7 @@
 )
 from millfork_wire.messages.loads import AskLoad, EngineLoad
 from millfork_wire.messages.requests import (
+    BackEndFate,
     Cancel,
     Cancelled,
     End,
@@ -87,6 +88,7 @@
     'AskLoad',
     'AskRevision',
     'AskTurnedAway',
+    'BackEndFate',
     'CacheAddress',
     'Cancel',
     'Cancelled',
--- a/packages/millfork-wire/millfork_wire/messages/requests.py
+++ b/packages/millfork-wire/millfork_wire/messages/requests.py
@@ -65,6 +65,19 @@
     reason: str = ''
     verdict: str = ''
     detail: str = ''
+    # Of the back end, where the answer broke off and it ended, or may have.
+    incarnation: str = ''
+
+
+@dataclass(slots=True)
+class BackEndFate(Message):
+    """
+    What became of a back end under which a request broke off, once that is known.
+
+    """
+
+    request_id: str = ''
+    ended: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -59,6 +59,7 @@
     askLoad @52 :AskLoad;
     engineLoad @53 :EngineLoad;
     askSuspicions @54 :AskSuspicions;
+    backEndFate @55 :BackEndFate;
   }
 }
 
@@ -107,7 +108,8 @@
 struct Start { requestId @0 :Text; }
 struct Head { requestId @0 :Text; status @1 :UInt16; headers @2 :List(Header); }
 struct Part { requestId @0 :Text; sequence @1 :UInt32; data @2 :Data; }
-struct End { requestId @0 :Text; parts @1 :UInt32; bytes @2 :UInt64; reason @3 :Text; verdict @4 :Text; detail @5 :Text; }
+struct End { requestId @0 :Text; parts @1 :UInt32; bytes @2 :UInt64; reason @3 :Text; verdict @4 :Text; detail @5 :Text; incarnation @6 :Text; }
+struct BackEndFate { requestId @0 :Text; ended @1 :Bool; }
 struct Cancel { requestId @0 :Text; }
 struct Cancelled { requestId @0 :Text; verdict @1 :Text; }
 struct Leaving { instance @0 :Text; }
--- /dev/null
+++ b/packages/millforkd/millforkd/endpoint/calls.py
@@ -0,0 +1,34 @@
+"""
+What an endpoint sends to its back end for a caller's request.
+
+"""
+
+import json
+from typing import Final
+
+from millfork_web.models import Headers
+from millforkd.endpoint.reservations import Reservation
+
+REQUEST_ID_HEADER: Final = 'x-request-id'
+PRIORITY_HEADER: Final = 'x-priority'
+
+
+def call_of(reservation: Reservation, is_engine: bool) -> tuple[Headers, bytes]:
+    """
+    Headers and body of the call. An engine is told the priority, and the version of the
+    weights that the request was admitted to.
+
+    """
+    request = reservation.request
+    headers = [
+        (header.name, header.value)
+        for header in request.headers
+        if header.name != REQUEST_ID_HEADER
+    ]
+    headers.append((REQUEST_ID_HEADER, request.request_id))
+    if not is_engine:
+        return headers, request.body
+    headers.append((PRIORITY_HEADER, str(request.priority)))
+    body = json.loads(request.body)
+    body['model'] = reservation.version
+    return headers, json.dumps(body).encode()
--- a/packages/millforkd/millforkd/endpoint/daemon.py
+++ b/packages/millforkd/millforkd/endpoint/daemon.py
@@ -73,6 +73,8 @@
         )
         self.store = WeightStore(settings.data_folder / WEIGHTS_FOLDER)
         self.sharing = Sharing(self.env, self.store, link)
+        engine = Engine(self.env, settings.backend, str(settings.address))
+        self.door.ends.ask = engine.incarnation
         self.rollout = Rollout(
             self.env,
             settings,
@@ -82,7 +84,7 @@
             self.store,
             link,
             self.door,
-            Engine(self.env, settings.backend, str(settings.address)),
+            engine,
         )
 
     @property
--- a/packages/millforkd/millforkd/endpoint/door.py
+++ b/packages/millforkd/millforkd/endpoint/door.py
@@ -3,21 +3,21 @@
 
 """
 
-import json
 from typing import Final
 
 import curio
 
 from millfork_core.environment import Environment
-from millfork_core.ids import OrganisationId
+from millfork_core.ids import OrganisationId, RequestId
 from millfork_core.logs import Part as LogPart
 from millfork_core.logs import logger
 from millfork_core.verdicts import Reason, Refusal, Verdict
 from millfork_routing.limits import FairQueue
+from millfork_scheduling.fates import Fate
 from millfork_settings.models import BackendKind, BackendSettings
 from millfork_state.proposals import Proposals
 from millfork_web.client import Client, ExchangeFailed, Reply
-from millfork_web.models import Headers, Response
+from millfork_web.models import Response
 from millfork_wire.connection import Connection, PeerLost
 from millfork_wire.messages import (
     Cancel,
@@ -32,7 +32,8 @@
     ServedVersion,
     Start,
 )
-from millforkd.endpoint.ends import has_ended
+from millforkd.endpoint.calls import REQUEST_ID_HEADER, call_of
+from millforkd.endpoint.ends import Ends
 from millforkd.endpoint.reservations import Reservation, Stage
 from millforkd.endpoint.resting import Resting
 from millforkd.settling import settle_claim
@@ -41,9 +42,7 @@
 LOAD_HEARTBEAT_S: Final = 8.0
 LOAD_PAUSE_S: Final = 0.1
 DRAIN_POLL_S: Final = 0.05
-REQUEST_ID_HEADER: Final = 'x-request-id'
 VERSION_HEADER: Final = 'millfork-version'
-PRIORITY_HEADER: Final = 'x-priority'
 # Answers by which an engine says that it has not the version asked for.
 NOT_LOADED: Final = frozenset({404, 409})
 PLAIN_VERSION: Final = ''
@@ -76,6 +75,7 @@
         self.served: dict[str, str] = {}
         self.leaving = False
         self.resting = Resting(env)
+        self.ends = Ends(env, lambda: self.settings.address.pair)
         self.entries: dict[str, Connection] = {}
         self.load_changed = curio.Event()
         if not self.is_engine:
@@ -234,13 +234,15 @@
             return resting
         reservation.stage = Stage.SENT
         sent_at = self.env.monotonic()
+        incarnation = self.ends.number
         self.resting.note_sent(sent_at)
         left = max(reservation.until - self.env.monotonic(), 0.001)
         try:
             async with curio.timeout_after(left):
-                headers, body = self._to_back_end(reservation)
+                headers, body = call_of(reservation, self.is_engine)
                 reply = await self.client.send(request.method, request.path, headers, body)
                 self.resting.note_answer(reply, sent_at)
+                self.ends.note_answer(sent_at)
                 try:
                     return await self._pass_on(reservation, reply)
                 finally:
@@ -251,26 +253,19 @@
             if error.verdict is Verdict.NOT_RUN:
                 reservation.stage = Stage.STARTED
                 return Refusal(Reason.UNREACHABLE, Verdict.NOT_RUN, 'the back end is unreachable')
-            if await has_ended(*self.settings.address.pair):
-                detail = 'the back end ended'
-                return Refusal(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, detail)
-            detail = 'the connection to the back end broke off'
-            return Refusal(Reason.TRUNCATED, Verdict.MAY_HAVE_RUN, detail)
+            return await self._broke_off(reservation, incarnation)
 
-    def _to_back_end(self, reservation: Reservation) -> tuple[Headers, bytes]:
-        request = reservation.request
-        headers = [
-            (header.name, header.value)
-            for header in request.headers
-            if header.name != REQUEST_ID_HEADER
-        ]
-        headers.append((REQUEST_ID_HEADER, request.request_id))
-        if not self.is_engine:
-            return headers, request.body
-        headers.append((PRIORITY_HEADER, str(request.priority)))
-        body = json.loads(request.body)
-        body['model'] = reservation.version
-        return headers, json.dumps(body).encode()
+    async def _broke_off(self, reservation: Reservation, incarnation: int) -> Refusal:
+        fate = await self.ends.note_broken(
+            RequestId(reservation.request.request_id), reservation.connection, incarnation
+        )
+        if fate is not Fate.LIVES:
+            reservation.broke_off_at = self.ends.key_of(incarnation)
+        if fate is Fate.ENDED:
+            detail = 'the back end ended'
+            return Refusal(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, detail)
+        detail = 'the connection to the back end broke off'
+        return Refusal(Reason.TRUNCATED, Verdict.MAY_HAVE_RUN, detail)
 
     async def _pass_on(self, reservation: Reservation, reply: Reply) -> Refusal | None:
         refusal = self._check_head(reservation, reply)
@@ -336,6 +331,7 @@
             end.reason = refusal.reason.value
             end.verdict = refusal.verdict.value
             end.detail = refusal.detail
+            end.incarnation = reservation.broke_off_at
         await reservation.connection.notify(end)
 
     # Load reports.
--- a/packages/millforkd/millforkd/endpoint/ends.py
+++ b/packages/millforkd/millforkd/endpoint/ends.py
@@ -1,35 +1,150 @@
 """
-Whether a back end has ended, or only a connection to it broke off.
+Whether the back end of an endpoint has ended, or only connections to it broke off.
 
 """
 
-from typing import Final
-
-import curio
+import itertools
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
+from millfork_core.environment import Environment
+from millfork_core.ids import IncarnationKey, RequestId
 from millfork_core.logs import Part, logger
-from millfork_core.sockets import connect
+from millfork_scheduling.fates import Fate
+from millfork_wire.connection import Connection, PeerLost
+from millfork_wire.messages import BackEndFate
+from millforkd.watching import Address, Break, Watch, look_at
 
-# A back end that ends closes its address within a few ms of its connections.
-LOOK_AFTER_S: Final = 0.01
-LOOK_TIMEOUT_S: Final = 0.4
+NO_ANSWER = ''
 
 log = logger(Part.ENDPOINT)
 
 
-async def has_ended(host: str, port: int) -> bool:
+@dataclass(slots=True)
+class Broken:
+    """
+    A request that broke off, and the entry it came from; `number` is that of the incarnation
+    it was sent to. Its fate is told to the entry where it was not known in time.
+
     """
-    Whether an address takes no connections any more; False also where it is silent.
 
+    request_id: RequestId
+    connection: Connection
+    number: int
+    fate: Fate = Fate.UNKNOWN
+    is_awaited: bool = True
+
+
+class Ends:
     """
-    await curio.sleep(LOOK_AFTER_S)
-    try:
-        async with curio.timeout_after(LOOK_TIMEOUT_S):
-            sock = await connect(host, port)
-    except ConnectionRefusedError:
-        return True
-    except (OSError, curio.TaskTimeout) as error:
-        log.info('Not known whether the back end ended: {}.', type(error).__name__)
-        return False
-    await sock.close()
-    return False
+    Tells the incarnations of one back end apart.
+
+    `ask` asks it for its incarnation; a plain service has none to tell.
+
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        address: Callable[[], tuple[str, int]],
+        ask: Callable[[], Awaitable[str]] | None = None,
+    ) -> None:
+        self.env = env
+        self.address = address
+        self.ask = ask
+        # Of this process, as its numbers of incarnations begin anew with it.
+        self.start = time.time_ns()
+        self.number = 0
+        # As the back end tells it; empty where it is not known.
+        self.told = NO_ANSWER
+        # When the latest of what it answered was sent, in monotonic seconds.
+        self.answered = float('-inf')
+        self.keys = itertools.count(1)
+        self.watch: Watch[Broken] = Watch(env, self._look, self._fate, self._settle)
+        self.is_watching = False
+
+    def key_of(self, number: int) -> IncarnationKey:
+        return IncarnationKey(f'{self.env.instance}/{self.start}.{number}')
+
+    def note_answer(self, sent_at: float) -> None:
+        """
+        It answered what was sent at a moment in monotonic seconds.
+
+        """
+        self.answered = max(self.answered, sent_at)
+
+    def note_incarnation(self, told: str, asked_at: float) -> None:
+        """
+        It told its incarnation when it was asked at a moment in monotonic seconds.
+
+        """
+        if told == self.told:
+            self.note_answer(asked_at)
+            return
+        if self.told:
+            self._begin_next()
+        self.told = told
+
+    def _begin_next(self) -> None:
+        self.number += 1
+        self.told = NO_ANSWER
+        self.answered = float('-inf')
+
+    async def note_broken(self, request_id: RequestId, connection: Connection, number: int) -> Fate:
+        """
+        A request broke off that was sent to an incarnation. Returns what is known of it
+        within moments; what becomes known later is told to the entry.
+
+        """
+        broken = Broken(request_id, connection, number)
+        await self.watch.add(str(next(self.keys)), broken)
+        if not self.is_watching:
+            self.is_watching = True
+            await self.env.spawn(self._keep_watch)
+        await self.watch.until_looked()
+        broken.is_awaited = False
+        return broken.fate
+
+    async def _keep_watch(self) -> None:
+        try:
+            await self.watch.run()
+        finally:
+            self.is_watching = False
+
+    def _fate(self, broken: Break[Broken]) -> Fate:
+        if broken.item.number < self.number:
+            return Fate.ENDED
+        return Fate.LIVES if self.answered > broken.at else Fate.UNKNOWN
+
+    async def _look(self) -> Address:
+        if self.ask is not None:
+            asked_at = self.env.monotonic()
+            told = await self.ask()
+            if told != NO_ANSWER:
+                self.note_incarnation(told, asked_at)
+                return Address.ANSWERS
+        return await look_at(*self.address())
+
+    async def _settle(self, fate: Fate, broken: list[Break[Broken]]) -> None:
+        after_ms = (self.env.monotonic() - min(item.at for item in broken)) * 1000
+        log.info(
+            'Back end after answers broke off: {}. requests={} after_ms={:.0f}',
+            fate.value,
+            len(broken),
+            after_ms,
+        )
+        if fate is Fate.ENDED and any(item.item.number == self.number for item in broken):
+            self._begin_next()
+        for item in broken:
+            item.item.fate = fate
+            if not item.item.is_awaited:
+                await self._tell(item.item)
+
+    async def _tell(self, broken: Broken) -> None:
+        try:
+            await broken.connection.notify(
+                BackEndFate(broken.request_id, broken.fate is Fate.ENDED)
+            )
+        except PeerLost:
+            log.info('An entry is gone that would hear of the back end. id={}', broken.request_id)
--- a/packages/millforkd/millforkd/endpoint/engine.py
+++ b/packages/millforkd/millforkd/endpoint/engine.py
@@ -22,6 +22,8 @@
 
 ORDER_TIMEOUT_S: Final = 120.0
 STATUS_TIMEOUT_S: Final = 2.0
+# Of a look whether it still lives.
+LOOK_TIMEOUT_S: Final = 0.4
 OK: Final = 200
 REFUSED_ORDER: Final = 409
 
@@ -75,6 +77,18 @@
             self.number = FencingNumber(self.status.fencing_number + 1)
         return True
 
+    async def incarnation(self) -> str:
+        """
+        The engine's incarnation, as it tells it at this moment; empty without an answer.
+
+        """
+        try:
+            response = await self.client.fetch('GET', '/status', [], timeout=LOOK_TIMEOUT_S)
+            return msgspec.json.decode(response.body, type=EngineStatus).incarnation
+        except (ExchangeFailed, msgspec.DecodeError) as error:
+            log.debug('The engine tells no incarnation: {}.', error)
+            return ''
+
     async def load(self, version: str, parts: list[dict[str, str]]) -> None:
         """
         Order the engine to load a version: base first, then adapters.
--- a/packages/millforkd/millforkd/endpoint/rollout.py
+++ b/packages/millforkd/millforkd/endpoint/rollout.py
@@ -96,9 +96,11 @@
     async def _reconcile(self) -> None:
         self.wanted = self._wanted_here()
         await self._keep_transfers()
+        asked_at = self.env.monotonic()
         if not await self.engine.poll():
             await self.door.set_served({})
             return
+        self.door.ends.note_incarnation(self.engine.status.incarnation, asked_at)
         await self._load_wanted()
         await self._serve_loaded()
         await self._unload_unwanted()
--- a/packages/millforkd/millforkd/entry/attempts.py
+++ b/packages/millforkd/millforkd/entry/attempts.py
@@ -13,7 +13,7 @@
 import curio
 
 from millfork_core.environment import Environment
-from millfork_core.ids import OrganisationId, RequestId
+from millfork_core.ids import IncarnationKey, OrganisationId, RequestId
 from millfork_core.verdicts import Reason, Refusal, Verdict
 from millfork_routing.balance import Backend
 from millfork_web.models import Headers
@@ -63,6 +63,17 @@
     deadline: float
 
 
+@dataclass(frozen=True, slots=True)
+class BrokeOff(Refusal):
+    """
+    An attempt whose back end ended, or whose answer broke off so that it may have.
+
+    """
+
+    request_id: RequestId = RequestId('')
+    incarnation: IncarnationKey = IncarnationKey('')
+
+
 def state_key(call: Call) -> str:
     """
     The call's idempotency key, as the replicated state knows it.
@@ -209,9 +220,18 @@
         if isinstance(message, End):
             self.ended = True
             if message.reason:
-                return Refusal(Reason(message.reason), Verdict(message.verdict), message.detail)
+                return self._refusal_in(message)
         return message
 
+    def _refusal_in(self, end: End) -> Refusal:
+        reason, verdict = Reason(end.reason), Verdict(end.verdict)
+        if not end.incarnation:
+            return Refusal(reason, verdict, end.detail)
+        incarnation = IncarnationKey(end.incarnation)
+        return BrokeOff(
+            reason, verdict, end.detail, request_id=self.request_id, incarnation=incarnation
+        )
+
     async def _give_up(self) -> Refusal:
         """
         Cancel at the endpoint; it may know that nothing ran.
--- a/packages/millforkd/millforkd/entry/crashes.py
+++ b/packages/millforkd/millforkd/entry/crashes.py
@@ -7,17 +7,22 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Final
 
 from millfork_core.environment import Environment
-from millfork_core.ids import Fingerprint
+from millfork_core.ids import Fingerprint, IncarnationKey, RequestId
 from millfork_core.logs import Part, logger
 from millfork_core.verdicts import Reason, Refusal, Verdict
 from millfork_registry.suspects import Suspects, Suspicion
 from millfork_scheduling.quarantine import Standing, Trials
 from millfork_state.view import View
-from millforkd.entry.attempts import Call
+from millfork_wire.messages import BackEndFate
+from millforkd.entry.attempts import BrokeOff, Call
 from millforkd.fingerprints import fingerprint_of
 from millforkd.quarantine import Quarantine
+from millforkd.suspecting import Suspecting
 
 DETAILS = {
     Standing.AT_FAULT: 'back ends end when they run this request',
@@ -25,9 +30,26 @@
 }
 REASONS = {Standing.AT_FAULT: Reason.QUARANTINED, Standing.SUSPECTED: Reason.SUSPECTED}
 
+# An endpoint watches its back end for 20 s; one that is gone tells nothing any more.
+PENDING_S: Final = 30.0
+MOST_EARLY_FATES: Final = 256
+
 log = logger(Part.ENTRY)
 
 
+@dataclass(frozen=True, slots=True)
+class Pending:
+    """
+    An attempt that broke off, at a moment in monotonic seconds, before its endpoint knows
+    whether the back end ended; `before` is what was known of the call when it was sent.
+
+    """
+
+    before: Suspicion
+    incarnation: IncarnationKey
+    since: float
+
+
 class CallFingerprints:
     """
     The fingerprints of calls; all entries of a fleet make the same.
@@ -52,7 +74,11 @@
     def __init__(
         self, env: Environment, key: bytes, view: View, entries: Callable[[], int]
     ) -> None:
+        self.env = env
         self.suspects = Suspects(env.monotonic)
+        self.suspecting = Suspecting(env, self.suspects)
+        self.pending: dict[RequestId, Pending] = {}
+        self.early_fates: dict[RequestId, bool] = {}
         self.quarantine = Quarantine(
             self.suspects,
             view,
@@ -85,12 +111,66 @@
         if outcome is None:
             await self.quarantine.clear(call)
             return
+        await self._take(outcome, before)
+
+    @singledispatchmethod
+    async def _take(self, outcome: Refusal, before: Suspicion) -> None:
         if outcome.reason is not Reason.BACKEND_FAILED or outcome.verdict is Verdict.NOT_RUN:
             return
-        suspicion = before.with_end()
-        await self.suspects.note(suspicion)
+        await self.suspects.note(before.with_end())
+        self._log_end(before)
+
+    @_take.register
+    async def _(self, outcome: BrokeOff, before: Suspicion) -> None:
+        await self.suspecting.note_broken(before.fingerprint, outcome.incarnation)
+        pending = Pending(before, outcome.incarnation, self.env.monotonic())
+        if outcome.reason is Reason.BACKEND_FAILED:
+            await self._settle(pending, ended=True)
+            return
+        ended = self.early_fates.pop(outcome.request_id, None)
+        if ended is None:
+            self.pending[outcome.request_id] = pending
+            return
+        await self._settle(pending, ended)
+
+    async def on_fate(self, message: BackEndFate) -> None:
+        """
+        An endpoint found out whether its back end ended.
+
+        """
+        request_id = RequestId(message.request_id)
+        pending = self.pending.pop(request_id, None)
+        if pending is None:
+            # It may overtake the end of its attempt, which is taken by another task.
+            self.early_fates[request_id] = message.ended
+            while len(self.early_fates) > MOST_EARLY_FATES:
+                del self.early_fates[next(iter(self.early_fates))]
+            return
+        await self._settle(pending, message.ended)
+
+    async def _settle(self, pending: Pending, ended: bool) -> None:
+        if ended:
+            await self.suspecting.note_end(pending.before, pending.incarnation)
+            self._log_end(pending.before)
+            return
+        await self.suspecting.note_no_end(pending.before.fingerprint, pending.incarnation)
+
+    def _log_end(self, before: Suspicion) -> None:
         log.info(
             'A back end ended under a request. fingerprint={} ends={}',
-            suspicion.fingerprint,
-            suspicion.ends,
+            before.fingerprint,
+            self.suspects.of(before.fingerprint).ends,
         )
+
+    async def keep_house(self) -> None:
+        """
+        Forget what is old, and tell others what did not prove to be nothing.
+
+        """
+        self.suspects.forget_old()
+        await self.suspects.publish_old()
+        since = self.env.monotonic() - PENDING_S
+        for request_id, pending in list(self.pending.items()):
+            if pending.since < since:
+                del self.pending[request_id]
+                await self._settle(pending, ended=False)
--- a/packages/millforkd/millforkd/entry/daemon.py
+++ b/packages/millforkd/millforkd/entry/daemon.py
@@ -42,7 +42,7 @@
 # Time for the balancer to see that this entry is not ready any more.
 BALANCER_GRACE_S: Final = 1.0
 DRAIN_POLL_S: Final = 0.05
-FORGET_EVERY_S: Final = 1.0
+HOUSEKEEPING_S: Final = 0.5
 
 log = logger(Part.ENTRY)
 
@@ -149,7 +149,7 @@
         if self.quarantine is not None:
             await self.env.keep(self.quarantine.keep)
         await self.env.keep(self.spreading.keep)
-        await self.env.keep(self._forget_suspects)
+        await self.env.keep(self._keep_house)
         await self.env.keep(self.book.keep)
         await self.env.keep(self.server.run)
 
@@ -190,10 +190,10 @@
         self.env.metrics.refused(reason, 'entry')
         await exchange.respond(problem(Refusal(reason, detail='ask another entry')))
 
-    async def _forget_suspects(self) -> None:
+    async def _keep_house(self) -> None:
         while True:
-            await curio.sleep(FORGET_EVERY_S)
-            self.crashes.suspects.forget_old()
+            await curio.sleep(HOUSEKEEPING_S)
+            await self.crashes.keep_house()
 
     # Messages of peers.
 
@@ -221,6 +221,10 @@
     ) -> None:
         await self.dispatch.on_event(connection, message)
 
+    @on.register
+    async def _(self, message: messages.BackEndFate, connection: Connection) -> None:
+        await self.crashes.on_fate(message)
+
     @on.register
     async def _(self, message: messages.SuspicionReport, connection: Connection) -> Message:
         return await self.spreading.on_report(connection, message)
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -233,6 +233,7 @@
             await self.pools.close_old()
             self.budget.count_entries()
             self.registry.suspects.forget_old()
+            await self.registry.suspects.publish_old()
             self._log_repeats()
 
     def _log_repeats(self) -> None:
--- a/tests/mutations_listed.py
+++ b/tests/mutations_listed.py
@@ -47,6 +47,23 @@
             ),
         ),
     ),
+    Mutation(
+        'an endpoint tells an entry what it finds out later of its back end',
+        'tests/test_late_ends_at_endpoints.py::test_what_becomes_known_later_is_told_to_the_entry',
+        (Edit(D + 'endpoint/ends.py', 'if not item.item.is_awaited:', 'if False:'),),
+    ),
+    Mutation(
+        'an entry suspects a call whose back ends may have ended',
+        'tests/test_late_ends_at_endpoints.py::'
+        'test_a_call_is_suspected_until_the_fates_of_its_back_ends_are_told',
+        (
+            Edit(
+                D + 'entry/crashes.py',
+                'await self.suspecting.note_broken(before.fingerprint, outcome.incarnation)',
+                'pass',
+            ),
+        ),
+    ),
     Mutation(
         'an entry that starts learns which requests end back ends',
         'tests/test_spreading_suspicions.py::test_an_entry_that_starts_learns_what_others_know',
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -142,7 +142,7 @@
     Mutation(
         'a back end that is silent is looked at again',
         'tests/test_silent_ends.py::test_a_back_end_that_was_silent_and_refuses_then_has_ended',
-        (Edit(D + 'proxy/ends.py', 'while watch.breaks:', 'for _ in range(LOOKS):'),),
+        (Edit(D + 'watching.py', 'while self.breaks:', 'for _ in range(LOOKS):'),),
     ),
     Mutation(
         'no refusal promises not run after an attempt that may have run',
@@ -722,13 +722,7 @@
         'an end counts only where the address takes no connections',
         'tests/test_quarantine.py::'
         'test_an_answer_that_broke_off_counts_only_where_the_back_end_has_ended',
-        (
-            Edit(
-                D + 'proxy/ends.py',
-                'return Address.ANSWERS\n',
-                'return Address.REFUSES\n',
-            ),
-        ),
+        (Edit(D + 'watching.py', 'return Address.ANSWERS\n', 'return Address.REFUSES\n'),),
     ),
     Mutation(
         'a request stays under suspicion until the fate of its back end is known',
--- /dev/null
+++ b/tests/test_late_ends_at_endpoints.py
@@ -0,0 +1,237 @@
+"""
+What an endpoint finds out of its back end after answers broke off, and what an entry takes from it.
+
+"""
+
+import curio
+import pytest
+
+from millfork_core.environment import Environment
+from millfork_core.ids import IncarnationKey, InstanceId, RequestId, ZoneId
+from millfork_core.verdicts import Reason, Refusal, Verdict
+from millfork_scheduling.fates import Fate
+from millfork_scheduling.quarantine import ENDS
+from millfork_state.view import View
+from millfork_wire.connection import PeerLost
+from millfork_wire.messages import BackEndFate, End
+from millforkd.endpoint import ends as ends_module
+from millforkd.endpoint.ends import Ends
+from millforkd.entry import crashes as crashes_module
+from millforkd.entry.attempts import Attempt, BrokeOff, Call
+from millforkd.entry.crashes import Crashes
+from millforkd.watching import Address
+
+ADDRESS = ('127.0.0.1', 1)
+
+
+class Entry:
+    """
+    The connection to an entry.
+
+    """
+
+    def __init__(self):
+        self.told = []
+        self.gone = False
+
+    async def notify(self, message):
+        if self.gone:
+            raise PeerLost('gone')
+        self.told.append(message)
+
+
+class BackEnd:
+    """
+    What an endpoint finds when it looks at its back end.
+
+    """
+
+    def __init__(self, monkeypatch, tells='a'):
+        self.tells = tells
+        self.found = Address.ANSWERS
+
+        async def look_at(host, port):
+            return self.found
+
+        monkeypatch.setattr(ends_module, 'look_at', look_at)
+
+    def ends(self, asks=True):
+        env = Environment(InstanceId('e-1'), ZoneId('z'))
+        made = Ends(env, lambda: ADDRESS, self.ask if asks else None)
+        made.note_incarnation('a', env.monotonic())
+        return made
+
+    async def ask(self):
+        return self.tells
+
+
+async def until(holds):
+    async with curio.timeout_after(5):
+        while not holds():
+            await curio.sleep(0.005)
+
+
+@pytest.mark.parametrize(
+    ('tells', 'found', 'fate'),
+    [
+        ('a', Address.ANSWERS, Fate.LIVES),
+        ('b', Address.ANSWERS, Fate.ENDED),
+        ('', Address.REFUSES, Fate.ENDED),
+        ('', Address.ANSWERS, Fate.UNKNOWN),
+        ('', Address.SILENT, Fate.UNKNOWN),
+    ],
+)
+def test_what_an_engine_tells_and_its_address_show(monkeypatch, tells, found, fate):
+    async def run():
+        back_end = BackEnd(monkeypatch, tells)
+        back_end.found = found
+        ends = back_end.ends()
+        assert await ends.note_broken(RequestId('r'), Entry(), ends.number) is fate
+
+    curio.run(run)
+
+
+@pytest.mark.parametrize('ended', [True, False])
+def test_what_becomes_known_later_is_told_to_the_entry(monkeypatch, ended):
+    async def run():
+        back_end = BackEnd(monkeypatch, tells='')
+        ends, entry, gone = back_end.ends(), Entry(), Entry()
+        gone.gone = True
+        await ends.note_broken(RequestId('r'), entry, ends.number)
+        await ends.note_broken(RequestId('s'), gone, ends.number)
+        back_end.tells = 'b' if ended else 'a'
+        await until(lambda: entry.told)
+        assert entry.told == [BackEndFate('r', ended)]
+        await until(lambda: not ends.is_watching)
+
+    curio.run(run)
+
+
+def test_what_breaks_off_after_an_end_is_of_the_next_incarnation(monkeypatch):
+    async def run():
+        back_end = BackEnd(monkeypatch, tells='')
+        back_end.found = Address.REFUSES
+        ends = back_end.ends()
+        first = ends.key_of(ends.number)
+        assert await ends.note_broken(RequestId('r'), Entry(), ends.number) is Fate.ENDED
+        ends.note_incarnation('b', ends.env.monotonic())
+        back_end.tells = 'b'
+        assert ends.key_of(ends.number) != first
+        assert await ends.note_broken(RequestId('s'), Entry(), ends.number) is Fate.LIVES
+
+    curio.run(run)
+
+
+def test_a_plain_service_lives_on_once_it_answers_what_was_sent_later(monkeypatch):
+    async def run():
+        ends = BackEnd(monkeypatch).ends(asks=False)
+        entry = Entry()
+        assert await ends.note_broken(RequestId('r'), entry, ends.number) is Fate.UNKNOWN
+        ends.note_answer(ends.env.monotonic())
+        await until(lambda: entry.told == [BackEndFate('r', False)])
+
+    curio.run(run)
+
+
+class Breaks:
+    """
+    An entry's calls that break off at one endpoint after another.
+
+    """
+
+    def __init__(self):
+        self.env = Environment(InstanceId('entry'), ZoneId('z'))
+        self.crashes = Crashes(self.env, b'key', View(), lambda: 1)
+        deadline = self.env.monotonic() + 5
+        self.call = Call('o', 's', 'POST', '/', [], b'body', True, '', '', '', 0, deadline)
+
+    async def break_off(self, number, reason=Reason.TRUNCATED):
+        known = self.crashes.known(self.call)
+        outcome = BrokeOff(
+            reason,
+            Verdict.MAY_HAVE_RUN,
+            request_id=RequestId(f'r-{number}'),
+            incarnation=IncarnationKey(f'e-{number}/1.0'),
+        )
+        await self.crashes.note(self.call, known, outcome)
+
+    async def tell(self, number, ended):
+        await self.crashes.on_fate(BackEndFate(f'r-{number}', ended))
+
+    @property
+    def barred(self):
+        refusal = self.crashes.bars(self.call)
+        return None if refusal is None else refusal.reason
+
+
+def test_a_call_is_suspected_until_the_fates_of_its_back_ends_are_told():
+    async def run():
+        breaks = Breaks()
+        for number in range(ENDS):
+            assert breaks.barred is None
+            await breaks.break_off(number)
+        assert breaks.barred is Reason.SUSPECTED
+        for number in range(ENDS):
+            await breaks.tell(number, ended=True)
+        assert breaks.barred is Reason.QUARANTINED
+
+    curio.run(run)
+
+
+def test_a_fate_that_overtakes_the_end_of_its_attempt_counts():
+    async def run():
+        breaks = Breaks()
+        for number in range(ENDS):
+            await breaks.tell(number, ended=number > 0)
+            await breaks.break_off(number)
+        assert breaks.crashes.known(breaks.call).ends == ENDS - 1
+        assert not breaks.crashes.early_fates and not breaks.crashes.pending
+
+    curio.run(run)
+
+
+def test_ends_at_one_moment_are_suspected_together():
+    async def run():
+        breaks = Breaks()
+        known = breaks.crashes.known(breaks.call)
+        for number in range(ENDS):
+            outcome = BrokeOff(
+                Reason.BACKEND_FAILED,
+                Verdict.MAY_HAVE_RUN,
+                request_id=RequestId(f'r-{number}'),
+                incarnation=IncarnationKey(f'e-{number}/1.0'),
+            )
+            await breaks.crashes.note(breaks.call, known, outcome)
+        assert breaks.crashes.known(breaks.call).ends == 1
+        assert breaks.barred is Reason.SUSPECTED
+
+    curio.run(run)
+
+
+def test_where_an_endpoint_is_gone_nothing_is_suspected_for_long(monkeypatch):
+    monkeypatch.setattr(crashes_module, 'PENDING_S', 0.0)
+
+    async def run():
+        breaks = Breaks()
+        for number in range(ENDS):
+            await breaks.break_off(number)
+        await curio.sleep(0.001)
+        await breaks.crashes.keep_house()
+        assert breaks.barred is None
+
+    curio.run(run)
+
+
+def test_an_end_names_the_incarnation_at_which_it_broke_off():
+    async def run():
+        env = Environment(InstanceId('entry'), ZoneId('z'))
+        attempt = Attempt(env, RequestId('r'), None, None)
+        refused = ('r', 0, 0, Reason.TRUNCATED.value, Verdict.MAY_HAVE_RUN.value, 'why')
+        await attempt.take(End(*refused, 'e-1/1.0'))
+        await attempt.take(End(*refused))
+        first = await attempt.head(env.monotonic() + 1)
+        second = await attempt.head(env.monotonic() + 1)
+        assert (first.request_id, first.incarnation) == ('r', 'e-1/1.0')
+        assert second == Refusal(Reason.TRUNCATED, Verdict.MAY_HAVE_RUN, 'why')
+
+    curio.run(run)
--- a/tests/test_suspicions.py
+++ b/tests/test_suspicions.py
@@ -35,6 +35,7 @@
     TRIAL_SPREAD_S,
     Standing,
     Trials,
+    ends_after,
     standing_of,
 )
 from millfork_scheduling.server import Server
@@ -104,6 +105,16 @@
     assert again == suspected(1)
 
 
+def test_ends_count_by_sequence_and_each_incarnation_once():
+    now = suspected()
+    assert ends_after(Suspicion(FINGERPRINT), now, IncarnationKey('i-0/1')) == 1
+    assert ends_after(suspected(2), now, IncarnationKey('i-2/1')) == ENDS
+    assert ends_after(suspected(2), now, IncarnationKey('i-1/1')) == 2
+    lives_on = now.without(IncarnationKey('i-0/1'))
+    assert ends_after(suspected(2), lives_on, IncarnationKey('i-2/1')) == 2
+    assert ends_after(suspected(0).with_end(), now, IncarnationKey('i-2/1')) == 2
+
+
 def test_one_that_lives_on_is_suspected_no_more():
     left = suspected().with_end().without(IncarnationKey('i-1/1'))
     assert standing_of(left) is Standing.FREE
--- a/tests/utils/crashing.py
+++ b/tests/utils/crashing.py
@@ -65,14 +65,23 @@
             # A stream that had begun broke off.
             return None
 
-    def wait_for_quarantine(self):
+    def at_fault(self):
         """
-        Wait until a leader wrote down that the request which last ended its third engine is
-        sent no more.
+        The requests that the first entry found at fault, by fingerprint.
 
         """
-        ended = r'A back end ended under a request\. fingerprint=(\w+) ends=3'
-        line = f'Request in quarantine. fingerprint={re.findall(ended, self.log(0))[-1]}'
+        return re.findall(
+            r'A back end ended under a request\. fingerprint=(\w+) ends=3', self.log(0)
+        )
+
+    def wait_for_quarantine(self, known):
+        """
+        Wait until a leader wrote down that a request is sent no more which the first entry
+        found at fault after others.
+
+        """
+        wait_until(lambda: len(self.at_fault()) > len(known))
+        line = f'Request in quarantine. fingerprint={self.at_fault()[-1]}'
         wait_until(lambda: any(line in self.log(n) for n in range(len(self.fleet.entries))))
 
     def log(self, entry):
