Ends of back ends count also where callers left before them

Callers that gave up after 0.1 s a request that ends its back end after 0.2 s, and came back with it, saw 14 back ends end in 20 calls at two entries (7 may).

Cause: an end counted only where an answer broke off on its way to a caller. Evidence: tests/test_ends_after_their_callers_left.py (14 of 7), `outcome=caller_gone` with each call and no `Back end ended`. Ruled out: that the calls do not reach their back ends (each ended one).

Change: from the second time on that a request's caller leaves, or its time is up, before the answer, its back end is looked at for 2 s, without a suspicion until it ended.

--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -94,6 +94,7 @@
             self.server.executed.append(headers)
         if asked == CRASHING_BODY:
             self.close_connection = True
+            time.sleep(self.server.works_s)
             self.server.crash()
             return
         if turns_away:
--- a/packages/millforkd/millforkd/proxy/ends.py
+++ b/packages/millforkd/millforkd/proxy/ends.py
@@ -9,10 +9,12 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
+from typing import Final
 
 from millfork_core.environment import Environment
-from millfork_core.ids import IncarnationKey
+from millfork_core.ids import Fingerprint, IncarnationKey
 from millfork_core.logs import Part, logger
 from millfork_registry.suspects import Suspects, Suspicion
 from millfork_scheduling.fates import Fate, fate_of
@@ -23,6 +25,39 @@
 log = logger(Part.PROXY)
 
 
+# An end this long after its caller left counts for a request: a back end that goes on with it
+# is through with it, or through, by then.
+LEFT_WATCHED_S: Final = 2.0
+# Requests whose callers left, of which it is remembered for so long.
+LEFT_REMEMBERED_S: Final = 60.0
+MOST_LEFT: Final = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """
+    A request whose caller left, at a moment in monotonic seconds; `before` is what was known
+    of it when it was sent.
+
+    """
+
+    at: float
+    server: Server
+    before: Suspicion
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """
+    A request as it was sent to a back end; `before` is what was known of it then. Its answer
+    broke off, or its caller left before it came.
+
+    """
+
+    before: Suspicion
+    caller_left: bool = False
+
+
 def key_of(server: Server) -> IncarnationKey:
     return IncarnationKey(f'{server.instance}/{server.incarnation}')
 
@@ -42,7 +77,26 @@
         self.env = env
         self.fate = fate
         self.suspecting = Suspecting(env, suspects)
-        self.watches: dict[IncarnationKey, Watch[Suspicion]] = {}
+        self.watches: dict[IncarnationKey, Watch[Sent]] = {}
+        # When the caller of a request last left, and what had it then, by request.
+        self.left: dict[Fingerprint, Left] = {}
+
+    async def note_left(self, server: Server, before: Suspicion) -> None:
+        """
+        A caller left, or its time was up, before its back end answered. Nothing breaks off
+        then if the back end ends, so from the second time on it is looked at.
+
+        """
+        now = self.env.monotonic()
+        last = self.left.pop(before.fingerprint, None)
+        self.left[before.fingerprint] = Left(now, server, before)
+        if len(self.left) > MOST_LEFT:
+            del self.left[next(iter(self.left))]
+        if last is None or now - last.at > LEFT_REMEMBERED_S:
+            return
+        await self._add(server, Sent(before, caller_left=True))
+        if now - last.at < LEFT_WATCHED_S:
+            await self._add(last.server, Sent(last.before, caller_left=True))
 
     async def note_broken(self, server: Server, before: Suspicion) -> None:
         """
@@ -50,57 +104,69 @@
         it was sent there. Returns once the back end was looked at, or soon.
 
         """
+        watch = await self._add(server, Sent(before))
+        await self.suspecting.note_broken(before.fingerprint, key_of(server))
+        await watch.until_looked()
+
+    async def _add(self, server: Server, sent: Sent) -> Watch[Sent]:
         key = key_of(server)
         watch = self.watches.get(key)
         is_new = watch is None
         if watch is None:
             watch = self._watch(server, key)
             self.watches[key] = watch
-        held = watch.breaks.get(before.fingerprint)
+        held = watch.breaks.get(sent.before.fingerprint)
         if held is not None:
-            before = max(held.item, before, key=lambda item: item.order)
-        await watch.add(before.fingerprint, before)
+            before = max(held.item.before, sent.before, key=lambda item: item.order)
+            sent = Sent(before, sent.caller_left and held.item.caller_left)
+        await watch.add(sent.before.fingerprint, sent)
         if is_new:
             await self.env.spawn(self._keep, watch, key)
-        await self.suspecting.note_broken(before.fingerprint, key)
-        await watch.until_looked()
+        return watch
 
-    def _watch(self, server: Server, key: IncarnationKey) -> Watch[Suspicion]:
+    def _watch(self, server: Server, key: IncarnationKey) -> Watch[Sent]:
         return Watch(
             self.env,
             partial(self._look, server),
-            lambda broken: self.fate(server, broken.at),
+            partial(self._fate, server),
             partial(self._settle, key),
             WATCH_EVERY_S,
             WATCHED_S,
         )
 
-    async def _keep(self, watch: Watch[Suspicion], key: IncarnationKey) -> None:
+    def _fate(self, server: Server, broken: Break[Sent]) -> Fate:
+        fate = self.fate(server, broken.at)
+        is_over = self.env.monotonic() - broken.at > LEFT_WATCHED_S
+        if fate is Fate.UNKNOWN and broken.item.caller_left and is_over:
+            return Fate.LIVES
+        return fate
+
+    async def _keep(self, watch: Watch[Sent], key: IncarnationKey) -> None:
         try:
             await watch.run()
         finally:
             del self.watches[key]
 
-    async def _settle(
-        self, key: IncarnationKey, fate: Fate, broken: list[Break[Suspicion]]
-    ) -> None:
+    async def _settle(self, key: IncarnationKey, fate: Fate, broken: list[Break[Sent]]) -> None:
         if fate is Fate.ENDED:
             self._log_end(key, broken)
         if fate is Fate.UNKNOWN:
             log.info('Never known whether a back end ended. incarnation={}', key)
         for item in broken:
             if fate is Fate.ENDED:
-                await self.suspecting.note_end(item.item, key)
+                if item.item.caller_left:
+                    await self.suspecting.note_broken(item.item.before.fingerprint, key)
+                await self.suspecting.note_end(item.item.before, key)
                 continue
-            await self.suspecting.note_no_end(item.item.fingerprint, key)
+            await self.suspecting.note_no_end(item.item.before.fingerprint, key)
 
-    def _log_end(self, key: IncarnationKey, broken: list[Break[Suspicion]]) -> None:
+    def _log_end(self, key: IncarnationKey, broken: list[Break[Sent]]) -> None:
         log.info(
             'Back end ended. incarnation={} requests={} after_ms={:.0f} fingerprints={}',
             key,
             len(broken),
             (self.env.monotonic() - min(item.at for item in broken)) * 1000,
-            ','.join(sorted(item.item.fingerprint for item in broken)),
+            ','.join(sorted(item.item.before.fingerprint for item in broken)),
         )
 
     async def _look(self, server: Server) -> Address:
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -12,6 +12,7 @@
 from millfork_core.environment import Environment
 from millfork_core.logs import Part, logger
 from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
+from millfork_registry.suspects import Suspicion
 from millfork_routing.budget import SharedBudget
 from millfork_scheduling.book import ServerBook
 from millfork_scheduling.placement import Choice
@@ -24,7 +25,7 @@
 from millforkd.proxy.connections import Pools
 from millforkd.proxy.endings import Endings
 from millforkd.proxy.ends import Ends
-from millforkd.proxy.job import Job
+from millforkd.proxy.job import Failed, Job
 from millforkd.proxy.recall import Recall
 from millforkd.proxy.relaying import Relaying
 from millforkd.proxy.sending import BROKEN, LAST_WORD_S, Sending
@@ -184,12 +185,9 @@
                 return self._final(job, Reason.RETRY_BUDGET)
             server = choice.server
             before = self.quarantine.known(job)
-            failed = await self.sending.send(job, choice)
+            failed = await self._send(job, choice, before)
             if failed is None:
                 return None
-            if failed.verdict is not Verdict.NOT_RUN and failed.reason in BROKEN:
-                for part in choice.servers:
-                    await self.ends.note_broken(part, before)
             paid = not failed.sent
             job.failures.append(failed)
             self.env.metrics.retried(failed.reason)
@@ -206,6 +204,30 @@
                 self.quarantine.known(job).ends,
             )
 
+    async def _send(self, job: Job, choice: Choice, before: Suspicion) -> Failed | None:
+        """
+        One attempt, and what it tells of its back ends; None if the caller has its answer.
+
+        """
+        job.unanswered = ()
+        try:
+            failed = await self.sending.send(job, choice)
+        except (curio.TaskCancelled, CallerGone):
+            await self._note_left(job, before)
+            raise
+        if failed is None:
+            return None
+        if failed.verdict is not Verdict.NOT_RUN and failed.reason in BROKEN:
+            for part in choice.servers:
+                await self.ends.note_broken(part, before)
+        if failed.reason is Reason.TIMED_OUT:
+            await self._note_left(job, before)
+        return failed
+
+    async def _note_left(self, job: Job, before: Suspicion) -> None:
+        for server in job.unanswered:
+            await self.ends.note_left(server, before)
+
     async def _choose(self, job: Job) -> Choice | None:
         """
         The back end for a job, by loads as they are now where the choice hangs on them.
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -118,6 +118,8 @@
     caller_gone: bool = False
     # What it says, once somebody asked.
     fingerprint: Fingerprint | None = None
+    # The back ends that have it and did not answer yet.
+    unanswered: tuple[Server, ...] = ()
 
     @property
     def urgency(self) -> int | None:
--- a/packages/millforkd/millforkd/proxy/sending.py
+++ b/packages/millforkd/millforkd/proxy/sending.py
@@ -86,6 +86,7 @@
             async with curio.timeout_after(job.left_s(self.env.monotonic()) - LAST_WORD_S):
                 connection = await pool.take(fresh=not job.route.repeatable)
                 keep_s = await self._exchange(job, attempt, connection)
+            job.unanswered = ()
             server.note_service_time(self.env.monotonic() - attempt.began)
             if connection.reusable:
                 await self.quarantine.clear(job)
@@ -185,6 +186,7 @@
         self.book.note_sent(attempt.choice.servers)
         headers = self.adapter.forward(request, orders)
         self._note_version(job, version)
+        job.unanswered = tuple(attempt.choice.servers)
         await connection.send(request.method, request.path, headers, request.body)
         await self.waiting.read_head(job, attempt, connection, version)
         server.heard_at = self.env.monotonic()
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -735,6 +735,17 @@
             ),
         ),
     ),
+    Mutation(
+        'an end counts also after its caller left',
+        'tests/test_ends_after_their_callers_left.py',
+        (
+            Edit(
+                D + 'proxy/ends.py',
+                'if last is None or now - last.at > LEFT_REMEMBERED_S:',
+                'if True:',
+            ),
+        ),
+    ),
     Mutation(
         'a back end that answers later is known to live on',
         'tests/test_fates.py',
