Entries of listed fleets ask others before a back end that turns requests away

Cause: its answers were passed on as they were, and a back end that runs nothing has the fewest requests in progress, so it looked the least loaded. Ruled out: that the other two lack places (16 each, 14 needed).

Change: an endpoint whose back end answers 429 or 503 is passed over for 0.05 s, twice as long with each in a row, 2 s at most, and asked all the same where all are; a repeatable request goes to another, and the back end's own answer is passed on where none does better.

--- a/packages/millfork-routing/millfork_routing/balance.py
+++ b/packages/millfork-routing/millfork_routing/balance.py
@@ -12,6 +12,10 @@
 # A preferred endpoint is passed over once it is this much above the mean.
 BOUNDED_LOAD: Final = 1.25
 UNKNOWN_LIMIT: Final = 8
+# One that turns a request away is passed over this long, doubling with each one in a row: it
+# may be full for a moment, or turn all away.
+FIRST_PASSED_OVER_S: Final = 0.05
+MOST_PASSED_OVER_S: Final = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +45,11 @@
     mine: int = 0
     leaving: bool = False
     suspect_until: float = 0.0
+    # Requests that its back end turned away one after another, when it last did, and until
+    # when others are asked first.
+    turned_away: int = 0
+    turned_away_at: float = float('-inf')
+    passed_over_until: float = float('-inf')
     busy: dict[OrganisationId, Busy] = field(default_factory=dict)
     served: dict[str, str] = field(default_factory=dict)
 
@@ -66,6 +75,28 @@
         busy = self.busy.get(organisation)
         return busy if busy is not None and busy.until > now else None
 
+    def note_turned_away(self, sent_at: float, now: float) -> None:
+        """
+        Its back end turned away what was sent at a moment: what it does not run takes no
+        place there, and it would look the least loaded of all.
+
+        """
+        if sent_at < self.turned_away_at:
+            # Sent before the last one was known to be turned away: that says nothing more.
+            return
+        wait_s = min(FIRST_PASSED_OVER_S * 2.0**self.turned_away, MOST_PASSED_OVER_S)
+        self.passed_over_until = now + wait_s
+        self.turned_away += 1
+        self.turned_away_at = now
+
+    def note_taken(self, sent_at: float) -> None:
+        """
+        Its back end took what was sent at a moment.
+
+        """
+        if sent_at >= self.turned_away_at:
+            self.turned_away = 0
+
     def take_report(self, occupied: int, limit: int) -> None:
         """
         Take a load report as of now.
@@ -103,6 +134,8 @@
     able = [b for b in backends if b.instance not in tried and usable(b, organisation, now)]
     if not able:
         return None
+    # Where all turn away, they are asked all the same.
+    able = [b for b in able if b.passed_over_until <= now] or able
     local = [b for b in able if b.zone == zone and b.load < 1]
     free = local or [b for b in able if b.load < 1] or able
     if not affinity:
--- a/packages/millfork-standins/millfork_standins/fleet.py
+++ b/packages/millfork-standins/millfork_standins/fleet.py
@@ -87,19 +87,20 @@
         self.wait_http('platform', self.platform['host'], STANDIN_PORT, '/instances?since=-1')
         self.wait_http('origin', self.origin['host'], STANDIN_PORT, '/stats')
 
-    def start_backend(self, instance: Instance) -> None:
+    def start_backend(self, instance: Instance, **changed: Any) -> None:
         """
-        Start the engine or plain service behind an endpoint.
+        Start the engine or plain service behind an endpoint; `changed` are settings of this
+        one alone.
 
         """
         listen = {'host': instance.host, 'port': BACKEND_PORT}
         log = str(self.executions(instance.name))
         name = f'{instance.name}.backend'
         if instance.service == self.shape.engine_service:
-            settings = {'listen': listen, 'log': log, **self.options.engine}
+            settings = {'listen': listen, 'log': log, **self.options.engine, **changed}
             self._start_standin(name, 'engine', settings)
         else:
-            settings = {'listen': listen, 'log': log, **self.options.service}
+            settings = {'listen': listen, 'log': log, **self.options.service, **changed}
             self._start_standin(name, 'service', settings)
 
     def start_daemon(self, instance: Instance) -> None:
@@ -189,9 +190,11 @@
 
     # Waiting.
 
-    def wait_http(self, name: str, host: str, port: int, path: str, timeout: float = 30) -> None:
+    def wait_http(
+        self, name: str, host: str, port: int, path: str, timeout: float = 30, status: int = 200
+    ) -> None:
         """
-        Wait until a process answers 200 at a path.
+        Wait until a process answers a status at a path.
 
         """
         until = time.monotonic() + timeout
@@ -200,7 +203,7 @@
             if process is not None and process.poll() is not None:
                 raise FleetError(f'{name} ended: {self.tail(name)}')
             try:
-                if fetch('GET', host, port, path).status == 200:
+                if fetch('GET', host, port, path).status == status:
                     return
             except OSError:
                 pass
--- a/packages/millfork-standins/millfork_standins/service.py
+++ b/packages/millfork-standins/millfork_standins/service.py
@@ -3,6 +3,8 @@
 
 """
 
+from typing import Final
+
 import curio
 
 from millfork_standins.execution_log import ExecutionLog
@@ -10,6 +12,8 @@
 from millfork_web.models import json_response
 from millfork_web.server import Exchange, Server
 
+TURNED_AWAY: Final = 'turned_away'
+
 
 class Service:
     """
@@ -29,6 +33,10 @@
         request = exchange.request
         request_id = request.header('x-request-id')
         nonce = request.header('nonce')
+        if self.settings.turns_away:
+            self.log.write(kind=TURNED_AWAY, id=request_id)
+            await exchange.respond(json_response({'error': 'busy'}, 503))
+            return
         self.log.write(kind='begin', id=request_id, nonce=nonce, method=request.method)
         await curio.sleep(self.settings.answer_ms / 1000)
         self.log.write(kind='end', id=request_id, nonce=nonce, method=request.method)
--- a/packages/millfork-standins/millfork_standins/settings.py
+++ b/packages/millfork-standins/millfork_standins/settings.py
@@ -44,6 +44,8 @@
     listen: Address
     log: Path
     answer_ms: float = 5
+    # Answers at once that it takes nothing, without a word for how long.
+    turns_away: bool = False
 
 
 class VersionSettings(Strict):
--- a/packages/millforkd/millforkd/entry/attempts.py
+++ b/packages/millforkd/millforkd/entry/attempts.py
@@ -7,7 +7,7 @@
 
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 import curio
@@ -16,7 +16,7 @@
 from millfork_core.ids import IncarnationKey, OrganisationId, RequestId
 from millfork_core.verdicts import Reason, Refusal, Verdict
 from millfork_routing.balance import Backend
-from millfork_web.models import Headers
+from millfork_web.models import Headers, Response
 from millfork_wire.connection import (
     Connection,
     PeerError,
@@ -74,6 +74,17 @@
     incarnation: IncarnationKey = IncarnationKey('')
 
 
+@dataclass(frozen=True, slots=True)
+class TurnedAway(Refusal):
+    """
+    An attempt whose back end answered that it takes nothing now; the answer is the caller's if
+    no other back end does better.
+
+    """
+
+    response: Response = field(default_factory=lambda: Response(0))
+
+
 def state_key(call: Call) -> str:
     """
     The call's idempotency key, as the replicated state knows it.
--- a/packages/millforkd/millforkd/entry/delivery.py
+++ b/packages/millforkd/millforkd/entry/delivery.py
@@ -7,9 +7,10 @@
 
 from millfork_core.verdicts import Reason, Refusal, Verdict
 from millfork_web.models import Headers, Response, find_header
+from millfork_web.retry_after import TURNED_AWAY
 from millfork_web.server import Exchange
 from millfork_wire.messages import Head
-from millforkd.entry.attempts import Attempt
+from millforkd.entry.attempts import Attempt, TurnedAway
 
 STREAM_TYPE: Final = 'text/event-stream'
 MAX_WHOLE_BYTES: Final = 16 * 1024 * 1024
@@ -41,7 +42,12 @@
         headers = _passed_on(head)
         if find_header(headers, 'content-type').startswith(STREAM_TYPE):
             return await self._stream(attempt, head.status, headers, deadline)
-        return await self._whole(attempt, head.status, headers, deadline)
+        refusal = await self._whole(attempt, head.status, headers, deadline)
+        if refusal is not None or self.response is None or head.status not in TURNED_AWAY:
+            return refusal
+        response, self.response = self.response, None
+        detail = f'the back end answered {head.status}'
+        return TurnedAway(Reason.BUSY, Verdict.MAY_HAVE_RUN, detail, response=response)
 
     async def _stream(
         self, attempt: Attempt, status: int, headers: Headers, deadline: float
--- a/packages/millforkd/millforkd/entry/dispatch.py
+++ b/packages/millforkd/millforkd/entry/dispatch.py
@@ -16,7 +16,7 @@
 from millfork_state.view import View
 from millfork_wire.connection import Connection
 from millfork_wire.messages import End, Head, Part
-from millforkd.entry.attempts import Attempt, Call, Lost
+from millforkd.entry.attempts import Attempt, Call, Lost, TurnedAway
 from millforkd.entry.book import EndpointBook
 from millforkd.entry.crashes import Crashes
 from millforkd.entry.delivery import Delivery
@@ -73,6 +73,13 @@
         any attempt may have run.
 
         """
+        refusal = await self._run(call, delivery)
+        if isinstance(refusal, TurnedAway):
+            delivery.response = refusal.response
+            return None
+        return refusal
+
+    async def _run(self, call: Call, delivery: Delivery) -> Refusal | None:
         tried: set[InstanceId] = set()
         last: Refusal | None = None
         may_have_run = False
@@ -140,6 +147,7 @@
         attempt = Attempt(self.env, request_id, backend, connection)
         self.attempts[request_id] = attempt
         backend.mine += 1
+        sent_at = self.env.monotonic()
         try:
             refusal = await self._attempt_steps(call, attempt, delivery)
         finally:
@@ -147,8 +155,13 @@
             del self.attempts[request_id]
             if attempt.started and not attempt.ended:
                 await self.env.spawn(attempt.cancel)
-        if refusal is not None:
-            self._learn(call, backend, refusal)
+        if refusal is None:
+            backend.note_taken(sent_at)
+            return None
+        if isinstance(refusal, TurnedAway):
+            backend.note_turned_away(sent_at, self.env.monotonic())
+            return refusal
+        self._learn(call, backend, refusal)
         return refusal
 
     async def _attempt_steps(
--- a/tests/mutations_listed.py
+++ b/tests/mutations_listed.py
@@ -64,6 +64,18 @@
             ),
         ),
     ),
+    Mutation(
+        'a back end that turns requests away is asked after others',
+        'tests/test_turned_away_on_listed_fleets.py::'
+        'test_where_all_turn_away_they_are_asked_all_the_same',
+        (
+            Edit(
+                'packages/millfork-routing/millfork_routing/balance.py',
+                'able = [b for b in able if b.passed_over_until <= now] or able',
+                'pass',
+            ),
+        ),
+    ),
     Mutation(
         'an entry that starts learns which requests end back ends',
         'tests/test_spreading_suspicions.py::test_an_entry_that_starts_learns_what_others_know',
