Entries of listed fleets count ends also where the endpoint is lost with its back end

Callers saw an instance end with each of 10 calls (6 may), where a request ends endpoint daemon and engine at once, as a loss of power does.

Cause: only endpoints told of ends; an attempt whose connection to its endpoint was lost counted nothing. Evidence: tests/test_requests_that_take_their_endpoints.py, 10 of 10, `connection_lost` with each. Ruled out: that the calls go to one endpoint (each instance ended in turn).

Change: such a call is under suspicion at that process of the endpoint.

--- a/packages/millfork-routing/millfork_routing/balance.py
+++ b/packages/millfork-routing/millfork_routing/balance.py
@@ -52,6 +52,8 @@
     passed_over_until: float = float('-inf')
     busy: dict[OrganisationId, Busy] = field(default_factory=dict)
     served: dict[str, str] = field(default_factory=dict)
+    # When its process started, in ns since 1970; 0 where it was not told.
+    start: int = 0
 
     @property
     def occupied(self) -> int:
--- a/packages/millfork-wire/millfork_wire/messages/requests.py
+++ b/packages/millfork-wire/millfork_wire/messages/requests.py
@@ -109,3 +109,5 @@
     limit: int = 0
     leaving: bool = False
     served: list[ServedVersion] = field(default_factory=list)
+    # When the endpoint's process started, in ns since 1970.
+    start: int = 0
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -114,7 +114,7 @@
 struct Cancelled { requestId @0 :Text; verdict @1 :Text; }
 struct Leaving { instance @0 :Text; }
 struct ServedVersion { service @0 :Text; version @1 :Text; }
-struct Load { running @0 :UInt32; queued @1 :UInt32; limit @2 :UInt32; leaving @3 :Bool; served @4 :List(ServedVersion); }
+struct Load { running @0 :UInt32; queued @1 :UInt32; limit @2 :UInt32; leaving @3 :Bool; served @4 :List(ServedVersion); start @5 :UInt64; }
 
 struct GetManifest { digest @0 :Text; draw @1 :Bool; }
 struct Manifest { found @0 :Bool; body @1 :Data; whole @2 :Bool; reason @3 :Text; }
--- a/packages/millforkd/millforkd/endpoint/door.py
+++ b/packages/millforkd/millforkd/endpoint/door.py
@@ -344,6 +344,7 @@
             self.queue.slots,
             self.leaving,
             served,
+            self.ends.start,
         )
 
     async def on_load_asked(self, connection: Connection) -> Load:
--- a/packages/millforkd/millforkd/entry/attempts.py
+++ b/packages/millforkd/millforkd/entry/attempts.py
@@ -13,7 +13,13 @@
 import curio
 
 from millfork_core.environment import Environment
-from millfork_core.ids import IncarnationKey, OrganisationId, RequestId
+from millfork_core.ids import (
+    NO_INSTANCE,
+    IncarnationKey,
+    InstanceId,
+    OrganisationId,
+    RequestId,
+)
 from millfork_core.verdicts import Reason, Refusal, Verdict
 from millfork_routing.balance import Backend
 from millfork_web.models import Headers, Response
@@ -72,6 +78,8 @@
 
     request_id: RequestId = RequestId('')
     incarnation: IncarnationKey = IncarnationKey('')
+    # The endpoint, where the connection to it was lost: it tells nothing more of this attempt.
+    lost: InstanceId = NO_INSTANCE
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +101,14 @@
     return f'{call.organisation}/{call.service}/{call.key}'
 
 
+def endpoint_key(instance: InstanceId, start: int) -> IncarnationKey:
+    """
+    One run of an endpoint's process.
+
+    """
+    return IncarnationKey(f'{instance}/{start}')
+
+
 class Lost(Message):
     """
     Stands in the queue where the connection ended.
@@ -226,14 +242,26 @@
             return await self._give_up()
         if isinstance(message, Lost):
             self.ended = True
-            detail = 'the endpoint went away while it ran the request'
-            return Refusal(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, detail)
+            return self._refusal_of_lost()
         if isinstance(message, End):
             self.ended = True
             if message.reason:
                 return self._refusal_in(message)
         return message
 
+    def _refusal_of_lost(self) -> Refusal:
+        detail = 'the endpoint went away while it ran the request'
+        if not self.backend.start:
+            return Refusal(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, detail)
+        return BrokeOff(
+            Reason.CONNECTION_LOST,
+            Verdict.MAY_HAVE_RUN,
+            detail,
+            request_id=self.request_id,
+            incarnation=endpoint_key(self.backend.instance, self.backend.start),
+            lost=self.backend.instance,
+        )
+
     def _refusal_in(self, end: End) -> Refusal:
         reason, verdict = Reason(end.reason), Verdict(end.verdict)
         if not end.incarnation:
--- a/packages/millforkd/millforkd/entry/book.py
+++ b/packages/millforkd/millforkd/entry/book.py
@@ -3,6 +3,7 @@
 
 """
 
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 import curio
@@ -49,6 +50,8 @@
         self.connections: dict[InstanceId, Connection] = {}
         self.dialling: set[InstanceId] = set()
         self.told_leaving: set[InstanceId] = set()
+        # Told of each endpoint that was reached, and when its process started.
+        self.connected_hooks: list[Callable[[InstanceId, int], Awaitable[None]]] = []
         self.settled = False
         self.basis: tuple[object, int] | None = None
         self.wanted: list[InstanceFacts] = []
@@ -136,6 +139,8 @@
         self.connections[facts.instance] = connection
         self.backends[facts.instance] = Backend(facts.instance, facts.zone)
         self.on_load(connection, load)
+        for hook in self.connected_hooks:
+            await hook(facts.instance, load.start)
 
     def on_load(self, connection: Connection, load: Load) -> None:
         """
@@ -146,6 +151,7 @@
         if backend is None:
             return
         backend.take_report(load.running + load.queued, load.limit)
+        backend.start = load.start
         backend.served = {served.service: served.version for served in load.served}
         backend.leaving = load.leaving or self._listed_leaving(connection.peer)
 
--- a/packages/millforkd/millforkd/entry/crashes.py
+++ b/packages/millforkd/millforkd/entry/crashes.py
@@ -12,14 +12,14 @@
 from typing import Final
 
 from millfork_core.environment import Environment
-from millfork_core.ids import Fingerprint, IncarnationKey, RequestId
+from millfork_core.ids import NO_INSTANCE, Fingerprint, IncarnationKey, InstanceId, RequestId
 from millfork_core.logs import Part, logger
 from millfork_core.verdicts import Reason, Refusal, Verdict
 from millfork_registry.suspects import Suspects, Suspicion
 from millfork_scheduling.quarantine import Standing, Trials
 from millfork_state.view import View
 from millfork_wire.messages import BackEndFate
-from millforkd.entry.attempts import BrokeOff, Call
+from millforkd.entry.attempts import BrokeOff, Call, endpoint_key
 from millforkd.fingerprints import fingerprint_of
 from millforkd.quarantine import Quarantine
 from millforkd.suspecting import Suspecting
@@ -48,6 +48,8 @@
     before: Suspicion
     incarnation: IncarnationKey
     since: float
+    # The endpoint, where it was lost itself.
+    lost: InstanceId = NO_INSTANCE
 
 
 class CallFingerprints:
@@ -123,7 +125,7 @@
     @_take.register
     async def _(self, outcome: BrokeOff, before: Suspicion) -> None:
         await self.suspecting.note_broken(before.fingerprint, outcome.incarnation)
-        pending = Pending(before, outcome.incarnation, self.env.monotonic())
+        pending = Pending(before, outcome.incarnation, self.env.monotonic(), outcome.lost)
         if outcome.reason is Reason.BACKEND_FAILED:
             await self._settle(pending, ended=True)
             return
@@ -148,6 +150,19 @@
             return
         await self._settle(pending, message.ended)
 
+    async def on_endpoint(self, instance: InstanceId, start: int) -> None:
+        """
+        An endpoint was reached again; its process started at a moment. What broke off as the
+        connection to it was lost broke off with another one of its processes, or with the
+        connection alone.
+
+        """
+        for request_id, pending in list(self.pending.items()):
+            if pending.lost != instance:
+                continue
+            del self.pending[request_id]
+            await self._settle(pending, pending.incarnation != endpoint_key(instance, start))
+
     async def _settle(self, pending: Pending, ended: bool) -> None:
         if ended:
             await self.suspecting.note_end(pending.before, pending.incarnation)
--- a/packages/millforkd/millforkd/entry/daemon.py
+++ b/packages/millforkd/millforkd/entry/daemon.py
@@ -76,6 +76,7 @@
         suspects = self.crashes.suspects
         self.spreading = SuspicionSpreading(env, self.member.peers, self.member.roster, suspects)
         self.dispatch = Dispatch(env, settings.routing, self.book, self.crashes)
+        self.book.connected_hooks.append(self.crashes.on_endpoint)
         self.callers = Callers(
             env,
             settings.routing,
--- a/tests/mutations_listed.py
+++ b/tests/mutations_listed.py
@@ -76,6 +76,11 @@
             ),
         ),
     ),
+    Mutation(
+        'an end counts also where its endpoint is lost with it',
+        'tests/test_requests_that_take_their_endpoints.py',
+        (Edit(D + 'entry/attempts.py', 'if not self.backend.start:', 'if True:'),),
+    ),
     Mutation(
         'an entry that starts learns which requests end back ends',
         'tests/test_spreading_suspicions.py::test_an_entry_that_starts_learns_what_others_know',
--- a/tests/test_late_ends_at_endpoints.py
+++ b/tests/test_late_ends_at_endpoints.py
@@ -9,6 +9,7 @@
 from millfork_core.environment import Environment
 from millfork_core.ids import IncarnationKey, InstanceId, RequestId, ZoneId
 from millfork_core.verdicts import Reason, Refusal, Verdict
+from millfork_routing.balance import Backend
 from millfork_scheduling.fates import Fate
 from millfork_scheduling.quarantine import ENDS
 from millfork_state.view import View
@@ -17,7 +18,7 @@
 from millforkd.endpoint import ends as ends_module
 from millforkd.endpoint.ends import Ends
 from millforkd.entry import crashes as crashes_module
-from millforkd.entry.attempts import Attempt, BrokeOff, Call
+from millforkd.entry.attempts import Attempt, BrokeOff, Call, Lost
 from millforkd.entry.crashes import Crashes
 from millforkd.watching import Address
 
@@ -208,6 +209,26 @@
     curio.run(run)
 
 
+@pytest.mark.parametrize('ended', [True, False])
+def test_a_lost_endpoint_ended_if_another_process_has_its_place(ended):
+    async def run():
+        breaks = Breaks()
+        endpoints = [Backend(InstanceId(f'e-{n}'), ZoneId('z'), start=1) for n in range(ENDS)]
+        for endpoint in endpoints:
+            attempt = Attempt(breaks.env, RequestId(f'r-{endpoint.instance}'), endpoint, None)
+            await attempt.take(Lost())
+            known = breaks.crashes.known(breaks.call)
+            outcome = await attempt.head(breaks.env.monotonic() + 1)
+            assert outcome.reason is Reason.CONNECTION_LOST
+            await breaks.crashes.note(breaks.call, known, outcome)
+        assert breaks.barred is Reason.SUSPECTED
+        for endpoint in endpoints:
+            await breaks.crashes.on_endpoint(endpoint.instance, 2 if ended else 1)
+        assert breaks.barred is (Reason.QUARANTINED if ended else None)
+
+    curio.run(run)
+
+
 def test_where_an_endpoint_is_gone_nothing_is_suspected_for_long(monkeypatch):
     monkeypatch.setattr(crashes_module, 'PENDING_S', 0.0)
 
