An engine of which no daemon reported yet counts as unguarded

Callers behind a slow link could have been answered by an ended version through an entry that started after the daemon beside the engine fell silent: it sent until 0.77 s before the end, and a request was seen to begin 1.1 s after it was sent.

Cause: only a daemon that had reported to this entry could fall silent there. Evidence: the test, by decisions of the book on a clock. Ruled out: that reports of the dead daemon are taken for fresh, as the replicas forget them.

Change: an engine is unguarded 0.6 s after its lease or its last report, whichever is later. Figures: 0.77 s -> over 1.1 s before the end.

--- a/packages/millfork-scheduling/millfork_scheduling/book.py
+++ b/packages/millfork-scheduling/millfork_scheduling/book.py
@@ -108,6 +108,7 @@
                 lease.incarnation,
                 lease_served=lease.served,
                 draw_order=self.random.random(),
+                known_since=self.monotonic(),
                 availability=self.lapsed.take_back((key, lease.incarnation)),
             )
             before = self.index.by_address.get((lease.host, lease.port))
--- a/packages/millfork-scheduling/millfork_scheduling/server.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server.py
@@ -110,6 +110,8 @@
     report_sequence: int = -1
     # The instance of the endpoint daemon beside it; empty until it reported.
     daemon: str = ''
+    # When this entry first heard of its lease.
+    known_since: float = float('inf')
     # Which ones are drawn where there are many: those with the least, the same ones always.
     draw_order: float = 0.0
     # Requests of this entry there, and those of them without a first token.
@@ -150,10 +152,10 @@
 
     def is_unguarded(self, now: float) -> bool:
         """
-        Whether the daemon beside it reported once and does so no more.
+        Whether the daemon beside it does not report, or does so no more.
 
         """
-        return bool(self.daemon) and now - self.reported_at > DAEMON_SILENT_S
+        return now - max(self.reported_at, self.known_since) > DAEMON_SILENT_S
 
     def take_load(self, load: Load, now: float) -> None:
         """
--- a/tests/test_unguarded_engines.py
+++ b/tests/test_unguarded_engines.py
@@ -61,5 +61,25 @@
     assert last_sent_before(10.0, daemon_silent_s) > LINK_S
 
 
+def test_an_entry_that_starts_beside_a_silent_daemon_sends_nothing_late():
+    """
+    The daemon fell silent before this entry started, and never reported here: a request was sent
+    0.77 s before the end of its version, and behind a slow link could have begun after it.
+
+    """
+    clock = Clock()
+    book = ServerBook(ZoneId('z1'), Random(1), clock)
+    lease = Lease('i-1', SERVICE, '10.0.0.1', 80, 'z1', 16, LeaseState.READY, 1, 'r', OLD)
+    book.take_leases([lease])
+    ends_at = clock.now + 10.0
+    last = None
+    while clock.now < ends_at:
+        wanted = Wanted(SERVICE, ENGINE, 0, 2, 900, endings=((2, ends_at - CUT_S),))
+        if book.choose(wanted, set()) is not None:
+            last = clock.now
+        clock.now += 0.01
+    assert ends_at - last > LINK_S
+
+
 def test_an_engine_with_a_daemon_beside_it_is_sent_to_for_longer():
     assert last_sent_before(10.0, 0.0) < LINK_S
