Ends of back ends of listed fleets count also where callers left before them

Callers that gave up after 0.1 s a request that ends its engine after 0.2 s saw an engine end with each of 24 calls (6 may).

Cause: a call that was called off was forgotten at its entry and its endpoint. Evidence: the test, 24 of 24, with no `A back end ended under a request`. Ruled out: that engines do not begin what is called off (each logged its end).

Change: the endpoint watches its back end for 2 s after it called a request off, names the incarnation in its answer, and tells the entry what became of it; the entry suspects nothing before an end.

--- a/packages/millfork-core/millfork_core/ids.py
+++ b/packages/millfork-core/millfork_core/ids.py
@@ -25,4 +25,5 @@
 IncarnationKey = NewType('IncarnationKey', str)
 
 NO_INSTANCE = InstanceId('')
+NO_INCARNATION = IncarnationKey('')
 UNTOLD_INCARNATION = Incarnation(0)
--- a/packages/millfork-wire/millfork_wire/messages/requests.py
+++ b/packages/millfork-wire/millfork_wire/messages/requests.py
@@ -89,6 +89,8 @@
 class Cancelled(Message):
     request_id: str = ''
     verdict: str = ''
+    # Of the back end, if it had the request.
+    incarnation: str = ''
 
 
 @dataclass(slots=True)
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -111,7 +111,7 @@
 struct End { requestId @0 :Text; parts @1 :UInt32; bytes @2 :UInt64; reason @3 :Text; verdict @4 :Text; detail @5 :Text; incarnation @6 :Text; }
 struct BackEndFate { requestId @0 :Text; ended @1 :Bool; }
 struct Cancel { requestId @0 :Text; }
-struct Cancelled { requestId @0 :Text; verdict @1 :Text; }
+struct Cancelled { requestId @0 :Text; verdict @1 :Text; incarnation @2 :Text; }
 struct Leaving { instance @0 :Text; }
 struct ServedVersion { service @0 :Text; version @1 :Text; }
 struct Load { running @0 :UInt32; queued @1 :UInt32; limit @2 :UInt32; leaving @3 :Bool; served @4 :List(ServedVersion); start @5 :UInt64; }
--- a/packages/millforkd/millforkd/endpoint/door.py
+++ b/packages/millforkd/millforkd/endpoint/door.py
@@ -167,7 +167,13 @@
             return Cancelled(message.request_id, Verdict.MAY_HAVE_RUN.value)
         if reservation.task is not None:
             await reservation.task.cancel()
-        return Cancelled(message.request_id, reservation.verdict.value)
+        cancelled = Cancelled(message.request_id, reservation.verdict.value)
+        if reservation.stage is Stage.SENT:
+            number = reservation.sent_to
+            request_id = RequestId(message.request_id)
+            await self.ends.note_called_off(request_id, connection, number)
+            cancelled.incarnation = self.ends.key_of(number)
+        return cancelled
 
     async def on_closed(self, connection: Connection) -> None:
         """
@@ -234,7 +240,7 @@
             return resting
         reservation.stage = Stage.SENT
         sent_at = self.env.monotonic()
-        incarnation = self.ends.number
+        reservation.sent_to = self.ends.number
         self.resting.note_sent(sent_at)
         left = max(reservation.until - self.env.monotonic(), 0.001)
         try:
@@ -253,14 +259,14 @@
             if error.verdict is Verdict.NOT_RUN:
                 reservation.stage = Stage.STARTED
                 return Refusal(Reason.UNREACHABLE, Verdict.NOT_RUN, 'the back end is unreachable')
-            return await self._broke_off(reservation, incarnation)
+            return await self._broke_off(reservation)
 
-    async def _broke_off(self, reservation: Reservation, incarnation: int) -> Refusal:
+    async def _broke_off(self, reservation: Reservation) -> Refusal:
         fate = await self.ends.note_broken(
-            RequestId(reservation.request.request_id), reservation.connection, incarnation
+            RequestId(reservation.request.request_id), reservation.connection, reservation.sent_to
         )
         if fate is not Fate.LIVES:
-            reservation.broke_off_at = self.ends.key_of(incarnation)
+            reservation.broke_off_at = self.ends.key_of(reservation.sent_to)
         if fate is Fate.ENDED:
             detail = 'the back end ended'
             return Refusal(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, detail)
--- a/packages/millforkd/millforkd/endpoint/ends.py
+++ b/packages/millforkd/millforkd/endpoint/ends.py
@@ -14,7 +14,7 @@
 from millfork_scheduling.fates import Fate
 from millfork_wire.connection import Connection, PeerLost
 from millfork_wire.messages import BackEndFate
-from millforkd.watching import Address, Break, Watch, look_at
+from millforkd.watching import LEFT_WATCHED_S, Address, Break, Watch, look_at
 
 NO_ANSWER = ''
 
@@ -34,6 +34,8 @@
     number: int
     fate: Fate = Fate.UNKNOWN
     is_awaited: bool = True
+    # Whether it was called off instead, as its caller left: its back end may go on with it.
+    called_off: bool = False
 
 
 class Ends:
@@ -98,14 +100,28 @@
 
         """
         broken = Broken(request_id, connection, number)
-        await self.watch.add(str(next(self.keys)), broken)
-        if not self.is_watching:
-            self.is_watching = True
-            await self.env.spawn(self._keep_watch)
+        await self._add(broken)
         await self.watch.until_looked()
         broken.is_awaited = False
         return broken.fate
 
+    async def _add(self, broken: Broken) -> None:
+        await self.watch.add(str(next(self.keys)), broken, at_once=not broken.called_off)
+        if not self.is_watching:
+            self.is_watching = True
+            await self.env.spawn(self._keep_watch)
+
+    async def note_called_off(
+        self, request_id: RequestId, connection: Connection, number: int
+    ) -> None:
+        """
+        A request was called off that was sent to an incarnation; the entry is told whether
+        that ends soon.
+
+        """
+        broken = Broken(request_id, connection, number, is_awaited=False, called_off=True)
+        await self._add(broken)
+
     async def _keep_watch(self) -> None:
         try:
             await self.watch.run()
@@ -115,6 +131,9 @@
     def _fate(self, broken: Break[Broken]) -> Fate:
         if broken.item.number < self.number:
             return Fate.ENDED
+        if broken.item.called_off:
+            is_over = self.env.monotonic() - broken.at > LEFT_WATCHED_S
+            return Fate.LIVES if is_over else Fate.UNKNOWN
         return Fate.LIVES if self.answered > broken.at else Fate.UNKNOWN
 
     async def _look(self) -> Address:
--- a/packages/millforkd/millforkd/endpoint/reservations.py
+++ b/packages/millforkd/millforkd/endpoint/reservations.py
@@ -8,15 +8,13 @@
 
 import curio
 
-from millfork_core.ids import IncarnationKey
+from millfork_core.ids import NO_INCARNATION, IncarnationKey
 from millfork_core.verdicts import Verdict
 from millfork_routing.limits import Waiter
 from millfork_web.models import Response
 from millfork_wire.connection import Connection
 from millfork_wire.messages import Reserve
 
-NO_INCARNATION = IncarnationKey('')
-
 
 class Stage(Enum):
     """
@@ -49,6 +47,8 @@
     parts: int = 0
     bytes: int = 0
     response: Response | None = None
+    # The number of the back end's incarnation that it was sent to.
+    sent_to: int = 0
     # The back end's incarnation, if the answer broke off and it ended, or may have.
     broke_off_at: IncarnationKey = NO_INCARNATION
 
--- a/packages/millforkd/millforkd/entry/attempts.py
+++ b/packages/millforkd/millforkd/entry/attempts.py
@@ -14,6 +14,7 @@
 
 from millfork_core.environment import Environment
 from millfork_core.ids import (
+    NO_INCARNATION,
     NO_INSTANCE,
     IncarnationKey,
     InstanceId,
@@ -77,7 +78,7 @@
     """
 
     request_id: RequestId = RequestId('')
-    incarnation: IncarnationKey = IncarnationKey('')
+    incarnation: IncarnationKey = NO_INCARNATION
     # The endpoint, where the connection to it was lost: it tells nothing more of this attempt.
     lost: InstanceId = NO_INSTANCE
 
@@ -139,6 +140,8 @@
         self.ended = False
         self.next_sequence = 0
         self.received = 0
+        # The back end's incarnation that had it when it was cancelled, if one had.
+        self.called_off_at = NO_INCARNATION
 
     async def take(self, message: Message) -> None:
         """
@@ -289,4 +292,7 @@
             reply = await self.connection.call(Cancel(self.request_id), CANCEL_TIMEOUT_S)
         except PeerError:
             return Verdict.MAY_HAVE_RUN
-        return Verdict(reply.verdict) if isinstance(reply, Cancelled) else Verdict.MAY_HAVE_RUN
+        if not isinstance(reply, Cancelled):
+            return Verdict.MAY_HAVE_RUN
+        self.called_off_at = IncarnationKey(reply.incarnation)
+        return Verdict(reply.verdict)
--- a/packages/millforkd/millforkd/entry/crashes.py
+++ b/packages/millforkd/millforkd/entry/crashes.py
@@ -50,6 +50,8 @@
     since: float
     # The endpoint, where it was lost itself.
     lost: InstanceId = NO_INSTANCE
+    # Whether its caller left; it is not suspected before its back end is known to have ended.
+    called_off: bool = False
 
 
 class CallFingerprints:
@@ -135,6 +137,14 @@
             return
         await self._settle(pending, ended)
 
+    def note_left(self, call: Call, request_id: RequestId, incarnation: IncarnationKey) -> None:
+        """
+        An attempt was called off, as its caller left; its back end may end all the same.
+
+        """
+        now = self.env.monotonic()
+        self.pending[request_id] = Pending(self.known(call), incarnation, now, called_off=True)
+
     async def on_fate(self, message: BackEndFate) -> None:
         """
         An endpoint found out whether its back end ended.
@@ -164,6 +174,8 @@
             await self._settle(pending, pending.incarnation != endpoint_key(instance, start))
 
     async def _settle(self, pending: Pending, ended: bool) -> None:
+        if ended and pending.called_off:
+            await self.suspecting.note_broken(pending.before.fingerprint, pending.incarnation)
         if ended:
             await self.suspecting.note_end(pending.before, pending.incarnation)
             self._log_end(pending.before)
--- a/packages/millforkd/millforkd/entry/dispatch.py
+++ b/packages/millforkd/millforkd/entry/dispatch.py
@@ -154,7 +154,7 @@
             backend.mine -= 1
             del self.attempts[request_id]
             if attempt.started and not attempt.ended:
-                await self.env.spawn(attempt.cancel)
+                await self.env.spawn(self._call_off, call, attempt)
         if refusal is None:
             backend.note_taken(sent_at)
             return None
@@ -164,6 +164,11 @@
         self._learn(call, backend, refusal)
         return refusal
 
+    async def _call_off(self, call: Call, attempt: Attempt) -> None:
+        await attempt.cancel()
+        if attempt.called_off_at:
+            self.crashes.note_left(call, attempt.request_id, attempt.called_off_at)
+
     async def _attempt_steps(
         self, call: Call, attempt: Attempt, delivery: Delivery
     ) -> Refusal | None:
--- a/packages/millforkd/millforkd/proxy/ends.py
+++ b/packages/millforkd/millforkd/proxy/ends.py
@@ -20,14 +20,19 @@
 from millfork_scheduling.fates import Fate, fate_of
 from millfork_scheduling.server import Server
 from millforkd.suspecting import Suspecting
-from millforkd.watching import WATCH_EVERY_S, WATCHED_S, Address, Break, Watch, look_at
+from millforkd.watching import (
+    LEFT_WATCHED_S,
+    WATCH_EVERY_S,
+    WATCHED_S,
+    Address,
+    Break,
+    Watch,
+    look_at,
+)
 
 log = logger(Part.PROXY)
 
 
-# An end this long after its caller left counts for a request: a back end that goes on with it
-# is through with it, or through, by then.
-LEFT_WATCHED_S: Final = 2.0
 # Requests whose callers left, of which it is remembered for so long.
 LEFT_REMEMBERED_S: Final = 60.0
 MOST_LEFT: Final = 1024
@@ -119,7 +124,7 @@
         if held is not None:
             before = max(held.item.before, sent.before, key=lambda item: item.order)
             sent = Sent(before, sent.caller_left and held.item.caller_left)
-        await watch.add(sent.before.fingerprint, sent)
+        await watch.add(sent.before.fingerprint, sent, at_once=not sent.caller_left)
         if is_new:
             await self.env.spawn(self._keep, watch, key)
         return watch
--- a/packages/millforkd/millforkd/watching.py
+++ b/packages/millforkd/millforkd/watching.py
@@ -19,6 +19,8 @@
 # closes at this moment may reset a connection before it refuses the next.
 GATHER_S: Final = 0.01
 LOOKS: Final = 2
+# Where there is no hurry, looks begin at the pace that follows so many.
+LATER_LOOKS: Final = 4
 # Zones are a few milliseconds apart; silence tells nothing yet, as behind a cut.
 PROBE_TIMEOUT_S: Final = 0.4
 # Who waits for the fate of a back end waits no longer than this: it may not be known for
@@ -31,6 +33,10 @@
 WATCH_EVERY_S: Final = 0.5
 WATCHED_S: Final = 20.0
 
+# An end this long after its caller left counts for a request: a back end that goes on with it
+# is through with it, or through, by then.
+LEFT_WATCHED_S: Final = 2.0
+
 log = logger(Part.DAEMON)
 
 Item = TypeVar('Item')
@@ -102,15 +108,21 @@
     # Set once its fate is known, or not to be had within moments.
     looked: curio.Event = field(default_factory=curio.Event)
 
-    async def add(self, key: str, item: Item) -> None:
+    async def add(self, key: str, item: Item, at_once: bool = True) -> None:
         """
-        Something broke off at this moment; it takes the place of what had the same key.
+        Something broke off at this moment; it takes the place of what had the same key. Where
+        its back end may end only later, it need not be looked at at once.
 
         """
+        was_idle = not self.breaks
         self.breaks[key] = Break(item, self.env.monotonic())
-        self.looks = 0
-        self.looked.clear()
-        await self.hurry.set()
+        if at_once:
+            self.looks = 0
+            self.looked.clear()
+            await self.hurry.set()
+            return
+        if was_idle:
+            self.looks = LATER_LOOKS
 
     async def until_looked(self) -> None:
         """
--- a/tests/mutations_listed.py
+++ b/tests/mutations_listed.py
@@ -81,6 +81,12 @@
         'tests/test_requests_that_take_their_endpoints.py',
         (Edit(D + 'entry/attempts.py', 'if not self.backend.start:', 'if True:'),),
     ),
+    Mutation(
+        'an end counts also after its call was called off',
+        'tests/test_crashing_requests_on_listed_fleets.py::'
+        'test_ends_count_also_after_their_callers_left',
+        (Edit(D + 'entry/dispatch.py', 'if attempt.called_off_at:', 'if False:'),),
+    ),
     Mutation(
         'an entry that starts learns which requests end back ends',
         'tests/test_spreading_suspicions.py::test_an_entry_that_starts_learns_what_others_know',
--- a/tests/test_crashing_requests_on_listed_fleets.py
+++ b/tests/test_crashing_requests_on_listed_fleets.py
@@ -80,3 +80,14 @@
         crashing.fleet.wait_ready(entry)
         assert crashing.call(number, nonce='outlives').json()['reason'] == 'quarantined'
     assert crashing.ended() == before
+
+
+def test_ends_count_also_after_their_callers_left(crashing):
+    """
+    Callers give up after 0.1 s, come back, and leave a request that ends its engine after 0.2 s.
+
+    """
+    before = crashing.ended()
+    for number in range(CALLS):
+        crashing.call_and_leave(number % len(crashing.fleet.entries), nonce='left')
+    assert crashing.ended() - before <= ENDS + MOST_AFTER
--- a/tests/utils/crashing.py
+++ b/tests/utils/crashing.py
@@ -10,11 +10,13 @@
 from millfork_standins.deployments import LANTING
 from millfork_standins.engine import CRASHED, CRASHING_PROMPT
 from millfork_standins.fleet import Fleet
-from millfork_standins.layout import FleetOptions
+from millfork_standins.layout import CALLERS_PORT, FleetOptions
+from millfork_standins.requests import fetch
 from tests.utils.fleets import complete, serve_version, wait_until
 
 BACK_AFTER_S = 1.0
 LOOK_S = 0.05
+LEAVES_AFTER_S = 0.1
 
 
 class CrashingFleet:
@@ -65,6 +67,22 @@
             # A stream that had begun broke off.
             return None
 
+    def call_and_leave(self, entry, **fields):
+        """
+        One call of the request, whose caller leaves; returns once the engine that had it ended.
+
+        """
+        wait_until(lambda: complete(self.fleet, self.token, entry).status == 200)
+        before = self.ended()
+        body = {'model': 'main', 'prompt': CRASHING_PROMPT, 'max_tokens': 4, **fields}
+        headers = {'authorization': f'Bearer {self.token}'}
+        host = self.fleet.entries[entry].host
+        data = json.dumps(body).encode()
+        try:
+            fetch('POST', host, CALLERS_PORT, '/v1/completions', data, headers, LEAVES_AFTER_S)
+        except TimeoutError:
+            wait_until(lambda: self.ended() > before)
+
     def at_fault(self):
         """
         The requests that the first entry found at fault, by fingerprint.
