Calls of listed fleets whose time was up count as called off

An attempt that was given up at its deadline was forgotten, as one whose caller left had been; the same watch of its back end now covers both (a test with an endpoint that answers only to being called off, failed before by reading: nothing was noted). Names of what an endpoint was told of its back end say what they hold.

--- a/packages/millforkd/millforkd/endpoint/ends.py
+++ b/packages/millforkd/millforkd/endpoint/ends.py
@@ -59,9 +59,9 @@
         self.start = time.time_ns()
         self.number = 0
         # As the back end tells it; empty where it is not known.
-        self.told = NO_ANSWER
+        self.told_incarnation = NO_ANSWER
         # When the latest of what it answered was sent, in monotonic seconds.
-        self.answered = float('-inf')
+        self.answered_sent_at = float('-inf')
         self.keys = itertools.count(1)
         self.watch: Watch[Broken] = Watch(env, self._look, self._fate, self._settle)
         self.is_watching = False
@@ -74,24 +74,24 @@
         It answered what was sent at a moment in monotonic seconds.
 
         """
-        self.answered = max(self.answered, sent_at)
+        self.answered_sent_at = max(self.answered_sent_at, sent_at)
 
     def note_incarnation(self, told: str, asked_at: float) -> None:
         """
         It told its incarnation when it was asked at a moment in monotonic seconds.
 
         """
-        if told == self.told:
+        if told == self.told_incarnation:
             self.note_answer(asked_at)
             return
-        if self.told:
+        if self.told_incarnation:
             self._begin_next()
-        self.told = told
+        self.told_incarnation = told
 
     def _begin_next(self) -> None:
         self.number += 1
-        self.told = NO_ANSWER
-        self.answered = float('-inf')
+        self.told_incarnation = NO_ANSWER
+        self.answered_sent_at = float('-inf')
 
     async def note_broken(self, request_id: RequestId, connection: Connection, number: int) -> Fate:
         """
@@ -134,7 +134,7 @@
         if broken.item.called_off:
             is_over = self.env.monotonic() - broken.at > LEFT_WATCHED_S
             return Fate.LIVES if is_over else Fate.UNKNOWN
-        return Fate.LIVES if self.answered > broken.at else Fate.UNKNOWN
+        return Fate.LIVES if self.answered_sent_at > broken.at else Fate.UNKNOWN
 
     async def _look(self) -> Address:
         if self.ask is not None:
--- a/packages/millforkd/millforkd/entry/crashes.py
+++ b/packages/millforkd/millforkd/entry/crashes.py
@@ -24,11 +24,14 @@
 from millforkd.quarantine import Quarantine
 from millforkd.suspecting import Suspecting
 
-DETAILS = {
+DETAILS: Final = {
     Standing.AT_FAULT: 'back ends end when they run this request',
     Standing.SUSPECTED: 'back ends broke off when they ran this request',
 }
-REASONS = {Standing.AT_FAULT: Reason.QUARANTINED, Standing.SUSPECTED: Reason.SUSPECTED}
+REASONS: Final = {
+    Standing.AT_FAULT: Reason.QUARANTINED,
+    Standing.SUSPECTED: Reason.SUSPECTED,
+}
 
 # An endpoint watches its back end for 20 s; one that is gone tells nothing any more.
 PENDING_S: Final = 30.0
@@ -139,7 +142,8 @@
 
     def note_left(self, call: Call, request_id: RequestId, incarnation: IncarnationKey) -> None:
         """
-        An attempt was called off, as its caller left; its back end may end all the same.
+        An attempt was called off, as its caller left or its time was up; its back end may end
+        all the same.
 
         """
         now = self.env.monotonic()
--- a/packages/millforkd/millforkd/entry/dispatch.py
+++ b/packages/millforkd/millforkd/entry/dispatch.py
@@ -155,6 +155,8 @@
             del self.attempts[request_id]
             if attempt.started and not attempt.ended:
                 await self.env.spawn(self._call_off, call, attempt)
+            else:
+                self._note_called_off(call, attempt)
         if refusal is None:
             backend.note_taken(sent_at)
             return None
@@ -166,6 +168,9 @@
 
     async def _call_off(self, call: Call, attempt: Attempt) -> None:
         await attempt.cancel()
+        self._note_called_off(call, attempt)
+
+    def _note_called_off(self, call: Call, attempt: Attempt) -> None:
         if attempt.called_off_at:
             self.crashes.note_left(call, attempt.request_id, attempt.called_off_at)
 
--- a/packages/millforkd/millforkd/watching.py
+++ b/packages/millforkd/millforkd/watching.py
@@ -33,8 +33,8 @@
 WATCH_EVERY_S: Final = 0.5
 WATCHED_S: Final = 20.0
 
-# An end this long after its caller left counts for a request: a back end that goes on with it
-# is through with it, or through, by then.
+# An end within this time after its caller left counts for a request: a back end that goes on
+# with it has finished it by then, or has ended.
 LEFT_WATCHED_S: Final = 2.0
 
 log = logger(Part.DAEMON)
--- a/tests/test_late_ends_at_endpoints.py
+++ b/tests/test_late_ends_at_endpoints.py
@@ -3,6 +3,8 @@
 
 """
 
+from types import SimpleNamespace
+
 import curio
 import pytest
 
@@ -12,14 +14,17 @@
 from millfork_routing.balance import Backend
 from millfork_scheduling.fates import Fate
 from millfork_scheduling.quarantine import ENDS
+from millfork_settings.models import RoutingSettings
 from millfork_state.view import View
 from millfork_wire.connection import PeerLost
-from millfork_wire.messages import BackEndFate, End
+from millfork_wire.messages import BackEndFate, Cancelled, End, Reserve, Reserved
 from millforkd.endpoint import ends as ends_module
 from millforkd.endpoint.ends import Ends
 from millforkd.entry import crashes as crashes_module
 from millforkd.entry.attempts import Attempt, BrokeOff, Call, Lost
 from millforkd.entry.crashes import Crashes
+from millforkd.entry.delivery import Delivery
+from millforkd.entry.dispatch import Dispatch
 from millforkd.watching import Address
 
 ADDRESS = ('127.0.0.1', 1)
@@ -256,3 +261,57 @@
         assert second == Refusal(Reason.TRUNCATED, Verdict.MAY_HAVE_RUN, 'why')
 
     curio.run(run)
+
+
+@pytest.mark.parametrize('ended', [True, False])
+def test_a_call_whose_time_was_up_counts_if_its_back_end_ends(ended):
+    async def run():
+        breaks = Breaks()
+        for number in range(ENDS):
+            request_id = RequestId(f'r-{number}')
+            incarnation = IncarnationKey(f'e-{number}/1.0')
+            breaks.crashes.note_left(breaks.call, request_id, incarnation)
+            assert breaks.barred is None
+            await breaks.tell(number, ended)
+        assert breaks.barred is (Reason.QUARANTINED if ended else None)
+
+    curio.run(run)
+
+
+class TimedOut:
+    """
+    The connection to an endpoint that answers only to calls it off.
+
+    """
+
+    def __init__(self, incarnation):
+        self.incarnation = incarnation
+
+    async def call(self, message, timeout):
+        if isinstance(message, Reserve):
+            return Reserved(True)
+        return Cancelled(message.request_id, Verdict.MAY_HAVE_RUN.value, self.incarnation)
+
+    async def notify(self, message):
+        return
+
+
+@pytest.mark.parametrize('incarnation', ['e-1/1.0', ''])
+def test_an_attempt_whose_time_is_up_is_remembered_if_its_back_end_had_it(incarnation):
+    async def run():
+        backend = Backend(InstanceId('e-1'), ZoneId('z'), start=1)
+        backend.served = {'s': 'v'}
+        book = SimpleNamespace(
+            serving=lambda service: [backend],
+            connections={backend.instance: TimedOut(incarnation)},
+        )
+        dispatch = Dispatch(Environment(InstanceId('a'), ZoneId('z')), RoutingSettings(), book)
+        deadline = dispatch.env.monotonic() + 0.05
+        call = Call('o', 's', 'GET', '/', [], b'', False, '', '', '', 0, deadline)
+        refusal = await dispatch.run(call, Delivery(None))
+        assert refusal.reason is Reason.TIMED_OUT
+        assert [item.incarnation for item in dispatch.crashes.pending.values()] == (
+            [incarnation] if incarnation else []
+        )
+
+    curio.run(run)
