A back end whose lease outlasts what leases do lives on

Cause: where starts are not told, an entry that sent nothing to a back end learned nothing of it, and looked at its address until it ended for another reason. Evidence: `Back end ended. ... after_ms=7710`, the others 11 to 20 ms. Ruled out: an address that closes late, as that back end answered other entries in between.

The test failed before.

--- a/packages/millfork-scheduling/millfork_scheduling/book.py
+++ b/packages/millfork-scheduling/millfork_scheduling/book.py
@@ -172,7 +172,7 @@
         by_id = self.servers.get(server.instance)
         by_address = self.index.by_address.get((server.host, server.port))
         known = [other for other in (by_id, by_address) if other is not None]
-        return fate_of(server, since, known)
+        return fate_of(server, since, known, self.monotonic())
 
     def compare(self, wanted: Wanted, tried: set[InstanceId]) -> list[Server]:
         """
--- a/packages/millfork-scheduling/millfork_scheduling/fates.py
+++ b/packages/millfork-scheduling/millfork_scheduling/fates.py
@@ -18,6 +18,8 @@
 READ_LATE_S: Final = 0.1
 # A daemon tells what its engine said up to this long ago.
 REPORT_LAG_S: Final = 1.0
+# The lease of a back end that ended has run out by then, also here.
+LEASE_OUT_S: Final = 6.0
 
 
 class Fate(Enum):
@@ -31,7 +33,9 @@
     UNKNOWN = 'unknown'
 
 
-def fate_of(server: Server, since: float, known: Iterable[Server] = ()) -> Fate:
+def fate_of(
+    server: Server, since: float, known: Iterable[Server] = (), now: float = float('-inf')
+) -> Fate:
     """
     What became of a back end since a moment, in monotonic seconds; `known` are the back ends
     with a lease now that have its id or its address.
@@ -42,7 +46,7 @@
     for other in known:
         if other.instance != server.instance or other.is_another(server.incarnation):
             return Fate.ENDED
-        if _was_heard(other, since):
+        if _was_heard(other, since) or now - since > LEASE_OUT_S:
             return Fate.LIVES
     return Fate.LIVES if _was_heard(server, since) else Fate.UNKNOWN
 
--- a/tests/test_fates.py
+++ b/tests/test_fates.py
@@ -6,7 +6,7 @@
 import pytest
 
 from millfork_core.ids import Incarnation, InstanceId, ServiceName, ZoneId
-from millfork_scheduling.fates import READ_LATE_S, REPORT_LAG_S, Fate, fate_of
+from millfork_scheduling.fates import LEASE_OUT_S, READ_LATE_S, REPORT_LAG_S, Fate, fate_of
 from millfork_scheduling.server import Server
 
 BROKE_AT = 100.0
@@ -55,6 +55,18 @@
     assert fate_of(broken, BROKE_AT, [known]) is Fate.LIVES
 
 
+def test_it_lives_on_where_its_lease_outlasts_what_leases_do():
+    """
+    An entry that sent nothing there meanwhile counted an end 7.7 s after an answer broke off.
+
+    """
+    broken = server(incarnation=0)
+    later = BROKE_AT + LEASE_OUT_S
+    assert fate_of(broken, BROKE_AT, [broken], later) is Fate.UNKNOWN
+    assert fate_of(broken, BROKE_AT, [broken], later + 0.1) is Fate.LIVES
+    assert fate_of(broken, BROKE_AT, [], later + 0.1) is Fate.UNKNOWN
+
+
 def test_reports_say_nothing_of_a_back_end_whose_start_is_not_told():
     broken = server(incarnation=0)
     broken.reported_at = BROKE_AT + REPORT_LAG_S * 2
