A pause of a sound back end costs no caller its answer

Seen by callers: a back end pauses for 1.5 s or 1.9 s and goes on. With one allowed attempt, 0 of 6 streams were whole: three broken off, then 503 for the rest. With two, two were broken off (in the stream) or answered 502 (before the head), then 503.

Cause: after 1.2 s of silence an entry gave the attempt up as a lost connection, also where no further attempt was allowed or no back end was free, and counted it as one: the request became suspected, the back end failed, the idle connections to it were closed.

Change: silence ends no attempt. Where a further attempt is allowed, the retry budget has one left and a back end can serve it, a second attempt runs beside the first one, and the caller gets the answer of the one that sends data first. So a pause costs nothing if the second back end turns the request away or fails, and a back end that stays silent is still replaced after 1.2 s. A silent back end is avoided until it sends something, and watched; the request is suspected only once the back end is known to have ended.

Also: an answer that has begun is continued only if it is a stream with event ids; a large plain answer that broke off was sent to another back end, whose answer could not be passed on.

--- a/packages/millfork-scheduling/millfork_scheduling/server.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server.py
@@ -27,6 +27,8 @@
 # in a row up to `MAX_TURNED_AWAY_S`: the back end may be full for a moment, or reject everything.
 FIRST_TURNED_AWAY_S: Final = 0.05
 MAX_TURNED_AWAY_S: Final = 2.0
+# A silent back end is avoided for this long: one that only pauses goes on within two seconds.
+SILENCE_AVOIDANCE_S: Final = 2.0
 # Weight of the latest request in a back end's failure rate (an exponential moving average).
 FAILURE_WEIGHT: Final = 0.1
 # Weight of the latest request in the mean service time of a back end.
@@ -146,6 +148,8 @@
     turned_away: int = 0
     turned_away_at: float = float('-inf')
     avoided_until: float = float('-inf')
+    # The back end is avoided until then because it was silent; reset when it sends something.
+    silent_until: float = float('-inf')
     # When this entry last received data from the back end.
     last_received_at: float = float('-inf')
     # By urgency (queue rank at the engine): when the latest of the requests that the back end has
@@ -266,6 +270,25 @@
         self.avoided_until = now + wait
         self.record_outcome(failed=True)
 
+    def is_avoided(self, now: float) -> bool:
+        return now < max(self.avoided_until, self.silent_until)
+
+    def record_silence(self, now: float) -> None:
+        """
+        Record that the back end has sent nothing for a while. It may only pause, so this counts
+        as no failure.
+
+        """
+        self.silent_until = now + SILENCE_AVOIDANCE_S
+
+    def record_received(self, now: float) -> None:
+        """
+        Record that the back end has sent data.
+
+        """
+        self.last_received_at = now
+        self.silent_until = float('-inf')
+
     def record_turned_away(self, sent_at: float, now: float) -> None:
         """
         Record that a request sent at `sent_at` was turned away; the back end is avoided for a
--- a/packages/millfork-scheduling/millfork_scheduling/server_table.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server_table.py
@@ -344,7 +344,7 @@
     def _is_untried_and_not_avoided(
         self, server: Server, tried: set[InstanceId], now: float
     ) -> bool:
-        return server.instance not in tried and server.avoided_until <= now
+        return server.instance not in tried and not server.is_avoided(now)
 
     def _choose_from_all(
         self,
@@ -373,7 +373,7 @@
             if server.instance not in tried
             and self._can_serve_now(server, requirements, paths, now)
         ]
-        return [server for server in eligible if server.avoided_until <= now] or eligible
+        return [server for server in eligible if not server.is_avoided(now)] or eligible
 
     def closure(self, server: Server) -> Closure | None:
         """
--- a/packages/millfork-standins/millfork_standins/bench/routing.py
+++ b/packages/millfork-standins/millfork_standins/bench/routing.py
@@ -18,8 +18,9 @@
 
 from millfork_adapter.exchange import CallerRequest
 from millfork_core.environment import Environment
-from millfork_core.ids import InstanceId, ServiceName, ZoneId
+from millfork_core.ids import Fingerprint, InstanceId, ServiceName, ZoneId
 from millfork_registry.records import EndpointState, Lease, LeaseState, ServedVersion
+from millfork_registry.suspicion_store import Suspicion
 from millfork_routing.documents import EngineSpec, Route, RouteKind, Share
 from millfork_scheduling.load_queries import needs_fresh_loads
 from millfork_scheduling.placement import Choice, Requirements
@@ -31,7 +32,8 @@
 from millfork_state.view import View
 from millfork_web.server import Exchange
 from millforkd.proxy.admission import Admission
-from millforkd.proxy.job import Attempt, Job
+from millforkd.proxy.attempts import Attempt
+from millforkd.proxy.job import Job
 from millforkd.versions import VersionTracker
 
 SERVICE: Final = ServiceName('engines')
@@ -381,7 +383,7 @@
         return Job(exchange, caller, route, None, requirements, 1, now, now + 6, 1, elapsed_ms)
 
     def _start(self, request: ModelRequest, table: ServerTable, choice: Choice) -> None:
-        attempt = Attempt(choice, self.scheduler.now)
+        attempt = Attempt(choice, self.scheduler.now, Suspicion(Fingerprint('')))
         attempt.begin()
         one_way_s = SAME_ZONE_DELAY_S if choice.server.zone == table.zone else CROSS_ZONE_DELAY_S
 
--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -41,6 +41,9 @@
 WAIT_TIMEOUT_S: Final = 20.0
 CALL_TIMEOUT_S: Final = 5.0
 LOAD_THREADS: Final = 32
+# Requests with this path prefix are answered with a stream of `STREAM_EVENTS` events.
+STREAM_PATH: Final = '/stream/'
+STREAM_EVENTS: Final = 8
 # A request with this body crashes the back end that runs it.
 CRASHING_BODY: Final = b'this ends the back end that runs it'
 
@@ -75,6 +78,14 @@
     return Reply(response.status, headers, body)
 
 
+def stream_event(number: int) -> bytes:
+    """
+    The event of a simulated stream that has the id `number`.
+
+    """
+    return f'id: {number}\ndata: word {number}\n\n'.encode()
+
+
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = 'HTTP/1.1'
     server: 'BackEnd'
@@ -111,6 +122,14 @@
             self.connection.shutdown(socket.SHUT_RDWR)
             return
         self.server.release.wait(WAIT_TIMEOUT_S)
+        self.server.reach_event(0)
+        resumed = client_requests.LAST_EVENT_ID in self.headers
+        if self.server.fails_requests or self.server.fleet.take_failure(resumed):
+            self._send_failure()
+            return
+        if self.path.startswith(STREAM_PATH):
+            self._send_stream()
+            return
         body = b'answer'
         time.sleep(self.server.service_time_s)
         self.send_response(200)
@@ -121,6 +140,36 @@
         self.end_headers()
         self.wfile.write(body)
 
+    def _send_failure(self) -> None:
+        self.send_response(500)
+        self.send_header(client_requests.REQUEST_ID, self.headers[client_requests.REQUEST_ID])
+        self.send_header('content-length', '0')
+        self.end_headers()
+
+    def _send_stream(self) -> None:
+        """
+        Send the events after the one that the request names as the last one received.
+
+        """
+        self.send_response(200)
+        self.send_header(client_requests.REQUEST_ID, self.headers[client_requests.REQUEST_ID])
+        self.send_header(client_requests.SIGNATURE, self.server.instance)
+        self.send_header('content-type', 'text/event-stream')
+        self.send_header('transfer-encoding', 'chunked')
+        self.end_headers()
+        last_received = int(self.headers.get(client_requests.LAST_EVENT_ID, '0'))
+        for number in range(last_received + 1, STREAM_EVENTS + 1):
+            if self.server.fleet.take_break(number):
+                self.close_connection = True
+                self.connection.shutdown(socket.SHUT_RDWR)
+                return
+            self._send_chunk(stream_event(number))
+            self.server.reach_event(number)
+        self._send_chunk(b'')
+
+    def _send_chunk(self, data: bytes) -> None:
+        self.wfile.write(b'%x\r\n%s\r\n' % (len(data), data))
+
     def _send_extra_headers(self) -> None:
         for name, value in self.server.extra_headers.items():
             self.send_header(name, value)
@@ -165,6 +214,13 @@
         # Whether all requests are answered with 503 and the header which says that the request was
         # not run.
         self.turns_away = False
+        # Whether requests are answered with status 500.
+        self.fails_requests = False
+        # The back end falls silent once, for `pause_s`, after this event of a stream (0:
+        # before the head of an answer; None: never).
+        self.pause_after_event: int | None = None
+        self.pause_s = 0.0
+        self.silent_until = 0.0
         # Requests that are executed wait for this event before they are answered.
         self.release = threading.Event()
         self.release.set()
@@ -198,6 +254,17 @@
         self._close_connections()
         threading.Thread(target=self._finish_crash, daemon=True).start()
 
+    def reach_event(self, number: int) -> None:
+        """
+        Begin the pause if it is due after this event. While the back end is silent, all its
+        answers wait here.
+
+        """
+        if number == self.pause_after_event:
+            self.pause_after_event = None
+            self.silent_until = time.monotonic() + self.pause_s
+        time.sleep(max(self.silent_until - time.monotonic(), 0.0))
+
     def _finish_crash(self) -> None:
         if self.address_close_delay_s:
             time.sleep(self.address_close_delay_s)
@@ -305,6 +372,11 @@
         self.back_end_host = f'{network}.3.1'
         # Hosts of the endpoint daemons; no engine runs beside them.
         self.endpoint_hosts = [f'{network}.4.{number}' for number in range(1, endpoints + 1)]
+        # The event before which streams break off, and the number of streams that are still to.
+        self.break_before_event = 0
+        self.breaks_left = 0
+        # The number of resumed streams that are still to be answered with status 500.
+        self.resume_failures_left = 0
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.back_ends: list[BackEnd] = []
 
@@ -367,6 +439,26 @@
         self.back_ends.append(back_end)
         return back_end
 
+    def take_break(self, event: int) -> bool:
+        """
+        Return True if a stream is to break off before this event.
+
+        """
+        if not self.breaks_left or event != self.break_before_event:
+            return False
+        self.breaks_left -= 1
+        return True
+
+    def take_failure(self, resumed: bool) -> bool:
+        """
+        Return True if a request is to be answered with status 500.
+
+        """
+        if not self.resume_failures_left or not resumed:
+            return False
+        self.resume_failures_left -= 1
+        return True
+
     def control(self, request: Request) -> Reply:
         """
         Send an operator's request to the replicas in turn until one answers with a status
--- /dev/null
+++ b/packages/millforkd/millforkd/proxy/attempts.py
@@ -0,0 +1,171 @@
+"""
+The attempts of one job, of which two may be in progress at a time.
+
+A sound back end may pause for up to two seconds, so silence ends no attempt. While a back end is
+silent, a second one may be asked for the answer (a hedged request). The caller gets the answer of
+the attempt that first has something to pass on.
+
+"""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+import curio
+
+from millfork_core.verdicts import Reason, Verdict
+from millfork_registry.suspicion_store import Suspicion
+from millfork_scheduling.placement import Choice
+from millfork_scheduling.server import Server
+from millforkd.proxy.connections import ServerConnection
+
+MAX_CONCURRENT_ATTEMPTS: Final = 2
+
+
+class Superseded(Exception):
+    """
+    Another attempt passes its answer on to the caller, so this one has to end.
+
+    """
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """
+    One attempt to serve a job at a back end. While in progress, the attempt is counted in
+    `Server.own_requests`; until the first token arrives, in `Server.own_awaiting_first_token` as
+    well. `before` is the suspicion of the request when the attempt began.
+
+    """
+
+    choice: Choice
+    started_at: float
+    before: Suspicion
+    awaiting_first_token: bool = True
+    # None until a connection to the back end is open.
+    connection: ServerConnection | None = None
+    # The back ends that the request was sent to; empty before the request is sent and after a
+    # complete answer.
+    pending_servers: tuple[Server, ...] = ()
+    # Whether the back end was silent at some time of this attempt.
+    was_silent: bool = False
+    # Whether another attempt has claimed the answer.
+    superseded: bool = False
+
+    @property
+    def server(self) -> Server:
+        return self.choice.server
+
+    def begin(self) -> None:
+        self.server.own_requests += 1
+        self.server.own_awaiting_first_token += 1
+
+    def mark_first_token(self) -> None:
+        """
+        Record that the first token has arrived, so the prompt has been read.
+
+        """
+        if self.awaiting_first_token:
+            self.awaiting_first_token = False
+            self.server.own_awaiting_first_token -= 1
+
+    def end(self) -> None:
+        self.mark_first_token()
+        self.server.own_requests -= 1
+
+    async def interrupt(self) -> None:
+        """
+        Make the attempt end, unless it is still opening a connection.
+
+        """
+        if self.connection is not None:
+            await self.connection.interrupt()
+
+
+@dataclass(frozen=True, slots=True)
+class FailedAttempt:
+    """
+    An attempt that ended without an answer for the caller.
+
+    """
+
+    reason: Reason
+    verdict: Verdict
+    detail: str
+    # False if the attempt was given up between connecting and sending; the next attempt then
+    # replaces this one and spends no retry budget.
+    sent: bool = True
+
+
+@dataclass(slots=True)
+class AnswerRace:
+    """
+    The attempts of a job that are in progress, and the one whose answer the caller gets.
+
+    """
+
+    running: list[Attempt] = field(default_factory=list)
+    # The attempt that claimed the answer; None while attempts compete for it.
+    winner: Attempt | None = None
+    # The tasks of the attempts that were started beside a silent one.
+    hedges: list[curio.Task] = field(default_factory=list)
+
+    @property
+    def may_hedge(self) -> bool:
+        return len(self.running) < MAX_CONCURRENT_ATTEMPTS
+
+    def begin(self, attempt: Attempt) -> None:
+        self.running.append(attempt)
+        self.winner = None
+
+    def check(self, attempt: Attempt) -> None:
+        """
+        Check that an attempt may go on.
+
+        :raises Superseded: if another attempt has claimed the answer.
+
+        """
+        if attempt.superseded:
+            raise Superseded
+
+    async def claim(self, attempt: Attempt) -> None:
+        """
+        Make an attempt the one whose answer the caller gets, and end the others.
+
+        :raises Superseded: if another attempt has claimed the answer.
+
+        """
+        self.check(attempt)
+        if self.winner is attempt:
+            return
+        self.winner = attempt
+        for other in self.running:
+            if other is attempt:
+                continue
+            other.superseded = True
+            await other.interrupt()
+
+    async def wait_for_hedges(self) -> bool:
+        """
+        Wait for the tasks in `hedges`. Returns whether one of them has served the caller; the
+        remaining tasks are then not waited for.
+
+        :raises Exception: as a task raised it.
+
+        """
+        while self.hedges:
+            task = self.hedges[0]
+            await task.wait()
+            self.hedges.remove(task)
+            if task.exception is not None:
+                raise task.exception
+            if task.result:
+                return True
+        return False
+
+    async def cancel_hedges(self) -> None:
+        """
+        Cancel the tasks in `hedges`, and wait until they have ended.
+
+        """
+        while self.hedges:
+            await self.hedges.pop().cancel()
--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -67,7 +67,7 @@
         self.headers: Headers = []
         # Whether the answer was received to its end.
         self.complete = False
-        # Whether the connection broke off or was given up as silent.
+        # Whether the connection broke off, or was silent until another back end took over.
         self.lost = False
 
     async def send(self, method: str, path: str, headers: Headers, body: bytes) -> None:
@@ -166,6 +166,16 @@
         done = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
         return self.complete and done and not self.http.trailing_data[0]
 
+    async def interrupt(self) -> None:
+        """
+        Make the task that waits for data of this connection see the connection as broken off.
+
+        """
+        try:
+            await self.sock.shutdown(socket_.SHUT_RDWR)
+        except OSError as error:
+            log.debug('A connection was closed before it could be interrupted: {}.', error)
+
     async def abandon(self) -> None:
         """
         Reset the connection, so that the unsent part of a request never reaches the back end.
--- a/packages/millforkd/millforkd/proxy/end_detection.py
+++ b/packages/millforkd/millforkd/proxy/end_detection.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import IntEnum
 from functools import partial
 from typing import Final
 
@@ -52,17 +53,29 @@
     before: Suspicion
 
 
+class InterruptionKind(IntEnum):
+    """
+    How a request was interrupted; a higher value is stronger evidence that the back end ended.
+
+    """
+
+    # The caller left, or the deadline passed, before the back end answered.
+    CALLER_LEFT = 1
+    # The back end sent nothing for a while.
+    SILENT = 2
+    # The answer broke off.
+    BROKEN = 3
+
+
 @dataclass(frozen=True, slots=True)
 class InterruptedRequest:
     """
-    A request whose answer broke off, or, if `caller_left` is set, whose caller left or whose
-    deadline passed before the back end answered. `before` is the suspicion of the request when it
-    was sent.
+    A request that was interrupted. `before` is the suspicion of the request when it was sent.
 
     """
 
     before: Suspicion
-    caller_left: bool = False
+    kind: InterruptionKind
 
 
 def incarnation_key(server: Server) -> IncarnationKey:
@@ -107,9 +120,20 @@
             del self.abandoned[next(iter(self.abandoned))]
         if last is None or now - last.at > CALLER_LEFT_MEMORY_S:
             return
-        await self._add(server, InterruptedRequest(before, caller_left=True))
+        await self._add(server, InterruptedRequest(before, InterruptionKind.CALLER_LEFT))
         if now - last.at < CALLER_LEFT_WATCH_S:
-            await self._add(last.server, InterruptedRequest(last.before, caller_left=True))
+            await self._add(
+                last.server, InterruptedRequest(last.before, InterruptionKind.CALLER_LEFT)
+            )
+
+    async def record_silence(self, server: Server, before: Suspicion) -> None:
+        """
+        Record that a back end was silent while it had a request to answer; `before` is the
+        suspicion of the request when it was sent there. The request is suspected only once it is
+        known that the back end ended.
+
+        """
+        await self._add(server, InterruptedRequest(before, InterruptionKind.SILENT))
 
     async def record_broken_connection(self, server: Server, before: Suspicion) -> None:
         """
@@ -117,7 +141,7 @@
         when it was sent there. Returns once the back end was probed, or after a short timeout.
 
         """
-        watch = await self._add(server, InterruptedRequest(before))
+        watch = await self._add(server, InterruptedRequest(before, InterruptionKind.BROKEN))
         await self.suspicion_updater.record_broken_connection(
             before.fingerprint, incarnation_key(server)
         )
@@ -129,7 +153,7 @@
         """
         Add an interrupted request to the watch of the back end; starts a watch if there is none.
         If the watch already holds a request with this fingerprint, the newer of the two suspicions
-        is kept, and `caller_left` is set only if it is set for both requests.
+        and the stronger of the two kinds are kept.
 
         """
         key = incarnation_key(server)
@@ -141,11 +165,11 @@
         earlier = watch.interruptions.get(interrupted.before.fingerprint)
         if earlier is not None:
             before = max(earlier.subject.before, interrupted.before, key=lambda item: item.sort_key)
-            interrupted = InterruptedRequest(
-                before, interrupted.caller_left and earlier.subject.caller_left
-            )
+            interrupted = InterruptedRequest(before, max(interrupted.kind, earlier.subject.kind))
         await watch.add(
-            interrupted.before.fingerprint, interrupted, urgent=not interrupted.caller_left
+            interrupted.before.fingerprint,
+            interrupted,
+            urgent=interrupted.kind is InterruptionKind.BROKEN,
         )
         if is_new:
             await self.env.spawn(self._run_watch, watch, key)
@@ -165,7 +189,8 @@
         self, server: Server, interruption: Interruption[InterruptedRequest]
     ) -> IncarnationStatus:
         status = self.status_of(server, interruption.at)
-        if status is IncarnationStatus.ENDED or not interruption.subject.caller_left:
+        kind = interruption.subject.kind
+        if status is IncarnationStatus.ENDED or kind is not InterruptionKind.CALLER_LEFT:
             return status
         # The back end may still be running this request, so answers to other requests don't show
         # that the back end survives this request.
@@ -190,7 +215,7 @@
             log.info('It stayed unknown whether a back end ended. incarnation={}', key)
         for item in interruptions:
             if status is IncarnationStatus.ENDED:
-                if item.subject.caller_left:
+                if item.subject.kind is not InterruptionKind.BROKEN:
                     await self.suspicion_updater.record_broken_connection(
                         item.subject.before.fingerprint, key
                     )
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -12,7 +12,6 @@
 from millfork_core.environment import Environment
 from millfork_core.logs import Component, logger
 from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
-from millfork_registry.suspicion_store import Suspicion
 from millfork_routing.shared_budget import SharedBudget
 from millfork_scheduling.placement import Choice
 from millfork_scheduling.quarantine import SuspicionLevel
@@ -20,13 +19,15 @@
 from millfork_scheduling.server_table import ServerTable
 from millfork_web.server import CallerGone, Exchange
 from millforkd.proxy.admission import Admission
+from millforkd.proxy.attempts import Attempt, FailedAttempt, Superseded
 from millforkd.proxy.backpressure import BackpressureRecorder
 from millforkd.proxy.connections import Pools
 from millforkd.proxy.end_detection import EndDetector
-from millforkd.proxy.job import FailedAttempt, Job
+from millforkd.proxy.job import Job
 from millforkd.proxy.load_queries import LoadQueries
 from millforkd.proxy.outcomes import RequestOutcomes
 from millforkd.proxy.request_sender import CONNECTION_FAILURES, REFUSAL_MARGIN_S, RequestSender
+from millforkd.proxy.response_monitor import ResponseMonitor
 from millforkd.proxy.response_relay import ResponseRelay
 from millforkd.proxy.turned_away_directory import TurnedAwayDirectory
 from millforkd.quarantine import Quarantine
@@ -65,7 +66,8 @@
         self.end_detector = EndDetector(
             env, quarantine.suspicion_store, server_table.incarnation_status
         )
-        self.response_relay = ResponseRelay(env, adapter, server_table)
+        response_monitor = ResponseMonitor(env, admission, self._hedge)
+        self.response_relay = ResponseRelay(env, adapter, server_table, response_monitor)
         self.request_sender = RequestSender(
             env,
             adapter,
@@ -74,6 +76,7 @@
             pools,
             budget,
             quarantine,
+            response_monitor,
             self.response_relay,
             self.backpressure,
         )
@@ -122,6 +125,7 @@
             self.outcomes.record(job, 'caller_gone')
             raise
         finally:
+            await job.race.cancel_hedges()
             # The caller's socket is closed next, so the watcher must no longer wait on it.
             await watcher.cancel()
 
@@ -168,7 +172,6 @@
         the job now.
 
         """
-        budget_spent = False
         while True:
             refusal = self._refusal_before_send(job)
             if refusal is not None:
@@ -186,54 +189,129 @@
                     wait_ms = self.admission.retry_after_ms(job, choice)
                 if wait_ms:
                     return Refusal(Reason.BUSY, Verdict.NOT_RUN, 'all servers are busy', wait_ms)
-            if job.tried and not budget_spent and not self.budget.spend(job.requirements.service):
+            if job.tried and not self._spend_retry(job):
                 return self._final_refusal(job, Reason.RETRY_BUDGET)
-            server = choice.server
-            before = self.quarantine.suspicion_of(job)
-            failed = await self._send(job, choice, before)
-            if failed is None:
+            if await self._run_attempt(job, self._begin_attempt(job, choice)):
+                return None
+            if await job.race.wait_for_hedges():
                 return None
-            budget_spent = not failed.sent
-            job.failures.append(failed)
-            self.env.metrics.retried(failed.reason)
-            log.info(
-                'Attempt failed. id={} server={} reason={} verdict={} detail={} ms={:.0f} '
-                'fingerprint={} ends={}',
-                job.caller.request_id,
-                server.instance,
-                failed.reason.value,
-                failed.verdict.value,
-                failed.detail,
-                (self.env.monotonic() - job.received_at) * 1000,
-                before.fingerprint,
-                self.quarantine.suspicion_of(job).ends,
-            )
 
-    async def _send(self, job: Job, choice: Choice, before: Suspicion) -> FailedAttempt | None:
+    def _spend_retry(self, job: Job) -> bool:
         """
-        Make one attempt, and record the back ends that may have ended during the attempt. `before`
-        is the suspicion of the request before the attempt. Returns the failed attempt, or None if
-        the caller received an answer.
+        Take a retry from the budget, unless one was taken for an attempt that then sent nothing.
+        Returns False if the budget is used up.
+
+        """
+        if not job.retry_paid and not self.budget.spend(job.requirements.service):
+            return False
+        job.retry_paid = False
+        return True
+
+    def _begin_attempt(self, job: Job, choice: Choice) -> Attempt:
+        attempt = Attempt(choice, self.env.monotonic(), self.quarantine.suspicion_of(job))
+        job.race.begin(attempt)
+        return attempt
+
+    async def _run_attempt(self, job: Job, attempt: Attempt) -> bool:
+        """
+        Make one attempt, and record the back ends that may have ended during the attempt. Returns
+        whether the caller received an answer; if not, the failed attempt is added to the job.
 
         """
-        job.pending_servers = ()
         try:
-            failed = await self.request_sender.send(job, choice)
+            failed = await self.request_sender.send(job, attempt)
         except (curio.TaskCancelled, CallerGone):
-            await self._record_callers_left(job, before)
+            await self._record_callers_left(attempt)
             raise
+        except Superseded:
+            failed = FailedAttempt(
+                Reason.SILENT, Verdict.MAY_HAVE_RUN, 'another back end answered first'
+            )
+        finally:
+            job.race.running.remove(attempt)
         if failed is None:
-            return None
+            return True
         if failed.verdict is not Verdict.NOT_RUN and failed.reason in CONNECTION_FAILURES:
-            for server in choice.servers:
-                await self.end_detector.record_broken_connection(server, before)
+            for server in attempt.choice.servers:
+                await self.end_detector.record_broken_connection(server, attempt.before)
         if failed.reason is Reason.TIMED_OUT:
-            await self._record_callers_left(job, before)
-        return failed
+            await self._record_callers_left(attempt)
+        self._record_failed(job, attempt, failed)
+        return False
+
+    def _record_failed(self, job: Job, attempt: Attempt, failed: FailedAttempt) -> None:
+        job.retry_paid = not failed.sent
+        job.failures.append(failed)
+        self.env.metrics.retried(failed.reason)
+        log.info(
+            'Attempt failed. id={} server={} reason={} verdict={} detail={} ms={:.0f} '
+            'fingerprint={} ends={}',
+            job.caller.request_id,
+            attempt.server.instance,
+            failed.reason.value,
+            failed.verdict.value,
+            failed.detail,
+            (self.env.monotonic() - job.received_at) * 1000,
+            attempt.before.fingerprint,
+            self.quarantine.suspicion_of(job).ends,
+        )
+
+    async def _record_callers_left(self, attempt: Attempt) -> None:
+        for server in attempt.pending_servers:
+            await self.end_detector.record_caller_left(server, attempt.before)
 
-    async def _record_callers_left(self, job: Job, before: Suspicion) -> None:
-        for server in job.pending_servers:
-            await self.end_detector.record_caller_left(server, before)
+    async def _hedge(self, job: Job, attempt: Attempt) -> None:
+        """
+        Start another attempt beside one whose back end is silent, if the job may be sent again and
+        a back end can serve it now. Called again and again while the silence lasts.
+
+        """
+        await self._record_silence(job, attempt)
+        if not job.race.may_hedge or not self._may_send_again(job):
+            return
+        choice = await self._choose(job)
+        if choice is None or not job.race.may_hedge or not self._spend_retry(job):
+            return
+        log.info(
+            'Hedged. id={} silent={} server={} ms={:.0f}',
+            job.caller.request_id,
+            attempt.server.instance,
+            choice.server.instance,
+            (self.env.monotonic() - job.received_at) * 1000,
+        )
+        hedge = self._begin_attempt(job, choice)
+        job.race.hedges.append(await self.env.spawn(self._run_attempt, job, hedge))
+
+    def _may_send_again(self, job: Job) -> bool:
+        return (
+            job.may_be_repeated
+            and len(job.tried) < job.route.max_attempts
+            and job.remaining_s(self.env.monotonic()) > REFUSAL_MARGIN_S
+            and self.quarantine.blocking_level(job) is None
+        )
+
+    async def _record_silence(self, job: Job, attempt: Attempt) -> None:
+        """
+        Record that the back end of an attempt is silent. It may only pause, so it is avoided for
+        new requests and watched for its end, but the request is not suspected.
+
+        """
+        now = self.env.monotonic()
+        for server in attempt.choice.servers:
+            server.record_silence(now)
+        if attempt.was_silent:
+            return
+        attempt.was_silent = True
+        log.info(
+            'Back end silent. id={} server={} answer_started={} ms={:.0f} fingerprint={}',
+            job.caller.request_id,
+            attempt.server.instance,
+            job.answer_started,
+            (now - job.received_at) * 1000,
+            attempt.before.fingerprint,
+        )
+        for server in attempt.choice.servers:
+            await self.end_detector.record_silence(server, attempt.before)
 
     async def _choose(self, job: Job) -> Choice | None:
         """
@@ -287,7 +365,7 @@
         if not job.failures:
             return None
         last = job.failures[-1]
-        if job.may_have_run and not job.route.repeatable:
+        if job.may_have_run and not job.may_be_repeated:
             return self._final_refusal(job, last.reason)
         if len(job.tried) >= job.route.max_attempts:
             return self._final_refusal(job, last.reason)
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -8,12 +8,12 @@
 
 from millfork_adapter.exchange import CallerRequest
 from millfork_core.ids import Fingerprint, InstanceId
-from millfork_core.verdicts import Reason, Verdict
+from millfork_core.verdicts import Verdict
 from millfork_routing.documents import Organisation, Route
 from millfork_scheduling.admission import NO_START_ESTIMATE, StartEstimate
-from millfork_scheduling.placement import Choice, Requirements
-from millfork_scheduling.server import Server
+from millfork_scheduling.placement import Requirements
 from millfork_web.server import Exchange
+from millforkd.proxy.attempts import AnswerRace, FailedAttempt
 
 # The urgency (queue rank at an engine; 0 is served first) of a request with the usual priority.
 USUAL_URGENCY: Final = 5
@@ -23,56 +23,6 @@
 LEAST_URGENCY: Final = 9
 
 
-@dataclass(slots=True)
-class Attempt:
-    """
-    One attempt to serve a job at a back end. While in progress, the attempt is counted in
-    `Server.own_requests`; until the first token arrives, in `Server.own_awaiting_first_token` as
-    well.
-
-    """
-
-    choice: Choice
-    started_at: float
-    awaiting_first_token: bool = True
-
-    @property
-    def server(self) -> Server:
-        return self.choice.server
-
-    def begin(self) -> None:
-        self.server.own_requests += 1
-        self.server.own_awaiting_first_token += 1
-
-    def mark_first_token(self) -> None:
-        """
-        Record that the first token has arrived, so the prompt has been read.
-
-        """
-        if self.awaiting_first_token:
-            self.awaiting_first_token = False
-            self.server.own_awaiting_first_token -= 1
-
-    def end(self) -> None:
-        self.mark_first_token()
-        self.server.own_requests -= 1
-
-
-@dataclass(frozen=True, slots=True)
-class FailedAttempt:
-    """
-    An attempt that ended without an answer for the caller.
-
-    """
-
-    reason: Reason
-    verdict: Verdict
-    detail: str
-    # False if the attempt was given up between connecting and sending; the next attempt then
-    # replaces this one and spends no retry budget.
-    sent: bool = True
-
-
 @dataclass(frozen=True, slots=True)
 class HeldAnswer:
     """
@@ -128,9 +78,9 @@
     caller_gone: bool = False
     # None until the fingerprint of the request is first needed.
     fingerprint: Fingerprint | None = None
-    # The back ends that the current attempt sent the request to; empty before the request is sent
-    # and after a complete answer.
-    pending_servers: tuple[Server, ...] = ()
+    race: AnswerRace = field(default_factory=AnswerRace)
+    # Whether a retry was taken from the budget for an attempt that then sent nothing.
+    retry_paid: bool = False
 
     @property
     def urgency(self) -> int | None:
@@ -148,6 +98,17 @@
     def may_have_run(self) -> bool:
         return any(failed.verdict is not Verdict.NOT_RUN for failed in self.failures)
 
+    @property
+    def may_be_repeated(self) -> bool:
+        """
+        Whether another back end may run the request after one has: only for repeatable routes, and
+        once an answer has begun only if it is a stream that can be resumed after its last event.
+
+        """
+        if not self.route.repeatable:
+            return False
+        return not self.answer_started or self.last_event is not None
+
     @property
     def resume_after(self) -> int | None:
         """
--- a/packages/millforkd/millforkd/proxy/request_sender.py
+++ b/packages/millforkd/millforkd/proxy/request_sender.py
@@ -16,9 +16,10 @@
 from millfork_scheduling.placement import Choice
 from millfork_scheduling.server_table import ServerTable
 from millforkd.proxy.admission import Admission
+from millforkd.proxy.attempts import Attempt, FailedAttempt
 from millforkd.proxy.backpressure import BackpressureRecorder
 from millforkd.proxy.connections import Pools, SendFailed, ServerConnection
-from millforkd.proxy.job import Attempt, FailedAttempt, Job
+from millforkd.proxy.job import Job
 from millforkd.proxy.response_monitor import ResponseMonitor
 from millforkd.proxy.response_relay import ResponseRelay
 from millforkd.quarantine import Quarantine
@@ -61,6 +62,7 @@
         pools: Pools,
         budget: SharedBudget,
         quarantine: Quarantine[Job],
+        response_monitor: ResponseMonitor,
         response_relay: ResponseRelay,
         backpressure: BackpressureRecorder,
     ) -> None:
@@ -73,17 +75,19 @@
         self.quarantine = quarantine
         self.response_relay = response_relay
         self.backpressure = backpressure
-        self.response_monitor = ResponseMonitor(env, admission)
+        self.response_monitor = response_monitor
 
-    async def send(self, job: Job, choice: Choice) -> FailedAttempt | None:
+    async def send(self, job: Job, attempt: Attempt) -> FailedAttempt | None:
         """
         Make one attempt to serve a job at the chosen back end. Returns the failed attempt, or None
         if the caller has received an answer.
 
+        :raises Superseded: if another attempt has claimed the answer.
+
         """
+        choice = attempt.choice
         server = choice.server
         pool = self.pools.pool_of(server)
-        attempt = Attempt(choice, self.env.monotonic())
         attempt.begin()
         connection = None
         keep_alive_s = None
@@ -92,8 +96,9 @@
                 job.remaining_s(self.env.monotonic()) - REFUSAL_MARGIN_S
             ):
                 connection = await pool.acquire(recently_used=not job.route.repeatable)
+                attempt.connection = connection
                 keep_alive_s = await self._exchange(job, attempt, connection)
-            job.pending_servers = ()
+            attempt.pending_servers = ()
             server.record_service_time(self.env.monotonic() - attempt.started_at)
             if connection.reusable:
                 await self.quarantine.clear_suspicion(job)
@@ -101,6 +106,8 @@
         except NotSent as error:
             return FailedAttempt(error.reason, error.verdict, error.detail, sent=False)
         except SendFailed as error:
+            # The attempt that claims the answer interrupts the connections of the others.
+            job.race.check(attempt)
             return self._record_failed(job, choice, error.reason, error.verdict, error.detail)
         except curio.TaskTimeout:
             verdict = Verdict.NOT_RUN if connection is None else Verdict.MAY_HAVE_RUN
@@ -110,6 +117,7 @@
         finally:
             attempt.end()
             if connection is not None:
+                connection.lost = connection.lost or attempt.was_silent
                 await pool.release(connection, keep_alive_s)
 
     def _record_failed(
@@ -179,8 +187,10 @@
         closes the connection.
 
         :raises SendFailed: if the caller hasn't received a complete answer.
+        :raises Superseded: if another attempt has claimed the answer.
 
         """
+        job.race.check(attempt)
         server = attempt.server
         request = job.exchange.request
         version = None
@@ -205,10 +215,10 @@
         self.server_table.record_sent(attempt.choice.servers)
         headers = self.adapter.back_end_headers(request, forward_options)
         self._record_version(job, version)
-        job.pending_servers = tuple(attempt.choice.servers)
+        attempt.pending_servers = tuple(attempt.choice.servers)
         await connection.send(request.method, request.path, headers, request.body)
         await self.response_monitor.read_head(job, attempt, connection, version)
-        server.last_received_at = self.env.monotonic()
+        server.record_received(self.env.monotonic())
         server.record_answered(job.urgency, attempt.started_at)
         head = self.adapter.read_answer_head(connection.status, connection.headers)
         if head.request_id and head.request_id != job.caller.request_id:
@@ -228,11 +238,10 @@
             raise SendFailed(
                 Reason.BACKEND_FAILED, Verdict.RAN, f'the server answered {head.status}'
             )
-        job.status = head.status
         if job.route.kind is RouteKind.STREAMING and head.status < 300:
             await self.response_relay.stream(job, attempt, connection)
         else:
-            await self.response_relay.relay(job, connection)
+            await self.response_relay.relay(job, attempt, connection)
         server.record_outcome(failed=head.status >= 500)
         return 0.0 if head.closes_connection else head.keep_alive_s
 
--- a/packages/millforkd/millforkd/proxy/response_monitor.py
+++ b/packages/millforkd/millforkd/proxy/response_monitor.py
@@ -1,8 +1,9 @@
 """
-Waits for the start of an answer and gives up on back ends that won't answer soon.
+Waits for the data of answers, and notices back ends that are silent or won't answer soon.
 
 """
 
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 import curio
@@ -10,39 +11,48 @@
 from millfork_core.environment import Environment
 from millfork_core.verdicts import Reason, Verdict
 from millforkd.proxy.admission import Admission
+from millforkd.proxy.attempts import Attempt
 from millforkd.proxy.connections import SendFailed, ServerConnection
-from millforkd.proxy.job import Attempt, Job
+from millforkd.proxy.job import Job
 
 # The interval at which requests that wait for the heads of their answers are checked.
 HEAD_POLL_S: Final = 0.25
-# A back end that sends this entry nothing for this long is considered lost: a back end under load
-# sends data many times within this period.
+# A back end that sends this entry nothing for this long is silent: a back end under load sends data
+# many times within this period.
 SILENT_SERVER_S: Final = 1.2
+# A stream that another back end can resume is silent after this long without data; callers of such
+# streams wait at least two seconds.
+STREAM_STALL_S: Final = 1.2
 # If a back end answers a request that was sent this much later than a waiting request of the same
 # urgency (queue rank), the back end has skipped the waiting request, or the connection of the
 # waiting request is dead: requests of one urgency start in order of arrival, and reading the
 # longest prompt takes 0.2 s.
 REORDER_THRESHOLD_S: Final = 0.3
 
+# Called repeatedly while an attempt waits for a silent back end.
+SilenceHandler = Callable[[Job, Attempt], Awaitable[None]]
+
 
 class ResponseMonitor:
     """
-    Monitors requests that were sent and have no answer yet.
+    Reads the answers of back ends. `on_silence` is called while a back end is silent.
 
     """
 
-    def __init__(self, env: Environment, admission: Admission) -> None:
+    def __init__(self, env: Environment, admission: Admission, on_silence: SilenceHandler) -> None:
         self.env = env
         self.admission = admission
+        self.on_silence = on_silence
 
     async def read_head(
         self, job: Job, attempt: Attempt, connection: ServerConnection, version: int | None
     ) -> None:
         """
         Wait for the head of an answer. A repeatable request is withdrawn from a back end that
-        won't start the request soon or is silent.
+        won't start the request soon.
 
         :raises SendFailed: if no answer arrives, or a repeatable request is withdrawn.
+        :raises Superseded: if another attempt has claimed the answer meanwhile.
 
         """
         if not job.route.repeatable:
@@ -55,7 +65,29 @@
                 return
             except curio.TaskTimeout:
                 self.check_engine(job, attempt, version)
-                self.check_silence(job, attempt, connection)
+            if self.is_silent(job, attempt):
+                await self.on_silence(job, attempt)
+            job.race.check(attempt)
+
+    async def read_stream(self, job: Job, attempt: Attempt, connection: ServerConnection) -> bytes:
+        """
+        The next bytes of a stream; empty at its end.
+
+        :raises SendFailed: if the stream breaks off or is malformed.
+        :raises Superseded: if another attempt has claimed the answer meanwhile.
+
+        """
+        if not job.answer_started or not job.may_be_repeated:
+            return await connection.read()
+        wait_s = STREAM_STALL_S
+        while True:
+            try:
+                async with curio.timeout_after(wait_s):
+                    return await connection.read()
+            except curio.TaskTimeout:
+                wait_s = HEAD_POLL_S
+            await self.on_silence(job, attempt)
+            job.race.check(attempt)
 
     def check_engine(self, job: Job, attempt: Attempt, version: int | None) -> None:
         """
@@ -80,12 +112,10 @@
                 detail = 'the engine changes its weights before it starts the request'
                 raise SendFailed(Reason.NOT_SERVABLE, Verdict.MAY_HAVE_RUN, detail)
 
-    def check_silence(self, job: Job, attempt: Attempt, connection: ServerConnection) -> None:
+    def is_silent(self, job: Job, attempt: Attempt) -> bool:
         """
-        Check that neither the back end nor the connection of a request is silent.
-
-        :raises SendFailed: if the back end sent nothing for SILENT_SERVER_S, or if the request is
-            unanswered for that long while the back end answers requests that were sent later.
+        Whether the back end sent nothing for SILENT_SERVER_S, or the request is unanswered for
+        that long while the back end answers requests that were sent later.
 
         """
         now = self.env.monotonic()
@@ -93,7 +123,4 @@
         silent_s = now - max(attempt.started_at, server.last_received_at)
         if server.answered_since(job.urgency, attempt.started_at + REORDER_THRESHOLD_S):
             silent_s = now - attempt.started_at
-        if silent_s > SILENT_SERVER_S:
-            connection.lost = True
-            detail = f'the server sent nothing for {silent_s:.1f} s'
-            raise SendFailed(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, detail)
+        return silent_s > SILENT_SERVER_S
--- a/packages/millforkd/millforkd/proxy/response_relay.py
+++ b/packages/millforkd/millforkd/proxy/response_relay.py
@@ -5,22 +5,19 @@
 
 from typing import Final
 
-import curio
-
 from millfork_adapter.adapter import Adapter
 from millfork_core.environment import Environment
 from millfork_core.verdicts import Reason, Verdict
 from millfork_scheduling.server_table import ServerTable
 from millfork_web.models import Response, without_header
+from millforkd.proxy.attempts import Attempt
 from millforkd.proxy.connections import SendFailed, ServerConnection
 from millforkd.proxy.event_stream import EventSplitter, InvalidEventStream
-from millforkd.proxy.job import Attempt, HeldAnswer, Job
+from millforkd.proxy.job import HeldAnswer, Job
+from millforkd.proxy.response_monitor import ResponseMonitor
 
 # Answers up to this size, apart from event streams, are passed on only when complete.
 MAX_BUFFERED_BYTES: Final = 64 * 1024
-# A stream that another back end can resume is given up after this long without data; callers of
-# such streams wait at least two seconds.
-STREAM_STALL_S: Final = 1.2
 
 
 class ResponseRelay:
@@ -29,10 +26,17 @@
 
     """
 
-    def __init__(self, env: Environment, adapter: Adapter, server_table: ServerTable) -> None:
+    def __init__(
+        self,
+        env: Environment,
+        adapter: Adapter,
+        server_table: ServerTable,
+        response_monitor: ResponseMonitor,
+    ) -> None:
         self.env = env
         self.adapter = adapter
         self.server_table = server_table
+        self.response_monitor = response_monitor
 
     async def read_failure(self, connection: ServerConnection) -> HeldAnswer:
         """
@@ -54,23 +58,34 @@
         headers = without_header(held.headers, 'content-length')
         await job.exchange.respond(Response(held.status, headers, held.body))
 
-    async def relay(self, job: Job, connection: ServerConnection) -> None:
+    async def relay(self, job: Job, attempt: Attempt, connection: ServerConnection) -> None:
         """
         Pass an answer on: one of up to MAX_BUFFERED_BYTES once it is complete, a larger one as it
         arrives.
 
+        :raises SendFailed: if the answer breaks off or is malformed.
+        :raises Superseded: if another attempt has claimed the answer.
+
         """
         body = bytearray()
         while data := await connection.read():
             body += data
             if len(body) > MAX_BUFFERED_BYTES:
-                await self._respond_large(job, connection, bytes(body))
+                await self._respond_large(job, attempt, connection, bytes(body))
                 return
+        await self._claim(job, attempt, connection)
         job.first_byte_at = self.env.monotonic()
         headers = without_header(self.adapter.caller_headers(connection.headers), 'content-length')
         await job.exchange.respond(Response(connection.status, headers, bytes(body)))
 
-    async def _respond_large(self, job: Job, connection: ServerConnection, received: bytes) -> None:
+    async def _claim(self, job: Job, attempt: Attempt, connection: ServerConnection) -> None:
+        await job.race.claim(attempt)
+        job.status = connection.status
+
+    async def _respond_large(
+        self, job: Job, attempt: Attempt, connection: ServerConnection, received: bytes
+    ) -> None:
+        await self._claim(job, attempt, connection)
         job.answer_started = True
         job.first_byte_at = self.env.monotonic()
         headers = self.adapter.caller_headers(connection.headers)
@@ -85,14 +100,14 @@
         Pass the complete events of a stream on as they arrive. If the caller has received events
         from another back end before, the stream must continue with the event after the last one.
 
-        :raises SendFailed: if the stream stalls, breaks off, is malformed or continues with
-            another event.
+        :raises SendFailed: if the stream breaks off, is malformed or continues with another event.
+        :raises Superseded: if another attempt has claimed the answer.
 
         """
         splitter = EventSplitter()
         resumed = job.answer_started
-        while data := await self._event_bytes(job, connection):
-            attempt.server.last_received_at = self.env.monotonic()
+        while data := await self.response_monitor.read_stream(job, attempt, connection):
+            attempt.server.record_received(self.env.monotonic())
             try:
                 events = splitter.feed(data)
             except InvalidEventStream as error:
@@ -101,13 +116,15 @@
                 continue
             self._record_first_token(job, attempt, resumed)
             if resumed:
+                job.race.check(attempt)
                 _check_resumed(job, splitter)
                 resumed = False
-            await self._write(job, connection, events)
+            await self._write(job, attempt, connection, events)
             if splitter.last_id is not None:
                 job.last_event = splitter.last_id
         if splitter.incomplete or not job.answer_started:
-            await self._write(job, connection, splitter.incomplete)
+            await self._write(job, attempt, connection, splitter.incomplete)
+        await self._claim(job, attempt, connection)
         await job.exchange.finish()
 
     def _record_first_token(self, job: Job, attempt: Attempt, resumed: bool) -> None:
@@ -117,18 +134,10 @@
             self.server_table.record_first_token(attempt.server, late_ms)
         attempt.mark_first_token()
 
-    async def _event_bytes(self, job: Job, connection: ServerConnection) -> bytes:
-        if not job.answer_started or not job.route.repeatable:
-            return await connection.read()
-        try:
-            async with curio.timeout_after(STREAM_STALL_S):
-                return await connection.read()
-        except curio.TaskTimeout:
-            connection.lost = True
-            detail = f'no event for {STREAM_STALL_S} s'
-            raise SendFailed(Reason.CONNECTION_LOST, Verdict.RAN, detail) from None
-
-    async def _write(self, job: Job, connection: ServerConnection, data: bytes) -> None:
+    async def _write(
+        self, job: Job, attempt: Attempt, connection: ServerConnection, data: bytes
+    ) -> None:
+        await self._claim(job, attempt, connection)
         if not job.answer_started:
             job.answer_started = True
             job.first_byte_at = self.env.monotonic()
--- a/tests/test_not_run_refusals.py
+++ b/tests/test_not_run_refusals.py
@@ -16,8 +16,9 @@
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ZoneId
 from millfork_core.verdicts import Reason, Verdict
+from millforkd.proxy.attempts import FailedAttempt
 from millforkd.proxy.forwarding import Forwarding
-from millforkd.proxy.job import FailedAttempt, Job
+from millforkd.proxy.job import Job
 from millforkd.proxy.load_queries import MAX_WAIT_S
 from millforkd.proxy.outcomes import status_of
 from millforkd.proxy.turned_away_directory import QUERY_TIMEOUT_S
