A resumed stream that meets an error goes on at the next back end

Seen by callers: a stream breaks off after four events, the back end that is asked for the rest answers 500, a third one is sound and the route allows three attempts: 0 of 6 streams whole (measured beforehand), the connection closed without 'Request ended.', tracebacks in the log.

Cause: an answer with status 500 was held back for the case that all attempts fail, but only if the caller had received nothing yet. Otherwise it was passed on, h11 refused a second head, and the error closed the connection with attempts left. The same held for 300 to 499.

--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -44,6 +44,9 @@
 # Requests with this path prefix are answered with a stream of `STREAM_EVENTS` events.
 STREAM_PATH: Final = '/stream/'
 STREAM_EVENTS: Final = 8
+# Requests with this path prefix are answered with `LARGE_ANSWER`.
+LARGE_PATH: Final = '/large/'
+LARGE_ANSWER: Final = b'large answer' * 20_000
 # A request with this body crashes the back end that runs it.
 CRASHING_BODY: Final = b'this ends the back end that runs it'
 
@@ -118,8 +121,7 @@
             self.end_headers()
             return
         if self.server.drops_requests:
-            self.close_connection = True
-            self.connection.shutdown(socket.SHUT_RDWR)
+            self._break_off(b'')
             return
         self.server.release.wait(WAIT_TIMEOUT_S)
         self.server.reach_event(0)
@@ -130,7 +132,7 @@
         if self.path.startswith(STREAM_PATH):
             self._send_stream()
             return
-        body = b'answer'
+        body = LARGE_ANSWER if self.path.startswith(LARGE_PATH) else b'answer'
         time.sleep(self.server.service_time_s)
         self.send_response(200)
         self._send_extra_headers()
@@ -138,8 +140,16 @@
         self.send_header(client_requests.SIGNATURE, self.server.instance)
         self.send_header('content-length', str(len(body)))
         self.end_headers()
+        if body is LARGE_ANSWER and self.server.fleet.take_break(1):
+            self._break_off(body[: len(body) // 2])
+            return
         self.wfile.write(body)
 
+    def _break_off(self, last_data: bytes) -> None:
+        self.wfile.write(last_data)
+        self.close_connection = True
+        self.connection.shutdown(socket.SHUT_RDWR)
+
     def _send_failure(self) -> None:
         self.send_response(500)
         self.send_header(client_requests.REQUEST_ID, self.headers[client_requests.REQUEST_ID])
@@ -160,8 +170,7 @@
         last_received = int(self.headers.get(client_requests.LAST_EVENT_ID, '0'))
         for number in range(last_received + 1, STREAM_EVENTS + 1):
             if self.server.fleet.take_break(number):
-                self.close_connection = True
-                self.connection.shutdown(socket.SHUT_RDWR)
+                self._break_off(b'')
                 return
             self._send_chunk(stream_event(number))
             self.server.reach_event(number)
--- a/packages/millforkd/millforkd/proxy/request_sender.py
+++ b/packages/millforkd/millforkd/proxy/request_sender.py
@@ -232,7 +232,16 @@
             if version is not None and (head.misdirected or through_path):
                 server.refused[version] = self.env.monotonic() + REFUSED_VERSION_S
             raise SendFailed(Reason.BUSY, Verdict.NOT_RUN, f'the server answered {head.status}')
-        if head.status >= 500 and job.route.repeatable and not job.answer_started:
+        if head.status >= 300 and job.answer_started:
+            # The caller has received the head of another answer, so this one can't be passed on.
+            await connection.discard_body()
+            server.record_outcome(failed=head.status >= 500)
+            raise SendFailed(
+                Reason.BACKEND_FAILED,
+                Verdict.RAN,
+                f'the server answered {head.status} to a resumed stream',
+            )
+        if head.status >= 500 and job.route.repeatable:
             job.held_answer = await self.response_relay.read_failure(connection)
             server.record_outcome(failed=True)
             raise SendFailed(
