Silence: the reason of a superseded attempt, and no avoidance of back ends that answer others

Both attempts of a hedged request can be the superseded one, so the reason is not 'silent'. A connection that is silent while its back end answers on others says nothing about the back end.

--- a/packages/millfork-core/millfork_core/verdicts.py
+++ b/packages/millfork-core/millfork_core/verdicts.py
@@ -42,7 +42,7 @@
     ENGINE_EMPTY = 'engine_empty'
     VERSION_MISMATCH = 'version_mismatch'
     CONNECTION_LOST = 'connection_lost'
-    SILENT = 'silent'
+    SUPERSEDED = 'superseded'
     BACKEND_FAILED = 'backend_failed'
     TRUNCATED = 'truncated'
     EXPIRED = 'expired'
@@ -74,7 +74,7 @@
     Reason.OVER_SHARE: 429,
     Reason.TIMED_OUT: 504,
     Reason.CONNECTION_LOST: 502,
-    Reason.SILENT: 502,
+    Reason.SUPERSEDED: 502,
     Reason.BACKEND_FAILED: 502,
     Reason.TRUNCATED: 502,
     Reason.QUARANTINED: 502,
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -27,7 +27,7 @@
 from millforkd.proxy.load_queries import LoadQueries
 from millforkd.proxy.outcomes import RequestOutcomes
 from millforkd.proxy.request_sender import CONNECTION_FAILURES, REFUSAL_MARGIN_S, RequestSender
-from millforkd.proxy.response_monitor import ResponseMonitor
+from millforkd.proxy.response_monitor import SILENT_SERVER_S, ResponseMonitor
 from millforkd.proxy.response_relay import ResponseRelay
 from millforkd.proxy.turned_away_directory import TurnedAwayDirectory
 from millforkd.quarantine import Quarantine
@@ -225,7 +225,7 @@
             raise
         except Superseded:
             failed = FailedAttempt(
-                Reason.SILENT, Verdict.MAY_HAVE_RUN, 'another back end answered first'
+                Reason.SUPERSEDED, Verdict.MAY_HAVE_RUN, 'another back end answered first'
             )
         finally:
             job.race.running.remove(attempt)
@@ -293,12 +293,14 @@
     async def _record_silence(self, job: Job, attempt: Attempt) -> None:
         """
         Record that the back end of an attempt is silent. It may only pause, so it is avoided for
-        new requests and watched for its end, but the request is not suspected.
+        new requests (unless it answers others) and watched for its end, but the request is not
+        suspected.
 
         """
         now = self.env.monotonic()
-        for server in attempt.choice.servers:
-            server.record_silence(now)
+        if now - attempt.server.last_received_at > SILENT_SERVER_S:
+            for server in attempt.choice.servers:
+                server.record_silence(now)
         if attempt.was_silent:
             return
         attempt.was_silent = True
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -293,6 +293,29 @@
             ),
         ),
     ),
+    Mutation(
+        'a request whose back end is silent is sent to a second one',
+        'tests/test_silent_back_ends.py::test_another_back_end_goes_on_for_one_that_stays_silent',
+        (
+            Edit(
+                D + 'proxy/forwarding.py',
+                'if not job.race.may_hedge or not self._may_send_again(job):',
+                'if True:',
+            ),
+        ),
+    ),
+    Mutation(
+        'the attempt at a silent back end goes on beside the second one',
+        'tests/test_silent_back_ends.py::test_a_pause_costs_no_answer_if_the_other_back_end_fails',
+        (
+            Edit(
+                D + 'proxy/forwarding.py',
+                'job.race.hedges.append(await self.env.spawn(self._run_attempt, job, hedge))',
+                'job.race.hedges.append(await self.env.spawn(self._run_attempt, job, hedge))\n'
+                '        await job.race.claim(hedge)',
+            ),
+        ),
+    ),
     Mutation(
         'a delayed heartbeat does not renew the lease of a replaced back end',
         'tests/test_registry.py::'
