A replica syncs what an earlier process left in its log before it counts it as durable

Callers: a configuration that was acknowledged could disappear. A replica that was killed between a write to its log and the sync found the entry again when it started, in the page cache, counted it as durable and acknowledged it to the leader without a sync; a loss of power after that removed it. The same holds for the truncation of a torn tail and for renamed files.

A start now syncs the log and its folder before `durable_index` is set.

--- a/packages/millfork-state/millfork_state/storage.py
+++ b/packages/millfork-state/millfork_state/storage.py
@@ -212,10 +212,13 @@
         # The highest index that the log file marked as committed when it was opened. Later log
         # entries may be committed too.
         self.commit_hint = self._load_log()
-        # The last log index known to be durable. `entries` may go beyond it.
-        self.durable_index = int(self.last_index)
         self.file = self.log_path.open('ab', buffering=0)
         self.size = self.log_path.stat().st_size
+        # A process that was killed may have left writes, a truncation or a rename unsynced.
+        os.fdatasync(self.file.fileno())
+        _sync_folder(folder)
+        # The last log index known to be durable. `entries` may go beyond it.
+        self.durable_index = int(self.last_index)
 
     @property
     def disk(self) -> DiskId:
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,4 +1,5 @@
 import errno
+import os
 
 import curio
 import pytest
@@ -124,3 +125,14 @@
     monkeypatch.setattr(storage_module, 'write_file', RefusingDisk(number, 99))
     with pytest.raises(OSError, match='refused'):
         storage_module.open_storage(tmp_path / 'state')
+
+
+def test_entries_that_a_killed_process_left_unsynced_are_synced_at_the_start(tmp_path, monkeypatch):
+    # Otherwise a replica acknowledges, after its restart, entries that a loss of power removes.
+    storage = Storage(tmp_path)
+    storage.write_entries(entries(1, 2))
+    storage.close()
+    synced = []
+    monkeypatch.setattr(os, 'fdatasync', lambda fd: synced.append(os.fstat(fd).st_ino))
+    assert Storage(tmp_path).durable_index == 2
+    assert synced == [(tmp_path / 'log').stat().st_ino]
