A torn write before one that survived a loss of power is no damage

Callers: after a loss of power of all replicas a replica never came back, so that beside one more lost disk the acknowledged configuration could not be read, and no change was accepted. Commit marks are not synced. If a change had just been sent, the mark of the change before it and the new entry were two unsynced writes. A loss of power may tear the first and keep the second; the replica took that for damage of synced data, raised CorruptStorage, and did so at each start.

Each write now begins where the last sync ended, so it contains all bytes that may be torn, and no complete record can follow a torn one. Damage of synced records is still refused as before.

--- a/packages/millfork-state/millfork_state/storage.py
+++ b/packages/millfork-state/millfork_state/storage.py
@@ -212,8 +212,11 @@
         # The highest index that the log file marked as committed when it was opened. Later log
         # entries may be committed too.
         self.commit_hint = self._load_log()
-        self.file = self.log_path.open('ab', buffering=0)
-        self.size = self.log_path.stat().st_size
+        self.log_path.touch()
+        self.file = self.log_path.open('r+b', buffering=0)
+        # The size of the part of the log file that is synced, and the bytes after it.
+        self.synced_bytes = self.log_path.stat().st_size
+        self.unsynced = bytearray()
         # A process that was killed may have left writes, a truncation or a rename unsynced.
         os.fdatasync(self.file.fileno())
         _sync_folder(folder)
@@ -324,18 +327,28 @@
         except OSError as error:
             log.warning('Could not write the commit mark of index {}: {}.', index, error)
 
+    @property
+    def size(self) -> int:
+        """
+        The size of the log file, without the bytes of a write that failed.
+
+        """
+        return self.synced_bytes + len(self.unsynced)
+
     def _append_bytes(self, data: bytes) -> None:
         """
-        Write at the end of the log. Bytes of an earlier write that failed are truncated first,
-        as records after a torn one would look like damage.
+        Write at the end of the log, and write again all that isn't synced yet: a loss of power may
+        tear a write and keep a later one, and records after a torn one would look like damage.
+        For the same reason, bytes of an earlier write that failed are truncated first.
 
         """
         if self.log_path.stat().st_size != self.size:
             os.ftruncate(self.file.fileno(), self.size)
-        remaining = memoryview(data)
+        os.lseek(self.file.fileno(), self.synced_bytes, os.SEEK_SET)
+        remaining = memoryview(bytes(self.unsynced) + data)
         while remaining:
             remaining = remaining[self.file.write(remaining) :]
-        self.size += len(data)
+        self.unsynced += data
 
     async def sync(self) -> None:
         """
@@ -343,8 +356,11 @@
 
         """
         written = int(self.last_index)
+        written_bytes = len(self.unsynced)
         await curio.run_in_thread(os.fdatasync, self.file.fileno())
         self.durable_index = written
+        self.synced_bytes += written_bytes
+        del self.unsynced[:written_bytes]
 
     async def save_snapshot(self, snapshot: Snapshot) -> None:
         """
@@ -369,13 +385,14 @@
         body = b''.join(records)
         with temporary.open('wb') as new_log:
             new_log.write(body)
-        file = temporary.open('ab', buffering=0)
+        file = temporary.open('r+b', buffering=0)
         await curio.run_in_thread(os.fdatasync, file.fileno())
         temporary.replace(self.log_path)
         await curio.run_in_thread(_sync_folder, self.folder)
         self.file.close()
         self.file = file
-        self.size = len(body)
+        self.synced_bytes = len(body)
+        self.unsynced.clear()
 
     def close(self) -> None:
         self.file.close()
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,4 +1,5 @@
 import errno
+import itertools
 import os
 
 import curio
@@ -6,6 +7,7 @@
 
 from millfork_state import storage as storage_module
 from millfork_state.storage import CorruptStorage, LogEntry, Snapshot, Storage
+from tests.utils.power import RecordedStorage, apply_write, read_journal
 
 
 def entries(*numbers: int, term: int = 1) -> list[LogEntry]:
@@ -136,3 +138,25 @@
     monkeypatch.setattr(os, 'fdatasync', lambda fd: synced.append(os.fstat(fd).st_ino))
     assert Storage(tmp_path).durable_index == 2
     assert synced == [(tmp_path / 'log').stat().st_ino]
+
+
+@pytest.mark.parametrize('unsynced', ['mark, entry', 'entry, entry', 'entry, mark, entry'])
+def test_a_write_that_survives_a_loss_of_power_after_a_torn_one_is_no_damage(tmp_path, unsynced):
+    # Commit marks aren't synced, so a loss of power may tear one and keep the entry after it.
+    storage = RecordedStorage(tmp_path)
+    storage.write_entries(entries(1))
+    curio.run(storage.sync)
+    for number, kind in enumerate(unsynced.split(', ')):
+        storage.write_entries(entries(number + 2)) if kind == 'entry' else storage.write_commit(1)
+    storage.close()
+    log = tmp_path / 'log'
+    synced, writes = read_journal(log)
+    lengths = [{0, 3, 8, 9, len(w.data) // 2, len(w.data) - 1, len(w.data)} for w in writes]
+    for kept in itertools.product(*lengths):
+        content = bytearray(synced)
+        for write, kept_bytes in zip(writes, kept, strict=True):
+            apply_write(content, write, kept_bytes)
+        log.write_bytes(content)
+        reopened = Storage(tmp_path)
+        reopened.close()
+        assert reopened.entries[:1] == entries(1)
