--- a/packages/millfork-state/millfork_state/storage.py
+++ b/packages/millfork-state/millfork_state/storage.py
@@ -220,6 +220,8 @@
         # A process that was killed may have left writes, a truncation or a rename unsynced.
         os.fdatasync(self.file.fileno())
         _sync_folder(folder)
+        # Whether the folder was synced after the last rename of the log file.
+        self.rename_synced = True
         # The last log index known to be durable. `entries` may go beyond it.
         self.durable_index = int(self.last_index)
 
@@ -358,6 +360,7 @@
         written = int(self.last_index)
         written_bytes = len(self.unsynced)
         await curio.run_in_thread(os.fdatasync, self.file.fileno())
+        await self._sync_rename()
         self.durable_index = written
         self.synced_bytes += written_bytes
         del self.unsynced[:written_bytes]
@@ -388,11 +391,18 @@
         file = temporary.open('r+b', buffering=0)
         await curio.run_in_thread(os.fdatasync, file.fileno())
         temporary.replace(self.log_path)
-        await curio.run_in_thread(_sync_folder, self.folder)
         self.file.close()
         self.file = file
         self.synced_bytes = len(body)
         self.unsynced.clear()
+        self.rename_synced = False
+        await self._sync_rename()
+
+    async def _sync_rename(self) -> None:
+        if self.rename_synced:
+            return
+        await curio.run_in_thread(_sync_folder, self.folder)
+        self.rename_synced = True
 
     def close(self) -> None:
         self.file.close()
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -160,3 +160,42 @@
         reopened = Storage(tmp_path)
         reopened.close()
         assert reopened.entries[:1] == entries(1)
+
+
+class FailingFolderSync:
+    """
+    Stands in for `_sync_folder`, and raises `error` at the sync with the number `fails_at`.
+
+    """
+
+    def __init__(self, fails_at, error):
+        self.fails_at = fails_at
+        self.error = error
+        self.count = 0
+        self.sync = storage_module._sync_folder
+
+    def __call__(self, folder):
+        self.count += 1
+        if self.count == self.fails_at:
+            raise self.error
+        self.sync(folder)
+
+
+@pytest.mark.parametrize('error', [OSError(errno.EIO, 'refused'), curio.TaskCancelled()])
+def test_entries_after_a_snapshot_whose_last_step_failed_survive(tmp_path, monkeypatch, error):
+    # The log was renamed already, but entries still went to the file that it replaced.
+    storage = Storage(tmp_path)
+    storage.write_entries(entries(1, 2, 3))
+    curio.run(storage.sync)
+    folder_sync = FailingFolderSync(2, error)
+    monkeypatch.setattr(storage_module, '_sync_folder', folder_sync)
+    with pytest.raises(type(error)):
+        curio.run(storage.save_snapshot, Snapshot(2, 1, [('a', 'disk')], b'dump'))
+    storage.write_entries(entries(4))
+    curio.run(storage.sync)
+    storage.close()
+    syncs = folder_sync.count
+    assert storage.durable_index == 4
+    assert [entry.index for entry in Storage(tmp_path).entries] == [3, 4]
+    # The renamed log is durable only once its folder is synced.
+    assert syncs == 3
