--- a/packages/millfork-state/millfork_state/storage.py
+++ b/packages/millfork-state/millfork_state/storage.py
@@ -300,8 +300,11 @@
 
         """
         vote = Vote(self.vote.disk, cluster or self.vote.cluster, term, voted_for)
-        await curio.run_in_thread(write_file, self.folder / VOTE_FILE, msgspec.msgpack.encode(vote))
-        self.vote = vote
+        body = msgspec.msgpack.encode(vote)
+        # A thread that a cancelled task left behind could write after a later vote.
+        async with curio.disable_cancellation():
+            await curio.run_in_thread(write_file, self.folder / VOTE_FILE, body)
+            self.vote = vote
 
     def write_entries(self, entries: list[LogEntry]) -> None:
         """
@@ -373,7 +376,12 @@
 
         """
         body = msgspec.msgpack.encode(snapshot)
-        await curio.run_in_thread(write_file, self.folder / SNAPSHOT_FILE, body)
+        # A thread that a cancelled task left behind could write after a later snapshot.
+        async with curio.disable_cancellation():
+            await curio.run_in_thread(write_file, self.folder / SNAPSHOT_FILE, body)
+            await self._use_snapshot(snapshot)
+
+    async def _use_snapshot(self, snapshot: Snapshot) -> None:
         is_consistent = self.term_at(snapshot.index) == snapshot.term
         kept = [entry for entry in self.entries if is_consistent and entry.index > snapshot.index]
         self.snapshot = snapshot
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,6 +1,7 @@
 import errno
 import itertools
 import os
+import threading
 
 import curio
 import pytest
@@ -199,3 +200,63 @@
     assert [entry.index for entry in Storage(tmp_path).entries] == [3, 4]
     # The renamed log is durable only once its folder is synced.
     assert syncs == 3
+
+
+class StuckDisk:
+    """
+    Stands in for `write_file`: the first write hangs until it is released.
+
+    """
+
+    def __init__(self):
+        self.started = threading.Event()
+        self.released = threading.Event()
+        self.finished = threading.Event()
+        self.write = storage_module.write_file
+
+    def __call__(self, path, body):
+        if self.started.is_set():
+            self.write(path, body)
+            return
+        self.started.set()
+        assert self.released.wait(10)
+        self.write(path, body)
+        self.finished.set()
+
+
+async def write_twice(disk, first, second):
+    """
+    Start a write that hangs, cancel it, release it while a second write begins, and wait for both.
+
+    """
+    task = await curio.spawn(first)
+    await curio.run_in_thread(disk.started.wait, 10)
+    await task.cancel(blocking=False)
+    releaser = threading.Timer(0.2, disk.released.set)
+    releaser.start()
+    await task.wait()
+    await second()
+    await curio.run_in_thread(disk.finished.wait, 10)
+
+
+def test_a_cancelled_write_of_a_vote_does_not_replace_a_later_vote(tmp_path, monkeypatch):
+    # Otherwise a replica could vote for two candidates in one term.
+    storage = Storage(tmp_path)
+    disk = StuckDisk()
+    monkeypatch.setattr(storage_module, 'write_file', disk)
+    first = lambda: storage.save_vote(5, '')  # noqa: E731
+    curio.run(write_twice, disk, first, lambda: storage.save_vote(5, 'candidate'))
+    assert Storage(tmp_path).vote.voted_for == 'candidate'
+
+
+def test_a_cancelled_write_of_a_snapshot_does_not_replace_a_later_one(tmp_path, monkeypatch):
+    # Otherwise the log lacks entries after the snapshot, and the replica never starts again.
+    storage = Storage(tmp_path)
+    storage.write_entries(entries(1, 2, 3, 4))
+    disk = StuckDisk()
+    monkeypatch.setattr(storage_module, 'write_file', disk)
+    first = lambda: storage.save_snapshot(Snapshot(1, 1, [], b'one'))  # noqa: E731
+    second = lambda: storage.save_snapshot(Snapshot(3, 1, [], b'three'))  # noqa: E731
+    curio.run(write_twice, disk, first, second)
+    reopened = Storage(tmp_path)
+    assert (reopened.snapshot_index, reopened.last_index) == (3, 4)
