--- a/packages/millfork-state/millfork_state/storage.py
+++ b/packages/millfork-state/millfork_state/storage.py
@@ -378,6 +378,10 @@
         body = msgspec.msgpack.encode(snapshot)
         # A thread that a cancelled task left behind could write after a later snapshot.
         async with curio.disable_cancellation():
+            if self.term_at(snapshot.index) not in (None, snapshot.term):
+                # The start would take entries after the snapshot's index for its successors.
+                self.entries = [entry for entry in self.entries if entry.index < snapshot.index]
+                await self._rewrite_log(self.entries, self.snapshot_index)
             await curio.run_in_thread(write_file, self.folder / SNAPSHOT_FILE, body)
             await self._use_snapshot(snapshot)
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -260,3 +260,30 @@
     curio.run(write_twice, disk, first, second)
     reopened = Storage(tmp_path)
     assert (reopened.snapshot_index, reopened.last_index) == (3, 4)
+
+
+class PowerLost(Exception):
+    """
+    The process ended here.
+
+    """
+
+
+def test_entries_that_a_snapshot_contradicts_do_not_return_after_a_loss_of_power(
+    tmp_path, monkeypatch
+):
+    # With them, the replica would vote for candidates that lack what the snapshot covers.
+    storage = Storage(tmp_path)
+    storage.write_entries([*entries(1, 2), *entries(3, 4, 5, term=2)])
+    curio.run(storage.sync)
+    real = storage_module.write_file
+
+    def write_and_end(path, body):
+        real(path, body)
+        raise PowerLost
+
+    monkeypatch.setattr(storage_module, 'write_file', write_and_end)
+    with pytest.raises(PowerLost):
+        curio.run(storage.save_snapshot, Snapshot(4, 3, [('a', 'disk')], b'dump'))
+    reopened = Storage(tmp_path)
+    assert (reopened.last_index, reopened.last_term) == (4, 3)
