A heartbeat does not acknowledge entries whose sync was cut short

An answer to a leader says up to which entry the log of the replica is durable. A heartbeat carries no entries, and was answered without a sync even if an earlier sync had failed or been cancelled. The entries then counted as committed here, and a replica that is added counted as caught up, although a loss of power would remove them. No lost configuration was seen from it: a commit needs an entry of the present term, which is synced with all entries before it.

Evidence: the test failed before (durable up to 1, acknowledged up to 2).

--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -356,23 +356,23 @@
             if prev_term != request.prev_term:
                 index = min(request.prev_index - 1, self.storage.last_index)
                 return AppendReply(self.term, False, max(index, self.commit), self.storage.disk)
-            await self._store_entries(request.entries)
+            await self._write_new_entries(request.entries)
             match_index = request.prev_index + len(request.entries)
+            # Entries may be in the log without being durable, if an earlier sync was cancelled.
+            if self.storage.durable_index < match_index:
+                await self.storage.sync()
             await self.advance_commit(min(request.commit, match_index))
             if self.applied >= request.commit:
                 self.caught_up_at = self.env.monotonic()
             return AppendReply(self.term, True, match_index, self.storage.disk)
 
-    async def _store_entries(self, entries: list[Entry]) -> None:
+    async def _write_new_entries(self, entries: list[Entry]) -> None:
         new = [item for item in entries if self.storage.term_at(item.index) != item.term]
         new = [item for item in new if item.index > self.storage.snapshot_index]
         if new:
             first = new[0].index
             tail = [item for item in entries if item.index >= first]
             await self.write([LogEntry(item.term, item.index, item.payload) for item in tail])
-        # Entries may be in the log without being durable, if an earlier sync was cancelled.
-        if entries and self.storage.durable_index < entries[-1].index:
-            await self.storage.sync()
 
     async def on_install(self, request: InstallRequest) -> AppendReply:
         """
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -85,6 +85,15 @@
     assert replica.storage.syncs == syncs_before + 1
 
 
+def test_a_heartbeat_does_not_acknowledge_entries_whose_sync_was_cut_short(replica):
+    append(replica, [genesis(replica)])
+    replica.storage.cancel_next = True
+    with pytest.raises(curio.TaskCancelled):
+        append(replica, [entry(2)], prev=(1, 1))
+    assert append(replica, [], prev=(2, 1)).match == 2
+    assert replica.storage.durable_index == 2
+
+
 def test_an_append_after_a_gap_is_refused_with_the_last_index(replica):
     append(replica, [genesis(replica)])
     reply = append(replica, [entry(5)], prev=(4, 1))
