--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,10 +1,14 @@
 import errno
+import itertools
+import os
+import threading
 
 import curio
 import pytest
 
 from millfork_state import storage as storage_module
 from millfork_state.storage import CorruptStorage, LogEntry, Snapshot, Storage
+from tests.utils.power import RecordedStorage, apply_write, read_journal
 
 
 def entries(*numbers: int, term: int = 1) -> list[LogEntry]:
@@ -124,3 +128,162 @@
     monkeypatch.setattr(storage_module, 'write_file', RefusingDisk(number, 99))
     with pytest.raises(OSError, match='refused'):
         storage_module.open_storage(tmp_path / 'state')
+
+
+def test_entries_that_a_killed_process_left_unsynced_are_synced_at_the_start(tmp_path, monkeypatch):
+    # Otherwise a replica acknowledges, after its restart, entries that a loss of power removes.
+    storage = Storage(tmp_path)
+    storage.write_entries(entries(1, 2))
+    storage.close()
+    synced = []
+    monkeypatch.setattr(os, 'fdatasync', lambda fd: synced.append(os.fstat(fd).st_ino))
+    assert Storage(tmp_path).durable_index == 2
+    assert synced == [(tmp_path / 'log').stat().st_ino]
+
+
+@pytest.mark.parametrize('unsynced', ['mark, entry', 'entry, entry', 'entry, mark, entry'])
+def test_a_write_that_survives_a_loss_of_power_after_a_torn_one_is_no_damage(tmp_path, unsynced):
+    # Commit marks aren't synced, so a loss of power may tear one and keep the entry after it.
+    storage = RecordedStorage(tmp_path)
+    storage.write_entries(entries(1))
+    curio.run(storage.sync)
+    for number, kind in enumerate(unsynced.split(', ')):
+        storage.write_entries(entries(number + 2)) if kind == 'entry' else storage.write_commit(1)
+    storage.close()
+    log = tmp_path / 'log'
+    synced, writes = read_journal(log)
+    lengths = [{0, 3, 8, 9, len(w.data) // 2, len(w.data) - 1, len(w.data)} for w in writes]
+    for kept in itertools.product(*lengths):
+        content = bytearray(synced)
+        for write, kept_bytes in zip(writes, kept, strict=True):
+            apply_write(content, write, kept_bytes)
+        log.write_bytes(content)
+        reopened = Storage(tmp_path)
+        reopened.close()
+        assert reopened.entries[:1] == entries(1)
+
+
+class FailingFolderSync:
+    """
+    Stands in for `_sync_folder`, and raises `error` at the sync with the number `fails_at`.
+
+    """
+
+    def __init__(self, fails_at, error):
+        self.fails_at = fails_at
+        self.error = error
+        self.count = 0
+        self.sync = storage_module._sync_folder
+
+    def __call__(self, folder):
+        self.count += 1
+        if self.count == self.fails_at:
+            raise self.error
+        self.sync(folder)
+
+
+@pytest.mark.parametrize('error', [OSError(errno.EIO, 'refused'), curio.TaskCancelled()])
+def test_entries_after_a_snapshot_whose_last_step_failed_survive(tmp_path, monkeypatch, error):
+    # The log was renamed already, but entries still went to the file that it replaced.
+    storage = Storage(tmp_path)
+    storage.write_entries(entries(1, 2, 3))
+    curio.run(storage.sync)
+    folder_sync = FailingFolderSync(2, error)
+    monkeypatch.setattr(storage_module, '_sync_folder', folder_sync)
+    with pytest.raises(type(error)):
+        curio.run(storage.save_snapshot, Snapshot(2, 1, [('a', 'disk')], b'dump'))
+    storage.write_entries(entries(4))
+    curio.run(storage.sync)
+    storage.close()
+    syncs = folder_sync.count
+    assert storage.durable_index == 4
+    assert [entry.index for entry in Storage(tmp_path).entries] == [3, 4]
+    # The renamed log is durable only once its folder is synced.
+    assert syncs == 3
+
+
+class StuckDisk:
+    """
+    Stands in for `write_file`: the first write hangs until it is released.
+
+    """
+
+    def __init__(self):
+        self.started = threading.Event()
+        self.released = threading.Event()
+        self.finished = threading.Event()
+        self.write = storage_module.write_file
+
+    def __call__(self, path, body):
+        if self.started.is_set():
+            self.write(path, body)
+            return
+        self.started.set()
+        assert self.released.wait(10)
+        self.write(path, body)
+        self.finished.set()
+
+
+async def write_twice(disk, first, second):
+    """
+    Start a write that hangs, cancel it, release it while a second write begins, and wait for both.
+
+    """
+    task = await curio.spawn(first)
+    await curio.run_in_thread(disk.started.wait, 10)
+    await task.cancel(blocking=False)
+    releaser = threading.Timer(0.2, disk.released.set)
+    releaser.start()
+    await task.wait()
+    await second()
+    await curio.run_in_thread(disk.finished.wait, 10)
+
+
+def test_a_cancelled_write_of_a_vote_does_not_replace_a_later_vote(tmp_path, monkeypatch):
+    # Otherwise a replica could vote for two candidates in one term.
+    storage = Storage(tmp_path)
+    disk = StuckDisk()
+    monkeypatch.setattr(storage_module, 'write_file', disk)
+    first = lambda: storage.save_vote(5, '')  # noqa: E731
+    curio.run(write_twice, disk, first, lambda: storage.save_vote(5, 'candidate'))
+    assert Storage(tmp_path).vote.voted_for == 'candidate'
+
+
+def test_a_cancelled_write_of_a_snapshot_does_not_replace_a_later_one(tmp_path, monkeypatch):
+    # Otherwise the log lacks entries after the snapshot, and the replica never starts again.
+    storage = Storage(tmp_path)
+    storage.write_entries(entries(1, 2, 3, 4))
+    disk = StuckDisk()
+    monkeypatch.setattr(storage_module, 'write_file', disk)
+    first = lambda: storage.save_snapshot(Snapshot(1, 1, [], b'one'))  # noqa: E731
+    second = lambda: storage.save_snapshot(Snapshot(3, 1, [], b'three'))  # noqa: E731
+    curio.run(write_twice, disk, first, second)
+    reopened = Storage(tmp_path)
+    assert (reopened.snapshot_index, reopened.last_index) == (3, 4)
+
+
+class PowerLost(Exception):
+    """
+    The process ended here.
+
+    """
+
+
+def test_entries_that_a_snapshot_contradicts_do_not_return_after_a_loss_of_power(
+    tmp_path, monkeypatch
+):
+    # With them, the replica would vote for candidates that lack what the snapshot covers.
+    storage = Storage(tmp_path)
+    storage.write_entries([*entries(1, 2), *entries(3, 4, 5, term=2)])
+    curio.run(storage.sync)
+    real = storage_module.write_file
+
+    def write_and_end(path, body):
+        real(path, body)
+        raise PowerLost
+
+    monkeypatch.setattr(storage_module, 'write_file', write_and_end)
+    with pytest.raises(PowerLost):
+        curio.run(storage.save_snapshot, Snapshot(4, 3, [('a', 'disk')], b'dump'))
+    reopened = Storage(tmp_path)
+    assert (reopened.last_index, reopened.last_term) == (4, 3)
