A connection that ends with a request unanswered has a log line

Seen: reports of requests that got neither an answer nor a refusal, which the log could not explain. The HTTP server passed over a timeout, over an error of the socket and over a caller that left, without a line.

Cause: `_serve` caught OSError, CallerGone and TaskTimeout and did nothing; a head or body that stopped half way, a caller that left before its answer and a timeout that a handler let out all looked alike. Five of six tests in tests/test_unanswered_requests.py failed before; the sixth guards the bound.

Change: each of these ends writes one line, 'Request not answered. port=... caller=... reason=...', and each refusal of the server itself one line, 'Refused. ...'. A connection that rests until its idle timeout, or whose caller leaves between two requests, writes none.

--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -30,6 +30,13 @@
 IDLE_CLOSED_PER_SHORTAGE: Final = 8
 DEFAULT_MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 
+# What took too long when a time limit ends a connection, by the state of the caller's side. In any
+# other state, the request had arrived whole.
+TIMEOUT_DETAILS: Final[dict[Any, str]] = {
+    h11.IDLE: 'the head did not arrive in time',
+    h11.SEND_BODY: 'the body did not arrive in time',
+}
+
 log = logger(Component.DAEMON)
 
 
@@ -213,22 +220,36 @@
         sock.setsockopt(socket_.IPPROTO_TCP, socket_.TCP_NODELAY, 1)
         conn = h11.Connection(h11.SERVER)
         try:
-            while await self._serve_one(sock, conn):
+            while await self._serve_one(sock, conn, address):
                 conn.start_next_cycle()
-        except (OSError, CallerGone, curio.TaskTimeout):
-            pass
+        except CallerGone as error:
+            self._log_unanswered(address, f'the caller left: {error}')
+        except OSError as error:
+            if _is_unanswered(conn):
+                self._log_unanswered(address, f'the caller left: {error}')
+        except curio.TaskTimeout:
+            if _is_unanswered(conn):
+                detail = TIMEOUT_DETAILS.get(conn.their_state, 'the handler raised a timeout')
+                self._log_unanswered(address, detail)
+        except BaseException as error:
+            if _is_unanswered(conn):
+                self._log_unanswered(address, repr(error))
+            raise
         finally:
             await sock.close()
 
-    async def _serve_one(self, sock: Any, conn: h11.Connection) -> bool:
+    def _log_unanswered(self, address: Any, reason: str) -> None:
+        log.info('Request not answered. port={} caller={} reason={}', self.port, address, reason)
+
+    async def _serve_one(self, sock: Any, conn: h11.Connection, address: Any) -> bool:
         try:
             request = await self._read_request(sock, conn)
         except h11.RemoteProtocolError as error:
-            await self._refuse(sock, conn, Refusal(Reason.BAD_REQUEST, detail=str(error)))
+            await self._refuse(sock, conn, address, Refusal(Reason.BAD_REQUEST, detail=str(error)))
             return False
         except _TooLarge:
             detail = f'the body is over {self.max_body} bytes'
-            await self._refuse(sock, conn, Refusal(Reason.TOO_LARGE, detail=detail))
+            await self._refuse(sock, conn, address, Refusal(Reason.TOO_LARGE, detail=detail))
             return False
         if request is None:
             return False
@@ -236,7 +257,8 @@
         self.active += 1
         try:
             await self.handler(exchange)
-        except CallerGone:
+        except CallerGone as error:
+            self._log_unanswered(address, f'the caller left: {error}')
             return False
         except Exception:
             log.exception('Handling {} {} failed.', request.method, request.path)
@@ -245,8 +267,17 @@
             self.active -= 1
         return conn.our_state is h11.DONE and conn.their_state is h11.DONE and not self.closing
 
-    async def _refuse(self, sock: Any, conn: h11.Connection, refusal: Refusal) -> None:
+    async def _refuse(
+        self, sock: Any, conn: h11.Connection, address: Any, refusal: Refusal
+    ) -> None:
         self.on_refusal(refusal.reason)
+        log.info(
+            'Refused. port={} caller={} reason={} detail={}',
+            self.port,
+            address,
+            refusal.reason.value,
+            refusal.detail,
+        )
         if conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         exchange = Exchange(self, sock, conn, Request('', ''))
@@ -280,6 +311,15 @@
     pass
 
 
+def _is_unanswered(conn: h11.Connection) -> bool:
+    """
+    Whether at least part of a request was received that has not been answered completely.
+
+    """
+    received = conn.their_state is not h11.IDLE or bool(conn.trailing_data[0])
+    return received and conn.our_state not in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+
+
 async def _next_event(sock: Any, conn: h11.Connection) -> Any:
     while True:
         event = conn.next_event()
--- /dev/null
+++ b/tests/test_unanswered_requests.py
@@ -0,0 +1,168 @@
+"""
+Requests that arrived at a server get an answer or a refusal; where none can be sent, the log tells
+why.
+
+"""
+
+import socket
+import struct
+
+import curio
+import logbook
+import pytest
+
+from millfork_web import server as server_module
+from millfork_web.models import Response
+from millfork_web.server import Server
+
+TIMEOUT_S = 10.0
+REQUEST = b'GET /x HTTP/1.1\r\nhost: h\r\n\r\n'
+# SO_LINGER on with a timeout of 0 s: closing resets the connection.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+HALF_BODY = b'POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\nhalf'
+
+
+class Harness:
+    """
+    A server on a free port, in the event loop of the test, and its callers.
+
+    """
+
+    def __init__(self, handler):
+        self.requests = []
+        self.refusals = []
+        self.handler = handler
+        self.server = Server('127.0.0.1', 0, self.handle, on_refusal=self.refusals.append)
+
+    async def __aenter__(self):
+        listener = curio.tcp_server_socket('127.0.0.1', 0)
+        self.address = listener.getsockname()
+        self.server.acceptor = await curio.spawn(self.server._accept, listener)
+        return self
+
+    async def __aexit__(self, *args):
+        await self.server.acceptor.cancel()
+
+    async def handle(self, exchange):
+        self.requests.append(exchange.request)
+        await self.handler(exchange)
+
+    async def connect(self):
+        return await curio.open_connection(*self.address)
+
+
+def run(scenario, handler):
+    """
+    Run a scenario with a server, within TIMEOUT_S; returns its result and the lines of the log.
+
+    """
+
+    async def main():
+        async with curio.timeout_after(TIMEOUT_S), Harness(handler) as harness:
+            return await scenario(harness)
+
+    with logbook.TestHandler() as records:
+        result = curio.run(main)
+        return result, [record.message for record in records.records]
+
+
+async def wait_until(condition):
+    while not condition():
+        await curio.sleep(0.01)
+
+
+async def read_to_end(sock):
+    received = b''
+    try:
+        while data := await sock.recv(65536):
+            received += data
+    except ConnectionResetError:
+        return received + b' (reset)'
+    return received
+
+
+async def answer(exchange):
+    await exchange.respond(Response(200, [], b'here'))
+
+
+def unanswered(lines):
+    return [line for line in lines if 'Request not answered.' in line]
+
+
+@pytest.mark.parametrize(
+    ('sent', 'reason'),
+    [(REQUEST[:10], 'the head did not arrive'), (HALF_BODY, 'the body did not arrive')],
+)
+def test_a_request_that_arrives_in_part_only_is_logged(monkeypatch, sent, reason):
+    monkeypatch.setattr(server_module, 'BODY_TIMEOUT_S', 0.1)
+
+    async def scenario(harness):
+        harness.server.idle_timeout_s = 0.1
+        sock = await harness.connect()
+        await sock.sendall(sent)
+        await read_to_end(sock)
+
+    _, lines = run(scenario, answer)
+    assert len(unanswered(lines)) == 1
+    assert reason in unanswered(lines)[0]
+
+
+def test_a_caller_that_leaves_within_a_request_is_logged():
+    async def scenario(harness):
+        sock = await harness.connect()
+        await sock.sendall(REQUEST[:10])
+        await wait_until(lambda: harness.server.idle_sockets or harness.server.active)
+        await sock.close()
+        await wait_until(lambda: not (harness.server.idle_sockets or harness.server.active))
+
+    _, lines = run(scenario, answer)
+    assert len([line for line in lines if 'peer unexpectedly closed' in line]) == 1
+
+
+def test_a_caller_that_leaves_before_its_answer_is_logged():
+    async def scenario(harness):
+        sock = await harness.connect()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        await sock.sendall(REQUEST)
+        await wait_until(lambda: harness.requests)
+        await sock.close()
+        await wait_until(lambda: not harness.server.active)
+
+    async def answer_late(exchange):
+        try:
+            await exchange.wait_for_disconnect()
+        except ConnectionResetError:
+            await answer(exchange)
+
+    _, lines = run(scenario, answer_late)
+    assert len(unanswered(lines)) == 1
+
+
+def test_a_timeout_that_a_handler_raises_is_logged():
+    async def scenario(harness):
+        sock = await harness.connect()
+        await sock.sendall(REQUEST)
+        await read_to_end(sock)
+
+    async def time_out(exchange):
+        async with curio.timeout_after(0.01):
+            await curio.sleep(1)
+
+    _, lines = run(scenario, time_out)
+    assert any('timeout' in line.lower() for line in lines)
+
+
+def test_the_end_of_an_idle_connection_is_not_logged():
+    async def scenario(harness):
+        harness.server.idle_timeout_s = 0.1
+        idle = await harness.connect()
+        await idle.sendall(REQUEST)
+        assert (await read_to_end(idle)).endswith(b'here')
+        leaving = await harness.connect()
+        await leaving.sendall(REQUEST)
+        await leaving.recv(1000)
+        await leaving.close()
+        await wait_until(lambda: not harness.server.idle_sockets)
+
+    _, lines = run(scenario, answer)
+    assert unanswered(lines) == []
