An error of a handler is answered, or shown as a broken answer

Seen by callers: where a handler ends with an error, the connection closes with neither an answer nor a refusal. Five kinds of end were tried in tests/test_unanswered_requests.py: an exception, the three timeouts of curio, and a return without an answer. All callers read an empty answer, and `curio.TaskTimeout`, which is no Exception, left no traceback. 16 of the new tests failed before.

Change: if nothing was sent, the caller gets 500 with the new reason `internal` and the verdict `may_have_run`; 503, 429, 408 and 421 would promise that the request did not run. If the answer had begun, the connection is aborted without the end of the body. Each is logged with its traceback and counted in millfork_refusals_total{reason="internal"}. TaskCancelled still ends the task.

The refusal is written by a new h11 connection, as h11 allows no second answer after one that it rejected. An answer whose send was interrupted marks the h11 connection as failed: its state was DONE before, as if the answer were complete.

--- a/packages/millfork-core/millfork_core/verdicts.py
+++ b/packages/millfork-core/millfork_core/verdicts.py
@@ -58,6 +58,7 @@
     FORBIDDEN = 'forbidden'
     NO_QUORUM = 'no_quorum'
     INVALID = 'invalid'
+    INTERNAL = 'internal'
 
 
 HTTP_STATUS: Final[dict[Reason, int]] = {
@@ -72,6 +73,7 @@
     Reason.KEY_MAY_HAVE_RUN: 409,
     Reason.KEY_REUSED: 422,
     Reason.OVER_SHARE: 429,
+    Reason.INTERNAL: 500,
     Reason.TIMED_OUT: 504,
     Reason.CONNECTION_LOST: 502,
     Reason.SILENT: 502,
--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -12,7 +12,7 @@
 import h11
 
 from millfork_core.logs import Component, logger
-from millfork_core.verdicts import Reason, Refusal
+from millfork_core.verdicts import Reason, Refusal, Verdict
 from millfork_web.models import Headers, Request, Response
 from millfork_web.problem import problem
 
@@ -36,6 +36,8 @@
     h11.IDLE: 'the head did not arrive in time',
     h11.SEND_BODY: 'the body did not arrive in time',
 }
+# The states of our side of an h11 connection after a complete response.
+COMPLETE_STATES: Final = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
 log = logger(Component.DAEMON)
 
@@ -49,7 +51,8 @@
 
 class Exchange:
     """
-    One request on one connection, and the methods to respond to it.
+    One request on one connection, and the methods to respond to it. `started` tells whether any
+    part of a response may have been sent.
 
     """
 
@@ -97,16 +100,20 @@
             pass
 
     def _head(self, status: int, headers: Headers) -> bytes:
-        self.started = True
         if self.server.closing:
             headers = [*headers, ('connection', 'close')]
         return self.conn.send(h11.Response(status_code=status, headers=headers)) or b''
 
     async def _send(self, data: bytes) -> None:
+        self.started = True
         try:
             await self.sock.sendall(data)
         except OSError as error:
+            self.conn.send_failed()
             raise CallerGone(str(error)) from error
+        except curio.CancelledError:
+            self.conn.send_failed()
+            raise
 
     async def wait_for_disconnect(self) -> None:
         """
@@ -256,17 +263,45 @@
         exchange = Exchange(self, sock, conn, request)
         self.active += 1
         try:
-            await self.handler(exchange)
+            await self._handle(exchange)
         except CallerGone as error:
             self._log_unanswered(address, f'the caller left: {error}')
             return False
-        except Exception:
-            log.exception('Handling {} {} failed.', request.method, request.path)
-            return False
         finally:
             self.active -= 1
         return conn.our_state is h11.DONE and conn.their_state is h11.DONE and not self.closing
 
+    async def _handle(self, exchange: Exchange) -> None:
+        request, conn = exchange.request, exchange.conn
+        try:
+            await self.handler(exchange)
+            if conn.our_state in (*COMPLETE_STATES, h11.ERROR):
+                return
+            log.error('Handling {} {} failed: no complete response.', request.method, request.path)
+        except CallerGone:
+            raise
+        except (Exception, curio.TaskTimeout, curio.TimeoutCancellationError):
+            log.exception('Handling {} {} failed.', request.method, request.path)
+        if conn.our_state not in COMPLETE_STATES:
+            await self._end_failed(exchange)
+
+    async def _end_failed(self, exchange: Exchange) -> None:
+        """
+        End a request whose handler failed: refuse it, or abort the response if it has begun.
+
+        """
+        self.on_refusal(Reason.INTERNAL)
+        if exchange.started:
+            await exchange.abort()
+            return
+        response = problem(Refusal(Reason.INTERNAL, Verdict.MAY_HAVE_RUN))
+        if exchange.request.method == 'HEAD':
+            response.body = b''
+        # The failed response may have left the old h11 connection in a state that allows no other
+        # one. h11 adds 'Connection: close' to a response of a new one.
+        conn = h11.Connection(h11.SERVER)
+        await Exchange(self, exchange.sock, conn, exchange.request).respond(response)
+
     async def _refuse(
         self, sock: Any, conn: h11.Connection, address: Any, refusal: Refusal
     ) -> None:
@@ -317,7 +352,7 @@
 
     """
     received = conn.their_state is not h11.IDLE or bool(conn.trailing_data[0])
-    return received and conn.our_state not in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+    return received and conn.our_state not in COMPLETE_STATES
 
 
 async def _next_event(sock: Any, conn: h11.Connection) -> Any:
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -11,6 +11,7 @@
 import logbook
 import pytest
 
+from millfork_core.verdicts import Reason
 from millfork_web import server as server_module
 from millfork_web.models import Response
 from millfork_web.server import Server
@@ -30,6 +31,7 @@
 
     def __init__(self, handler):
         self.requests = []
+        self.tasks = []
         self.refusals = []
         self.handler = handler
         self.server = Server('127.0.0.1', 0, self.handle, on_refusal=self.refusals.append)
@@ -45,6 +47,7 @@
 
     async def handle(self, exchange):
         self.requests.append(exchange.request)
+        self.tasks.append(await curio.current_task())
         await self.handler(exchange)
 
     async def connect(self):
@@ -138,20 +141,6 @@
     assert len(unanswered(lines)) == 1
 
 
-def test_a_timeout_that_a_handler_raises_is_logged():
-    async def scenario(harness):
-        sock = await harness.connect()
-        await sock.sendall(REQUEST)
-        await read_to_end(sock)
-
-    async def time_out(exchange):
-        async with curio.timeout_after(0.01):
-            await curio.sleep(1)
-
-    _, lines = run(scenario, time_out)
-    assert any('timeout' in line.lower() for line in lines)
-
-
 def test_the_end_of_an_idle_connection_is_not_logged():
     async def scenario(harness):
         harness.server.idle_timeout_s = 0.1
@@ -166,3 +155,99 @@
 
     _, lines = run(scenario, answer)
     assert unanswered(lines) == []
+
+
+async def raise_error():
+    raise ValueError('no answer')
+
+
+async def raise_timeout():
+    async with curio.timeout_after(0.01):
+        await curio.sleep(1)
+
+
+async def raise_outer_timeout():
+    raise curio.errors.TimeoutCancellationError(0)
+
+
+async def raise_uncaught_timeout():
+    async with curio.timeout_after(10):
+        await raise_timeout()
+
+
+async def return_without_answer():
+    return
+
+
+FAILURES = [
+    raise_error,
+    raise_timeout,
+    raise_outer_timeout,
+    raise_uncaught_timeout,
+    return_without_answer,
+]
+
+
+@pytest.mark.parametrize('failure', FAILURES)
+@pytest.mark.parametrize('method', ['GET', 'HEAD'])
+def test_a_request_whose_handler_fails_is_refused_without_a_promise(failure, method):
+    async def scenario(harness):
+        sock = await harness.connect()
+        await sock.sendall(REQUEST.replace(b'GET', method.encode()))
+        reply = await read_to_end(sock)
+        return reply, harness.refusals, harness.server.active
+
+    (reply, refusals, active), lines = run(scenario, lambda exchange: failure())
+    assert reply.startswith(b'HTTP/1.1 500 ')
+    assert b'millfork-verdict: may_have_run' in reply
+    assert refusals == [Reason.INTERNAL]
+    assert active == 0
+    assert [line for line in lines if 'Handling GET /x failed' in line or 'HEAD /x' in line]
+
+
+@pytest.mark.parametrize('failure', FAILURES)
+def test_an_answer_that_breaks_off_in_the_handler_does_not_look_complete(failure):
+    async def answer_in_part(exchange):
+        await exchange.start(200, [])
+        await exchange.write(b'first')
+        await failure()
+
+    async def scenario(harness):
+        sock = await harness.connect()
+        await sock.sendall(REQUEST)
+        return await read_to_end(sock), harness.refusals
+
+    (reply, refusals), lines = run(scenario, answer_in_part)
+    assert b'first' in reply
+    assert b'500' not in reply
+    assert not reply.endswith(b'0\r\n\r\n')
+    assert refusals == [Reason.INTERNAL]
+    assert [line for line in lines if 'Handling GET /x failed' in line]
+
+
+def test_an_answer_that_h11_rejects_is_replaced_by_a_refusal():
+    async def answer_with_invalid_head(exchange):
+        await exchange.respond(Response(200, [('bad name', 'x')], b'here'))
+
+    async def scenario(harness):
+        sock = await harness.connect()
+        await sock.sendall(REQUEST)
+        return await read_to_end(sock)
+
+    reply, _ = run(scenario, answer_with_invalid_head)
+    assert reply.startswith(b'HTTP/1.1 500 ')
+    assert b'here' not in reply
+
+
+def test_a_task_that_is_cancelled_ends_without_a_refusal():
+    async def scenario(harness):
+        sock = await harness.connect()
+        await sock.sendall(REQUEST)
+        await wait_until(lambda: harness.tasks)
+        await harness.tasks[0].cancel()
+        return await read_to_end(sock), harness.refusals, harness.tasks[0].exception
+
+    (reply, refusals, exception), lines = run(scenario, lambda exchange: curio.sleep(TIMEOUT_S))
+    assert (reply, refusals) == (b'', [])
+    assert isinstance(exception, curio.TaskCancelled)
+    assert len(unanswered(lines)) == 1
