Header values with bytes outside ASCII are passed on unchanged

Seen by callers: a request with such a header value, or whose back end answers with one, got no answer (500 since the commit before). h11 accepts these bytes when it reads, as HTTP does.

Cause: header values are decoded as Latin-1, but were handed to h11 as str, which it encodes as ASCII: UnicodeEncodeError in Exchange._head, ServerConnection.send and Client._write. A test for each of the three in tests/test_unanswered_requests.py failed with it before.

Change: all three encode headers as Latin-1 with `encode_headers`.

--- a/packages/millfork-web/millfork_web/client.py
+++ b/packages/millfork-web/millfork_web/client.py
@@ -11,7 +11,7 @@
 
 from millfork_core.sockets import connect, is_quiet
 from millfork_core.verdicts import Verdict
-from millfork_web.models import Headers, Response, find_header
+from millfork_web.models import Headers, Response, encode_headers, find_header
 
 READ_BYTES: Final = 256 * 1024
 CONNECT_TIMEOUT_S: Final = 2.0
@@ -196,7 +196,8 @@
         body: bytes,
     ) -> None:
         sent = [*headers, ('host', f'{self.host}:{self.port}'), ('content-length', str(len(body)))]
-        data = conn.send(h11.Request(method=method, target=path, headers=sent)) or b''
+        request = h11.Request(method=method, target=path, headers=encode_headers(sent))
+        data = conn.send(request) or b''
         data += conn.send(h11.Data(data=body)) or b''
         data += conn.send(h11.EndOfMessage()) or b''
         self.bytes_transferred += len(data)
--- a/packages/millfork-web/millfork_web/models.py
+++ b/packages/millfork-web/millfork_web/models.py
@@ -29,6 +29,15 @@
     return [item for item in headers if item[0] != name]
 
 
+def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """
+    Encode headers as they are decoded, as Latin-1, so that values with bytes outside ASCII pass
+    unchanged. h11 itself would encode them as ASCII.
+
+    """
+    return [(name.encode('latin-1'), value.encode('latin-1')) for name, value in headers]
+
+
 @dataclass(slots=True)
 class Request:
     """
--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -13,7 +13,7 @@
 
 from millfork_core.logs import Component, logger
 from millfork_core.verdicts import Reason, Refusal, Verdict
-from millfork_web.models import Headers, Request, Response
+from millfork_web.models import Headers, Request, Response, encode_headers
 from millfork_web.problem import problem
 
 READ_BYTES: Final = 64 * 1024
@@ -102,7 +102,9 @@
     def _head(self, status: int, headers: Headers) -> bytes:
         if self.server.closing:
             headers = [*headers, ('connection', 'close')]
-        return self.conn.send(h11.Response(status_code=status, headers=headers)) or b''
+        return (
+            self.conn.send(h11.Response(status_code=status, headers=encode_headers(headers))) or b''
+        )
 
     async def _send(self, data: bytes) -> None:
         self.started = True
--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -16,7 +16,7 @@
 from millfork_core.sockets import connect, is_quiet
 from millfork_core.verdicts import Reason, Verdict
 from millfork_scheduling.server import Server
-from millfork_web.models import Headers
+from millfork_web.models import Headers, encode_headers
 
 READ_BYTES: Final = 64 * 1024
 # SO_LINGER on with a timeout of 0 s: closing discards unsent data and resets the connection.
@@ -82,7 +82,7 @@
         if body or method not in ('GET', 'HEAD', 'DELETE', 'OPTIONS'):
             headers = [item for item in headers if item[0] != 'content-length']
             headers = [*headers, ('content-length', str(len(body)))]
-        request = h11.Request(method=method, target=path, headers=headers)
+        request = h11.Request(method=method, target=path, headers=encode_headers(headers))
         data = self.http.send(request) or b''
         if body:
             data += self.http.send(h11.Data(data=body)) or b''
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -13,8 +13,10 @@
 
 from millfork_core.verdicts import Reason
 from millfork_web import server as server_module
+from millfork_web.client import Client
 from millfork_web.models import Response
 from millfork_web.server import Server
+from millforkd.proxy.connections import ServerConnection
 
 TIMEOUT_S = 10.0
 REQUEST = b'GET /x HTTP/1.1\r\nhost: h\r\n\r\n'
@@ -251,3 +253,42 @@
     assert (reply, refusals) == (b'', [])
     assert isinstance(exception, curio.TaskCancelled)
     assert len(unanswered(lines)) == 1
+
+
+LATIN_HEADER = ('x-name', 'caf\xe9 \xff')
+
+
+async def echo_header(exchange):
+    await exchange.respond(Response(200, [('x-name', exchange.request.header('x-name'))], b'here'))
+
+
+def test_an_answer_header_with_bytes_outside_ascii_is_passed_on():
+    async def scenario(harness):
+        sock = await harness.connect()
+        await sock.sendall(b'GET /x HTTP/1.1\r\nhost: h\r\nx-name: caf\xe9 \xff\r\n\r\n')
+        return await sock.recv(1000)
+
+    reply, _ = run(scenario, echo_header)
+    assert b'\r\nx-name: caf\xe9 \xff\r\n' in reply
+
+
+def test_a_request_header_with_bytes_outside_ascii_is_sent_to_the_back_end():
+    async def scenario(harness):
+        connection = ServerConnection(await harness.connect())
+        await connection.send('GET', '/x', [('host', 'h'), LATIN_HEADER], b'')
+        await connection.read_head()
+        return connection.headers
+
+    headers, _ = run(scenario, echo_header)
+    assert LATIN_HEADER in headers
+
+
+def test_a_client_sends_a_header_with_bytes_outside_ascii():
+    async def scenario(harness):
+        client = Client(*harness.address)
+        response = await client.fetch('GET', '/x', [LATIN_HEADER])
+        await client.close()
+        return response.headers
+
+    headers, _ = run(scenario, echo_header)
+    assert LATIN_HEADER in headers
