A connection with a request in it is not closed as idle

Seen by callers: on a planned stop of an entry, and when file descriptors run out, the next request on a kept connection ran at a back end, and the connection closed without an answer. Twenty kept connections whose next request had arrived when `_close_idle` ran: 20 requests handled, 0 answered.

Cause: `_close_idle` shut both directions of each connection that waited for a head. What had arrived, whole or in part, stays readable on Linux, so the task read it, passed it on and could not answer.

Change: a connection with unread bytes, or with a part of a request read, is not idle; it is served, and then closed on a stop. A socket that is closed as idle is taken from `idle_sockets`, and its task ignores what it still reads: such a request only crosses the close. On a stop, pipelined requests that have arrived are answered before the connection closes. `active` counts a connection from the first bytes of a request on.

--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -11,7 +11,9 @@
 import curio
 import h11
 
+from millfork_core.clocks import elapsed_s
 from millfork_core.logs import Component, logger
+from millfork_core.sockets import is_quiet
 from millfork_core.verdicts import Reason, Refusal, Verdict
 from millfork_web.models import Headers, Request, Response, encode_headers
 from millfork_web.problem import problem
@@ -100,7 +102,7 @@
             pass
 
     def _head(self, status: int, headers: Headers) -> bytes:
-        if self.server.closing:
+        if self.server.closing and not has_received(self.sock, self.conn):
             headers = [*headers, ('connection', 'close')]
         return (
             self.conn.send(h11.Response(status_code=status, headers=encode_headers(headers))) or b''
@@ -167,6 +169,7 @@
         self.on_refusal = on_refusal
         self.spawn = spawn
         self.closing = False
+        # The number of connections with a request of which at least a part has been read.
         self.active = 0
         self.acceptor: curio.Task | None = None
         # Connections that wait for a request, the longest idle first.
@@ -216,20 +219,37 @@
         log.warning('Closed {} idle connections, as file descriptors ran out.', count)
 
     async def _close_idle(self, max_count: int) -> int:
-        closed = list(self.idle_sockets)[:max_count]
-        for sock in closed:
-            self.idle_sockets.pop(sock, None)
+        """
+        Close up to `max_count` idle connections, but none with unread bytes, as these may be a
+        request. Their tasks find their sockets gone from `idle_sockets`, and ignore a request that
+        arrives while its connection is being closed. Returns the number of closed connections.
+
+        """
+        closed_count = 0
+        for sock in list(self.idle_sockets):
+            if closed_count == max_count:
+                break
+            if not is_quiet(sock):
+                continue
+            del self.idle_sockets[sock]
+            closed_count += 1
             try:
                 await sock.shutdown(socket_.SHUT_RDWR)
-            except OSError:
-                continue
-        return len(closed)
+            except OSError as error:
+                log.debug('An idle connection was closed by its caller: {}.', error)
+        return closed_count
 
     async def _serve(self, sock: Any, address: Any) -> None:
         sock.setsockopt(socket_.IPPROTO_TCP, socket_.TCP_NODELAY, 1)
         conn = h11.Connection(h11.SERVER)
         try:
-            while await self._serve_one(sock, conn, address):
+            while await self._wait_for_request(sock, conn):
+                self.active += 1
+                try:
+                    if not await self._serve_one(sock, conn, address):
+                        break
+                finally:
+                    self.active -= 1
                 conn.start_next_cycle()
         except CallerGone as error:
             self._log_unanswered(address, f'the caller left: {error}')
@@ -262,16 +282,14 @@
             return False
         if request is None:
             return False
-        exchange = Exchange(self, sock, conn, request)
-        self.active += 1
         try:
-            await self._handle(exchange)
+            await self._handle(Exchange(self, sock, conn, request))
         except CallerGone as error:
             self._log_unanswered(address, f'the caller left: {error}')
             return False
-        finally:
-            self.active -= 1
-        return conn.our_state is h11.DONE and conn.their_state is h11.DONE and not self.closing
+        if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+            return False
+        return not self.closing or has_received(sock, conn)
 
     async def _handle(self, exchange: Exchange) -> None:
         request, conn = exchange.request, exchange.conn
@@ -320,26 +338,40 @@
         exchange = Exchange(self, sock, conn, Request('', ''))
         await exchange.respond(problem(refusal))
 
-    async def _read_request(self, sock: Any, conn: h11.Connection) -> Request | None:
+    async def _wait_for_request(self, sock: Any, conn: h11.Connection) -> bool:
+        """
+        Wait for the first bytes of the next request. Returns False if the connection was closed, by
+        its caller or by `_close_idle`.
+
+        """
+        if conn.trailing_data[0]:
+            return True
         self.idle_sockets[sock] = None
         try:
             async with curio.timeout_after(self.idle_timeout_s):
-                head = await _next_event(sock, conn)
+                data = await sock.recv(READ_BYTES)
+            if not data or sock not in self.idle_sockets:
+                return False
         finally:
             self.idle_sockets.pop(sock, None)
+        conn.receive_data(data)
+        return True
+
+    async def _read_request(self, sock: Any, conn: h11.Connection) -> Request | None:
+        head = await _next_event(sock, conn, elapsed_s() + self.idle_timeout_s)
         if not isinstance(head, h11.Request):
             return None
         body = bytearray()
-        async with curio.timeout_after(BODY_TIMEOUT_S):
-            while True:
-                event = await _next_event(sock, conn)
-                if isinstance(event, h11.EndOfMessage):
-                    break
-                if not isinstance(event, h11.Data):
-                    return None
-                body += event.data
-                if len(body) > self.max_body:
-                    raise _TooLarge
+        body_deadline = elapsed_s() + BODY_TIMEOUT_S
+        while True:
+            event = await _next_event(sock, conn, body_deadline)
+            if isinstance(event, h11.EndOfMessage):
+                break
+            if not isinstance(event, h11.Data):
+                return None
+            body += event.data
+            if len(body) > self.max_body:
+                raise _TooLarge
         headers = [(name.decode(), value.decode('latin-1')) for name, value in head.headers]
         return Request(head.method.decode(), head.target.decode(), headers, bytes(body))
 
@@ -357,11 +389,27 @@
     return received and conn.our_state not in COMPLETE_STATES
 
 
-async def _next_event(sock: Any, conn: h11.Connection) -> Any:
-    while True:
+def has_received(sock: Any, conn: h11.Connection) -> bool:
+    """
+    Whether bytes have arrived that may be a request and that are not part of the last one.
+
+    """
+    return bool(conn.trailing_data[0]) or not is_quiet(sock)
+
+
+async def _next_event(sock: Any, conn: h11.Connection, deadline: float) -> Any:
+    """
+    Return the next event of a connection.
+
+    :raises TaskTimeout: if it does not arrive by `deadline`, a time of `elapsed_s`.
+
+    """
+    event = conn.next_event()
+    while event is h11.NEED_DATA:
+        async with curio.timeout_after(deadline - elapsed_s()):
+            if conn.they_are_waiting_for_100_continue:
+                response = h11.InformationalResponse(status_code=100, headers=[])
+                await sock.sendall(conn.send(response))
+            conn.receive_data(await sock.recv(READ_BYTES))
         event = conn.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        if conn.they_are_waiting_for_100_continue:
-            await sock.sendall(conn.send(h11.InformationalResponse(status_code=100, headers=[])))
-        conn.receive_data(await sock.recv(READ_BYTES))
+    return event
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -292,3 +292,103 @@
 
     headers, _ = run(scenario, echo_header)
     assert LATIN_HEADER in headers
+
+
+CONNECTIONS = 20
+
+
+async def open_idle_connections(harness, count):
+    """
+    Open connections that each have had one answer, and return once the server waits on all of them.
+
+    """
+    connections = []
+    for _ in range(count):
+        sock = await harness.connect()
+        await sock.sendall(REQUEST)
+        assert b'here' in await sock.recv(1000)
+        connections.append(sock)
+    await wait_until(lambda: len(harness.server.idle_sockets) == count)
+    harness.requests.clear()
+    return connections
+
+
+def send_at_once(sock, data):
+    """
+    Send without giving other tasks the chance to run.
+
+    """
+    with sock.blocking() as raw:
+        raw.sendall(data)
+
+
+async def close_for_stop(server):
+    server.closing = True
+    await server._close_idle(CONNECTIONS)
+
+
+@pytest.mark.parametrize('close', [close_for_stop, Server._free_descriptors])
+def test_a_connection_whose_next_request_has_arrived_is_not_closed_as_idle(close):
+    async def scenario(harness):
+        connections = await open_idle_connections(harness, CONNECTIONS)
+        for sock in connections:
+            send_at_once(sock, REQUEST)
+        await close(harness.server)
+        return [await sock.recv(1000) for sock in connections], len(harness.requests)
+
+    (replies, handled), lines = run(scenario, answer)
+    assert handled == CONNECTIONS
+    assert len([reply for reply in replies if reply.endswith(b'here')]) == CONNECTIONS
+    assert unanswered(lines) == []
+
+
+@pytest.mark.parametrize('sent', [REQUEST[:10], HALF_BODY])
+def test_a_connection_with_a_part_of_a_request_is_served_before_it_is_closed(sent):
+    async def scenario(harness):
+        sock = await harness.connect()
+        await sock.sendall(sent)
+        await wait_until(lambda: harness.server.active)
+        await close_for_stop(harness.server)
+        await sock.sendall(REQUEST[10:] if sent == REQUEST[:10] else b' more')
+        return await read_to_end(sock)
+
+    reply, _ = run(scenario, answer)
+    assert reply.endswith(b'here')
+    assert b'connection: close' in reply.lower()
+
+
+@pytest.mark.parametrize('close', [close_for_stop, Server._free_descriptors])
+def test_a_request_that_arrives_as_its_connection_is_closed_as_idle_is_not_handled(
+    monkeypatch, close
+):
+    shut_down = curio.io.Socket.shutdown
+
+    async def scenario(harness):
+        [sock] = await open_idle_connections(harness, 1)
+
+        async def send_and_shut_down(self, how):
+            send_at_once(sock, REQUEST)
+            await shut_down(self, how)
+
+        monkeypatch.setattr(curio.io.Socket, 'shutdown', send_and_shut_down)
+        await close(harness.server)
+        await read_to_end(sock)
+        await wait_until(lambda: not (harness.server.idle_sockets or harness.server.active))
+        return harness.requests
+
+    assert run(scenario, answer)[0] == []
+
+
+def test_pipelined_requests_are_all_answered_on_a_stop():
+    async def answer_and_stop(exchange):
+        exchange.server.closing = True
+        await answer(exchange)
+
+    async def scenario(harness):
+        sock = await harness.connect()
+        await sock.sendall(REQUEST * 3)
+        return await read_to_end(sock)
+
+    reply, _ = run(scenario, answer_and_stop)
+    assert reply.count(b'here') == 3
+    assert reply.lower().count(b'connection: close') == 1
