A planned stop answers what has been accepted or waits to be

Also reset: connections in the listen backlog, and requests of which only a part had arrived.

Cause: a drain ended as soon as no whole request was in progress. Provoked without load by stopping the process (SIGSTOP) while the balancer's time passes: in tests/test_stops.py a caller that had connected, or had sent 20 bytes, before the drain ended read an empty answer in both cases.

Change: stop_accepting first accepts what waits in the backlog, and closes idle connections, but not new ones. wait_until_finished then waits for connections with a request or a part of one, and for new connections that have sent nothing up to NEW_CONNECTION_WAIT_S. All three drains (entries of both kinds and replicas) use both, bounded as before; that of a replica, which had no bound, ends with the grace period. The count in the log holds connections with unread bytes.

The proof 'a planned stop waits for requests in progress' in tests/mutations_listed.py takes out the second wait too.

--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -5,7 +5,7 @@
 
 import errno
 import socket as socket_
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import Any, Final
 
 import curio
@@ -30,6 +30,11 @@
 # The number of idle connections closed each time file descriptors run out: few enough to affect
 # few callers, more than the connections that arrive within `ACCEPT_PAUSE_S` in a busy fleet.
 IDLE_CLOSED_PER_SHORTAGE: Final = 8
+# How long a stop waits for the first bytes on a new connection. Callers connect to send a request
+# at once, so it takes one round trip, or a lost packet's retransmission after 0.2 s more.
+NEW_CONNECTION_WAIT_S: Final = 0.5
+# How often a stop checks whether requests are still in progress.
+STOP_POLL_S: Final = 0.05
 DEFAULT_MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 
 # What took too long when a time limit ends a connection, by the state of the caller's side. In any
@@ -174,6 +179,8 @@
         self.acceptor: curio.Task | None = None
         # Connections that wait for a request, the longest idle first.
         self.idle_sockets: dict[Any, None] = {}
+        # Those of them that have not had any request yet.
+        self.new_sockets: set[Any] = set()
 
     async def run(self) -> None:
         """
@@ -186,27 +193,77 @@
 
     async def _accept(self, listener: Any) -> None:
         async with listener:
-            while True:
-                try:
-                    sock, address = await listener.accept()
-                except OSError as error:
-                    log.warning('Accepting a connection on port {} failed: {}.', self.port, error)
-                    if error.errno in DESCRIPTOR_SHORTAGE_ERRNOS:
-                        await self._free_descriptors()
-                    await curio.sleep(ACCEPT_PAUSE_S)
-                    continue
-                await self.spawn(self._serve, sock, address)
+            try:
+                while True:
+                    await self._accept_one(listener)
+            except curio.TaskCancelled:
+                if self.closing:
+                    await self._accept_waiting(listener)
+                raise
+
+    async def _accept_one(self, listener: Any) -> None:
+        try:
+            sock, address = await listener.accept()
+        except OSError as error:
+            log.warning('Accepting a connection on port {} failed: {}.', self.port, error)
+            if error.errno in DESCRIPTOR_SHORTAGE_ERRNOS:
+                await self._free_descriptors()
+            await curio.sleep(ACCEPT_PAUSE_S)
+            return
+        await self._start_serving(sock, address)
+
+    async def _accept_waiting(self, listener: Any) -> None:
+        """
+        Accept the connections that wait in the backlog, which closing the listener would reset.
+
+        """
+        while True:
+            try:
+                with listener.blocking() as raw:
+                    raw.setblocking(False)
+                    sock, address = raw.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                log.warning('Accepting a connection on port {} failed: {}.', self.port, error)
+                return
+            await self._start_serving(curio.io.Socket(sock), address)
+
+    async def _start_serving(self, sock: Any, address: Any) -> None:
+        self.idle_sockets[sock] = None
+        self.new_sockets.add(sock)
+        await self.spawn(self._serve, sock, address)
 
     async def stop_accepting(self) -> None:
         """
-        Accept no new connections and close the idle ones. Requests in progress continue; their
-        connections are closed afterwards.
+        Accept no new connections except those that wait already, and close the idle ones. Requests
+        in progress continue; their connections are closed afterwards.
 
         """
         self.closing = True
         if self.acceptor is not None:
             await self.acceptor.cancel()
-        await self._close_idle(len(self.idle_sockets))
+        await self._close_idle(len(self.idle_sockets), self.new_sockets)
+
+    async def wait_until_finished(self) -> None:
+        """
+        After `stop_accepting`, wait until all requests that have arrived are answered, and up to
+        NEW_CONNECTION_WAIT_S for those of new connections.
+
+        """
+        deadline = elapsed_s() + NEW_CONNECTION_WAIT_S
+        while self.active or self.idle_sockets:
+            await curio.sleep(STOP_POLL_S)
+            if elapsed_s() > deadline:
+                await self._close_idle(len(self.idle_sockets))
+
+    @property
+    def in_progress(self) -> int:
+        """
+        The number of connections on which at least a part of a request has arrived.
+
+        """
+        return self.active + sum(not is_quiet(sock) for sock in self.idle_sockets)
 
     async def _free_descriptors(self) -> None:
         """
@@ -218,18 +275,19 @@
         count = await self._close_idle(IDLE_CLOSED_PER_SHORTAGE)
         log.warning('Closed {} idle connections, as file descriptors ran out.', count)
 
-    async def _close_idle(self, max_count: int) -> int:
+    async def _close_idle(self, max_count: int, spared: Collection[Any] = ()) -> int:
         """
-        Close up to `max_count` idle connections, but none with unread bytes, as these may be a
-        request. Their tasks find their sockets gone from `idle_sockets`, and ignore a request that
-        arrives while its connection is being closed. Returns the number of closed connections.
+        Close up to `max_count` idle connections, but none of `spared`, and none with unread bytes,
+        as these may be a request. Their tasks find their sockets gone from `idle_sockets`, and
+        ignore a request that arrives while its connection is being closed. Returns the number of
+        closed connections.
 
         """
         closed_count = 0
         for sock in list(self.idle_sockets):
             if closed_count == max_count:
                 break
-            if not is_quiet(sock):
+            if sock in spared or not is_quiet(sock):
                 continue
             del self.idle_sockets[sock]
             closed_count += 1
@@ -251,6 +309,7 @@
                 finally:
                     self.active -= 1
                 conn.start_next_cycle()
+                self.idle_sockets[sock] = None
         except CallerGone as error:
             self._log_unanswered(address, f'the caller left: {error}')
         except OSError as error:
@@ -265,6 +324,7 @@
                 self._log_unanswered(address, repr(error))
             raise
         finally:
+            self._forget_idle(sock)
             await sock.close()
 
     def _log_unanswered(self, address: Any, reason: str) -> None:
@@ -344,19 +404,19 @@
         its caller or by `_close_idle`.
 
         """
-        if conn.trailing_data[0]:
-            return True
-        self.idle_sockets[sock] = None
-        try:
+        if not conn.trailing_data[0]:
             async with curio.timeout_after(self.idle_timeout_s):
                 data = await sock.recv(READ_BYTES)
             if not data or sock not in self.idle_sockets:
                 return False
-        finally:
-            self.idle_sockets.pop(sock, None)
-        conn.receive_data(data)
+            conn.receive_data(data)
+        self._forget_idle(sock)
         return True
 
+    def _forget_idle(self, sock: Any) -> None:
+        self.idle_sockets.pop(sock, None)
+        self.new_sockets.discard(sock)
+
     async def _read_request(self, sock: Any, conn: h11.Connection) -> Request | None:
         head = await _next_event(sock, conn, elapsed_s() + self.idle_timeout_s)
         if not isinstance(head, h11.Request):
--- a/packages/millforkd/millforkd/entry/daemon.py
+++ b/packages/millforkd/millforkd/entry/daemon.py
@@ -135,7 +135,7 @@
 
     @property
     def in_progress(self) -> int:
-        return self.server.active
+        return self.server.in_progress
 
     async def start(self) -> None:
         """
@@ -161,7 +161,8 @@
         """
         Prepare for a planned stop: report that this entry is not ready, give the load balancer
         BALANCER_GRACE_S to stop sending requests, then refuse new ones and wait up to
-        `routing.drain_ms` for those in progress.
+        `routing.drain_ms` for those in progress. Connections are accepted until none is in
+        progress.
 
         """
         self.server.closing = True
@@ -172,9 +173,11 @@
             async with curio.timeout_after(self.settings.routing.drain_ms / 1000):
                 while self.server.active:
                     await curio.sleep(DRAIN_POLL_INTERVAL_S)
+                await self.server.stop_accepting()
+                await self.server.wait_until_finished()
         except curio.TaskTimeout:
             self.env.metrics.count(self.env.metrics.requests, outcome='cut_off_by_deadline')
-            log.warning('Drain deadline: {} requests are cut off.', self.server.active)
+            log.warning('Drain deadline: {} requests are cut off.', self.in_progress)
 
     def _is_ready(self) -> bool:
         return (
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -50,7 +50,6 @@
 BALANCER_REMOVAL_S: Final = 2.5
 # The part of a planned stop's grace period that is reserved for ending the process.
 STOP_MARGIN_S: Final = 0.5
-DRAIN_POLL_S: Final = 0.05
 HOUSEKEEPING_INTERVAL_S: Final = 0.5
 # The timeout for passing the report of an endpoint daemon on to a replica. A lost report
 # is followed by the daemon's next one: endpoint daemons report every 0.15 s.
@@ -153,7 +152,7 @@
 
     @property
     def in_progress(self) -> int:
-        return self.server.active
+        return self.server.in_progress
 
     def is_ready(self) -> bool:
         return self.admission.table is not None and not self.stopping
@@ -195,11 +194,12 @@
         await curio.sleep(min(BALANCER_REMOVAL_S, limit_s))
         # A request that arrives from here on might not be answered before the entry stops.
         await self.server.stop_accepting()
-        while self.server.active and self.env.monotonic() - started < limit_s:
-            await curio.sleep(DRAIN_POLL_S)
-        if self.server.active:
+        try:
+            async with curio.timeout_after(limit_s - (self.env.monotonic() - started)):
+                await self.server.wait_until_finished()
+        except curio.TaskTimeout:
             self.env.metrics.count(self.env.metrics.requests, outcome='cut_off_by_deadline')
-            log.warning('Stopping with {} requests in progress.', self.server.active)
+            log.warning('Stopping with {} requests in progress.', self.in_progress)
 
     async def _apply_changes(self) -> None:
         """
--- a/packages/millforkd/millforkd/replica/daemon.py
+++ b/packages/millforkd/millforkd/replica/daemon.py
@@ -39,8 +39,8 @@
 from millforkd.versions import VersionTracker
 
 STATE_FOLDER: Final = 'state'
-# How often a stopping replica checks whether calls are still in progress.
-STOP_PAUSE_S: Final = 0.1
+# The part of a planned stop's grace period that is reserved for ending the process.
+STOP_MARGIN_S: Final = 0.5
 # The longest pause between two checks for new model versions, in case a notification of a change of
 # the configuration is missed.
 VERSION_CHECK_PERIOD_S: Final = 0.15
@@ -150,7 +150,7 @@
 
     @property
     def in_progress(self) -> int:
-        return self.server.active
+        return self.server.in_progress
 
     def is_ready(self) -> bool:
         return bool(self.replica.cluster)
@@ -182,17 +182,24 @@
     async def drain(self) -> None:
         """
         Prepare a planned stop: if this replica leads, it steps down, so that the other replicas
-        needn't wait for an election timeout. Returns once no calls are in progress.
+        needn't wait for an election timeout. Returns once no calls are in progress, or as the grace
+        period ends.
 
         """
+        started = self.env.monotonic()
         self.server.closing = True
         async with self.replica.lock:
             await self.replica.step_down()
             # Like a replica whose disk failed, this replica then doesn't stand for election for one
             # election timeout.
             self.replica.disk_failed_at = self.env.monotonic()
-        while self.server.active:
-            await curio.sleep(STOP_PAUSE_S)
+        await self.server.stop_accepting()
+        limit_s = self.settings.promises.grace_s - STOP_MARGIN_S
+        try:
+            async with curio.timeout_after(limit_s - (self.env.monotonic() - started)):
+                await self.server.wait_until_finished()
+        except curio.TaskTimeout:
+            log.warning('Stopping with {} calls in progress.', self.in_progress)
 
     # Messages of peers.
 
--- a/tests/mutations_listed.py
+++ b/tests/mutations_listed.py
@@ -154,6 +154,7 @@
         scenario('planned_stops'),
         (
             Edit(D + 'entry/daemon.py', 'while self.server.active:', 'while False:'),
+            Edit(D + 'entry/daemon.py', 'await self.server.wait_until_finished()', 'pass'),
             Edit(D + 'endpoint/backend_gateway.py', 'while self.reservations:', 'while False:'),
         ),
     ),
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -4,6 +4,8 @@
 
 """
 
+import signal
+import socket
 import threading
 import time
 
@@ -12,11 +14,16 @@
 from millfork_core.status import ExitStatus
 from millfork_standins.deployments import LANTING
 from millfork_standins.fleet import Fleet
-from millfork_standins.layout import FleetOptions
+from millfork_standins.layout import CALLERS_PORT, FleetOptions
+from millforkd.entry.daemon import BALANCER_GRACE_S
 from tests.utils.fleets import call_service, wait_until
 
 ANSWER_MS = 60_000
 RETRY_INTERVAL_S = 0.1
+TIMEOUT_S = 30.0
+# How late a request arrives after its connection.
+LATE_S = 0.2
+REQUEST = b'GET /control/v1/status HTTP/1.1\r\nhost: h\r\n\r\n'
 
 
 @pytest.fixture
@@ -72,3 +79,25 @@
         process.terminate()
     assert process.wait(30) == ExitStatus.SUCCESS
     assert expected_line in fleet.read_log_tail(entry.name)
+
+
+@pytest.mark.parametrize('sent_before', [0, 20])
+def test_a_request_that_arrives_as_the_drain_ends_is_answered(fleet, sent_before):
+    entry = fleet.entries[0]
+    process = fleet.processes.pop(entry.name)
+    process.terminate()
+    wait_until(lambda: 'Stopping; requests in progress go on' in fleet.read_log_tail(entry.name))
+    process.send_signal(signal.SIGSTOP)
+    # The time that the load balancer gets passes while the process does not run.
+    frozen_until = time.monotonic() + 2 * BALANCER_GRACE_S
+    with socket.create_connection((entry.host, CALLERS_PORT), timeout=TIMEOUT_S) as caller:
+        caller.sendall(REQUEST[:sent_before])
+        wait_until(lambda: time.monotonic() > frozen_until)
+        process.send_signal(signal.SIGCONT)
+        continued_at = time.monotonic()
+        wait_until(lambda: process.poll() is not None or time.monotonic() > continued_at + LATE_S)
+        caller.sendall(REQUEST[sent_before:])
+        reply = caller.recv(1000)
+    assert reply.startswith(b'HTTP/1.1 503 ')
+    assert b'millfork-reason: stopping' in reply
+    assert process.wait(TIMEOUT_S) == ExitStatus.SUCCESS
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -6,6 +6,7 @@
 
 import socket
 import struct
+import time
 
 import curio
 import logbook
@@ -392,3 +393,68 @@
     reply, _ = run(scenario, answer_and_stop)
     assert reply.count(b'here') == 3
     assert reply.lower().count(b'connection: close') == 1
+
+
+async def stop(server):
+    """
+    Stop a server, and wait until it has ended all connections.
+
+    """
+    await server.stop_accepting()
+    await server.wait_until_finished()
+
+
+def connect_at_once(harness, data=b''):
+    """
+    Connect and send without giving other tasks the chance to run.
+
+    """
+    caller = socket.create_connection(harness.address)
+    caller.sendall(data)
+    return curio.io.Socket(caller)
+
+
+def test_connections_that_wait_to_be_accepted_are_served_on_a_stop():
+    async def scenario(harness):
+        _kept = await open_idle_connections(harness, 1)
+        callers = [connect_at_once(harness, REQUEST) for _ in range(CONNECTIONS)]
+        await stop(harness.server)
+        return [await read_to_end(sock) for sock in callers]
+
+    replies, lines = run(scenario, answer)
+    assert len([reply for reply in replies if reply.endswith(b'here')]) == CONNECTIONS
+    assert unanswered(lines) == []
+
+
+@pytest.mark.parametrize('is_accepted', [True, False])
+def test_a_new_connection_whose_request_arrives_late_is_served_on_a_stop(is_accepted):
+    async def scenario(harness):
+        _kept = await open_idle_connections(harness, 1)
+        caller = connect_at_once(harness)
+        if is_accepted:
+            await wait_until(lambda: len(harness.server.idle_sockets) == 2)
+        stopping = await curio.spawn(stop, harness.server)
+        await wait_until(lambda: harness.server.acceptor.terminated)
+        try:
+            await caller.sendall(REQUEST)
+        except OSError:
+            return b''
+        reply = await read_to_end(caller)
+        await stopping.join()
+        return reply
+
+    assert run(scenario, answer)[0].endswith(b'here')
+
+
+def test_a_new_connection_that_sends_nothing_delays_a_stop_only_for_a_short_time(monkeypatch):
+    monkeypatch.setattr(server_module, 'NEW_CONNECTION_WAIT_S', 0.2)
+
+    async def scenario(harness):
+        caller = connect_at_once(harness)
+        await wait_until(lambda: harness.server.idle_sockets)
+        await stop(harness.server)
+        return await read_to_end(caller)
+
+    started = time.monotonic()
+    assert run(scenario, answer)[0] == b''
+    assert time.monotonic() - started < TIMEOUT_S / 2
