A request that arrives as the idle time passes is served

Seen by callers: the connection closes, or is reset, with the request unread. Two ways, each with a test in tests/test_unanswered_requests.py that failed before: a process is busy, and the request arrives between the end of the idle timeout and the moment its task runs; or a new document raises limits.idle_timeout_ms, and connections that were idle already still close after the older time, though callers reuse them for up to four fifths of the newer one.

Change: when the timeout ends, the server looks into the receive buffer, and whether the limit has been raised meanwhile, before it closes the connection. The normal path has no further system call.

--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -405,14 +405,30 @@
 
         """
         if not conn.trailing_data[0]:
-            async with curio.timeout_after(self.idle_timeout_s):
-                data = await sock.recv(READ_BYTES)
+            data = await self._receive_while_idle(sock)
             if not data or sock not in self.idle_sockets:
                 return False
             conn.receive_data(data)
         self._forget_idle(sock)
         return True
 
+    async def _receive_while_idle(self, sock: Any) -> bytes:
+        """
+        Receive the next bytes on an idle connection; empty if its caller closes it or if nothing
+        arrives within `idle_timeout_s`, which may change during the wait.
+
+        """
+        idle_since = elapsed_s()
+        while True:
+            try:
+                async with curio.timeout_after(idle_since + self.idle_timeout_s - elapsed_s()):
+                    data: bytes = await sock.recv(READ_BYTES)
+                    return data
+            except curio.TaskTimeout:
+                # In a busy process, bytes may arrive between the timeout and this check.
+                if is_quiet(sock) and elapsed_s() - idle_since >= self.idle_timeout_s:
+                    return b''
+
     def _forget_idle(self, sock: Any) -> None:
         self.idle_sockets.pop(sock, None)
         self.new_sockets.discard(sock)
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -458,3 +458,47 @@
     started = time.monotonic()
     assert run(scenario, answer)[0] == b''
     assert time.monotonic() - started < TIMEOUT_S / 2
+
+
+IDLE_TIMEOUT_S = 0.6
+
+
+@pytest.mark.parametrize('sent', [REQUEST, REQUEST[:10]])
+def test_a_request_that_arrives_as_the_idle_time_passes_is_served(sent):
+    async def scenario(harness):
+        harness.server.idle_timeout_s = IDLE_TIMEOUT_S
+        [sock] = await open_idle_connections(harness, 1)
+
+        async def send_late():
+            await curio.sleep(IDLE_TIMEOUT_S - 0.25)
+            send_at_once(sock, sent)
+
+        async def block():
+            await curio.sleep(IDLE_TIMEOUT_S - 0.3)
+            # The event loop then handles the end of both sleeps at once, the other task's first.
+            time.sleep(0.5)
+
+        tasks = [await curio.spawn(send_late), await curio.spawn(block)]
+        for task in tasks:
+            await task.join()
+        harness.server.idle_timeout_s = TIMEOUT_S
+        if sent != REQUEST:
+            await sock.sendall(REQUEST[len(sent) :])
+        return await sock.recv(1000)
+
+    assert run(scenario, answer)[0].endswith(b'here')
+
+
+def test_a_raised_idle_timeout_holds_for_connections_that_are_idle_already():
+    async def scenario(harness):
+        harness.server.idle_timeout_s = IDLE_TIMEOUT_S
+        [sock] = await open_idle_connections(harness, 1)
+        harness.server.idle_timeout_s = TIMEOUT_S
+        await curio.sleep(1.5 * IDLE_TIMEOUT_S)
+        try:
+            await sock.sendall(REQUEST)
+            return await sock.recv(1000)
+        except ConnectionResetError:
+            return b''
+
+    assert run(scenario, answer)[0].endswith(b'here')
