A request of which a part does not arrive in time is refused

Seen by callers: a body that takes over BODY_TIMEOUT_S, or a head over the idle timeout, ends the connection with no answer, and nothing is counted (docs/incidents/suspected-faults.md).

Cause: the timeout ended the task of the connection. The test of both cases asked for the log line only; it asks for the refusal and for the line now, and failed before.

Change: 408 with the new reason `request_timeout`, and 'Connection: close'. The promise of a 408 holds, as such a request is never handled.

--- a/packages/millfork-core/millfork_core/verdicts.py
+++ b/packages/millfork-core/millfork_core/verdicts.py
@@ -26,6 +26,7 @@
     """
 
     BAD_REQUEST = 'bad_request'
+    REQUEST_TIMEOUT = 'request_timeout'
     TOO_LARGE = 'too_large'
     UNAUTHENTICATED = 'unauthenticated'
     NOT_FOUND = 'not_found'
@@ -63,6 +64,7 @@
 
 HTTP_STATUS: Final[dict[Reason, int]] = {
     Reason.BAD_REQUEST: 400,
+    Reason.REQUEST_TIMEOUT: 408,
     Reason.INVALID: 422,
     Reason.TOO_LARGE: 413,
     Reason.UNAUTHENTICATED: 401,
--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -37,12 +37,6 @@
 STOP_POLL_S: Final = 0.05
 DEFAULT_MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 
-# What took too long when a time limit ends a connection, by the state of the caller's side. In any
-# other state, the request had arrived whole.
-TIMEOUT_DETAILS: Final[dict[Any, str]] = {
-    h11.IDLE: 'the head did not arrive in time',
-    h11.SEND_BODY: 'the body did not arrive in time',
-}
 # The states of our side of an h11 connection after a complete response.
 COMPLETE_STATES: Final = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
@@ -315,10 +309,6 @@
         except OSError as error:
             if _is_unanswered(conn):
                 self._log_unanswered(address, f'the caller left: {error}')
-        except curio.TaskTimeout:
-            if _is_unanswered(conn):
-                detail = TIMEOUT_DETAILS.get(conn.their_state, 'the handler raised a timeout')
-                self._log_unanswered(address, detail)
         except BaseException as error:
             if _is_unanswered(conn):
                 self._log_unanswered(address, repr(error))
@@ -336,6 +326,11 @@
         except h11.RemoteProtocolError as error:
             await self._refuse(sock, conn, address, Refusal(Reason.BAD_REQUEST, detail=str(error)))
             return False
+        except curio.TaskTimeout:
+            part = 'head' if conn.their_state is h11.IDLE else 'body'
+            detail = f'the {part} did not arrive in time'
+            await self._refuse(sock, conn, address, Refusal(Reason.REQUEST_TIMEOUT, detail=detail))
+            return False
         except _TooLarge:
             detail = f'the body is over {self.max_body} bytes'
             await self._refuse(sock, conn, address, Refusal(Reason.TOO_LARGE, detail=detail))
@@ -395,8 +390,9 @@
         )
         if conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        exchange = Exchange(self, sock, conn, Request('', ''))
-        await exchange.respond(problem(refusal))
+        response = problem(refusal)
+        response.headers.append(('connection', 'close'))
+        await Exchange(self, sock, conn, Request('', '')).respond(response)
 
     async def _wait_for_request(self, sock: Any, conn: h11.Connection) -> bool:
         """
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -99,18 +99,22 @@
     ('sent', 'reason'),
     [(REQUEST[:10], 'the head did not arrive'), (HALF_BODY, 'the body did not arrive')],
 )
-def test_a_request_that_arrives_in_part_only_is_logged(monkeypatch, sent, reason):
+def test_a_request_that_arrives_in_part_only_is_refused_and_logged(monkeypatch, sent, reason):
     monkeypatch.setattr(server_module, 'BODY_TIMEOUT_S', 0.1)
 
     async def scenario(harness):
         harness.server.idle_timeout_s = 0.1
         sock = await harness.connect()
         await sock.sendall(sent)
-        await read_to_end(sock)
+        return await read_to_end(sock), harness.requests, harness.refusals
 
-    _, lines = run(scenario, answer)
-    assert len(unanswered(lines)) == 1
-    assert reason in unanswered(lines)[0]
+    (reply, requests, refusals), lines = run(scenario, answer)
+    assert reply.startswith(b'HTTP/1.1 408 ')
+    assert b'millfork-verdict: not_run' in reply
+    assert b'connection: close' in reply.lower()
+    assert requests == []
+    assert refusals == [Reason.REQUEST_TIMEOUT]
+    assert len([line for line in lines if reason in line]) == 1
 
 
 def test_a_caller_that_leaves_within_a_request_is_logged():
