A caller that sends too much can read its refusal

Seen by callers: 'Connection reset by peer' while they send a body over the limit, or a head over h11's, instead of 413 or 400. Both were tried with 8 MB in tests/test_unanswered_requests.py, and both callers were reset before.

Cause: the refusal was sent in the middle of the request, and closing a socket with unread bytes resets the connection.

--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -23,6 +23,9 @@
 IDLE_TIMEOUT_S: Final = 120.0
 # How long the body of a request may take to arrive after its head.
 BODY_TIMEOUT_S: Final = 30.0
+# How long the rest of a request is read and discarded after its refusal. Closing a connection with
+# unread bytes resets it, and the caller may lose the refusal.
+LINGER_TIMEOUT_S: Final = 1.0
 BACKLOG: Final = 1024
 DESCRIPTOR_SHORTAGE_ERRNOS: Final = frozenset({errno.EMFILE, errno.ENFILE})
 # Pause after an attempt to accept a connection has failed.
@@ -393,6 +396,7 @@
         response = problem(refusal)
         response.headers.append(('connection', 'close'))
         await Exchange(self, sock, conn, Request('', '')).respond(response)
+        await _discard_rest(sock)
 
     async def _wait_for_request(self, sock: Any, conn: h11.Connection) -> bool:
         """
@@ -485,3 +489,16 @@
             conn.receive_data(await sock.recv(READ_BYTES))
         event = conn.next_event()
     return event
+
+
+async def _discard_rest(sock: Any) -> None:
+    """
+    End our side of a connection, then read and discard what the caller still sends, for up to
+    LINGER_TIMEOUT_S.
+
+    """
+    await sock.shutdown(socket_.SHUT_WR)
+    async with curio.ignore_after(LINGER_TIMEOUT_S):
+        while await sock.recv(READ_BYTES):
+            # A caller that sends fast would otherwise keep other tasks from running.
+            await curio.sleep(0)
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -506,3 +506,44 @@
             return b''
 
     assert run(scenario, answer)[0].endswith(b'here')
+
+
+MAX_BODY_BYTES = 1000
+MANY_BYTES = 8_000_000
+LARGE_BODY_HEAD = b'POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n' % MANY_BYTES
+
+
+@pytest.mark.parametrize(
+    ('sent', 'status'),
+    [
+        (LARGE_BODY_HEAD + bytes(MANY_BYTES), 413),
+        (b'GET /x HTTP/1.1\r\nhost: h\r\nx: ' + b'a' * MANY_BYTES + b'\r\n\r\n', 400),
+    ],
+    ids=['body', 'head'],
+)
+def test_a_caller_that_sends_too_much_reads_its_refusal(sent, status):
+    async def scenario(harness):
+        harness.server.max_body = MAX_BODY_BYTES
+        sock = await harness.connect()
+        await sock.sendall(sent)
+        return await read_to_end(sock), harness.requests
+
+    (reply, requests), _ = run(scenario, answer)
+    assert reply.startswith(b'HTTP/1.1 %d ' % status)
+    assert b'(reset)' not in reply
+    assert requests == []
+
+
+def test_a_caller_that_sends_too_much_without_an_end_is_cut_off(monkeypatch):
+    monkeypatch.setattr(server_module, 'LINGER_TIMEOUT_S', 0.2)
+
+    async def scenario(harness):
+        harness.server.max_body = MAX_BODY_BYTES
+        sock = await harness.connect()
+        await sock.sendall(b'POST /x HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n')
+        with pytest.raises(OSError):
+            while True:
+                await sock.sendall(b'10000\r\n' + bytes(0x10000) + b'\r\n')
+        await wait_until(lambda: not harness.server.active)
+
+    run(scenario, answer)
