A HEAD request is answered

Seen by callers: a HEAD request that is refused, or whose answer has a body, closed the connection without an answer (500 since handlers' errors are answered).

Cause: `Exchange.respond` handed the body to h11, which allows none in an answer to HEAD. The new test in tests/test_unanswered_requests.py failed before.

Change: the head keeps the length, and the body is left out.

--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -73,8 +73,9 @@
 
         """
         headers = [*response.headers, ('content-length', str(len(response.body)))]
+        body = b'' if self.request.method == 'HEAD' else response.body
         head = self._head(response.status, headers)
-        data = self.conn.send(h11.Data(data=response.body)) or b''
+        data = self.conn.send(h11.Data(data=body)) or b''
         end = self.conn.send(h11.EndOfMessage()) or b''
         await self._send(head + data + end)
 
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -547,3 +547,16 @@
         await wait_until(lambda: not harness.server.active)
 
     run(scenario, answer)
+
+
+def test_a_head_request_is_answered_without_a_body():
+    async def scenario(harness):
+        sock = await harness.connect()
+        await sock.sendall(REQUEST.replace(b'GET', b'HEAD') + REQUEST)
+        await wait_until(lambda: len(harness.requests) == 2)
+        return await sock.recv(1000)
+
+    reply, _ = run(scenario, answer)
+    assert reply.count(b'HTTP/1.1 200 ') == 2
+    assert reply.count(b'content-length: 4') == 2
+    assert reply.count(b'here') == 1
