An answer that is broken off does not look complete to a caller of HTTP/1.0

Seen by callers: the end of a stream that was aborted looks like its regular end, as the connection is closed in the same way. The new test in tests/test_unanswered_requests.py failed before.

Cause: with HTTP/1.0 there are no chunks, and the end of the connection is the end of the answer.

Change: `Exchange.abort` resets such a connection. RESET_ON_CLOSE moves to millfork_core.sockets.

--- a/packages/millfork-core/millfork_core/sockets.py
+++ b/packages/millfork-core/millfork_core/sockets.py
@@ -4,10 +4,14 @@
 """
 
 import socket as socket_
-from typing import Any
+import struct
+from typing import Any, Final
 
 from curio import socket
 
+# SO_LINGER on with a timeout of 0 s: closing discards unsent data and resets the connection.
+RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
+
 
 async def connect(host: str, port: int, source: str = '') -> Any:
     """
--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -13,7 +13,7 @@
 
 from millfork_core.clocks import elapsed_s
 from millfork_core.logs import Component, logger
-from millfork_core.sockets import is_quiet
+from millfork_core.sockets import RESET_ON_CLOSE, is_quiet
 from millfork_core.verdicts import Reason, Refusal, Verdict
 from millfork_web.models import Headers, Request, Response, encode_headers
 from millfork_web.problem import problem
@@ -100,9 +100,13 @@
         """
         self.conn.send_failed()
         try:
+            if self.conn.their_http_version == b'1.0':
+                # The end of the connection is the end of such a response, unless it is a reset.
+                self.sock.setsockopt(socket_.SOL_SOCKET, socket_.SO_LINGER, RESET_ON_CLOSE)
+                return
             await self.sock.shutdown(socket_.SHUT_RDWR)
-        except OSError:
-            pass
+        except OSError as error:
+            log.debug('A connection was closed before it could be aborted: {}.', error)
 
     def _head(self, status: int, headers: Headers) -> bytes:
         if self.server.closing and not has_received(self.sock, self.conn):
--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -4,7 +4,6 @@
 """
 
 import socket as socket_
-import struct
 from collections import deque
 from typing import Any, Final
 
@@ -13,14 +12,12 @@
 
 from millfork_core.environment import Environment
 from millfork_core.logs import Component, logger
-from millfork_core.sockets import connect, is_quiet
+from millfork_core.sockets import RESET_ON_CLOSE, connect, is_quiet
 from millfork_core.verdicts import Reason, Verdict
 from millfork_scheduling.server import Server
 from millfork_web.models import Headers, encode_headers
 
 READ_BYTES: Final = 64 * 1024
-# SO_LINGER on with a timeout of 0 s: closing discards unsent data and resets the connection.
-RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 # The timeout of opening a connection. The latency between zones is a few milliseconds, and a lost
 # SYN is retransmitted only after a second, which is too late for most requests.
 CONNECT_TIMEOUT_S: Final = 0.4
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -5,13 +5,13 @@
 """
 
 import socket
-import struct
 import time
 
 import curio
 import logbook
 import pytest
 
+from millfork_core.sockets import RESET_ON_CLOSE
 from millfork_core.verdicts import Reason
 from millfork_web import server as server_module
 from millfork_web.client import Client
@@ -21,8 +21,6 @@
 
 TIMEOUT_S = 10.0
 REQUEST = b'GET /x HTTP/1.1\r\nhost: h\r\n\r\n'
-# SO_LINGER on with a timeout of 0 s: closing resets the connection.
-RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 HALF_BODY = b'POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\nhalf'
 
 
@@ -560,3 +558,18 @@
     assert reply.count(b'HTTP/1.1 200 ') == 2
     assert reply.count(b'content-length: 4') == 2
     assert reply.count(b'here') == 1
+
+
+def test_an_aborted_answer_does_not_look_complete_to_a_caller_of_http_1_0():
+    async def abort_answer(exchange):
+        await exchange.start(200, [])
+        await exchange.write(b'first')
+        await exchange.abort()
+
+    async def scenario(harness):
+        sock = await harness.connect()
+        await sock.sendall(b'GET /x HTTP/1.0\r\n\r\n')
+        return await read_to_end(sock)
+
+    reply, _ = run(scenario, abort_answer)
+    assert reply.endswith(b'(reset)')
