Test: a seeded entry answers what arrives as its drain ends

A seeded entry is stopped (SIGSTOP) from the start of its drain until after the balancer's time. Meanwhile a kept connection and a new one get their requests, and another new connection gets its request 0.2 s after the process runs again.

The server sets TCP_NODELAY where an error of the socket ends only that connection, as a socket that stays in `idle_sockets` would hold a drain.

--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -300,9 +300,9 @@
         return closed_count
 
     async def _serve(self, sock: Any, address: Any) -> None:
-        sock.setsockopt(socket_.IPPROTO_TCP, socket_.TCP_NODELAY, 1)
         conn = h11.Connection(h11.SERVER)
         try:
+            sock.setsockopt(socket_.IPPROTO_TCP, socket_.TCP_NODELAY, 1)
             while await self._wait_for_request(sock, conn):
                 self.active += 1
                 try:
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -1,6 +1,6 @@
 """
-Planned stops of an entry: the drain deadline or a second signal cuts off the requests that are
-still in progress, and the log says which of the two did.
+Planned stops of an entry: requests that have arrived are answered. The drain deadline or a second
+signal cuts off the requests that are still in progress, and the log says which of the two did.
 
 """
 
@@ -15,7 +15,11 @@
 from millfork_standins.deployments import LANTING
 from millfork_standins.fleet import Fleet
 from millfork_standins.layout import CALLERS_PORT, FleetOptions
+from millfork_standins.seeded import CALLERS_PORT as SEEDED_CALLERS_PORT
+from millfork_standins.seeded import SeededFleet
 from millforkd.entry.daemon import BALANCER_GRACE_S
+from millforkd.proxy.daemon import BALANCER_REMOVAL_S
+from tests.test_seeded_fleet import document, request
 from tests.utils.fleets import call_service, wait_until
 
 ANSWER_MS = 60_000
@@ -101,3 +105,50 @@
     assert reply.startswith(b'HTTP/1.1 503 ')
     assert b'millfork-reason: stopping' in reply
     assert process.wait(TIMEOUT_S) == ExitStatus.SUCCESS
+
+
+@pytest.fixture
+def seeded_fleet(tmp_path):
+    new_fleet = SeededFleet(tmp_path)
+    try:
+        new_fleet.start()
+        new_fleet.add_back_end('plain', 'i-1')
+        assert new_fleet.put_document(document(1, '/safe/')).status == 200
+        wait_until(lambda: new_fleet.send_request(request('/safe/x')).status == 200)
+        yield new_fleet
+    finally:
+        new_fleet.close()
+
+
+def encode_request():
+    lines = [f'{name}: {value}\r\n' for name, value in request('/safe/x').headers]
+    return f'GET /safe/x HTTP/1.1\r\n{"".join(lines)}\r\n'.encode()
+
+
+def test_requests_that_arrive_as_the_drain_of_a_seeded_entry_ends_are_answered(seeded_fleet):
+    host = seeded_fleet.entry_hosts[0]
+    process = seeded_fleet.processes[host]
+    address = (host, SEEDED_CALLERS_PORT)
+    with socket.create_connection(address, TIMEOUT_S) as kept:
+        kept.sendall(encode_request())
+        assert kept.recv(1000).startswith(b'HTTP/1.1 200 ')
+        process.terminate()
+        wait_until(lambda: 'Stopping; requests in progress go on' in seeded_fleet.log(host))
+        process.send_signal(signal.SIGSTOP)
+        frozen_until = time.monotonic() + BALANCER_REMOVAL_S + 0.5
+        with (
+            socket.create_connection(address, TIMEOUT_S) as sent_at_once,
+            socket.create_connection(address, TIMEOUT_S) as sent_late,
+        ):
+            kept.sendall(encode_request())
+            sent_at_once.sendall(encode_request())
+            wait_until(lambda: time.monotonic() > frozen_until)
+            process.send_signal(signal.SIGCONT)
+            continued_at = time.monotonic()
+            wait_until(
+                lambda: process.poll() is not None or time.monotonic() > continued_at + LATE_S
+            )
+            sent_late.sendall(encode_request())
+            replies = [sock.recv(1000)[:13] for sock in (kept, sent_at_once, sent_late)]
+    assert replies == [b'HTTP/1.1 200 '] * 3
+    assert process.wait(TIMEOUT_S) == ExitStatus.SUCCESS
