--- a/packages/millfork-core/millfork_core/verdicts.py
+++ b/packages/millfork-core/millfork_core/verdicts.py
@@ -26,6 +26,7 @@
     """
 
     BAD_REQUEST = 'bad_request'
+    REQUEST_TIMEOUT = 'request_timeout'
     TOO_LARGE = 'too_large'
     UNAUTHENTICATED = 'unauthenticated'
     NOT_FOUND = 'not_found'
@@ -58,10 +59,12 @@
     FORBIDDEN = 'forbidden'
     NO_QUORUM = 'no_quorum'
     INVALID = 'invalid'
+    INTERNAL = 'internal'
 
 
 HTTP_STATUS: Final[dict[Reason, int]] = {
     Reason.BAD_REQUEST: 400,
+    Reason.REQUEST_TIMEOUT: 408,
     Reason.INVALID: 422,
     Reason.TOO_LARGE: 413,
     Reason.UNAUTHENTICATED: 401,
@@ -72,6 +75,7 @@
     Reason.KEY_MAY_HAVE_RUN: 409,
     Reason.KEY_REUSED: 422,
     Reason.OVER_SHARE: 429,
+    Reason.INTERNAL: 500,
     Reason.TIMED_OUT: 504,
     Reason.CONNECTION_LOST: 502,
     Reason.SUPERSEDED: 502,
