A daemon waits for the answer of an engine that pauses

An engine that falls silent for 1.9 s and goes on was taken for failed by the daemon beside it.

Cause: calls to the engine ended after 1.0 s. The report then counts as missing (the daemon tells the other daemons that the engine serves nothing), a staged piece as refused, and an order to load layers as refused although the engine carries it out: the daemon announces that the engine does not change, so that entries send to it, and orders a second time. What callers see of it is from reading, not played.

Change: calls end after 2.5 s, as a sound engine may pause for two. An engine that refuses connections is still noticed at once. One that stays silent is noticed 1.5 s later; its requests are hedged by the entries, which don't need the daemon for it.

--- a/packages/millfork-registry/millfork_registry/registry.py
+++ b/packages/millfork-registry/millfork_registry/registry.py
@@ -35,8 +35,8 @@
 # heartbeat period after an earlier one. A process that has ended sends no more heartbeats, and two
 # delayed heartbeats arrive together.
 MIN_HEARTBEAT_GAP_SHARE: Final = 0.5
-# The state of an endpoint daemon that has sent no report for this long is dropped. A daemon
-# reports at least once a second.
+# The state of an endpoint daemon that has sent no report for this long is dropped. A daemon whose
+# engine does not answer reports every 2.7 s.
 REPORT_LIFETIME_S: Final = 3.5
 ENDED_STATES: Final = (LeaseState.GONE, LeaseState.EXPIRED)
 
--- a/packages/millforkd/millforkd/sidecar/engine.py
+++ b/packages/millforkd/millforkd/sidecar/engine.py
@@ -16,9 +16,9 @@
 from millfork_web.client import Client, ExchangeFailed
 from millfork_web.models import Request, Response
 
-# Timeout of a call to the engine, in seconds. The engine runs on the same instance, so a longer
-# silence means that the engine has failed.
-CALL_TIMEOUT_S: Final = 1.0
+# Timeout of a call to the engine, in seconds. A sound engine may pause for up to two seconds, and
+# then answers and carries out what it was told meanwhile.
+CALL_TIMEOUT_S: Final = 2.5
 
 log = logger(Component.ENGINE)
 
