A silent engine is not taken for an empty one when its version changes

Cause: without a report the daemon takes what the engine serves for nothing. If an engine was silent (or its connection was reset) as the daemon chose the layers, an engine that serves a whole version was sent half of the next one; if it was silent while it waited for its turn, the order came before the turn, without a drain, while the other turns changed too.

Evidence: tests/test_pauses_of_engines.py. After: no order until the engine answers, then as in its turn.

Change: a step of the rollout ends if the engine is silent at these two moments; the next step begins once it answers.

--- a/packages/millforkd/millforkd/sidecar/rollout.py
+++ b/packages/millforkd/millforkd/sidecar/rollout.py
@@ -184,17 +184,20 @@
     async def _step(self, target: Target) -> None:
         """
         Fetch the pieces of the layers that the engine is to load next, wait for the engine's
-        turn, and tell the engine to load these layers.
+        turn, and tell the engine to load these layers. Ends early if the engine is silent when it
+        matters which layers it serves.
 
         """
         started_at = self.env.monotonic()
         held = self.store.get_or_create(target.weights)
         await self._check_staged(held)
+        if self.report is None:
+            return
         goal = self._choose_goal(target, held)
         if not await self._gather(held, target, goal):
             return
         gathered_at = self.env.monotonic()
-        if not await self._wait_for_turn(target):
+        if not await self._wait_for_turn(target) or self.report is None:
             return
         await self._start(target, held, goal)
         now = self.env.monotonic()
--- a/tests/test_pauses_of_engines.py
+++ b/tests/test_pauses_of_engines.py
@@ -13,9 +13,12 @@
 from millfork_platform.adapter import PlatformAdapter
 from millfork_web.client import Client
 from millforkd.sidecar.engine import LocalEngine
+from millforkd.sidecar.pieces import WeightsId
+from tests.test_rollouts import LAYERS, FakeEngine, FakeGatherer, RolloutUnderTest
 
 PAUSE_S = 1.9
 PIECE = b'piece'
+WEIGHTS = WeightsId('m', 2)
 
 
 class PausingEngine(ThreadingHTTPServer):
@@ -75,3 +78,47 @@
     assert report is not None
     assert (staged, read, ordered) == (True, PIECE, True)
     assert len(engine.calls) == 4
+
+
+def test_a_silent_engine_is_not_taken_for_an_empty_one():
+    async def run():
+        under_test = RolloutUnderTest(turn=2, engine=FakeEngine(running=3))
+        target_requests = 0
+
+        def get_target():
+            nonlocal target_requests
+            target_requests += 1
+            return under_test.target
+
+        under_test.rollout.get_target = get_target
+        task = await under_test.run()
+        await under_test.until(lambda: under_test.rollout.store.get_or_create(WEIGHTS).whole)
+        under_test.rollout.record_report(None)
+        passed_over = target_requests + 3
+        await under_test.until(lambda: target_requests > passed_over or under_test.engine.orders)
+        assert (under_test.engine.orders, under_test.announced_versions) == ([], [])
+        under_test.rollout.record_report(await under_test.engine.report())
+        await under_test.until(lambda: under_test.engine.orders)
+        assert under_test.env.monotonic() >= under_test.target.due
+        assert under_test.engine.orders == [(2, 0, LAYERS, True, 3)]
+        await task.cancel()
+
+    curio.run(run)
+
+
+def test_an_engine_that_falls_silent_before_the_pieces_are_requested_changes_whole():
+    class SlowDigests(FakeGatherer):
+        async def obtain_digests(self, held):
+            under_test.rollout.record_report(None)
+            return await super().obtain_digests(held)
+
+    async def run():
+        task = await under_test.run()
+        await under_test.until(lambda: under_test.rollout.staged_checked)
+        under_test.rollout.record_report(await under_test.engine.report())
+        await under_test.until(lambda: under_test.engine.orders)
+        assert under_test.engine.orders == [(2, 0, LAYERS, True, 0)]
+        await task.cancel()
+
+    under_test = RolloutUnderTest(turn=0, gatherer=SlowDigests())
+    curio.run(run)
