A request is withdrawn from a changing engine only if another can be asked

Seen by callers: a repeatable request waits at an engine that announces a change of its weights. The entry withdrew it also where the route allowed no further attempt, no other engine could serve it or the retry budget was used up: the caller got 502 at once, while the engine still had its drain time (0.9 s) to answer, or to turn the request away unrun.

Evidence: tests/test_requests_at_changing_engines.py, at unit level. Before, in all three cases: failures [not_servable], verdict 'may have run', where the engine was about to answer 'not run'. With two waiting requests and one retry left both were withdrawn, and one of them ended so.

Change: withdrawing reserves the retry first, and happens only if the job may be sent again, a back end can serve it and no other attempt runs beside. The end of a version still withdraws, and so does an engine that has restarted: neither can answer in time.

ResponseMonitor takes one more argument, so two tests pass it; the mutation of retry_paid follows its new line.

--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -66,7 +66,7 @@
         self.end_detector = EndDetector(
             env, quarantine.suspicion_store, server_table.incarnation_status
         )
-        response_monitor = ResponseMonitor(env, admission, self._hedge)
+        response_monitor = ResponseMonitor(env, admission, self._hedge, self._reserve_attempt)
         self.response_relay = ResponseRelay(env, adapter, server_table, response_monitor)
         self.request_sender = RequestSender(
             env,
@@ -198,16 +198,30 @@
 
     def _spend_retry(self, job: Job) -> bool:
         """
-        Take a retry from the budget, unless one was taken for an attempt that then sent nothing.
-        Returns False if the budget is used up.
+        Take a retry from the budget, unless one was reserved, or taken for an attempt that then
+        sent nothing. Returns False if the budget is used up.
 
         """
-        if not job.retry_paid and not self.budget.spend(job.requirements.service):
+        return job.retry_paid or self.budget.spend(job.requirements.service)
+
+    def _reserve_attempt(self, job: Job) -> bool:
+        """
+        Take a retry from the budget for the next attempt of a job. Returns False if there is none,
+        the job may not be sent again, no back end can serve it now, or another attempt is in
+        progress.
+
+        """
+        if len(job.race.running) > 1 or not self._may_send_again(job):
             return False
-        job.retry_paid = False
-        return True
+        last_send = len(job.tried) + 1 >= job.route.max_attempts
+        requirements = self.admission.with_current_versions(job.requirements, last_send)
+        if self.server_table.choose(requirements, set(job.tried)) is None:
+            return False
+        job.retry_paid = self._spend_retry(job)
+        return job.retry_paid
 
     def _begin_attempt(self, job: Job, choice: Choice) -> Attempt:
+        job.retry_paid = False
         attempt = Attempt(choice, self.env.monotonic(), self.quarantine.suspicion_of(job))
         job.race.begin(attempt)
         return attempt
@@ -240,7 +254,7 @@
         return False
 
     def _record_failed(self, job: Job, attempt: Attempt, failed: FailedAttempt) -> None:
-        job.retry_paid = not failed.sent
+        job.retry_paid = job.retry_paid or not failed.sent
         job.failures.append(failed)
         self.env.metrics.retried(failed.reason)
         log.info(
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -79,7 +79,8 @@
     # None until the fingerprint of the request is first needed.
     fingerprint: Fingerprint | None = None
     race: AnswerRace = field(default_factory=AnswerRace)
-    # Whether a retry was taken from the budget for an attempt that then sent nothing.
+    # Whether the next attempt needs no retry from the budget: one was reserved for it, or taken for
+    # an attempt that then sent nothing.
     retry_paid: bool = False
 
     @property
--- a/packages/millforkd/millforkd/proxy/response_monitor.py
+++ b/packages/millforkd/millforkd/proxy/response_monitor.py
@@ -31,18 +31,28 @@
 
 # Called repeatedly while an attempt waits for a silent back end.
 SilenceHandler = Callable[[Job, Attempt], Awaitable[None]]
+# Reserves a further attempt for a job; returns False if none is to be had.
+AttemptReserver = Callable[[Job], bool]
 
 
 class ResponseMonitor:
     """
-    Reads the answers of back ends. `on_silence` is called while a back end is silent.
+    Reads the answers of back ends. `on_silence` is called while a back end is silent, and
+    `reserve_attempt` before a request is withdrawn that its back end might still answer.
 
     """
 
-    def __init__(self, env: Environment, admission: Admission, on_silence: SilenceHandler) -> None:
+    def __init__(
+        self,
+        env: Environment,
+        admission: Admission,
+        on_silence: SilenceHandler,
+        reserve_attempt: AttemptReserver,
+    ) -> None:
         self.env = env
         self.admission = admission
         self.on_silence = on_silence
+        self.reserve_attempt = reserve_attempt
 
     async def read_head(
         self, job: Job, attempt: Attempt, connection: ServerConnection, version: int | None
@@ -91,10 +101,12 @@
 
     def check_engine(self, job: Job, attempt: Attempt, version: int | None) -> None:
         """
-        Check that the engines of an attempt can still start the request.
+        Check that the engines of an attempt can still start the request. An engine that is about
+        to change its weights first finishes what it can, so the request is withdrawn from it only
+        if another attempt is to be had.
 
-        :raises SendFailed: if the version of the weights is about to end, or if an engine has
-            restarted or is changing its weights.
+        :raises SendFailed: if the version of the weights is about to end, if an engine has
+            restarted, or if the request is withdrawn from an engine that is changing its weights.
 
         """
         now = self.env.monotonic()
@@ -108,7 +120,7 @@
             if server.replaced:
                 detail = f'{server.instance} has restarted'
                 raise SendFailed(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, detail)
-            if server.changes_version:
+            if server.changes_version and self.reserve_attempt(job):
                 detail = 'the engine changes its weights before it starts the request'
                 raise SendFailed(Reason.NOT_SERVABLE, Verdict.MAY_HAVE_RUN, detail)
 
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -427,11 +427,45 @@
         (
             Edit(
                 D + 'proxy/forwarding.py',
-                'job.retry_paid = not failed.sent',
+                'job.retry_paid = job.retry_paid or not failed.sent',
                 'job.retry_paid = False',
             ),
         ),
     ),
+    Mutation(
+        'a request is withdrawn from a changing engine only if another one can be asked',
+        'tests/test_requests_at_changing_engines.py::'
+        'test_a_request_that_can_go_nowhere_else_is_not_withdrawn',
+        (
+            Edit(
+                D + 'proxy/response_monitor.py',
+                'if server.changes_version and self.reserve_attempt(job):',
+                'if server.changes_version:',
+            ),
+        ),
+    ),
+    Mutation(
+        'a daemon waits for the answers of an engine that pauses',
+        'tests/test_pauses_of_engines.py::test_calls_that_a_pausing_engine_answers_late_succeed',
+        (
+            Edit(
+                D + 'sidecar/engine.py',
+                'CALL_TIMEOUT_S: Final = 2.5',
+                'CALL_TIMEOUT_S: Final = 1.0',
+            ),
+        ),
+    ),
+    Mutation(
+        'a silent engine is not taken for an empty one',
+        'tests/test_pauses_of_engines.py::test_a_silent_engine_is_not_taken_for_an_empty_one',
+        (
+            Edit(
+                D + 'sidecar/rollout.py',
+                'if not await self._wait_for_turn(target) or self.report is None:',
+                'if not await self._wait_for_turn(target):',
+            ),
+        ),
+    ),
     Mutation(
         'engines change their version in turns',
         'tests/test_rollouts.py::test_an_engine_changes_after_the_engines_of_earlier_turns',
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -41,7 +41,7 @@
     def __init__(self, urgency=5):
         self.clock = Clock()
         env = Environment(InstanceId('a:1'), ZoneId('z1'), monotonic=self.clock)
-        self.monitor = ResponseMonitor(env, None, None)
+        self.monitor = ResponseMonitor(env, None, None, None)
         self.server = Server(InstanceId('i-1'), ServiceName('s'), '10.0.0.1', 80, ZoneId('z1'), 16)
         self.job = SimpleNamespace(urgency=urgency)
         suspicion = Suspicion(Fingerprint('ab'))
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -166,7 +166,7 @@
     attempt = Attempt(Choice(server_table.servers['i-1']), clock.now, suspicion)
     job = SimpleNamespace(requirements=Requirements(ServiceName('s')))
     env = Environment(InstanceId('a:1'), ZoneId('z1'), monotonic=clock)
-    monitor = ResponseMonitor(env, None, None)
+    monitor = ResponseMonitor(env, None, None, None)
     monitor.check_engine(job, attempt, None)
     server_table.apply_leases([lease(SECOND_INCARNATION, 1)])
     with pytest.raises(SendFailed):
