A pause of an endpoint daemon costs no caller its answer

Seen by callers, on a listed fleet whose endpoint daemons all pause for 1.9 s: 504 timed_out from a plain service with one endpoint, 503 retry_budget in a burst of 40 calls at one entry, and for 3 s after it 503 no_endpoint. Callers with deadlines of 50 ms at a sound engine had the same effect.

Cause: an endpoint that didn't reply to Reserve within 1 s was given up also where no other one could be tried or the retry budget was empty, and an endpoint at which any time limit passed, also the caller's own deadline, got no calls for 3 s.

Change: after reserve_timeout_ms another endpoint is tried if there is one that was not silent recently and the budget has a retry, which is taken at that moment. Otherwise the entry waits on, up to 3 s. After a time limit other endpoints are preferred, and the silent one is used if there is no other. The stub in test_dispatcher.py takes the new parameter of the method that it replaces.

--- a/packages/millfork-routing/millfork_routing/balance.py
+++ b/packages/millfork-routing/millfork_routing/balance.py
@@ -54,7 +54,7 @@
     leaving: bool = False
     avoided_until: float = 0.0
     # How many requests the endpoint's back end turned away in a row, when this entry learned of
-    # the last of these, and until when other endpoints are therefore preferred.
+    # the last of these, and until when other endpoints are preferred for that or after a silence.
     turned_away: int = 0
     turned_away_at: float = float('-inf')
     passed_over_until: float = float('-inf')
@@ -101,6 +101,14 @@
         self.turned_away += 1
         self.turned_away_at = now
 
+    def record_silence(self, until: float) -> None:
+        """
+        Record that the endpoint or its back end did not answer in time. It may only have paused, so
+        other endpoints are preferred until `until`, but it is not excluded.
+
+        """
+        self.passed_over_until = max(self.passed_over_until, until)
+
     def record_accepted(self, sent_at: float) -> None:
         """
         Record that the endpoint's back end accepted a request sent at `sent_at`. This resets
@@ -142,7 +150,8 @@
     """
     Choose the endpoint for a request; None if all endpoints were tried or are unusable.
 
-    Endpoints that turned no request away recently come first; of these, those with free
+    Endpoints that turned no request away and were not silent recently come first; of these, those
+    with free
     capacity in `zone`, then those with free capacity in any zone, then the full ones. Within the
     first of these groups that isn't empty, the key `affinity` decides, but endpoints loaded above
     `BOUNDED_LOAD` times the mean are skipped. If the key is empty, the least loaded endpoint is
@@ -152,7 +161,7 @@
     usable = [b for b in backends if b.instance not in tried and is_usable(b, organisation, now)]
     if not usable:
         return None
-    # If all endpoints turned requests away recently, they are used nevertheless.
+    # If all endpoints turned requests away or were silent recently, they are used nevertheless.
     usable = [b for b in usable if b.passed_over_until <= now] or usable
     local = [b for b in usable if b.zone == zone and b.load < 1]
     candidates = local or [b for b in usable if b.load < 1] or usable
--- a/packages/millfork-settings/millfork_settings/models.py
+++ b/packages/millfork-settings/millfork_settings/models.py
@@ -133,7 +133,7 @@
 
     request_timeout_ms: int = Field(30_000, ge=100, description='Deadline of a request, in ms.')
     reserve_timeout_ms: int = Field(
-        1000, ge=10, description='Wait for an endpoint to accept a request, in ms.'
+        1000, ge=10, description='Wait for an endpoint before another is tried, in ms.'
     )
     retry_ratio: float = Field(
         0.1, ge=0, le=1, description='Retries per request that the budget allows.'
--- a/packages/millforkd/millforkd/entry/attempts.py
+++ b/packages/millforkd/millforkd/entry/attempts.py
@@ -7,6 +7,7 @@
 
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -45,6 +46,9 @@
 )
 
 CANCEL_TIMEOUT_S: Final = 0.3
+# The longest wait for the reply to `Reserve`, while no other endpoint can be tried instead. A sound
+# endpoint may pause for two seconds.
+MAX_RESERVE_WAIT_S: Final = 3.0
 MAX_BUFFERED_BYTES: Final = 16 * 1024 * 1024
 
 
@@ -99,6 +103,15 @@
     response: Response = field(default_factory=lambda: Response(0))
 
 
+@dataclass(frozen=True, slots=True)
+class SilentEndpoint(Refusal):
+    """
+    The outcome of an attempt whose endpoint did not reply to `Reserve` in time, while another
+    endpoint can be tried. That retry is already taken from the retry budget.
+
+    """
+
+
 def replicated_key(call: Call) -> str:
     """
     Return the key under which the replicated state stores the call's idempotency key.
@@ -159,10 +172,14 @@
             self.buffered_bytes += len(message.data)
         await self.events.put(message)
 
-    async def reserve(self, call: Call, timeout: float) -> Refusal | None:
+    async def reserve(
+        self, call: Call, timeout: float, may_try_another: Callable[[], bool] = lambda: False
+    ) -> Refusal | None:
         """
-        Reserve a slot or a place in the endpoint's queue, within `timeout` seconds. Return None on
-        success, else a refusal, whose verdict is always NOT_RUN.
+        Reserve a slot or a place in the endpoint's queue. Return None on success, else a refusal,
+        whose verdict is always NOT_RUN. The endpoint has `timeout` seconds to reply. After that, it
+        is given up once `may_try_another` returns true, which is asked every `timeout` seconds, and
+        after MAX_RESERVE_WAIT_S at the latest.
 
         """
         remaining_s = call.deadline - self.env.monotonic()
@@ -179,8 +196,25 @@
             replicated_key(call) if call.claim else '',
             call.claim,
         )
+        wait_s = min(max(timeout, MAX_RESERVE_WAIT_S), remaining_s)
+        calling = await self.env.spawn(self._call_reserve, request, wait_s)
+        try:
+            while not await _ends_within(calling, timeout):
+                if may_try_another():
+                    await self._cancel_without_reply()
+                    return SilentEndpoint(Reason.TIMED_OUT, detail='the endpoint did not answer')
+            reply: Reserved | Refusal = await calling.join()
+        finally:
+            await calling.cancel(blocking=False)
+        if isinstance(reply, Refusal):
+            return reply
+        if reply.ok:
+            return None
+        return Refusal(Reason(reply.reason), Verdict.NOT_RUN, reply.detail, reply.retry_after_ms)
+
+    async def _call_reserve(self, request: Reserve, timeout: float) -> Reserved | Refusal:
         try:
-            reply = await self.connection.call(request, min(timeout, remaining_s))
+            reply = await self.connection.call(request, timeout)
         except PeerTimedOut:
             await self._cancel_without_reply()
             return Refusal(Reason.TIMED_OUT, detail='the endpoint did not answer in time')
@@ -190,9 +224,7 @@
             return Refusal(Reason.UNREACHABLE, detail='the connection to the endpoint was lost')
         if not isinstance(reply, Reserved):
             return Refusal(Reason.BACKEND_FAILED, detail='the endpoint sent an unexpected answer')
-        if reply.ok:
-            return None
-        return Refusal(Reason(reply.reason), Verdict.NOT_RUN, reply.detail, reply.retry_after_ms)
+        return reply
 
     async def _cancel_without_reply(self) -> None:
         try:
@@ -310,3 +342,12 @@
             return Verdict.MAY_HAVE_RUN
         self.cancelled_incarnation = IncarnationKey(reply.incarnation)
         return Verdict(reply.verdict)
+
+
+async def _ends_within(task: curio.Task, seconds: float) -> bool:
+    try:
+        async with curio.timeout_after(seconds):
+            await task.wait()
+    except curio.TaskTimeout:
+        return False
+    return True
--- a/packages/millforkd/millforkd/entry/dispatcher.py
+++ b/packages/millforkd/millforkd/entry/dispatcher.py
@@ -16,12 +16,13 @@
 from millfork_state.view import View
 from millfork_wire.connection import Connection
 from millfork_wire.messages import End, Head, Part
-from millforkd.entry.attempts import Attempt, Call, ConnectionLost, TurnedAway
+from millforkd.entry.attempts import Attempt, Call, ConnectionLost, SilentEndpoint, TurnedAway
 from millforkd.entry.crash_tracking import CrashTracker
 from millforkd.entry.delivery import Delivery
 from millforkd.entry.endpoint_connections import EndpointConnections
 
-# An endpoint is avoided for this long after a refusal for one of AVOIDANCE_REASONS.
+# For this long, no calls are sent to an endpoint that could not be reached, and other endpoints are
+# preferred to one that was silent.
 AVOIDANCE_S: Final = 3.0
 # Length of the random fingerprint key of a dispatcher that is built without a crash tracker. Each
 # such dispatcher has a key of its own, so two of them compute different fingerprints of one call.
@@ -29,7 +30,7 @@
 # An endpoint that refused a call as BUSY gets no calls of the same organisation from this entry for
 # this long.
 BUSY_RETENTION_S: Final = 0.05
-AVOIDANCE_REASONS: Final = frozenset({Reason.UNREACHABLE, Reason.TIMED_OUT, Reason.CONNECTION_LOST})
+AVOIDANCE_REASONS: Final = frozenset({Reason.UNREACHABLE, Reason.CONNECTION_LOST})
 
 
 class Dispatcher:
@@ -105,7 +106,7 @@
                 refusal = replace(last_refusal, reason=Reason.RETRY_BUDGET)
                 break
             suspicion = self.crashes.suspicion_of(call)
-            outcome = await self._attempt(call, backend, delivery)
+            outcome = await self._attempt(call, backend, delivery, tried)
             await self.crashes.record_outcome(call, suspicion, outcome)
             if outcome is None:
                 return None
@@ -143,12 +144,31 @@
         return Refusal(Reason.NO_ENDPOINT, detail='no endpoint serves this at present')
 
     def _take_from_retry_budget(self, call: Call, last_refusal: Refusal) -> bool:
+        if isinstance(last_refusal, SilentEndpoint):
+            # Taken when the entry stopped waiting for the endpoint.
+            return True
         if not self.budget.spend(call.organisation, call.service):
             return False
         self.env.metrics.retried(last_refusal.reason)
         return True
 
-    async def _attempt(self, call: Call, backend: Backend, delivery: Delivery) -> Refusal | None:
+    def _may_try_another(self, call: Call, tried: set[InstanceId]) -> bool:
+        """
+        Return whether an endpoint that was not silent recently can be tried instead of waiting for
+        a silent one, and take this retry from the budget.
+
+        """
+        other = self._choose_backend(call, tried)
+        if other is None or other.passed_over_until > self.env.monotonic():
+            return False
+        if not self.budget.spend(call.organisation, call.service):
+            return False
+        self.env.metrics.retried(Reason.TIMED_OUT)
+        return True
+
+    async def _attempt(
+        self, call: Call, backend: Backend, delivery: Delivery, tried: set[InstanceId]
+    ) -> Refusal | None:
         connection = self.endpoints.connections.get(backend.instance)
         if connection is None:
             return Refusal(Reason.UNREACHABLE, detail='the endpoint is no longer connected')
@@ -158,7 +178,7 @@
         backend.own_requests += 1
         sent_at = self.env.monotonic()
         try:
-            refusal = await self._attempt_steps(call, attempt, delivery)
+            refusal = await self._attempt_steps(call, attempt, delivery, tried)
         finally:
             backend.own_requests -= 1
             del self.attempts[request_id]
@@ -186,10 +206,11 @@
             )
 
     async def _attempt_steps(
-        self, call: Call, attempt: Attempt, delivery: Delivery
+        self, call: Call, attempt: Attempt, delivery: Delivery, tried: set[InstanceId]
     ) -> Refusal | None:
         timeout = self.settings.reserve_timeout_ms / 1000
-        refusal = await attempt.reserve(call, timeout)
+        tried = tried | {attempt.backend.instance}
+        refusal = await attempt.reserve(call, timeout, lambda: self._may_try_another(call, tried))
         if refusal is not None:
             return refusal
         refusal = await attempt.start()
@@ -201,6 +222,8 @@
         now = self.env.monotonic()
         if refusal.reason in AVOIDANCE_REASONS:
             backend.avoided_until = now + AVOIDANCE_S
+        if refusal.reason is Reason.TIMED_OUT:
+            backend.record_silence(now + AVOIDANCE_S)
         if refusal.reason is Reason.BUSY:
             backend.busy[call.organisation] = BusyNotice(now + BUSY_RETENTION_S, refusal.wait_ms)
         if refusal.reason is Reason.RESTING:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -46,7 +46,7 @@
         self.outcomes = list(outcomes)
         self.tried_instances = []
 
-    async def _attempt(self, call, backend, delivery):
+    async def _attempt(self, call, backend, delivery, tried):
         self.tried_instances.append(backend.instance)
         refusal = self.outcomes.pop(0)
         if refusal is not None:
--- /dev/null
+++ b/tests/test_silent_engines_on_listed_fleets.py
@@ -0,0 +1,189 @@
+"""
+Engines, plain services and daemons of a listed fleet that pause for 1.9 s and go on, which must
+cost no caller an answer.
+
+Real processes. All back ends, or all endpoint daemons, pause at once, so that an entry finds none
+that goes on.
+
+"""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from millfork_standins.deployments import LANTING
+from millfork_standins.fleet import Fleet
+from millfork_standins.layout import FleetOptions
+from tests.utils.fleets import call_service, complete, serve_version
+
+PAUSE_S = 1.9
+# How long a stream is under way when the pause begins, of about 0.6 s that it takes.
+STREAM_S = 0.2
+STREAM_TOKENS = 30
+TOKEN_MS = 20
+CALLS = 24
+SHORT_TIMEOUT_MS = 50
+# More calls than the retry budget of an entry allows to retry.
+BURST_CALLS = 40
+LAST_EVENT = b'data: [DONE]\n\n'
+
+
+@pytest.fixture(scope='module')
+def fleet(tmp_path_factory):
+    options = FleetOptions(engine={'token_ms': TOKEN_MS})
+    fleet = Fleet(LANTING, tmp_path_factory.mktemp('silent'), options)
+    try:
+        fleet.start()
+        serve_version(fleet, 'v1')
+        yield fleet
+    finally:
+        fleet.close()
+
+
+def token_of(fleet):
+    return fleet.caller_tokens[LANTING.organisations[0]]
+
+
+def complete_numbered(fleet, number, **fields):
+    """
+    Send a completion to one of the entries in turn; calls differ in their prompts.
+
+    """
+    entry = number % len(fleet.entries)
+    prompt = f'prompt {number} {time.monotonic()}'
+    return complete(fleet, token_of(fleet), entry, prompt=prompt, **fields)
+
+
+def stream_numbered(fleet, number):
+    return complete_numbered(fleet, number, stream=True, max_tokens=STREAM_TOKENS)
+
+
+def call_numbered_service(fleet, number, service):
+    entry = number % len(fleet.entries)
+    return call_service(fleet, token_of(fleet), 'POST', f'{service}/{number}', entry)
+
+
+def call_portal(fleet, number):
+    return call_numbered_service(fleet, number, 'portal-assets')
+
+
+def call_billing(fleet, number):
+    return call_numbered_service(fleet, number, 'billing-misc')
+
+
+CALL_KINDS = (complete_numbered, stream_numbered, call_portal, call_billing)
+
+
+def pause(fleet, names):
+    for name in names:
+        fleet.freeze(name)
+    time.sleep(PAUSE_S)
+    for name in names:
+        fleet.thaw(name)
+
+
+def back_ends(fleet):
+    return [f'{i.name}.backend' for i in fleet.instances.values() if i.role == 'endpoint']
+
+
+def endpoint_daemons(fleet):
+    return [i.name for i in fleet.instances.values() if i.role == 'endpoint']
+
+
+def entry_daemons(fleet):
+    return [entry.name for entry in fleet.entries]
+
+
+def send_beside_pause(fleet, names, send, calls=CALLS, under_way_s=0.0):
+    """
+    Send calls at once, `under_way_s` before the processes pause or, without it, just after the
+    pause has begun. Return all answers, with None for a connection that broke.
+
+    """
+
+    def send_one(number):
+        try:
+            return send(fleet, number)
+        except OSError:
+            return None
+
+    with ThreadPoolExecutor(calls + 1) as pool:
+        if under_way_s:
+            sent = [pool.submit(send_one, number) for number in range(calls)]
+            time.sleep(under_way_s)
+            pause(fleet, names)
+        else:
+            pausing = pool.submit(pause, fleet, names)
+            time.sleep(0.05)
+            sent = [pool.submit(send_one, number) for number in range(calls)]
+            pausing.result()
+        return [answer.result() for answer in sent]
+
+
+def statuses(answers):
+    return [
+        (answer.status, answer.headers.get('millfork-reason')) if answer else 'broken off'
+        for answer in answers
+    ]
+
+
+def assert_all_answered(answers):
+    assert statuses(answers) == [(200, None)] * len(answers)
+
+
+def assert_serves(fleet):
+    """
+    Check that every entry answers calls of each kind.
+
+    """
+    numbers = range(len(fleet.entries))
+    with ThreadPoolExecutor(4 * len(numbers)) as pool:
+        sent = [pool.submit(send, fleet, n) for n in numbers for send in CALL_KINDS]
+        assert_all_answered([answer.result() for answer in sent])
+
+
+PAUSED = pytest.mark.parametrize('paused', [back_ends, endpoint_daemons, entry_daemons])
+
+
+@PAUSED
+@pytest.mark.parametrize('under_way_s', [0.0, STREAM_S], ids=['before-the-head', 'in-the-stream'])
+def test_a_pause_breaks_off_no_stream(fleet, paused, under_way_s):
+    answers = send_beside_pause(fleet, paused(fleet), stream_numbered, under_way_s=under_way_s)
+    assert_all_answered(answers)
+    assert all(answer.body.endswith(LAST_EVENT) for answer in answers)
+    assert_serves(fleet)
+
+
+@PAUSED
+@pytest.mark.parametrize('under_way_s', [0.0, 0.05], ids=['before-the-call', 'during-the-call'])
+def test_a_pause_costs_no_whole_answer(fleet, paused, under_way_s):
+    assert_all_answered(
+        send_beside_pause(fleet, paused(fleet), complete_numbered, under_way_s=under_way_s)
+    )
+    assert_serves(fleet)
+
+
+@PAUSED
+@pytest.mark.parametrize('send', [call_portal, call_billing])
+def test_a_pause_costs_no_answer_of_a_plain_service(fleet, paused, send):
+    assert_all_answered(send_beside_pause(fleet, paused(fleet), send))
+    assert_serves(fleet)
+
+
+@PAUSED
+def test_a_pause_costs_no_answer_of_a_burst_at_one_entry(fleet, paused):
+    def send(fleet, number):
+        return complete_numbered(fleet, number * len(fleet.entries))
+
+    assert_all_answered(send_beside_pause(fleet, paused(fleet), send, BURST_CALLS))
+    assert_serves(fleet)
+
+
+def test_callers_with_short_deadlines_cost_other_callers_no_answer(fleet):
+    for number in range(2 * len(fleet.engines)):
+        headers = {'millfork-timeout-ms': str(SHORT_TIMEOUT_MS)}
+        prompt = f'short {number}'
+        answer = complete(fleet, token_of(fleet), headers=headers, prompt=prompt)
+        assert answer.headers['millfork-reason'] == 'timed_out'
+    assert_serves(fleet)
