A malformed chunk after valid data is a failed exchange

A back end's malformed chunk header in the same read as valid data raised h11.RemoteProtocolError out of Reply.parts: the endpoint's task ended without an End, and the caller waited until its deadline. The events of bytes that were already received were taken outside the try.

Now both ways raise ExchangeFailed. The test failed before with RemoteProtocolError: illegal chunk header.

--- a/packages/millfork-web/millfork_web/client.py
+++ b/packages/millfork-web/millfork_web/client.py
@@ -71,10 +71,10 @@
             if not isinstance(event, h11.Data):
                 raise ExchangeFailed(Verdict.MAY_HAVE_RUN, 'the body is incomplete')
             data = bytes(event.data)
-            more = self.conn.next_event() if self.conn.their_state is h11.SEND_BODY else None
+            more = self._received_event() if self.conn.their_state is h11.SEND_BODY else None
             while isinstance(more, h11.Data):
                 data += bytes(more.data)
-                more = self.conn.next_event()
+                more = self._received_event()
             yield data
             if isinstance(more, h11.EndOfMessage):
                 self.complete = True
@@ -86,10 +86,20 @@
             content += part
         return bytes(content)
 
+    def _received_event(self) -> Any:
+        """
+        Return the next event of the bytes received so far, or NEED_DATA.
+
+        """
+        try:
+            return self.conn.next_event()
+        except h11.RemoteProtocolError as error:
+            raise ExchangeFailed(Verdict.MAY_HAVE_RUN, str(error)) from error
+
     async def _next(self) -> Any:
         try:
             while True:
-                event = self.conn.next_event()
+                event = self._received_event()
                 if event is not h11.NEED_DATA:
                     return event
                 data = await self.sock.recv(READ_BYTES)
--- /dev/null
+++ b/tests/test_unanswered_calls.py
@@ -0,0 +1,159 @@
+"""
+Errors in the handling of a call, which must end in an answer or a refusal.
+
+"""
+
+import curio
+import h11
+import pytest
+from curio.io import Socket
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_settings.models import RoutingSettings
+from millfork_standins.layout import CALLERS_PORT
+from millfork_standins.requests import fetch
+from millfork_state.view import View
+from millfork_web.client import Client, ExchangeFailed
+from millfork_web.server import Server
+from millfork_wire.connection import Connection
+from millfork_wire.messages import Hello
+from millfork_wire.transport import Transport
+from millforkd.entry.caller_requests import CallerRequests
+from tests.test_connection import tcp_pair
+
+TIMEOUT_S = 5.0
+DEEP_JSON = b'[' * 200_000
+MALFORMED_CHUNKS = (
+    b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n' + b'3\r\nabc\r\n' + b'nonsense\r\n'
+)
+
+
+def environment():
+    return Environment(InstanceId('a:1'), ZoneId('zone'))
+
+
+def send_body(fleet, body, headers=None):
+    token = fleet.caller_tokens[fleet.shape.organisations[0]]
+    all_headers = {'authorization': f'Bearer {token}', **(headers or {})}
+    host = fleet.entries[0].host
+    return fetch('POST', host, CALLERS_PORT, '/v1/completions', body, all_headers)
+
+
+# What callers send.
+
+
+# What back ends send.
+
+
+def test_a_malformed_chunk_after_valid_data_is_a_failed_exchange():
+    async def run():
+        near, far = tcp_pair()
+        far.sendall(MALFORMED_CHUNKS)
+        client = Client('127.0.0.1', 1)
+
+        async def connection():
+            return Socket(near), h11.Connection(h11.CLIENT)
+
+        client._connection = connection
+        async with curio.timeout_after(TIMEOUT_S):
+            reply = await client.send('GET', '/', [])
+            with pytest.raises(ExchangeFailed):
+                await reply.body()
+            await reply.close()
+        far.close()
+
+    curio.run(run)
+
+
+class FailingBackend:
+    """
+    A back end whose client raises an error that nothing handles.
+
+    """
+
+    async def send(self, method, path, headers, body):
+        raise RuntimeError('unexpected')
+
+
+# Errors of the entry itself.
+
+
+class FailingDispatcher:
+    """
+    A dispatcher that fails, after it began to stream an answer if `has_started`.
+
+    """
+
+    def __init__(self, error, has_started):
+        self.error = error
+        self.has_started = has_started
+
+    async def run(self, call, delivery):
+        if self.has_started:
+            await delivery.exchange.start(200, [('content-type', 'text/event-stream')])
+            await delivery.exchange.write(b'data: 1\n\n')
+        raise self.error
+
+
+class OpenAccess:
+    """
+    Lets every caller use every service.
+
+    """
+
+    def authenticate_caller(self, request):
+        return 'org'
+
+    def may_use(self, organisation, service):
+        return True
+
+
+def answer_of_failing_entry(error, has_started):
+    """
+    Return the bytes that a caller receives if the dispatcher of its call fails.
+
+    """
+    env = environment()
+    requests = CallerRequests(
+        env, RoutingSettings(), View(), OpenAccess(), FailingDispatcher(error, has_started), None
+    )
+    server = Server('127.0.0.1', 1, requests.handle)
+
+    async def run():
+        near, far = tcp_pair()
+        far.settimeout(TIMEOUT_S)
+        far.sendall(b'GET /services/s/ HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n')
+        async with curio.timeout_after(TIMEOUT_S):
+            await server._serve(Socket(near), None)
+        received = b''
+        while data := far.recv(65536):
+            received += data
+        far.close()
+        return received
+
+    return curio.run(run)
+
+
+ERRORS = pytest.mark.parametrize('error', [RuntimeError('unexpected'), curio.TaskTimeout(1.0)])
+
+
+# Messages between daemons.
+
+
+async def pair_of_connections(answer):
+    near, far = tcp_pair()
+
+    async def ignore(*arguments):
+        return None
+
+    connections = []
+    for sock, handler in ((near, ignore), (far, answer)):
+        env = environment()
+        connection = Connection(
+            env, Transport(Socket(sock)), Hello(instance='b:1'), handler, ignore, True
+        )
+        connection.writer = await env.spawn(connection.write_frames)
+        await env.spawn(connection.read_frames)
+        connections.append(connection)
+    return connections
