Any error in a request of an endpoint ends it with a refusal

An error that nothing handles in the endpoint's task of a request ended the task without an End, so the entry waited until the deadline and the caller with it.

Now one place turns any error, and a time limit that nothing catches, into a refusal, with a log line. The reason is truncated: backend_failed would count as an end of the back end against the request. The request to the back end is built before the stage says that it was sent, so that an error in building it says not_run.

--- a/packages/millforkd/millforkd/endpoint/backend_gateway.py
+++ b/packages/millforkd/millforkd/endpoint/backend_gateway.py
@@ -200,11 +200,7 @@
 
     async def _serve(self, reservation: Reservation) -> None:
         try:
-            refusal = await self._wait_for_start_and_slot(reservation)
-            if refusal is None:
-                service_started_at = self.env.monotonic()
-                refusal = await self._run(reservation)
-                self.queue.learn_service_time(self.env.monotonic() - service_started_at)
+            refusal = await self._answer(reservation)
             await self._end(reservation, refusal)
         except PeerLost:
             self.env.metrics.count(self.env.metrics.requests, outcome='entry_gone')
@@ -215,6 +211,26 @@
             await self.queue.leave(reservation.waiter)
             await self.load_changed.set()
 
+    async def _answer(self, reservation: Reservation) -> Refusal | None:
+        """
+        Run a request once it has a slot, and relay its answer. An unexpected error becomes a
+        refusal, as the entry waits for an `End` until the deadline of the request.
+
+        """
+        try:
+            refusal = await self._wait_for_start_and_slot(reservation)
+            if refusal is not None:
+                return refusal
+            service_started_at = self.env.monotonic()
+            refusal = await self._run(reservation)
+            self.queue.learn_service_time(self.env.monotonic() - service_started_at)
+            return refusal
+        except PeerLost:
+            raise
+        except (Exception, curio.TaskTimeout):
+            log.exception('Request {} failed.', reservation.request.request_id)
+            return Refusal(Reason.TRUNCATED, reservation.verdict, 'the endpoint failed')
+
     async def _settle(self, reservation: Reservation) -> None:
         """
         Store the answer, if it is complete, under the request's idempotency key, as the entry may
@@ -245,6 +261,7 @@
         resting = self.rest_tracker.current_refusal()
         if resting is not None:
             return resting
+        headers, body = build_backend_request(reservation, self.is_engine)
         reservation.stage = Stage.SENT
         sent_at = self.env.monotonic()
         reservation.incarnation_number = self.incarnations.current_number
@@ -252,7 +269,6 @@
         remaining_s = max(reservation.deadline - self.env.monotonic(), 0.001)
         try:
             async with curio.timeout_after(remaining_s):
-                headers, body = build_backend_request(reservation, self.is_engine)
                 reply = await self.client.send(request.method, request.path, headers, body)
                 self.rest_tracker.record_answer(reply, sent_at)
                 self.incarnations.record_answer(sent_at)
--- a/tests/test_unanswered_calls.py
+++ b/tests/test_unanswered_calls.py
@@ -10,7 +10,7 @@
 
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ZoneId
-from millfork_settings.models import RoutingSettings
+from millfork_settings.models import BackendKind, RoutingSettings
 from millfork_standins.layout import CALLERS_PORT
 from millfork_standins.requests import fetch
 from millfork_state.view import View
@@ -20,6 +20,7 @@
 from millfork_wire.messages import Hello
 from millfork_wire.transport import Transport
 from millforkd.entry.caller_requests import CallerRequests
+from tests.test_backend_gateway import GatewayHarness, run_steps
 from tests.test_connection import tcp_pair
 
 TIMEOUT_S = 5.0
@@ -76,6 +77,26 @@
         raise RuntimeError('unexpected')
 
 
+@pytest.mark.parametrize('kind', list(BackendKind))
+def test_any_error_in_a_request_of_an_endpoint_ends_it(kind):
+    harness = GatewayHarness(kind)
+    harness.gateway.client = FailingBackend()
+    run_steps(harness, harness.reserve, harness.start)
+    assert [(end.reason, end.verdict) for end in harness.ends()] == [('truncated', 'may_have_run')]
+    assert harness.gateway.queue.running == 0
+
+
+def test_a_time_limit_that_nothing_handles_ends_a_request_of_an_endpoint():
+    harness = GatewayHarness()
+
+    async def wait(reservation):
+        raise curio.TaskTimeout(1.0)
+
+    harness.gateway._wait_for_start_and_slot = wait
+    run_steps(harness, harness.reserve)
+    assert [(end.reason, end.verdict) for end in harness.ends()] == [('truncated', 'not_run')]
+
+
 # Errors of the entry itself.
 
 
