A service that goes while its request joins the queue costs no slot

on_reserve read the served versions again after the wait for the queue. If the service went meanwhile, KeyError ended the call (the entry tried another endpoint), and the slot was never released. The version is read before the wait, and _run refuses it if it is no longer served.

The test failed before with KeyError: 'org/main'.

--- a/packages/millforkd/millforkd/endpoint/backend_gateway.py
+++ b/packages/millforkd/millforkd/endpoint/backend_gateway.py
@@ -126,8 +126,8 @@
             self.env.metrics.refused(refusal.reason, 'endpoint')
             return Reserved(False, refusal.reason.value, refusal.detail, refusal.wait_ms)
         deadline = self.env.monotonic() + request.deadline_ms / 1000
-        waiter = await self.queue.join(organisation, deadline)
         version = self.served[request.service]
+        waiter = await self.queue.join(organisation, deadline)
         reservation = Reservation(request, connection, version, deadline, waiter)
         self.reservations[request.request_id] = reservation
         reservation.task = await self.env.spawn(self._serve, reservation)
--- a/tests/test_unanswered_calls.py
+++ b/tests/test_unanswered_calls.py
@@ -97,6 +97,21 @@
     assert [(end.reason, end.verdict) for end in harness.ends()] == [('truncated', 'not_run')]
 
 
+def test_a_service_that_goes_while_its_request_joins_the_queue_costs_no_slot():
+    harness = GatewayHarness()
+    gateway = harness.gateway
+    join = gateway.queue.join
+
+    async def join_while_the_service_goes(organisation, until):
+        await gateway.set_served({})
+        return await join(organisation, until)
+
+    gateway.queue.join = join_while_the_service_goes
+    run_steps(harness, harness.reserve, harness.start)
+    assert [(end.reason, end.verdict) for end in harness.ends()] == [('not_servable', 'not_run')]
+    assert (gateway.queue.running, gateway.queue.waiting) == (0, 0)
+
+
 # Errors of the entry itself.
 
 
