A call with extreme JSON or numbers gets its refusal

Callers' connections were closed without an answer for a body of 200,000 opening brackets (RecursionError), a millfork-timeout-ms of 5,000 digits (ValueError: Python's limit) and a prompt with a lone surrogate (UnicodeEncodeError in the choice of the endpoint). The first two are bad_request now; the third is sent to an engine.

Three of the tests failed before on real daemons: Remote end closed connection without response. Nested prompts up to 960 levels and a lone surrogate in the model's name were answered already.

--- a/packages/millforkd/millforkd/entry/caller_requests.py
+++ b/packages/millforkd/millforkd/entry/caller_requests.py
@@ -212,8 +212,7 @@
         if f'{DEPLOYMENTS}{service}' not in self.view.items:
             raise Refused(Refusal(Reason.NOT_FOUND, detail='no such deployment'))
         prompt = body.get('prompt') or body.get('messages') or ''
-        text = prompt if isinstance(prompt, str) else json.dumps(prompt)
-        return service, f'{service}/{text[:MAX_AFFINITY_CHARS]}'
+        return service, f'{service}/{_affinity_text(prompt)}'
 
     def _parse_plain_service(
         self, request: Request, organisation: OrganisationId
@@ -229,11 +228,22 @@
     return Refused(Refusal(Reason.BAD_REQUEST, detail=detail))
 
 
+def _affinity_text(prompt: Any) -> str:
+    try:
+        text = prompt if isinstance(prompt, str) else json.dumps(prompt)
+    except RecursionError:
+        raise _bad_request('the prompt is nested too deeply') from None
+    # JSON strings may contain lone surrogates, which can't be encoded.
+    return text[:MAX_AFFINITY_CHARS].encode(errors='replace').decode()
+
+
 def _json_object(request: Request) -> dict[str, Any]:
     try:
         body = request.json()
     except ValueError:
         raise _bad_request('the body is not JSON') from None
+    except RecursionError:
+        raise _bad_request('the body is nested too deeply') from None
     if not isinstance(body, dict):
         raise _bad_request('the body is not a JSON object')
     return body
@@ -259,6 +269,11 @@
     text = request.header(name)
     if not text:
         return default
-    if not text.isdecimal() or not minimum <= int(text):
+    try:
+        number = int(text) if text.isdecimal() else None
+    except ValueError:
+        # Python limits the digits of a number.
+        number = None
+    if number is None or number < minimum:
         raise _bad_request(f'{name}: a number from {minimum} expected')
-    return min(int(text), maximum)
+    return min(number, maximum)
--- a/tests/test_unanswered_calls.py
+++ b/tests/test_unanswered_calls.py
@@ -22,6 +22,7 @@
 from millforkd.entry.caller_requests import CallerRequests
 from tests.test_backend_gateway import GatewayHarness, run_steps
 from tests.test_connection import tcp_pair
+from tests.utils.fleets import complete
 
 TIMEOUT_S = 5.0
 DEEP_JSON = b'[' * 200_000
@@ -44,6 +45,35 @@
 # What callers send.
 
 
+def test_deeply_nested_json_is_refused(serving_fleet):
+    answer = send_body(serving_fleet, DEEP_JSON)
+    assert (answer.status, answer.headers['millfork-reason']) == (400, 'bad_request')
+
+
+@pytest.mark.parametrize('depth', [300, 600, 900, 960])
+def test_nested_prompts_are_answered(serving_fleet, depth):
+    prompt = b'[' * depth + b']' * depth
+    answer = send_body(serving_fleet, b'{"model":"main","messages":' + prompt + b'}')
+    assert answer.status in (200, 502)
+
+
+def test_a_number_with_thousands_of_digits_is_refused(serving_fleet):
+    token = serving_fleet.caller_tokens[serving_fleet.shape.organisations[0]]
+    answer = complete(serving_fleet, token, headers={'millfork-timeout-ms': '9' * 5000})
+    assert (answer.status, answer.headers['millfork-reason']) == (400, 'bad_request')
+
+
+def test_a_lone_surrogate_in_a_prompt_is_answered(serving_fleet):
+    answer = send_body(serving_fleet, b'{"model":"main","prompt":"\\ud800","max_tokens":1}')
+    # 502: the stand-in engine can't encode the prompt either.
+    assert answer.status in (200, 502)
+
+
+def test_a_lone_surrogate_in_a_model_name_is_refused(serving_fleet):
+    answer = send_body(serving_fleet, b'{"model":"\\ud800","prompt":"p"}')
+    assert answer.status == 404
+
+
 # What back ends send.
 
 
