Any error of an entry while it answers a call is a refusal

An error in the task that answers a call closed the caller's connection without an answer, also a time limit that nothing catches, which left no log line. Now it is logged and answered with 502 and may_have_run, or the answer is broken off if it had begun.

The test failed before with RuntimeError and with TaskTimeout: the caller read no bytes.

--- a/packages/millforkd/millforkd/entry/caller_requests.py
+++ b/packages/millforkd/millforkd/entry/caller_requests.py
@@ -20,7 +20,7 @@
 from millfork_state.view import View
 from millfork_web.models import Request, Response
 from millfork_web.problem import problem
-from millfork_web.server import Exchange
+from millfork_web.server import CallerGone, Exchange
 from millforkd.entry.access_control import AccessControl
 from millforkd.entry.attempts import Call
 from millforkd.entry.delivery import Delivery
@@ -128,8 +128,15 @@
                 refusal = await self.dispatcher.run(call, delivery)
         except Refused as error:
             refusal = error.refusal
+        except CallerGone:
+            raise
+        except (Exception, curio.TaskTimeout):
+            log.exception('A call of {} failed.', call.service)
+            refusal = Refusal(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, 'the entry failed')
+            if exchange.started:
+                await exchange.abort()
         if refusal is not None:
-            await self._refuse(exchange, refusal, delivery.has_started)
+            await self._refuse(exchange, refusal, exchange.started)
             return
         self.env.metrics.count(self.env.metrics.requests, outcome='answered')
         if delivery.response is not None:
--- a/tests/test_unanswered_calls.py
+++ b/tests/test_unanswered_calls.py
@@ -204,6 +204,19 @@
 ERRORS = pytest.mark.parametrize('error', [RuntimeError('unexpected'), curio.TaskTimeout(1.0)])
 
 
+@ERRORS
+def test_any_error_of_an_entry_is_answered(error):
+    answer = answer_of_failing_entry(error, has_started=False)
+    assert answer.startswith(b'HTTP/1.1 502 ')
+    assert b'"verdict": "may_have_run"' in answer
+
+
+@ERRORS
+def test_an_error_after_the_begin_of_an_answer_breaks_it_off(error):
+    answer = answer_of_failing_entry(error, has_started=True)
+    assert answer.endswith(b'data: 1\n\n\r\n')
+
+
 # Messages between daemons.
 
 
