A reply over the frame limit is a failure at once

A reply that can't be encoded, such as one over MAX_FRAME_BYTES, raised in its own task, and the peer's call waited for its time-out. Now the peer gets a Failure, and the error is logged.

--- a/packages/millfork-wire/millfork_wire/connection.py
+++ b/packages/millfork-wire/millfork_wire/connection.py
@@ -235,10 +235,17 @@
         try:
             reply = await self._reply_to(frame.message)
             if not self.closed:
-                await self._enqueue(Frame(frame.id, FrameKind.REPLY, reply))
+                await self._send_reply(frame.id, reply)
         finally:
             self.tasks.discard(await curio.current_task())
 
+    async def _send_reply(self, call_id: int, reply: Message) -> None:
+        try:
+            await self._enqueue(Frame(call_id, FrameKind.REPLY, reply))
+        except Exception as error:  # such as a reply over the size limit
+            log.exception('Encoding {} for {} failed.', type(reply).__name__, self.peer)
+            await self._enqueue(Frame(call_id, FrameKind.REPLY, Failure('internal', str(error))))
+
     async def _reply_to(self, message: Message) -> Message:
         if isinstance(message, Ping):
             return message
--- a/tests/test_unanswered_calls.py
+++ b/tests/test_unanswered_calls.py
@@ -16,8 +16,9 @@
 from millfork_state.view import View
 from millfork_web.client import Client, ExchangeFailed
 from millfork_web.server import Server
-from millfork_wire.connection import Connection
-from millfork_wire.messages import Hello
+from millfork_wire import codec
+from millfork_wire.connection import Connection, PeerRefused
+from millfork_wire.messages import Chunk, GetChunk, Hello
 from millfork_wire.transport import Transport
 from millforkd.entry.caller_requests import CallerRequests
 from tests.test_backend_gateway import GatewayHarness, run_steps
@@ -236,3 +237,17 @@
         await env.spawn(connection.read_frames)
         connections.append(connection)
     return connections
+
+
+def test_a_reply_over_the_frame_limit_is_a_failure(monkeypatch):
+    monkeypatch.setattr(codec, 'MAX_FRAME_BYTES', 1000)
+
+    async def answer(connection, message):
+        return Chunk(True, b'x' * 2000)
+
+    async def run():
+        caller, _ = await pair_of_connections(answer)
+        with pytest.raises(PeerRefused):
+            await caller.call(GetChunk('m@1', 0), TIMEOUT_S)
+
+    curio.run(run)
