An error in handling an event closes no connection between daemons

An error in the handler of an event left read_frames, which closed the connection: every request in progress between this entry and this endpoint broke off. Now it is logged, as errors in the handlers of requests are.

The test failed before: the call after the event was not answered.

--- a/packages/millfork-wire/millfork_wire/connection.py
+++ b/packages/millfork-wire/millfork_wire/connection.py
@@ -226,7 +226,7 @@
             await pending_call.answered.set()
             return
         if frame.kind is FrameKind.EVENT:
-            await self.handler(self, frame.message)
+            await self._handle_event(frame.message)
             return
         task = await self.env.spawn(self._answer, frame)
         self.tasks.add(task)
@@ -246,6 +246,14 @@
             log.exception('Encoding {} for {} failed.', type(reply).__name__, self.peer)
             await self._enqueue(Frame(call_id, FrameKind.REPLY, Failure('internal', str(error))))
 
+    async def _handle_event(self, message: Message) -> None:
+        try:
+            await self.handler(self, message)
+        except PeerLost as error:
+            log.debug('Handling {} ended: {}.', type(message).__name__, error)
+        except Exception:  # an error in one handler must not close the connection
+            log.exception('Handling {} from {} failed.', type(message).__name__, self.peer)
+
     async def _reply_to(self, message: Message) -> Message:
         if isinstance(message, Ping):
             return message
--- a/tests/test_unanswered_calls.py
+++ b/tests/test_unanswered_calls.py
@@ -18,7 +18,7 @@
 from millfork_web.server import Server
 from millfork_wire import codec
 from millfork_wire.connection import Connection, PeerRefused
-from millfork_wire.messages import Chunk, GetChunk, Hello
+from millfork_wire.messages import Chunk, GetChunk, Hello, Ping
 from millfork_wire.transport import Transport
 from millforkd.entry.caller_requests import CallerRequests
 from tests.test_backend_gateway import GatewayHarness, run_steps
@@ -251,3 +251,18 @@
             await caller.call(GetChunk('m@1', 0), TIMEOUT_S)
 
     curio.run(run)
+
+
+def test_an_error_in_handling_an_event_loses_no_reply():
+    async def answer(connection, message):
+        if isinstance(message, GetChunk):
+            raise RuntimeError('unexpected')
+        return message
+
+    async def run():
+        caller, _ = await pair_of_connections(answer)
+        await caller.notify(GetChunk('m@1', 0))
+        reply = await caller.call(Ping(), TIMEOUT_S)
+        assert isinstance(reply, Ping)
+
+    curio.run(run)
