A request that was given up before its Reserve was handled takes no slot

After a pause, an endpoint daemon finds Reserve and Cancel of one request in the same read. Cancel is handled at once and Reserve by a task of its own, so the cancelled request was reserved afterwards and held a slot for START_TIMEOUT_S; so did one whose entry's connection had closed. Callers that came after the pause waited for these slots, or were refused as busy.

Now a Cancel without a reservation is remembered, 4096 of them, and a Reserve over a closed connection is refused.

--- a/packages/millforkd/millforkd/endpoint/backend_gateway.py
+++ b/packages/millforkd/millforkd/endpoint/backend_gateway.py
@@ -39,6 +39,8 @@
 
 # A reservation expires if the entry does not send `Start` within this time.
 START_TIMEOUT_S: Final = 2.0
+# Cancelled requests that were not reserved yet, of which this many are remembered.
+MAX_EARLY_CANCELS: Final = 4096
 LOAD_HEARTBEAT_INTERVAL_S: Final = 8.0
 MIN_LOAD_REPORT_INTERVAL_S: Final = 0.1
 DRAIN_POLL_INTERVAL_S: Final = 0.05
@@ -72,6 +74,8 @@
         self.queue = FairQueue(settings.slots, settings.queue, self.share, env.monotonic)
         self.shares: dict[OrganisationId, int] = {}
         self.reservations: dict[str, Reservation] = {}
+        # Ids of cancelled requests that had no reservation, the oldest first.
+        self.early_cancels: dict[str, None] = {}
         self.served: dict[str, str] = {}
         self.leaving = False
         self.rest_tracker = RestTracker(env)
@@ -121,6 +125,9 @@
 
         """
         organisation = OrganisationId(request.organisation)
+        if connection.closed or request.request_id in self.early_cancels:
+            self.early_cancels.pop(request.request_id, None)
+            return Reserved(False, Reason.EXPIRED.value, 'the entry gave up the request')
         refusal = self._refusal(organisation, request)
         if refusal is not None:
             self.env.metrics.refused(refusal.reason, 'endpoint')
@@ -171,6 +178,7 @@
         """
         reservation = self.reservations.get(message.request_id)
         if reservation is None or reservation.connection is not connection:
+            self._record_early_cancel(message.request_id)
             return Cancelled(message.request_id, Verdict.MAY_HAVE_RUN.value)
         if reservation.task is not None:
             await reservation.task.cancel()
@@ -182,6 +190,16 @@
             cancelled.incarnation = self.incarnations.incarnation_key(incarnation_number)
         return cancelled
 
+    def _record_early_cancel(self, request_id: str) -> None:
+        """
+        Record that a request without a reservation was cancelled. Its `Reserve` may be handled
+        later, as another task handles it.
+
+        """
+        self.early_cancels[request_id] = None
+        if len(self.early_cancels) > MAX_EARLY_CANCELS:
+            del self.early_cancels[next(iter(self.early_cancels))]
+
     async def on_closed(self, connection: Connection) -> None:
         """
         Cancel the requests of an entry whose connection closed, as their answers can't be
