A pause of two seconds expires no status query and no reservation

An engine whose pause of two seconds met the poll of its status lost its versions until the next poll, so callers were refused; an entry that paused for two seconds between Reserve and Start got EXPIRED, which isn't tried again, for a call that had not run. Both limits were 2.0 s; now 3.0 s.

--- a/packages/millforkd/millforkd/endpoint/backend_gateway.py
+++ b/packages/millforkd/millforkd/endpoint/backend_gateway.py
@@ -37,8 +37,9 @@
 from millforkd.endpoint.rest_tracking import RestTracker
 from millforkd.settling import settle_claim
 
-# A reservation expires if the entry does not send `Start` within this time.
-START_TIMEOUT_S: Final = 2.0
+# A reservation expires if the entry does not send `Start` within this time. A sound entry may pause
+# for two seconds.
+START_TIMEOUT_S: Final = 3.0
 # Cancelled requests that were not reserved yet, of which this many are remembered.
 MAX_EARLY_CANCELS: Final = 4096
 LOAD_HEARTBEAT_INTERVAL_S: Final = 8.0
--- a/packages/millforkd/millforkd/endpoint/engine_client.py
+++ b/packages/millforkd/millforkd/endpoint/engine_client.py
@@ -20,7 +20,8 @@
 from millfork_web.client import Client, ExchangeFailed
 
 ORDER_TIMEOUT_S: Final = 120.0
-STATUS_TIMEOUT_S: Final = 2.0
+# A sound engine may pause for two seconds.
+STATUS_TIMEOUT_S: Final = 3.0
 # Timeout of the query for the incarnation, which shows whether the engine is still alive.
 PROBE_TIMEOUT_S: Final = 0.4
 OK_STATUS: Final = 200
--- a/tests/test_silent_engines_on_listed_fleets.py
+++ b/tests/test_silent_engines_on_listed_fleets.py
@@ -10,11 +10,19 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
+import curio
 import pytest
 
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_settings.models import Address, BackendKind, BackendSettings
 from millfork_standins.deployments import LANTING
 from millfork_standins.fleet import Fleet
 from millfork_standins.layout import FleetOptions
+from millfork_web.models import json_response
+from millfork_web.server import Server
+from millforkd.endpoint.engine_client import EngineClient
+from tests.test_backend_gateway import GatewayHarness
 from tests.utils.fleets import call_service, complete, serve_version
 
 PAUSE_S = 1.9
@@ -22,6 +30,8 @@
 STREAM_S = 0.2
 STREAM_TOKENS = 30
 TOKEN_MS = 20
+# A pause of the longest length, and the time around it.
+LONGEST_PAUSE_S = 2.1
 CALLS = 24
 SHORT_TIMEOUT_MS = 50
 # More calls than the retry budget of an entry allows to retry.
@@ -187,3 +197,52 @@
         answer = complete(fleet, token_of(fleet), headers=headers, prompt=prompt)
         assert answer.headers['millfork-reason'] == 'timed_out'
     assert_serves(fleet)
+
+
+@pytest.mark.parametrize('number', range(LANTING.disks))
+def test_a_pause_of_a_replica_costs_no_answer_of_a_call_with_a_key(fleet, number):
+    paused = fleet.replicas[number]
+    others = [n for n, entry in enumerate(fleet.entries) if entry is not paused]
+
+    def send(fleet, number):
+        entry = others[number % len(others)]
+        headers = {'idempotency-key': f'{paused.name} {number}'}
+        token = token_of(fleet)
+        return call_service(fleet, token, 'POST', 'portal-assets/k', entry, headers)
+
+    assert_all_answered(send_beside_pause(fleet, [paused.name], send))
+    assert_serves(fleet)
+
+
+def test_an_engine_that_pauses_during_a_poll_keeps_its_versions():
+    async def answer(exchange):
+        await curio.sleep(LONGEST_PAUSE_S)
+        await exchange.respond(json_response({'incarnation': 'i', 'loaded': ['v1']}))
+
+    async def run():
+        env = Environment(InstanceId('e'), ZoneId('z'))
+        listener = curio.tcp_server_socket('127.0.0.1', 0)
+        port = listener.getsockname()[1]
+        server = Server('127.0.0.1', port, answer)
+        await curio.spawn(server._accept, listener, daemon=True)
+        address = Address(host='127.0.0.1', port=port)
+        settings = BackendSettings(kind=BackendKind.ENGINE, service='pool', address=address)
+        client = EngineClient(env, settings, '127.0.0.1')
+        assert await client.poll()
+        assert client.status.loaded == ['v1']
+
+    curio.run(run)
+
+
+def test_an_entry_that_pauses_before_its_start_message_keeps_its_slot():
+    harness = GatewayHarness()
+
+    async def run():
+        assert (await harness.reserve()).ok
+        await curio.sleep(LONGEST_PAUSE_S)
+        await harness.start()
+        await harness.backend.gate.set()
+        await harness.run_pending_tasks()
+        assert [end.reason for end in harness.ends()] == ['']
+
+    curio.run(run)
