--- a/packages/millfork-wire/millfork_wire/connection.py
+++ b/packages/millfork-wire/millfork_wire/connection.py
@@ -226,7 +226,7 @@
             await pending_call.answered.set()
             return
         if frame.kind is FrameKind.EVENT:
-            await self.handler(self, frame.message)
+            await self._handle_event(frame.message)
             return
         task = await self.env.spawn(self._answer, frame)
         self.tasks.add(task)
@@ -235,10 +235,25 @@
         try:
             reply = await self._reply_to(frame.message)
             if not self.closed:
-                await self._enqueue(Frame(frame.id, FrameKind.REPLY, reply))
+                await self._send_reply(frame.id, reply)
         finally:
             self.tasks.discard(await curio.current_task())
 
+    async def _send_reply(self, call_id: int, reply: Message) -> None:
+        try:
+            await self._enqueue(Frame(call_id, FrameKind.REPLY, reply))
+        except Exception as error:  # such as a reply over the size limit
+            log.exception('Encoding {} for {} failed.', type(reply).__name__, self.peer)
+            await self._enqueue(Frame(call_id, FrameKind.REPLY, Failure('internal', str(error))))
+
+    async def _handle_event(self, message: Message) -> None:
+        try:
+            await self.handler(self, message)
+        except PeerLost as error:
+            log.debug('Handling {} ended: {}.', type(message).__name__, error)
+        except Exception:  # an error in one handler must not close the connection
+            log.exception('Handling {} from {} failed.', type(message).__name__, self.peer)
+
     async def _reply_to(self, message: Message) -> Message:
         if isinstance(message, Ping):
             return message
--- a/packages/millforkd/millforkd/endpoint/backend_gateway.py
+++ b/packages/millforkd/millforkd/endpoint/backend_gateway.py
@@ -37,8 +37,11 @@
 from millforkd.endpoint.rest_tracking import RestTracker
 from millforkd.settling import settle_claim
 
-# A reservation expires if the entry does not send `Start` within this time.
-START_TIMEOUT_S: Final = 2.0
+# A reservation expires if the entry does not send `Start` within this time. A sound entry may pause
+# for two seconds.
+START_TIMEOUT_S: Final = 3.0
+# Cancelled requests that were not reserved yet, of which this many are remembered.
+MAX_EARLY_CANCELS: Final = 4096
 LOAD_HEARTBEAT_INTERVAL_S: Final = 8.0
 MIN_LOAD_REPORT_INTERVAL_S: Final = 0.1
 DRAIN_POLL_INTERVAL_S: Final = 0.05
@@ -72,6 +75,8 @@
         self.queue = FairQueue(settings.slots, settings.queue, self.share, env.monotonic)
         self.shares: dict[OrganisationId, int] = {}
         self.reservations: dict[str, Reservation] = {}
+        # Ids of cancelled requests that had no reservation, the oldest first.
+        self.early_cancels: dict[str, None] = {}
         self.served: dict[str, str] = {}
         self.leaving = False
         self.rest_tracker = RestTracker(env)
@@ -121,13 +126,16 @@
 
         """
         organisation = OrganisationId(request.organisation)
+        if connection.closed or request.request_id in self.early_cancels:
+            self.early_cancels.pop(request.request_id, None)
+            return Reserved(False, Reason.EXPIRED.value, 'the entry gave up the request')
         refusal = self._refusal(organisation, request)
         if refusal is not None:
             self.env.metrics.refused(refusal.reason, 'endpoint')
             return Reserved(False, refusal.reason.value, refusal.detail, refusal.wait_ms)
         deadline = self.env.monotonic() + request.deadline_ms / 1000
-        waiter = await self.queue.join(organisation, deadline)
         version = self.served[request.service]
+        waiter = await self.queue.join(organisation, deadline)
         reservation = Reservation(request, connection, version, deadline, waiter)
         self.reservations[request.request_id] = reservation
         reservation.task = await self.env.spawn(self._serve, reservation)
@@ -171,6 +179,7 @@
         """
         reservation = self.reservations.get(message.request_id)
         if reservation is None or reservation.connection is not connection:
+            self._record_early_cancel(message.request_id)
             return Cancelled(message.request_id, Verdict.MAY_HAVE_RUN.value)
         if reservation.task is not None:
             await reservation.task.cancel()
@@ -182,6 +191,16 @@
             cancelled.incarnation = self.incarnations.incarnation_key(incarnation_number)
         return cancelled
 
+    def _record_early_cancel(self, request_id: str) -> None:
+        """
+        Record that a request without a reservation was cancelled. Its `Reserve` may be handled
+        later, as another task handles it.
+
+        """
+        self.early_cancels[request_id] = None
+        if len(self.early_cancels) > MAX_EARLY_CANCELS:
+            del self.early_cancels[next(iter(self.early_cancels))]
+
     async def on_closed(self, connection: Connection) -> None:
         """
         Cancel the requests of an entry whose connection closed, as their answers can't be
@@ -200,11 +219,7 @@
 
     async def _serve(self, reservation: Reservation) -> None:
         try:
-            refusal = await self._wait_for_start_and_slot(reservation)
-            if refusal is None:
-                service_started_at = self.env.monotonic()
-                refusal = await self._run(reservation)
-                self.queue.learn_service_time(self.env.monotonic() - service_started_at)
+            refusal = await self._answer(reservation)
             await self._end(reservation, refusal)
         except PeerLost:
             self.env.metrics.count(self.env.metrics.requests, outcome='entry_gone')
@@ -215,6 +230,26 @@
             await self.queue.leave(reservation.waiter)
             await self.load_changed.set()
 
+    async def _answer(self, reservation: Reservation) -> Refusal | None:
+        """
+        Run a request once it has a slot, and relay its answer. An unexpected error becomes a
+        refusal, as the entry waits for an `End` until the deadline of the request.
+
+        """
+        try:
+            refusal = await self._wait_for_start_and_slot(reservation)
+            if refusal is not None:
+                return refusal
+            service_started_at = self.env.monotonic()
+            refusal = await self._run(reservation)
+            self.queue.learn_service_time(self.env.monotonic() - service_started_at)
+            return refusal
+        except PeerLost:
+            raise
+        except (Exception, curio.TaskTimeout):
+            log.exception('Request {} failed.', reservation.request.request_id)
+            return Refusal(Reason.TRUNCATED, reservation.verdict, 'the endpoint failed')
+
     async def _settle(self, reservation: Reservation) -> None:
         """
         Store the answer, if it is complete, under the request's idempotency key, as the entry may
@@ -245,6 +280,7 @@
         resting = self.rest_tracker.current_refusal()
         if resting is not None:
             return resting
+        headers, body = build_backend_request(reservation, self.is_engine)
         reservation.stage = Stage.SENT
         sent_at = self.env.monotonic()
         reservation.incarnation_number = self.incarnations.current_number
@@ -252,7 +288,6 @@
         remaining_s = max(reservation.deadline - self.env.monotonic(), 0.001)
         try:
             async with curio.timeout_after(remaining_s):
-                headers, body = build_backend_request(reservation, self.is_engine)
                 reply = await self.client.send(request.method, request.path, headers, body)
                 self.rest_tracker.record_answer(reply, sent_at)
                 self.incarnations.record_answer(sent_at)
--- a/packages/millforkd/millforkd/entry/caller_requests.py
+++ b/packages/millforkd/millforkd/entry/caller_requests.py
@@ -20,7 +20,7 @@
 from millfork_state.view import View
 from millfork_web.models import Request, Response
 from millfork_web.problem import problem
-from millfork_web.server import Exchange
+from millfork_web.server import CallerGone, Exchange
 from millforkd.entry.access_control import AccessControl
 from millforkd.entry.attempts import Call
 from millforkd.entry.delivery import Delivery
@@ -128,8 +128,15 @@
                 refusal = await self.dispatcher.run(call, delivery)
         except Refused as error:
             refusal = error.refusal
+        except CallerGone:
+            raise
+        except (Exception, curio.TaskTimeout):
+            log.exception('A call of {} failed.', call.service)
+            refusal = Refusal(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, 'the entry failed')
+            if exchange.started:
+                await exchange.abort()
         if refusal is not None:
-            await self._refuse(exchange, refusal, delivery.has_started)
+            await self._refuse(exchange, refusal, exchange.started)
             return
         self.env.metrics.count(self.env.metrics.requests, outcome='answered')
         if delivery.response is not None:
@@ -212,8 +219,7 @@
         if f'{DEPLOYMENTS}{service}' not in self.view.items:
             raise Refused(Refusal(Reason.NOT_FOUND, detail='no such deployment'))
         prompt = body.get('prompt') or body.get('messages') or ''
-        text = prompt if isinstance(prompt, str) else json.dumps(prompt)
-        return service, f'{service}/{text[:MAX_AFFINITY_CHARS]}'
+        return service, f'{service}/{_affinity_text(prompt)}'
 
     def _parse_plain_service(
         self, request: Request, organisation: OrganisationId
@@ -229,11 +235,22 @@
     return Refused(Refusal(Reason.BAD_REQUEST, detail=detail))
 
 
+def _affinity_text(prompt: Any) -> str:
+    try:
+        text = prompt if isinstance(prompt, str) else json.dumps(prompt)
+    except RecursionError:
+        raise _bad_request('the prompt is nested too deeply') from None
+    # JSON strings may contain lone surrogates, which can't be encoded.
+    return text[:MAX_AFFINITY_CHARS].encode(errors='replace').decode()
+
+
 def _json_object(request: Request) -> dict[str, Any]:
     try:
         body = request.json()
     except ValueError:
         raise _bad_request('the body is not JSON') from None
+    except RecursionError:
+        raise _bad_request('the body is nested too deeply') from None
     if not isinstance(body, dict):
         raise _bad_request('the body is not a JSON object')
     return body
@@ -259,6 +276,11 @@
     text = request.header(name)
     if not text:
         return default
-    if not text.isdecimal() or not minimum <= int(text):
+    try:
+        number = int(text) if text.isdecimal() else None
+    except ValueError:
+        # Python limits the digits of a number.
+        number = None
+    if number is None or number < minimum:
         raise _bad_request(f'{name}: a number from {minimum} expected')
-    return min(int(text), maximum)
+    return min(number, maximum)
--- /dev/null
+++ b/tests/test_unanswered_calls.py
@@ -0,0 +1,268 @@
+"""
+Errors in the handling of a call, which must end in an answer or a refusal.
+
+"""
+
+import curio
+import h11
+import pytest
+from curio.io import Socket
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_settings.models import BackendKind, RoutingSettings
+from millfork_standins.layout import CALLERS_PORT
+from millfork_standins.requests import fetch
+from millfork_state.view import View
+from millfork_web.client import Client, ExchangeFailed
+from millfork_web.server import Server
+from millfork_wire import codec
+from millfork_wire.connection import Connection, PeerRefused
+from millfork_wire.messages import Chunk, GetChunk, Hello, Ping
+from millfork_wire.transport import Transport
+from millforkd.entry.caller_requests import CallerRequests
+from tests.test_backend_gateway import GatewayHarness, run_steps
+from tests.test_connection import tcp_pair
+from tests.utils.fleets import complete
+
+TIMEOUT_S = 5.0
+DEEP_JSON = b'[' * 200_000
+MALFORMED_CHUNKS = (
+    b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n' + b'3\r\nabc\r\n' + b'nonsense\r\n'
+)
+
+
+def environment():
+    return Environment(InstanceId('a:1'), ZoneId('zone'))
+
+
+def send_body(fleet, body, headers=None):
+    token = fleet.caller_tokens[fleet.shape.organisations[0]]
+    all_headers = {'authorization': f'Bearer {token}', **(headers or {})}
+    host = fleet.entries[0].host
+    return fetch('POST', host, CALLERS_PORT, '/v1/completions', body, all_headers)
+
+
+# What callers send.
+
+
+def test_deeply_nested_json_is_refused(serving_fleet):
+    answer = send_body(serving_fleet, DEEP_JSON)
+    assert (answer.status, answer.headers['millfork-reason']) == (400, 'bad_request')
+
+
+@pytest.mark.parametrize('depth', [300, 600, 900, 960])
+def test_nested_prompts_are_answered(serving_fleet, depth):
+    prompt = b'[' * depth + b']' * depth
+    answer = send_body(serving_fleet, b'{"model":"main","messages":' + prompt + b'}')
+    assert answer.status in (200, 502)
+
+
+def test_a_number_with_thousands_of_digits_is_refused(serving_fleet):
+    token = serving_fleet.caller_tokens[serving_fleet.shape.organisations[0]]
+    answer = complete(serving_fleet, token, headers={'millfork-timeout-ms': '9' * 5000})
+    assert (answer.status, answer.headers['millfork-reason']) == (400, 'bad_request')
+
+
+def test_a_lone_surrogate_in_a_prompt_is_answered(serving_fleet):
+    answer = send_body(serving_fleet, b'{"model":"main","prompt":"\\ud800","max_tokens":1}')
+    # 502: the stand-in engine can't encode the prompt either.
+    assert answer.status in (200, 502)
+
+
+def test_a_lone_surrogate_in_a_model_name_is_refused(serving_fleet):
+    answer = send_body(serving_fleet, b'{"model":"\\ud800","prompt":"p"}')
+    assert answer.status == 404
+
+
+# What back ends send.
+
+
+def test_a_malformed_chunk_after_valid_data_is_a_failed_exchange():
+    async def run():
+        near, far = tcp_pair()
+        far.sendall(MALFORMED_CHUNKS)
+        client = Client('127.0.0.1', 1)
+
+        async def connection():
+            return Socket(near), h11.Connection(h11.CLIENT)
+
+        client._connection = connection
+        async with curio.timeout_after(TIMEOUT_S):
+            reply = await client.send('GET', '/', [])
+            with pytest.raises(ExchangeFailed):
+                await reply.body()
+            await reply.close()
+        far.close()
+
+    curio.run(run)
+
+
+class FailingBackend:
+    """
+    A back end whose client raises an error that nothing handles.
+
+    """
+
+    async def send(self, method, path, headers, body):
+        raise RuntimeError('unexpected')
+
+
+@pytest.mark.parametrize('kind', list(BackendKind))
+def test_any_error_in_a_request_of_an_endpoint_ends_it(kind):
+    harness = GatewayHarness(kind)
+    harness.gateway.client = FailingBackend()
+    run_steps(harness, harness.reserve, harness.start)
+    assert [(end.reason, end.verdict) for end in harness.ends()] == [('truncated', 'may_have_run')]
+    assert harness.gateway.queue.running == 0
+
+
+def test_a_time_limit_that_nothing_handles_ends_a_request_of_an_endpoint():
+    harness = GatewayHarness()
+
+    async def wait(reservation):
+        raise curio.TaskTimeout(1.0)
+
+    harness.gateway._wait_for_start_and_slot = wait
+    run_steps(harness, harness.reserve)
+    assert [(end.reason, end.verdict) for end in harness.ends()] == [('truncated', 'not_run')]
+
+
+def test_a_service_that_goes_while_its_request_joins_the_queue_costs_no_slot():
+    harness = GatewayHarness()
+    gateway = harness.gateway
+    join = gateway.queue.join
+
+    async def join_while_the_service_goes(organisation, until):
+        await gateway.set_served({})
+        return await join(organisation, until)
+
+    gateway.queue.join = join_while_the_service_goes
+    run_steps(harness, harness.reserve, harness.start)
+    assert [(end.reason, end.verdict) for end in harness.ends()] == [('not_servable', 'not_run')]
+    assert (gateway.queue.running, gateway.queue.waiting) == (0, 0)
+
+
+# Errors of the entry itself.
+
+
+class FailingDispatcher:
+    """
+    A dispatcher that fails, after it began to stream an answer if `has_started`.
+
+    """
+
+    def __init__(self, error, has_started):
+        self.error = error
+        self.has_started = has_started
+
+    async def run(self, call, delivery):
+        if self.has_started:
+            await delivery.exchange.start(200, [('content-type', 'text/event-stream')])
+            await delivery.exchange.write(b'data: 1\n\n')
+        raise self.error
+
+
+class OpenAccess:
+    """
+    Lets every caller use every service.
+
+    """
+
+    def authenticate_caller(self, request):
+        return 'org'
+
+    def may_use(self, organisation, service):
+        return True
+
+
+def answer_of_failing_entry(error, has_started):
+    """
+    Return the bytes that a caller receives if the dispatcher of its call fails.
+
+    """
+    env = environment()
+    requests = CallerRequests(
+        env, RoutingSettings(), View(), OpenAccess(), FailingDispatcher(error, has_started), None
+    )
+    server = Server('127.0.0.1', 1, requests.handle)
+
+    async def run():
+        near, far = tcp_pair()
+        far.settimeout(TIMEOUT_S)
+        far.sendall(b'GET /services/s/ HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n')
+        async with curio.timeout_after(TIMEOUT_S):
+            await server._serve(Socket(near), None)
+        received = b''
+        while data := far.recv(65536):
+            received += data
+        far.close()
+        return received
+
+    return curio.run(run)
+
+
+ERRORS = pytest.mark.parametrize('error', [RuntimeError('unexpected'), curio.TaskTimeout(1.0)])
+
+
+@ERRORS
+def test_any_error_of_an_entry_is_answered(error):
+    answer = answer_of_failing_entry(error, has_started=False)
+    assert answer.startswith(b'HTTP/1.1 502 ')
+    assert b'"verdict": "may_have_run"' in answer
+
+
+@ERRORS
+def test_an_error_after_the_begin_of_an_answer_breaks_it_off(error):
+    answer = answer_of_failing_entry(error, has_started=True)
+    assert answer.endswith(b'data: 1\n\n\r\n')
+
+
+# Messages between daemons.
+
+
+async def pair_of_connections(answer):
+    near, far = tcp_pair()
+
+    async def ignore(*arguments):
+        return None
+
+    connections = []
+    for sock, handler in ((near, ignore), (far, answer)):
+        env = environment()
+        connection = Connection(
+            env, Transport(Socket(sock)), Hello(instance='b:1'), handler, ignore, True
+        )
+        connection.writer = await env.spawn(connection.write_frames)
+        await env.spawn(connection.read_frames)
+        connections.append(connection)
+    return connections
+
+
+def test_a_reply_over_the_frame_limit_is_a_failure(monkeypatch):
+    monkeypatch.setattr(codec, 'MAX_FRAME_BYTES', 1000)
+
+    async def answer(connection, message):
+        return Chunk(True, b'x' * 2000)
+
+    async def run():
+        caller, _ = await pair_of_connections(answer)
+        with pytest.raises(PeerRefused):
+            await caller.call(GetChunk('m@1', 0), TIMEOUT_S)
+
+    curio.run(run)
+
+
+def test_an_error_in_handling_an_event_loses_no_reply():
+    async def answer(connection, message):
+        if isinstance(message, GetChunk):
+            raise RuntimeError('unexpected')
+        return message
+
+    async def run():
+        caller, _ = await pair_of_connections(answer)
+        await caller.notify(GetChunk('m@1', 0))
+        reply = await caller.call(Ping(), TIMEOUT_S)
+        assert isinstance(reply, Ping)
+
+    curio.run(run)
