--- a/tests/mutations_listed.py
+++ b/tests/mutations_listed.py
@@ -303,7 +303,7 @@
         (
             Edit(
                 S + 'replica.py',
-                'if entries and self.storage.durable_index < entries[-1].index:',
+                'if self.storage.durable_index < match_index:',
                 'if False:',
             ),
         ),
