A back end's status that arrives before the cancellation counts

An endpoint's report on the back end of a cancelled attempt may be handled before the entry records the cancellation. The report was kept as an early status, at which record_cancellation did not look: the attempt stayed pending for 30 s and counted as not ended, so a call whose callers leave could go on ending back ends. Cancellations take early statuses now, as broken answers did.

The new test failed before (with record_cancellation made a coroutine, so that it could be awaited): not quarantined after three ends. The other test of this method awaits it now; nothing else in it changed.

--- a/packages/millforkd/millforkd/entry/crash_tracking.py
+++ b/packages/millforkd/millforkd/entry/crash_tracking.py
@@ -152,13 +152,16 @@
         if outcome.reason is Reason.BACKEND_FAILED:
             await self._settle(pending, ended=True)
             return
-        ended = self.early_statuses.pop(outcome.request_id, None)
+        await self._settle_once_reported(outcome.request_id, pending)
+
+    async def _settle_once_reported(self, request_id: RequestId, pending: PendingAttempt) -> None:
+        ended = self.early_statuses.pop(request_id, None)
         if ended is None:
-            self.pending[outcome.request_id] = pending
+            self.pending[request_id] = pending
             return
         await self._settle(pending, ended)
 
-    def record_cancellation(
+    async def record_cancellation(
         self, call: Call, request_id: RequestId, incarnation: IncarnationKey
     ) -> None:
         """
@@ -167,9 +170,8 @@
 
         """
         now = self.env.monotonic()
-        self.pending[request_id] = PendingAttempt(
-            self.suspicion_of(call), incarnation, now, is_cancelled=True
-        )
+        pending = PendingAttempt(self.suspicion_of(call), incarnation, now, is_cancelled=True)
+        await self._settle_once_reported(request_id, pending)
 
     async def apply_back_end_status(self, message: BackEndFate) -> None:
         """
--- a/packages/millforkd/millforkd/entry/dispatcher.py
+++ b/packages/millforkd/millforkd/entry/dispatcher.py
@@ -185,7 +185,7 @@
             if attempt.started and not attempt.ended:
                 await self.env.spawn(self._cancel_attempt, call, attempt)
             else:
-                self._record_cancellation(call, attempt)
+                await self._record_cancellation(call, attempt)
         if refusal is None:
             backend.record_accepted(sent_at)
             return None
@@ -197,11 +197,11 @@
 
     async def _cancel_attempt(self, call: Call, attempt: Attempt) -> None:
         await attempt.cancel()
-        self._record_cancellation(call, attempt)
+        await self._record_cancellation(call, attempt)
 
-    def _record_cancellation(self, call: Call, attempt: Attempt) -> None:
+    async def _record_cancellation(self, call: Call, attempt: Attempt) -> None:
         if attempt.cancelled_incarnation:
-            self.crashes.record_cancellation(
+            await self.crashes.record_cancellation(
                 call, attempt.request_id, attempt.cancelled_incarnation
             )
 
--- a/tests/test_late_ends_at_endpoints.py
+++ b/tests/test_late_ends_at_endpoints.py
@@ -307,7 +307,7 @@
         for number in range(MIN_ENDS_AT_FAULT):
             request_id = RequestId(f'r-{number}')
             incarnation = IncarnationKey(f'e-{number}/1.0')
-            interrupted_call.crashes.record_cancellation(
+            await interrupted_call.crashes.record_cancellation(
                 interrupted_call.call, request_id, incarnation
             )
             assert interrupted_call.block_reason is None
@@ -317,6 +317,21 @@
     curio.run(run)
 
 
+def test_a_report_that_arrives_before_the_cancellation_of_its_attempt_counts():
+    async def run():
+        interrupted_call = InterruptedCall()
+        crashes = interrupted_call.crashes
+        for number in range(MIN_ENDS_AT_FAULT):
+            await interrupted_call.report_status(number, ended=True)
+            await crashes.record_cancellation(
+                interrupted_call.call, RequestId(f'r-{number}'), IncarnationKey(f'e-{number}/1.0')
+            )
+        assert interrupted_call.block_reason is Reason.QUARANTINED
+        assert not crashes.early_statuses and not crashes.pending
+
+    curio.run(run)
+
+
 class FakeTimedOutConnection:
     """
     The connection to an endpoint that replies to `Reserve` and `Cancel` but never sends an answer
