An attempt keeps a bounded number of bytes for a slow caller

MAX_BUFFERED_BYTES was checked only when the next event was read, so the queue of a caller that doesn't read grew with the whole answer. Parts beyond the limit are dropped now, and the attempt is refused as too large, as it was at the next read before.

--- a/packages/millforkd/millforkd/entry/attempts.py
+++ b/packages/millforkd/millforkd/entry/attempts.py
@@ -155,6 +155,8 @@
         self.connection = connection
         self.events: curio.Queue = curio.Queue()
         self.buffered_bytes = 0
+        # Set once a part was dropped because MAX_BUFFERED_BYTES were waiting to be read.
+        self.has_overflowed = False
         self.started = False
         self.ended = False
         self.next_sequence = 0
@@ -165,10 +167,14 @@
 
     async def enqueue(self, message: Message) -> None:
         """
-        Queue an event; events are read in the order in which they were queued.
+        Queue an event; events are read in the order in which they were queued. A part is dropped
+        if the caller reads too slowly, which ends the attempt.
 
         """
         if isinstance(message, Part):
+            if self.buffered_bytes > MAX_BUFFERED_BYTES:
+                self.has_overflowed = True
+                return
             self.buffered_bytes += len(message.data)
         await self.events.put(message)
 
@@ -279,7 +285,7 @@
         return None
 
     async def _next_event(self, deadline: float) -> Message | Refusal:
-        if self.buffered_bytes > MAX_BUFFERED_BYTES:
+        if self.has_overflowed or self.buffered_bytes > MAX_BUFFERED_BYTES:
             return Refusal(Reason.TOO_LARGE, Verdict.MAY_HAVE_RUN, 'the caller reads too slowly')
         try:
             async with curio.timeout_after(max(deadline - self.env.monotonic(), 0.001)):
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -13,7 +13,7 @@
 from millfork_settings.models import RoutingSettings
 from millfork_wire.connection import PeerLost, PeerTimedOut
 from millfork_wire.messages import Cancel, Cancelled, End, Head, Part, Reserve, Reserved, Start
-from millforkd.entry.attempts import Attempt, Call, ConnectionLost
+from millforkd.entry.attempts import MAX_BUFFERED_BYTES, Attempt, Call, ConnectionLost
 from millforkd.entry.dispatcher import Dispatcher
 
 
@@ -130,3 +130,29 @@
         return attempt_under_test.events.empty()
 
     assert curio.run(send_late_answer)
+
+
+def test_an_attempt_keeps_a_bounded_number_of_bytes_for_a_slow_caller():
+    async def run():
+        slow = attempt()
+        for sequence in range(40):
+            await slow.enqueue(Part('r', sequence, bytes(1024 * 1024)))
+        assert slow.events.qsize() <= MAX_BUFFERED_BYTES // (1024 * 1024) + 1
+        refusal = await slow.receive_part(slow.env.monotonic() + 1)
+        assert refusal.reason is Reason.TOO_LARGE
+
+    curio.run(run)
+
+
+def test_an_answer_of_which_a_part_was_dropped_is_refused_as_too_large():
+    async def run():
+        slow = attempt()
+        reading = await curio.spawn(slow.receive_part, slow.env.monotonic() + 1)
+        await curio.sleep(0)
+        for sequence in range(18):
+            await slow.enqueue(Part('r', sequence, bytes(1024 * 1024)))
+        assert isinstance(await reading.join(), bytes)
+        refusal = await slow.receive_part(slow.env.monotonic() + 1)
+        assert refusal.reason is Reason.TOO_LARGE
+
+    curio.run(run)
