A full queue to a peer holds no call for ever

A message that waited for room in a connection's full queue was not woken when the connection closed: the endpoint's task of a request kept its slot, the report of the load waited for good, and an entry's call that waited to send Start had no time limit at all.

Now the tasks that wait are woken and get PeerLost, and Start waits until the call's deadline: it was not sent, so the refusal says not_run. Both tests failed before at their limit of 5 s (40 frames of 1 MiB for a queue of 2; a connection that takes no message).

--- a/packages/millfork-wire/millfork_wire/connection.py
+++ b/packages/millfork-wire/millfork_wire/connection.py
@@ -150,9 +150,9 @@
 
     async def notify(self, message: Message) -> None:
         """
-        Queue an event (a message without a reply) for sending.
+        Queue an event (a message without a reply) for sending; wait while the queue is full.
 
-        :raises PeerLost: if the connection is already closed.
+        :raises PeerLost: if the connection is closed before the event is queued.
 
         """
         if self.closed:
@@ -163,6 +163,11 @@
         data = codec.encode(frame)
         self._count_bytes(frame.message, len(data), 'out')
         await self.outbox.put(data)
+        if self.closed:
+            # Wake the next task that waits for the full queue.
+            if not self.outbox.empty():
+                await self.outbox.get()
+            raise PeerLost(f'the connection to {self.peer} was closed')
 
     def _count_bytes(self, message: Message, size: int, direction: str) -> None:
         """
@@ -236,12 +241,16 @@
             reply = await self._reply_to(frame.message)
             if not self.closed:
                 await self._send_reply(frame.id, reply)
+        except PeerLost as error:
+            log.debug('A reply is dropped: {}.', error)
         finally:
             self.tasks.discard(await curio.current_task())
 
     async def _send_reply(self, call_id: int, reply: Message) -> None:
         try:
             await self._enqueue(Frame(call_id, FrameKind.REPLY, reply))
+        except PeerLost:
+            raise
         except Exception as error:  # such as a reply over the size limit
             log.exception('Encoding {} for {} failed.', type(reply).__name__, self.peer)
             await self._enqueue(Frame(call_id, FrameKind.REPLY, Failure('internal', str(error))))
@@ -277,6 +286,8 @@
         for pending_call in list(self.pending_calls.values()):
             await pending_call.answered.set()
         await self.transport.shutdown()
-        if self.outbox.empty():
-            await self.outbox.put(b'')
+        # Wake the first tasks that wait for the full queue, and the writer.
+        while not self.outbox.empty():
+            await self.outbox.get()
+        await self.outbox.put(b'')
         await self.on_closed(self)
--- a/packages/millforkd/millforkd/entry/dispatcher.py
+++ b/packages/millforkd/millforkd/entry/dispatcher.py
@@ -7,6 +7,8 @@
 from dataclasses import replace
 from typing import Final
 
+import curio
+
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, RequestId
 from millfork_core.verdicts import Reason, Refusal, Verdict
@@ -213,7 +215,11 @@
         refusal = await attempt.reserve(call, timeout, lambda: self._may_try_another(call, tried))
         if refusal is not None:
             return refusal
-        refusal = await attempt.start()
+        try:
+            async with curio.timeout_after(max(call.deadline - self.env.monotonic(), 0.001)):
+                refusal = await attempt.start()
+        except curio.TaskTimeout:
+            return Refusal(Reason.TIMED_OUT, detail='the endpoint reads no messages')
         if refusal is not None:
             return refusal
         return await delivery.deliver(attempt, call.deadline)
--- a/tests/test_unanswered_calls.py
+++ b/tests/test_unanswered_calls.py
@@ -3,6 +3,8 @@
 
 """
 
+from types import SimpleNamespace
+
 import curio
 import h11
 import pytest
@@ -10,6 +12,8 @@
 
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ZoneId
+from millfork_core.verdicts import Reason, Verdict
+from millfork_routing.balance import Backend
 from millfork_settings.models import BackendKind, RoutingSettings
 from millfork_standins.layout import CALLERS_PORT
 from millfork_standins.requests import fetch
@@ -17,15 +21,23 @@
 from millfork_web.client import Client, ExchangeFailed
 from millfork_web.server import Server
 from millfork_wire import codec
-from millfork_wire.connection import Connection, PeerRefused
-from millfork_wire.messages import Chunk, GetChunk, Hello, Ping
+from millfork_wire import connection as connection_module
+from millfork_wire.connection import Connection, PeerLost, PeerRefused
+from millfork_wire.messages import Chunk, GetChunk, Hello, Ping, PushChunk, Reserved
 from millfork_wire.transport import Transport
+from millforkd.entry.attempts import Call
 from millforkd.entry.caller_requests import CallerRequests
+from millforkd.entry.delivery import Delivery
+from millforkd.entry.dispatcher import Dispatcher
 from tests.test_backend_gateway import GatewayHarness, run_steps
 from tests.test_connection import tcp_pair
 from tests.utils.fleets import complete
 
 TIMEOUT_S = 5.0
+DEADLINE_S = 0.1
+# Frames that exceed the buffers of a socket, and the queue.
+FRAME_BYTES = 1024 * 1024
+WAITING_FRAMES = 40
 DEEP_JSON = b'[' * 200_000
 MALFORMED_CHUNKS = (
     b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n' + b'3\r\nabc\r\n' + b'nonsense\r\n'
@@ -266,3 +278,65 @@
         assert isinstance(reply, Ping)
 
     curio.run(run)
+
+
+def test_messages_that_wait_for_a_full_queue_end_with_the_connection(monkeypatch):
+    monkeypatch.setattr(connection_module, 'MAX_QUEUED_FRAMES', 2)
+
+    async def ignore(*arguments):
+        return None
+
+    async def run():
+        near, far = tcp_pair()
+        env = environment()
+        connection = Connection(
+            env, Transport(Socket(near)), Hello(instance='b:1'), ignore, ignore, True
+        )
+        connection.writer = await env.spawn(connection.write_frames)
+        reader = await env.spawn(connection.read_frames)
+        waiting = [
+            await curio.spawn(connection.notify, PushChunk('m@1', number, bytes(FRAME_BYTES)))
+            for number in range(WAITING_FRAMES)
+        ]
+        async with curio.timeout_after(TIMEOUT_S):
+            while not (connection.outbox.full() and not waiting[-1].terminated):
+                await curio.sleep(0.01)
+        far.close()
+        async with curio.timeout_after(TIMEOUT_S):
+            await reader.wait()
+            for task in waiting:
+                await task.wait()
+        assert isinstance(waiting[-1].exception, PeerLost)
+
+    curio.run(run)
+
+
+class FullConnection:
+    """
+    A connection to an endpoint that reserves a slot and then reads no more.
+
+    """
+
+    async def call(self, message, timeout):
+        return Reserved(True)
+
+    async def notify(self, message):
+        await curio.Event().wait()
+
+
+def test_a_call_whose_start_message_is_never_sent_ends_at_its_deadline():
+    env = environment()
+    backend = Backend(InstanceId('e'), ZoneId('z'), served={'s': ''})
+    endpoints = SimpleNamespace(
+        connections={backend.instance: FullConnection()}, backends_serving=lambda service: [backend]
+    )
+    dispatcher = Dispatcher(env, RoutingSettings(), endpoints)
+    deadline = env.monotonic() + DEADLINE_S
+    call = Call('o', 's', 'POST', '/', [], b'', False, '', '', '', 0, deadline)
+
+    async def run():
+        async with curio.timeout_after(TIMEOUT_S):
+            return await dispatcher.run(call, Delivery(None))
+
+    refusal = curio.run(run)
+    assert (refusal.reason, refusal.verdict) == (Reason.TIMED_OUT, Verdict.NOT_RUN)
