--- a/packages/millforkd/millforkd/entry/dispatcher.py
+++ b/packages/millforkd/millforkd/entry/dispatcher.py
@@ -7,6 +7,8 @@
 from dataclasses import replace
 from typing import Final
 
+import curio
+
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, RequestId
 from millfork_core.verdicts import Reason, Refusal, Verdict
@@ -185,7 +187,7 @@
             if attempt.started and not attempt.ended:
                 await self.env.spawn(self._cancel_attempt, call, attempt)
             else:
-                self._record_cancellation(call, attempt)
+                await self._record_cancellation(call, attempt)
         if refusal is None:
             backend.record_accepted(sent_at)
             return None
@@ -197,11 +199,11 @@
 
     async def _cancel_attempt(self, call: Call, attempt: Attempt) -> None:
         await attempt.cancel()
-        self._record_cancellation(call, attempt)
+        await self._record_cancellation(call, attempt)
 
-    def _record_cancellation(self, call: Call, attempt: Attempt) -> None:
+    async def _record_cancellation(self, call: Call, attempt: Attempt) -> None:
         if attempt.cancelled_incarnation:
-            self.crashes.record_cancellation(
+            await self.crashes.record_cancellation(
                 call, attempt.request_id, attempt.cancelled_incarnation
             )
 
@@ -213,7 +215,11 @@
         refusal = await attempt.reserve(call, timeout, lambda: self._may_try_another(call, tried))
         if refusal is not None:
             return refusal
-        refusal = await attempt.start()
+        try:
+            async with curio.timeout_after(max(call.deadline - self.env.monotonic(), 0.001)):
+                refusal = await attempt.start()
+        except curio.TaskTimeout:
+            return Refusal(Reason.TIMED_OUT, detail='the endpoint reads no messages')
         if refusal is not None:
             return refusal
         return await delivery.deliver(attempt, call.deadline)
