An announced change of an engine lapses if its daemon's reports end

Cause: entries send nothing to an engine whose daemon announced a change of the weights until the daemon tells that it is over. A daemon that ended after the announcement, and does not come back, never does; the registry drops its state after 3.5 s, but entries are not told of that. The engine went on serving and got no request any more (a true refusal, 503, if it was the only one).

Change: an announced change lapses 6 s after the last report of the daemon. Reports which say that the engine is silent count, so a daemon that waits for a silent engine keeps the change announced.

--- a/packages/millfork-scheduling/millfork_scheduling/server.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server.py
@@ -43,6 +43,10 @@
 MAX_LATENESS_MS: Final = 800.0
 # Daemons report every 0.15 s. One that is silent for this time is gone, frozen or cut off.
 DAEMON_SILENT_S: Final = 0.6
+# An announced change of an engine's weights lapses if the daemon beside the engine has sent no
+# report for this long, as it may never announce the end. A daemon whose engine is silent reports
+# every 2.7 s.
+CHANGE_LAPSES_S: Final = 6.0
 # A load report that is older than this says nothing about the present load.
 REPORT_VALID_S: Final = 2.0
 
@@ -120,6 +124,8 @@
     lease_served: tuple[ServedVersion, ...] = ()
     # Whether the engine is about to change version, by the last report of its daemon.
     changes_version: bool = False
+    # When the last report of the daemon arrived, also one which says that the engine is silent.
+    daemon_heard_at: float = float('-inf')
     # The sequence number of the last report that was applied; -1: none.
     report_sequence: int = -1
     # The instance of the endpoint daemon beside the back end; empty before the first report.
--- a/packages/millfork-scheduling/millfork_scheduling/server_table.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server_table.py
@@ -28,7 +28,7 @@
     filter_startable,
     sample_engines,
 )
-from millfork_scheduling.server import REPORT_VALID_S, Lateness, Load, Server
+from millfork_scheduling.server import CHANGE_LAPSES_S, REPORT_VALID_S, Lateness, Load, Server
 
 # For a service with at most this many engines, each choice examines all of them.
 MAX_SCANNED: Final = 24
@@ -148,6 +148,7 @@
             if server is None or state.sequence == server.report_sequence:
                 continue
             server.report_sequence = state.sequence
+            server.daemon_heard_at = now
             if not state.reachable:
                 continue
             if server.is_other_incarnation(state.incarnation):
@@ -176,6 +177,24 @@
                 server.refused.clear()
         return changes
 
+    def forget_lapsed_changes(self) -> list[Server]:
+        """
+        Take the engines into use again that were about to change their weights when the reports of
+        their daemons ended, with the weights that their leases name. Returns these engines.
+
+        """
+        now = self.monotonic()
+        lapsed = []
+        for server in self.servers.values():
+            if not server.changes_version or now - server.daemon_heard_at <= CHANGE_LAPSES_S:
+                continue
+            server.changes_version = False
+            server.served = server.lease_served
+            server.refused.clear()
+            self.path_generation += 1
+            lapsed.append(server)
+        return lapsed
+
     def incarnation_status(self, server: Server, since: float) -> IncarnationStatus:
         """
         Whether a back end has ended since the moment `since` (monotonic seconds).
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -242,6 +242,8 @@
         while True:
             await curio.sleep(HOUSEKEEPING_INTERVAL_S)
             await self.pools.close_old()
+            for server in self.server_table.forget_lapsed_changes():
+                log.warning('Reports of a changing engine ended. server={}', server.instance)
             self.budget.count_entries()
             self.registry.suspicion_store.forget_expired()
             await self.registry.suspicion_store.publish_overdue()
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -455,6 +455,18 @@
             ),
         ),
     ),
+    Mutation(
+        'an announced change lapses if the reports of the daemon end',
+        'tests/test_engines_whose_daemon_ended_in_a_change.py::'
+        'test_the_engine_is_used_again_with_what_its_lease_says',
+        (
+            Edit(
+                'packages/millfork-scheduling/millfork_scheduling/server_table.py',
+                '            server.changes_version = False\n',
+                '',
+            ),
+        ),
+    ),
     Mutation(
         'a silent engine is not taken for an empty one',
         'tests/test_pauses_of_engines.py::test_a_silent_engine_is_not_taken_for_an_empty_one',
