A pause of an engine does not shorten the drain before its version changes

Seen at unit level: three requests run on an engine that is to change, the engine is silent for 1.0 s in the drain, and its requests would have ended 0.45 s later. The daemon ordered the change with three requests running, and such an order interrupts them: a caller whose route allows no further attempt loses its answer.

Cause: the drain of 0.9 s went on while the engine stood still with its requests.

Evidence: tests/test_pauses_of_engines.py, order (2, 0, 4, interrupts=True) with 3 running before, with 0 running after.

An engine that stays silent, or answers slowly all the time, is still ordered to change (tests).

--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -467,6 +467,17 @@
             ),
         ),
     ),
+    Mutation(
+        'a pause of the engine does not shorten its drain',
+        'tests/test_pauses_of_engines.py::test_a_pause_in_the_drain_interrupts_no_request',
+        (
+            Edit(
+                D + 'sidecar/rollout.py',
+                '                until = min(until + silent_s, latest)\n',
+                '',
+            ),
+        ),
+    ),
     Mutation(
         'a silent engine is not taken for an empty one',
         'tests/test_pauses_of_engines.py::test_a_silent_engine_is_not_taken_for_an_empty_one',
--- a/tests/test_pauses_of_engines.py
+++ b/tests/test_pauses_of_engines.py
@@ -14,6 +14,7 @@
 from millfork_web.client import Client
 from millforkd.sidecar.engine import LocalEngine
 from millforkd.sidecar.pieces import WeightsId
+from millforkd.sidecar.rollout import DRAIN_S, SILENT_ENGINE_S
 from tests.test_rollouts import LAYERS, FakeEngine, FakeGatherer, RolloutUnderTest
 
 PAUSE_S = 1.9
@@ -122,3 +123,65 @@
 
     under_test = RolloutUnderTest(turn=0, gatherer=SlowDigests())
     curio.run(run)
+
+
+def test_a_pause_in_the_drain_interrupts_no_request():
+    class PausesInDrain(FakeEngine):
+        async def report(self):
+            if under_test.announced_versions and self.running and not self.paused:
+                self.paused = True
+                await curio.sleep(DRAIN_S + 0.1)
+                await curio.spawn(self.finish_requests, daemon=True)
+            return await super().report()
+
+        async def finish_requests(self):
+            await curio.sleep(DRAIN_S / 2)
+            self.running = 0
+
+    async def run():
+        task = await under_test.run()
+        await under_test.until(lambda: under_test.engine.orders)
+        assert under_test.engine.orders == [(2, 0, LAYERS, True, 0)]
+        await task.cancel()
+
+    engine = PausesInDrain(running=3)
+    engine.paused = False
+    under_test = RolloutUnderTest(turn=0, engine=engine)
+    curio.run(run)
+
+
+def test_an_engine_that_answers_slowly_all_the_time_is_ordered_to_change():
+    class AnswersSlowly(FakeEngine):
+        async def report(self):
+            if under_test.announced_versions and self.running:
+                await curio.sleep(2 * SILENT_ENGINE_S)
+            return await super().report()
+
+    async def run():
+        task = await under_test.run()
+        await under_test.until(lambda: under_test.engine.orders)
+        assert under_test.engine.orders == [(2, 0, LAYERS, True, 3)]
+        await task.cancel()
+
+    under_test = RolloutUnderTest(turn=0, engine=AnswersSlowly(running=3))
+    curio.run(run)
+
+
+def test_an_engine_that_stays_silent_in_the_drain_is_ordered_to_change():
+    class StaysSilent(FakeEngine):
+        async def report(self):
+            if under_test.announced_versions and self.running:
+                await curio.sleep(DRAIN_S / 2)
+                return None
+            return await super().report()
+
+    async def run():
+        started_at = under_test.env.monotonic()
+        task = await under_test.run()
+        await under_test.until(lambda: under_test.engine.orders)
+        assert under_test.engine.orders == [(2, 0, LAYERS, True, 3)]
+        assert under_test.env.monotonic() - started_at < 2 * DRAIN_S
+        await task.cancel()
+
+    under_test = RolloutUnderTest(turn=0, engine=StaysSilent(running=3))
+    curio.run(run)
