Test fleets: 2,500 address ranges instead of 100

Seen in a trial of the soak beside other tests: 'not all callers are served within 20.0 s'. The replicas had ended with '[Errno 98] Address already in use', and the entries followed the replicas of another test ('Document in force. version=21 routes=1', a document that the run never sent), which answered all requests with 'no route'.

Cause: the addresses of a fleet come from the process id modulo 100, so two tests that run at the same time share them once in a hundred times. Now modulo 2,500. Nothing detects a collision still, but for the daemon's own log line.

--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -375,12 +375,13 @@
         # still begin on the older version.
         self.version_ms = version_ms
         # Tests that run at the same time need different addresses.
-        network = f'127.{100 + os.getpid() % 100}'
-        self.replica_hosts = [f'{network}.1.{number}' for number in range(1, replicas + 1)]
-        self.entry_hosts = [f'{network}.2.{number}' for number in range(1, entries + 1)]
-        self.back_end_host = f'{network}.3.1'
+        block, second_octet = divmod(os.getpid(), 100)
+        subnets = [f'127.{100 + second_octet}.{10 * (block % 25) + role}' for role in range(1, 5)]
+        self.replica_hosts = [f'{subnets[0]}.{number}' for number in range(1, replicas + 1)]
+        self.entry_hosts = [f'{subnets[1]}.{number}' for number in range(1, entries + 1)]
+        self.back_end_host = f'{subnets[2]}.1'
         # Hosts of the endpoint daemons; no engine runs beside them.
-        self.endpoint_hosts = [f'{network}.4.{number}' for number in range(1, endpoints + 1)]
+        self.endpoint_hosts = [f'{subnets[3]}.{number}' for number in range(1, endpoints + 1)]
         # The event before which streams break off, and the number of streams that are still to.
         self.break_before_event = 0
         self.breaks_left = 0
