Soak: pauses of back ends and planned work, which may cost no caller an answer

Before, the soak could not find the incident: a connection that closed without an answer was never a finding, as every run was full of faults; its back ends never paused, and it had no streams.

Pauses: one to three of the three back ends fall silent for up to 2 s (the users call a second or so no trouble; our tests hold it for two) and go on, throughout the run: they begin nothing, send nothing and no heartbeat. So heartbeats come each 1.2 s here, as in a deployment; with 0.3 s, the lease of a back end would end in its pause. A third of the requests are streams of about 0.4 s, every second document allows one attempt only, documents come in series, and callers leave a connection idle now and then.

Planned work: before the faults, entries and replicas are stopped, restarted and told to reload, up to 0.5 s apart; SIGHUP also reaches a process that is stopping or under a fault, where it was left out before.

The check, find_lost_requests: only a fault from 3 s (contact_ms) before a request until its end excuses it. Stops, reloads, documents, pauses and starts of processes excuse nothing but a request that crosses the close at a planned stop: sent after SIGTERM on a connection to the process that stops, closed within 0.2 s (lost_slack_ms), and not run. An answer that has begun may break off at its deadline, and 504 may come only after it; any other status of our own is a finding as well.

--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -102,6 +102,7 @@
     def _handle_request(self) -> None:
         request_body = self.rfile.read(int(self.headers.get('content-length', 0)))
         self.server.arrived_at.append(time.monotonic())
+        self.server.wait_while_silent()
         turns_away = self.server.turns_away
         if not turns_away:
             headers = {key.lower(): value for key, value in self.headers.items()}
@@ -143,6 +144,7 @@
         if body is LARGE_ANSWER and self.server.fleet.take_break(1):
             self._break_off(body[: len(body) // 2])
             return
+        self.server.wait_while_silent()
         self.wfile.write(body)
 
     def _break_off(self, last_data: bytes) -> None:
@@ -172,6 +174,8 @@
             if self.server.fleet.take_break(number):
                 self._break_off(b'')
                 return
+            time.sleep(self.server.event_interval_s)
+            self.server.wait_while_silent()
             self._send_chunk(stream_event(number))
             self.server.reach_event(number)
         self._send_chunk(b'')
@@ -215,6 +219,8 @@
         # Headers added to all answers.
         self.extra_headers: dict[str, str] = {}
         self.service_time_s = 0.0
+        # Time before each event of a stream.
+        self.event_interval_s = 0.0
         # Whether connections are closed without an answer to their requests.
         self.drops_requests = False
         # In a crash, seconds from the close of the connections to the close of the listening
@@ -230,6 +236,7 @@
         self.pause_after_event: int | None = None
         self.pause_s = 0.0
         self.silent_until = 0.0
+        self.heartbeats_silent_until = 0.0
         # Requests that are executed wait for this event before they are answered.
         self.release = threading.Event()
         self.release.set()
@@ -272,7 +279,19 @@
         if number == self.pause_after_event:
             self.pause_after_event = None
             self.silent_until = time.monotonic() + self.pause_s
-        time.sleep(max(self.silent_until - time.monotonic(), 0.0))
+        self.wait_while_silent()
+
+    def pause(self, seconds: float) -> None:
+        """
+        Begin no request and send nothing, also no heartbeat, for `seconds`. A lease that is
+        shorter ends meanwhile.
+
+        """
+        self.silent_until = self.heartbeats_silent_until = time.monotonic() + seconds
+
+    def wait_while_silent(self) -> None:
+        while (remaining_s := self.silent_until - time.monotonic()) > 0:
+            time.sleep(remaining_s)
 
     def _finish_crash(self) -> None:
         if self.address_close_delay_s:
@@ -324,7 +343,8 @@
         )
 
     def _send_heartbeats(self) -> None:
-        while not self.ended.wait(HEARTBEAT_INTERVAL_S):
+        while not self.ended.wait(self.fleet.heartbeat_s):
+            time.sleep(max(self.heartbeats_silent_until - time.monotonic(), 0.0))
             self.heartbeat()
 
     def handle_error(self, request: object, client_address: object) -> None:
@@ -369,8 +389,10 @@
         entries: int = 1,
         version_ms: int = 0,
         endpoints: int = 0,
+        heartbeat_s: float = HEARTBEAT_INTERVAL_S,
     ) -> None:
         self.folder = folder
+        self.heartbeat_s = heartbeat_s
         # For how many milliseconds after a new version is set in the configuration requests may
         # still begin on the older version.
         self.version_ms = version_ms
@@ -419,7 +441,7 @@
             READY_PORT,
             [f'{replica}:{CONTROL_PORT}' for replica in self.replica_hosts[:3]],
             first_start,
-            int(HEARTBEAT_INTERVAL_S * 1000),
+            int(self.heartbeat_s * 1000),
             data_folder=self.folder / host,
             engine=f'{host}:{ENGINE_PORT}',
             service='engines',
--- a/packages/millfork-standins/millfork_standins/soak/__main__.py
+++ b/packages/millfork-standins/millfork_standins/soak/__main__.py
@@ -14,6 +14,11 @@
 SEED = flags.DEFINE_integer('seed', 1, 'Seed of the first run.', lower_bound=0)
 RUNS = flags.DEFINE_integer('runs', 1, 'Number of runs, each with the next seed.', lower_bound=1)
 SECONDS = flags.DEFINE_float('seconds', 20.0, 'Seconds of faults in a run.', lower_bound=1)
+PLANNED_SECONDS = flags.DEFINE_float(
+    'planned_seconds', 8.0, 'Seconds of planned work before the faults.', lower_bound=0
+)
+ENTRIES = flags.DEFINE_integer('entries', 2, 'Number of entries.', lower_bound=1)
+CALLERS = flags.DEFINE_integer('callers', 6, 'Number of callers.', lower_bound=1)
 BACKPRESSURE = flags.DEFINE_bool('backpressure', True, 'Back ends send backpressure signals.')
 FOLDER = flags.DEFINE_string(
     'folder', '', 'Folder for the files of the runs; empty: they are deleted.'
@@ -26,7 +31,15 @@
         with tempfile.TemporaryDirectory(prefix='millfork-soak-') as scratch:
             folder = Path(FOLDER.value) / str(seed) if FOLDER.value else Path(scratch)
             folder.mkdir(parents=True, exist_ok=True)
-            result = SoakRun(folder, seed, SECONDS.value, BACKPRESSURE.value).run()
+            result = SoakRun(
+                folder,
+                seed,
+                SECONDS.value,
+                BACKPRESSURE.value,
+                PLANNED_SECONDS.value,
+                ENTRIES.value,
+                CALLERS.value,
+            ).run()
         failed += bool(result.violations)
         statuses = ' '.join(f'{status}:{n}' for status, n in sorted(result.statuses.items()))
         print(
--- a/packages/millfork-standins/millfork_standins/soak/callers.py
+++ b/packages/millfork-standins/millfork_standins/soak/callers.py
@@ -5,7 +5,9 @@
 
 import itertools
 import threading
+import time
 from dataclasses import dataclass
+from enum import Enum
 from http.client import HTTPConnection, HTTPException
 from random import Random
 from typing import Final
@@ -20,17 +22,64 @@
     Service,
     Share,
 )
-from millfork_standins.seeded import CALLERS_PORT, CONTROL_PORT, SeededFleet, call
+from millfork_standins.seeded import (
+    CALLERS_PORT,
+    CONTROL_PORT,
+    STREAM_EVENTS,
+    STREAM_PATH,
+    SeededFleet,
+    call,
+    stream_event,
+)
 
 SERVICE: Final = ServiceName('plain')
 DEADLINE_MS: Final = 3000
 CALL_TIMEOUT_S: Final = 5.0
 REQUEST_INTERVAL_S: Final = 0.02
+# Now and then, a caller leaves its connection idle for up to this time.
+MAX_IDLE_S: Final = 1.5
+IDLE_SHARE: Final = 0.05
 CHANGE_INTERVAL_S: Final = 0.8
+# Some changes follow each other at this interval.
+SERIES_INTERVAL_S: Final = 0.05
+SERIES_SHARE: Final = 0.4
 ROUTE_HOST: Final = 'h.example'
 API_KEY: Final = 'key'
 
 
+WHOLE_BODY: Final = b'answer'
+WHOLE_STREAM: Final = b''.join(stream_event(number) for number in range(1, STREAM_EVENTS + 1))
+
+
+class RequestKind(Enum):
+    """
+    A kind of request of the callers; the value is the prefix of its path.
+
+    """
+
+    SAFE = '/safe/'
+    UNSAFE = '/unsafe/'
+    STREAM = STREAM_PATH
+
+
+@dataclass(slots=True)
+class Timeline:
+    """
+    When a request was sent, on which connection, and when its answer was complete or its
+    connection broke. Times are monotonic seconds.
+
+    """
+
+    entry: str
+    connected_at: float
+    started_at: float
+    # None if the request could not be sent completely.
+    sent_at: float | None = None
+    # Whether the head of an answer arrived.
+    has_head: bool = False
+    ended_at: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """
@@ -45,6 +94,8 @@
     echoed_id: str = ''
     back_end: str = ''
     body: bytes = b''
+    expected_body: bytes = WHOLE_BODY
+    timeline: Timeline | None = None
 
 
 class Caller:
@@ -62,41 +113,61 @@
         self.answers: list[Answer] = []
         self.ids = itertools.count()
         self.connection: HTTPConnection | None = None
+        self.connected_at = 0.0
         self.thread = threading.Thread(target=self._run, daemon=True)
         self.thread.start()
 
     def _run(self) -> None:
-        while not self.stop.wait(REQUEST_INTERVAL_S):
+        while not self.stop.wait(self._interval_s()):
             self.answers.append(self._send_request())
 
+    def _interval_s(self) -> float:
+        if self.random.random() < IDLE_SHARE:
+            return self.random.uniform(0.0, MAX_IDLE_S)
+        return REQUEST_INTERVAL_S
+
     def _send_request(self) -> Answer:
         request_id = f'{self.number}-{next(self.ids)}'
-        repeatable = self.random.random() < 0.5
+        kind = self.random.choice(list(RequestKind))
+        repeatable = kind is not RequestKind.UNSAFE
+        expected_body = WHOLE_STREAM if kind is RequestKind.STREAM else WHOLE_BODY
         headers = {
             'host': ROUTE_HOST,
             'authorization': f'Bearer {API_KEY}',
             client_requests.REQUEST_ID: request_id,
             client_requests.DEADLINE_MS: str(DEADLINE_MS),
         }
-        method, path = ('GET', '/safe/x') if repeatable else ('POST', '/unsafe/x')
+        method, body = ('GET', None) if kind is RequestKind.SAFE else ('POST', b'body')
+        if kind is RequestKind.STREAM:
+            # Streams that break off often must not make each other suspected.
+            body = request_id.encode()
         if self.connection is None:
             host = self.random.choice(self.fleet.entry_hosts)
             self.connection = HTTPConnection(host, CALLERS_PORT, timeout=CALL_TIMEOUT_S)
+        if self.connection.sock is None:
+            self.connected_at = time.monotonic()
+        timeline = Timeline(self.connection.host, self.connected_at, time.monotonic())
         try:
-            self.connection.request(method, path, None if repeatable else b'body', headers)
+            self.connection.request(method, f'{kind.value}x', body, headers)
+            timeline.sent_at = time.monotonic()
             response = self.connection.getresponse()
-            body = response.read()
+            timeline.has_head = True
+            received = response.read()
         except (OSError, HTTPException):
             self.connection.close()
             self.connection = None
-            return Answer(request_id, repeatable, 0)
+            return Answer(request_id, repeatable, 0, timeline=timeline)
+        finally:
+            timeline.ended_at = time.monotonic()
         return Answer(
             request_id,
             repeatable,
             response.status,
             response.headers.get(client_requests.REQUEST_ID, ''),
             response.headers.get(client_requests.SIGNATURE, ''),
-            body,
+            received,
+            expected_body,
+            timeline,
         )
 
 
@@ -109,6 +180,7 @@
     def __init__(self, fleet: SeededFleet, stop: threading.Event) -> None:
         self.fleet = fleet
         self.stop = stop
+        self.random = Random(0)
         self.version = 1
         self.acknowledged_version = 0
         # Descriptions of the reads that returned an older version than the last version that was
@@ -140,8 +212,11 @@
                 return client_requests.document_version(reply.body)
         return None
 
+    def _interval_s(self) -> float:
+        return SERIES_INTERVAL_S if self.random.random() < SERIES_SHARE else CHANGE_INTERVAL_S
+
     def _run(self) -> None:
-        while not self.stop.wait(CHANGE_INTERVAL_S):
+        while not self.stop.wait(self._interval_s()):
             self.put_next()
             acknowledged_before = self.acknowledged_version
             read_version = self.read()
@@ -156,17 +231,20 @@
 
 def document(version: int) -> Document:
     """
-    Return a document with two routes that all versions have, and one that only this version has.
+    Return a document with three routes that all versions have, and one that only this version has.
+    Versions with an even number allow each request one attempt, the others two.
 
     """
     kinds = {
-        '/safe/': RouteKind.SAFE,
-        '/unsafe/': RouteKind.UNSAFE,
+        RequestKind.SAFE.value: RouteKind.SAFE,
+        RequestKind.UNSAFE.value: RouteKind.UNSAFE,
+        RequestKind.STREAM.value: RouteKind.STREAMING,
         f'/v{version}/': RouteKind.SAFE,
     }
     shares = (Share(SERVICE, 1),)
+    max_attempts = 1 + version % 2
     routes = tuple(
-        Route(prefix, ROUTE_HOST, prefix, kind, 4000, 300, 1, shares, 2, False, False, 0)
+        Route(prefix, ROUTE_HOST, prefix, kind, 4000, 300, 1, shares, max_attempts, False, True, 0)
         for prefix, kind in kinds.items()
     )
     organisation = Organisation(OrganisationId('org'), (API_KEY,))
--- a/packages/millfork-standins/millfork_standins/soak/run.py
+++ b/packages/millfork-standins/millfork_standins/soak/run.py
@@ -26,13 +26,17 @@
     plan_signals,
 )
 from millfork_standins.soak.callers import SERVICE, Caller, Operator
-from millfork_standins.soak.checks import broken_promises
+from millfork_standins.soak.checks import Period, broken_promises, find_lost_requests
 from millfork_standins.soak.fault_plan import Fault, FaultKind, plan_faults
 from millfork_standins.soak.link_proxy import LinkProxy
+from millfork_standins.soak.planned_work import PLANNED_KINDS, plan_pauses, plan_work
 
 BACK_ENDS: Final = 3
 ENTRIES: Final = 2
 CALLERS: Final = 6
+# As in a deployment: a back end that pauses keeps its lease.
+HEARTBEAT_S: Final = 1.2
+EVENT_INTERVAL_S: Final = 0.05
 START_TIMEOUT_S: Final = 20.0
 # The platform requires that callers are served again within this time after the last fault.
 RECOVERY_TIMEOUT_S: Final = 12.0
@@ -73,25 +77,41 @@
 
 class SoakRun:
     """
-    Runs a fleet under the faults of one seed.
+    Runs a fleet for `planned_s` under the planned work of one seed, then for `seconds` under its
+    faults. Back ends pause all the time.
 
     """
 
-    def __init__(self, folder: Path, seed: int, seconds: float, backpressure: bool = False) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        seed: int,
+        seconds: float,
+        backpressure: bool = False,
+        planned_s: float = 0.0,
+        entries: int = ENTRIES,
+        callers: int = CALLERS,
+    ) -> None:
         self.seed = seed
         self.seconds = seconds
+        self.planned_s = planned_s
+        self.caller_count = callers
         # The backpressure signals of the run, and the periods in which back ends announced limits.
         self.backpressure_signals = plan_signals(seed, seconds, BACK_ENDS) if backpressure else []
         self.limit_periods: list[LimitPeriod] = []
         # Times (monotonic seconds) at which faults of entries began and ended.
         self.entry_faults_at: list[float] = []
-        self.fleet = SeededFleet(folder, entries=ENTRIES)
+        self.fault_periods: list[Period] = []
+        self.stop_periods: list[Period] = []
+        self.fleet = SeededFleet(folder, entries=entries, heartbeat_s=HEARTBEAT_S)
         self.stop = threading.Event()
         self.links: list[LinkProxy] = []
         self.callers: list[Caller] = []
         self.operator = Operator(self.fleet, self.stop)
         # Hosts with a fault in progress, whose processes may have exited because of the fault.
         self.hosts_under_fault: set[str] = set()
+        # Processes that have got SIGTERM.
+        self.stopping: dict[str, subprocess.Popen[bytes]] = {}
         self.lock = threading.Lock()
         self.violations: list[str] = []
 
@@ -103,6 +123,11 @@
         """
         try:
             self._start()
+            threading.Thread(target=self._pause_back_ends, daemon=True).start()
+            work = plan_work(
+                self.seed, self.planned_s, self.fleet.replica_hosts, self.fleet.entry_hosts
+            )
+            self._inject_faults(work, [])
             faults = plan_faults(
                 self.seed,
                 self.seconds,
@@ -110,7 +135,7 @@
                 self.fleet.entry_hosts,
                 BACK_ENDS,
             )
-            self._inject_faults(faults)
+            self._inject_faults(faults, self.backpressure_signals)
             self._check_recovery()
             return self._result(len(faults))
         finally:
@@ -126,19 +151,30 @@
             host, port = back_end.server_address[:2]
             link = LinkProxy(str(host), (str(host), int(port)))
             back_end.advertised = link.address
+            back_end.event_interval_s = EVENT_INTERVAL_S
             self.links.append(link)
         if not self._wait_until(self.operator.put_next, START_TIMEOUT_S):
             raise RuntimeError(f'no replica accepted a document within {START_TIMEOUT_S} s')
         self.operator.thread.start()
-        self.callers = [Caller(number, self.fleet, self.stop) for number in range(CALLERS)]
+        self.callers = [
+            Caller(number, self.fleet, self.stop) for number in range(self.caller_count)
+        ]
         if not self._wait_until(self._all_callers_served, START_TIMEOUT_S):
             raise RuntimeError(f'not all callers are served within {START_TIMEOUT_S} s')
 
-    def _inject_faults(self, faults: list[Fault]) -> None:
+    def _pause_back_ends(self) -> None:
+        started_at = time.monotonic()
+        for planned in plan_pauses(self.seed, self.planned_s + self.seconds, BACK_ENDS):
+            if self.stop.wait(max(started_at + planned.at_s - time.monotonic(), 0.0)):
+                return
+            for number in planned.back_ends:
+                self.fleet.back_ends[number].pause(planned.duration_s)
+
+    def _inject_faults(self, faults: list[Fault], signals: list[PlannedSignal]) -> None:
         started_at = time.monotonic()
         threads = [
             threading.Thread(target=self._send_signal, args=(planned, started_at), daemon=True)
-            for planned in self.backpressure_signals
+            for planned in signals
         ]
         for thread in threads:
             thread.start()
@@ -165,12 +201,24 @@
             )
 
     def _inject_fault(self, fault: Fault) -> None:
-        if fault.target.isdigit():
+        began_at = time.monotonic()
+        if fault.kind is FaultKind.RELOAD:
+            self._reload(fault.target)
+        elif fault.target.isdigit():
             self._inject_link_fault(self.links[int(fault.target)], fault)
+        elif not self._inject_host_fault(fault):
             return
+        if fault.kind not in PLANNED_KINDS:
+            self.fault_periods.append(Period(fault.target, began_at, time.monotonic()))
+
+    def _inject_host_fault(self, fault: Fault) -> bool:
+        """
+        Inject the fault unless one is in progress on its host; return whether it was injected.
+
+        """
         with self.lock:
             if fault.target in self.hosts_under_fault:
-                return
+                return False
             self.hosts_under_fault.add(fault.target)
         try:
             self._record_entry_fault(fault.target)
@@ -179,6 +227,23 @@
             self._record_entry_fault(fault.target)
             with self.lock:
                 self.hosts_under_fault.discard(fault.target)
+        return True
+
+    def _reload(self, host: str) -> None:
+        """
+        Send SIGHUP to the host's process, also if it is being stopped.
+
+        """
+        process = self.fleet.processes.get(host) or self.stopping.get(host)
+        if process is None:
+            return
+        try:
+            # Until the daemon has installed its handler, the signal would end the process.
+            self._wait_until(lambda: handles_signal(process.pid, signal.SIGHUP), START_TIMEOUT_S)
+            process.send_signal(signal.SIGHUP)
+        except OSError:
+            # The process has exited meanwhile.
+            return
 
     def _record_entry_fault(self, host: str) -> None:
         if host in self.fleet.entry_hosts:
@@ -199,9 +264,6 @@
         host = fault.target
         # Until the daemon has installed its handlers, a signal would end the process.
         self._wait_until(lambda: self._handles_signals(host), START_TIMEOUT_S)
-        if fault.kind is FaultKind.RELOAD:
-            self.fleet.signal(host, signal.SIGHUP)
-            return
         if fault.kind is FaultKind.PAUSE:
             self.fleet.signal(host, signal.SIGSTOP)
             time.sleep(fault.duration_s)
@@ -222,7 +284,8 @@
         self.fleet.start_process(host)
 
     def _stop_gracefully(self, host: str) -> None:
-        process = self.fleet.processes.pop(host)
+        process = self.stopping[host] = self.fleet.processes.pop(host)
+        began_at = time.monotonic()
         process.terminate()
         try:
             status = process.wait(STOP_TIMEOUT_S)
@@ -231,6 +294,9 @@
             process.wait()
             self.violations.append(f'{host} did not exit within {STOP_TIMEOUT_S} s of SIGTERM')
             return
+        finally:
+            del self.stopping[host]
+            self.stop_periods.append(Period(host, began_at, time.monotonic()))
         if status:
             self.violations.append(f'{host} exited with status {status} after SIGTERM')
 
@@ -302,6 +368,7 @@
             *self.violations,
             *self.operator.stale_reads,
             *broken_promises(answers, executed),
+            *find_lost_requests(answers, executed, self.fault_periods, self.stop_periods),
         ]
         violations += find_exceeded_limits(self.limit_periods, self.entry_faults_at)
         return SoakResult(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,9 +13,10 @@
     find_exceeded_limits,
     plan_signals,
 )
-from millfork_standins.soak.callers import Answer
-from millfork_standins.soak.checks import broken_promises
+from millfork_standins.soak.callers import Answer, Timeline
+from millfork_standins.soak.checks import Period, broken_promises, find_lost_requests
 from millfork_standins.soak.fault_plan import MIN_DISK_LOSS_GAP_S, FaultKind, plan_faults
+from millfork_standins.soak.planned_work import PLANNED_KINDS, plan_pauses, plan_work
 from millfork_standins.soak.run import SoakRun
 
 REPLICAS = ['r1', 'r2', 'r3']
@@ -24,6 +25,9 @@
 # A seed with which back ends announce limits, and answer 503 with and without a retry-after time.
 BACKPRESSURE_SEED = 2
 BACKPRESSURE_S = 12.0
+# A seed with which a back end pauses for over a second in a stream, beside planned stops.
+PLANNED_SEED = 101
+PLANNED_S = 8.0
 # Seeds that failed in the past, with the cause of each.
 REGRESSIONS = (
     # SIGHUP or SIGTERM arrived while a daemon started, and killed it.
@@ -88,6 +92,92 @@
     assert len(broken_promises([answer], executed)) == 1
 
 
+@pytest.mark.parametrize('seed', range(20))
+def test_pauses_last_up_to_two_seconds_and_a_back_end_works_between_them(seed):
+    pauses = plan_pauses(seed, 60, 3)
+    assert pauses == plan_pauses(seed, 60, 3)
+    assert max(pause.duration_s for pause in pauses) <= 2.0
+    assert {len(pause.back_ends) for pause in pauses} == {1, 2, 3}
+    for number in range(3):
+        own = [pause for pause in pauses if number in pause.back_ends]
+        assert all(
+            later.at_s - earlier.at_s >= earlier.duration_s + 0.5
+            for earlier, later in zip(own, own[1:], strict=False)
+        )
+
+
+def test_planned_work_is_no_fault_and_concerns_all_hosts():
+    work = plan_work(7, 60, REPLICAS, ENTRIES)
+    assert work == plan_work(7, 60, REPLICAS, ENTRIES)
+    assert {item.kind for item in work} == PLANNED_KINDS
+    assert {item.target for item in work} == {*REPLICAS, *ENTRIES}
+
+
+def lost_requests(status=0, has_run=True, faults=(), stops=(), **times):
+    """
+    Check one request that is sent at 10 s and whose connection ends at 10.1 s.
+
+    """
+    timeline = Timeline('e1', **{'connected_at': 5.0, 'started_at': 10.0, 'sent_at': 10.0, **times})
+    timeline.ended_at = times.get('ended_at', 10.1)
+    answer = Answer('1', False, status, timeline=timeline)
+    executed = {'i-1': ['1'] if has_run else []}
+    return find_lost_requests([answer], executed, list(faults), list(stops))
+
+
+STOP = Period('e1', 9.9, 11.0)
+
+
+@pytest.mark.parametrize(
+    'case',
+    [
+        {},
+        {'has_head': True},
+        {'has_run': False},
+        {'status': 502},
+        {'status': 504, 'ended_at': 12.9},
+        {'has_head': True, 'ended_at': 12.9},
+        {'has_run': False, 'sent_at': None, 'status': 500},
+        # The last fault ended more than 3 s ago.
+        {'faults': [Period('e2', 6.0, 6.9)]},
+        # Planned stops: run, broken off, sent before SIGTERM, at another entry, on a connection to
+        # the next process, or answered by a close after more than 0.2 s.
+        {'stops': [STOP]},
+        {'stops': [STOP], 'has_head': True},
+        {'stops': [Period('e1', 10.05, 11.0)], 'has_run': False},
+        {'stops': [Period('e2', 9.9, 11.0)], 'has_run': False},
+        {'stops': [Period('e1', 3.0, 4.9)], 'has_run': False},
+        {'stops': [STOP], 'has_run': False, 'ended_at': 10.21},
+    ],
+)
+def test_a_lost_request_is_found(case):
+    assert len(lost_requests(**case)) == 1
+
+
+@pytest.mark.parametrize(
+    'case',
+    [
+        {'status': 200},
+        {'status': 503, 'has_run': False},
+        {'status': 504, 'ended_at': 13.0},
+        {'has_head': True, 'ended_at': 13.0},
+        {'has_run': False, 'sent_at': None},
+        {'faults': [Period('e2', 6.0, 7.1)]},
+        {'faults': [Period('e2', 10.05, 20.0)]},
+        # Crosses the close of its connection and does not run.
+        {'stops': [STOP], 'has_run': False},
+    ],
+)
+def test_a_request_that_is_answered_refused_or_excused_is_not_lost(case):
+    assert lost_requests(**case) == []
+
+
+def test_pauses_and_planned_work_cost_no_caller_an_answer(tmp_path):
+    result = SoakRun(tmp_path, PLANNED_SEED, 1.0, planned_s=PLANNED_S).run()
+    assert result.violations == []
+    assert result.statuses[200]
+
+
 def test_a_short_run_with_backpressure_breaks_no_promise(tmp_path):
     result = SoakRun(tmp_path, BACKPRESSURE_SEED, BACKPRESSURE_S, backpressure=True).run()
     assert result.violations == []
