--- a/packages/millforkd/millforkd/replica/daemon.py
+++ b/packages/millforkd/millforkd/replica/daemon.py
@@ -39,8 +39,9 @@
 from millforkd.versions import VersionTracker
 
 STATE_FOLDER: Final = 'state'
-# The part of a planned stop's grace period that is reserved for ending the process.
-STOP_MARGIN_S: Final = 0.5
+# How long a stopping replica waits for calls in progress. Callers wait about a second for an answer
+# and then ask another replica, and the process must end within its grace period.
+DRAIN_TIMEOUT_S: Final = 4.0
 # The longest pause between two checks for new model versions, in case a notification of a change of
 # the configuration is missed.
 VERSION_CHECK_PERIOD_S: Final = 0.15
@@ -182,11 +183,10 @@
     async def drain(self) -> None:
         """
         Prepare a planned stop: if this replica leads, it steps down, so that the other replicas
-        needn't wait for an election timeout. Returns once no calls are in progress, or as the grace
-        period ends.
+        needn't wait for an election timeout. Returns once no calls are in progress, or after
+        DRAIN_TIMEOUT_S.
 
         """
-        started = self.env.monotonic()
         self.server.closing = True
         async with self.replica.lock:
             await self.replica.step_down()
@@ -194,9 +194,8 @@
             # election timeout.
             self.replica.disk_failed_at = self.env.monotonic()
         await self.server.stop_accepting()
-        limit_s = self.settings.promises.grace_s - STOP_MARGIN_S
         try:
-            async with curio.timeout_after(limit_s - (self.env.monotonic() - started)):
+            async with curio.timeout_after(DRAIN_TIMEOUT_S):
                 await self.server.wait_until_finished()
         except curio.TaskTimeout:
             log.warning('Stopping with {} calls in progress.', self.in_progress)
