A call of a listed fleet ends with its caller, also after a reset

Seen at back ends: where a caller resets its connection, the call goes on until its deadline. Seen in the log: a caller that closes its connection counts as a failed handler, since a handler that returns without an answer is refused.

Cause: `wait_for_disconnect` raised the error of the socket, and the task that watches the caller ended with it; entries of seeded fleets caught it. And `_answer_until_caller_leaves` returned as if the call had been answered.

Change: a reset is a disconnect, and the call ends with CallerGone, which is logged as a caller that left. So does a call whose answer could not be sent, which left a traceback.

--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -128,12 +128,16 @@
 
     async def wait_for_disconnect(self) -> None:
         """
-        Return once the caller has closed its side of the connection. The bytes of a next request
-        stay unread.
+        Return once the caller has closed its side of the connection, or reset it. The bytes of a
+        next request stay unread.
 
         """
         while True:
-            data = await self.sock.recv(1, socket_.MSG_PEEK)
+            try:
+                data = await self.sock.recv(1, socket_.MSG_PEEK)
+            except OSError as error:
+                log.debug('A caller reset its connection: {}.', error)
+                return
             if not data:
                 return
             await curio.sleep(1.0)
--- a/packages/millforkd/millforkd/entry/caller_requests.py
+++ b/packages/millforkd/millforkd/entry/caller_requests.py
@@ -20,7 +20,7 @@
 from millfork_state.view import View
 from millfork_web.models import Request, Response
 from millfork_web.problem import problem
-from millfork_web.server import Exchange
+from millfork_web.server import CallerGone, Exchange
 from millforkd.entry.access_control import AccessControl
 from millforkd.entry.attempts import Call
 from millforkd.entry.delivery import Delivery
@@ -108,8 +108,11 @@
         try:
             await answering.join()
         except curio.TaskError as error:
-            if not isinstance(error.__cause__, curio.TaskCancelled):
-                raise
+            if isinstance(error.__cause__, curio.TaskCancelled):
+                raise CallerGone('the call was cancelled') from None
+            if isinstance(error.__cause__, CallerGone):
+                raise CallerGone(str(error.__cause__)) from error
+            raise
         finally:
             await watching.cancel()
 
