--- a/packages/millforkd/millforkd/entry/caller_requests.py
+++ b/packages/millforkd/millforkd/entry/caller_requests.py
@@ -108,8 +108,11 @@
         try:
             await answering.join()
         except curio.TaskError as error:
-            if not isinstance(error.__cause__, curio.TaskCancelled):
-                raise
+            if isinstance(error.__cause__, curio.TaskCancelled):
+                raise CallerGone('the call was cancelled') from None
+            if isinstance(error.__cause__, CallerGone):
+                raise CallerGone(str(error.__cause__)) from error
+            raise
         finally:
             await watching.cancel()
 
