--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -41,6 +41,7 @@
 WAIT_TIMEOUT_S: Final = 20.0
 CALL_TIMEOUT_S: Final = 5.0
 LOAD_THREADS: Final = 32
+LISTEN_BACKLOG: Final = 256
 # Requests with this path prefix are answered with a stream of `STREAM_EVENTS` events.
 STREAM_PATH: Final = '/stream/'
 STREAM_EVENTS: Final = 8
@@ -199,6 +200,8 @@
     """
 
     daemon_threads = True
+    # Connections of all entries of a large fleet may arrive at once.
+    request_queue_size = LISTEN_BACKLOG
 
     def __init__(self, host: str, service: str, instance: str, fleet: 'SeededFleet') -> None:
         super().__init__((host, 0), _Handler)
--- a/packages/millfork-standins/millfork_standins/soak/link_proxy.py
+++ b/packages/millfork-standins/millfork_standins/soak/link_proxy.py
@@ -9,6 +9,8 @@
 import time
 from typing import Final
 
+from millfork_standins.seeded import LISTEN_BACKLOG
+
 READ_BYTES: Final = 64 * 1024
 POLL_INTERVAL_S: Final = 0.02
 # Value of `SO_LINGER` with which a close sends a reset: on, with a timeout of 0 s.
@@ -23,7 +25,7 @@
 
     def __init__(self, host: str, target: tuple[str, int]) -> None:
         self.target = target
-        self.listener = socket.create_server((host, 0))
+        self.listener = socket.create_server((host, 0), backlog=LISTEN_BACKLOG)
         self.address: tuple[str, int] = self.listener.getsockname()
         self.delay_s = 0.0
         # Whether bytes to the back end (`holds_requests`) or from the back end (`holds_answers`)
