A formation that a kill cut short is finished at the next start

The replica that forms the state writes the first log entry and then the cluster. If it was killed in between, it counted as neither empty nor formed afterwards: it never formed the state, and no other replica may, so a new fleet never took a configuration. Seen by reading, not on a fleet.

Evidence: the test failed before (no cluster 2 s after the second start). A replica with the first entry and no cluster now joins the cluster in that entry.

--- a/packages/millfork-state/millfork_state/formation.py
+++ b/packages/millfork-state/millfork_state/formation.py
@@ -65,6 +65,8 @@
 
     """
     while not replica.cluster:
+        if await _finish_genesis(replica):
+            return
         if seeds.writes_first_log_entry(replica.env.instance):
             members = await _find_empty_members(replica, seeds.others)
             if members is not None and await _form_cluster(replica, members):
@@ -72,6 +74,26 @@
         await curio.sleep(FORMATION_RETRY_S)
 
 
+async def _finish_genesis(replica: Replica) -> bool:
+    """
+    Join the cluster in the first log entry, if an earlier process ended after it had stored the
+    entry and before it stored the cluster. True if the replica belongs to a cluster afterwards.
+
+    """
+    async with replica.lock:
+        if replica.cluster or not replica.storage.entries:
+            return bool(replica.cluster)
+        first = decode_command(replica.storage.entry_at(1).payload)
+        if not isinstance(first, SetMembers):
+            return False
+        try:
+            await replica.storage.save_vote(max(replica.term, FIRST_TERM), '', first.cluster)
+        except OSError as error:
+            replica.record_disk_failure(error)
+            return False
+    return True
+
+
 async def _find_empty_members(
     replica: Replica,
     others: list[PeerAddress],
