A command is repeated with a pause while a peer fails at once

Callers and operators: a process that proposes a command to a replica which fails each call at once, such as one whose disk refuses writes, did nothing else until the timeout.

Evidence: the test failed before: 67120 calls in 0.5 s.

--- a/packages/millfork-state/millfork_state/leader_client.py
+++ b/packages/millfork-state/millfork_state/leader_client.py
@@ -69,6 +69,7 @@
             reply = await self._propose_once(Propose(data))
             if reply is None:
                 verdict = Verdict.MAY_HAVE_RUN
+                await curio.sleep(RETRY_DELAY_S)
                 continue
             if reply.ok:
                 return reply.result
