A late first message of a replica left before drops no back end

A follower asks a frozen replica for its feed, gives up and follows another one. When the first replica goes on, it sends all leases that it knew before the freeze, and the follower dropped every back end that is not among them. The followed replica sends only changes, so an entry did without those back ends until their leases changed.

Evidence: the test failed before (only back end a of a and b was left).

--- a/packages/millfork-registry/millfork_registry/feed_client.py
+++ b/packages/millfork-registry/millfork_registry/feed_client.py
@@ -324,7 +324,10 @@
         for state in endpoints:
             self.registry.merge_endpoint_state(state)
         await self.registry.suspicion_store.merge(suspicions)
-        if message.full and message.settled:
+        # A replica that was followed earlier may send its first message late, after a pause, and
+        # lack back ends that have started meanwhile.
+        is_current = peer in (self.source, self.pending_relay)
+        if message.full and message.settled and is_current:
             self.registry.is_complete = True
             self.registry.retain_only(
                 {lease.instance for lease in leases},
--- a/tests/test_feed_client.py
+++ b/tests/test_feed_client.py
@@ -13,11 +13,13 @@
 from millfork_registry import feed_client as feed_client_module
 from millfork_registry.discovery import Discovery
 from millfork_registry.feed_client import FeedClient
+from millfork_registry.records import encode_records
 from millfork_registry.registry import Registry
 from millfork_state.view import View
 from millfork_wire.connection import PeerUnreachable
 from millfork_wire.messages import Done, FindReplicas, Follow, Leases, Replicas
 from millforkd.proxy.daemon import DEFAULT_ENTRY_COUNT, ProxyDaemon
+from tests.test_incarnations import FIRST_INCARNATION, lease
 
 ZONES = {'10.0.0.1:7': 'far', '10.0.0.2:7': 'near'}
 
@@ -133,3 +135,15 @@
         assert ProxyDaemon.peak_entries(daemon) == 7
 
     curio.run(run)
+
+
+def test_a_late_first_message_of_a_replica_left_before_drops_no_back_end():
+    # A replica that was frozen when it was asked to follow answers after the follower has left.
+    client = client_following(FakeReplicas())
+    client.source = InstanceId('10.0.0.2:7')
+    leases = [lease(FIRST_INCARNATION, instance=name, port=n) for n, name in enumerate('ab', 80)]
+    newest = Leases(True, True, leases=encode_records(leases))
+    late = Leases(True, True, leases=encode_records(leases[:1]))
+    curio.run(client.handle_feed_message, InstanceId('10.0.0.2:7'), newest)
+    curio.run(client.handle_feed_message, InstanceId('10.0.0.1:7'), late)
+    assert sorted(client.registry.leases.rows) == ['a', 'b']
