A second drain of a back end reaches a majority too

A replica acknowledges a drain once a majority of the replicas has it, and remembers that. If the back end was ready again and drained once more, the second drain was acknowledged at once; with the end of this replica it was lost, and entries went on sending to a back end that was told it drains.

Evidence: the test failed before (only the drain with sequence 6 was sent, not the one with 9).

--- a/packages/millforkd/millforkd/replica/control.py
+++ b/packages/millforkd/millforkd/replica/control.py
@@ -154,6 +154,11 @@
         change = self.registry.record_heartbeat(lease)
         if change is RecordChange.CHANGED:
             await self.followers.wake()
+        if lease.state is LeaseState.READY:
+            # A later drain must reach a majority again.
+            self.departures_at_majority.discard(
+                (lease.instance, lease.incarnation, LeaseState.DRAINING)
+            )
         if lease.state is LeaseState.DRAINING:
             await self._send_departure_to_majority(lease.instance)
         return self.adapter.accepted_response()
