Real replicas that lose disks and power together

A replica started by the test records the writes and syncs of its log; a loss of power keeps, drops or tears each write that no sync covers, or drops all of them. A sync takes 30 ms.

--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -386,6 +386,8 @@
         self.breaks_left = 0
         # The number of resumed streams that are still to be answered with status 500.
         self.resume_failures_left = 0
+        # The script that starts a daemon.
+        self.daemon = ROOT / 'deploy' / 'millforkd.py'
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.back_ends: list[BackEnd] = []
 
@@ -401,7 +403,7 @@
         """
         path = self.folder / f'{host}.yaml'
         path.write_text(self._settings(host, first_start))
-        command = [sys.executable, str(ROOT / 'deploy' / 'millforkd.py'), f'--settings={path}']
+        command = [sys.executable, str(self.daemon), f'--settings={path}']
         with (self.folder / f'{host}.log').open('ab') as log:
             self.processes[host] = subprocess.Popen(command, stdout=log, stderr=log)
 
--- a/tests/utils/power.py
+++ b/tests/utils/power.py
@@ -8,10 +8,13 @@
 import os
 from pathlib import Path
 
+import curio
 import msgspec
 
 from millfork_state.storage import LOG_FILE, Storage
 
+# The duration of a sync of the log.
+SYNC_S = 0.03
 BASE_SUFFIX = '.base'
 JOURNAL_SUFFIX = '.journal'
 
@@ -81,6 +84,7 @@
 
     async def sync(self):
         writes = self.file.writes
+        await curio.sleep(SYNC_S)
         await super().sync()
         self.file.record_sync(writes)
 
