--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -23,7 +23,7 @@
     decode_command,
 )
 from millfork_state.pending import PendingProposal, with_timestamp
-from millfork_state.state_machine import StateMachine
+from millfork_state.state_machine import StateMachine, members_in
 from millfork_state.storage import LogEntry, Snapshot, Storage
 from millfork_state.view import View
 from millfork_wire.codec import PreVote
@@ -386,9 +386,10 @@
             if request.last_index <= self.commit:
                 return AppendReply(self.term, True, self.commit, self.storage.disk)
             before = self.view.position
-            members = self.machine.restore(request.snapshot)
+            members = members_in(request.snapshot)
             snapshot = Snapshot(request.last_index, request.last_term, members, request.snapshot)
             await self.storage.save_snapshot(snapshot)
+            self.machine.restore(request.snapshot)
             self.commit = max(self.commit, request.last_index)
             self.applied = request.last_index
             self._update_members()
--- a/packages/millfork-state/millfork_state/state_machine.py
+++ b/packages/millfork-state/millfork_state/state_machine.py
@@ -203,9 +203,9 @@
         )
         return msgspec.msgpack.encode(dump)
 
-    def restore(self, data: bytes) -> list[tuple[str, str]]:
+    def restore(self, data: bytes) -> None:
         """
-        Replace the whole state by the one in a dump, and return the dump's voters.
+        Replace the whole state by the one in a dump.
 
         """
         dump = msgspec.msgpack.decode(data, type=Dump)
@@ -217,4 +217,11 @@
         self.results = OrderedDict(dump.results)
         self.claims = OrderedDict(dump.claims)
         self.removed = OrderedDict(dump.removed)
-        return dump.members
+
+
+def members_in(data: bytes) -> list[tuple[str, str]]:
+    """
+    The voters in a dump.
+
+    """
+    return msgspec.msgpack.decode(data, type=Dump).members
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -164,6 +164,22 @@
     assert restarted.cluster == CLUSTER
 
 
+def test_a_snapshot_that_the_disk_refuses_changes_nothing(replica, tmp_path, monkeypatch):
+    # Otherwise later log entries are applied a second time, on top of the snapshot.
+    append(replica, [genesis(replica), entry(2), entry(3)], commit=3)
+    dump = replica.machine.dump(replica.members)
+    env = Environment(InstanceId('c'), ZoneId('zone'))
+    behind = Replica(env, StateSettings(), Storage(tmp_path / 'other'), View(), None, [])
+
+    async def refuse(snapshot):
+        raise OSError(28, 'no space left')
+
+    monkeypatch.setattr(behind.storage, 'save_snapshot', refuse)
+    with pytest.raises(OSError, match='no space'):
+        curio.run(behind.on_install, InstallRequest(CLUSTER, 1, 'a', 3, 1, dump))
+    assert (behind.applied, behind.view.revision, behind.view.items) == (0, 0, {})
+
+
 def test_a_leader_whose_disk_fails_steps_down(replica):
     members = [('b', str(replica.storage.disk))]
     append(replica, [entry(1, 1, SetMembers(CLUSTER, members))])
--- a/tests/test_state_machine.py
+++ b/tests/test_state_machine.py
@@ -1,5 +1,10 @@
 from millfork_state.commands import Apply, Change, ClaimKey, ClaimState, SettleKey
-from millfork_state.state_machine import CLAIM_LIFETIME_MS, CLAIM_OPEN_TIMEOUT_MS, StateMachine
+from millfork_state.state_machine import (
+    CLAIM_LIFETIME_MS,
+    CLAIM_OPEN_TIMEOUT_MS,
+    StateMachine,
+    members_in,
+)
 from millfork_state.view import View
 
 
@@ -101,6 +106,8 @@
     state.apply(Apply('two', [put('gone', None)]))
     state.apply(ClaimKey('k', 'first', 'print', 1))
     other = machine()
-    assert other.restore(state.dump([('a', 'disk')])) == [('a', 'disk')]
+    dump = state.dump([('a', 'disk')])
+    other.restore(dump)
+    assert members_in(dump) == [('a', 'disk')]
     assert other.dump([('a', 'disk')]) == state.dump([('a', 'disk')])
     assert not other.apply(Apply('three', [put('gone', b'2', expect=1)])).ok
