A pause extends the drain of an engine no further than to its version's end

A request queued at the engine could then begin on a version after its end.

Change: no extension beyond the end of the version, and no report is waited for any longer.

--- a/packages/millforkd/millforkd/sidecar/rollout.py
+++ b/packages/millforkd/millforkd/sidecar/rollout.py
@@ -39,7 +39,8 @@
 # An engine that took longer than this to answer a request for its report, in seconds, was silent;
 # it usually answers within milliseconds.
 SILENT_ENGINE_S: Final = 0.3
-# A sound engine may be silent for up to this many seconds. Pauses extend a drain by no more.
+# A sound engine may be silent for up to this many seconds. Pauses extend a drain by no more, and
+# not beyond the end of the served version, as queued requests could begin on it.
 MAX_PAUSE_S: Final = 2.0
 # Requests may finish within at least this many seconds, even if the old version has ended or ends
 # sooner. The time is shorter than `DRAIN_S`, because the capacity of the changing engines then
@@ -321,16 +322,20 @@
         Wait until the engine has no requests, but no longer than `DRAIN_S` and not beyond the
         end of the served version (the time from which no request may start on that version).
         At least `LATE_DRAIN_S` is allowed in each case. Time in which the engine was silent and
-        then went on doesn't count, as its requests stood still as well.
+        then went on doesn't count against `DRAIN_S`, as its requests stood still as well.
 
         """
         now = self.env.monotonic()
         ends_at = target.due + LAST_SEND_BEFORE_END_S
         until = max(now + LATE_DRAIN_S, min(now + DRAIN_S, ends_at))
-        latest = until + MAX_PAUSE_S
-        while self.env.monotonic() < until:
-            asked_at = self.env.monotonic()
-            report = await self.engine.report()
+        latest = max(until, min(until + MAX_PAUSE_S, ends_at))
+        while (asked_at := self.env.monotonic()) < until:
+            try:
+                async with curio.timeout_after(latest - asked_at):
+                    report = await self.engine.report()
+            except curio.TaskTimeout:
+                log.info('The engine was silent until the end of its drain.')
+                return
             if report is not None and not report.running and not report.queued:
                 return
             silent_s = self.env.monotonic() - asked_at
