An order to load layers doesn't wait for a call that the engine has not answered

Calls to an engine go one at a time. An engine that is silent held the daemon's periodic call, and an order to remove a version that ends waited for it (1.0 s, and 2.5 s since calls are waited for that long). An engine that goes on then begins what is queued before the order has reached it.

Evidence: the test's order did not arrive within 0.95 s while a report was unanswered; now it does.

--- a/packages/millforkd/millforkd/sidecar/engine.py
+++ b/packages/millforkd/millforkd/sidecar/engine.py
@@ -26,7 +26,8 @@
 class LocalEngine:
     """
     Calls the engine, one call at a time over one persistent connection, because each
-    connection counts against the engine's connection limit.
+    connection counts against the engine's connection limit. Only a load order doesn't wait for a
+    call that the engine has not answered: the order may have to be there before a version ends.
 
     """
 
@@ -37,9 +38,12 @@
 
     async def _fetch(self, request: Request) -> Response:
         async with self.lock:
-            return await self.client.fetch(
-                request.method, request.path, request.headers, request.body, CALL_TIMEOUT_S
-            )
+            return await self._send(request)
+
+    async def _send(self, request: Request) -> Response:
+        return await self.client.fetch(
+            request.method, request.path, request.headers, request.body, CALL_TIMEOUT_S
+        )
 
     async def report(self) -> EngineReport | None:
         """
@@ -103,7 +107,7 @@
 
         """
         try:
-            response = await self._fetch(
+            response = await self._send(
                 self.adapter.load_layers_request(model, version, first, end, interrupts)
             )
         except ExchangeFailed as error:
--- a/tests/test_pauses_of_engines.py
+++ b/tests/test_pauses_of_engines.py
@@ -82,6 +82,23 @@
     assert len(engine.calls) == 4
 
 
+def test_an_order_reaches_an_engine_that_has_not_answered_its_last_call(engine):
+    async def run():
+        local_engine = LocalEngine(PlatformAdapter(), Client(*engine.server_address))
+        report = await curio.spawn(local_engine.report)
+        async with curio.timeout_after(PAUSE_S / 2):
+            while not engine.calls:
+                await curio.sleep(0.01)
+            order = await curio.spawn(local_engine.load_layers, 'm', 2, 0, 4, True)
+            while len(engine.calls) < 2:
+                await curio.sleep(0.01)
+        return await report.join(), await order.join()
+
+    report, ordered = curio.run(run)
+    assert report is not None
+    assert ordered
+
+
 def test_a_silent_engine_is_not_taken_for_an_empty_one():
     async def run():
         under_test = RolloutUnderTest(turn=2, engine=FakeEngine(running=3))
