The due time of a change follows the corrected end of the served version

Cause: a daemon hears of a new version before it hears how long the served one may still be used, and assumes 2 s until then ('Version named. ... due_s=1.1', 0.24 s later 'Version end corrected. ... due_s=3.8'). A step of the rollout that began in between kept the first figure: the turns were skipped, all engines changed at once ('no_endpoint' at the entry), and drains ended early, so that requests which had only been paused were interrupted.

Change: the wait for the turn and the drain read the due time anew. tests/test_pauses_of_engines.py failed before: the order came 0.8 s before the due time.

--- a/packages/millforkd/millforkd/sidecar/rollout.py
+++ b/packages/millforkd/millforkd/sidecar/rollout.py
@@ -241,6 +241,16 @@
         current = self.get_target()
         return current is None or current.weights != target.weights
 
+    def _due(self, target: Target) -> float:
+        """
+        When the change to a target is due; this may have been corrected since the target was read.
+
+        """
+        current = self.get_target()
+        if current is None or current.weights != target.weights:
+            return target.due
+        return current.due
+
     async def _gather(self, held: PieceSet, target: Target, goal: Layers) -> bool:
         """
         Fetch the pieces of the `goal` layers into `held`; False if some are still missing,
@@ -299,7 +309,7 @@
 
         """
         turn = self.fleet.own_turn(target.weights, ROLLOUT_TURNS)
-        while self.serves_another(target) and self.env.monotonic() < target.due:
+        while self.serves_another(target) and self.env.monotonic() < self._due(target):
             if self._changed_count(target) * ROLLOUT_TURNS >= turn * len(self.fleet.members()):
                 break
             await curio.sleep(POLL_S)
@@ -326,7 +336,7 @@
 
         """
         now = self.env.monotonic()
-        ends_at = target.due + LAST_SEND_BEFORE_END_S
+        ends_at = self._due(target) + LAST_SEND_BEFORE_END_S
         until = max(now + LATE_DRAIN_S, min(now + DRAIN_S, ends_at))
         latest = max(until, min(until + MAX_PAUSE_S, ends_at))
         while (asked_at := self.env.monotonic()) < until:
--- a/tests/test_pauses_of_engines.py
+++ b/tests/test_pauses_of_engines.py
@@ -205,3 +205,21 @@
 
     under_test = RolloutUnderTest(turn=0, engine=StaysSilent(running=3))
     curio.run(run)
+
+
+def test_a_due_time_that_is_corrected_to_later_applies_to_the_change_in_progress():
+    class CorrectedMeanwhile(FakeGatherer):
+        async def gather(self, held, wanted):
+            under_test.target = replace(under_test.target, due=due)
+            await super().gather(held, wanted)
+
+    async def run():
+        task = await under_test.run()
+        await under_test.until(lambda: under_test.engine.orders)
+        assert under_test.env.monotonic() >= due
+        await task.cancel()
+
+    under_test = RolloutUnderTest(turn=2, gatherer=CorrectedMeanwhile())
+    due = under_test.target.due
+    under_test.target = replace(under_test.target, due=under_test.env.monotonic())
+    curio.run(run)
