A call with a key is refused at its deadline, also without a quorum

A call with an idempotency key waited up to 4 s for its claim whatever its deadline was, and up to 30 s for the release of its key before it got its refusal. Callers had left by then.

Now the claim is awaited until the call's deadline and the release until 0.5 s after it, and a claim that is granted later, or whose outcome is unknown, is released, so that the key is free for the caller's next try.

Three unit tests failed before: the refusal after 4.0 s at a deadline of 0.1 s, none within 5 s, no release. On real daemons, with all replicas paused for 1.9 s and a deadline of 0.5 s, the call got 504 timed_out after the pause; it is 503 claim_unavailable now, and the same key is served after it.

--- a/packages/millforkd/millforkd/entry/caller_requests.py
+++ b/packages/millforkd/millforkd/entry/caller_requests.py
@@ -35,6 +35,8 @@
 TIMEOUT_HEADER: Final = 'millfork-timeout-ms'
 PRIORITY_HEADER: Final = 'millfork-priority'
 MAX_KEY_CHARS: Final = 255
+# How long after its deadline a call may wait for the release of its idempotency key.
+RELEASE_WAIT_S: Final = 0.5
 MAX_PRIORITY: Final = 9
 MAX_AFFINITY_CHARS: Final = 256
 UNFORWARDED_HEADERS: Final = frozenset(
@@ -163,9 +165,22 @@
             response = Response(0)
         settling = await self.env.spawn(self.claims.settle, call, response, verdict)
         if verdict is Verdict.NOT_RUN:
-            await settling.wait()
+            await self._wait_for_release(settling, call)
         return refusal
 
+    async def _wait_for_release(self, settling: curio.Task, call: Call) -> None:
+        """
+        Wait until the key of a call that did not run is released, so that the caller may repeat the
+        call at once. The refusal waits no longer than RELEASE_WAIT_S after the call's deadline.
+
+        """
+        wait_s = max(call.deadline - self.env.monotonic(), RELEASE_WAIT_S)
+        try:
+            async with curio.timeout_after(wait_s):
+                await settling.wait()
+        except curio.TaskTimeout:
+            log.info('An idempotency key is not released yet. service={}', call.service)
+
     async def _refuse(self, exchange: Exchange, refusal: Refusal, started: bool = False) -> None:
         self.env.metrics.refused(refusal.reason, METRICS_PART)
         self.env.metrics.count(self.env.metrics.requests, outcome='refused')
--- a/packages/millforkd/millforkd/entry/key_claims.py
+++ b/packages/millforkd/millforkd/entry/key_claims.py
@@ -6,7 +6,10 @@
 import hashlib
 from typing import Final
 
+import curio
+
 from millfork_core.environment import Environment
+from millfork_core.logs import Component, logger
 from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
 from millfork_state.commands import ClaimKey, ClaimResult, ClaimState
 from millfork_state.leader_client import LeaderClient
@@ -17,6 +20,8 @@
 
 CLAIM_TIMEOUT_S: Final = 4.0
 
+log = logger(Component.ENTRY)
+
 
 class KeyClaims:
     """
@@ -37,17 +42,39 @@
             answer, or if no quorum answers.
 
         """
-        command = ClaimKey(replicated_key(call), call.claim, _fingerprint(call))
+        proposing = await self.env.spawn(self._propose_claim, call)
         try:
-            data = await self.leader_client.propose(command, CLAIM_TIMEOUT_S)
-        except Refused as error:
+            async with curio.timeout_after(max(call.deadline - self.env.monotonic(), 0.001)):
+                await proposing.wait()
+        except curio.TaskTimeout:
+            log.info('A claim did not end by the deadline of its call. service={}', call.service)
+        result: ClaimResult | None = proposing.result if proposing.terminated else None
+        if result is None:
+            await self.env.spawn(self._release_late_claim, call, proposing)
             detail = 'no quorum can confirm whether this key is in use'
-            raise Refused(Refusal(Reason.CLAIM_UNAVAILABLE, detail=detail)) from error
-        result = decode_claim_result(data)
+            raise Refused(Refusal(Reason.CLAIM_UNAVAILABLE, detail=detail))
         if result.state is ClaimState.GRANTED:
             return None
         return _repeated_response(result)
 
+    async def _propose_claim(self, call: Call) -> ClaimResult | None:
+        command = ClaimKey(replicated_key(call), call.claim, _fingerprint(call))
+        try:
+            return decode_claim_result(await self.leader_client.propose(command, CLAIM_TIMEOUT_S))
+        except Refused as error:
+            log.info('A claim failed. service={} error={}', call.service, error)
+            return None
+
+    async def _release_late_claim(self, call: Call, proposing: curio.Task) -> None:
+        """
+        Release the key of a refused call once its claim has ended, as the claim may have been
+        granted meanwhile, or be granted still.
+
+        """
+        result = await proposing.join()
+        if result is None or result.state is ClaimState.GRANTED:
+            await self.settle(call, None, Verdict.NOT_RUN)
+
     async def settle(self, call: Call, response: Response | None, verdict: Verdict) -> None:
         """
         Store the response under the call's key, or release the key if the request did not run. If
--- a/tests/test_silent_engines_on_listed_fleets.py
+++ b/tests/test_silent_engines_on_listed_fleets.py
@@ -24,7 +24,7 @@
 from millfork_web.server import Server
 from millforkd.endpoint.engine_client import EngineClient
 from tests.test_backend_gateway import GatewayHarness
-from tests.utils.fleets import call_service, complete, serve_version
+from tests.utils.fleets import call_service, complete, serve_version, wait_until
 
 PAUSE_S = 1.9
 # How long a stream is under way when the pause begins, of about 0.6 s that it takes.
@@ -216,6 +216,20 @@
     assert_serves(fleet)
 
 
+def test_a_key_whose_claim_met_a_pause_is_free_afterwards(fleet):
+    paused = [replica.name for replica in fleet.replicas]
+    entry = next(n for n, e in enumerate(fleet.entries) if e.name not in paused)
+    headers = {'idempotency-key': 'late claim', 'millfork-timeout-ms': '500'}
+
+    def send(fleet, number):
+        token = token_of(fleet)
+        return call_service(fleet, token, 'POST', 'portal-assets/l', entry, headers)
+
+    answers = send_beside_pause(fleet, paused, send, calls=1)
+    assert statuses(answers) == [(503, 'claim_unavailable')]
+    wait_until(lambda: send(fleet, 0).status == 200)
+
+
 def test_an_engine_that_pauses_during_a_poll_keeps_its_versions():
     async def answer(exchange):
         await curio.sleep(LONGEST_PAUSE_S)
--- a/tests/test_unanswered_calls.py
+++ b/tests/test_unanswered_calls.py
@@ -3,20 +3,23 @@
 
 """
 
+import time
 from types import SimpleNamespace
 
 import curio
 import h11
+import msgspec
 import pytest
 from curio.io import Socket
 
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ZoneId
-from millfork_core.verdicts import Reason, Verdict
+from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
 from millfork_routing.balance import Backend
 from millfork_settings.models import BackendKind, RoutingSettings
 from millfork_standins.layout import CALLERS_PORT
 from millfork_standins.requests import fetch
+from millfork_state.commands import ClaimKey, ClaimResult, ClaimState
 from millfork_state.view import View
 from millfork_web.client import Client, ExchangeFailed
 from millfork_web.server import Server
@@ -29,12 +32,14 @@
 from millforkd.entry.caller_requests import CallerRequests
 from millforkd.entry.delivery import Delivery
 from millforkd.entry.dispatcher import Dispatcher
+from millforkd.entry.key_claims import KeyClaims
 from tests.test_backend_gateway import GatewayHarness, run_steps
 from tests.test_connection import tcp_pair
 from tests.utils.fleets import complete
 
 TIMEOUT_S = 5.0
 DEADLINE_S = 0.1
+MAX_REFUSAL_S = 1.0
 # Frames that exceed the buffers of a socket, and the queue.
 FRAME_BYTES = 1024 * 1024
 WAITING_FRAMES = 40
@@ -188,21 +193,21 @@
         return True
 
 
-def answer_of_failing_entry(error, has_started):
+def answer_of_entry(dispatcher, claims=None, headers=b''):
     """
-    Return the bytes that a caller receives if the dispatcher of its call fails.
+    Return the bytes that a caller receives from an entry with this dispatcher.
 
     """
-    env = environment()
     requests = CallerRequests(
-        env, RoutingSettings(), View(), OpenAccess(), FailingDispatcher(error, has_started), None
+        environment(), RoutingSettings(), View(), OpenAccess(), dispatcher, claims
     )
     server = Server('127.0.0.1', 1, requests.handle)
 
     async def run():
         near, far = tcp_pair()
         far.settimeout(TIMEOUT_S)
-        far.sendall(b'GET /services/s/ HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n')
+        far.sendall(b'POST /services/s/ HTTP/1.1\r\nhost: a\r\nconnection: close\r\n')
+        far.sendall(headers + b'content-length: 0\r\n\r\n')
         async with curio.timeout_after(TIMEOUT_S):
             await server._serve(Socket(near), None)
         received = b''
@@ -219,17 +224,89 @@
 
 @ERRORS
 def test_any_error_of_an_entry_is_answered(error):
-    answer = answer_of_failing_entry(error, has_started=False)
+    answer = answer_of_entry(FailingDispatcher(error, has_started=False))
     assert answer.startswith(b'HTTP/1.1 502 ')
     assert b'"verdict": "may_have_run"' in answer
 
 
 @ERRORS
 def test_an_error_after_the_begin_of_an_answer_breaks_it_off(error):
-    answer = answer_of_failing_entry(error, has_started=True)
+    answer = answer_of_entry(FailingDispatcher(error, has_started=True))
     assert answer.endswith(b'data: 1\n\n\r\n')
 
 
+class BusyDispatcher:
+    """
+    A dispatcher that sends no call to any endpoint.
+
+    """
+
+    async def run(self, call, delivery):
+        return Refusal(Reason.BUSY)
+
+
+class SilentLeaderClient:
+    """
+    Replicas that answer no command, or only claims of idempotency keys if `grants_claims`.
+
+    """
+
+    def __init__(self, grants_claims):
+        self.grants_claims = grants_claims
+
+    async def propose(self, command, timeout_s):
+        if self.grants_claims and isinstance(command, ClaimKey):
+            return msgspec.msgpack.encode(ClaimResult(ClaimState.GRANTED))
+        await curio.sleep(timeout_s)
+        raise Refused(Refusal(Reason.NO_QUORUM))
+
+
+@pytest.mark.parametrize(
+    ('grants_claims', 'reason'), [(False, b'claim_unavailable'), (True, b'busy')]
+)
+def test_a_call_with_a_key_is_refused_at_its_deadline_without_a_quorum(grants_claims, reason):
+    claims = KeyClaims(environment(), SilentLeaderClient(grants_claims))
+    started_at = time.monotonic()
+    headers = b'idempotency-key: k\r\nmillfork-timeout-ms: 100\r\n'
+    answer = answer_of_entry(BusyDispatcher(), claims, headers)
+    assert b'"reason": "%s"' % reason in answer
+    assert time.monotonic() - started_at < MAX_REFUSAL_S
+
+
+class LateLeaderClient:
+    """
+    Replicas that grant a claim after the deadline of its call; records the releases of keys.
+
+    """
+
+    def __init__(self):
+        self.released = curio.Event()
+
+    async def propose(self, command, timeout_s):
+        if isinstance(command, ClaimKey):
+            await curio.sleep(2 * DEADLINE_S)
+            return msgspec.msgpack.encode(ClaimResult(ClaimState.GRANTED))
+        assert command.released
+        await self.released.set()
+        return b''
+
+
+def test_a_claim_that_is_granted_after_the_deadline_is_released():
+    env = environment()
+    leader_client = LateLeaderClient()
+    claims = KeyClaims(env, leader_client)
+    deadline = env.monotonic() + DEADLINE_S
+    call = Call('o', 's', 'POST', '/', [], b'', False, 'k', 'claim', '', 0, deadline)
+
+    async def run():
+        with pytest.raises(Refused):
+            await claims.claim(call)
+        async with curio.timeout_after(TIMEOUT_S):
+            await leader_client.released.wait()
+
+    curio.run(run)
+
+
 # Messages between daemons.
 
 
