An entry that reads no messages keeps no load report from the others

An endpoint reports its load to one entry after another. If an entry paused or hung and the queue to it was full, no other entry learned of a change, such as a leave or another version, until that connection went on or closed. Each report waits 0.05 s for room now.

The test failed before: the second entry got no report within 5 s.

--- a/packages/millforkd/millforkd/endpoint/backend_gateway.py
+++ b/packages/millforkd/millforkd/endpoint/backend_gateway.py
@@ -44,6 +44,8 @@
 MAX_EARLY_CANCELS: Final = 4096
 LOAD_HEARTBEAT_INTERVAL_S: Final = 8.0
 MIN_LOAD_REPORT_INTERVAL_S: Final = 0.1
+# How long a load report waits for room in the queue to one entry.
+LOAD_REPORT_TIMEOUT_S: Final = 0.05
 DRAIN_POLL_INTERVAL_S: Final = 0.05
 VERSION_HEADER: Final = 'millfork-version'
 # Statuses with which an engine reports that the requested version is not loaded.
@@ -429,9 +431,12 @@
             load = self.load()
             for connection in list(self.load_subscribers.values()):
                 try:
-                    await connection.notify(load)
+                    async with curio.timeout_after(LOAD_REPORT_TIMEOUT_S):
+                        await connection.notify(load)
                 except PeerLost:
                     continue
+                except curio.TaskTimeout:
+                    log.info('{} reads no load reports.', connection.peer)
             await curio.sleep(MIN_LOAD_REPORT_INTERVAL_S)
 
     async def wait_until_idle(self, timeout: float) -> bool:
--- a/tests/test_silent_engines_on_listed_fleets.py
+++ b/tests/test_silent_engines_on_listed_fleets.py
@@ -23,7 +23,7 @@
 from millfork_web.models import json_response
 from millfork_web.server import Server
 from millforkd.endpoint.engine_client import EngineClient
-from tests.test_backend_gateway import GatewayHarness
+from tests.test_backend_gateway import FakeConnection, GatewayHarness
 from tests.utils.fleets import call_service, complete, serve_version, wait_until
 
 PAUSE_S = 1.9
@@ -264,6 +264,32 @@
     curio.run(run)
 
 
+class PausedEntryConnection(FakeConnection):
+    """
+    The connection to an entry that reads no messages, after its queue has become full.
+
+    """
+
+    async def notify(self, message):
+        await curio.Event().wait()
+
+
+def test_a_paused_entry_keeps_no_load_report_from_another():
+    harness = GatewayHarness()
+
+    async def run():
+        for name, connection in (('a', PausedEntryConnection()), ('b', harness.connection)):
+            connection.peer = InstanceId(name)
+            await harness.gateway.subscribe_to_load(connection)
+        await curio.spawn(harness.gateway.report_load, daemon=True)
+        await harness.gateway.set_leaving(True)
+        async with curio.timeout_after(5):
+            while not harness.connection.sent:
+                await curio.sleep(0.01)
+
+    curio.run(run)
+
+
 def test_the_expected_wait_is_not_that_of_a_pause():
     slots = 8
     queue = FairQueue(slots, 64, lambda organisation: 1, time.monotonic)
