--- a/tests/test_silent_engines_on_listed_fleets.py
+++ b/tests/test_silent_engines_on_listed_fleets.py
@@ -23,8 +23,8 @@
 from millfork_web.models import json_response
 from millfork_web.server import Server
 from millforkd.endpoint.engine_client import EngineClient
-from tests.test_backend_gateway import GatewayHarness
-from tests.utils.fleets import call_service, complete, serve_version
+from tests.test_backend_gateway import FakeConnection, GatewayHarness
+from tests.utils.fleets import call_service, complete, serve_version, wait_until
 
 PAUSE_S = 1.9
 # How long a stream is under way when the pause begins, of about 0.6 s that it takes.
@@ -216,6 +216,20 @@
     assert_serves(fleet)
 
 
+def test_a_key_whose_claim_met_a_pause_is_free_afterwards(fleet):
+    paused = [replica.name for replica in fleet.replicas]
+    entry = next(n for n, e in enumerate(fleet.entries) if e.name not in paused)
+    headers = {'idempotency-key': 'late claim', 'millfork-timeout-ms': '500'}
+
+    def send(fleet, number):
+        token = token_of(fleet)
+        return call_service(fleet, token, 'POST', 'portal-assets/l', entry, headers)
+
+    answers = send_beside_pause(fleet, paused, send, calls=1)
+    assert statuses(answers) == [(503, 'claim_unavailable')]
+    wait_until(lambda: send(fleet, 0).status == 200)
+
+
 def test_an_engine_that_pauses_during_a_poll_keeps_its_versions():
     async def answer(exchange):
         await curio.sleep(LONGEST_PAUSE_S)
@@ -250,6 +264,32 @@
     curio.run(run)
 
 
+class PausedEntryConnection(FakeConnection):
+    """
+    The connection to an entry that reads no messages, after its queue has become full.
+
+    """
+
+    async def notify(self, message):
+        await curio.Event().wait()
+
+
+def test_a_paused_entry_keeps_no_load_report_from_another():
+    harness = GatewayHarness()
+
+    async def run():
+        for name, connection in (('a', PausedEntryConnection()), ('b', harness.connection)):
+            connection.peer = InstanceId(name)
+            await harness.gateway.subscribe_to_load(connection)
+        await curio.spawn(harness.gateway.report_load, daemon=True)
+        await harness.gateway.set_leaving(True)
+        async with curio.timeout_after(5):
+            while not harness.connection.sent:
+                await curio.sleep(0.01)
+
+    curio.run(run)
+
+
 def test_the_expected_wait_is_not_that_of_a_pause():
     slots = 8
     queue = FairQueue(slots, 64, lambda organisation: 1, time.monotonic)
