What a hedged request teaches: review of the trace

Found by a reviewer who had not seen the work, from reading; no caller was seen to suffer from them.

- An attempt that was superseded and cancelled counted as a caller that left its back end, and one caller that left two attempts as two: requests would be suspected too early.
- A look whether a request may be hedged or withdrawn spent the trial of a suspected request, which was then refused, though its engine would have answered.
- A hedge went out with the versions of the first send.
- A deadline shorter than a pause counted as a failure of the back end; the second engine of a path was avoided for the silence of the first; the idle connections to the back end of a superseded hedge were closed.
- A whole answer whose delivery the deadline cut was followed by a refusal on the same connection.
- Listed fleets: a refusal had no log line, and a caller that left during a reservation left its slot taken for 3 s.

Tests for the first two failed before (two of tests/test_hedged_requests.py, one of tests/test_quarantine.py); the others have none of their own.

--- a/packages/millfork-scheduling/millfork_scheduling/server.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server.py
@@ -27,8 +27,8 @@
 # in a row up to `MAX_TURNED_AWAY_S`: the back end may be full for a moment, or reject everything.
 FIRST_TURNED_AWAY_S: Final = 0.05
 MAX_TURNED_AWAY_S: Final = 2.0
-# A silent back end is avoided for this long: one that only pauses goes on within two seconds.
-SILENCE_AVOIDANCE_S: Final = 2.0
+# A sound back end may send nothing for this long. A silent one is avoided for this time.
+MAX_PAUSE_S: Final = 2.0
 # Weight of the latest request in a back end's failure rate (an exponential moving average).
 FAILURE_WEIGHT: Final = 0.1
 # Weight of the latest request in the mean service time of a back end.
@@ -285,7 +285,7 @@
         as no failure.
 
         """
-        self.silent_until = now + SILENCE_AVOIDANCE_S
+        self.silent_until = now + MAX_PAUSE_S
 
     def record_received(self, now: float) -> None:
         """
--- a/packages/millforkd/millforkd/entry/attempts.py
+++ b/packages/millforkd/millforkd/entry/attempts.py
@@ -210,6 +210,9 @@
                     await self._cancel_without_reply()
                     return SilentEndpoint(Reason.TIMED_OUT, detail='the endpoint did not answer')
             reply: Reserved | Refusal = await calling.join()
+        except curio.TaskCancelled:
+            await self._cancel_without_reply()
+            raise
         finally:
             await calling.cancel(blocking=False)
         if isinstance(reply, Refusal):
--- a/packages/millforkd/millforkd/entry/caller_requests.py
+++ b/packages/millforkd/millforkd/entry/caller_requests.py
@@ -187,6 +187,13 @@
     async def _refuse(self, exchange: Exchange, refusal: Refusal, started: bool = False) -> None:
         self.env.metrics.refused(refusal.reason, METRICS_PART)
         self.env.metrics.count(self.env.metrics.requests, outcome='refused')
+        log.info(
+            'Refused. reason={} verdict={} answer_started={} detail={}',
+            refusal.reason.value,
+            refusal.verdict.value,
+            started,
+            refusal.detail,
+        )
         if not started:
             await exchange.respond(problem(refusal))
 
--- a/packages/millforkd/millforkd/proxy/end_detection.py
+++ b/packages/millforkd/millforkd/proxy/end_detection.py
@@ -9,7 +9,7 @@
 
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import IntEnum
 from functools import partial
@@ -44,12 +44,12 @@
 class AbandonedRequest:
     """
     A request whose caller left, or whose deadline passed, at `at` (monotonic seconds). `before` is
-    the suspicion of the request when it was sent to `server`.
+    the suspicion of the request when it was sent to `servers`.
 
     """
 
     at: float
-    server: Server
+    servers: tuple[Server, ...]
     before: Suspicion
 
 
@@ -102,29 +102,33 @@
         # The latest request whose caller left, by fingerprint.
         self.abandoned: dict[Fingerprint, AbandonedRequest] = {}
 
-    async def record_caller_left(self, server: Server, before: Suspicion) -> None:
+    async def record_caller_left(self, servers: Iterable[Server], before: Suspicion) -> None:
         """
-        Record that a caller left, or that the deadline of the request passed, while the back end
-        had not answered. `before` is the suspicion of the request when it was sent to the back end.
+        Record that a caller left, or that the deadline of the request passed, while the back ends
+        `servers` had not answered. `before` is the suspicion of the request when it was sent there.
 
-        If the back end ends now, no answer breaks off to show that. So the back end is watched,
+        If a back end ends now, no answer breaks off to show that. So the back ends are watched,
         but only if an earlier caller of a request with this fingerprint left within the last
-        CALLER_LEFT_MEMORY_S. If that caller left less than CALLER_LEFT_WATCH_S ago, the back end
-        of that earlier request is watched as well.
+        CALLER_LEFT_MEMORY_S. If that caller left less than CALLER_LEFT_WATCH_S ago, the back ends
+        of that earlier request are watched as well.
 
         """
         now = self.env.monotonic()
         last = self.abandoned.pop(before.fingerprint, None)
-        self.abandoned[before.fingerprint] = AbandonedRequest(now, server, before)
+        abandoned = AbandonedRequest(now, tuple(servers), before)
+        self.abandoned[before.fingerprint] = abandoned
         if len(self.abandoned) > MAX_ABANDONED_REQUESTS:
             del self.abandoned[next(iter(self.abandoned))]
         if last is None or now - last.at > CALLER_LEFT_MEMORY_S:
             return
-        await self._add(server, InterruptedRequest(before, InterruptionKind.CALLER_LEFT))
+        await self._add_abandoned(abandoned)
         if now - last.at < CALLER_LEFT_WATCH_S:
-            await self._add(
-                last.server, InterruptedRequest(last.before, InterruptionKind.CALLER_LEFT)
-            )
+            await self._add_abandoned(last)
+
+    async def _add_abandoned(self, abandoned: AbandonedRequest) -> None:
+        interrupted = InterruptedRequest(abandoned.before, InterruptionKind.CALLER_LEFT)
+        for server in abandoned.servers:
+            await self._add(server, interrupted)
 
     async def record_silence(self, server: Server, before: Suspicion) -> None:
         """
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -13,7 +13,7 @@
 from millfork_core.logs import Component, logger
 from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
 from millfork_routing.shared_budget import SharedBudget
-from millfork_scheduling.placement import Choice
+from millfork_scheduling.placement import Choice, Requirements
 from millfork_scheduling.quarantine import SuspicionLevel
 from millfork_scheduling.retry_after import closed_wait_ms, no_server_wait_ms, refusal_wait_ms
 from millfork_scheduling.server_table import ServerTable
@@ -176,8 +176,7 @@
             refusal = self._refusal_before_send(job)
             if refusal is not None:
                 return refusal
-            last_send = len(job.tried) + 1 >= job.route.max_attempts
-            job.requirements = self.admission.with_current_versions(job.requirements, last_send)
+            job.requirements = self._current_requirements(job)
             choice = await self._choose(job)
             if choice is None:
                 return self._no_server_refusal(job)
@@ -213,13 +212,15 @@
         """
         if len(job.race.running) > 1 or not self._may_send_again(job):
             return False
-        last_send = len(job.tried) + 1 >= job.route.max_attempts
-        requirements = self.admission.with_current_versions(job.requirements, last_send)
-        if self.server_table.choose(requirements, set(job.tried)) is None:
+        if self.server_table.choose(self._current_requirements(job), set(job.tried)) is None:
             return False
         job.retry_paid = self._spend_retry(job)
         return job.retry_paid
 
+    def _current_requirements(self, job: Job) -> Requirements:
+        last_send = len(job.tried) + 1 >= job.route.max_attempts
+        return self.admission.with_current_versions(job.requirements, last_send)
+
     def _begin_attempt(self, job: Job, choice: Choice) -> Attempt:
         job.retry_paid = False
         attempt = Attempt(choice, self.env.monotonic(), self.quarantine.suspicion_of(job))
@@ -235,7 +236,8 @@
         try:
             failed = await self.request_sender.send(job, attempt)
         except (curio.TaskCancelled, CallerGone):
-            await self._record_callers_left(attempt)
+            if not attempt.superseded:
+                await self._record_caller_left(job, attempt)
             raise
         except Superseded:
             failed = FailedAttempt(
@@ -249,7 +251,7 @@
             for server in attempt.choice.servers:
                 await self.end_detector.record_broken_connection(server, attempt.before)
         if failed.reason is Reason.TIMED_OUT:
-            await self._record_callers_left(attempt)
+            await self._record_caller_left(job, attempt)
         self._record_failed(job, attempt, failed)
         return False
 
@@ -270,9 +272,19 @@
             self.quarantine.suspicion_of(job).ends,
         )
 
-    async def _record_callers_left(self, attempt: Attempt) -> None:
-        for server in attempt.pending_servers:
-            await self.end_detector.record_caller_left(server, attempt.before)
+    async def _record_caller_left(self, job: Job, attempt: Attempt) -> None:
+        """
+        Record once for a job that its caller left, or that its deadline passed, while back ends of
+        this attempt or of the one beside it had not answered.
+
+        """
+        if job.left_recorded:
+            return
+        job.left_recorded = True
+        attempts = {attempt, *job.race.running}
+        servers = [server for other in attempts for server in other.pending_servers]
+        if servers:
+            await self.end_detector.record_caller_left(servers, attempt.before)
 
     async def _hedge(self, job: Job, attempt: Attempt) -> None:
         """
@@ -283,6 +295,7 @@
         await self._record_silence(job, attempt)
         if not job.race.may_hedge or not self._may_send_again(job):
             return
+        job.requirements = self._current_requirements(job)
         choice = await self._choose(job)
         if choice is None or not job.race.may_hedge or not self._spend_retry(job):
             return
@@ -301,7 +314,7 @@
             job.may_be_repeated
             and len(job.tried) < job.route.max_attempts
             and job.remaining_s(self.env.monotonic()) > REFUSAL_MARGIN_S
-            and self.quarantine.blocking_level(job) is None
+            and self.quarantine.level_of(job) is SuspicionLevel.FREE
         )
 
     async def _record_silence(self, job: Job, attempt: Attempt) -> None:
@@ -313,8 +326,7 @@
         """
         now = self.env.monotonic()
         if now - attempt.server.last_received_at > SILENT_SERVER_S:
-            for server in attempt.choice.servers:
-                server.record_silence(now)
+            attempt.server.record_silence(now)
         if attempt.was_silent:
             return
         attempt.was_silent = True
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -76,6 +76,8 @@
     last_event: int | None = None
     answer_started: bool = False
     caller_gone: bool = False
+    # Whether it was recorded that the caller left, or the deadline passed, before an answer.
+    left_recorded: bool = False
     # None until the fingerprint of the request is first needed.
     fingerprint: Fingerprint | None = None
     race: AnswerRace = field(default_factory=AnswerRace)
--- a/packages/millforkd/millforkd/proxy/request_sender.py
+++ b/packages/millforkd/millforkd/proxy/request_sender.py
@@ -14,6 +14,7 @@
 from millfork_routing.documents import EngineSpec, RouteKind
 from millfork_routing.shared_budget import SharedBudget
 from millfork_scheduling.placement import Choice
+from millfork_scheduling.server import MAX_PAUSE_S
 from millfork_scheduling.server_table import ServerTable
 from millforkd.proxy.admission import Admission
 from millforkd.proxy.attempts import Attempt, FailedAttempt
@@ -108,20 +109,21 @@
         except SendFailed as error:
             # The attempt that claims the answer interrupts the connections of the others.
             job.race.check(attempt)
-            return self._record_failed(job, choice, error.reason, error.verdict, error.detail)
+            return self._record_failed(job, attempt, error.reason, error.verdict, error.detail)
         except curio.TaskTimeout:
             verdict = Verdict.NOT_RUN if connection is None else Verdict.MAY_HAVE_RUN
             return self._record_failed(
-                job, choice, Reason.TIMED_OUT, verdict, 'the deadline has passed'
+                job, attempt, Reason.TIMED_OUT, verdict, 'the deadline has passed'
             )
         finally:
             attempt.end()
             if connection is not None:
-                connection.lost = connection.lost or attempt.was_silent
+                # An interrupted connection says nothing about others unless it was silent before.
+                connection.lost = attempt.was_silent or (connection.lost and not attempt.superseded)
                 await pool.release(connection, keep_alive_s)
 
     def _record_failed(
-        self, job: Job, choice: Choice, reason: Reason, verdict: Verdict, detail: str
+        self, job: Job, attempt: Attempt, reason: Reason, verdict: Verdict, detail: str
     ) -> FailedAttempt:
         """
         Record a failed attempt in the job and, for each of its back ends that may have failed or
@@ -129,16 +131,28 @@
 
         """
         now = self.env.monotonic()
-        for server in choice.servers:
+        for server in attempt.choice.servers:
             if server.instance not in job.tried:
                 job.tried.append(server.instance)
-            silent = reason is Reason.TIMED_OUT and server.last_received_at < job.received_at
             # An engine that changes its weights was told to interrupt its running requests, so a
             # broken answer is no failure of that engine.
-            if (silent or reason in CONNECTION_FAILURES) and not server.changes_version:
+            if reason in CONNECTION_FAILURES and not server.changes_version:
                 server.record_failure(now)
+        if reason is Reason.TIMED_OUT and attempt.server.last_received_at < attempt.started_at:
+            self._record_silent_timeout(attempt, now)
         return FailedAttempt(reason, verdict, detail)
 
+    def _record_silent_timeout(self, attempt: Attempt, now: float) -> None:
+        """
+        Record that the back end sent nothing from the start of an attempt until the deadline.
+
+        """
+        if now - attempt.started_at <= MAX_PAUSE_S:
+            attempt.server.record_silence(now)
+            return
+        if not attempt.server.changes_version:
+            attempt.server.record_failure(now)
+
     def _record_version(self, job: Job, version: int | None) -> None:
         engine = job.requirements.engine
         if engine is None or version is None:
--- a/packages/millforkd/millforkd/proxy/response_relay.py
+++ b/packages/millforkd/millforkd/proxy/response_relay.py
@@ -74,6 +74,7 @@
                 await self._respond_large(job, attempt, connection, bytes(body))
                 return
         await self._claim(job, attempt, connection)
+        job.answer_started = True
         job.first_byte_at = self.env.monotonic()
         headers = without_header(self.adapter.caller_headers(connection.headers), 'content-length')
         await job.exchange.respond(Response(connection.status, headers, bytes(body)))
--- a/packages/millforkd/millforkd/quarantine.py
+++ b/packages/millforkd/millforkd/quarantine.py
@@ -68,19 +68,31 @@
         sent. A suspected request (one not yet found to be at fault) may be sent once when its
         trial is due; its next trial is then scheduled.
 
+        """
+        level = self.level_of(request)
+        if level is SuspicionLevel.FREE:
+            return None
+        if level is SuspicionLevel.SUSPECTED and self._begin_trial(self.suspicion_of(request)):
+            log.info(
+                'Suspected request sent on trial. fingerprint={}',
+                self.fingerprints.compute(request),
+            )
+            return None
+        return level
+
+    def level_of(self, request: RequestT) -> SuspicionLevel:
+        """
+        Return the suspicion level of a request; starts no trial.
+
         """
         self._refresh()
         if not self.suspicion_store.table and not self.listed_epochs:
-            return None
+            return SuspicionLevel.FREE
         suspicion = self.suspicion_of(request)
         listed_epoch = self.listed_epochs.get(suspicion.fingerprint)
         if listed_epoch is not None and listed_epoch >= suspicion.epoch:
             return SuspicionLevel.AT_FAULT
-        level = suspicion_level_of(suspicion)
-        if level is SuspicionLevel.SUSPECTED and self._begin_trial(suspicion):
-            log.info('Suspected request sent on trial. fingerprint={}', suspicion.fingerprint)
-            return None
-        return level if level is not SuspicionLevel.FREE else None
+        return suspicion_level_of(suspicion)
 
     def _begin_trial(self, suspicion: Suspicion) -> bool:
         return self.trials is not None and self.trials.start_trial(suspicion)
--- a/tests/test_hedged_requests.py
+++ b/tests/test_hedged_requests.py
@@ -19,6 +19,7 @@
 from millforkd.proxy import end_detection
 from millforkd.proxy.attempts import AnswerRace, Attempt, Superseded
 from millforkd.proxy.end_detection import EndDetector, ProbeResult
+from millforkd.proxy.forwarding import Forwarding
 from tests.test_servers import Clock, chosen, lease
 
 FINGERPRINT = Fingerprint('ab')
@@ -85,6 +86,61 @@
     assert (silent.failures, silent.failure_rate) == (0, 0.0)
 
 
+def forwarding_whose_attempt_is_cancelled(callers_left):
+    """
+    A `Forwarding` whose attempts are cancelled while they wait for their back ends. The back ends
+    at which callers left are added to `callers_left`.
+
+    """
+
+    async def send(job, attempt):
+        raise curio.TaskCancelled
+
+    async def record_caller_left(servers, before):
+        callers_left.append([server.instance for server in servers])
+
+    forwarding = object.__new__(Forwarding)
+    forwarding.request_sender = SimpleNamespace(send=send)
+    forwarding.end_detector = SimpleNamespace(record_caller_left=record_caller_left)
+    return forwarding
+
+
+def cancel(scenario, attempts):
+    callers_left = []
+    forwarding = forwarding_whose_attempt_is_cancelled(callers_left)
+    job = SimpleNamespace(race=scenario.race, left_recorded=False)
+    for attempt in attempts:
+        attempt.pending_servers = (attempt.server,)
+    for attempt in attempts:
+        with pytest.raises(curio.TaskCancelled):
+            curio.run(forwarding._run_attempt, job, attempt)
+    return callers_left
+
+
+def test_an_attempt_that_another_one_superseded_is_no_caller_that_left():
+    scenario = Race()
+    scenario.claim(scenario.first)
+    assert cancel(scenario, [scenario.second]) == []
+
+
+def test_a_caller_that_leaves_two_attempts_counts_once():
+    scenario = Race()
+    (servers,) = cancel(scenario, [scenario.first, scenario.second])
+    assert sorted(servers) == ['i-1', 'i-2']
+
+
+def test_the_back_ends_of_one_caller_that_left_are_not_watched():
+    async def run():
+        env = Environment(InstanceId('a:1'), ZoneId('z1'))
+        detector = EndDetector(env, SuspicionStore(env.monotonic))
+        scenario = Race()
+        servers = [scenario.first.server, scenario.second.server]
+        await detector.record_caller_left(servers, Suspicion(FINGERPRINT))
+        assert not detector.watches
+
+    curio.run(run)
+
+
 def suspicion_after_silence(monkeypatch, probe_result, then=None):
     """
     The suspicion of a request whose back end was silent, and what `then` saw meanwhile: `then` is
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -13,7 +13,14 @@
 from hypothesis import strategies as st
 
 from millfork_core.environment import Environment
-from millfork_core.ids import ClusterId, Fingerprint, InstanceId, ServiceName, ZoneId
+from millfork_core.ids import (
+    ClusterId,
+    Fingerprint,
+    IncarnationKey,
+    InstanceId,
+    ServiceName,
+    ZoneId,
+)
 from millfork_registry.suspicion_store import (
     MAX_SUSPICIONS,
     SUSPICION_RETENTION_S,
@@ -22,7 +29,7 @@
     decode_suspicions,
     encode_suspicions,
 )
-from millfork_scheduling.quarantine import MIN_ENDS_AT_FAULT, is_at_fault
+from millfork_scheduling.quarantine import MIN_ENDS_AT_FAULT, SuspicionLevel, is_at_fault
 from millfork_scheduling.server import Server
 from millfork_state.state_machine import StateMachine
 from millfork_state.view import View
@@ -199,6 +206,26 @@
     curio.run(run)
 
 
+def test_a_look_at_the_level_of_a_suspected_request_spends_no_trial():
+    async def run():
+        entry = Entry()
+        trials = []
+        entry.quarantine.trials = SimpleNamespace(
+            start_trial=lambda suspicion: not trials.append(suspicion)
+        )
+        entry.quarantine.blocking_level(entry.job)
+        for _ in range(MIN_ENDS_AT_FAULT):
+            suspicion = entry.quarantine.suspicion_of(entry.job)
+            incarnation = IncarnationKey(f'i/{len(suspicion.broken)}')
+            entry.suspicion_store.record_privately(suspicion.with_broken_answer(incarnation))
+        assert entry.quarantine.level_of(entry.job) is SuspicionLevel.SUSPECTED
+        assert not trials
+        assert entry.quarantine.blocking_level(entry.job) is None
+        assert len(trials) == 1
+
+    curio.run(run)
+
+
 def test_a_complete_answer_removes_a_request_from_the_list():
     async def run():
         entry = Entry()
--- a/tests/test_suspicions.py
+++ b/tests/test_suspicions.py
@@ -292,7 +292,7 @@
         back_ends.statuses = {'i-0': IncarnationStatus.LIVES}
         server = Server(InstanceId('i-0'), ServiceName('s'), '127.0.0.1', 1, ZoneId('z1'), 16)
         for _ in range(2):
-            await back_ends.end_detector.record_caller_left(server, back_ends.known)
+            await back_ends.end_detector.record_caller_left([server], back_ends.known)
         await curio.sleep(0.05)
         back_ends.statuses = {'i-0': IncarnationStatus.ENDED}
         await back_ends.wait_until(lambda: back_ends.known.ends == 1)
