An order to change interrupts no request of an engine that is silent at the end of its drain

The daemon: 'The engine was silent until the end of its drain.', then 'Ordered the engine ... breaks_off=True'; the entry: reason=truncated, outcome=broken_off.

Cause: the served version ended in the pause, the drain with it, and the order interrupted requests that had stood still.

Change: such an order doesn't interrupt. An engine carries it out after what runs and begins nothing meanwhile, so no request begins on the ended version.

--- a/packages/millforkd/millforkd/sidecar/rollout.py
+++ b/packages/millforkd/millforkd/sidecar/rollout.py
@@ -327,12 +327,13 @@
             for state in self.fleet.members()
         )
 
-    async def _wait_for_drain(self, target: Target) -> None:
+    async def _wait_for_drain(self, target: Target) -> bool:
         """
         Wait until the engine has no requests, but no longer than `DRAIN_S` and not beyond the
         end of the served version (the time from which no request may start on that version).
         At least `LATE_DRAIN_S` is allowed in each case. Time in which the engine was silent and
-        then went on doesn't count against `DRAIN_S`, as its requests stood still as well.
+        then went on doesn't count against `DRAIN_S`, as its requests stood still as well. Returns
+        whether the requests that remain may be interrupted: not if the engine is silent now.
 
         """
         now = self.env.monotonic()
@@ -345,14 +346,15 @@
                     report = await self.engine.report()
             except curio.TaskTimeout:
                 log.info('The engine was silent until the end of its drain.')
-                return
+                return False
             if report is not None and not report.running and not report.queued:
-                return
+                return True
             silent_s = self.env.monotonic() - asked_at
             if report is not None and silent_s > SILENT_ENGINE_S:
                 log.info('The engine was silent for {:.1f} s, its requests go on.', silent_s)
                 until = min(until + silent_s, latest)
             await curio.sleep(DRAIN_POLL_S)
+        return True
 
     async def _start(self, target: Target, held: PieceSet, layers: Layers) -> None:
         """
@@ -372,7 +374,7 @@
             if replaces:
                 await curio.sleep(ANNOUNCEMENT_WAIT_S)
                 draining = await self.env.spawn(self._wait_for_drain, target)
-            if await self._send_load_order(target, held, layers, replaces, draining):
+            if await self._send_load_order(target, held, layers, draining):
                 await self._wait_until_served(target, layers)
         finally:
             if draining is not None:
@@ -385,23 +387,24 @@
         target: Target,
         held: PieceSet,
         layers: Layers,
-        replaces: bool,
         draining: curio.Task | None,
     ) -> bool:
         """
         Stage the pieces at the engine, wait for `draining`, and send the load order. False if the
-        engine did not accept a piece or the load order.
+        engine did not accept a piece or the load order. An order that interrupts no requests is
+        carried out once they have ended; the engine begins no others meanwhile.
 
         """
         weights = target.weights
+        interrupts = False
         async with self.load_order_lock:
             for index in layers.pieces(target.layers, target.pieces):
                 if not await self.engine.stage(weights.model, index, held.pieces[index]):
                     return False
             if draining is not None:
-                await draining.join()
+                interrupts = await draining.join()
             return await self.engine.load_layers(
-                weights.model, weights.version, layers.first, layers.end, replaces
+                weights.model, weights.version, layers.first, layers.end, interrupts
             )
 
     async def _announce_state(self) -> None:
