The test of a large broken answer waits for the log line

It failed once beside load: the entry closes the caller's connection before it writes 'Request ended. ... outcome=broken_off', and the test read the log in between.

--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -8,6 +8,7 @@
 
 from millfork_standins.seeded import LARGE_PATH, SeededFleet
 from tests.test_seeded_fleet import request
+from tests.utils.fleets import wait_until
 from tests.utils.streams import EARNED_RETRIES, WHOLE_STREAM, start_streaming_fleet, stream
 
 # Each call spends two retries.
@@ -44,5 +45,5 @@
     fleet.breaks_left = 1
     assert fleet.send_request(request(LARGE_PATH)).status == 0
     assert fleet.breaks_left == 0
-    assert 'outcome=broken_off' in entry_log(fleet)
+    wait_until(lambda: 'outcome=broken_off' in entry_log(fleet))
     assert 'Traceback' not in entry_log(fleet)
