--- a/packages/millfork-standins/millfork_standins/bench/routing.py
+++ b/packages/millfork-standins/millfork_standins/bench/routing.py
@@ -30,7 +30,7 @@
 from millfork_standins.bench.engine_model import EngineModel, EventScheduler, Generation
 from millfork_standins.bench.results import ExperimentResults
 from millfork_state.view import View
-from millfork_web.server import Exchange
+from millfork_web.exchange import Exchange
 from millforkd.proxy.admission import Admission
 from millforkd.proxy.attempts import Attempt
 from millforkd.proxy.job import Job
--- a/packages/millfork-standins/millfork_standins/engine.py
+++ b/packages/millfork-standins/millfork_standins/engine.py
@@ -21,8 +21,9 @@
 from millfork_standins.execution_log import ExecutionLog
 from millfork_standins.settings import EngineSettings
 from millfork_standins.weights import token, weights_key
+from millfork_web.exchange import Exchange
 from millfork_web.models import Headers, json_response
-from millfork_web.server import Exchange, Server
+from millfork_web.server import Server
 
 PREFIX_CHARS: Final = 64
 DEFAULT_MAX_TOKENS: Final = 8
--- a/packages/millfork-standins/millfork_standins/origin.py
+++ b/packages/millfork-standins/millfork_standins/origin.py
@@ -12,8 +12,9 @@
 
 from millfork_standins.settings import OriginSettings, VersionSettings
 from millfork_standins.weights import make_weights
+from millfork_web.exchange import Exchange
 from millfork_web.models import Response, json_response
-from millfork_web.server import Exchange, Server
+from millfork_web.server import Server
 from millfork_weights.links import RateLimiter
 from millfork_weights.manifest import build_manifest, encode_manifest
 
--- a/packages/millfork-standins/millfork_standins/platform.py
+++ b/packages/millfork-standins/millfork_standins/platform.py
@@ -7,8 +7,9 @@
 from typing import Any
 
 from millfork_standins.settings import PlatformSettings
+from millfork_web.exchange import Exchange
 from millfork_web.models import json_response
-from millfork_web.server import Exchange, Server
+from millfork_web.server import Server
 
 
 class Platform:
--- a/packages/millfork-standins/millfork_standins/service.py
+++ b/packages/millfork-standins/millfork_standins/service.py
@@ -9,8 +9,9 @@
 
 from millfork_standins.execution_log import ExecutionLog
 from millfork_standins.settings import ServiceSettings
+from millfork_web.exchange import Exchange
 from millfork_web.models import json_response
-from millfork_web.server import Exchange, Server
+from millfork_web.server import Server
 
 TURNED_AWAY: Final = 'turned_away'
 
--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -13,9 +13,10 @@
 
 from millfork_core.clocks import elapsed_s
 from millfork_core.logs import Component, logger
-from millfork_core.sockets import RESET_ON_CLOSE, is_quiet
+from millfork_core.sockets import is_quiet
 from millfork_core.verdicts import Reason, Refusal, Verdict
-from millfork_web.models import Headers, Request, Response, encode_headers
+from millfork_web.exchange import CallerGone, Exchange, has_received
+from millfork_web.models import Request
 from millfork_web.problem import problem
 
 READ_BYTES: Final = 64 * 1024
@@ -46,103 +47,6 @@
 log = logger(Component.DAEMON)
 
 
-class CallerGone(Exception):
-    """
-    Raised if the caller closes its connection before the response is complete.
-
-    """
-
-
-class Exchange:
-    """
-    One request on one connection, and the methods to respond to it. `started` tells whether any
-    part of a response may have been sent.
-
-    """
-
-    def __init__(self, server: 'Server', sock: Any, conn: h11.Connection, request: Request) -> None:
-        self.server = server
-        self.sock = sock
-        self.conn = conn
-        self.request = request
-        self.started = False
-
-    async def respond(self, response: Response) -> None:
-        """
-        Send one complete response.
-
-        """
-        headers = [*response.headers, ('content-length', str(len(response.body)))]
-        body = b'' if self.request.method == 'HEAD' else response.body
-        head = self._head(response.status, headers)
-        data = self.conn.send(h11.Data(data=body)) or b''
-        end = self.conn.send(h11.EndOfMessage()) or b''
-        await self._send(head + data + end)
-
-    async def start(self, status: int, headers: Headers) -> None:
-        """
-        Send the head of a streamed response; `write` and `finish` send the body.
-
-        """
-        await self._send(self._head(status, headers))
-
-    async def write(self, data: bytes) -> None:
-        await self._send(self.conn.send(h11.Data(data=data)) or b'')
-
-    async def finish(self) -> None:
-        await self._send(self.conn.send(h11.EndOfMessage()) or b'')
-
-    async def abort(self) -> None:
-        """
-        Close the connection before a streamed response is complete, in a way that shows the
-        caller that the response is incomplete.
-
-        """
-        self.conn.send_failed()
-        try:
-            if self.conn.their_http_version == b'1.0':
-                # The end of the connection is the end of such a response, unless it is a reset.
-                self.sock.setsockopt(socket_.SOL_SOCKET, socket_.SO_LINGER, RESET_ON_CLOSE)
-                return
-            await self.sock.shutdown(socket_.SHUT_RDWR)
-        except OSError as error:
-            log.debug('A connection was closed before it could be aborted: {}.', error)
-
-    def _head(self, status: int, headers: Headers) -> bytes:
-        if self.server.closing and not has_received(self.sock, self.conn):
-            headers = [*headers, ('connection', 'close')]
-        return (
-            self.conn.send(h11.Response(status_code=status, headers=encode_headers(headers))) or b''
-        )
-
-    async def _send(self, data: bytes) -> None:
-        self.started = True
-        try:
-            await self.sock.sendall(data)
-        except OSError as error:
-            self.conn.send_failed()
-            raise CallerGone(str(error)) from error
-        except curio.CancelledError:
-            self.conn.send_failed()
-            raise
-
-    async def wait_for_disconnect(self) -> None:
-        """
-        Return once the caller has closed its side of the connection, or reset it. The bytes of a
-        next request stay unread.
-
-        """
-        while True:
-            try:
-                data = await self.sock.recv(1, socket_.MSG_PEEK)
-            except OSError as error:
-                log.debug('A caller reset its connection: {}.', error)
-                return
-            if not data:
-                return
-            await curio.sleep(1.0)
-
-
 ExchangeHandler = Callable[[Exchange], Awaitable[None]]
 RefusalCallback = Callable[[Reason], None]
 Spawn = Callable[..., Awaitable[curio.Task]]
@@ -350,7 +254,7 @@
         if request is None:
             return False
         try:
-            await self._handle(Exchange(self, sock, conn, request))
+            await self._handle(self._exchange(sock, conn, request))
         except CallerGone as error:
             self._log_unanswered(address, f'the caller left: {error}')
             return False
@@ -358,6 +262,9 @@
             return False
         return not self.closing or has_received(sock, conn)
 
+    def _exchange(self, sock: Any, conn: h11.Connection, request: Request) -> Exchange:
+        return Exchange(sock, conn, request, lambda: self.closing)
+
     async def _handle(self, exchange: Exchange) -> None:
         request, conn = exchange.request, exchange.conn
         try:
@@ -387,7 +294,7 @@
         # The failed response may have left the old h11 connection in a state that allows no other
         # one. h11 adds 'Connection: close' to a response of a new one.
         conn = h11.Connection(h11.SERVER)
-        await Exchange(self, exchange.sock, conn, exchange.request).respond(response)
+        await self._exchange(exchange.sock, conn, exchange.request).respond(response)
 
     async def _refuse(
         self, sock: Any, conn: h11.Connection, address: Any, refusal: Refusal
@@ -404,7 +311,7 @@
             return
         response = problem(refusal)
         response.headers.append(('connection', 'close'))
-        await Exchange(self, sock, conn, Request('', '')).respond(response)
+        await self._exchange(sock, conn, Request('', '')).respond(response)
         await _discard_rest(sock)
 
     async def _wait_for_request(self, sock: Any, conn: h11.Connection) -> bool:
@@ -474,14 +381,6 @@
     return received and conn.our_state not in COMPLETE_STATES
 
 
-def has_received(sock: Any, conn: h11.Connection) -> bool:
-    """
-    Whether bytes have arrived that may be a request and that are not part of the last one.
-
-    """
-    return bool(conn.trailing_data[0]) or not is_quiet(sock)
-
-
 async def _next_event(sock: Any, conn: h11.Connection, deadline: float) -> Any:
     """
     Return the next event of a connection.
--- a/packages/millforkd/millforkd/admin.py
+++ b/packages/millforkd/millforkd/admin.py
@@ -7,8 +7,9 @@
 
 from millfork_core.environment import Environment
 from millfork_settings.seeded import SeededSettings
+from millfork_web.exchange import Exchange
 from millfork_web.models import Response, json_response
-from millfork_web.server import Exchange, Server
+from millfork_web.server import Server
 
 
 class Admin:
--- a/packages/millforkd/millforkd/entry/caller_requests.py
+++ b/packages/millforkd/millforkd/entry/caller_requests.py
@@ -18,9 +18,9 @@
 from millfork_settings.models import RoutingSettings
 from millfork_state.config import DEPLOYMENTS
 from millfork_state.view import View
+from millfork_web.exchange import CallerGone, Exchange
 from millfork_web.models import Request, Response
 from millfork_web.problem import problem
-from millfork_web.server import CallerGone, Exchange
 from millforkd.entry.access_control import AccessControl
 from millforkd.entry.attempts import Call
 from millforkd.entry.delivery import Delivery
--- a/packages/millforkd/millforkd/entry/daemon.py
+++ b/packages/millforkd/millforkd/entry/daemon.py
@@ -20,8 +20,9 @@
 from millfork_state.node import StateNode
 from millfork_state.replica import Replica
 from millfork_state.storage import Storage
+from millfork_web.exchange import Exchange
 from millfork_web.problem import problem
-from millfork_web.server import Exchange, Server
+from millfork_web.server import Server
 from millfork_weights.origin import Origin
 from millfork_wire import messages
 from millfork_wire.connection import Connection
--- a/packages/millforkd/millforkd/entry/delivery.py
+++ b/packages/millforkd/millforkd/entry/delivery.py
@@ -6,9 +6,9 @@
 from typing import Final
 
 from millfork_core.verdicts import Reason, Refusal, Verdict
+from millfork_web.exchange import Exchange
 from millfork_web.models import Headers, Response, find_header
 from millfork_web.retry_after import REJECTION_STATUSES
-from millfork_web.server import Exchange
 from millfork_wire.messages import Head
 from millforkd.entry.attempts import Attempt, TurnedAway
 
--- a/packages/millforkd/millforkd/entry/operator_requests.py
+++ b/packages/millforkd/millforkd/entry/operator_requests.py
@@ -31,9 +31,9 @@
 from millfork_state.roster import Roster
 from millfork_state.selection import deployments, select_endpoints
 from millfork_state.view import View
+from millfork_web.exchange import Exchange
 from millfork_web.models import Response, json_response
 from millfork_web.problem import problem
-from millfork_web.server import Exchange
 from millfork_weights.manifest import BadManifest, decode_manifest, digest_of
 from millfork_weights.origin import Origin, OriginFailed
 from millfork_wire.messages import Report
--- a/packages/millforkd/millforkd/member.py
+++ b/packages/millforkd/millforkd/member.py
@@ -17,7 +17,8 @@
 from millfork_state.roster import Roster
 from millfork_state.subscription import Subscription
 from millfork_state.view import View
-from millfork_web.server import Exchange, Server
+from millfork_web.exchange import Exchange
+from millfork_web.server import Server
 from millfork_wire.connection import Connection, Handler
 from millfork_wire.messages import AskRevision, Message, Subscribe, Update
 from millfork_wire.messages import Reports as ReportsMessage
--- a/packages/millforkd/millforkd/proxy/admission.py
+++ b/packages/millforkd/millforkd/proxy/admission.py
@@ -25,7 +25,7 @@
 from millfork_scheduling.first_tries import FirstTryDetector, FirstTryEstimate
 from millfork_scheduling.placement import Choice, Requirements
 from millfork_scheduling.retry_after import full_engines_wait_ms
-from millfork_web.server import Exchange
+from millfork_web.exchange import Exchange
 from millforkd.proxy.job import Job
 from millforkd.versions import VersionTracker
 
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -25,9 +25,10 @@
 from millfork_scheduling.quarantine import TrialSchedule
 from millfork_scheduling.server_table import ServerTable
 from millfork_settings.seeded import SeededSettings, split_host_port
+from millfork_web.exchange import Exchange
 from millfork_web.models import Response
 from millfork_web.problem import problem
-from millfork_web.server import Exchange, Server
+from millfork_web.server import Server
 from millfork_wire import messages
 from millfork_wire.connection import Connection, PeerError
 from millfork_wire.messages import Message
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -17,7 +17,7 @@
 from millfork_scheduling.quarantine import SuspicionLevel
 from millfork_scheduling.retry_after import closed_wait_ms, no_server_wait_ms, refusal_wait_ms
 from millfork_scheduling.server_table import ServerTable
-from millfork_web.server import CallerGone, Exchange
+from millfork_web.exchange import CallerGone, Exchange
 from millforkd.proxy.admission import Admission
 from millforkd.proxy.attempts import Attempt, FailedAttempt, Superseded
 from millforkd.proxy.backpressure import BackpressureRecorder
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -12,7 +12,7 @@
 from millfork_routing.documents import Organisation, Route
 from millfork_scheduling.admission import NO_START_ESTIMATE, StartEstimate
 from millfork_scheduling.placement import Requirements
-from millfork_web.server import Exchange
+from millfork_web.exchange import Exchange
 from millforkd.proxy.attempts import AnswerRace, FailedAttempt
 
 # The urgency (queue rank at an engine; 0 is served first) of a request with the usual priority.
--- a/packages/millforkd/millforkd/proxy/outcomes.py
+++ b/packages/millforkd/millforkd/proxy/outcomes.py
@@ -9,9 +9,9 @@
 from millfork_core.environment import Environment
 from millfork_core.logs import Component, logger
 from millfork_core.verdicts import Reason, Refusal, Verdict
+from millfork_web.exchange import Exchange
 from millfork_web.models import without_header
 from millfork_web.problem import problem
-from millfork_web.server import Exchange
 from millforkd.proxy.job import Job
 
 NOT_RUN_STATUS: Final = 503
--- a/packages/millforkd/millforkd/replica/control.py
+++ b/packages/millforkd/millforkd/replica/control.py
@@ -33,9 +33,9 @@
 from millfork_state.keys import DOCUMENT_KEY, version_key
 from millfork_state.leader_client import LeaderClient
 from millfork_state.view import View
+from millfork_web.exchange import Exchange
 from millfork_web.models import Response
 from millfork_web.problem import problem
-from millfork_web.server import Exchange
 from millforkd.document import find_new_document
 from millforkd.replica.replica_links import ReplicaLinks
 
--- a/tests/test_unanswered_calls.py
+++ b/tests/test_unanswered_calls.py
@@ -201,7 +201,11 @@
     requests = CallerRequests(
         environment(), RoutingSettings(), View(), OpenAccess(), dispatcher, claims
     )
-    server = Server('127.0.0.1', 1, requests.handle)
+
+    async def serve(task, *args):
+        await task(*args)
+
+    server = Server('127.0.0.1', 1, requests.handle, spawn=serve)
 
     async def run():
         near, far = tcp_pair()
@@ -209,7 +213,7 @@
         far.sendall(b'POST /services/s/ HTTP/1.1\r\nhost: a\r\nconnection: close\r\n')
         far.sendall(headers + b'content-length: 0\r\n\r\n')
         async with curio.timeout_after(TIMEOUT_S):
-            await server._serve(Socket(near), None)
+            await server._start_serving(Socket(near), None)
         received = b''
         while data := far.recv(65536):
             received += data
