--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -224,7 +224,9 @@
                 self.registry.endpoints.changed_since(self.applied_reports_version)
             )
             for server, changes in signals:
-                self.forwarding.backpressure.record(server, changes, SignalSource.DAEMON)
+                self.forwarding.attempt_runner.backpressure.record(
+                    server, changes, SignalSource.DAEMON
+                )
             self.applied_reports_version = self.registry.endpoints.version
             if self.admission.table is not None and self.server_table.servers:
                 await self.admission.ready_event.set()
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -13,22 +13,18 @@
 from millfork_core.logs import Component, logger
 from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
 from millfork_routing.shared_budget import SharedBudget
-from millfork_scheduling.placement import Choice, Requirements
+from millfork_scheduling.placement import Choice
 from millfork_scheduling.quarantine import SuspicionLevel
 from millfork_scheduling.retry_after import closed_wait_ms, no_server_wait_ms, refusal_wait_ms
 from millfork_scheduling.server_table import ServerTable
 from millfork_web.exchange import CallerGone, Exchange
 from millforkd.proxy.admission import Admission
-from millforkd.proxy.attempts import Attempt, FailedAttempt, Superseded
-from millforkd.proxy.backpressure import BackpressureRecorder
+from millforkd.proxy.attempt_runner import AttemptRunner
 from millforkd.proxy.connections import Pools
-from millforkd.proxy.end_detection import EndDetector
 from millforkd.proxy.job import Job
 from millforkd.proxy.load_queries import LoadQueries
 from millforkd.proxy.outcomes import RequestOutcomes
-from millforkd.proxy.request_sender import CONNECTION_FAILURES, REFUSAL_MARGIN_S, RequestSender
-from millforkd.proxy.response_monitor import SILENT_SERVER_S, ResponseMonitor
-from millforkd.proxy.response_relay import ResponseRelay
+from millforkd.proxy.request_sender import REFUSAL_MARGIN_S
 from millforkd.proxy.turned_away_directory import TurnedAwayDirectory
 from millforkd.quarantine import Quarantine
 
@@ -57,28 +53,10 @@
         self.adapter = adapter
         self.admission = admission
         self.server_table = server_table
-        self.pools = pools
-        self.budget = budget
         self.quarantine = quarantine
         self.turned_away = turned_away
-        self.load_queries = load_queries
-        self.backpressure = BackpressureRecorder(env)
-        self.end_detector = EndDetector(
-            env, quarantine.suspicion_store, server_table.incarnation_status
-        )
-        response_monitor = ResponseMonitor(env, admission, self._hedge, self._reserve_attempt)
-        self.response_relay = ResponseRelay(env, adapter, server_table, response_monitor)
-        self.request_sender = RequestSender(
-            env,
-            adapter,
-            admission,
-            server_table,
-            pools,
-            budget,
-            quarantine,
-            response_monitor,
-            self.response_relay,
-            self.backpressure,
+        self.attempt_runner = AttemptRunner(
+            env, adapter, admission, server_table, pools, budget, quarantine, load_queries
         )
         self.outcomes = RequestOutcomes(env, adapter)
 
@@ -148,7 +126,7 @@
             self.outcomes.record(job, 'broken_off', refusal)
             return
         if job.held_answer is not None:
-            await self.response_relay.relay_held(job, job.held_answer)
+            await self.attempt_runner.response_relay.relay_held(job, job.held_answer)
             self.outcomes.record(job, 'served_failure', refusal)
             return
         await self.outcomes.refuse(job.exchange, job.caller.request_id, refusal)
@@ -176,8 +154,8 @@
             refusal = self._refusal_before_send(job)
             if refusal is not None:
                 return refusal
-            job.requirements = self._current_requirements(job)
-            choice = await self._choose(job)
+            job.requirements = self.attempt_runner.current_requirements(job)
+            choice = await self.attempt_runner.choose(job)
             if choice is None:
                 return self._no_server_refusal(job)
             if not job.tried and not job.answer_started:
@@ -188,175 +166,19 @@
                     wait_ms = self.admission.retry_after_ms(job, choice)
                 if wait_ms:
                     return Refusal(Reason.BUSY, Verdict.NOT_RUN, 'all servers are busy', wait_ms)
-            if job.tried and not self._spend_retry(job):
+            if job.tried and not self.attempt_runner.spend_retry(job):
                 return self._final_refusal(job, Reason.RETRY_BUDGET)
-            if await self._run_attempt(job, self._begin_attempt(job, choice)):
+            attempt = self.attempt_runner.begin(job, choice)
+            if await self.attempt_runner.run(job, attempt):
                 return None
             if await job.race.wait_for_hedges():
                 return None
 
-    def _spend_retry(self, job: Job) -> bool:
-        """
-        Take a retry from the budget, unless one was reserved, or taken for an attempt that then
-        sent nothing. Returns False if the budget is used up.
-
-        """
-        return job.retry_paid or self.budget.spend(job.requirements.service)
-
-    def _reserve_attempt(self, job: Job) -> bool:
-        """
-        Take a retry from the budget for the next attempt of a job. Returns False if there is none,
-        the job may not be sent again, no back end can serve it now, or another attempt is in
-        progress.
-
-        """
-        if len(job.race.running) > 1 or not self._may_send_again(job):
-            return False
-        if self.server_table.choose(self._current_requirements(job), set(job.tried)) is None:
-            return False
-        job.retry_paid = self._spend_retry(job)
-        return job.retry_paid
-
-    def _current_requirements(self, job: Job) -> Requirements:
-        last_send = len(job.tried) + 1 >= job.route.max_attempts
-        return self.admission.with_current_versions(job.requirements, last_send)
-
-    def _begin_attempt(self, job: Job, choice: Choice) -> Attempt:
-        job.retry_paid = False
-        attempt = Attempt(choice, self.env.monotonic(), self.quarantine.suspicion_of(job))
-        job.race.begin(attempt)
-        return attempt
-
-    async def _run_attempt(self, job: Job, attempt: Attempt) -> bool:
-        """
-        Make one attempt, and record the back ends that may have ended during the attempt. Returns
-        whether the caller received an answer; if not, the failed attempt is added to the job.
-
-        """
-        try:
-            failed = await self.request_sender.send(job, attempt)
-        except (curio.TaskCancelled, CallerGone):
-            if not attempt.superseded:
-                await self._record_caller_left(job, attempt)
-            raise
-        except Superseded:
-            failed = FailedAttempt(
-                Reason.SUPERSEDED, Verdict.MAY_HAVE_RUN, 'another back end answered first'
-            )
-        finally:
-            job.race.running.remove(attempt)
-        if failed is None:
-            return True
-        if failed.verdict is not Verdict.NOT_RUN and failed.reason in CONNECTION_FAILURES:
-            for server in attempt.choice.servers:
-                await self.end_detector.record_broken_connection(server, attempt.before)
-        if failed.reason is Reason.TIMED_OUT:
-            await self._record_caller_left(job, attempt)
-        self._record_failed(job, attempt, failed)
-        return False
-
-    def _record_failed(self, job: Job, attempt: Attempt, failed: FailedAttempt) -> None:
-        job.retry_paid = job.retry_paid or not failed.sent
-        job.failures.append(failed)
-        self.env.metrics.retried(failed.reason)
-        log.info(
-            'Attempt failed. id={} server={} reason={} verdict={} detail={} ms={:.0f} '
-            'fingerprint={} ends={}',
-            job.caller.request_id,
-            attempt.server.instance,
-            failed.reason.value,
-            failed.verdict.value,
-            failed.detail,
-            (self.env.monotonic() - job.received_at) * 1000,
-            attempt.before.fingerprint,
-            self.quarantine.suspicion_of(job).ends,
-        )
-
-    async def _record_caller_left(self, job: Job, attempt: Attempt) -> None:
-        """
-        Record once for a job that its caller left, or that its deadline passed, while back ends of
-        this attempt or of the one beside it had not answered.
-
-        """
-        if job.left_recorded:
-            return
-        job.left_recorded = True
-        attempts = {attempt, *job.race.running}
-        servers = [server for other in attempts for server in other.pending_servers]
-        if servers:
-            await self.end_detector.record_caller_left(servers, attempt.before)
-
-    async def _hedge(self, job: Job, attempt: Attempt) -> None:
-        """
-        Start another attempt beside one whose back end is silent, if the job may be sent again and
-        a back end can serve it now. Called again and again while the silence lasts.
-
-        """
-        await self._record_silence(job, attempt)
-        if not job.race.may_hedge or not self._may_send_again(job):
-            return
-        job.requirements = self._current_requirements(job)
-        choice = await self._choose(job)
-        if choice is None or not job.race.may_hedge or not self._spend_retry(job):
-            return
-        log.info(
-            'Hedged. id={} silent={} server={} ms={:.0f}',
-            job.caller.request_id,
-            attempt.server.instance,
-            choice.server.instance,
-            (self.env.monotonic() - job.received_at) * 1000,
-        )
-        hedge = self._begin_attempt(job, choice)
-        job.race.hedges.append(await self.env.spawn(self._run_attempt, job, hedge))
-
-    def _may_send_again(self, job: Job) -> bool:
-        return (
-            job.may_be_repeated
-            and len(job.tried) < job.route.max_attempts
-            and job.remaining_s(self.env.monotonic()) > REFUSAL_MARGIN_S
-            and self.quarantine.level_of(job) is SuspicionLevel.FREE
-        )
-
-    async def _record_silence(self, job: Job, attempt: Attempt) -> None:
-        """
-        Record that the back end of an attempt is silent. It may only pause, so it is avoided for
-        new requests (unless it answers others) and watched for its end, but the request is not
-        suspected.
-
-        """
-        now = self.env.monotonic()
-        if now - attempt.server.last_received_at > SILENT_SERVER_S:
-            attempt.server.record_silence(now)
-        if attempt.was_silent:
-            return
-        attempt.was_silent = True
-        log.info(
-            'Back end silent. id={} server={} answer_started={} ms={:.0f} fingerprint={}',
-            job.caller.request_id,
-            attempt.server.instance,
-            job.answer_started,
-            (now - job.received_at) * 1000,
-            attempt.before.fingerprint,
-        )
-        for server in attempt.choice.servers:
-            await self.end_detector.record_silence(server, attempt.before)
-
-    async def _choose(self, job: Job) -> Choice | None:
-        """
-        Choose a back end; None if none can serve the job. Where the choice may depend on the
-        current loads of engines, their daemons are queried first.
-
-        """
-        tried = set(job.tried)
-        candidates = self.server_table.sample_candidates(job.requirements, tried)
-        await self.load_queries.refresh(candidates)
-        return self.server_table.choose(job.requirements, tried, candidates or None)
-
     def _choose_among_freest(self, job: Job) -> Choice | None:
         """
         Choose among the engines with the lowest share of occupied slots, after the engines that
-        `_choose` compared were too busy for a job. None if almost all slots are occupied, or if
-        no back end can serve the job.
+        `AttemptRunner.choose` compared were too busy for a job. None if almost all slots are
+        occupied, or if no back end can serve the job.
 
         """
         tried = set(job.tried)
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -298,7 +298,7 @@
         'tests/test_silent_back_ends.py::test_another_back_end_goes_on_for_one_that_stays_silent',
         (
             Edit(
-                D + 'proxy/forwarding.py',
+                D + 'proxy/attempt_runner.py',
                 'if not job.race.may_hedge or not self._may_send_again(job):',
                 'if True:',
             ),
@@ -309,9 +309,9 @@
         'tests/test_silent_back_ends.py::test_a_pause_costs_no_answer_if_the_other_back_end_fails',
         (
             Edit(
-                D + 'proxy/forwarding.py',
-                'job.race.hedges.append(await self.env.spawn(self._run_attempt, job, hedge))',
-                'job.race.hedges.append(await self.env.spawn(self._run_attempt, job, hedge))\n'
+                D + 'proxy/attempt_runner.py',
+                'job.race.hedges.append(await self.env.spawn(self.run, job, hedge))',
+                'job.race.hedges.append(await self.env.spawn(self.run, job, hedge))\n'
                 '        await job.race.claim(hedge)',
             ),
         ),
@@ -449,7 +449,7 @@
         'tests/test_forwarding.py::test_a_repeat_that_was_not_sent_spends_the_budget_once',
         (
             Edit(
-                D + 'proxy/forwarding.py',
+                D + 'proxy/attempt_runner.py',
                 'job.retry_paid = job.retry_paid or not failed.sent',
                 'job.retry_paid = False',
             ),
--- a/tests/test_hedged_requests.py
+++ b/tests/test_hedged_requests.py
@@ -17,9 +17,9 @@
 from millfork_scheduling.server import Server
 from millfork_scheduling.server_table import ServerTable
 from millforkd.proxy import end_detection
+from millforkd.proxy.attempt_runner import AttemptRunner
 from millforkd.proxy.attempts import AnswerRace, Attempt, Superseded
 from millforkd.proxy.end_detection import EndDetector, ProbeResult
-from millforkd.proxy.forwarding import Forwarding
 from tests.test_servers import Clock, chosen, lease
 
 FINGERPRINT = Fingerprint('ab')
@@ -86,10 +86,10 @@
     assert (silent.failures, silent.failure_rate) == (0, 0.0)
 
 
-def forwarding_whose_attempt_is_cancelled(callers_left):
+def runner_whose_attempt_is_cancelled(callers_left):
     """
-    A `Forwarding` whose attempts are cancelled while they wait for their back ends. The back ends
-    at which callers left are added to `callers_left`.
+    An `AttemptRunner` whose attempts are cancelled while they wait for their back ends. The back
+    ends at which callers left are added to `callers_left`.
 
     """
 
@@ -99,21 +99,21 @@
     async def record_caller_left(servers, before):
         callers_left.append([server.instance for server in servers])
 
-    forwarding = object.__new__(Forwarding)
-    forwarding.request_sender = SimpleNamespace(send=send)
-    forwarding.end_detector = SimpleNamespace(record_caller_left=record_caller_left)
-    return forwarding
+    runner = object.__new__(AttemptRunner)
+    runner.request_sender = SimpleNamespace(send=send)
+    runner.end_detector = SimpleNamespace(record_caller_left=record_caller_left)
+    return runner
 
 
 def cancel(scenario, attempts):
     callers_left = []
-    forwarding = forwarding_whose_attempt_is_cancelled(callers_left)
+    runner = runner_whose_attempt_is_cancelled(callers_left)
     job = SimpleNamespace(race=scenario.race, left_recorded=False)
     for attempt in attempts:
         attempt.pending_servers = (attempt.server,)
     for attempt in attempts:
         with pytest.raises(curio.TaskCancelled):
-            curio.run(forwarding._run_attempt, job, attempt)
+            curio.run(runner.run, job, attempt)
     return callers_left
 
 
--- a/tests/test_requests_at_changing_engines.py
+++ b/tests/test_requests_at_changing_engines.py
@@ -34,10 +34,10 @@
         super().__init__(*[2] * engines)
         self.requests = requests
         self.first = self.servers[0]
-        self.forwarding.budget = SharedBudget(
+        self.forwarding.attempt_runner.budget = SharedBudget(
             0.0, retries / 0.7, 10.0, lambda: 1, self.clock, lambda: True
         )
-        self.forwarding.budget.count_entries()
+        self.forwarding.attempt_runner.budget.count_entries()
         self.clock.now += 11.0
         self.job.deadline = self.clock.now + 6.0
         self.job.route = SimpleNamespace(repeatable=True, max_attempts=max_attempts)
@@ -94,7 +94,12 @@
     refusal = changing.run()
     assert changing.sent == ['i-0', 'i-1']
     assert changing.job.failures[0].reason is Reason.NOT_SERVABLE
-    assert changing.forwarding.budget.current_share(changing.job.requirements.service).spent == 1
+    assert (
+        changing.forwarding.attempt_runner.budget.current_share(
+            changing.job.requirements.service
+        ).spent
+        == 1
+    )
     assert refusal.verdict is Verdict.MAY_HAVE_RUN
 
 
