A replica creates its log also where changes of file times are ignored

Cause: Path.touch first sets the times of the file and takes a success for its existence; the users' platform accepts that call for any file. Change: the log is opened with O_CREAT. The test failed before.

--- a/packages/millfork-state/millfork_state/storage.py
+++ b/packages/millfork-state/millfork_state/storage.py
@@ -28,6 +28,7 @@
 VOTE_FILE: Final = 'vote'
 SNAPSHOT_FILE: Final = 'snapshot'
 LOG_FILE: Final = 'log'
+NEW_FILE_MODE: Final = 0o644
 # Errors of a disk that is full or failing. The disk may recover within seconds, so a starting
 # replica retries after these errors. A replica that can't start for OPEN_TIMEOUT_S needs an
 # operator.
@@ -212,8 +213,8 @@
         # The highest index that the log file marked as committed when it was opened. Later log
         # entries may be committed too.
         self.commit_hint = self._load_log()
-        self.log_path.touch()
-        self.file = self.log_path.open('r+b', buffering=0)
+        descriptor = os.open(self.log_path, os.O_RDWR | os.O_CREAT, NEW_FILE_MODE)
+        self.file = os.fdopen(descriptor, 'r+b', buffering=0)
         # The size of the part of the log file that is synced, and the bytes after it.
         self.synced_bytes = self.log_path.stat().st_size
         self.unsynced = bytearray()
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -56,6 +56,12 @@
         Storage(tmp_path)
 
 
+def test_the_log_is_created_on_a_file_system_that_ignores_changes_of_times(tmp_path, monkeypatch):
+    monkeypatch.setattr(os, 'utime', lambda *arguments, **keywords: None)
+    write(tmp_path, entries(1))
+    assert [entry.index for entry in Storage(tmp_path).entries] == [1]
+
+
 def test_damaged_vote_stops_the_start(tmp_path):
     Storage(tmp_path).close()
     data = bytearray((tmp_path / 'vote').read_bytes())
