--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -386,11 +386,14 @@
 
 
 def test_pipelined_requests_are_all_answered_on_a_stop():
+    servers = []
+
     async def answer_and_stop(exchange):
-        exchange.server.closing = True
+        servers[0].closing = True
         await answer(exchange)
 
     async def scenario(harness):
+        servers.append(harness.server)
         sock = await harness.connect()
         await sock.sendall(REQUEST * 3)
         return await read_to_end(sock)
