The watch for callers that leave has no dead handler; one check for a second attempt

wait_for_disconnect takes a reset for a disconnect since 'A call of a listed fleet ends with its caller, also after a reset', so the caught OSError (passed over without a log line) can't occur. reserve_attempt asks the race, as the hedge does. A docstring of the balance is wrapped.

--- a/packages/millfork-routing/millfork_routing/balance.py
+++ b/packages/millfork-routing/millfork_routing/balance.py
@@ -151,11 +151,10 @@
     Choose the endpoint for a request; None if all endpoints were tried or are unusable.
 
     Endpoints that turned no request away and were not silent recently come first; of these, those
-    with free
-    capacity in `zone`, then those with free capacity in any zone, then the full ones. Within the
-    first of these groups that isn't empty, the key `affinity` decides, but endpoints loaded above
-    `BOUNDED_LOAD` times the mean are skipped. If the key is empty, the least loaded endpoint is
-    chosen.
+    with free capacity in `zone`, then those with free capacity in any zone, then the full ones.
+    Within the first of these groups that isn't empty, the key `affinity` decides, but endpoints
+    loaded above `BOUNDED_LOAD` times the mean are skipped. If the key is empty, the least loaded
+    endpoint is chosen.
 
     """
     usable = [b for b in backends if b.instance not in tried and is_usable(b, organisation, now)]
--- a/packages/millforkd/millforkd/proxy/attempt_runner.py
+++ b/packages/millforkd/millforkd/proxy/attempt_runner.py
@@ -86,7 +86,7 @@
         progress.
 
         """
-        if len(job.race.running) > 1 or not self._may_send_again(job):
+        if not (job.race.may_hedge and self._may_send_again(job)):
             return False
         if self.server_table.choose(self.current_requirements(job), set(job.tried)) is None:
             return False
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -108,10 +108,7 @@
             await watcher.cancel()
 
     async def _watch_caller(self, job: Job, task: curio.Task) -> None:
-        try:
-            await job.exchange.wait_for_disconnect()
-        except OSError:
-            pass
+        await job.exchange.wait_for_disconnect()
         job.caller_gone = True
         await task.cancel(blocking=False)
 
