The last line of a request tells what ended the body of its answer

The log of the broken-off streams could not tell whether a stream without length or chunks ended with its connection, or one in chunks with its last chunk: both are `outcome=served`. `framing` and `unfinished_bytes` tell.

--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -15,6 +15,7 @@
 from millfork_core.sockets import RESET_ON_CLOSE, connect, is_quiet
 from millfork_core.verdicts import Reason, Verdict
 from millfork_scheduling.server import Server
+from millfork_web.framing import Framing, read_framing
 from millfork_web.models import Headers, encode_headers
 
 READ_BYTES: Final = 64 * 1024
@@ -60,8 +61,10 @@
         self.used_at = 0.0
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self.reused = False
+        self.method = ''
         self.status = 0
         self.headers: Headers = []
+        self.framing = Framing.LENGTH
         # Whether the answer was received to its end.
         self.complete = False
         # Whether the connection broke off, or was silent until another back end took over.
@@ -76,6 +79,7 @@
 
         """
         self.complete = False
+        self.method = method
         if body or method not in ('GET', 'HEAD', 'DELETE', 'OPTIONS'):
             headers = [item for item in headers if item[0] != 'content-length']
             headers = [*headers, ('content-length', str(len(body)))]
@@ -91,7 +95,7 @@
 
     async def read_head(self) -> None:
         """
-        Read the head of the answer into `status` and `headers`.
+        Read the head of the answer into `status`, `headers` and `framing`.
 
         :raises SendFailed: if no valid answer arrives; with verdict MAY_HAVE_RUN.
 
@@ -103,6 +107,7 @@
             raise self._connection_lost('the server closed the connection without an answer')
         self.status = event.status_code
         self.headers = [(name.decode(), value.decode('latin-1')) for name, value in event.headers]
+        self.framing = read_framing(self.method, self.status, self.headers)
 
     async def read(self) -> bytes:
         """
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -13,6 +13,7 @@
 from millfork_scheduling.admission import NO_START_ESTIMATE, StartEstimate
 from millfork_scheduling.placement import Requirements
 from millfork_web.exchange import Exchange
+from millfork_web.framing import Framing
 from millforkd.proxy.attempts import AnswerRace, FailedAttempt
 
 # The urgency (queue rank at an engine; 0 is served first) of a request with the usual priority.
@@ -71,6 +72,10 @@
     held_answer: HeldAnswer | None = None
     # The status of the back end's answer that was passed on; 0 if there was none.
     status: int = 0
+    # What ended the body of the answer that was passed on last; None if there was none.
+    framing: Framing | None = None
+    # The number of bytes after the last complete event of a stream that was passed on to its end.
+    unfinished_bytes: int = 0
     first_byte_at: float | None = None
     # The id of the last event passed on to the caller; None if no event with an id was passed on.
     last_event: int | None = None
--- a/packages/millforkd/millforkd/proxy/outcomes.py
+++ b/packages/millforkd/millforkd/proxy/outcomes.py
@@ -65,7 +65,8 @@
             'Request ended. id={} outcome={} status={} route={} service={} organisation={} '
             'document={} servers={} first_ms={:.0f} ms={:.0f} reason={} verdict={} '
             'expected_ms={:.0f} left_ms={:.0f} occupied={} load_age_ms={:.0f} elapsed_ms={} '
-            'deadline_ms={} version={} before_end_ms={:.0f} fingerprint={}',
+            'deadline_ms={} version={} before_end_ms={:.0f} fingerprint={} framing={} '
+            'unfinished_bytes={}',
             job.caller.request_id,
             outcome,
             job.status,
@@ -87,6 +88,8 @@
             job.sent_version,
             job.version_remaining_ms,
             job.fingerprint or '',
+            job.framing.value if job.framing is not None else '',
+            job.unfinished_bytes,
         )
 
 
--- a/packages/millforkd/millforkd/proxy/response_relay.py
+++ b/packages/millforkd/millforkd/proxy/response_relay.py
@@ -82,6 +82,7 @@
     async def _claim(self, job: Job, attempt: Attempt, connection: ServerConnection) -> None:
         await job.race.claim(attempt)
         job.status = connection.status
+        job.framing = connection.framing
 
     async def _respond_large(
         self, job: Job, attempt: Attempt, connection: ServerConnection, received: bytes
@@ -123,6 +124,7 @@
             await self._write(job, attempt, connection, events)
             if splitter.last_id is not None:
                 job.last_event = splitter.last_id
+        job.unfinished_bytes = len(splitter.incomplete)
         if splitter.incomplete or not job.answer_started:
             await self._write(job, attempt, connection, splitter.incomplete)
         await self._claim(job, attempt, connection)
