--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -19,16 +19,19 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
+from enum import Enum
 from http.client import HTTPConnection, HTTPException
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from typing import Any, Final
 
+from millfork_core.sockets import RESET_ON_CLOSE
 from millfork_platform import client_requests
 from millfork_platform.settings_templates import TemplateValues, render_settings
 from millfork_registry.records import Lease, LeaseState
 from millfork_routing.documents import Document
 from millfork_settings.seeded import SeededRole
+from millfork_web.framing import Framing
 from millfork_web.models import Request
 
 ROOT: Final = Path(__file__).parents[3]
@@ -48,10 +51,21 @@
 # Requests with this path prefix are answered with `LARGE_ANSWER`.
 LARGE_PATH: Final = '/large/'
 LARGE_ANSWER: Final = b'large answer' * 20_000
-# A request with this body crashes the back end that runs it.
+# A request with this body crashes the back end that runs it, if it is for a stream inside an event.
 CRASHING_BODY: Final = b'this ends the back end that runs it'
 
 
+class BreakKind(Enum):
+    """
+    How a stream breaks off: the connection is closed or reset, or the last chunk is sent.
+
+    """
+
+    CLOSE = 'close'
+    RESET = 'reset'
+    LAST_CHUNK = 'last_chunk'
+
+
 @dataclass(slots=True)
 class Reply:
     """
@@ -64,12 +78,27 @@
     body: bytes = b''
 
 
-def call(host: str, port: int, request: Request) -> Reply:
+class Http10Connection(HTTPConnection):
+    """
+    A connection of a caller that uses HTTP/1.0.
+
+    """
+
+    _http_vsn = 10
+    _http_vsn_str = 'HTTP/1.0'
+
+
+def call(
+    host: str,
+    port: int,
+    request: Request,
+    connection_type: type[HTTPConnection] = HTTPConnection,
+) -> Reply:
     """
     Send one request on a new connection and return the reply.
 
     """
-    connection = HTTPConnection(host, port, timeout=CALL_TIMEOUT_S)
+    connection = connection_type(host, port, timeout=CALL_TIMEOUT_S)
     try:
         connection.request(request.method, request.path, request.body, dict(request.headers))
         response = connection.getresponse()
@@ -111,6 +140,9 @@
         if request_body == CRASHING_BODY:
             self.close_connection = True
             self.server.crash_request_count += 1
+            if self.path.startswith(STREAM_PATH):
+                self._send_stream_head()
+                self._send_chunk(stream_event(1) + stream_event(2)[:-1])
             time.sleep(self.server.crash_delay_s)
             self.server.crash()
             return
@@ -140,7 +172,10 @@
         self._send_extra_headers()
         self.send_header(client_requests.REQUEST_ID, self.headers[client_requests.REQUEST_ID])
         self.send_header(client_requests.SIGNATURE, self.server.instance)
-        self.send_header('content-length', str(len(body)))
+        if self.server.fleet.framing is Framing.CONNECTION:
+            self.close_connection = True
+        else:
+            self.send_header('content-length', str(len(body)))
         self.end_headers()
         if body is LARGE_ANSWER and self.server.fleet.take_break(1):
             self._break_off(body[: len(body) // 2])
@@ -151,6 +186,10 @@
     def _break_off(self, last_data: bytes) -> None:
         self.wfile.write(last_data)
         self.close_connection = True
+        if self.server.fleet.break_kind is BreakKind.RESET:
+            self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            self.connection.close()
+            return
         self.connection.shutdown(socket.SHUT_RDWR)
 
     def _send_failure(self) -> None:
@@ -164,24 +203,44 @@
         Send the events after the one that the request names as the last one received.
 
         """
-        self.send_response(200)
-        self.send_header(client_requests.REQUEST_ID, self.headers[client_requests.REQUEST_ID])
-        self.send_header(client_requests.SIGNATURE, self.server.instance)
-        self.send_header('content-type', 'text/event-stream')
-        self.send_header('transfer-encoding', 'chunked')
-        self.end_headers()
+        self._send_stream_head()
         last_received = int(self.headers.get(client_requests.LAST_EVENT_ID, '0'))
         for number in range(last_received + 1, STREAM_EVENTS + 1):
             if self.server.fleet.take_break(number):
-                self._break_off(b'')
+                self._break_stream(stream_event(number))
                 return
             time.sleep(self.server.event_interval_s)
             self.server.wait_while_silent()
             self._send_chunk(stream_event(number))
             self.server.reach_event(number)
+        if self.server.fleet.stream_tail:
+            self._send_chunk(self.server.fleet.stream_tail)
         self._send_chunk(b'')
 
+    def _send_stream_head(self) -> None:
+        self.send_response(200)
+        self.send_header(client_requests.REQUEST_ID, self.headers[client_requests.REQUEST_ID])
+        self.send_header(client_requests.SIGNATURE, self.server.instance)
+        self.send_header('content-type', 'text/event-stream')
+        if self.server.fleet.framing is Framing.CONNECTION:
+            self.close_connection = True
+        else:
+            self.send_header('transfer-encoding', 'chunked')
+        self.end_headers()
+
+    def _break_stream(self, event: bytes) -> None:
+        fleet = self.server.fleet
+        if fleet.break_event_bytes:
+            self._send_chunk(event[: fleet.break_event_bytes])
+        if fleet.break_kind is BreakKind.LAST_CHUNK:
+            self._send_chunk(b'')
+            return
+        self._break_off(b'')
+
     def _send_chunk(self, data: bytes) -> None:
+        if self.server.fleet.framing is Framing.CONNECTION:
+            self.wfile.write(data)
+            return
         self.wfile.write(b'%x\r\n%s\r\n' % (len(data), data))
 
     def _send_extra_headers(self) -> None:
@@ -410,6 +469,14 @@
         # The event before which streams break off, and the number of streams that are still to.
         self.break_before_event = 0
         self.breaks_left = 0
+        # How they break off, and how many bytes of that event they send before.
+        self.break_kind = BreakKind.CLOSE
+        self.break_event_bytes = 0
+        # How the end of an answer shows: streams are sent in chunks, other answers with a length,
+        # unless this is CONNECTION.
+        self.framing = Framing.CHUNKED
+        # Sent after the last event of a whole stream.
+        self.stream_tail = b''
         # The number of resumed streams that are still to be answered with status 500.
         self.resume_failures_left = 0
         # The script that starts a daemon.
@@ -515,12 +582,17 @@
     def put_document(self, document: Document) -> Reply:
         return self.control(client_requests.put_document_request(document))
 
-    def send_request(self, request: Request, entry: int = 0) -> Reply:
+    def send_request(
+        self,
+        request: Request,
+        entry: int = 0,
+        connection_type: type[HTTPConnection] = HTTPConnection,
+    ) -> Reply:
         """
         Send a caller's request to one entry.
 
         """
-        return call(self.entry_hosts[entry], CALLERS_PORT, request)
+        return call(self.entry_hosts[entry], CALLERS_PORT, request, connection_type)
 
     def send_load(
         self, make_request: Callable[[], Request], per_s: float, seconds: float
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -15,13 +15,16 @@
 import itertools
 import re
 import threading
+from functools import partial
 
 import pytest
 
 from millfork_platform import client_requests
-from millfork_standins.seeded import CRASHING_BODY, SeededFleet
+from millfork_standins.seeded import CRASHING_BODY, STREAM_PATH, SeededFleet
+from millfork_web.framing import Framing
 from tests.test_seeded_fleet import document, request
 from tests.test_version_ends import wait_for_seconds
+from tests.utils import streams
 from tests.utils.fleets import wait_until
 
 TRIES = 8
@@ -89,6 +92,17 @@
         assert fleet.send_request(request('/safe/x', 'POST', body=b'another'), entry).status == 200
 
 
+def test_a_stream_that_ends_back_ends_inside_an_event_is_sent_no_more(fleet):
+    fleet.framing = Framing.CONNECTION
+    assert fleet.put_document(streams.document(max_attempts=1, version=2)).status == 200
+    crashing_stream = partial(crashing_request, STREAM_PATH)
+    wait_until(lambda: fleet.send_request(request(STREAM_PATH), 0).status == 200)
+    for _ in range(TRIES):
+        reply = fleet.send_request(crashing_stream())
+        assert reply.status in (0, 502, 503)
+    assert count_ended(fleet) <= ENDS_BEFORE_QUARANTINE + 1
+
+
 def test_the_quarantine_outlives_all_processes_at_once(fleet):
     send_until(fleet, lambda: is_quarantined(fleet))
     before = count_ended(fleet)
