Broken-off streams on listed fleets, and interrupted answers: failing tests

An engine of a listed fleet that closes inside an event, sends its last chunk there, or closes before its last event reaches the caller as a complete answer, and such an answer is stored under its idempotency key. An entry that interrupts a connection itself reads the end of an answer without length.

--- a/packages/millfork-standins/millfork_standins/engine.py
+++ b/packages/millfork-standins/millfork_standins/engine.py
@@ -172,12 +172,35 @@
             response.headers += headers
             await exchange.respond(response)
             return
-        await exchange.start(200, [('content-type', 'text/event-stream'), *headers])
+        data = []
         for position in positions:
-            await curio.sleep(self.settings.token_ms / 1000)
             event = {'text': token(key, prompt, position), 'nonce': body.get('nonce')}
-            await exchange.write(f'data: {json.dumps(event)}\n\n'.encode())
-        await exchange.write(b'data: [DONE]\n\n')
+            data.append(f'data: {json.dumps(event)}\n\n'.encode())
+        data.append(b'data: [DONE]\n\n')
+        if 'cut' in body:
+            data = _cut(data, body['cut'])
+        await self._send_stream(exchange, headers, data, body.get('unframed', False))
+
+    async def _send_stream(
+        self, exchange: Exchange, headers: Headers, data: list[bytes], unframed: bool
+    ) -> None:
+        """
+        Send a stream in chunks or, if `unframed` is set, without chunks on a connection whose end
+        is the end of the stream.
+
+        """
+        headers = [('content-type', 'text/event-stream'), *headers]
+        if unframed:
+            lines = ''.join(f'{name}: {value}\r\n' for name, value in headers)
+            await exchange.sock.sendall(f'HTTP/1.1 200 OK\r\n{lines}\r\n'.encode())
+        else:
+            await exchange.start(200, headers)
+        for part in data:
+            await curio.sleep(self.settings.token_ms / 1000)
+            await (exchange.sock.sendall(part) if unframed else exchange.write(part))
+        if unframed:
+            await exchange.abort()
+            return
         await exchange.finish()
 
     async def _crash(self, exchange: Exchange, headers: Headers, is_stream: bool) -> None:
@@ -258,6 +281,18 @@
         await exchange.respond(json_response({'prefix': prefix}, 200 if is_cached else 404))
 
 
+def _cut(data: list[bytes], byte_count: int) -> list[bytes]:
+    """
+    The first `byte_count` bytes of `data`.
+
+    """
+    kept = []
+    for part in data:
+        kept.append(part[:byte_count])
+        byte_count -= len(kept[-1])
+    return [part for part in kept if part]
+
+
 def _now() -> float:
     return time.monotonic()
 
--- a/tests/test_backend_gateway.py
+++ b/tests/test_backend_gateway.py
@@ -14,6 +14,7 @@
 from millfork_core.verdicts import Reason, Verdict
 from millfork_settings.models import Address, BackendKind, BackendSettings
 from millfork_state.commands import SettleKey, decode_command, encode_command
+from millfork_web.framing import Framing
 from millfork_web.models import Response
 from millfork_wire.connection import PeerLost
 from millfork_wire.messages import Cancel, End, Head, Part, Reserve, Start
@@ -33,6 +34,7 @@
     def __init__(self, response):
         self.status = response.status
         self.headers = response.headers
+        self.framing = Framing.CONNECTION
         self.response = response
 
     def header(self, name):
@@ -251,6 +253,21 @@
     assert command.body == b'answer'
 
 
+def test_a_stream_that_ends_inside_an_event_is_not_stored_under_its_key():
+    harness = GatewayHarness(BackendKind.PLAIN)
+    headers = [('content-type', 'text/event-stream')]
+    harness.backend.response = Response(200, headers, b'data: 1\n\ndata: ')
+
+    async def reserve():
+        return await harness.reserve(key='org/pool/k', attempt='claim')
+
+    run_steps(
+        harness, reserve, harness.start, lambda: lose_entry(harness), harness.backend.gate.set
+    )
+    assert harness.gateway.in_progress == 0
+    assert harness.leader_client.commands == []
+
+
 def test_a_key_is_never_released_by_an_endpoint():
     harness = GatewayHarness(BackendKind.PLAIN)
 
--- a/tests/test_proxy_connections.py
+++ b/tests/test_proxy_connections.py
@@ -76,6 +76,21 @@
         curio.run(run, listener)
 
 
+def test_an_interruption_is_not_the_end_of_an_answer_without_length():
+    async def run(listener):
+        _, connection, peer = await pool_with_sent_request(listener)
+        peer.sendall(b'HTTP/1.1 500 Internal Server Error\r\n\r\npart')
+        await connection.read_head()
+        assert await connection.read() == b'part'
+        await connection.interrupt()
+        with pytest.raises(SendFailed) as failure:
+            await connection.read()
+        assert failure.value.verdict is Verdict.MAY_HAVE_RUN
+
+    with Listener() as listener:
+        curio.run(run, listener)
+
+
 def test_a_connection_with_bytes_after_the_answer_is_not_reused():
     async def run(listener):
         pool, connection, peer = await pool_with_sent_request(listener)
