A stream that ends inside an event has been broken off

What callers saw: a stream whose back end closed the connection in the middle of an event, or sent its last chunk there, reached them framed as complete: the events so far and a part of the next one, with status 200.

Cause: the relay took the end of the body for the end of the stream and passed on what had arrived of an unfinished event. Without length or chunks, the end of the connection is the end of the body, so a back end that crashes and closes looked like one that had finished. Class: the end of a transfer is taken for the end of its content.

A stream that ends there is a failed attempt, as one whose connection is reset: it is resumed, or sent again if no event was passed on, or visibly broken off, and its end counts in the suspicion of the request. Lone newlines and comments after the last event are passed on as before. A stream that was asked for from its beginning and whose connection closes before any byte is no answer either.

--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -142,6 +142,15 @@
         while await self.read():
             pass
 
+    def broken_off(self, detail: str) -> SendFailed:
+        """
+        The error for an answer that has ended, but whose content shows that it is incomplete. If
+        the end of the connection ended the answer, the connection counts as lost.
+
+        """
+        self.lost = self.framing is Framing.CONNECTION
+        return SendFailed(Reason.TRUNCATED, Verdict.RAN, detail)
+
     def _connection_lost(self, detail: str) -> SendFailed:
         self.lost = True
         return SendFailed(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, detail)
--- a/packages/millforkd/millforkd/proxy/response_relay.py
+++ b/packages/millforkd/millforkd/proxy/response_relay.py
@@ -9,10 +9,11 @@
 from millfork_core.environment import Environment
 from millfork_core.verdicts import Reason, Verdict
 from millfork_scheduling.server_table import ServerTable
+from millfork_web.event_stream import EventSplitter, InvalidEventStream
+from millfork_web.framing import Framing
 from millfork_web.models import Response, without_header
 from millforkd.proxy.attempts import Attempt
 from millforkd.proxy.connections import SendFailed, ServerConnection
-from millforkd.proxy.event_stream import EventSplitter, InvalidEventStream
 from millforkd.proxy.job import HeldAnswer, Job
 from millforkd.proxy.response_monitor import ResponseMonitor
 
@@ -102,7 +103,8 @@
         Pass the complete events of a stream on as they arrive. If the caller has received events
         from another back end before, the stream must continue with the event after the last one.
 
-        :raises SendFailed: if the stream breaks off, is malformed or continues with another event.
+        :raises SendFailed: if the stream breaks off or ends inside an event, is malformed or
+            continues with another event.
         :raises Superseded: if another attempt has claimed the answer.
 
         """
@@ -125,6 +127,10 @@
             if splitter.last_id is not None:
                 job.last_event = splitter.last_id
         job.unfinished_bytes = len(splitter.incomplete)
+        if splitter.is_inside_event:
+            raise connection.broken_off('the stream ended inside an event')
+        if connection.framing is Framing.CONNECTION and _is_empty(job, splitter):
+            raise connection.broken_off('the connection closed before the first event')
         if splitter.incomplete or not job.answer_started:
             await self._write(job, attempt, connection, splitter.incomplete)
         await self._claim(job, attempt, connection)
@@ -150,6 +156,15 @@
             await job.exchange.write(data)
 
 
+def _is_empty(job: Job, splitter: EventSplitter) -> bool:
+    """
+    Whether the caller asked for a stream from its beginning and nothing of it has arrived. A stream
+    that continues after its last event is empty.
+
+    """
+    return not (job.answer_started or splitter.incomplete or job.resume_after is not None)
+
+
 def _check_resumed(job: Job, splitter: EventSplitter) -> None:
     """
     Check that a resumed stream continues with the event after the last one passed on. Nothing is
