An entry's own interruption is not the end of an answer

What callers could see: with two attempts in progress, the one that answers first interrupts the connection of the other by a shutdown. If the other was reading an error answer without length or chunks, that task saw the end of the connection, which is the end of such an answer: the part that had arrived was kept as a complete answer, and passed on if all further attempts failed.

Evidence: test_an_interruption_is_not_the_end_of_an_answer_without_length failed before: the read returned the end of the body. Read in the code: read_failure stores what it read before anything checks whether the attempt was superseded.

Fix: a connection that this entry has interrupted is lost, whatever its framing, so every reader of it gets the error that it gets for a reset.

--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -69,6 +69,8 @@
         self.complete = False
         # Whether the connection broke off, or was silent until another back end took over.
         self.lost = False
+        # Whether this entry has shut the connection down.
+        self.interrupted = False
 
     async def send(self, method: str, path: str, headers: Headers, body: bytes) -> None:
         """
@@ -161,7 +163,10 @@
                 event = self.http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self.http.receive_data(await self.sock.recv(READ_BYTES))
+                data = await self.sock.recv(READ_BYTES)
+                if not data and self.interrupted:
+                    raise self._connection_lost('the connection was interrupted')
+                self.http.receive_data(data)
         except OSError as error:
             raise self._connection_lost(str(error)) from error
         except h11.RemoteProtocolError as error:
@@ -182,6 +187,7 @@
         Make the task that waits for data of this connection see the connection as broken off.
 
         """
+        self.interrupted = True
         try:
             await self.sock.shutdown(socket_.SHUT_RDWR)
         except OSError as error:
