An endpoint passes on whole events, and notices streams that end early

What callers saw: on fleets with a list of instances, an engine that closed its connection inside an event, or sent its last chunk there, ended the stream of the caller as if it were complete; so did one that closed between two events or before the first one. Under an idempotency key the part was stored as the answer, and a repeat would have got it.

Cause: as on seeded fleets, the end of the body was taken for the end of the stream; the endpoint passed on what it received, and the entry what it was sent.

Fix: the endpoint passes complete events on, and a stream that ends inside an event has broken off, as if its connection were reset: the entry learns of it, the back end is watched, nothing is stored. Streams of completions have a last event by the definition of their API, so one that ends with its connection and lacks it has broken off as well. An answer that broke off has a log line at the endpoint.

--- a/packages/millfork-web/millfork_web/client.py
+++ b/packages/millfork-web/millfork_web/client.py
@@ -11,6 +11,7 @@
 
 from millfork_core.sockets import connect, is_quiet
 from millfork_core.verdicts import Verdict
+from millfork_web.framing import Framing, read_framing
 from millfork_web.models import Headers, Response, encode_headers, find_header
 
 READ_BYTES: Final = 256 * 1024
@@ -32,16 +33,19 @@
 
 class Reply:
     """
-    A response that is being received: first its head, then the parts of its body.
+    A response to a request with `method` that is being received: first its head, then the parts of
+    its body.
 
     """
 
-    def __init__(self, client: 'Client', sock: Any, conn: h11.Connection) -> None:
+    def __init__(self, client: 'Client', sock: Any, conn: h11.Connection, method: str) -> None:
         self.client = client
         self.sock = sock
         self.conn = conn
+        self.method = method
         self.status = 0
         self.headers: Headers = []
+        self.framing = Framing.LENGTH
         self.complete = False
 
     def header(self, name: str) -> str:
@@ -55,6 +59,7 @@
             raise ExchangeFailed(Verdict.MAY_HAVE_RUN, 'the server closed without a response')
         self.status = event.status_code
         self.headers = [(name.decode(), value.decode('latin-1')) for name, value in event.headers]
+        self.framing = read_framing(self.method, self.status, self.headers)
 
     async def parts(self) -> AsyncIterator[bytes]:
         """
@@ -148,7 +153,7 @@
 
         """
         sock, conn = await self._connection()
-        reply = Reply(self, sock, conn)
+        reply = Reply(self, sock, conn, method)
         try:
             await self._write(sock, conn, method, path, headers, body)
             await reply.read_head()
--- a/packages/millforkd/millforkd/endpoint/backend_gateway.py
+++ b/packages/millforkd/millforkd/endpoint/backend_gateway.py
@@ -31,6 +31,7 @@
     ServedVersion,
     Start,
 )
+from millforkd.endpoint.answer_parts import answer_parts
 from millforkd.endpoint.backend_requests import REQUEST_ID_HEADER, build_backend_request
 from millforkd.endpoint.incarnation_tracking import IncarnationTracker
 from millforkd.endpoint.reservations import Reservation, Stage
@@ -51,7 +52,6 @@
 # Statuses with which an engine reports that the requested version is not loaded.
 NOT_LOADED_STATUSES: Final = frozenset({404, 409})
 PLAIN_SERVICE_VERSION: Final = ''
-STREAM_TYPE: Final = 'text/event-stream'
 
 log = logger(Component.ENDPOINT)
 
@@ -303,6 +303,12 @@
             if error.verdict is Verdict.NOT_RUN:
                 reservation.stage = Stage.STARTED
                 return Refusal(Reason.UNREACHABLE, Verdict.NOT_RUN, 'the back end is unreachable')
+            log.info(
+                'Answer broke off. id={} sent_bytes={} detail={}',
+                request.request_id,
+                reservation.bytes,
+                error,
+            )
             return await self._interruption_refusal(reservation)
 
     async def _interruption_refusal(self, reservation: Reservation) -> Refusal:
@@ -332,16 +338,13 @@
             headers.append(Header(VERSION_HEADER, reservation.version))
         await self._send(reservation, Head(request_id, reply.status, headers))
         body = bytearray()
-        coalesce_s = self.settings.coalesce_ms / 1000 if _is_stream(reply) else 0.0
-        async for data in reply.parts():
+        coalesce_s = self.settings.coalesce_ms / 1000
+        async for data in answer_parts(reply, self.is_engine, coalesce_s):
             await self._send(reservation, Part(request_id, reservation.parts, data))
             reservation.parts += 1
             reservation.bytes += len(data)
             if reservation.request.attempt:
                 body += data
-            if coalesce_s:
-                # Everything that the back end sends during this wait becomes the next part.
-                await curio.sleep(coalesce_s)
         if reservation.request.attempt:
             reservation.response = Response(reply.status, reply.headers, bytes(body))
         return None
@@ -451,7 +454,3 @@
         except curio.TaskTimeout:
             return False
         return True
-
-
-def _is_stream(reply: Reply) -> bool:
-    return reply.header('content-type').startswith(STREAM_TYPE)
