An answer that ends with its connection tells whether its back end lives only later

What callers saw: a stream without length or chunks whose back end ended between two events counted as served, so a request that ended its back ends in this way was sent on for as long as its callers came back: 8 back ends with 8 calls, where 4 may end. And a whole answer that ended with its connection never cleared a suspicion.

Cause: the end of the connection was taken for the success of the attempt at once, and a connection that can be reused for the only proof of one.

Fix: the back end of such an answer is watched, as one that is silent is. The answer itself is not held back: it would make whole answers late. An answer with a length or a last chunk is whole, whether or not its connection stays open, and clears at once.

--- a/packages/millforkd/millforkd/proxy/attempt_runner.py
+++ b/packages/millforkd/millforkd/proxy/attempt_runner.py
@@ -14,6 +14,7 @@
 from millfork_scheduling.quarantine import SuspicionLevel
 from millfork_scheduling.server_table import ServerTable
 from millfork_web.exchange import CallerGone
+from millfork_web.framing import Framing
 from millforkd.proxy.admission import Admission
 from millforkd.proxy.attempts import Attempt, FailedAttempt, Superseded
 from millforkd.proxy.backpressure import BackpressureRecorder
@@ -122,6 +123,9 @@
         finally:
             job.race.running.remove(attempt)
         if failed is None:
+            if attempt.connection is not None and attempt.connection.framing is Framing.CONNECTION:
+                for server in attempt.choice.servers:
+                    await self.end_detector.record_closed(server, attempt.before)
             return True
         if failed.verdict is not Verdict.NOT_RUN and failed.reason in CONNECTION_FAILURES:
             for server in attempt.choice.servers:
--- a/packages/millforkd/millforkd/proxy/end_detection.py
+++ b/packages/millforkd/millforkd/proxy/end_detection.py
@@ -61,10 +61,17 @@
 
     # The caller left, or the deadline passed, before the back end answered.
     CALLER_LEFT = 1
+    # The answer looks complete, but ended with its connection.
+    CLOSED = 2
     # The back end sent nothing for a while.
-    SILENT = 2
+    SILENT = 3
     # The answer broke off.
-    BROKEN = 3
+    BROKEN = 4
+
+
+# The kinds after which a back end is watched until its status is known; after the others it counts
+# as living on if it hasn't ended within CALLER_LEFT_WATCH_S.
+UNLIMITED_KINDS: Final = frozenset({InterruptionKind.SILENT, InterruptionKind.BROKEN})
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,6 +146,15 @@
         """
         await self._add(server, InterruptedRequest(before, InterruptionKind.SILENT))
 
+    async def record_closed(self, server: Server, before: Suspicion) -> None:
+        """
+        Record that an answer ended with its connection and looks complete; `before` is the
+        suspicion of the request when it was sent. If the back end ended, the request is suspected;
+        if the back end lives, the answer was complete and clears the suspicion.
+
+        """
+        await self._add(server, InterruptedRequest(before, InterruptionKind.CLOSED))
+
     async def record_broken_connection(self, server: Server, before: Suspicion) -> None:
         """
         Record that an answer of a back end broke off; `before` is the suspicion of the request
@@ -194,10 +210,12 @@
     ) -> IncarnationStatus:
         status = self.status_of(server, interruption.at)
         kind = interruption.subject.kind
-        if status is IncarnationStatus.ENDED or kind is not InterruptionKind.CALLER_LEFT:
+        if status is IncarnationStatus.ENDED or kind in UNLIMITED_KINDS:
+            return status
+        if status is IncarnationStatus.LIVES and kind is InterruptionKind.CLOSED:
             return status
-        # The back end may still be running this request, so answers to other requests don't show
-        # that the back end survives this request.
+        # After a caller left, the back end may still be running this request, so answers to other
+        # requests don't show that the back end survives this request.
         watch_is_over = self.env.monotonic() - interruption.at > CALLER_LEFT_WATCH_S
         return IncarnationStatus.LIVES if watch_is_over else IncarnationStatus.UNKNOWN
 
@@ -226,6 +244,8 @@
                 await self.suspicion_updater.record_end(item.subject.before, key)
                 continue
             await self.suspicion_updater.record_no_end(item.subject.before.fingerprint, key)
+            if (status, item.subject.kind) == (IncarnationStatus.LIVES, InterruptionKind.CLOSED):
+                await self.suspicion_updater.clear(item.subject.before.fingerprint)
 
     def _log_end(
         self, key: IncarnationKey, interruptions: list[Interruption[InterruptedRequest]]
--- a/packages/millforkd/millforkd/proxy/request_sender.py
+++ b/packages/millforkd/millforkd/proxy/request_sender.py
@@ -16,6 +16,7 @@
 from millfork_scheduling.placement import Choice
 from millfork_scheduling.server import MAX_PAUSE_S
 from millfork_scheduling.server_table import ServerTable
+from millfork_web.framing import Framing
 from millforkd.proxy.admission import Admission
 from millforkd.proxy.attempts import Attempt, FailedAttempt
 from millforkd.proxy.backpressure import BackpressureRecorder
@@ -101,7 +102,7 @@
                 keep_alive_s = await self._exchange(job, attempt, connection)
             attempt.pending_servers = ()
             server.record_service_time(self.env.monotonic() - attempt.started_at)
-            if connection.reusable:
+            if connection.framing is not Framing.CONNECTION:
                 await self.quarantine.clear_suspicion(job)
             return None
         except NotSent as error:
--- a/packages/millforkd/millforkd/suspicion_updates.py
+++ b/packages/millforkd/millforkd/suspicion_updates.py
@@ -70,3 +70,12 @@
         known = self.suspicion_store.get(fingerprint)
         if incarnation in known.broken:
             await self.suspicion_store.withdraw(known.without_broken(incarnation))
+
+    async def clear(self, fingerprint: Fingerprint) -> None:
+        """
+        Clear the suspicion of a request that got a complete answer from a back end that lives on.
+
+        """
+        known = self.suspicion_store.get(fingerprint)
+        if not known.is_clear:
+            await self.suspicion_store.withdraw(known.cleared())
