An entry that ends breaks off the streams of HTTP/1.0 callers

What callers saw: a caller of HTTP/1.0 whose entry ended in the middle of a stream (killed, or out of its grace period) got the events so far, as a complete answer.

Cause: to such a caller the end of the connection is the end of the answer, and the operating system closes the connections of a process that ends. Only an abort by the entry itself reset them. The same class as for streams of back ends, on the other side.

Evidence: test_the_end_of_an_entry_does_not_end_a_stream[Http10Connection] failed before (200 with three events of eight); with HTTP/1.1 the missing last chunk shows it.

Fix: from the head of such a stream to its end, closing the connection resets it (SO_LINGER of 0), whoever closes it; a finished stream takes that back before its connection closes.

--- a/packages/millfork-core/millfork_core/sockets.py
+++ b/packages/millfork-core/millfork_core/sockets.py
@@ -11,6 +11,8 @@
 
 # SO_LINGER on with a timeout of 0 s: closing discards unsent data and resets the connection.
 RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
+# SO_LINGER off: closing sends unsent data first.
+FLUSH_ON_CLOSE: Final = struct.pack('ii', 0, 0)
 
 
 async def connect(host: str, port: int, source: str = '') -> Any:
--- a/packages/millfork-web/millfork_web/exchange.py
+++ b/packages/millfork-web/millfork_web/exchange.py
@@ -11,7 +11,7 @@
 import h11
 
 from millfork_core.logs import Component, logger
-from millfork_core.sockets import RESET_ON_CLOSE, is_quiet
+from millfork_core.sockets import FLUSH_ON_CLOSE, RESET_ON_CLOSE, is_quiet
 from millfork_web.models import Headers, Request, Response, encode_headers
 
 log = logger(Component.DAEMON)
@@ -62,6 +62,9 @@
         Send the head of a streamed response; `write` and `finish` send the body.
 
         """
+        if self.ends_with_connection:
+            # Until `finish`, whatever closes the connection resets it, also the end of the process.
+            self._set_linger(RESET_ON_CLOSE)
         await self._send(self._head(status, headers))
 
     async def write(self, data: bytes) -> None:
@@ -69,6 +72,22 @@
 
     async def finish(self) -> None:
         await self._send(self.conn.send(h11.EndOfMessage()) or b'')
+        if self.ends_with_connection:
+            self._set_linger(FLUSH_ON_CLOSE)
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """
+        Whether the end of the connection is the end of a streamed response, unless it is a reset.
+
+        """
+        return bool(self.conn.their_http_version == b'1.0')
+
+    def _set_linger(self, linger: bytes) -> None:
+        try:
+            self.sock.setsockopt(socket_.SOL_SOCKET, socket_.SO_LINGER, linger)
+        except OSError as error:
+            log.debug('A connection was closed before its linger option was set: {}.', error)
 
     async def abort(self) -> None:
         """
@@ -77,11 +96,10 @@
 
         """
         self.conn.send_failed()
+        if self.ends_with_connection:
+            self._set_linger(RESET_ON_CLOSE)
+            return
         try:
-            if self.conn.their_http_version == b'1.0':
-                # The end of the connection is the end of such a response, unless it is a reset.
-                self.sock.setsockopt(socket_.SOL_SOCKET, socket_.SO_LINGER, RESET_ON_CLOSE)
-                return
             await self.sock.shutdown(socket_.SHUT_RDWR)
         except OSError as error:
             log.debug('A connection was closed before it could be aborted: {}.', error)
