A JSON document that ends early with its connection has been broken off

What callers saw: an answer without length or chunks whose back end closed the connection in the middle of a JSON document reached them complete, with a length.

The framing does not show the end of such an answer, but the content may.

Evidence: test_a_document_that_closes_before_its_end_is_sent_again and, on a fleet with a list of instances, ..._is_no_answer failed before: the beginning of the document with status 200.

Fix: an answer of this framing, of the type application/json and with a status of success, is complete only if it is no mere beginning of a document.

--- a/packages/millfork-standins/millfork_standins/engine.py
+++ b/packages/millfork-standins/millfork_standins/engine.py
@@ -170,7 +170,12 @@
             answer = {'choices': [{'text': text}], 'nonce': body.get('nonce')}
             response = json_response(answer)
             response.headers += headers
-            await exchange.respond(response)
+            if not body.get('unframed'):
+                await exchange.respond(response)
+                return
+            await self._send_unframed(
+                exchange, response.headers, [response.body[: body.get('cut')]]
+            )
             return
         data = []
         for position in positions:
@@ -179,29 +184,27 @@
         data.append(b'data: [DONE]\n\n')
         if 'cut' in body:
             data = _cut(data, body['cut'])
-        await self._send_stream(exchange, headers, data, body.get('unframed', False))
+        headers = [('content-type', 'text/event-stream'), *headers]
+        if body.get('unframed'):
+            await self._send_unframed(exchange, headers, data)
+            return
+        await exchange.start(200, headers)
+        for part in data:
+            await curio.sleep(self.settings.token_ms / 1000)
+            await exchange.write(part)
+        await exchange.finish()
 
-    async def _send_stream(
-        self, exchange: Exchange, headers: Headers, data: list[bytes], unframed: bool
-    ) -> None:
+    async def _send_unframed(self, exchange: Exchange, headers: Headers, data: list[bytes]) -> None:
         """
-        Send a stream in chunks or, if `unframed` is set, without chunks on a connection whose end
-        is the end of the stream.
+        Send an answer with neither a length nor chunks, and end its connection.
 
         """
-        headers = [('content-type', 'text/event-stream'), *headers]
-        if unframed:
-            lines = ''.join(f'{name}: {value}\r\n' for name, value in headers)
-            await exchange.sock.sendall(f'HTTP/1.1 200 OK\r\n{lines}\r\n'.encode())
-        else:
-            await exchange.start(200, headers)
+        lines = ''.join(f'{name}: {value}\r\n' for name, value in headers)
+        await exchange.sock.sendall(f'HTTP/1.1 200 OK\r\n{lines}\r\n'.encode())
         for part in data:
             await curio.sleep(self.settings.token_ms / 1000)
-            await (exchange.sock.sendall(part) if unframed else exchange.write(part))
-        if unframed:
-            await exchange.abort()
-            return
-        await exchange.finish()
+            await exchange.sock.sendall(part)
+        await exchange.abort()
 
     async def _crash(self, exchange: Exchange, headers: Headers, is_stream: bool) -> None:
         """
--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -167,12 +167,14 @@
         if self.path.startswith(STREAM_PATH):
             self._send_stream()
             return
-        body = LARGE_ANSWER if self.path.startswith(LARGE_PATH) else b'answer'
+        body = LARGE_ANSWER if self.path.startswith(LARGE_PATH) else self.server.fleet.take_answer()
         time.sleep(self.server.service_time_s)
         self.send_response(200)
         self._send_extra_headers()
         self.send_header(client_requests.REQUEST_ID, self.headers[client_requests.REQUEST_ID])
         self.send_header(client_requests.SIGNATURE, self.server.instance)
+        if self.server.fleet.content_type:
+            self.send_header('content-type', self.server.fleet.content_type)
         if self.server.fleet.framing is Framing.CONNECTION:
             self.close_connection = True
         else:
@@ -476,6 +478,10 @@
         # How the end of an answer shows: streams are sent in chunks, other answers with a length,
         # unless this is CONNECTION.
         self.framing = Framing.CHUNKED
+        # The content type of answers that are no streams; none if empty.
+        self.content_type = ''
+        # The next bodies that are neither streams nor large; `answer` once there is none.
+        self.answers: list[bytes] = []
         # Sent after the first event of a stream that crashes its back end.
         self.last_data_before_crash = stream_event(2)[:-1]
         # Sent after the last event of a whole stream.
@@ -556,6 +562,13 @@
         self.breaks_left -= 1
         return True
 
+    def take_answer(self) -> bytes:
+        """
+        Return the next body that is neither a stream nor large.
+
+        """
+        return self.answers.pop(0) if self.answers else b'answer'
+
     def take_failure(self, resumed: bool) -> bool:
         """
         Return True if a request is to be answered with status 500.
--- /dev/null
+++ b/packages/millfork-web/millfork_web/json_bodies.py
@@ -0,0 +1,27 @@
+"""
+Tells whether a JSON document is complete.
+
+"""
+
+from typing import Final
+
+import msgspec
+
+JSON_TYPE: Final = 'application/json'
+# What msgspec says of a document that ends too early; it calls other errors malformed.
+TRUNCATED_MESSAGE: Final = 'truncated'
+
+
+def is_truncated_json(content_type: str, body: bytes) -> bool:
+    """
+    Whether `body` is the beginning of a JSON document. Bodies of other types, and documents that
+    are invalid for another reason, are not.
+
+    """
+    if content_type.partition(';')[0].strip().lower() != JSON_TYPE:
+        return False
+    try:
+        msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        return TRUNCATED_MESSAGE in str(error)
+    return False
--- a/packages/millforkd/millforkd/endpoint/answer_parts.py
+++ b/packages/millforkd/millforkd/endpoint/answer_parts.py
@@ -12,6 +12,7 @@
 from millfork_web.client import ExchangeFailed, Reply
 from millfork_web.event_stream import EventSplitter, InvalidEventStream
 from millfork_web.framing import Framing
+from millfork_web.json_bodies import is_truncated_json
 
 STREAM_TYPE: Final = 'text/event-stream'
 # The last event of the stream of a completion, as the API for completions defines it.
@@ -25,11 +26,11 @@
     Yield the body of an answer as it arrives, a stream in complete events. After each yield of
     events, what the back end sends within `coalesce_s` becomes part of the next one.
 
-    :raises ExchangeFailed: if the body breaks off, or ends as a stream before its end.
+    :raises ExchangeFailed: if the body breaks off, or a stream or JSON document ends early.
 
     """
     if not reply.header('content-type').startswith(STREAM_TYPE):
-        async for data in reply.parts():
+        async for data in _body_parts(reply):
             yield data
         return
     splitter = EventSplitter(MAX_EVENT_BYTES)
@@ -53,6 +54,17 @@
         yield splitter.incomplete
 
 
+async def _body_parts(reply: Reply) -> AsyncIterator[bytes]:
+    body = bytearray()
+    may_be_cut = reply.framing is Framing.CONNECTION and reply.status < 300
+    async for data in reply.parts():
+        yield data
+        if may_be_cut:
+            body += data
+    if may_be_cut and is_truncated_json(reply.header('content-type'), bytes(body)):
+        raise ExchangeFailed(Verdict.MAY_HAVE_RUN, 'the connection closed inside a JSON document')
+
+
 def _is_finished(last_events: bytes, is_engine: bool) -> bool:
     """
     Whether a stream that ended with its connection may be whole. `last_events` are the events that
--- a/packages/millforkd/millforkd/proxy/response_relay.py
+++ b/packages/millforkd/millforkd/proxy/response_relay.py
@@ -11,7 +11,8 @@
 from millfork_scheduling.server_table import ServerTable
 from millfork_web.event_stream import EventSplitter, InvalidEventStream
 from millfork_web.framing import Framing
-from millfork_web.models import Response, without_header
+from millfork_web.json_bodies import is_truncated_json
+from millfork_web.models import Response, find_header, without_header
 from millforkd.proxy.attempts import Attempt
 from millforkd.proxy.connections import SendFailed, ServerConnection
 from millforkd.proxy.job import HeldAnswer, Job
@@ -64,7 +65,8 @@
         Pass an answer on: one of up to MAX_BUFFERED_BYTES once it is complete, a larger one as it
         arrives.
 
-        :raises SendFailed: if the answer breaks off or is malformed.
+        :raises SendFailed: if the answer breaks off or is malformed, or its connection closes
+            inside a JSON document.
         :raises Superseded: if another attempt has claimed the answer.
 
         """
@@ -74,6 +76,10 @@
             if len(body) > MAX_BUFFERED_BYTES:
                 await self._respond_large(job, attempt, connection, bytes(body))
                 return
+        if connection.framing is Framing.CONNECTION and connection.status < 300:
+            content_type = find_header(connection.headers, 'content-type')
+            if is_truncated_json(content_type, bytes(body)):
+                raise connection.broken_off('the connection closed inside a JSON document')
         await self._claim(job, attempt, connection)
         job.answer_started = True
         job.first_byte_at = self.env.monotonic()
--- a/tests/test_broken_off_streams.py
+++ b/tests/test_broken_off_streams.py
@@ -62,6 +62,8 @@
     started_fleet.break_kind = BreakKind.CLOSE
     started_fleet.breaks_left = 0
     started_fleet.stream_tail = b''
+    started_fleet.content_type = ''
+    started_fleet.answers = []
     earn_retries(started_fleet)
     return started_fleet
 
@@ -164,6 +166,29 @@
         assert (reply.status, reply.body) == (200, body)
 
 
+@pytest.mark.parametrize(
+    ('content_type', 'body'),
+    [
+        ('application/json', b'{"a": [1, 2]}'),
+        # Not valid, but not cut either.
+        ('application/json', b'{"a": NaN}'),
+        ('text/plain', b'{"a": [1'),
+    ],
+)
+def test_a_whole_document_without_length_is_passed_on(fleet, content_type, body):
+    fleet.framing = Framing.CONNECTION
+    fleet.content_type = content_type
+    fleet.answers = [body]
+    assert fleet.send_request(request(SAFE_PATH)).body == body
+
+
+def test_a_document_that_closes_before_its_end_is_sent_again(fleet):
+    fleet.framing = Framing.CONNECTION
+    fleet.content_type = 'application/json'
+    fleet.answers = [b'{"a": [1', b'', b'{"a": [1]}']
+    assert fleet.send_request(request(SAFE_PATH)).body == b'{"a": [1]}'
+
+
 @CALLERS
 def test_a_large_answer_without_length_that_is_reset_is_not_framed_as_complete(
     fleet, connection_type
--- a/tests/test_broken_off_streams_on_listed_fleets.py
+++ b/tests/test_broken_off_streams_on_listed_fleets.py
@@ -30,13 +30,14 @@
 
 def stream(fleet, **fields):
     """
-    Send a request for a stream with a new prompt; return the answer, or None if it broke off.
+    Send a request with a new prompt, for a stream unless the fields say otherwise; return the
+    answer, or None if it broke off.
 
     """
     token = fleet.caller_tokens[LANTING.organisations[0]]
     prompt = f'prompt {next(PROMPTS)}'
     try:
-        return complete(fleet, token, prompt=prompt, stream=True, **fields)
+        return complete(fleet, token, prompt=prompt, **{'stream': True, **fields})
     except OSError:
         return None
 
@@ -81,3 +82,10 @@
     assert answer.status == 200
     assert answer.body.count(b'data: ') == whole_stream(fleet).count(b'data: ')
     assert answer.body.endswith(LAST_EVENT)
+
+
+def test_a_document_that_closes_before_its_end_is_no_answer(fleet):
+    whole = stream(fleet, stream=False, unframed=True)
+    assert (whole.status, whole.json()['nonce']) == (200, 'n')
+    answer = stream(fleet, stream=False, unframed=True, cut=len(whole.body) - 1)
+    assert (answer.status, answer.headers['millfork-reason']) == (502, 'truncated')
