A document on a route for streams is no stream

What callers would have seen: on a route for streams, an answer of another content type (a completion that was asked for as a whole) has no event, so since it counted as a stream that ends inside an event, and the caller got a 502.

Evidence: test_a_document_on_a_route_for_streams_is_passed_on failed with (502 with a problem body).

Fix: an answer with another content type than text/event-stream is passed on as any other answer; one without a content type on such a route is a stream.

--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -164,7 +164,7 @@
         if self.server.fails_requests or self.server.fleet.take_failure(resumed):
             self._send_failure()
             return
-        if self.path.startswith(STREAM_PATH):
+        if self.path.startswith(STREAM_PATH) and not self.server.fleet.content_type:
             self._send_stream()
             return
         body = LARGE_ANSWER if self.path.startswith(LARGE_PATH) else self.server.fleet.take_answer()
@@ -478,7 +478,7 @@
         # How the end of an answer shows: streams are sent in chunks, other answers with a length,
         # unless this is CONNECTION.
         self.framing = Framing.CHUNKED
-        # The content type of answers that are no streams; none if empty.
+        # The content type of all answers, which then are no streams; none if empty.
         self.content_type = ''
         # The next bodies that are neither streams nor large; `answer` once there is none.
         self.answers: list[bytes] = []
--- a/packages/millfork-web/millfork_web/event_stream.py
+++ b/packages/millfork-web/millfork_web/event_stream.py
@@ -10,6 +10,7 @@
 import re
 from typing import Final
 
+CONTENT_TYPE: Final = 'text/event-stream'
 LINE_ENDS: Final = (b'\n', b'\r\n', b'\r')
 COMMENT: Final = b':'
 ID_LINE: Final = re.compile(rb'(?:\A|[\r\n])id:([^\r\n]*)')
@@ -25,6 +26,10 @@
     """
 
 
+def is_event_stream(content_type: str) -> bool:
+    return content_type.lower().startswith(CONTENT_TYPE)
+
+
 class EventParser:
     """
     Finds the ends of events in a stream that arrives in parts.
--- a/packages/millforkd/millforkd/endpoint/answer_parts.py
+++ b/packages/millforkd/millforkd/endpoint/answer_parts.py
@@ -10,11 +10,10 @@
 
 from millfork_core.verdicts import Verdict
 from millfork_web.client import ExchangeFailed, Reply
-from millfork_web.event_stream import EventSplitter, InvalidEventStream
+from millfork_web.event_stream import EventSplitter, InvalidEventStream, is_event_stream
 from millfork_web.framing import Framing
 from millfork_web.json_bodies import is_truncated_json
 
-STREAM_TYPE: Final = 'text/event-stream'
 # The last event of the stream of a completion, as the API for completions defines it.
 LAST_ENGINE_EVENT: Final = b'data: [DONE]'
 # The limit of the answers that an entry holds for its callers.
@@ -29,7 +28,7 @@
     :raises ExchangeFailed: if the body breaks off, or a stream or JSON document ends early.
 
     """
-    if not reply.header('content-type').startswith(STREAM_TYPE):
+    if not is_event_stream(reply.header('content-type')):
         async for data in _body_parts(reply):
             yield data
         return
--- a/packages/millforkd/millforkd/entry/delivery.py
+++ b/packages/millforkd/millforkd/entry/delivery.py
@@ -6,13 +6,13 @@
 from typing import Final
 
 from millfork_core.verdicts import Reason, Refusal, Verdict
+from millfork_web.event_stream import is_event_stream
 from millfork_web.exchange import Exchange
 from millfork_web.models import Headers, Response, find_header
 from millfork_web.retry_after import REJECTION_STATUSES
 from millfork_wire.messages import Head
 from millforkd.entry.attempts import Attempt, TurnedAway
 
-STREAM_TYPE: Final = 'text/event-stream'
 MAX_UNSTREAMED_BYTES: Final = 16 * 1024 * 1024
 UNFORWARDED_HEADERS: Final = frozenset(
     {'connection', 'content-length', 'keep-alive', 'transfer-encoding', 'date', 'server'}
@@ -44,7 +44,7 @@
         if isinstance(head, Refusal):
             return head
         headers = _forwarded_headers(head)
-        if find_header(headers, 'content-type').startswith(STREAM_TYPE):
+        if is_event_stream(find_header(headers, 'content-type')):
             return await self._stream(attempt, head.status, headers, deadline)
         refusal = await self._receive_whole(attempt, head.status, headers, deadline)
         if refusal is not None or self.response is None or head.status not in REJECTION_STATUSES:
--- a/packages/millforkd/millforkd/proxy/request_sender.py
+++ b/packages/millforkd/millforkd/proxy/request_sender.py
@@ -16,7 +16,9 @@
 from millfork_scheduling.placement import Choice
 from millfork_scheduling.server import MAX_PAUSE_S
 from millfork_scheduling.server_table import ServerTable
+from millfork_web.event_stream import is_event_stream
 from millfork_web.framing import Framing
+from millfork_web.models import find_header
 from millforkd.proxy.admission import Admission
 from millforkd.proxy.attempts import Attempt, FailedAttempt
 from millforkd.proxy.backpressure import BackpressureRecorder
@@ -262,7 +264,7 @@
             raise SendFailed(
                 Reason.BACKEND_FAILED, Verdict.RAN, f'the server answered {head.status}'
             )
-        if job.route.kind is RouteKind.STREAMING and head.status < 300:
+        if job.route.kind is RouteKind.STREAMING and head.status < 300 and _is_stream(connection):
             await self.response_relay.stream(job, attempt, connection)
         else:
             await self.response_relay.relay(job, attempt, connection)
@@ -270,6 +272,15 @@
         return 0.0 if head.closes_connection else head.keep_alive_s
 
 
+def _is_stream(connection: ServerConnection) -> bool:
+    """
+    Whether an answer on a route for streams is one: answers without a content type are.
+
+    """
+    content_type = find_header(connection.headers, 'content-type')
+    return not content_type or is_event_stream(content_type)
+
+
 def _path_segments(choice: Choice, engine: EngineSpec | None) -> tuple[PathSegment, ...]:
     """
     The two engines of a path and the range of layers that each computes, as sent to the first
--- a/tests/test_broken_off_streams.py
+++ b/tests/test_broken_off_streams.py
@@ -182,6 +182,14 @@
     assert fleet.send_request(request(SAFE_PATH)).body == body
 
 
+@pytest.mark.parametrize('framing', [Framing.CONNECTION, Framing.CHUNKED])
+def test_a_document_on_a_route_for_streams_is_passed_on(fleet, framing):
+    fleet.framing = framing
+    fleet.content_type = 'application/json'
+    fleet.answers = [b'{"a": 1}']
+    assert stream_once(fleet).body == b'{"a": 1}'
+
+
 def test_a_document_that_closes_before_its_end_is_sent_again(fleet):
     fleet.framing = Framing.CONNECTION
     fleet.content_type = 'application/json'
--- a/tests/utils/streams.py
+++ b/tests/utils/streams.py
@@ -3,6 +3,7 @@
 
 """
 
+from concurrent.futures import ThreadPoolExecutor
 from http.client import HTTPConnection
 
 from millfork_core.ids import OrganisationId, ServiceName
@@ -23,6 +24,7 @@
 # The retries that an entry has earned when a test begins, and the requests that earn them.
 EARNED_RETRIES = 4
 EARNING_REQUESTS = 100
+EARNING_THREADS = 8
 WHOLE_STREAM = b''.join(stream_event(number) for number in range(1, STREAM_EVENTS + 1))
 
 
@@ -74,8 +76,9 @@
 
 
 def earn_retries(fleet):
-    for _ in range(EARNING_REQUESTS):
-        assert fleet.send_request(request(SAFE_PATH)).status == 200
+    with ThreadPoolExecutor(EARNING_THREADS) as pool:
+        requests = [request(SAFE_PATH) for _ in range(EARNING_REQUESTS)]
+        assert all(reply.status == 200 for reply in pool.map(fleet.send_request, requests))
 
 
 def stream(fleet, body=b'the same prompt', connection_type=HTTPConnection, path=STREAM_PATH):
