The soak has answers that end with their connections, and streams that end inside an event

Half of the answers of its back ends have neither length nor chunks, and one stream in ten ends once inside an event, by a close or by its last chunk. A complete answer must be the whole stream, as before; requests whose streams were broken off may end without an answer.

--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -123,6 +123,8 @@
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = 'HTTP/1.1'
     server: 'BackEnd'
+    # The framing of the answer to the current request.
+    framing = Framing.CHUNKED
 
     def do_GET(self) -> None:
         self._handle_request()
@@ -132,6 +134,9 @@
 
     def _handle_request(self) -> None:
         request_body = self.rfile.read(int(self.headers.get('content-length', 0)))
+        self.framing = self.server.fleet.framing_of(
+            self.headers.get(client_requests.REQUEST_ID, '')
+        )
         self.server.arrived_at.append(time.monotonic())
         self.server.wait_while_silent()
         turns_away = self.server.turns_away
@@ -175,21 +180,21 @@
         self.send_header(client_requests.SIGNATURE, self.server.instance)
         if self.server.fleet.content_type:
             self.send_header('content-type', self.server.fleet.content_type)
-        if self.server.fleet.framing is Framing.CONNECTION:
+        if self.framing is Framing.CONNECTION:
             self.close_connection = True
         else:
             self.send_header('content-length', str(len(body)))
         self.end_headers()
         if body is LARGE_ANSWER and self.server.fleet.take_break(1):
-            self._break_off(body[: len(body) // 2])
+            self._break_off(body[: len(body) // 2], self.server.fleet.break_kind)
             return
         self.server.wait_while_silent()
         self.wfile.write(body)
 
-    def _break_off(self, last_data: bytes) -> None:
+    def _break_off(self, last_data: bytes, break_kind: BreakKind = BreakKind.CLOSE) -> None:
         self.wfile.write(last_data)
         self.close_connection = True
-        if self.server.fleet.break_kind is BreakKind.RESET:
+        if break_kind is BreakKind.RESET:
             self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             self.connection.close()
             return
@@ -209,8 +214,10 @@
         self._send_stream_head()
         last_received = int(self.headers.get(client_requests.LAST_EVENT_ID, '0'))
         for number in range(last_received + 1, STREAM_EVENTS + 1):
-            if self.server.fleet.take_break(number):
-                self._break_stream(stream_event(number))
+            request_id = self.headers[client_requests.REQUEST_ID]
+            break_kind = self.server.fleet.take_stream_break(request_id, number)
+            if break_kind is not None:
+                self._break_stream(stream_event(number), break_kind)
                 return
             time.sleep(self.server.event_interval_s)
             self.server.wait_while_silent()
@@ -225,23 +232,23 @@
         self.send_header(client_requests.REQUEST_ID, self.headers[client_requests.REQUEST_ID])
         self.send_header(client_requests.SIGNATURE, self.server.instance)
         self.send_header('content-type', 'text/event-stream')
-        if self.server.fleet.framing is Framing.CONNECTION:
+        if self.framing is Framing.CONNECTION:
             self.close_connection = True
         else:
             self.send_header('transfer-encoding', 'chunked')
         self.end_headers()
 
-    def _break_stream(self, event: bytes) -> None:
+    def _break_stream(self, event: bytes, break_kind: BreakKind) -> None:
         fleet = self.server.fleet
         if fleet.break_event_bytes:
             self._send_chunk(event[: fleet.break_event_bytes])
-        if fleet.break_kind is BreakKind.LAST_CHUNK:
+        if break_kind is BreakKind.LAST_CHUNK:
             self._send_chunk(b'')
             return
-        self._break_off(b'')
+        self._break_off(b'', break_kind)
 
     def _send_chunk(self, data: bytes) -> None:
-        if self.server.fleet.framing is Framing.CONNECTION:
+        if self.framing is Framing.CONNECTION:
             self.wfile.write(data)
             return
         self.wfile.write(b'%x\r\n%s\r\n' % (len(data), data))
@@ -562,6 +569,22 @@
         self.breaks_left -= 1
         return True
 
+    def framing_of(self, request_id: str) -> Framing:
+        """
+        Return the framing of the answer to a request; streams are sent in chunks and other answers
+        with a length, unless it is CONNECTION.
+
+        """
+        return self.framing
+
+    def take_stream_break(self, request_id: str, event: int) -> BreakKind | None:
+        """
+        Return how the stream that answers a request breaks off before this event; None if it
+        doesn't.
+
+        """
+        return self.break_kind if self.take_break(event) else None
+
     def take_answer(self) -> bytes:
         """
         Return the next body that is neither a stream nor large.
--- a/packages/millfork-standins/millfork_standins/soak/checks.py
+++ b/packages/millfork-standins/millfork_standins/soak/checks.py
@@ -4,7 +4,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -69,10 +69,12 @@
     executed: dict[str, list[str]],
     faults: list[Period],
     stops: list[Period],
+    broken_ids: Collection[str] = (),
 ) -> list[str]:
     """
     Describe each request that ended without a complete answer or a refusal although no fault
-    occurred from `CONTACT_S` before the request until its end. Planned stops (`stops`), reloads,
+    occurred from `CONTACT_S` before the request until its end, and no back end broke its answer off
+    (`broken_ids`). Planned stops (`stops`), reloads,
     changes of the configuration and pauses of back ends are no faults.
 
     """
@@ -82,6 +84,8 @@
         timeline = answer.timeline
         if timeline is None or answer.status in FAULTLESS_STATUSES:
             continue
+        if answer.request_id in broken_ids:
+            continue
         if any(
             fault.began_at <= timeline.ended_at
             and timeline.started_at - CONTACT_S <= fault.ended_at
--- /dev/null
+++ b/packages/millfork-standins/millfork_standins/soak/fleet.py
@@ -0,0 +1,41 @@
+"""
+The fleet of a soak run, whose back ends end their answers in different ways.
+
+"""
+
+from typing import Final
+from zlib import crc32
+
+from millfork_standins.seeded import STREAM_EVENTS, BreakKind, SeededFleet
+from millfork_web.framing import Framing
+
+# One of this many streams breaks off once.
+BREAK_INTERVAL: Final = 10
+# How many bytes of an event are sent before its stream breaks off.
+SENT_EVENT_BYTES: Final = 9
+
+
+class SoakFleet(SeededFleet):
+    """
+    Half of the answers end with their connections. Some streams break off inside an event, in a way
+    that looks like the end of the answer. `broken_ids` has the ids of their requests.
+
+    """
+
+    broken_ids: set[str]
+
+    def start(self) -> None:
+        self.broken_ids = set()
+        self.break_event_bytes = SENT_EVENT_BYTES
+        super().start()
+
+    def framing_of(self, request_id: str) -> Framing:
+        return Framing.CONNECTION if crc32(request_id.encode()) & 1 else Framing.CHUNKED
+
+    def take_stream_break(self, request_id: str, event: int) -> BreakKind | None:
+        draw, is_broken_off = divmod(crc32(request_id.encode()) >> 1, BREAK_INTERVAL)
+        if is_broken_off or request_id in self.broken_ids or event != draw % STREAM_EVENTS + 1:
+            return None
+        self.broken_ids.add(request_id)
+        ends_with_connection = self.framing_of(request_id) is Framing.CONNECTION
+        return BreakKind.CLOSE if ends_with_connection else BreakKind.LAST_CHUNK
--- a/packages/millfork-standins/millfork_standins/soak/run.py
+++ b/packages/millfork-standins/millfork_standins/soak/run.py
@@ -15,7 +15,6 @@
 from pathlib import Path
 from typing import Final
 
-from millfork_standins.seeded import SeededFleet
 from millfork_standins.soak.backpressure import (
     LimitPeriod,
     PlannedSignal,
@@ -28,6 +27,7 @@
 from millfork_standins.soak.callers import SERVICE, Caller, Operator
 from millfork_standins.soak.checks import Period, broken_promises, find_lost_requests
 from millfork_standins.soak.fault_plan import Fault, FaultKind, plan_faults
+from millfork_standins.soak.fleet import SoakFleet
 from millfork_standins.soak.link_proxy import LinkProxy
 from millfork_standins.soak.planned_work import PLANNED_KINDS, plan_pauses, plan_work
 
@@ -103,7 +103,7 @@
         self.entry_faults_at: list[float] = []
         self.fault_periods: list[Period] = []
         self.stop_periods: list[Period] = []
-        self.fleet = SeededFleet(folder, entries=entries, heartbeat_s=HEARTBEAT_S)
+        self.fleet = SoakFleet(folder, entries=entries, heartbeat_s=HEARTBEAT_S)
         self.stop = threading.Event()
         self.links: list[LinkProxy] = []
         self.callers: list[Caller] = []
@@ -368,7 +368,13 @@
             *self.violations,
             *self.operator.stale_reads,
             *broken_promises(answers, executed),
-            *find_lost_requests(answers, executed, self.fault_periods, self.stop_periods),
+            *find_lost_requests(
+                answers,
+                executed,
+                self.fault_periods,
+                self.stop_periods,
+                self.fleet.broken_ids,
+            ),
         ]
         violations += find_exceeded_limits(self.limit_periods, self.entry_faults_at)
         return SoakResult(
