A reset link of the soak resets its connections

To an entry that is a back end that closes between two events, which nothing in the bytes tells from a whole stream (docs/DESIGN.md, the end of an answer).

Change: the link is really reset, which is the stricter check: a caller must not get such a stream as complete. A wrong answer is described by its size and its last bytes.

--- a/packages/millfork-standins/millfork_standins/soak/checks.py
+++ b/packages/millfork-standins/millfork_standins/soak/checks.py
@@ -25,6 +25,8 @@
 LOST_SLACK_S: Final = 0.2
 # A request ends shortly before its deadline, so that its answer arrives in time.
 DEADLINE_REACHED_S: Final = DEADLINE_MS / 1000 - 0.2
+# The number of bytes at the end of a wrong answer that its description has.
+LOGGED_BYTES: Final = 24
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +60,10 @@
         if answer.status != 200:
             continue
         if answer.body != answer.expected_body or answer.echoed_id != answer.request_id:
-            violations.append(f'{answer.request_id} got the answer of {answer.echoed_id!r}')
+            violations.append(
+                f'{answer.request_id} got the answer of {answer.echoed_id!r}, '
+                f'{len(answer.body)} bytes that end with {answer.body[-LOGGED_BYTES:]!r}'
+            )
         if answer.request_id not in executed.get(answer.back_end, ()):
             violations.append(f'{answer.request_id} was not run by {answer.back_end!r}')
     return violations
--- a/packages/millfork-standins/millfork_standins/soak/link_proxy.py
+++ b/packages/millfork-standins/millfork_standins/soak/link_proxy.py
@@ -33,6 +33,8 @@
         self.holds_requests = False
         self.holds_answers = False
         self.open_sockets: set[socket.socket] = set()
+        # The reset sockets whose threads have not ended yet.
+        self.aborted: set[socket.socket] = set()
         self.is_closed = False
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -69,17 +71,24 @@
                 while self.holds_requests if is_request else self.holds_answers:
                     time.sleep(POLL_INTERVAL_S)
                 sink.sendall(data)
+            if source in self.aborted:
+                self._abort(sink)
+                return
             sink.shutdown(socket.SHUT_WR)
         except OSError:
             self._abort(sink)
         finally:
+            self.aborted.discard(source)
             if not is_request:
                 self.open_sockets -= {source, sink}
 
     def _abort(self, sock: socket.socket) -> None:
+        self.aborted.add(sock)
         try:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            sock.shutdown(socket.SHUT_RDWR)
+            # Wakes the thread that reads the socket. Shutting both directions down would end the
+            # connection in order, and the reset would come after the end of an answer.
+            sock.shutdown(socket.SHUT_RD)
         except OSError:
             # The connection is closed already.
             pass
--- a/tests/mutations_listed.py
+++ b/tests/mutations_listed.py
@@ -336,6 +336,12 @@
         'tests/test_subscription.py::test_a_process_that_started_first_returns_to_its_own_zone',
         (Edit(S + 'subscription.py', 'if await self._finds_nearer():', 'if False:'),),
     ),
+    Mutation(
+        'an endpoint notices a stream that ends inside an event',
+        'tests/test_broken_off_streams_on_listed_fleets.py::'
+        'test_a_stream_that_ends_inside_an_event_is_not_framed_as_complete[8-last-chunk]',
+        (Edit(D + 'endpoint/answer_parts.py', 'if splitter.is_inside_event:', 'if False:'),),
+    ),
     Mutation(
         'followers leave a replica that is cut off from the leader',
         'tests/test_subscription.py::'
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -872,6 +872,39 @@
         'tests/test_quarantine.py::test_a_complete_answer_removes_a_request_from_the_list',
         (Edit(D + 'quarantine.py', 'if not suspicion.is_clear:', 'if False:'),),
     ),
+    Mutation(
+        'a stream that ends inside an event has been broken off',
+        'tests/test_broken_off_streams.py::test_a_stream_that_ends_inside_an_event_is_resumed',
+        (Edit(D + 'proxy/response_relay.py', 'if splitter.is_inside_event:', 'if False:'),),
+    ),
+    Mutation(
+        'the back end of an answer that ends with its connection is watched',
+        'tests/test_crashing_requests.py::test_a_stream_that_ends_back_ends_is_sent_no_more',
+        (
+            Edit(
+                D + 'proxy/attempt_runner.py',
+                'await self.end_detector.record_closed(server, attempt.before)',
+                'pass',
+            ),
+        ),
+    ),
+    Mutation(
+        'a connection that the entry interrupted ends no answer',
+        'tests/test_proxy_connections.py::'
+        'test_an_interruption_is_not_the_end_of_an_answer_without_length',
+        (Edit(D + 'proxy/connections.py', 'if not data and self.interrupted:', 'if False:'),),
+    ),
+    Mutation(
+        'a stream to an HTTP/1.0 caller is reset if its entry ends',
+        'tests/test_resumed_streams.py::test_the_end_of_an_entry_does_not_end_a_stream',
+        (
+            Edit(
+                'packages/millfork-web/millfork_web/exchange.py',
+                "return bool(self.conn.their_http_version == b'1.0')",
+                'return False',
+            ),
+        ),
+    ),
     Mutation(
         'quarantined requests are stored in the replicated state',
         'tests/test_crashing_requests.py::test_the_quarantine_outlives_all_processes_at_once',
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 
 """
 
+import socket
 from types import SimpleNamespace
 
 import pytest
@@ -13,9 +14,10 @@
     find_exceeded_limits,
     plan_signals,
 )
-from millfork_standins.soak.callers import Answer, Timeline
+from millfork_standins.soak.callers import CALL_TIMEOUT_S, Answer, Timeline
 from millfork_standins.soak.checks import Period, broken_promises, find_lost_requests
 from millfork_standins.soak.fault_plan import MIN_DISK_LOSS_GAP_S, FaultKind, plan_faults
+from millfork_standins.soak.link_proxy import LinkProxy
 from millfork_standins.soak.planned_work import PLANNED_KINDS, plan_pauses, plan_work
 from millfork_standins.soak.run import SoakRun
 
@@ -43,6 +45,22 @@
 )
 
 
+def test_a_link_that_is_reset_ends_no_answer_in_order():
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        link = LinkProxy('127.0.0.1', server.getsockname())
+        caller = socket.create_connection(link.address, CALL_TIMEOUT_S)
+        back_end, _ = server.accept()
+        back_end.settimeout(CALL_TIMEOUT_S)
+        back_end.sendall(b'part')
+        assert caller.recv(4) == b'part'
+        link.reset()
+        for sock in (caller, back_end):
+            with pytest.raises(ConnectionResetError):
+                sock.recv(1)
+            sock.close()
+        link.close()
+
+
 def test_a_seed_gives_the_same_faults_and_all_kinds_occur():
     assert plan_faults(7, 60, REPLICAS, ENTRIES, 3) == plan_faults(7, 60, REPLICAS, ENTRIES, 3)
     kinds = {
