--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -23,7 +23,7 @@
 from http.client import HTTPConnection, HTTPException
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
-from typing import Any, Final
+from typing import Any, ClassVar, Final
 
 from millfork_core.sockets import RESET_ON_CLOSE
 from millfork_platform import client_requests
@@ -67,6 +67,20 @@
     LAST_CHUNK = 'last_chunk'
 
 
+@dataclass(frozen=True, slots=True)
+class RawAnswer:
+    """
+    The bytes of an answer, in which REQUEST_ID stands for the id of the request, and whether the
+    back end closes the connection afterwards.
+
+    """
+
+    REQUEST_ID: ClassVar[bytes] = b'@id'
+
+    data: bytes
+    closes: bool = False
+
+
 @dataclass(slots=True)
 class Reply:
     """
@@ -163,6 +177,12 @@
         if self.server.drops_requests:
             self._break_off(b'')
             return
+        raw_answer = self.server.fleet.take_raw_answer()
+        if raw_answer is not None:
+            self.close_connection = raw_answer.closes
+            request_id = self.headers[client_requests.REQUEST_ID].encode()
+            self.wfile.write(raw_answer.data.replace(RawAnswer.REQUEST_ID, request_id))
+            return
         self.server.release.wait(WAIT_TIMEOUT_S)
         self.server.reach_event(0)
         resumed = client_requests.LAST_EVENT_ID in self.headers
@@ -485,6 +505,9 @@
         # How the end of an answer shows: streams are sent in chunks, other answers with a length,
         # unless this is CONNECTION.
         self.framing = Framing.CHUNKED
+        # If set, every second request is answered with these bytes.
+        self.raw_answer: RawAnswer | None = None
+        self.raw_answer_turns = itertools.count()
         # The content type of all answers, which then are no streams; none if empty.
         self.content_type = ''
         # The next bodies that are neither streams nor large; `answer` once there is none.
@@ -585,6 +608,13 @@
         """
         return self.break_kind if self.take_break(event) else None
 
+    def take_raw_answer(self) -> RawAnswer | None:
+        """
+        Return `raw_answer` for every second request, else None.
+
+        """
+        return self.raw_answer if next(self.raw_answer_turns) % 2 else None
+
     def take_answer(self) -> bytes:
         """
         Return the next body that is neither a stream nor large.
