An endpoint keeps only JSON documents to look whether they end early

An answer without length or chunks of any type was collected whole at the endpoint, without a limit, to see whether it is a JSON document that ends early. Now only documents of that type are, up to the size that entries hold. Found on reading the change; no caller saw it.

--- a/packages/millfork-web/millfork_web/json_bodies.py
+++ b/packages/millfork-web/millfork_web/json_bodies.py
@@ -12,14 +12,16 @@
 TRUNCATED_MESSAGE: Final = 'truncated'
 
 
-def is_truncated_json(content_type: str, body: bytes) -> bool:
+def is_json(content_type: str) -> bool:
+    return content_type.partition(';')[0].strip().lower() == JSON_TYPE
+
+
+def is_truncated_json(body: bytes | bytearray) -> bool:
     """
-    Whether `body` is the beginning of a JSON document. Bodies of other types, and documents that
-    are invalid for another reason, are not.
+    Whether `body` is the beginning of a JSON document. Documents that are invalid for another
+    reason are not.
 
     """
-    if content_type.partition(';')[0].strip().lower() != JSON_TYPE:
-        return False
     try:
         msgspec.json.decode(body)
     except msgspec.DecodeError as error:
--- a/packages/millforkd/millforkd/endpoint/answer_parts.py
+++ b/packages/millforkd/millforkd/endpoint/answer_parts.py
@@ -12,12 +12,12 @@
 from millfork_web.client import ExchangeFailed, Reply
 from millfork_web.event_stream import EventSplitter, InvalidEventStream, is_event_stream
 from millfork_web.framing import Framing
-from millfork_web.json_bodies import is_truncated_json
+from millfork_web.json_bodies import is_json, is_truncated_json
 
 # The last event of the stream of a completion, as the API for completions defines it.
 LAST_ENGINE_EVENT: Final = b'data: [DONE]'
 # The limit of the answers that an entry holds for its callers.
-MAX_EVENT_BYTES: Final = 16 * 1024 * 1024
+MAX_HELD_BYTES: Final = 16 * 1024 * 1024
 
 
 async def answer_parts(reply: Reply, is_engine: bool, coalesce_s: float) -> AsyncIterator[bytes]:
@@ -32,7 +32,7 @@
         async for data in _body_parts(reply):
             yield data
         return
-    splitter = EventSplitter(MAX_EVENT_BYTES)
+    splitter = EventSplitter(MAX_HELD_BYTES)
     last_events = b''
     async for data in reply.parts():
         try:
@@ -54,13 +54,16 @@
 
 
 async def _body_parts(reply: Reply) -> AsyncIterator[bytes]:
-    body = bytearray()
     may_be_cut = reply.framing is Framing.CONNECTION and reply.status < 300
+    document = bytearray()
+    is_document = may_be_cut and is_json(reply.header('content-type'))
     async for data in reply.parts():
         yield data
-        if may_be_cut:
-            body += data
-    if may_be_cut and is_truncated_json(reply.header('content-type'), bytes(body)):
+        if is_document:
+            document += data
+        # Entries refuse larger answers that are no streams.
+        is_document = is_document and len(document) <= MAX_HELD_BYTES
+    if is_document and is_truncated_json(document):
         raise ExchangeFailed(Verdict.MAY_HAVE_RUN, 'the connection closed inside a JSON document')
 
 
--- a/packages/millforkd/millforkd/proxy/response_relay.py
+++ b/packages/millforkd/millforkd/proxy/response_relay.py
@@ -11,7 +11,7 @@
 from millfork_scheduling.server_table import ServerTable
 from millfork_web.event_stream import EventSplitter, InvalidEventStream
 from millfork_web.framing import Framing
-from millfork_web.json_bodies import is_truncated_json
+from millfork_web.json_bodies import is_json, is_truncated_json
 from millfork_web.models import Response, find_header, without_header
 from millforkd.proxy.attempts import Attempt
 from millforkd.proxy.connections import SendFailed, ServerConnection
@@ -76,10 +76,8 @@
             if len(body) > MAX_BUFFERED_BYTES:
                 await self._respond_large(job, attempt, connection, bytes(body))
                 return
-        if connection.framing is Framing.CONNECTION and connection.status < 300:
-            content_type = find_header(connection.headers, 'content-type')
-            if is_truncated_json(content_type, bytes(body)):
-                raise connection.broken_off('the connection closed inside a JSON document')
+        if _may_be_cut_json(connection) and is_truncated_json(body):
+            raise connection.broken_off('the connection closed inside a JSON document')
         await self._claim(job, attempt, connection)
         job.answer_started = True
         job.first_byte_at = self.env.monotonic()
@@ -162,6 +160,12 @@
             await job.exchange.write(data)
 
 
+def _may_be_cut_json(connection: ServerConnection) -> bool:
+    if connection.framing is not Framing.CONNECTION or connection.status >= 300:
+        return False
+    return is_json(find_header(connection.headers, 'content-type'))
+
+
 def _is_empty(job: Job, splitter: EventSplitter) -> bool:
     """
     Whether the caller asked for a stream from its beginning and nothing of it has arrived. A stream
