--- a/packages/millfork-standins/millfork_standins/soak/checks.py
+++ b/packages/millfork-standins/millfork_standins/soak/checks.py
@@ -4,7 +4,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -25,6 +25,8 @@
 LOST_SLACK_S: Final = 0.2
 # A request ends shortly before its deadline, so that its answer arrives in time.
 DEADLINE_REACHED_S: Final = DEADLINE_MS / 1000 - 0.2
+# The number of bytes at the end of a wrong answer that its description has.
+LOGGED_BYTES: Final = 24
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +60,10 @@
         if answer.status != 200:
             continue
         if answer.body != answer.expected_body or answer.echoed_id != answer.request_id:
-            violations.append(f'{answer.request_id} got the answer of {answer.echoed_id!r}')
+            violations.append(
+                f'{answer.request_id} got the answer of {answer.echoed_id!r}, '
+                f'{len(answer.body)} bytes that end with {answer.body[-LOGGED_BYTES:]!r}'
+            )
         if answer.request_id not in executed.get(answer.back_end, ()):
             violations.append(f'{answer.request_id} was not run by {answer.back_end!r}')
     return violations
@@ -69,10 +74,12 @@
     executed: dict[str, list[str]],
     faults: list[Period],
     stops: list[Period],
+    broken_ids: Collection[str] = (),
 ) -> list[str]:
     """
     Describe each request that ended without a complete answer or a refusal although no fault
-    occurred from `CONTACT_S` before the request until its end. Planned stops (`stops`), reloads,
+    occurred from `CONTACT_S` before the request until its end, and no back end broke its answer off
+    (`broken_ids`). Planned stops (`stops`), reloads,
     changes of the configuration and pauses of back ends are no faults.
 
     """
@@ -82,6 +89,8 @@
         timeline = answer.timeline
         if timeline is None or answer.status in FAULTLESS_STATUSES:
             continue
+        if answer.request_id in broken_ids:
+            continue
         if any(
             fault.began_at <= timeline.ended_at
             and timeline.started_at - CONTACT_S <= fault.ended_at
