The log line of a version's cutoff tells what the cutoff was computed from

`Version named` and `Version end corrected` gave `due_s` alone. After all replicas had restarted, a cutoff that is early because nothing tells when the version was set looked the same as a true one, and a late one looked like one that the leader knew. The lines have `basis` now: `answer` (another process told it), `own` (this process's knowledge of when the version was set) or `unknown`.

No change of behaviour. Tests of versions, operations and docs pass.

--- a/packages/millforkd/millforkd/versions.py
+++ b/packages/millforkd/millforkd/versions.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+from enum import Enum
 from typing import Final
 
 from millfork_core.environment import Environment
@@ -27,10 +28,24 @@
 # Corrections of a cutoff by less than this time aren't logged: cutoffs computed from the answers
 # of peers differ by the delay of each answer.
 MIN_LOGGED_CHANGE_S: Final = 0.1
+# The time of a version about which nothing tells when it was set. Its cutoff counts as passed.
+LONG_AGO: Final = float('-inf')
 
 log = logger(Component.PROXY)
 
 
+class CutoffBasis(Enum):
+    """
+    What a cutoff was computed from: another process's answer, or this process's own knowledge of
+    when the version was set. UNKNOWN: nothing tells when the version was set.
+
+    """
+
+    ANSWER = 'answer'
+    OWN = 'own'
+    UNKNOWN = 'unknown'
+
+
 def always_leads() -> bool:
     """
     The default for `leads` of a `VersionTracker`: the process computes all cutoffs itself.
@@ -95,8 +110,7 @@
         self.arrived_at = arrived_at
         # Whether the view has ever been up to date.
         self.was_current = False
-        # By model and version: when the version was set, as far as this process knows. Versions
-        # found before the view was up to date may be old, so their time is minus infinity.
+        # By model and version: when the version was set, as far as this process knows.
         self.learned: dict[str, dict[int, float]] = {}
         # By model and version: the cutoff that was logged last.
         self.logged_cutoffs: dict[tuple[str, int], float] = {}
@@ -118,14 +132,14 @@
 
     def _set_at(self, key: str, version: int, now: float) -> float:
         """
-        Return when a version was set, as far as this process can tell: minus infinity if the view
+        Return when a version was set, as far as this process can tell: `LONG_AGO` if the view
         hasn't been up to date yet, else when the log entry that set the version arrived here, or
         `now` if that isn't known. A log entry arrives before its commit, so the result may be
         early by at most the time that the commit takes.
 
         """
         if not self.was_current:
-            return float('-inf')
+            return LONG_AGO
         arrived_at = self.arrived_at(key, version)
         return now if arrived_at is None else arrived_at
 
@@ -139,13 +153,19 @@
                 continue
             self.logged_cutoffs[(model, version)] = cutoff
             log.info(
-                'Version {}. model={} version={} due_s={:.1f}',
+                'Version {}. model={} version={} due_s={:.1f} basis={}',
                 'named' if logged is None else 'end corrected',
                 model,
                 version,
                 max(cutoff - now, 0) - LAST_SEND_BEFORE_END_S,
+                self._basis(model, version, cutoff).value,
             )
 
+    def _basis(self, model: str, version: int, cutoff: float) -> CutoffBasis:
+        if cutoff == self.cutoffs.cutoff_of(model, version):
+            return CutoffBasis.ANSWER
+        return CutoffBasis.UNKNOWN if cutoff == LONG_AGO else CutoffBasis.OWN
+
     def _cutoff_times(self, model: str) -> dict[int, float]:
         """
         Return the cutoff of each version of a model, oldest version first: the time (monotonic
@@ -154,7 +174,7 @@
         """
         learned = self.learned.get(model, {})
         return {
-            version: self._cutoff_time(model, version, learned.get(version, float('-inf')))
+            version: self._cutoff_time(model, version, learned.get(version, LONG_AGO))
             for version in sorted({*learned, *self.cutoffs.known_versions(model)})
         }
 
