No version ends later because all replicas were away

What callers saw: a version was acknowledged and all replicas were killed or lost power for 3 s. Requests could begin on the older version until 10.7 s to 11.4 s after the acknowledgement, where 8 s are allowed.

Cause: a replica recorded the log entries that it found in its files, and did not know to be committed, as having arrived when the process started. Its cutoffs counted from then, so they were late by as long as the replica had been down. Log entries known to be committed counted as set long ago instead, so with the commit mark, which is not synced, the same situation ended the older version at once: the leader told all followers that the cutoff had passed.

The leader tells followers no cutoff of such a version, as those that ran on know better: a replica was up to date at a revision without the version when they last asked, so the version was acknowledged later, and the cutoff is no earlier than that time plus `version_ms`. The time counts from the question less the age in the answer, so a process that was paused takes it for earlier. This replaces the 2 s for which a follower used older versions when it knew no cutoff, which could be late (a version learned by way of another follower) and was 5 s too short while no replica could be asked. Once all cutoffs have passed, the leader says so; followers ask at each check for 2 s only, as nobody can answer after a restart of the whole fleet.

Ruled out: a clock reading stored with the log entry and the boot id. Counting as set long ago alone: in time, but all followers end the older version as soon as the replicas are back.

The 2 s in tests/test_version_cutoffs.py are a constant of that test now; its assertions are unchanged.

--- a/packages/millfork-registry/millfork_registry/feed_client.py
+++ b/packages/millfork-registry/millfork_registry/feed_client.py
@@ -18,6 +18,7 @@
 from millfork_registry.discovery import Discovery
 from millfork_registry.records import decode_leases, decode_states
 from millfork_registry.registry import Registry
+from millfork_registry.revision_times import RevisionTimes
 from millfork_registry.suspicion_store import decode_suspicions
 from millfork_registry.version_cutoffs import VersionCutoffs
 from millfork_state.commands import decode_versioned
@@ -47,6 +48,10 @@
 # How often the followed replica is asked for the replicas it knows and for the cutoffs of model
 # versions (the times from which no request may begin on an older version).
 REPLICA_QUERY_PERIOD_S: Final = 2.0
+# A follower that lacks a cutoff asks for it at each check for this long, then only every
+# `REPLICA_QUERY_PERIOD_S`. After a restart of the whole fleet no replica knows the cutoff, and all
+# followers lack it.
+CUTOFF_QUERY_S: Final = 2.0
 # A follower of a replica in another zone checks this often for a replica in its own zone.
 NEARER_CHECK_PERIOD_S: Final = 3.0
 # A replica's configuration is stale if the replica was last known to have applied all committed
@@ -96,8 +101,11 @@
         self.relay = ''
         self.pending_relay = ''
         self.version_cutoffs = VersionCutoffs()
+        self.revision_times = RevisionTimes()
         # When the followed replica was last asked for the replicas it knows (monotonic seconds).
         self.replicas_asked_at = 0.0
+        # Since when a cutoff has been lacking (monotonic seconds); None if none is.
+        self.lacks_cutoff_since: float | None = None
         # Set when leases or endpoint states arrive, and when the configuration or a version cutoff
         # changes.
         self.changed = curio.Event()
@@ -161,13 +169,14 @@
 
     async def _ask(self, address: PeerAddress) -> Replicas | None:
         """
-        Ask a replica for the replicas it knows and for the cutoffs of model versions, and
-        record both. Returns None if there is no answer.
+        Ask a replica for the replicas it knows, for the cutoffs of model versions and for the
+        revision of its configuration, and record all of them. Returns None if there is no answer.
 
         """
         asked_at = self.env.monotonic()
         reply = await self.discovery.ask(address, FindReplicas())
         if reply is not None:
+            self.revision_times.record_answer(asked_at, reply)
             await self.record_switches(asked_at, reply.switches)
         return reply
 
@@ -193,6 +202,18 @@
             for key, value in self.view.values_with_prefix(VERSION_PREFIX).items()
         )
 
+    def seeks_cutoff(self, now: float) -> bool:
+        """
+        Whether a cutoff is lacking, and has been for no longer than `CUTOFF_QUERY_S`.
+
+        """
+        if not self._lacks_a_cutoff():
+            self.lacks_cutoff_since = None
+            return False
+        if self.lacks_cutoff_since is None:
+            self.lacks_cutoff_since = now
+        return now - self.lacks_cutoff_since <= CUTOFF_QUERY_S
+
     async def _fresher_replica_exists(self, address: PeerAddress, age_ms: int) -> bool:
         """
         Whether another replica answers that its configuration is younger than `age_ms` and not
@@ -226,7 +247,7 @@
                 reason = 'silent'
                 await connection.close()
                 break
-            if now - self.replicas_asked_at > REPLICA_QUERY_PERIOD_S or self._lacks_a_cutoff():
+            if now - self.replicas_asked_at > REPLICA_QUERY_PERIOD_S or self.seeks_cutoff(now):
                 self.replicas_asked_at = now
                 await self._ask(address)
             if now - nearer_checked_at > NEARER_CHECK_PERIOD_S:
--- a/packages/millfork-state/millfork_state/arrival_times.py
+++ b/packages/millfork-state/millfork_state/arrival_times.py
@@ -6,6 +6,9 @@
 is closer to the acknowledgement: before it, or after it by no more than the time that messages
 take.
 
+For log entries found in the files at the start, the time is unknown, as nothing tells for how long
+the replica was down. The same holds for log entries of which only a snapshot arrived.
+
 """
 
 from collections.abc import Callable
@@ -50,11 +53,11 @@
             key: arrival for key, arrival in self.arrivals.items() if arrival[0] < index
         }
 
-    def find(self, key: str, version: int) -> float | None:
+    def find(self, key: str, version: int) -> float:
         """
-        The arrival time (monotonic seconds) of the log entry that sets a key to a version, or None
-        if the time isn't known.
+        The arrival time (monotonic seconds) of the log entry that sets a key to a version; minus
+        infinity if the time isn't known.
 
         """
         arrival = self.arrivals.get((key, version))
-        return arrival[1] if arrival is not None else None
+        return arrival[1] if arrival is not None else float('-inf')
--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -149,9 +149,6 @@
             self.env.metrics.count(self.env.metrics.state, event='torn_tail')
         self._update_members()
         known_committed = max(self.commit, self.storage.commit_hint)
-        for entry in self.storage.entries:
-            if entry.index > known_committed:
-                self.arrival_times.record(entry.index, decode_command(entry.payload))
         await self.advance_commit(known_committed)
         log.info(
             'Recovered revision {} at log index {}.', self.view.revision, self.storage.last_index
--- a/packages/millfork-wire/millfork_wire/messages/feed.py
+++ b/packages/millfork-wire/millfork_wire/messages/feed.py
@@ -54,6 +54,9 @@
     zone: str = ''
     # The version switches that the replica knows of.
     switches: list[VersionSwitch] = field(default_factory=list)
+    # The revision of the replica's configuration, whose age is `age_ms`; 0 if the sender doesn't
+    # tell.
+    revision: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -123,7 +123,7 @@
 
 struct FindReplicas { instance @0 :Text; cluster @1 :Text; entries @2 :UInt32; }
 struct Replicas { cluster @0 :Text; leader @1 :Text; known @2 :List(Text); ageMs @3 :UInt32; entries @4 :UInt32; caches @5 :List(CacheAddress); zone @6 :Text;
-  switches @7 :List(VersionSwitch);
+  switches @7 :List(VersionSwitch); revision @8 :UInt64;
 }
 struct CacheAddress { instance @0 :Text; zone @1 :Text; }
 struct Follow { role @0 :Text; cluster @1 :Text; revision @2 :UInt64; }
--- a/packages/millforkd/millforkd/replica/replica_links.py
+++ b/packages/millforkd/millforkd/replica/replica_links.py
@@ -237,6 +237,7 @@
             advertised_caches(caches, None if message.instance else zone),
             str(self.env.zone),
             self.list_switches(),
+            int(self.replica.view.revision),
         )
 
     async def on_leases(self, peer: InstanceId, message: Leases) -> None:
--- a/packages/millforkd/millforkd/seeded.py
+++ b/packages/millforkd/millforkd/seeded.py
@@ -17,7 +17,7 @@
 from millfork_state.view import View
 from millfork_wire.connection import Handler
 from millfork_wire.peers import Peers
-from millforkd.versions import UNKNOWN_CUTOFF_MS, VersionTracker, never_leads
+from millforkd.versions import VersionTracker, never_leads
 
 # The key of a fleet that has no key file. As this key is public, the handshake then only shows
 # that a peer is a millforkd, and the network between the instances must be private.
@@ -84,9 +84,10 @@
         view,
         settings.promises.version_ms,
         feed_client.version_cutoffs,
-        unknown_cutoff_ms=UNKNOWN_CUTOFF_MS,
+        unknown_cutoff_ms=settings.promises.version_ms,
         leads=never_leads,
         is_current=lambda: feed_client.connected,
+        up_to_date_at=feed_client.revision_times.up_to_date_at,
     )
     feed_relay.list_switches = versions.switches
     return Feed(peers, discovery, view, registry, feed_client, feed_relay, versions)
--- a/packages/millforkd/millforkd/versions.py
+++ b/packages/millforkd/millforkd/versions.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from millfork_core.environment import Environment
+from millfork_core.ids import ClusterId, Revision
 from millfork_core.logs import Component, logger
 from millfork_registry.version_cutoffs import MS_PER_S, VersionCutoffs
 from millfork_state.commands import decode_versioned
@@ -22,9 +23,6 @@
 
 # A request that has not begun on an old version is cancelled this long before the cutoff.
 CANCEL_MARGIN_S: Final = 0.15
-# How long, in ms, a process that has learned of a new version, but not of its cutoff, goes on using
-# older versions. Peers answer the query for the cutoff within 0.8 s, over a slow link within 1.5 s.
-UNKNOWN_CUTOFF_MS: Final = 2000
 # Corrections of a cutoff by less than this time aren't logged: cutoffs computed from the answers
 # of peers differ by the delay of each answer.
 MIN_LOGGED_CHANGE_S: Final = 0.1
@@ -78,10 +76,20 @@
     return None
 
 
+def always_up_to_date(cluster: ClusterId, revision: Revision) -> float | None:
+    """
+    The default for `up_to_date_at` of a `VersionTracker`: the process learns of changes at once.
+
+    """
+    return None
+
+
 class VersionTracker:
     """
     The versions set for each model, and the cutoffs from which requests may no longer begin on
-    older versions. `switch_ms` is the time from when a version is set to its cutoff.
+    older versions. `switch_ms` is the time from when a version is set to its cutoff. A process that
+    doesn't lead and has no answer about a cutoff uses the cutoff `unknown_cutoff_ms` after the time
+    when the version was set, as far as it knows.
 
     """
 
@@ -91,10 +99,11 @@
         view: View,
         switch_ms: float,
         cutoffs: VersionCutoffs | None = None,
-        unknown_cutoff_ms: int = 0,
+        unknown_cutoff_ms: float = 0,
         leads: Callable[[], bool] = always_leads,
         is_current: Callable[[], bool] = always_current,
         arrived_at: Callable[[str, int], float | None] = no_arrival_time,
+        up_to_date_at: Callable[[ClusterId, Revision], float | None] = always_up_to_date,
     ) -> None:
         self.env = env
         self.view = view
@@ -106,12 +115,21 @@
         self.leads = leads
         # Whether the view is up to date, as far as this process knows.
         self.is_current = is_current
-        # Returns when the log entry that set a version arrived at this process; None if unknown.
+        # Returns when the log entry that set a version arrived at this process, `LONG_AGO` if that
+        # isn't known, and None if the process has no log.
         self.arrived_at = arrived_at
+        # Returns the latest time at which no revision later than the given one had been
+        # acknowledged, as far as this process knows; `LONG_AGO` if it knows none.
+        self.up_to_date_at = up_to_date_at
+        # The position of the view at the last refresh.
+        self.position = view.position
         # Whether the view has ever been up to date.
         self.was_current = False
-        # By model and version: when the version was set, as far as this process knows.
+        # By model and version: when the version was set, as far as this process knows. The time may
+        # be too early but not too late.
         self.learned: dict[str, dict[int, float]] = {}
+        # By model and version: when this process found the version in the view.
+        self.found_at: dict[tuple[str, int], float] = {}
         # By model and version: the cutoff that was logged last.
         self.logged_cutoffs: dict[tuple[str, int], float] = {}
 
@@ -127,21 +145,27 @@
             learned = self.learned.setdefault(model, {})
             if version not in learned:
                 learned[version] = self._set_at(key, version, now)
+                self.found_at[(model, version)] = now
             self._log_cutoffs(model)
+        self.position = self.view.position
         self.was_current = self.was_current or self.is_current()
 
     def _set_at(self, key: str, version: int, now: float) -> float:
         """
         Return when a version was set, as far as this process can tell: `LONG_AGO` if the view
-        hasn't been up to date yet, else when the log entry that set the version arrived here, or
-        `now` if that isn't known. A log entry arrives before its commit, so the result may be
-        early by at most the time that the commit takes.
+        hasn't been up to date yet, else when the log entry that set the version arrived here. A log
+        entry arrives before its commit, so the result may be early by at most the time that the
+        commit takes. In a process without a log, the result is the last time at which no revision
+        after the one at the last refresh had been acknowledged.
 
         """
         if not self.was_current:
             return LONG_AGO
         arrived_at = self.arrived_at(key, version)
-        return now if arrived_at is None else arrived_at
+        if arrived_at is not None:
+            return arrived_at
+        up_to_date_at = self.up_to_date_at(*self.position)
+        return now if up_to_date_at is None else up_to_date_at
 
     def _log_cutoffs(self, model: str) -> None:
         now = self.env.monotonic()
@@ -189,7 +213,8 @@
         """
         Return, for processes that ask, the versions with a known cutoff that is still to come. A
         model's newest version is included even after its known cutoff, as a process that lost
-        contact may not know this version.
+        contact may not know this version. A version that may have been set recently is left out:
+        a follower that was up to date before it was set knows its cutoff better.
 
         """
         now = self.env.monotonic()
@@ -201,6 +226,8 @@
                     continue
                 if cutoff <= now and version != newest:
                     continue
+                if cutoff == LONG_AGO and now < self.found_at[(model, version)] + self.switch_s:
+                    continue
                 switches.append(VersionSwitch(model, version, int(max(cutoff - now, 0) * MS_PER_S)))
         return switches
 
--- a/tests/test_version_cutoffs.py
+++ b/tests/test_version_cutoffs.py
@@ -9,14 +9,19 @@
 from hypothesis import strategies as st
 
 from millfork_core.environment import Environment
-from millfork_core.ids import InstanceId, ZoneId
+from millfork_core.ids import ClusterId, InstanceId, ZoneId
+from millfork_registry.revision_times import RevisionTimes
 from millfork_registry.version_cutoffs import VersionCutoffs
+from millfork_state.replica import MAX_AGE_MS
 from millfork_state.view import View
-from millfork_wire.messages import VersionSwitch
-from millforkd.versions import CANCEL_MARGIN_S, UNKNOWN_CUTOFF_MS, VersionTracker, never_leads
+from millfork_wire.messages import Replicas, VersionSwitch
+from millforkd.versions import CANCEL_MARGIN_S, VersionTracker, never_leads
 from tests.test_servers import Clock
 from tests.test_versions import SWITCH_MS, SWITCH_S, set_version
 
+# How long a follower that has no answer goes on using older versions.
+UNKNOWN_CUTOFF_MS = 2000
+
 
 def switches_with(left_s, version=2):
     return [VersionSwitch('m', version, int(left_s * 1000))]
@@ -86,6 +91,60 @@
     assert follower.ends_at('m', 1) == pytest.approx(learned_at + SWITCH_S - 0.5 - CANCEL_MARGIN_S)
 
 
+def follower_with_answers(clock, view, cutoffs, revision_times):
+    env = Environment(InstanceId('a:1'), ZoneId('zone'), monotonic=clock)
+    view.cluster = ClusterId('c')
+    tracker = VersionTracker(
+        env,
+        view,
+        SWITCH_MS,
+        cutoffs,
+        SWITCH_MS,
+        never_leads,
+        up_to_date_at=revision_times.up_to_date_at,
+    )
+    tracker.refresh()
+    return tracker
+
+
+def test_without_a_cutoff_a_follower_counts_from_the_last_answer_before_the_version(
+    view, cutoffs, clock
+):
+    times = RevisionTimes()
+    follower = follower_with_answers(clock, view, cutoffs, times)
+    set_version(view, follower, 2)
+    answered_at = clock.now
+    times.record_answer(answered_at, Replicas('c', revision=view.revision))
+    clock.now += 3.0
+    # All replicas have restarted, and don't know whether they are up to date.
+    unknown_age = Replicas('c', age_ms=MAX_AGE_MS, revision=view.revision + 1)
+    times.record_answer(clock.now, unknown_age)
+    set_version(view, follower, 3)
+    assert follower.ends_at('m', 2) == pytest.approx(answered_at + SWITCH_S - CANCEL_MARGIN_S)
+    cutoffs.record_answer(clock.now, switches_with(SWITCH_S - 2.5, version=3))
+    assert follower.ends_at('m', 2) == pytest.approx(clock.now + SWITCH_S - 2.5 - CANCEL_MARGIN_S)
+
+
+def test_a_follower_that_missed_a_version_counts_from_before_that_version(view, cutoffs, clock):
+    times = RevisionTimes()
+    follower = follower_with_answers(clock, view, cutoffs, times)
+    set_version(view, follower, 2)
+    answered_at = clock.now
+    times.record_answer(clock.now, Replicas('c', revision=view.revision))
+    clock.now += 2.0
+    # Version 3 is set, and a replica answers, but its feed doesn't reach this follower.
+    times.record_answer(clock.now, Replicas('c', revision=view.revision + 1))
+    view.revision += 1
+    set_version(view, follower, 4)
+    assert follower.ends_at('m', 2) == pytest.approx(answered_at + SWITCH_S - CANCEL_MARGIN_S)
+
+
+def test_a_follower_that_no_replica_has_answered_ends_older_versions_at_once(view, cutoffs, clock):
+    follower = follower_with_answers(clock, view, cutoffs, RevisionTimes())
+    set_version(view, follower, 2)
+    assert follower.oldest_usable('m') == 2
+
+
 def test_a_version_named_before_the_follower_started_is_due_without_an_answer(view, cutoffs, clock):
     env = Environment(InstanceId('a:1'), ZoneId('zone'), monotonic=clock)
     follower = VersionTracker(env, view, SWITCH_MS, cutoffs, UNKNOWN_CUTOFF_MS, never_leads)
