A log entry that was committed before it arrived counts from before its commit

What callers could see: a version is set while one replica is cut off. That replica receives the log entry as it returns, and the leader is lost before the replica has asked it for the cutoff (it asks twice a second). If it becomes the leader, requests may begin on the older version for as much longer as it was cut off.

Cause, the same as that of the late end after a loss of power: the time counted from when this process read the log entry, not from when the version was set. Found by looking for that cause elsewhere; brought about with a replica and a clock of the test, not on real daemons.

Why this works: the leader says up to which log entry it has committed. What arrives after its own commit was set after this replica had last applied all committed entries, so it counts from then.

--- a/packages/millfork-state/millfork_state/arrival_times.py
+++ b/packages/millfork-state/millfork_state/arrival_times.py
@@ -7,7 +7,9 @@
 take.
 
 For log entries found in the files at the start, the time is unknown, as nothing tells for how long
-the replica was down. The same holds for log entries of which only a snapshot arrived.
+the replica was down. The same holds for log entries of which only a snapshot arrived. A log entry
+that was committed before it arrived may have been acknowledged long before; it counts as arrived
+when the replica had last applied all committed log entries.
 
 """
 
@@ -32,17 +34,19 @@
         self.monotonic = monotonic
         self.arrivals: dict[tuple[str, int], tuple[int, float]] = {}
 
-    def record(self, index: int, command: AnyCommand) -> None:
+    def record(self, index: int, command: AnyCommand, arrived_at: float | None = None) -> None:
         """
-        Record that the log entry at `index` arrived now. Commands other than `Raise` are ignored,
-        and only the first log entry for a key and version counts.
+        Record that the log entry at `index` arrived at `arrived_at` (monotonic seconds; None: now).
+        Commands other than `Raise` are ignored, and only the first log entry for a key and version
+        counts.
 
         """
         if not isinstance(command, Raise):
             return
         if len(self.arrivals) >= MAX_ARRIVAL_TIMES:
             del self.arrivals[next(iter(self.arrivals))]
-        self.arrivals.setdefault((command.key, command.version), (index, self.monotonic()))
+        at = self.monotonic() if arrived_at is None else arrived_at
+        self.arrivals.setdefault((command.key, command.version), (index, at))
 
     def discard_from(self, index: int) -> None:
         """
--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -162,9 +162,10 @@
         self.members = self._members_at(self.storage.last_index)
         self.env.metrics.voter.set({}, int(self.is_voter))
 
-    async def write(self, entries: list[LogEntry]) -> None:
+    async def write(self, entries: list[LogEntry], committed: int = 0) -> None:
         """
         Write entries to the log (not yet durably), record their arrival and update the membership.
+        Entries up to the index `committed` were committed before they arrived.
 
         """
         replaces_tail = bool(entries) and entries[0].index <= self.storage.last_index
@@ -174,7 +175,8 @@
         changes_members = False
         for entry in entries:
             command = decode_command(entry.payload)
-            self.arrival_times.record(entry.index, command)
+            arrived_at = self.caught_up_at if entry.index <= committed else None
+            self.arrival_times.record(entry.index, command, arrived_at)
             changes_members = changes_members or isinstance(command, SetMembers)
         if replaces_tail or changes_members:
             self._update_members()
@@ -353,7 +355,7 @@
             if prev_term != request.prev_term:
                 index = min(request.prev_index - 1, self.storage.last_index)
                 return AppendReply(self.term, False, max(index, self.commit), self.storage.disk)
-            await self._write_new_entries(request.entries)
+            await self._write_new_entries(request.entries, request.commit)
             match_index = request.prev_index + len(request.entries)
             # Entries may be in the log without being durable, if an earlier sync was cancelled.
             if self.storage.durable_index < match_index:
@@ -363,13 +365,14 @@
                 self.caught_up_at = self.env.monotonic()
             return AppendReply(self.term, True, match_index, self.storage.disk)
 
-    async def _write_new_entries(self, entries: list[Entry]) -> None:
+    async def _write_new_entries(self, entries: list[Entry], committed: int) -> None:
         new = [item for item in entries if self.storage.term_at(item.index) != item.term]
         new = [item for item in new if item.index > self.storage.snapshot_index]
         if new:
             first = new[0].index
             tail = [item for item in entries if item.index >= first]
-            await self.write([LogEntry(item.term, item.index, item.payload) for item in tail])
+            log_entries = [LogEntry(item.term, item.index, item.payload) for item in tail]
+            await self.write(log_entries, committed)
 
     async def on_install(self, request: InstallRequest) -> AppendReply:
         """
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -5,7 +5,7 @@
 
 from typing import Final
 
-from tests.mutation import C, D, Edit, G, Mutation, R, W
+from tests.mutation import C, D, Edit, G, Mutation, R, S, W
 
 SEEDED_FLEETS: Final = (
     Mutation(
@@ -118,6 +118,18 @@
             ),
         ),
     ),
+    Mutation(
+        'a log entry committed before it arrived counts from before its commit',
+        'tests/test_ends_after_an_election.py::'
+        'test_an_entry_that_was_committed_before_it_arrived_counts_from_before_its_commit',
+        (
+            Edit(
+                S + 'replica.py',
+                'self.caught_up_at if entry.index <= committed else None',
+                'None',
+            ),
+        ),
+    ),
     Mutation(
         'a leader reports no cutoff of a version about which nothing tells when it was set',
         'tests/test_ends_after_an_election.py::'
