Tests: versions that reach a follower late, or while it starts, end older ones in time

Found by looking for the cause of the late ends elsewhere: a follower without a cutoff counted 2 s from when it read of a version. It may read it after the cutoff, by way of another follower, or take it for new as it starts, between choosing a replica and the first message of its feed. Both tests fail if the follower counts 2 s from then (0 where 2 is asked for the oldest version in use), and pass since the last time at which a replica was up to date without the version counts.

--- a/tests/test_version_cutoffs.py
+++ b/tests/test_version_cutoffs.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from millfork_core.environment import Environment
-from millfork_core.ids import ClusterId, InstanceId, ZoneId
+from millfork_core.ids import ClusterId, InstanceId, Revision, ZoneId
 from millfork_registry.revision_times import RevisionTimes
 from millfork_registry.version_cutoffs import VersionCutoffs
 from millfork_state.replica import MAX_AGE_MS
@@ -139,6 +139,31 @@
     assert follower.ends_at('m', 2) == pytest.approx(answered_at + SWITCH_S - CANCEL_MARGIN_S)
 
 
+def test_a_version_that_reaches_a_cut_off_follower_after_its_cutoff_is_due_at_once(
+    view, cutoffs, clock
+):
+    times = RevisionTimes()
+    follower = follower_with_answers(clock, view, cutoffs, times)
+    times.record_answer(clock.now, Replicas('c', revision=1))
+    view.revision = Revision(1)
+    follower.refresh()
+    # No replica answers for a while. The version then comes by way of another follower.
+    clock.now += SWITCH_S + 1.0
+    set_version(view, follower, 2)
+    assert follower.oldest_usable('m') == 2
+
+
+def test_a_version_that_a_replica_had_before_a_follower_started_is_due_at_once(
+    view, cutoffs, clock
+):
+    times = RevisionTimes()
+    # The follower has chosen a replica, but the first message of the feed hasn't arrived yet.
+    follower = follower_with_answers(clock, view, cutoffs, times)
+    times.record_answer(clock.now, Replicas('c', revision=1))
+    set_version(view, follower, 2)
+    assert follower.oldest_usable('m') == 2
+
+
 def test_a_follower_that_no_replica_has_answered_ends_older_versions_at_once(view, cutoffs, clock):
     follower = follower_with_answers(clock, view, cutoffs, RevisionTimes())
     set_version(view, follower, 2)
