The history checker counts a change from its first attempt, also one of unknown outcome

The checker passed over attempts of unknown outcome unless a read showed their value, so it took command e3da7e for one that began with its second attempt. The field `invoked` is documented as the beginning of the first attempt, and is that now. The history itself is a possible one; no daemon is changed.

tests/test_history.py fails without it. It also asks that the same history without the first attempt is still rejected.

--- a/packages/millfork-standins/millfork_standins/history.py
+++ b/packages/millfork-standins/millfork_standins/history.py
@@ -136,6 +136,9 @@
     revisions: dict[str, int] = {}
     for read in history.reads:
         revisions.update(dict(read.items.values()))
+    first_invoked: dict[str, float] = {}
+    for put in history.puts:
+        first_invoked[put.command] = min(put.invoked, first_invoked.get(put.command, put.invoked))
     accepted: dict[str, _Command] = {}
     for put in history.puts:
         revision = put.revision if put.outcome is Outcome.ACCEPTED else 0
@@ -146,10 +149,9 @@
         known_command = accepted.get(put.command)
         if known_command is None:
             accepted[put.command] = _Command(
-                put.key, put.value, put.expect, put.invoked, returned_at, revision
+                put.key, put.value, put.expect, first_invoked[put.command], returned_at, revision
             )
             continue
-        known_command.invoked = min(known_command.invoked, put.invoked)
         known_command.returned = min(known_command.returned, returned_at)
     return sorted(accepted.values(), key=lambda command: command.revision)
 
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -29,6 +29,19 @@
     )
 
 
+def test_a_change_may_take_effect_at_an_attempt_of_unknown_outcome_and_be_resent_later():
+    """
+    The leader is lost after it applied a change and before it answered. Another change of the key
+    follows, so that no read shows the first one, and the resent command gets its revision. Only the
+    accepted attempt used to count, which began after the other change.
+
+    """
+    lost = replace(FIRST_PUT, returned=10.0, outcome=Outcome.UNKNOWN, revision=0)
+    resent = replace(FIRST_PUT, invoked=5.0, returned=6.0)
+    assert find_violations(History([lost, SECOND_PUT, resent], [READ])) == []
+    assert find_violations(History([SECOND_PUT, resent], [READ])) != []
+
+
 @pytest.mark.parametrize(
     ('history', 'expected_text'),
     [
