Tests of broken-off streams wait until the entry's log takes lines

Cause: an entry's log drops lines beyond 150 a second, and the tests before had used that up (181 and 183 lines in the seconds before; the next line of the log has `dropped_before=1`, and the request's line is the one that is missing). The two tests that read the log send requests until one is logged, and then do what they did; what they ask is unchanged.

--- a/tests/test_broken_off_streams.py
+++ b/tests/test_broken_off_streams.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from millfork_platform import client_requests
 from millfork_standins.seeded import (
     LARGE_ANSWER,
     LARGE_PATH,
@@ -93,6 +94,22 @@
     return next(line for line in reversed(lines) if 'Request ended.' in line)
 
 
+def wait_until_lines_are_logged(fleet):
+    """
+    Wait until the entry's log has the line of a request. The log drops lines beyond a rate, which
+    the requests before a test may have used up.
+
+    """
+
+    def is_logged():
+        probe = request(SAFE_PATH)
+        fleet.send_request(probe)
+        request_id = dict(probe.headers)[client_requests.REQUEST_ID]
+        return f'id={request_id} ' in fleet.log(fleet.entry_hosts[0])
+
+    wait_until(is_logged)
+
+
 def executed_count(fleet):
     return sum(len(back_end.executed) for back_end in fleet.back_ends)
 
@@ -103,6 +120,7 @@
 def test_a_stream_that_ends_inside_an_event_is_not_framed_as_complete(
     fleet, framing, break_kind, missing_bytes, connection_type
 ):
+    wait_until_lines_are_logged(fleet)
     break_inside(fleet, MIDDLE_EVENT, framing, break_kind, missing_bytes)
     assert stream_once(fleet, connection_type).status == 0
     assert fleet.breaks_left == 0
@@ -148,6 +166,7 @@
 @pytest.mark.parametrize('tail', [b'', b'\n', b'\r\n\r\n', b': done\n', b': done', b': a\n: b\n'])
 @pytest.mark.parametrize('framing', [Framing.CONNECTION, Framing.CHUNKED])
 def test_a_whole_stream_is_passed_on_as_sent_by_one_back_end(fleet, framing, tail):
+    wait_until_lines_are_logged(fleet)
     fleet.framing = framing
     fleet.stream_tail = tail
     before = executed_count(fleet)
