--- a/packages/millfork-core/millfork_core/clocks.py
+++ b/packages/millfork-core/millfork_core/clocks.py
@@ -4,6 +4,10 @@
 """
 
 import time
+from typing import Final
+
+# The time (monotonic seconds) of an event about which nothing tells when it happened.
+LONG_AGO: Final = float('-inf')
 
 
 def elapsed_s() -> float:
--- a/packages/millfork-registry/millfork_registry/revision_times.py
+++ b/packages/millfork-registry/millfork_registry/revision_times.py
@@ -9,10 +9,11 @@
 
 from typing import Final
 
+from millfork_core.clocks import LONG_AGO
 from millfork_core.ids import ClusterId, Revision
+from millfork_registry.version_cutoffs import MS_PER_S
 from millfork_wire.messages import Replicas
 
-MS_PER_S: Final = 1000
 # The most revisions that are kept, the latest ones. A follower that lacks more revisions than this
 # takes a change for older than it is.
 MAX_REVISIONS: Final = 32
@@ -51,10 +52,10 @@
     def up_to_date_at(self, cluster: ClusterId, revision: Revision) -> float:
         """
         Return the latest known time (monotonic seconds) at which no revision later than `revision`
-        had been acknowledged; minus infinity if there is none.
+        had been acknowledged; `LONG_AGO` if there is none.
 
         """
         if cluster != self.cluster:
-            return float('-inf')
+            return LONG_AGO
         times = [at for known, at in self.times.items() if known <= revision]
-        return max(times, default=float('-inf'))
+        return max(times, default=LONG_AGO)
--- a/packages/millfork-state/millfork_state/arrival_times.py
+++ b/packages/millfork-state/millfork_state/arrival_times.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from millfork_core.clocks import LONG_AGO
 from millfork_state.commands import AnyCommand, Raise
 
 # The most arrival times that are kept; the oldest is dropped first. Model versions and documents
@@ -59,9 +60,9 @@
 
     def find(self, key: str, version: int) -> float:
         """
-        The arrival time (monotonic seconds) of the log entry that sets a key to a version; minus
-        infinity if the time isn't known.
+        The arrival time (monotonic seconds) of the log entry that sets a key to a version;
+        `LONG_AGO` if the time isn't known.
 
         """
         arrival = self.arrivals.get((key, version))
-        return arrival[1] if arrival is not None else float('-inf')
+        return arrival[1] if arrival is not None else LONG_AGO
--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -12,6 +12,7 @@
 
 import curio
 
+from millfork_core.clocks import LONG_AGO
 from millfork_core.environment import Environment
 from millfork_core.ids import NO_INSTANCE, ClusterId, InstanceId
 from millfork_core.logs import Component, logger
@@ -92,7 +93,7 @@
         self.campaign_delay_from = self.leader_contact_at
         # The last time (monotonic seconds) at which this replica had applied all log entries that
         # its leader had committed.
-        self.caught_up_at = float('-inf')
+        self.caught_up_at = LONG_AGO
         self.commit = 0
         self.applied = 0
         self.members: list[tuple[str, str]] = []
--- a/packages/millforkd/millforkd/versions.py
+++ b/packages/millforkd/millforkd/versions.py
@@ -11,6 +11,7 @@
 from enum import Enum
 from typing import Final
 
+from millfork_core.clocks import LONG_AGO
 from millfork_core.environment import Environment
 from millfork_core.ids import ClusterId, Revision
 from millfork_core.logs import Component, logger
@@ -26,8 +27,6 @@
 # Corrections of a cutoff by less than this time aren't logged: cutoffs computed from the answers
 # of peers differ by the delay of each answer.
 MIN_LOGGED_CHANGE_S: Final = 0.1
-# The time of a version about which nothing tells when it was set. Its cutoff counts as passed.
-LONG_AGO: Final = float('-inf')
 
 log = logger(Component.PROXY)
 
@@ -35,7 +34,8 @@
 class CutoffBasis(Enum):
     """
     What a cutoff was computed from: another process's answer, or this process's own knowledge of
-    when the version was set. UNKNOWN: nothing tells when the version was set.
+    when the version was set. UNKNOWN: nothing tells when the version was set, so its cutoff counts
+    as passed.
 
     """
 
