The test of a lease that expires in a pause keeps its short accept queue for the pause

Cause: eight threads open connections at once to the only back end, whose accept queue holds five; a connection that finds it full is tried again by the system after a second, and the entry gives up after 0.4 s. Provoked by a back end that takes 0.1 s to accept: both cases fail, and pass now. The queue is shortened after the start; the tests are unchanged.

--- a/tests/test_pauses_and_leases.py
+++ b/tests/test_pauses_and_leases.py
@@ -27,7 +27,6 @@
 
     """
 
-    request_queue_size = BACKLOG
     misses_heartbeats = False
 
     def heartbeat(self):
@@ -60,6 +59,8 @@
     fleet = FleetOfOne(tmp_path)
     try:
         start_streaming_fleet(fleet, max_attempts=request.param, back_ends=1)
+        # Only now, as the requests of the start open more connections at once than this.
+        fleet.back_ends[0].socket.listen(BACKLOG)
         yield fleet
     finally:
         fleet.close()
