--- a/packages/millforkd/millforkd/sidecar/rollout.py
+++ b/packages/millforkd/millforkd/sidecar/rollout.py
@@ -348,12 +348,14 @@
                 log.info('The engine was silent until the end of its drain.')
                 return False
             if report is not None and not report.running and not report.queued:
+                log.info('The engine has drained. drain_s={:.2f}', self.env.monotonic() - now)
                 return True
             silent_s = self.env.monotonic() - asked_at
             if report is not None and silent_s > SILENT_ENGINE_S:
                 log.info('The engine was silent for {:.1f} s, its requests go on.', silent_s)
                 until = min(until + silent_s, latest)
             await curio.sleep(DRAIN_POLL_S)
+        log.info('The engine has not drained. drain_s={:.2f}', self.env.monotonic() - now)
         return True
 
     async def _start(self, target: Target, held: PieceSet, layers: Layers) -> None:
