A single report without requests ends no drain

Cause: an engine falls silent with nothing running, requests reach it, and then its change is announced. The drain asks for its report; the answer after the pause has the figures from before the requests begin, 'running' 0. The drain ends, and the order that interrupts arrives 45 ms after they have begun.

On an engine of the tests the failing order is certain: the new test fails with one report ('running' 3 at the order) for pauses of 0.1 s and 0.6 s.

Change: a drain ends with two reports in a row that show no requests, 30 ms apart. The second one counts what began after a pause, however long the first one took.

--- a/packages/millforkd/millforkd/sidecar/rollout.py
+++ b/packages/millforkd/millforkd/sidecar/rollout.py
@@ -36,6 +36,9 @@
 DRAIN_S: Final = 0.9
 # Time between two checks whether the requests have finished, in seconds.
 DRAIN_POLL_S: Final = 0.03
+# An engine has drained once this many reports in a row show no requests: one alone may be from
+# before or during a pause, and not count requests that arrived in it and begin at its end.
+EMPTY_REPORTS: Final = 2
 # An engine that took longer than this to answer a request for its report, in seconds, was silent;
 # it usually answers within milliseconds.
 SILENT_ENGINE_S: Final = 0.3
@@ -340,6 +343,7 @@
         ends_at = self._due(target) + LAST_SEND_BEFORE_END_S
         until = max(now + LATE_DRAIN_S, min(now + DRAIN_S, ends_at))
         latest = max(until, min(until + MAX_PAUSE_S, ends_at))
+        empty_reports = 0
         while (asked_at := self.env.monotonic()) < until:
             try:
                 async with curio.timeout_after(latest - asked_at):
@@ -347,9 +351,13 @@
             except curio.TaskTimeout:
                 log.info('The engine was silent until the end of its drain.')
                 return False
-            if report is not None and not report.running and not report.queued:
-                log.info('The engine has drained. drain_s={:.2f}', self.env.monotonic() - now)
-                return True
+            if report is None or report.running or report.queued:
+                empty_reports = 0
+            else:
+                empty_reports += 1
+                if empty_reports == EMPTY_REPORTS:
+                    log.info('The engine has drained. drain_s={:.2f}', self.env.monotonic() - now)
+                    return True
             silent_s = self.env.monotonic() - asked_at
             if report is not None and silent_s > SILENT_ENGINE_S:
                 log.info('The engine was silent for {:.1f} s, its requests go on.', silent_s)
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -549,6 +549,18 @@
             ),
         ),
     ),
+    Mutation(
+        'a single report without requests does not end a drain',
+        'tests/test_pauses_of_engines.py::'
+        'test_requests_that_arrived_in_a_pause_before_the_drain_finish',
+        (
+            Edit(
+                D + 'sidecar/rollout.py',
+                'EMPTY_REPORTS: Final = 2',
+                'EMPTY_REPORTS: Final = 1',
+            ),
+        ),
+    ),
     Mutation(
         'a silent engine is not taken for an empty one',
         'tests/test_pauses_of_engines.py::test_a_silent_engine_is_not_taken_for_an_empty_one',
--- a/tests/test_pauses_of_engines.py
+++ b/tests/test_pauses_of_engines.py
@@ -173,6 +173,35 @@
     curio.run(run)
 
 
+@pytest.mark.parametrize('pause_s', [SILENT_ENGINE_S / 3, 2 * SILENT_ENGINE_S])
+def test_requests_that_arrived_in_a_pause_before_the_drain_finish(pause_s):
+    class PausesBeforeRequestsBegin(FakeEngine):
+        async def report(self):
+            report = await super().report()
+            if under_test.announced_versions and not self.paused:
+                self.paused = True
+                await curio.sleep(pause_s)
+                self.running = 3
+                await curio.spawn(self.finish_requests, daemon=True)
+            return report
+
+        async def finish_requests(self):
+            await curio.sleep(DRAIN_S / 2)
+            self.running = 0
+
+    async def run():
+        task = await under_test.run()
+        await under_test.until(lambda: under_test.engine.orders)
+        assert under_test.engine.paused
+        assert under_test.engine.orders == [(2, 0, LAYERS, True, 0)]
+        await task.cancel()
+
+    engine = PausesBeforeRequestsBegin()
+    engine.paused = False
+    under_test = RolloutUnderTest(turn=0, engine=engine)
+    curio.run(run)
+
+
 def test_an_engine_that_answers_slowly_all_the_time_is_ordered_to_change():
     class AnswersSlowly(FakeEngine):
         async def report(self):
