The log names what a stalled stripe of a transfer waits for

Now a stripe without a new chunk for stall_ms is logged with the source, link or disk that each of its fetches waits for. The new test finds no such line before.

--- a/packages/millfork-weights/millfork_weights/transfer.py
+++ b/packages/millfork-weights/millfork_weights/transfer.py
@@ -43,6 +43,8 @@
 BUSY: Final = 'busy'
 NOT_YET: Final = 'not_yet'
 LOCAL: Final = 'local'
+DISK: Final = 'disk'
+LINK: Final = 'link'
 ORIGIN: Final = 'origin'
 PEER: Final = 'peer'
 
@@ -130,6 +132,8 @@
         self.last_chunk_at: dict[int, float] = {}
         # Stripes that this instance fetches from the origin without being a planned root of them.
         self.origin_fallback_stripes: set[int] = set()
+        # For each chunk that is being fetched, the source, link or disk that the fetch waits for.
+        self.waits: dict[int, str] = {}
 
     async def run(
         self, name: str, version: str, digest: Digest, receivers: list[Receiver]
@@ -147,11 +151,16 @@
         manifest = await self._find_manifest(name, version, digest)
         stored = await self.store.open(digest, manifest)
         self.last_chunk_at = dict.fromkeys(range(len(self.trees)), self.env.monotonic())
-        async with curio.TaskGroup() as group:
-            for stripe, tree in enumerate(self.trees):
-                indexes = iter(range(stripe, len(manifest.chunks), settings.stripes))
-                for _ in range(settings.window):
-                    await group.spawn(self._fetch_stripe, stored, tree, indexes)
+        self.waits.clear()
+        stall_log = await self.env.spawn(self._log_stalls)
+        try:
+            async with curio.TaskGroup() as group:
+                for stripe, tree in enumerate(self.trees):
+                    indexes = iter(range(stripe, len(manifest.chunks), settings.stripes))
+                    for _ in range(settings.window):
+                        await group.spawn(self._fetch_stripe, stored, tree, indexes)
+        finally:
+            await stall_log.cancel()
         # When one task fails, a TaskGroup cancels the others and raises nothing.
         failures = [task.exception for task in group.tasks if task.exception]
         if failures:
@@ -160,6 +169,29 @@
             await stored.complete()
         return stored
 
+    async def _log_stalls(self) -> None:
+        """
+        Log each stripe that has fetches in progress but got no chunk for `stall_s`, and what these
+        fetches wait for.
+
+        """
+        while True:
+            await curio.sleep(self.settings.stall_s)
+            now = self.env.monotonic()
+            for stripe, last_chunk_at in self.last_chunk_at.items():
+                waits = {
+                    index: wait
+                    for index, wait in self.waits.items()
+                    if index % self.settings.stripes == stripe
+                }
+                if waits and now - last_chunk_at > self.settings.stall_s:
+                    log.info(
+                        'Stripe stalled. stripe={} without_chunk_s={:.1f} chunks_and_waits={}',
+                        stripe,
+                        now - last_chunk_at,
+                        waits,
+                    )
+
     # Fetching the manifest.
 
     async def _find_manifest(self, name: str, version: str, digest: Digest) -> Manifest:
@@ -250,6 +282,7 @@
             if await self._copy_from_other_version(stored, index):
                 continue
             await self._fetch_chunk(stored, tree, index)
+            self.waits.pop(index, None)
 
     async def _copy_from_other_version(self, stored: StoredVersion, index: int) -> bool:
         size = stored.manifest.chunk_size(index)
@@ -373,6 +406,7 @@
         request = GetChunk(stored.digest, index, int(stall_s * 1000))
         timeout = 3 * stall_s + 2 * size / self.link.rate
         requests_left = MAX_REQUESTS_PER_SOURCE
+        self.waits[index] = source
         while requests_left and not self._must_become_root(index):
             requests_left -= 1
             try:
@@ -394,6 +428,7 @@
     async def _fetch_from_origin(self, stored: StoredVersion, index: int) -> bool:
         manifest = stored.manifest
         size = manifest.chunk_size(index)
+        self.waits[index] = ORIGIN
         try:
             data = await self.origin.chunk(
                 manifest.name, manifest.version, index * manifest.chunk_bytes, size
@@ -412,11 +447,13 @@
         source: InstanceId | None,
     ) -> bool:
         self.env.metrics.count(self.env.metrics.chunk_bytes, len(data), source=source_kind)
+        self.waits[index] = LINK
         await self.link.inbound.acquire(len(data))
         if not stored.matches_digest(index, data):
             self._count('corrupt', source_kind)
             log.warning('Chunk {} from {} does not match its digest.', index, source or source_kind)
             return False
+        self.waits[index] = DISK
         await stored.put(index, data)
         self.last_chunk_at[index % self.settings.stripes] = self.env.monotonic()
         self._count('taken', source_kind)
--- a/tests/test_transfer_without_root.py
+++ b/tests/test_transfer_without_root.py
@@ -12,6 +12,7 @@
 """
 
 import curio
+import logbook
 
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ZoneId
@@ -133,3 +134,37 @@
     transfer = rootless_transfer(tmp_path, origin, CompletePeers(origin))
     assert transferred_data(transfer) == DATA
     assert transfer.origin_fallback_stripes
+
+
+class SilentOrigin(FakeOrigin):
+    """
+    An origin that answers no request for a chunk until it is released.
+
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.released = curio.Event()
+
+    async def chunk(self, *args):
+        await self.released.wait()
+        return await super().chunk(*args)
+
+
+def test_the_log_names_what_a_stalled_stripe_waits_for(tmp_path):
+    origin = SilentOrigin()
+    transfer = rootless_transfer(tmp_path, origin, WaitingPeers())
+
+    def waits_for_origin(record):
+        return 'Stripe stalled. stripe=1 ' in record.message and "1: 'origin'" in record.message
+
+    async def run():
+        task = await curio.spawn(transfer.run, 'model', 'v1', digest_of(BODY), RECEIVERS)
+        while not any(waits_for_origin(record) for record in records.records):
+            await curio.sleep(STALL_S / 5)
+        await origin.released.set()
+        await task.join()
+
+    with logbook.TestHandler() as records:
+        curio.run(run)
+    assert not transfer.waits
