Read-through: flatter drain and stall checks, one place for the time without a chunk

The count of empty reports needs no nested branches, and the time since a stripe's last chunk was computed in three places of Transfer. Behaviour is unchanged; the tests of rollouts, pauses and transfers pass.

--- a/packages/millfork-weights/millfork_weights/transfer.py
+++ b/packages/millfork-weights/millfork_weights/transfer.py
@@ -177,20 +177,26 @@
         """
         while True:
             await curio.sleep(self.settings.stall_s)
-            now = self.env.monotonic()
-            for stripe, last_chunk_at in self.last_chunk_at.items():
+            for stripe in self.last_chunk_at:
+                without_chunk_s = self._without_chunk_s(stripe)
+                if without_chunk_s <= self.settings.stall_s:
+                    continue
                 waits = {
                     index: wait
                     for index, wait in self.waits.items()
                     if index % self.settings.stripes == stripe
                 }
-                if waits and now - last_chunk_at > self.settings.stall_s:
-                    log.info(
-                        'Stripe stalled. stripe={} without_chunk_s={:.1f} chunks_and_waits={}',
-                        stripe,
-                        now - last_chunk_at,
-                        waits,
-                    )
+                if not waits:
+                    continue
+                log.info(
+                    'Stripe stalled. stripe={} without_chunk_s={:.1f} chunks_and_waits={}',
+                    stripe,
+                    without_chunk_s,
+                    waits,
+                )
+
+    def _without_chunk_s(self, stripe: int) -> float:
+        return self.env.monotonic() - self.last_chunk_at[stripe]
 
     # Fetching the manifest.
 
@@ -334,7 +340,7 @@
         log.warning(
             'No chunk of stripe {} arrived for {:.1f} s; fetching it from the origin.',
             stripe,
-            self.env.monotonic() - self.last_chunk_at[stripe],
+            self._without_chunk_s(stripe),
         )
         self._count('rootless', ORIGIN)
         self.origin_fallback_stripes.add(stripe)
@@ -351,8 +357,8 @@
         if stripe in self.origin_fallback_stripes or self.trees[stripe].is_root(self.env.instance):
             return False
         position = self.trees[stripe].order.index(self.env.instance)
-        without_chunk_s = self.env.monotonic() - self.last_chunk_at[stripe]
-        return without_chunk_s > (ORIGIN_FALLBACK_STALLS + position) * self.settings.stall_s
+        limit_s = (ORIGIN_FALLBACK_STALLS + position) * self.settings.stall_s
+        return self._without_chunk_s(stripe) > limit_s
 
     def _tree_sources(self, tree: Tree) -> list[InstanceId]:
         """
--- a/packages/millforkd/millforkd/sidecar/rollout.py
+++ b/packages/millforkd/millforkd/sidecar/rollout.py
@@ -351,13 +351,11 @@
             except curio.TaskTimeout:
                 log.info('The engine was silent until the end of its drain.')
                 return False
-            if report is None or report.running or report.queued:
-                empty_reports = 0
-            else:
-                empty_reports += 1
-                if empty_reports == EMPTY_REPORTS:
-                    log.info('The engine has drained. drain_s={:.2f}', self.env.monotonic() - now)
-                    return True
+            is_empty = report is not None and not report.running and not report.queued
+            empty_reports = empty_reports + 1 if is_empty else 0
+            if empty_reports == EMPTY_REPORTS:
+                log.info('The engine has drained. drain_s={:.2f}', self.env.monotonic() - now)
+                return True
             silent_s = self.env.monotonic() - asked_at
             if report is not None and silent_s > SILENT_ENGINE_S:
                 log.info('The engine was silent for {:.1f} s, its requests go on.', silent_s)
