Requests are served only in the regions of their route and organisation

A request now requires the regions that both its route and its organisation allow. Every choice of a back end obeys: first attempts, repeats, hedges, resumed streams and both engines of a path. Without an allowed back end the request is refused at once with the reason out_of_region. Regions of zones come from the settings.

--- a/packages/millfork-core/millfork_core/ids.py
+++ b/packages/millfork-core/millfork_core/ids.py
@@ -7,6 +7,7 @@
 
 InstanceId = NewType('InstanceId', str)
 ZoneId = NewType('ZoneId', str)
+RegionId = NewType('RegionId', str)
 OrganisationId = NewType('OrganisationId', str)
 ServiceName = NewType('ServiceName', str)
 RequestId = NewType('RequestId', str)
--- a/packages/millfork-routing/millfork_routing/documents.py
+++ b/packages/millfork-routing/millfork_routing/documents.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import Final
 
-from millfork_core.ids import OrganisationId, ServiceName
+from millfork_core.ids import OrganisationId, RegionId, ServiceName
 
 
 class RouteKind(Enum):
@@ -42,7 +42,8 @@
     streams to the first event), `gap_ms` the longest acceptable pause between events (0: not
     configured), `priority` the rank of requests (0 is served first), `max_attempts` the maximum
     number of back ends tried for one request. A `public` route needs no known API key. Streams
-    of a `resumable` route can be continued after a given event.
+    of a `resumable` route can be continued after a given event. `regions` are the only regions in
+    which requests of the route may be served (empty: any region).
 
     """
 
@@ -58,6 +59,7 @@
     public: bool
     resumable: bool
     gap_ms: int
+    regions: frozenset[RegionId] = frozenset()
 
     @property
     def repeatable(self) -> bool:
@@ -137,13 +139,15 @@
 class Organisation:
     """
     One organisation with its API keys. `priority` is the rank of its requests (0 is served first;
-    None: the priority of the route applies).
+    None: the priority of the route applies). `regions` are the only regions in which its requests
+    may be served (empty: any region).
 
     """
 
     name: OrganisationId
     keys: tuple[str, ...]
     priority: int | None = None
+    regions: frozenset[RegionId] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/millfork-scheduling/millfork_scheduling/placement.py
+++ b/packages/millfork-scheduling/millfork_scheduling/placement.py
@@ -15,7 +15,7 @@
 from random import Random
 from typing import Final
 
-from millfork_core.ids import InstanceId, ServiceName, ZoneId
+from millfork_core.ids import InstanceId, RegionId, ServiceName, ZoneId
 from millfork_routing.documents import EngineSpec
 from millfork_scheduling.paths import Path
 from millfork_scheduling.server import Server
@@ -57,8 +57,8 @@
 @dataclass(frozen=True, slots=True)
 class Requirements:
     """
-    What a request requires of a back end: the service; for engines also the engine spec, the
-    oldest acceptable version, and the newest version that is set in the configuration.
+    What a request requires of a back end: the service and the region; for engines also the engine
+    spec, the oldest acceptable version, and the newest version that is set in the configuration.
 
     """
 
@@ -73,6 +73,8 @@
     # an engine with an older version, and have not begun there, are cancelled. Past times are left
     # out.
     cancel_times: tuple[tuple[int, float], ...] = ()
+    # The only regions in which the request may be served; None if it may be served in any region.
+    regions: frozenset[RegionId] | None = None
 
     def cancelled_at(self, version: int) -> float:
         """
--- a/packages/millfork-scheduling/millfork_scheduling/server_table.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server_table.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 from millfork_adapter.exchange import Backpressure
-from millfork_core.ids import InstanceId, ServiceName, ZoneId
+from millfork_core.ids import InstanceId, RegionId, ServiceName, ZoneId
 from millfork_registry.records import EndpointState, Lease
 from millfork_routing.documents import EngineSpec
 from millfork_scheduling.availability import Closure, LapsedAvailabilities, SignalChange
@@ -74,6 +74,8 @@
         self.path_cache: dict[tuple[ServiceName, int], tuple[int, list[Path]]] = {}
         # The availabilities of incarnations that lost their lease, as the lease may come back.
         self.lapsed_availabilities = LapsedAvailabilities(random, monotonic)
+        # The regions of all known zones.
+        self.regions_by_zone: dict[ZoneId, RegionId] = {}
 
     def apply_leases(self, leases: Iterable[Lease]) -> list[Server]:
         """
@@ -457,6 +459,8 @@
         Whether a back end meets the requirements of a request, whatever its own signals say.
 
         """
+        if not self._is_in_allowed_region(server, requirements):
+            return False
         engine = requirements.engine
         if engine is None:
             return True
@@ -467,6 +471,27 @@
             return self._is_in_usable_path(server, requirements, paths, now)
         return version >= requirements.min_version and server.refused.get(version, now) <= now
 
+    def _is_in_allowed_region(self, server: Server, requirements: Requirements) -> bool:
+        """
+        Whether a request may be served in the region of a back end. A back end in a zone of an
+        unknown region is not allowed for a request that is restricted to some regions.
+
+        """
+        if requirements.regions is None:
+            return True
+        return self.regions_by_zone.get(server.zone) in requirements.regions
+
+    def allowed_region_exists(self, requirements: Requirements) -> bool:
+        """
+        Whether any back end of a request's service is in a region in which the request may be
+        served.
+
+        """
+        return any(
+            self._is_in_allowed_region(server, requirements)
+            for server in self.index.by_service.get(requirements.service, [])
+        )
+
     def _is_in_usable_path(
         self, server: Server, requirements: Requirements, paths: list[Path], now: float
     ) -> bool:
@@ -477,6 +502,10 @@
         """
         for path in paths:
             if server in path.servers:
+                if not all(
+                    self._is_in_allowed_region(member, requirements) for member in path.servers
+                ):
+                    return False
                 refused = [member.refused.get(path.version, now) for member in path.servers]
                 return path.version >= requirements.min_version and max(refused) <= now
         return False
--- a/packages/millfork-settings/millfork_settings/seeded.py
+++ b/packages/millfork-settings/millfork_settings/seeded.py
@@ -17,6 +17,7 @@
 from pydantic import BaseModel, ConfigDict, Field, PrivateAttr, model_validator
 from pydantic.fields import FieldInfo
 
+from millfork_core.ids import RegionId, ZoneId
 from millfork_settings.common import Port, StateSettings, StrictModel
 
 # The largest duration that a setting in `PromiseSettings` may have: one day, which in
@@ -222,6 +223,9 @@
     name: str = Field('', description='Its name in logs.')
     zone: str = Field(description='Its availability zone.')
     region: str = Field('', description='Its region.')
+    zones: dict[str, str] | None = Field(
+        None, description='Regions of the availability zones of the fleet, by zone.'
+    )
     role: SeededRole = Field(description='`entry`, `replica` or `endpoint`.')
     address: IPv4Address = Field(description='Its own address.')
     ports: SeededPorts = Field(description='Its ports.')
@@ -249,6 +253,17 @@
     )
     beside: BesideSettings | None = Field(None, description='The engine of an endpoint.')
 
+    @property
+    def regions_by_zone(self) -> dict[ZoneId, RegionId]:
+        """
+        The regions of the availability zones of the fleet, this daemon's own zone included.
+
+        """
+        regions = {ZoneId(zone): RegionId(region) for zone, region in (self.zones or {}).items()}
+        if self.region:
+            regions.setdefault(ZoneId(self.zone), RegionId(self.region))
+        return regions
+
     @property
     def seed_instances(self) -> list[str]:
         """
--- a/packages/millforkd/millforkd/proxy/admission.py
+++ b/packages/millforkd/millforkd/proxy/admission.py
@@ -15,6 +15,7 @@
 from millfork_core.logs import Component, logger
 from millfork_core.verdicts import Reason, Refusal, Refused
 from millfork_routing.documents import Organisation, Route
+from millfork_routing.regions import regions_of_request
 from millfork_routing.routes import RouteTable, pick_service, priority_of
 from millfork_scheduling.admission import (
     StartEstimate,
@@ -111,7 +112,12 @@
             caller,
             route,
             organisation,
-            Requirements(name, service.engine, prompt_tokens=caller.prompt_tokens),
+            Requirements(
+                name,
+                service.engine,
+                prompt_tokens=caller.prompt_tokens,
+                regions=regions_of_request(route, organisation),
+            ),
             priority_of(route, organisation),
             received_at,
             deadline,
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -19,6 +19,7 @@
 from millfork_registry.roles import ENTRY_ROLE
 from millfork_registry.suspicions import decode_suspicions
 from millfork_routing.documents import Document
+from millfork_routing.regions import unknown_regions
 from millfork_routing.routes import RouteTable
 from millfork_routing.shared_budget import SharedBudget
 from millfork_scheduling.availability import SignalSource
@@ -62,6 +63,8 @@
 # An entry that starts serves with a configuration that may lack acknowledged changes only this long
 # after it received it. Replicas that all restarted elect a leader within this time.
 LEADER_WAIT_S: Final = 3.0
+# The greatest number of unknown regions that a log line names.
+MAX_LOGGED_REGIONS: Final = 8
 
 log = logger(Component.PROXY)
 
@@ -95,6 +98,7 @@
             lambda: self.feed_client.entries,
             self.peak_entries,
         )
+        self.server_table.regions_by_zone = settings.regions_by_zone
         self.pools = Pools(env)
         self.budget = SharedBudget(
             promises.retry_ratio,
@@ -188,10 +192,12 @@
 
     async def reload(self, settings: SeededSettings) -> None:
         """
-        Apply the settings that may change while the entry runs: the list of seeds.
+        Apply the settings that may change while the entry runs: the list of seeds, and the regions
+        of the zones.
 
         """
         self.discovery.set_seeds(settings.seed_instances)
+        self.server_table.regions_by_zone = settings.regions_by_zone
 
     async def drain(self) -> None:
         """
@@ -249,11 +255,21 @@
             return
         document, self.document_revision = found
         self.document = document
+        self._warn_of_unknown_regions(document)
         if self.first_document_at is None:
             self.first_document_at = self.env.monotonic()
         self.server.idle_timeout_s = document.limits.idle_timeout_ms / 1000
         self.server.max_body = document.limits.max_body_bytes
 
+    def _warn_of_unknown_regions(self, document: Document) -> None:
+        unknown = unknown_regions(document, self.server_table.regions_by_zone.values())
+        if unknown:
+            log.warning(
+                'The document names unknown regions. version={} regions={}',
+                document.version,
+                ','.join(unknown[:MAX_LOGGED_REGIONS]),
+            )
+
     def _apply_routes(self) -> None:
         """
         Serve by the newest document. Until this entry has had all changes that were acknowledged,
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -262,8 +262,21 @@
             reason = Reason(closure.closure_reason.value)
             return Refusal(reason, Verdict.NOT_RUN, 'no server takes more requests', wait_ms)
         wait_ms = no_server_wait_ms(self.env.random)
+        if not self._has_allowed_server(job):
+            detail = 'no server is in a region that may serve the request'
+            return Refusal(Reason.OUT_OF_REGION, Verdict.NOT_RUN, detail, wait_ms)
         return Refusal(Reason.NO_ENDPOINT, Verdict.NOT_RUN, 'no server is available', wait_ms)
 
+    def _has_allowed_server(self, job: Job) -> bool:
+        """
+        Whether the request may be served in any region, or a back end is in a region in which it
+        may be served.
+
+        """
+        if job.requirements.regions is None:
+            return True
+        return self.server_table.allowed_region_exists(job.requirements)
+
     def _final_refusal(self, job: Job, reason: Reason, explanation: str = '') -> Refusal:
         """
         The refusal of a job, with a verdict that covers all attempts so far.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -289,3 +289,25 @@
     assert (order['manner'], order['from'], order['target_version']) == ('queue', 8, 16)
     order = json.loads(ADAPTER.load_layers_request('m', 2, 8, 16, True).body)
     assert (order['manner'], order['from'], order['target_version']) == ('preempt', 8, 16)
+
+
+def test_regions_of_routes_and_organisations_are_read():
+    """
+    Guards against requests that leave the regions of their route or organisation because the
+    regions in the document are passed over.
+
+    """
+    route = {**DOCUMENT['routes'][0], 'allowed_regions': ['north', 'south']}
+    tenant = {'name': 'o', 'api_keys': ['k'], 'allowed_regions': ['north']}
+    text = json.dumps({**DOCUMENT, 'routes': [route], 'tenants': [tenant]}).encode()
+    document = ADAPTER.read_document(text)
+    assert document.routes[0].regions == {'north', 'south'}
+    assert document.organisations[0].regions == {'north'}
+    unrestricted = ADAPTER.read_document(json.dumps(DOCUMENT).encode())
+    assert unrestricted.routes[0].regions == frozenset()
+
+
+def test_regions_that_are_no_list_of_names_are_an_error():
+    route = {**DOCUMENT['routes'][0], 'allowed_regions': 'north'}
+    with pytest.raises(InvalidMessage):
+        ADAPTER.read_document(json.dumps({**DOCUMENT, 'routes': [route]}).encode())
