Entries keep to what cold back ends bear

Leases now hold the coldness, and a change of it is sent to entries at once. Each entry keeps to its share of the allowance within 1.4 s; where there are more entries than requests, whether an entry may use a cold back end is drawn once for each incarnation. A path, repeats, hedges and resumed streams count. The number of entries that the allowance is divided by outlives a loss of power of all replicas.

The test of templates and promises knows optional promises now: those of a role and the ones that its code reads still have to be the same.

--- a/packages/millfork-core/millfork_core/verdicts.py
+++ b/packages/millfork-core/millfork_core/verdicts.py
@@ -39,6 +39,7 @@
     LEAVING = 'leaving'
     RESTING = 'resting'
     LIMITED = 'limited'
+    COLD = 'cold'
     OUT_OF_REGION = 'out_of_region'
     NOT_SERVABLE = 'not_servable'
     ENGINE_EMPTY = 'engine_empty'
@@ -101,6 +102,7 @@
     Reason.LEAVING: 1000,
     Reason.RESTING: 1000,
     Reason.LIMITED: 1000,
+    Reason.COLD: 1000,
     Reason.OUT_OF_REGION: 2000,
     Reason.NOT_SERVABLE: 2000,
     Reason.ENGINE_EMPTY: 2000,
--- a/packages/millfork-registry/millfork_registry/followers.py
+++ b/packages/millfork-registry/millfork_registry/followers.py
@@ -87,6 +87,13 @@
         """
         return sum(1 for follower in self.by_instance.values() if follower.role == ENTRY_ROLE)
 
+    def count_entries(self) -> int:
+        """
+        Count the entries now, and return the greatest number within `ENTRIES_REMEMBERED_S`.
+
+        """
+        return self.peak_entries.add(self.entries, self.env.monotonic())
+
     def local_caches(self) -> list[CacheAddress]:
         """
         Return the entries that follow this replica; they can cache weights for endpoint daemons.
@@ -197,7 +204,7 @@
             self.entries,
             encode_records(leases) if leases else b'',
             encode_records(endpoints) if endpoints else b'',
-            self.peak_entries.add(self.entries, self.env.monotonic()),
+            self.count_entries(),
             # Endpoint daemons are sent no suspicions: they don't route requests, and their links
             # have little bandwidth.
             encode_suspicions(suspicions if follower.role in ROLES_SENT_SUSPICIONS else []),
--- a/packages/millfork-registry/millfork_registry/records.py
+++ b/packages/millfork-registry/millfork_registry/records.py
@@ -50,7 +50,8 @@
     """
     The lease of one incarnation of a back end. `sequence` increases with each heartbeat and
     restarts with the next incarnation. `owner` is the replica that received the last heartbeat
-    or leave notice, or that expired the lease.
+    or leave notice, or that expired the lease. `cold_left_ms` is for how much longer the back end
+    was cold when it sent the heartbeat.
 
     """
 
@@ -65,6 +66,7 @@
     owner: str = ''
     served: tuple[ServedVersion, ...] = ()
     incarnation: Incarnation = UNKNOWN_INCARNATION
+    cold_left_ms: int = 0
 
     @property
     def sort_key(self) -> tuple[Incarnation, bool, int, bool]:
@@ -86,6 +88,11 @@
         renewed, with a higher `sequence`, need not be sent.
 
         """
+        if self.cold_left_ms > older.cold_left_ms or bool(self.cold_left_ms) != bool(
+            older.cold_left_ms
+        ):
+            # The back end became cold, or is no longer cold.
+            return True
         return (
             self.incarnation,
             self.state,
--- a/packages/millfork-scheduling/millfork_scheduling/availability.py
+++ b/packages/millfork-scheduling/millfork_scheduling/availability.py
@@ -17,6 +17,7 @@
 
 from millfork_adapter.exchange import Backpressure
 from millfork_core.ids import Incarnation, InstanceId
+from millfork_scheduling.cold_share import ColdBounds, ColdShare
 from millfork_scheduling.limit_share import LimitShare
 
 # A daemon's report is up to this old when it arrives. A report without a limit may therefore have
@@ -118,13 +119,14 @@
 
 class ClosureReason(Enum):
     """
-    Which signal of a back end forbids sending requests to it now.
+    Which signal of a back end, or which state of it, forbids sending requests to it now.
 
     """
 
     LEAVING = 'leaving'
     RESTING = 'resting'
     LIMITED = 'limited'
+    COLD = 'cold'
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,6 +167,8 @@
     random: Random = field(default_factory=Random)
     limit: LimitShare | None = None
     limit_announced_at: float = float('-inf')
+    # None if the service of the back end names no bounds for cold back ends.
+    cold: ColdShare | None = None
     rest: RestPeriod | None = None
     # Whether an answer said that the back end is leaving. This stays set: an incarnation that
     # leaves never comes back, whatever its heartbeats say.
@@ -241,20 +245,39 @@
         rest_s = self.rest.opens_in_s(now) if self.rest is not None else 0.0
         if rest_s:
             return Closure(ClosureReason.RESTING, rest_s)
-        if self.limit is None or self.limit.can_send(now, entries):
-            return None
-        return Closure(ClosureReason.LIMITED, self.limit.expected_wait_s(now, entries))
+        if self.limit is not None and not self.limit.can_send(now, entries):
+            return Closure(ClosureReason.LIMITED, self.limit.expected_wait_s(now, entries))
+        cold_s = self.cold.opens_in_s(now, entries) if self.cold is not None else 0.0
+        return Closure(ClosureReason.COLD, cold_s) if cold_s else None
 
     def record_sent(self, now: float, entries: int) -> None:
         """
         Record that a request is sent to the back end. The request probes whether a rest is over,
-        and uses one of this entry's permits if the back end announced a limit.
+        uses one of this entry's permits if the back end announced a limit, and counts as one of
+        those that a cold back end bears.
 
         """
         if self.rest is not None:
             self.rest.record_sent(now)
         if self.limit is not None:
             self.limit.consume(now, entries)
+        if self.cold is not None:
+            self.cold.record_sent(now)
+
+    def set_cold_bounds(self, bounds: ColdBounds | None) -> None:
+        """
+        Set the bounds for the time in which the back end is cold; None: there are none.
+
+        """
+        if bounds is None:
+            self.cold = None
+            return
+        if self.cold is None:
+            self.cold = ColdShare(self.random, bounds)
+        self.cold.bounds = bounds
+
+    def is_cold(self, now: float) -> bool:
+        return self.cold is not None and self.cold.is_cold(now)
 
     def _start_or_change_limit(self, limit_per_s: float, now: float) -> list[SignalChange]:
         self.limit_announced_at = now
--- a/packages/millfork-scheduling/millfork_scheduling/placement.py
+++ b/packages/millfork-scheduling/millfork_scheduling/placement.py
@@ -31,6 +31,9 @@
 OTHER_ZONE_COST_MS: Final = 10.0
 # The failure rate of an engine (0 to 1) times this is added to its cost.
 FAILURE_COST_MS: Final = 3000.0
+# Added to the cost of a cold engine, which is slower than it reports: a stream at a warm engine has
+# the time of some pauses between events more.
+COLD_COST_MS: Final = 50.0
 # The maximum random addition to the cost of an engine. Without random additions all entries would
 # choose the same engine.
 COST_JITTER_MS: Final = 30.0
@@ -238,7 +241,7 @@
         candidate = Choice(server, spec_ms, max(expected, 0.0), path)
         if _version_ends_before_start(candidate, expected, requirements, engine, context.now):
             continue
-        cost = expected + _extra_cost(candidate, requirements, engine, context.zone)
+        cost = expected + _extra_cost(candidate, requirements, engine, context)
         cost += random.random() * COST_JITTER_MS
         if cost < lowest_cost:
             lowest_cost = cost
@@ -263,7 +266,7 @@
 
 
 def _extra_cost(
-    choice: Choice, requirements: Requirements, engine: EngineSpec, zone: ZoneId
+    choice: Choice, requirements: Requirements, engine: EngineSpec, context: SelectionContext
 ) -> float:
     """
     The cost of an engine in addition to its time to the first token, in ms.
@@ -271,7 +274,9 @@
     """
     server = choice.server
     cost = FAILURE_COST_MS * server.failure_rate
-    if server.zone != zone:
+    if server.availability.is_cold(context.now):
+        cost += COLD_COST_MS
+    if server.zone != context.zone:
         cost += OTHER_ZONE_COST_MS
     version = choice.version(engine.layers)
     if version is not None and version < requirements.newest_version and requirements.last_send:
--- a/packages/millfork-scheduling/millfork_scheduling/server.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server.py
@@ -122,6 +122,10 @@
     availability: Availability = field(default_factory=Availability)
     # The versions in the back end's lease; those in `served` may come from a newer daemon report.
     lease_served: tuple[ServedVersion, ...] = ()
+    # The sequence number of the last lease whose coldness was applied (-1: none), and until when
+    # the back end is cold by it.
+    lease_sequence: int = -1
+    lease_cold_until: float = float('-inf')
     # Whether the engine is about to change version, by the last report of its daemon.
     changes_version: bool = False
     # When the last report of the daemon arrived, also one which says that the engine is silent.
--- a/packages/millfork-scheduling/millfork_scheduling/server_table.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server_table.py
@@ -11,9 +11,11 @@
 
 from millfork_adapter.exchange import Backpressure
 from millfork_core.ids import InstanceId, RegionId, ServiceName, ZoneId
+from millfork_core.logs import Component, logger
 from millfork_registry.records import EndpointState, Lease
 from millfork_routing.documents import EngineSpec
 from millfork_scheduling.availability import Closure, LapsedAvailabilities, SignalChange
+from millfork_scheduling.cold_share import ColdBounds
 from millfork_scheduling.fleet_index import FleetIndex
 from millfork_scheduling.incarnation_status import IncarnationStatus, determine_status
 from millfork_scheduling.paths import Path, find_paths
@@ -30,6 +32,8 @@
 )
 from millfork_scheduling.server import CHANGE_LAPSES_S, REPORT_VALID_S, Lateness, Load, Server
 
+log = logger(Component.PROXY)
+
 # For a service with at most this many engines, each choice examines all of them.
 MAX_SCANNED: Final = 24
 # For a larger service, a choice examines a random sample of this size from the engines in the
@@ -76,6 +80,8 @@
         self.lapsed_availabilities = LapsedAvailabilities(random, monotonic)
         # The regions of all known zones.
         self.regions_by_zone: dict[ZoneId, RegionId] = {}
+        # The bounds for cold back ends of the services that name any.
+        self.cold_bounds: dict[ServiceName, ColdBounds] = {}
 
     def apply_leases(self, leases: Iterable[Lease]) -> list[Server]:
         """
@@ -125,7 +131,10 @@
                 # show weights and load that the new engine doesn't have.
                 new_server.report_sequence = previous.report_sequence
             self.servers[key] = new_server
+            new_server.availability.set_cold_bounds(self.cold_bounds.get(new_server.service))
+            self._apply_coldness(new_server, lease)
             return
+        self._apply_coldness(server, lease)
         if lease.served == server.lease_served:
             return
         server.lease_served = lease.served
@@ -133,6 +142,53 @@
             server.served = lease.served
             server.refused.clear()
 
+    def _apply_coldness(self, server: Server, lease: Lease) -> None:
+        """
+        Apply the coldness in a lease, once for each heartbeat that was sent on.
+
+        """
+        if lease.sequence == server.lease_sequence:
+            return
+        server.lease_sequence = lease.sequence
+        now = self.monotonic()
+        server.lease_cold_until = now + lease.cold_left_ms / 1000
+        cold = server.availability.cold
+        if cold is not None and cold.record_notice(lease.cold_left_ms / 1000, now):
+            log.info(
+                'Back end {}. server={} left_ms={}',
+                'cold' if lease.cold_left_ms else 'warm',
+                server.instance,
+                lease.cold_left_ms,
+            )
+
+    def set_cold_bounds(self, bounds: dict[ServiceName, ColdBounds]) -> None:
+        """
+        Set the bounds for cold back ends, by service.
+
+        """
+        if bounds == self.cold_bounds:
+            return
+        self.cold_bounds = bounds
+        now = self.monotonic()
+        for server in self.servers.values():
+            availability = server.availability
+            is_new = availability.cold is None
+            availability.set_cold_bounds(bounds.get(server.service))
+            if is_new and availability.cold is not None:
+                availability.cold.record_notice(server.lease_cold_until - now, now)
+
+    def doubt_zone(self, zone: ZoneId, min_s: float) -> None:
+        """
+        Treat the back ends of a zone as cold for the usual time, at least for `min_s` seconds: they
+        may have become cold, and their next heartbeats may not have arrived yet.
+
+        """
+        now = self.monotonic()
+        for server in self.servers.values():
+            cold = server.availability.cold
+            if server.zone == zone and cold is not None:
+                cold.doubt(max(cold.bounds.start_s, min_s), now)
+
     def apply_reports(
         self, states: Iterable[EndpointState]
     ) -> list[tuple[Server, list[SignalChange]]]:
--- a/packages/millfork-settings/millfork_settings/seeded.py
+++ b/packages/millfork-settings/millfork_settings/seeded.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from enum import Enum
 from ipaddress import IPv4Address
+from itertools import chain
 from pathlib import Path
 from typing import Annotated, Any, Final, Self
 
@@ -134,6 +135,18 @@
     transfer_mbps: float = Field(
         0, ge=0, le=1e9, description='Rate of the link, in Mbit/s; 0: unlimited.'
     )
+    cold_over: float = Field(
+        1,
+        ge=0,
+        le=1000,
+        description='How many times the requests that its service names a cold back end may get.',
+    )
+    cold_slack: float = Field(
+        0,
+        ge=0,
+        le=1e6,
+        description='Requests that a cold back end may get within a second, beyond `cold_over`.',
+    )
     _replaced: tuple[ReplacedValue, ...] = PrivateAttr(())
 
     @property
@@ -150,6 +163,9 @@
         for name, info in cls.model_fields.items():
             if name not in given:
                 continue
+            if given[name] is None and name in chain(*OPTIONAL_PROMISES.values()):
+                del usable[name]
+                continue
             usable[name] = _usable_value(given[name], info)
             if usable[name] != _number(given[name]):
                 replaced.append(ReplacedValue(f'promises.{name}', str(given[name]), usable[name]))
@@ -194,6 +210,9 @@
     return None if math.isnan(number) else number
 
 
+# The promises that the code of a role reads and that only some deployments make: an empty value
+# stands for the default.
+OPTIONAL_PROMISES: Final = {SeededRole.ENTRY: ('cold_over', 'cold_slack')}
 # The promises that the code of each role reads and that the settings file of the role must contain.
 # When a missing promise got its default, an entire fleet stopped using old versions 2 s too early.
 REQUIRED_PROMISES: Final = {
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -23,6 +23,7 @@
 from millfork_routing.routes import RouteTable
 from millfork_routing.shared_budget import SharedBudget
 from millfork_scheduling.availability import SignalSource
+from millfork_scheduling.cold_share import ColdBounds, cold_bounds
 from millfork_scheduling.quarantine import TrialSchedule
 from millfork_scheduling.server_table import ServerTable
 from millfork_settings.seeded import SeededSettings, split_host_port
@@ -287,6 +288,18 @@
             log.warning('Serving although no replica was up to date. version={}', document.version)
         if table is None or table.document is not document:
             self.admission.table = RouteTable(document)
+            self.server_table.set_cold_bounds(self._cold_bounds(document))
+
+    def _cold_bounds(self, document: Document) -> dict[ServiceName, ColdBounds]:
+        promises = self.settings.promises
+        found = {}
+        for service in document.services:
+            bounds = cold_bounds(
+                service.cold_per_s, service.cold_start_s, promises.cold_over, promises.cold_slack
+            )
+            if bounds is not None:
+                found[service.name] = bounds
+        return found
 
     async def _run_housekeeping(self) -> None:
         while True:
--- a/packages/millforkd/millforkd/replica/daemon.py
+++ b/packages/millforkd/millforkd/replica/daemon.py
@@ -33,6 +33,7 @@
 from millfork_wire.messages import Done, Message, VersionSwitch
 from millforkd.admin import Admin
 from millforkd.replica.control import Control
+from millforkd.replica.entry_count import EntryCountFile
 from millforkd.replica.quarantine import QuarantineList
 from millforkd.replica.replica_links import ReplicaLinks
 from millforkd.seeded import build_peers
@@ -83,6 +84,7 @@
         self.state_messages = StateMessageHandler(self.node)
         self.registry = Registry(env, heartbeat_s)
         self.followers = Followers(env, self.replica, self.registry)
+        self.entry_count = EntryCountFile(settings.data_folder, self.followers)
         self.replica_links = ReplicaLinks(
             env,
             self.peers,
@@ -162,12 +164,14 @@
 
         """
         await self.replica.recover()
+        self.entry_count.load()
         await self.env.spawn_essential(self.peers.listen)
         await self.env.spawn_essential(self.peers.ping_idle_connections)
         await self.env.spawn_essential(self.admin.run)
         await self.env.spawn_essential(self.replica_links.run)
         await self.env.spawn_essential(self.followers.wake_on_configuration)
         await self.env.spawn_essential(self._record_new_versions)
+        await self.env.spawn_essential(self.entry_count.run)
         await self.env.spawn_essential(self.quarantine.run)
         await self.env.spawn_essential(self.node.run)
         await self.env.spawn_essential(self.node.take_snapshots)
@@ -229,6 +233,7 @@
 
     @on.register
     async def _(self, message: messages.Leases, connection: Connection) -> Message:
+        self.entry_count.learn(message.most_entries)
         await self.replica_links.on_leases(connection.peer, message)
         return Done(True)
 
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -8,14 +8,48 @@
 from tests.mutation import C, D, Edit, G, Mutation, R, S, W
 
 SEEDED_FLEETS: Final = (
+    Mutation(
+        'requests keep to the regions of their route and organisation',
+        'tests/test_regions.py::'
+        'test_no_back_end_of_another_region_is_chosen_when_the_own_zone_has_one',
+        (
+            Edit(
+                C + 'server_table.py',
+                'return self.regions_by_zone.get(server.zone) in requirements.regions',
+                'return True',
+            ),
+        ),
+    ),
+    Mutation(
+        'all entries together keep to what a cold back end bears',
+        'tests/test_cold_back_ends.py::test_a_rush_of_all_entries_keeps_to_the_bound',
+        (
+            Edit(
+                C + 'cold_share.py',
+                'return int(self.draw < allowed_probability(self.bounds.max_requests, entries))',
+                'return 1',
+            ),
+        ),
+    ),
+    Mutation(
+        'the number of entries outlives a loss of power of all replicas',
+        'tests/test_entry_count.py::test_the_number_of_entries_outlives_a_loss_of_power',
+        (
+            Edit(
+                D + 'replica/entry_count.py',
+                'self.followers.peak_entries.add(self.stored, self.started_at)',
+                'pass',
+            ),
+        ),
+    ),
     Mutation(
         'each entry uses only its share of a limit that a back end announces',
         'tests/test_limit_shares.py::test_requests_over_a_limit_go_to_other_back_ends',
         (
             Edit(
                 C + 'availability.py',
-                'if self.limit is None or self.limit.can_send(now, entries):',
-                'if True:',
+                'if self.limit is not None and not self.limit.can_send(now, entries):',
+                'if False:',
             ),
         ),
     ),
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -27,6 +27,7 @@
 from millfork_settings.errors import BadFile
 from millfork_settings.loading import load
 from millfork_settings.seeded import (
+    OPTIONAL_PROMISES,
     REQUIRED_PROMISES,
     PromiseSettings,
     SeededRole,
@@ -76,7 +77,8 @@
 def test_each_template_names_the_promises_that_its_role_reads(role):
     text = (ROOT / 'deploy' / 'settings' / f'{role.value}.yaml').read_text()
     filled_in = set(re.findall(r'^  ([a-z_]+): \{\{', text.partition('promises:')[2], re.M))
-    assert set(REQUIRED_PROMISES[role]) == promises_read_by(role) == filled_in
+    promises = {*REQUIRED_PROMISES[role], *OPTIONAL_PROMISES.get(role, ())}
+    assert promises == promises_read_by(role) == filled_in
 
 
 @pytest.mark.parametrize('role', SeededRole, ids=lambda role: role.value)
@@ -150,3 +152,14 @@
         return None
     moment, due_s = found[-1]
     return datetime.fromisoformat(moment).timestamp() + float(due_s) + LAST_SEND_BEFORE_END_S
+
+
+def test_a_deployment_without_bounds_for_cold_back_ends_gets_the_defaults():
+    """
+    Guards against a warning at each start, or no start, where a deployment names no such bounds.
+
+    """
+    text = filled_template('entry.yaml', cold_over=None, cold_slack=None)
+    promises = SeededSettings.model_validate(yaml.safe_load(text)).promises
+    assert (promises.cold_over, promises.cold_slack) == (1, 0)
+    assert promises.replaced == ()
