Zones are evacuated and taken back by orders of the operator

Operators had no way to keep requests away from a zone before its power goes off: the two orders of the platform were answered with 404.

Start and End are changes of the replicated state, acknowledged once committed; repeated orders change nothing. After the end of an evacuation its back ends count as cold for three heartbeats. Replicas and entries list the zones at their admin port.

--- a/packages/millfork-adapter/millfork_adapter/calls.py
+++ b/packages/millfork-adapter/millfork_adapter/calls.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass
 
-from millfork_core.ids import Incarnation
+from millfork_core.ids import Incarnation, ZoneId
 from millfork_registry.records import Lease
 from millfork_routing.documents import Document
 
@@ -69,6 +69,18 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class SetEvacuation:
+    """
+    The operator asks that no more requests are sent to the back ends of a zone, or takes that back
+    if `evacuated` is not set.
+
+    """
+
+    zone: ZoneId
+    evacuated: bool
+
+
 @dataclass(frozen=True, slots=True)
 class UnknownCall:
     """
@@ -77,4 +89,12 @@
     """
 
 
-Call = Heartbeat | LeaveNotice | PutDocument | ReadDocument | SetModelVersion | UnknownCall
+Call = (
+    Heartbeat
+    | LeaveNotice
+    | PutDocument
+    | ReadDocument
+    | SetEvacuation
+    | SetModelVersion
+    | UnknownCall
+)
--- a/packages/millfork-core/millfork_core/verdicts.py
+++ b/packages/millfork-core/millfork_core/verdicts.py
@@ -40,6 +40,7 @@
     RESTING = 'resting'
     LIMITED = 'limited'
     COLD = 'cold'
+    EVACUATED = 'evacuated'
     OUT_OF_REGION = 'out_of_region'
     NOT_SERVABLE = 'not_servable'
     ENGINE_EMPTY = 'engine_empty'
@@ -103,6 +104,7 @@
     Reason.RESTING: 1000,
     Reason.LIMITED: 1000,
     Reason.COLD: 1000,
+    Reason.EVACUATED: 2000,
     Reason.OUT_OF_REGION: 2000,
     Reason.NOT_SERVABLE: 2000,
     Reason.ENGINE_EMPTY: 2000,
--- a/packages/millfork-registry/millfork_registry/feed_client.py
+++ b/packages/millfork-registry/millfork_registry/feed_client.py
@@ -132,6 +132,14 @@
         silent_s = self.env.monotonic() - self.source_contact_at
         return bool(self.source) and silent_s < SILENT_AFTER_S and self.age_ms < STALE_MS
 
+    def knowledge_age_ms(self) -> int:
+        """
+        The age of this process's configuration: that of the followed replica's, and the time since
+        the replica's last message.
+
+        """
+        return self.age_ms + int((self.env.monotonic() - self.source_contact_at) * 1000)
+
     async def run(self) -> None:
         """
         Task that follows one replica at a time. When this process has left a replica, it tries
--- a/packages/millfork-scheduling/millfork_scheduling/availability.py
+++ b/packages/millfork-scheduling/millfork_scheduling/availability.py
@@ -127,13 +127,14 @@
     RESTING = 'resting'
     LIMITED = 'limited'
     COLD = 'cold'
+    EVACUATED = 'evacuated'
 
 
 @dataclass(frozen=True, slots=True)
 class Closure:
     """
     Why no request may be sent to a back end, and the expected time until one may, in seconds
-    (infinity if the back end is leaving).
+    (infinity if the back end is leaving or in an evacuated zone).
 
     """
 
--- a/packages/millfork-scheduling/millfork_scheduling/server_table.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server_table.py
@@ -14,7 +14,12 @@
 from millfork_core.logs import Component, logger
 from millfork_registry.records import EndpointState, Lease
 from millfork_routing.documents import EngineSpec
-from millfork_scheduling.availability import Closure, LapsedAvailabilities, SignalChange
+from millfork_scheduling.availability import (
+    Closure,
+    ClosureReason,
+    LapsedAvailabilities,
+    SignalChange,
+)
 from millfork_scheduling.cold_share import ColdBounds
 from millfork_scheduling.fleet_index import FleetIndex
 from millfork_scheduling.incarnation_status import IncarnationStatus, determine_status
@@ -80,6 +85,8 @@
         self.lapsed_availabilities = LapsedAvailabilities(random, monotonic)
         # The regions of all known zones.
         self.regions_by_zone: dict[ZoneId, RegionId] = {}
+        # The zones whose back ends are sent no requests.
+        self.evacuated_zones: frozenset[ZoneId] = frozenset()
         # The bounds for cold back ends of the services that name any.
         self.cold_bounds: dict[ServiceName, ColdBounds] = {}
 
@@ -454,9 +461,12 @@
 
     def closure(self, server: Server) -> Closure | None:
         """
-        Why a back end's own signals forbid sending requests to it now; None if they don't.
+        Why a back end's own signals, or the evacuation of its zone, forbid sending requests to it
+        now; None if nothing does.
 
         """
+        if server.zone in self.evacuated_zones:
+            return Closure(ClosureReason.EVACUATED, float('inf'))
         return server.availability.closure(self.monotonic(), max(self.peak_entries(), 1))
 
     def record_sent(self, servers: Iterable[Server]) -> None:
@@ -471,7 +481,7 @@
     def first_to_open(self, requirements: Requirements) -> Closure | None:
         """
         The closure that is expected to end first, among back ends that meet the requirements
-        but are closed by their own signals; None if there is no such back end.
+        but are closed; None if there is no such back end.
 
         """
         now = self.monotonic()
--- a/packages/millfork-state/millfork_state/keys.py
+++ b/packages/millfork-state/millfork_state/keys.py
@@ -5,7 +5,7 @@
 
 from typing import Final
 
-from millfork_core.ids import Fingerprint
+from millfork_core.ids import Fingerprint, ZoneId
 
 # Key of the operator's document (the configuration), which is stored compressed and with its
 # version.
@@ -19,6 +19,10 @@
 # part follows the prefix.
 TRIAL_PREFIX: Final = 'quarantine-trials/'
 
+# Prefix of the keys of evacuated zones, whose back ends are sent no more requests. The name of the
+# zone follows the prefix.
+EVACUATION_PREFIX: Final = 'evacuations/'
+
 
 def version_key(model: str) -> str:
     """
@@ -42,3 +46,11 @@
 
     """
     return f'{TRIAL_PREFIX}{fingerprint}'
+
+
+def evacuation_key(zone: ZoneId) -> str:
+    """
+    The key of an evacuated zone.
+
+    """
+    return f'{EVACUATION_PREFIX}{zone}'
--- a/packages/millforkd/millforkd/admin.py
+++ b/packages/millforkd/millforkd/admin.py
@@ -7,9 +7,11 @@
 
 from millfork_core.environment import Environment
 from millfork_settings.seeded import SeededSettings
+from millfork_state.view import View
 from millfork_web.exchange import Exchange
 from millfork_web.models import Response, json_response
 from millfork_web.server import Server
+from millforkd.evacuations import evacuated_since
 
 
 class Admin:
@@ -23,10 +25,26 @@
     ) -> None:
         self.env = env
         self.is_ready = is_ready
+        # Returns the body of the answer to `/evacuations`.
+        self.list_evacuations: Callable[[], dict[str, object]] | None = None
         self.server = Server(
             str(settings.address), settings.ports.admin, self._answer, spawn=env.spawn
         )
 
+    def show_evacuations(self, view: View, age_ms: Callable[[], int]) -> None:
+        """
+        Show the evacuated zones of a configuration, and the age of what this process knows.
+
+        """
+        self.list_evacuations = lambda: {
+            'age_ms': age_ms(),
+            'revision': int(view.revision),
+            'evacuations': [
+                {'zone': zone, 'since_ms': since_ms}
+                for zone, since_ms in sorted(evacuated_since(view).items())
+            ],
+        }
+
     async def run(self) -> None:
         """
         Serve until cancelled.
@@ -35,6 +53,9 @@
         await self.server.run()
 
     async def _answer(self, exchange: Exchange) -> None:
+        if exchange.request.path == '/evacuations' and self.list_evacuations is not None:
+            await exchange.respond(json_response(self.list_evacuations()))
+            return
         await answer_admin(exchange, self.env, self.is_ready(), {})
 
 
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -12,7 +12,7 @@
 
 from millfork_adapter.adapter import Adapter
 from millfork_core.environment import Environment
-from millfork_core.ids import ServiceName
+from millfork_core.ids import Revision, ServiceName
 from millfork_core.logs import Component, logger
 from millfork_core.verdicts import Reason, Refusal
 from millfork_registry.discovery import address_of
@@ -36,6 +36,7 @@
 from millfork_wire.messages import Message
 from millforkd.admin import Admin
 from millforkd.document import find_new_document
+from millforkd.evacuations import evacuated_since
 from millforkd.proxy.admission import Admission
 from millforkd.proxy.cache import PieceCache
 from millforkd.proxy.connections import Pools
@@ -64,6 +65,9 @@
 # An entry that starts serves with a configuration that may lack acknowledged changes only this long
 # after it received it. Replicas that all restarted elect a leader within this time.
 LEADER_WAIT_S: Final = 3.0
+# Within this many heartbeats, an entry learns whether a back end became cold: the heartbeat may
+# come late, and the lease is then sent on by the feed.
+HEARTBEATS_IN_DOUBT: Final = 3
 # The greatest number of unknown regions that a log line names.
 MAX_LOGGED_REGIONS: Final = 8
 
@@ -147,8 +151,11 @@
                 *split_host_port(settings.listen.ready), self._answer_ready, spawn=env.spawn
             )
         self.admin = Admin(env, settings, self.is_ready)
+        self.admin.show_evacuations(self.view, self.feed_client.knowledge_age_ms)
         self.stopping = False
         self.document_revision = 0
+        # The revision of the configuration whose evacuated zones were applied last.
+        self.evacuations_revision = Revision(-1)
         # The registry's version of the leases that were last applied to the server table.
         self.applied_leases_version = -1
         # The registry's version of the endpoint reports that were last applied to the table.
@@ -230,6 +237,7 @@
             self.feed_client.changed.clear()
             self._apply_document()
             self._apply_routes()
+            self._apply_evacuations()
             if self.view.cluster:
                 self.versions.refresh()
             # Every message of the feed changes loads of back ends, but few messages change leases.
@@ -290,6 +298,25 @@
             self.admission.table = RouteTable(document)
             self.server_table.set_cold_bounds(self._cold_bounds(document))
 
+    def _apply_evacuations(self) -> None:
+        """
+        Send no more requests to zones that are evacuated now. The back ends of a zone that is taken
+        back may have become cold meanwhile, so they are treated as cold until their heartbeats say
+        otherwise.
+
+        """
+        if self.view.revision == self.evacuations_revision:
+            return
+        self.evacuations_revision = self.view.revision
+        before = self.server_table.evacuated_zones
+        self.server_table.evacuated_zones = frozenset(evacuated_since(self.view))
+        for zone in sorted(self.server_table.evacuated_zones - before):
+            log.notice('Zone evacuated. zone={} revision={}', zone, self.view.revision)
+        for zone in sorted(before - self.server_table.evacuated_zones):
+            log.notice('Zone taken back. zone={} revision={}', zone, self.view.revision)
+            heartbeat_s = self.settings.promises.heartbeat_ms / 1000
+            self.server_table.doubt_zone(zone, HEARTBEATS_IN_DOUBT * heartbeat_s)
+
     def _cold_bounds(self, document: Document) -> dict[ServiceName, ColdBounds]:
         promises = self.settings.promises
         found = {}
--- a/packages/millforkd/millforkd/replica/control.py
+++ b/packages/millforkd/millforkd/replica/control.py
@@ -18,6 +18,7 @@
     LeaveNotice,
     PutDocument,
     ReadDocument,
+    SetEvacuation,
     SetModelVersion,
     UnknownCall,
 )
@@ -37,6 +38,7 @@
 from millfork_web.models import Response
 from millfork_web.problem import problem
 from millforkd.document import find_new_document
+from millforkd.replica.evacuations import Evacuations
 from millforkd.replica.replica_links import ReplicaLinks
 
 # Timeout of a call to the leader: after one second, an operator's client tries another replica.
@@ -68,6 +70,7 @@
         followers: Followers,
         replica_links: ReplicaLinks,
         leader_client: LeaderClient,
+        evacuations: Evacuations,
     ) -> None:
         self.env = env
         self.adapter = adapter
@@ -76,6 +79,7 @@
         self.followers = followers
         self.replica_links = replica_links
         self.leader_client = leader_client
+        self.evacuations = evacuations
         # The services that the operator's document declares; None while there is no document.
         self.services: frozenset[ServiceName] | None = None
         self.services_revision = 0
@@ -236,6 +240,11 @@
         )
         return self.adapter.accepted_response()
 
+    @on.register
+    async def _(self, call: SetEvacuation) -> Response:
+        await self.evacuations.set(call.zone, call.evacuated)
+        return self.adapter.accepted_response()
+
     @on.register
     async def _(self, call: ReadDocument) -> Response:
         state = await self.leader_client.read_state(PROPOSAL_TIMEOUT_S)
--- a/packages/millforkd/millforkd/replica/daemon.py
+++ b/packages/millforkd/millforkd/replica/daemon.py
@@ -34,6 +34,7 @@
 from millforkd.admin import Admin
 from millforkd.replica.control import Control
 from millforkd.replica.entry_count import EntryCountFile
+from millforkd.replica.evacuations import Evacuations
 from millforkd.replica.quarantine import QuarantineList
 from millforkd.replica.replica_links import ReplicaLinks
 from millforkd.seeded import build_peers
@@ -123,11 +124,13 @@
             self.followers,
             self.replica_links,
             self.leader_client,
+            Evacuations(env, self.registry, self.leader_client, settings.regions_by_zone),
         )
         self.server = Server(
             *split_host_port(settings.listen.control), self.control.answer, spawn=env.spawn
         )
         self.admin = Admin(env, settings, self.is_ready)
+        self.admin.show_evacuations(self.replica.view, self.replica.age_ms)
 
     def _leads(self) -> bool:
         return self.replica.state is ReplicaState.LEADER
@@ -179,10 +182,11 @@
 
     async def reload(self, settings: SeededSettings) -> None:
         """
-        Apply changed settings. Only a change of the seeds has an effect.
+        Apply the settings that may change while the replica runs: the list of seeds, and the zones.
 
         """
         self.discovery.set_seeds(settings.seed_instances)
+        self.control.evacuations.regions_by_zone = settings.regions_by_zone
 
     async def drain(self) -> None:
         """
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -8,6 +8,11 @@
 from tests.mutation import C, D, Edit, G, Mutation, R, S, W
 
 SEEDED_FLEETS: Final = (
+    Mutation(
+        'no requests are sent to the back ends of an evacuated zone',
+        'tests/test_evacuations.py::test_no_choice_is_in_an_evacuated_zone',
+        (Edit(C + 'server_table.py', 'if server.zone in self.evacuated_zones:', 'if False:'),),
+    ),
     Mutation(
         'requests keep to the regions of their route and organisation',
         'tests/test_regions.py::'
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,10 +15,12 @@
     LeaveNotice,
     PutDocument,
     ReadDocument,
+    SetEvacuation,
     SetModelVersion,
     UnknownCall,
 )
 from millfork_adapter.exchange import ForwardOptions, PathSegment
+from millfork_core.ids import ZoneId
 from millfork_platform import PlatformAdapter
 from millfork_registry.records import LeaseState, ServedVersion
 from millfork_routing.documents import RouteKind
@@ -311,3 +313,15 @@
     route = {**DOCUMENT['routes'][0], 'allowed_regions': 'north'}
     with pytest.raises(InvalidMessage):
         ADAPTER.read_document(json.dumps({**DOCUMENT, 'routes': [route]}).encode())
+
+
+@pytest.mark.parametrize(('order', 'evacuated'), [('Start', True), ('End', False)])
+def test_orders_to_evacuate_zones_are_read(order, evacuated):
+    request = Request('POST', f'/v1/Evacuations.{order}/zone%20a')
+    assert ADAPTER.read_call(request) == SetEvacuation(ZoneId('zone a'), evacuated)
+
+
+@pytest.mark.parametrize('zone', ['', 'a/b', 'z' * 201])
+def test_orders_without_the_name_of_a_zone_are_an_error(zone):
+    with pytest.raises(InvalidMessage):
+        ADAPTER.read_call(Request('POST', f'/v1/Evacuations.Start/{zone}'))
