Processes reach peers that start a moment later without a second of delay

Another attempt starts each 0.2 s while none is answered; the first that ends decides, so a refused connection fails at once as before.

--- a/packages/millfork-core/millfork_core/sockets.py
+++ b/packages/millfork-core/millfork_core/sockets.py
@@ -7,10 +7,15 @@
 import struct
 from typing import Any, Final
 
+import curio
 from curio import socket
 
 # SO_LINGER on with a timeout of 0 s: closing discards unsent data and resets the connection.
 RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
+# The time between two attempts to open one connection, much longer than a round trip between
+# regions (some ms), and the number of attempts.
+ATTEMPT_INTERVAL_S: Final = 0.2
+MAX_ATTEMPTS: Final = 5
 # SO_LINGER off: closing sends unsent data first.
 FLUSH_ON_CLOSE: Final = struct.pack('ii', 0, 0)
 
@@ -35,6 +40,31 @@
     return sock
 
 
+async def connect_repeatedly(host: str, port: int, source: str = '') -> Any:
+    """
+    Connect as `connect` does, but start another attempt each `ATTEMPT_INTERVAL_S` while no answer
+    arrives. The first attempt that ends decides. A machine that is still starting answers nothing,
+    and the kernel sends the opening packet again only after a second.
+
+    :raises OSError: if the first attempt that ends fails.
+
+    """
+    async with curio.TaskGroup(wait=any) as group:
+        for number in range(MAX_ATTEMPTS):
+            await group.spawn(_connect_later, number * ATTEMPT_INTERVAL_S, host, port, source)
+    for task in group.tasks:
+        # An attempt may have succeeded in the same cycle of the event loop as the first one.
+        if task is not group.completed and not task.exception:
+            await task.result.close()
+    return group.result
+
+
+async def _connect_later(delay_s: float, host: str, port: int, source: str) -> Any:
+    if delay_s:
+        await curio.sleep(delay_s)
+    return await connect(host, port, source)
+
+
 def is_quiet(sock: Any) -> bool:
     """
     Whether an idle connection can be used for a request: it is open and has no unread bytes,
--- a/packages/millfork-wire/millfork_wire/transport.py
+++ b/packages/millfork-wire/millfork_wire/transport.py
@@ -7,7 +7,7 @@
 
 from curio import socket
 
-from millfork_core.sockets import connect
+from millfork_core.sockets import connect_repeatedly
 from millfork_wire import codec
 from millfork_wire.codec import BadFrame, Frame
 
@@ -75,7 +75,7 @@
 
     """
     first_hop = via or (host, port)
-    sock = await connect(*first_hop, source)
+    sock = await connect_repeatedly(*first_hop, source)
     if via is None:
         return Transport(sock)
     try:
