--- a/packages/millfork-settings/millfork_settings/seeded.py
+++ b/packages/millfork-settings/millfork_settings/seeded.py
@@ -229,6 +229,20 @@
 }
 
 
+class SeededWeightsSettings(StrictModel):
+    """
+    How entries keep weights for the engines of their zones.
+
+    """
+
+    ahead_min_copy_s: float | None = Field(
+        None,
+        ge=0,
+        description='The caches of a zone keep a copy before engines ask for it if the origin '
+        'needs this many seconds or longer for one copy; none: never.',
+    )
+
+
 class SeededSettings(BaseModel):
     """
     The content of a settings file of `millforkd` in a seeded fleet. Unknown keys are ignored, as
@@ -270,6 +284,9 @@
         default_factory=PromiseSettings,
         description='Bounds that the fleet keeps; those that the role uses are required.',
     )
+    weights: SeededWeightsSettings = Field(
+        default_factory=SeededWeightsSettings, description='Copies of weights (entry).'
+    )
     beside: BesideSettings | None = Field(None, description='The engine of an endpoint.')
 
     @property
--- a/packages/millforkd/millforkd/proxy/cache.py
+++ b/packages/millforkd/millforkd/proxy/cache.py
@@ -102,6 +102,8 @@
         self.prefetching: set[WeightsId] = set()
         # The time of the last request for a piece, by version.
         self.last_requested_at: dict[WeightsId, float] = {}
+        # The version of which this cache keeps pieces before they are requested.
+        self.ahead: WeightsId | None = None
         self.silent = SilentPeers(env.monotonic)
         # The times and sizes of pieces received from the origin within RATE_WINDOW_S.
         self.received_from_origin: deque[tuple[float, int]] = deque()
@@ -133,12 +135,7 @@
         if weights is None or not await self._ensure_digests(weights, message.draw, deadline):
             return Chunk(reason=self._reason_not_found())
         self.last_requested_at[weights] = self.env.monotonic()
-        if weights not in self.prefetching:
-            self.prefetching.intersection_update(self.store.sets)
-            for old in self.last_requested_at.keys() - self.store.sets.keys() - {weights}:
-                del self.last_requested_at[old]
-            self.prefetching.add(weights)
-            await self.env.spawn(self._prefetch, weights)
+        await self._start_prefetching(weights)
         await self._ensure_piece(weights, message.index, message.draw, deadline)
         data = self.store.get_or_create(weights).pieces.get(message.index)
         if data is None:
@@ -146,6 +143,46 @@
         self.env.metrics.count(self.env.metrics.chunk_bytes, len(data), source='cached')
         return Chunk(True, data)
 
+    async def keep_ahead(self, weights: WeightsId) -> None:
+        """
+        Fetch the pieces of a version that this cache keeps for its zone, although no daemon has
+        asked for them. Called again and again while a copy is to be kept.
+
+        """
+        self.ahead = weights
+        if weights in self.prefetching:
+            return
+        if not await self._ensure_digests(weights, False, self._answer_deadline()):
+            return
+        if self._missing_own(weights):
+            log.info('Fetching pieces ahead of need. weights={}', weights)
+            await self._start_prefetching(weights)
+
+    async def _start_prefetching(self, weights: WeightsId) -> None:
+        if weights in self.prefetching:
+            return
+        self.prefetching.intersection_update(self.store.sets)
+        for old in self.last_requested_at.keys() - self.store.sets.keys() - {weights}:
+            del self.last_requested_at[old]
+        self.prefetching.add(weights)
+        await self.env.spawn(self._prefetch, weights)
+
+    def _missing_own(self, weights: WeightsId) -> list[int]:
+        """
+        The pieces that this cache keeps for its zone and lacks, in the order in which engines need
+        them.
+
+        """
+        zone_caches = [cache.instance for cache in self.caches() if cache.zone == self.env.zone]
+        own = str(self.env.instance)
+        held = self.store.get_or_create(weights)
+        return [
+            index
+            for index in prefetch_order(len(held.digests))
+            if index not in held.pieces
+            and (not zone_caches or request_order(zone_caches, weights, index)[0] == own)
+        ]
+
     def _reason_not_found(self) -> str:
         if self.origin.failing:
             return ORIGIN_FAILS
@@ -337,16 +374,9 @@
         no piece of the version was requested for IDLE_S.
 
         """
-        zone_caches = [cache.instance for cache in self.caches() if cache.zone == self.env.zone]
-        own = str(self.env.instance)
         held = self.store.get_or_create(weights)
-        own_indexes = [
-            index
-            for index in prefetch_order(len(held.digests))
-            if not zone_caches or request_order(zone_caches, weights, index)[0] == own
-        ]
         while self.store.find(weights) is held and self._is_requested(weights):
-            queue = [index for index in reversed(own_indexes) if index not in held.pieces]
+            queue = self._missing_own(weights)[::-1]
             if not queue:
                 break
             held_before = len(held.pieces)
@@ -367,10 +397,13 @@
 
     def _is_requested(self, weights: WeightsId) -> bool:
         """
-        Whether a piece of the version was requested within IDLE_S. Where the origin's link is the
+        Whether a piece of the version was requested within IDLE_S, or a copy of the version is kept
+        ahead of need. Where the origin's link is the
         bottleneck, prefetching a version that nobody needs would delay other versions.
 
         """
+        if weights == self.ahead:
+            return True
         return self.env.monotonic() - self.last_requested_at.get(weights, float('-inf')) < IDLE_S
 
     async def _run_prefetcher(self, weights: WeightsId, queue: list[int]) -> None:
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -24,6 +24,7 @@
 from millfork_routing.shared_budget import SharedBudget
 from millfork_scheduling.availability import SignalSource
 from millfork_scheduling.cold_share import ColdBounds, cold_bounds
+from millfork_scheduling.copies_ahead import keeps_copy_ahead
 from millfork_scheduling.quarantine import TrialSchedule
 from millfork_scheduling.server_table import ServerTable
 from millfork_settings.seeded import SeededSettings, split_host_port
@@ -50,6 +51,8 @@
 from millforkd.quarantine import Quarantine
 from millforkd.seeded import build_feed, fleet_key
 from millforkd.sidecar.origin import Origin, find_origin
+from millforkd.sidecar.pieces import WeightsId
+from millforkd.sidecar.target import FIRST_VERSION
 
 # How long the load balancer may send new requests to an entry that is stopping: it polls each
 # second and removes an entry after two failed polls.
@@ -341,6 +344,17 @@
             await self.registry.suspicion_store.publish_overdue()
             self.part_trials.refresh()
             self._log_retries()
+            await self._keep_weights_ahead()
+
+    async def _keep_weights_ahead(self) -> None:
+        document = self.document
+        if document is None or self.stopping:
+            return
+        engine = next((service.engine for service in document.services if service.engine), None)
+        min_copy_s = self.settings.weights.ahead_min_copy_s
+        if engine is not None and keeps_copy_ahead(engine, find_origin(document), min_copy_s):
+            version = self.versions.newest(engine.model) or FIRST_VERSION
+            await self.cache.keep_ahead(WeightsId(engine.model, version))
 
     def _log_retries(self) -> None:
         for service in list(self.budget.windows):
