--- a/packages/millfork-scheduling/millfork_scheduling/copies_ahead.py
+++ b/packages/millfork-scheduling/millfork_scheduling/copies_ahead.py
@@ -3,8 +3,8 @@
 
 Answers the load of a rush: engines are added while callers come in numbers, and wait until the
 origin has sent one copy of the weights, as the caches are empty. With a copy in each zone they wait
-only for the links of their own instances. A copy costs bytes of the origin and between regions, also
-where no engine is added; so it is kept only where the origin is slow.
+only for the links of their own instances. A copy costs bytes of the origin and between regions,
+also where no engine is added; so it is kept only where the origin is slow.
 
 """
 
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -347,8 +347,14 @@
             await self._keep_weights_ahead()
 
     async def _keep_weights_ahead(self) -> None:
+        """
+        Fetch this entry's part of the zone's copy of the weights, before engines are added. Only
+        when the whole fleet starts: later versions pass through the caches as they are rolled out,
+        and another copy for each restart of an entry would cost bytes between regions.
+
+        """
         document = self.document
-        if document is None or self.stopping:
+        if document is None or not self.settings.first_start:
             return
         engine = next((service.engine for service in document.services if service.engine), None)
         min_copy_s = self.settings.weights.ahead_min_copy_s
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -8,6 +8,11 @@
 from tests.mutation import C, D, Edit, G, Mutation, R, S, W
 
 SEEDED_FLEETS: Final = (
+    Mutation(
+        'caches keep a copy of the weights before engines ask for it',
+        'tests/test_copies_ahead.py::test_engines_that_are_added_find_a_copy_in_their_zone',
+        (Edit(D + 'proxy/cache.py', 'if self._missing_own(weights):', 'if False:'),),
+    ),
     Mutation(
         'no requests are sent to the back ends of an evacuated zone',
         'tests/test_evacuations.py::test_no_choice_is_in_an_evacuated_zone',
