--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -348,9 +348,10 @@
 
     async def _keep_weights_ahead(self) -> None:
         """
-        Fetch this entry's part of the zone's copy of the weights, before engines are added. Only
-        when the whole fleet starts: later versions pass through the caches as they are rolled out,
-        and another copy for each restart of an entry would cost bytes between regions.
+        Fetch this entry's part of the zone's copy of the first weights, before engines are added.
+        Only when the whole fleet starts: another copy for each restart of an entry would cost bytes
+        between regions. Later versions pass through the caches as they are rolled out; fetching
+        them ahead as well made the origin send eight copies.
 
         """
         document = self.document
@@ -359,8 +360,10 @@
         engine = next((service.engine for service in document.services if service.engine), None)
         min_copy_s = self.settings.weights.ahead_min_copy_s
         if engine is not None and keeps_copy_ahead(engine, find_origin(document), min_copy_s):
-            version = self.versions.newest(engine.model) or FIRST_VERSION
-            await self.cache.keep_ahead(WeightsId(engine.model, version))
+            if self.versions.newest(engine.model) > FIRST_VERSION:
+                self.cache.ahead = None
+                return
+            await self.cache.keep_ahead(WeightsId(engine.model, FIRST_VERSION))
 
     def _log_retries(self) -> None:
         for service in list(self.budget.windows):
