--- a/packages/millfork-core/millfork_core/metrics.py
+++ b/packages/millfork-core/millfork_core/metrics.py
@@ -57,6 +57,12 @@
         self.revision = self._gauge('millfork_revision', 'Configuration revision in force.')
         self.leader = self._gauge('millfork_leader', 'Whether this replica leads.')
         self.voter = self._gauge('millfork_voter', 'Whether this replica is a voter.')
+        self.unsent_bytes = self._gauge(
+            'millfork_unsent_bytes', 'Bytes that wait for callers to read them.'
+        )
+        self.slow_readers = self._gauge(
+            'millfork_slow_readers', 'Callers cut off since the start, as they read too slowly.'
+        )
 
     def _counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self.registry)
--- a/packages/millfork-standins/millfork_standins/back_end.py
+++ b/packages/millfork-standins/millfork_standins/back_end.py
@@ -53,7 +53,8 @@
 class RawAnswer:
     """
     The bytes of an answer, in which REQUEST_ID stands for the id of the request, and whether the
-    back end closes the connection afterwards.
+    back end closes the connection afterwards. If `endless` isn't empty, these bytes follow again
+    and again, each after `pause_s` seconds, until the entry closes the connection.
 
     """
 
@@ -61,6 +62,8 @@
 
     data: bytes
     closes: bool = False
+    endless: bytes = b''
+    pause_s: float = 0.0
 
 
 def stream_event(number: int) -> bytes:
@@ -120,6 +123,9 @@
             self.close_connection = raw_answer.closes
             request_id = self.headers[client_requests.REQUEST_ID].encode()
             self.wfile.write(raw_answer.data.replace(RawAnswer.REQUEST_ID, request_id))
+            while raw_answer.endless and not self.server.ended.wait(raw_answer.pause_s):
+                # Ends with an error once the entry has closed the connection.
+                self.wfile.write(raw_answer.endless)
             return
         self.server.release.wait(WAIT_TIMEOUT_S)
         self.server.reach_event(0)
--- a/packages/millfork-web/millfork_web/client.py
+++ b/packages/millfork-web/millfork_web/client.py
@@ -16,6 +16,10 @@
 
 READ_BYTES: Final = 256 * 1024
 CONNECT_TIMEOUT_S: Final = 2.0
+# The largest body that `Reply.body` reads into memory. Chunks of weights are the largest ones.
+MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+# The greatest number of informational responses before a response.
+MAX_INFORMATIONAL: Final = 16
 MAX_IDLE_CONNECTIONS: Final = 64
 
 
@@ -52,9 +56,10 @@
         return find_header(self.headers, name)
 
     async def read_head(self) -> None:
-        event = await self._next()
-        while isinstance(event, h11.InformationalResponse):
+        for _ in range(MAX_INFORMATIONAL + 1):
             event = await self._next()
+            if not isinstance(event, h11.InformationalResponse):
+                break
         if not isinstance(event, h11.Response):
             raise ExchangeFailed(Verdict.MAY_HAVE_RUN, 'the server closed without a response')
         self.status = event.status_code
@@ -86,9 +91,18 @@
                 return
 
     async def body(self) -> bytes:
+        """
+        The whole body.
+
+        :raises ExchangeFailed: if the body is incomplete, or larger than `MAX_BODY_BYTES`.
+
+        """
         content = bytearray()
         async for part in self.parts():
             content += part
+            if len(content) > MAX_BODY_BYTES:
+                detail = f'the body is over {MAX_BODY_BYTES} bytes'
+                raise ExchangeFailed(Verdict.MAY_HAVE_RUN, detail)
         return bytes(content)
 
     def _received_event(self) -> Any:
--- a/packages/millfork-web/millfork_web/event_stream.py
+++ b/packages/millfork-web/millfork_web/event_stream.py
@@ -15,8 +15,8 @@
 COMMENT: Final = b':'
 ID_LINE: Final = re.compile(rb'(?:\A|[\r\n])id:([^\r\n]*)')
 # The maximum size of an event. If more bytes arrive without the end of an event, the data is not
-# considered an event stream.
-MAX_EVENT_BYTES: Final = 1024 * 1024
+# considered an event stream. An entry may hold this for each stream at the same time.
+MAX_EVENT_BYTES: Final = 256 * 1024
 
 
 class InvalidEventStream(Exception):
--- a/packages/millfork-web/millfork_web/exchange.py
+++ b/packages/millfork-web/millfork_web/exchange.py
@@ -13,6 +13,7 @@
 from millfork_core.logs import Component, logger
 from millfork_core.sockets import FLUSH_ON_CLOSE, RESET_ON_CLOSE, is_quiet
 from millfork_web.models import Headers, Request, Response, encode_headers
+from millfork_web.unsent import SlowReader, UnsentBytes
 
 log = logger(Component.DAEMON)
 
@@ -28,7 +29,7 @@
     """
     One request on one connection, and the methods to respond to it. `started` tells whether any
     part of a response may have been sent, `is_closing` whether the server closes its connections
-    after their requests.
+    after their requests. `unsent` counts what waits to be sent to the callers of the server.
 
     """
 
@@ -38,11 +39,13 @@
         conn: h11.Connection,
         request: Request,
         is_closing: Callable[[], bool],
+        unsent: UnsentBytes,
     ) -> None:
         self.sock = sock
         self.conn = conn
         self.request = request
         self.is_closing = is_closing
+        self.unsent = unsent
         self.started = False
 
     async def respond(self, response: Response) -> None:
@@ -114,7 +117,12 @@
     async def _send(self, data: bytes) -> None:
         self.started = True
         try:
-            await self.sock.sendall(data)
+            await self.unsent.send(self.sock, data)
+        except SlowReader as error:
+            log.info('A caller was cut off, as it reads too slowly: {}.', error)
+            self.conn.send_failed()
+            self._set_linger(RESET_ON_CLOSE)
+            raise CallerGone(f'it reads too slowly: {error}') from error
         except OSError as error:
             self.conn.send_failed()
             raise CallerGone(str(error)) from error
--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -18,6 +18,7 @@
 from millfork_web.exchange import CallerGone, Exchange, has_received
 from millfork_web.models import Request
 from millfork_web.problem import problem
+from millfork_web.unsent import UnsentBytes
 
 READ_BYTES: Final = 64 * 1024
 # The default time for which a connection may wait for the head of its next request.
@@ -84,6 +85,7 @@
         self.on_refusal = on_refusal
         self.spawn = spawn
         self.closing = False
+        self.unsent = UnsentBytes()
         # The number of connections with a request of which at least a part has been read.
         self.active = 0
         self.acceptor: curio.Task | None = None
@@ -263,7 +265,7 @@
         return not self.closing or has_received(sock, conn)
 
     def _exchange(self, sock: Any, conn: h11.Connection, request: Request) -> Exchange:
-        return Exchange(sock, conn, request, lambda: self.closing)
+        return Exchange(sock, conn, request, lambda: self.closing, self.unsent)
 
     async def _handle(self, exchange: Exchange) -> None:
         request, conn = exchange.request, exchange.conn
--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -30,6 +30,11 @@
 # A request that must not run twice is sent only on a new connection or on one that was in use
 # within this time: the back end may be closing a connection that was idle for longer.
 RECENT_USE_S: Final = 0.3
+# The greatest number of informational responses before an answer.
+MAX_INFORMATIONAL: Final = 16
+# The rest of an answer that isn't passed on is read for at most this long, and up to this size.
+DISCARD_TIMEOUT_S: Final = 0.5
+MAX_DISCARDED_BYTES: Final = 64 * 1024
 
 log = logger(Component.PROXY)
 
@@ -102,9 +107,13 @@
         :raises SendFailed: if no valid answer arrives; with verdict MAY_HAVE_RUN.
 
         """
-        event = await self._next_event()
-        while isinstance(event, h11.InformationalResponse):
+        for _ in range(MAX_INFORMATIONAL + 1):
             event = await self._next_event()
+            if not isinstance(event, h11.InformationalResponse):
+                break
+        if isinstance(event, h11.InformationalResponse):
+            detail = f'over {MAX_INFORMATIONAL} informational responses'
+            raise SendFailed(Reason.TRUNCATED, Verdict.MAY_HAVE_RUN, detail)
         if not isinstance(event, h11.Response):
             raise self._connection_lost('the server closed the connection without an answer')
         self.status = event.status_code
@@ -138,11 +147,14 @@
 
     async def discard_body(self) -> None:
         """
-        Read and discard the rest of an answer, so that the connection can be reused.
+        Read and discard the rest of an answer, so that the connection can be reused. A body that is
+        large, or doesn't end soon, is not read to its end; the connection can't be reused then.
 
         """
-        while await self.read():
-            pass
+        discarded = 0
+        async with curio.ignore_after(DISCARD_TIMEOUT_S):
+            while discarded <= MAX_DISCARDED_BYTES and (data := await self.read()):
+                discarded += len(data)
 
     def broken_off(self, detail: str) -> SendFailed:
         """
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -334,6 +334,8 @@
             if self.admission.table is None:
                 await self.feed_client.changed.set()
             await self.pools.close_old()
+            self.env.metrics.unsent_bytes.set({}, self.server.unsent.total)
+            self.env.metrics.slow_readers.set({}, self.server.unsent.cut_off)
             for server in self.server_table.forget_lapsed_changes():
                 log.warning('Reports of a changing engine ended. server={}', server.instance)
             self.budget.count_entries()
--- a/packages/millforkd/millforkd/proxy/response_monitor.py
+++ b/packages/millforkd/millforkd/proxy/response_monitor.py
@@ -79,6 +79,28 @@
                 await self.on_silence(job, attempt)
             job.race.check(attempt)
 
+    async def read_body(self, job: Job, attempt: Attempt, connection: ServerConnection) -> bytes:
+        """
+        The next bytes of an answer that is passed on once it is complete; empty at its end. While
+        the answer to a request that may be repeated is unfinished, another back end is asked, as if
+        this one were silent: a body may arrive a byte a second.
+
+        :raises SendFailed: if the body breaks off or is malformed.
+        :raises Superseded: if another attempt has claimed the answer meanwhile.
+
+        """
+        if not job.route.repeatable:
+            return await connection.read()
+        while True:
+            if self.env.monotonic() - attempt.started_at > SILENT_SERVER_S:
+                await self.on_silence(job, attempt)
+                job.race.check(attempt)
+            try:
+                async with curio.timeout_after(HEAD_POLL_S):
+                    return await connection.read()
+            except curio.TaskTimeout:
+                continue
+
     async def read_stream(self, job: Job, attempt: Attempt, connection: ServerConnection) -> bytes:
         """
         The next bytes of a stream; empty at its end.
--- a/packages/millforkd/millforkd/proxy/response_relay.py
+++ b/packages/millforkd/millforkd/proxy/response_relay.py
@@ -5,6 +5,8 @@
 
 from typing import Final
 
+import curio
+
 from millfork_adapter.adapter import Adapter
 from millfork_core.environment import Environment
 from millfork_core.verdicts import Reason, Verdict
@@ -20,6 +22,10 @@
 
 # Answers up to this size, apart from event streams, are passed on only when complete.
 MAX_BUFFERED_BYTES: Final = 64 * 1024
+# An error answer to a request that may be repeated is read up to this size, and for this long; the
+# request is then repeated without it.
+MAX_FAILURE_BYTES: Final = 256 * 1024
+FAILURE_TIMEOUT_S: Final = 1.0
 
 
 class ResponseRelay:
@@ -44,10 +50,19 @@
         """
         Read an error answer, to be passed on if all further attempts fail.
 
+        :raises SendFailed: if the answer is larger than MAX_FAILURE_BYTES, or has not ended after
+            FAILURE_TIMEOUT_S.
+
         """
         body = bytearray()
-        while data := await connection.read():
-            body += data
+        try:
+            async with curio.timeout_after(FAILURE_TIMEOUT_S):
+                while data := await connection.read():
+                    body += data
+                    if len(body) > MAX_FAILURE_BYTES:
+                        raise _endless_failure(connection, f'over {MAX_FAILURE_BYTES} bytes')
+        except curio.TaskTimeout:
+            raise _endless_failure(connection, f'no end after {FAILURE_TIMEOUT_S} s') from None
         headers = self.adapter.caller_headers(connection.headers)
         return HeldAnswer(connection.status, headers, bytes(body))
 
@@ -71,7 +86,7 @@
 
         """
         body = bytearray()
-        while data := await connection.read():
+        while data := await self.response_monitor.read_body(job, attempt, connection):
             attempt.record_data(self.env.monotonic())
             body += data
             if len(body) > MAX_BUFFERED_BYTES:
@@ -162,6 +177,12 @@
             await job.exchange.write(data)
 
 
+def _endless_failure(connection: ServerConnection, detail: str) -> SendFailed:
+    return SendFailed(
+        Reason.TRUNCATED, Verdict.RAN, f'an error answer ({connection.status}) has {detail}'
+    )
+
+
 def _may_be_cut_json(connection: ServerConnection) -> bool:
     if connection.framing is not Framing.CONNECTION or connection.status >= 300:
         return False
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,99 @@
+"""
+Back ends that send bytes without end, of which no answer comes.
+
+"""
+
+import time
+from pathlib import Path
+
+import pytest
+
+from millfork_standins.back_end import RawAnswer
+from millfork_standins.seeded import SeededFleet
+from tests.test_seeded_fleet import request
+from tests.test_unusual_answers import CALLS, ID, OK, send_calls
+from tests.utils.fleets import wait_until
+from tests.utils.streams import SAFE_PATH, earn_retries, start_streaming_fleet
+
+FILL = b'x' * 16_384
+FAILURE = b'HTTP/1.1 500 Internal Server Error\r\n' + ID
+CHUNKED = b'transfer-encoding: chunked\r\n\r\n'
+CHUNK = b'4000\r\n' + FILL + b'\r\n'
+UNFRAMED = OK + b'\r\n'
+# Bytes in memory that an entry may use beyond what it used before the calls.
+MEMORY_BYTES = 64 * 1024 * 1024
+
+CLOSED = RawAnswer(b'', closes=True)
+# Another back end is asked for these, and its answer arrives within the caller's time.
+ENDLESS_ANSWERS = {
+    'no answer at all': RawAnswer(b'', endless=FILL),
+    'a header without end': RawAnswer(OK + b'x: ', endless=FILL),
+    'headers without end': RawAnswer(OK, endless=b'x: y\r\n'),
+    'a head, a byte at a time': RawAnswer(OK, endless=b'x', pause_s=0.2),
+    'informational answers': RawAnswer(b'', endless=b'HTTP/1.1 103 Early Hints\r\n\r\n'),
+    'a failure in chunks': RawAnswer(FAILURE + CHUNKED, endless=CHUNK),
+    'a failure without framing': RawAnswer(FAILURE + b'\r\n', endless=FILL),
+    'a failure, a byte at a time': RawAnswer(FAILURE + b'\r\n', endless=b'x', pause_s=0.2),
+    'a long answer, a byte at a time': RawAnswer(
+        OK + b'content-length: 1000000\r\n\r\n', endless=b'x', pause_s=0.2
+    ),
+    'chunks, a byte at a time': RawAnswer(OK + CHUNKED, endless=b'1\r\nx\r\n', pause_s=0.2),
+    'no framing, a byte at a time': RawAnswer(UNFRAMED, endless=b'x', pause_s=0.2),
+}
+# These may be large answers, so they are passed on until the caller's time is over.
+LARGE_ANSWERS = {
+    'chunks': RawAnswer(OK + CHUNKED, endless=CHUNK, pause_s=0.01),
+    'no framing': RawAnswer(UNFRAMED, endless=FILL, pause_s=0.01),
+}
+
+
+@pytest.fixture(scope='module')
+def fleet(tmp_path_factory):
+    fleet = SeededFleet(tmp_path_factory.mktemp('endless'))
+    try:
+        start_streaming_fleet(fleet, max_attempts=2)
+        # An entry that has just started may repeat few requests.
+        wait_until(lambda: send_calls(fleet, CLOSED) == [(200, b'answer')] * CALLS)
+        yield fleet
+    finally:
+        fleet.close()
+
+
+def memory_bytes(fleet):
+    """
+    The resident memory of the entry.
+
+    """
+    pid = fleet.processes[fleet.entry_hosts[0]].pid
+    with Path(f'/proc/{pid}/statm').open() as file:
+        return int(file.read().split()[1]) * 4096
+
+
+@pytest.mark.parametrize('name', ENDLESS_ANSWERS)
+def test_another_back_end_is_asked_instead_of_an_endless_answer(fleet, name):
+    """
+    Guards against memory that an endless answer fills, and against a caller who waits for its end
+    until the deadline.
+
+    """
+    before = memory_bytes(fleet)
+    assert send_calls(fleet, ENDLESS_ANSWERS[name]) == [(200, b'answer')] * CALLS
+    assert memory_bytes(fleet) - before < MEMORY_BYTES
+
+
+@pytest.mark.parametrize('name', LARGE_ANSWERS)
+def test_an_endless_answer_that_may_be_large_ends_with_the_callers_time(fleet, name):
+    """
+    Guards against connections and memory that are kept after the caller's time.
+
+    """
+    earn_retries(fleet)
+    before = memory_bytes(fleet)
+    fleet.raw_answer = LARGE_ANSWERS[name]
+    started_at = time.monotonic()
+    replies = [fleet.send_request(request(SAFE_PATH)) for _ in range(2)]
+    fleet.raw_answer = None
+    assert sorted((reply.status, reply.body) for reply in replies)[-1] == (200, b'answer')
+    assert time.monotonic() - started_at < 2 * 4.0 + 2.0
+    assert memory_bytes(fleet) - before < MEMORY_BYTES
+    wait_until(lambda: fleet.send_request(request(SAFE_PATH)).status == 200)
