--- a/packages/millfork-core/millfork_core/metrics.py
+++ b/packages/millfork-core/millfork_core/metrics.py
@@ -41,6 +41,9 @@
             'millfork_backpressure_total',
             'What back ends said of themselves, by signal, event and way of telling.',
         )
+        self.second_attempts = self._counter(
+            'millfork_second_attempts_total', 'Second attempts beside slow ones, by event.'
+        )
         self.log_lines = self._counter('millfork_log_lines_total', 'Log lines by fate.')
         self.request_seconds = Histogram(
             'millfork_request_seconds',
@@ -57,6 +60,12 @@
         self.revision = self._gauge('millfork_revision', 'Configuration revision in force.')
         self.leader = self._gauge('millfork_leader', 'Whether this replica leads.')
         self.voter = self._gauge('millfork_voter', 'Whether this replica is a voter.')
+        self.unsent_bytes = self._gauge(
+            'millfork_unsent_bytes', 'Bytes that wait for callers to read them.'
+        )
+        self.slow_readers = self._gauge(
+            'millfork_slow_readers', 'Callers cut off since the start, as they read too slowly.'
+        )
 
     def _counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self.registry)
