--- a/packages/millforkd/millforkd/proxy/cache.py
+++ b/packages/millforkd/millforkd/proxy/cache.py
@@ -44,9 +44,15 @@
 # the piece. The daemon that requested the piece would consider the cache silent after a second, and
 # another cache that requested it would do so after PEER_TIMEOUT_S.
 ANSWER_WITHIN_S: Final = 0.5
-# The timeout of requests to other caches: other caches answer within ANSWER_WITHIN_S, and the
-# latency between zones is below 0.1 s.
+# The timeout of requests to other caches for pieces of up to USUAL_PIECE_BYTES: other caches answer
+# within ANSWER_WITHIN_S, and the latency between zones is below 0.1 s. Larger pieces have as much
+# more time: fetchers of pieces of 49 KB counted as silent in the middle of their answers, and the
+# pieces were sent between regions again.
 PEER_TIMEOUT_S: Final = 0.8
+USUAL_PIECE_BYTES: Final = 24_576
+# The greatest number of requests for pieces to other caches at a time. More would queue in the link
+# of the fetcher, which sends every piece to all other zones.
+MAX_CONCURRENT_PEER_FETCHES: Final = 3
 # The maximum number of attempts to fetch a piece from the origin: a piece that arrives corrupt, or
 # doesn't arrive, is fetched once more.
 MAX_ORIGIN_ATTEMPTS: Final = 2
@@ -88,16 +94,20 @@
         peers: Peers,
         origin: Origin,
         caches: Callable[[], list[CacheAddress]],
+        piece_bytes: Callable[[], int] = lambda: 0,
     ) -> None:
         self.env = env
         self.peers = peers
         self.origin = origin
         self.caches = caches
+        # Returns the size of a piece by the document; 0 if it isn't known.
+        self.piece_bytes = piece_bytes
         self.store = PieceStore()
         # For each fetch in progress, by version and piece (None: the digests), an event that is
         # set when the fetch ends.
         self.pending: dict[tuple[WeightsId, int | None], curio.Event] = {}
         self.origin_slots = curio.Semaphore(MAX_CONCURRENT_ORIGIN_FETCHES)
+        self.peer_slots = curio.Semaphore(MAX_CONCURRENT_PEER_FETCHES)
         # Versions whose prefetching is running or complete.
         self.prefetching: set[WeightsId] = set()
         # The time of the last request for a piece, by version.
@@ -305,7 +315,8 @@
             fetcher = self._fetcher_of(held.weights, index)
             if fetcher == own:
                 return False
-            reply = await self._ask(fetcher, held.weights, index)
+            async with self.peer_slots:
+                reply = await self._ask(fetcher, held.weights, index)
             if reply is None:
                 continue
             if not reply.found:
@@ -351,7 +362,7 @@
         if index == DIGESTS_INDEX:
             message = GetManifest(str(weights), draw=True)
         try:
-            reply = await self.peers.call(address_of(fetcher), message, PEER_TIMEOUT_S)
+            reply = await self.peers.call(address_of(fetcher), message, self._peer_timeout_s())
         except PeerError as error:
             log.info(
                 'Piece {} of {} was not received from cache {}: {}.', index, weights, fetcher, error
@@ -360,6 +371,9 @@
             return None
         return reply if isinstance(reply, Chunk | Manifest) else Chunk(reason='no cache')
 
+    def _peer_timeout_s(self) -> float:
+        return PEER_TIMEOUT_S * max(1.0, self.piece_bytes() / USUAL_PIECE_BYTES)
+
     def _origin_zone(self) -> str:
         spec = self.origin.current_spec()
         return spec.zone if spec is not None else ''
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -18,7 +18,7 @@
 from millfork_registry.discovery import address_of
 from millfork_registry.roles import ENTRY_ROLE
 from millfork_registry.suspicions import decode_suspicions
-from millfork_routing.documents import Document
+from millfork_routing.documents import Document, EngineSpec
 from millfork_routing.regions import unknown_regions
 from millfork_routing.routes import RouteTable
 from millfork_routing.shared_budget import SharedBudget
@@ -145,7 +145,7 @@
         # When the first document arrived (monotonic seconds); None before.
         self.first_document_at: float | None = None
         origin = Origin(env, adapter, str(settings.address), lambda: find_origin(self.document))
-        self.cache = PieceCache(env, self.peers, origin, self.discovery.caches)
+        self.cache = PieceCache(env, self.peers, origin, self.discovery.caches, self._piece_bytes)
         self.server = Server(
             *split_host_port(settings.listen.callers),
             self.forwarding.answer,
@@ -353,6 +353,18 @@
             self._log_retries()
             await self._keep_weights_ahead()
 
+    def _engine(self) -> EngineSpec | None:
+        """
+        The spec of the engines in the document, or None.
+
+        """
+        services = self.document.services if self.document is not None else ()
+        return next((service.engine for service in services if service.engine), None)
+
+    def _piece_bytes(self) -> int:
+        engine = self._engine()
+        return engine.piece_bytes if engine is not None else 0
+
     async def _keep_weights_ahead(self) -> None:
         """
         Fetch this entry's part of the zone's copy of the first weights, before engines are added.
@@ -364,7 +376,7 @@
         document = self.document
         if document is None or not self.settings.first_start:
             return
-        engine = next((service.engine for service in document.services if service.engine), None)
+        engine = self._engine()
         min_copy_s = self.settings.weights.ahead_min_copy_s
         if engine is not None and keeps_copy_ahead(engine, find_origin(document), min_copy_s):
             if self.versions.newest(engine.model) > FIRST_VERSION:
