Entries learn that a cold back end became cold again

Cause: a lease was sent on only if its cold_left_ms was greater than the previous one. A back end that becomes cold again while it is cold names a smaller or equal time than its first heartbeat did (3000 ms, then 2900 ms after 1.2 s), so entries took it for warm at the end of the first period, up to 2.9 s too early.

Change: the registry compares the time with what is left of the previous one when the heartbeat arrives, with 50 ms for unequal transfer times.

Result: the new test fails without the change (the heartbeat counts as a mere renewal) and passes with it; tests of cold back ends, incarnations, delayed heartbeats and the number of entries pass.

--- a/packages/millfork-registry/millfork_registry/records.py
+++ b/packages/millfork-registry/millfork_registry/records.py
@@ -5,11 +5,16 @@
 """
 
 from enum import Enum
+from typing import Final
 
 import msgspec
 
 from millfork_core.ids import UNKNOWN_INCARNATION, Incarnation
 
+# Heartbeats of one period of coldness that name ends less than this apart, as they took unequal
+# times to arrive, name the same end.
+COLD_JITTER_MS: Final = 50.0
+
 
 class LeaseState(Enum):
     """
@@ -82,17 +87,19 @@
             self.state is LeaseState.EXPIRED,
         )
 
-    def needs_announcement_after(self, older: 'Lease') -> bool:
+    def needs_announcement_after(self, older: 'Lease', elapsed_s: float = 0.0) -> bool:
         """
-        Whether this lease must be sent to processes that have `older`. A lease that was only
-        renewed, with a higher `sequence`, need not be sent.
+        Whether this lease must be sent to processes that have `older`, which arrived `elapsed_s`
+        seconds earlier. A lease that was only renewed, with a higher `sequence`, need not be sent.
 
         """
-        if self.cold_left_ms > older.cold_left_ms or bool(self.cold_left_ms) != bool(
-            older.cold_left_ms
-        ):
+        if bool(self.cold_left_ms) != bool(older.cold_left_ms):
             # The back end became cold, or is no longer cold.
             return True
+        expected_ms = max(older.cold_left_ms - elapsed_s * 1000, 0.0)
+        if self.cold_left_ms > expected_ms + COLD_JITTER_MS:
+            # The back end became cold again meanwhile, so it stays cold for longer than it said.
+            return True
         return (
             self.incarnation,
             self.state,
--- a/packages/millfork-registry/millfork_registry/registry.py
+++ b/packages/millfork-registry/millfork_registry/registry.py
@@ -183,8 +183,10 @@
                 if self._is_wrongly_ended(held, lease)
                 else RecordChange.NONE
             )
-        self.last_received_at[lease.instance] = self.env.monotonic()
-        if held is not None and not lease.needs_announcement_after(held):
+        now = self.env.monotonic()
+        elapsed_s = now - self.last_received_at.get(lease.instance, now)
+        self.last_received_at[lease.instance] = now
+        if held is not None and not lease.needs_announcement_after(held, elapsed_s):
             self.leases.put_unannounced(lease.instance, lease)
             return RecordChange.RENEWED
         self.leases.put(lease.instance, lease)
--- a/tests/test_cold_back_ends.py
+++ b/tests/test_cold_back_ends.py
@@ -8,8 +8,10 @@
 
 import pytest
 
+from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ServiceName, ZoneId
 from millfork_registry.records import Lease, LeaseState
+from millfork_registry.registry import RecordChange, Registry
 from millfork_scheduling.availability import ClosureReason
 from millfork_scheduling.cold_share import (
     SPAN_S,
@@ -221,3 +223,20 @@
     """
     older = lease(1, before_ms)
     assert lease(1, after_ms, sequence=2).needs_announcement_after(older) is expected
+
+
+@pytest.mark.parametrize(
+    ('left_ms', 'expected'),
+    [(1800, RecordChange.RENEWED), (1700, RecordChange.RENEWED), (2900, RecordChange.CHANGED)],
+)
+def test_a_back_end_that_becomes_cold_again_while_cold_is_told_to_entries(clock, left_ms, expected):
+    """
+    Guards against entries that take a back end for warm at the end of its first period of coldness,
+    although it became cold again before: its later heartbeats named no longer times than the first.
+
+    """
+    env = Environment(InstanceId('r:1'), ZoneId('z1'), monotonic=clock)
+    registry = Registry(env, heartbeat_s=1.2)
+    registry.record_heartbeat(lease(1, 3000))
+    clock.now += 1.2
+    assert registry.record_heartbeat(lease(1, left_ms, sequence=2)) is expected
