A late answer is not asked for twice once it arrives

Cause: the time until the head of an answer counted as silence of its body. A repeatable request whose head came after more than 1.2 s was sent again at once, although its back end answers other requests and the body is arriving: extra work at the busiest time, a retry of the budget spent, and the back end reported as silent.

Change: the body counts as silent only 1.2 s after reading it began.

Result: the new test fails without the change and passes with it. tests/test_forwarding.py passes.

--- a/packages/millforkd/millforkd/proxy/response_monitor.py
+++ b/packages/millforkd/millforkd/proxy/response_monitor.py
@@ -90,11 +90,14 @@
                 await self.on_silence(job, attempt)
             job.race.check(attempt)
 
-    async def read_body(self, job: Job, attempt: Attempt, connection: ServerConnection) -> bytes:
+    async def read_body(
+        self, job: Job, attempt: Attempt, connection: ServerConnection, began_at: float
+    ) -> bytes:
         """
         The next bytes of an answer that is passed on once it is complete; empty at its end. While
-        the answer to a request that may be repeated is unfinished, another back end is asked, as if
-        this one were silent: a body may arrive a byte a second.
+        the body of the answer to a request that may be repeated, read since `began_at` (monotonic
+        seconds), is unfinished for SILENT_SERVER_S, another back end is asked, as if this one were
+        silent: a body may arrive a byte a second.
 
         :raises SendFailed: if the body breaks off or is malformed.
         :raises Superseded: if another attempt has claimed the answer meanwhile.
@@ -103,7 +106,7 @@
         if not job.route.repeatable:
             return await connection.read()
         while True:
-            if self.env.monotonic() - attempt.started_at > SILENT_SERVER_S:
+            if self.env.monotonic() - began_at > SILENT_SERVER_S:
                 await self.on_silence(job, attempt)
                 job.race.check(attempt)
             try:
--- a/packages/millforkd/millforkd/proxy/response_relay.py
+++ b/packages/millforkd/millforkd/proxy/response_relay.py
@@ -86,7 +86,8 @@
 
         """
         body = bytearray()
-        while data := await self.response_monitor.read_body(job, attempt, connection):
+        began_at = self.env.monotonic()
+        while data := await self.response_monitor.read_body(job, attempt, connection, began_at):
             attempt.record_data(self.env.monotonic())
             body += data
             if len(body) > MAX_BUFFERED_BYTES:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 
 import curio
+import pytest
 
 from millfork_adapter.exchange import Backpressure, CallerRequest
 from millfork_core.environment import Environment
@@ -22,7 +23,7 @@
 from millfork_scheduling.server_table import ServerTable
 from millfork_scheduling.slow_answers import SlowAnswers
 from millfork_state.view import View
-from millforkd.proxy.attempts import Attempt, FailedAttempt
+from millforkd.proxy.attempts import AnswerRace, Attempt, FailedAttempt
 from millforkd.proxy.connections import SendFailed
 from millforkd.proxy.fingerprints import Fingerprints
 from millforkd.proxy.forwarding import Forwarding
@@ -95,6 +96,34 @@
     assert not waiting.is_silent
 
 
+@pytest.mark.parametrize(('body_s', 'handled'), [(0.0, False), (TOO_LONG_S, True)])
+def test_only_a_body_that_takes_long_counts_as_silence(body_s, handled):
+    """
+    Guards against requests that are sent again although their answer is arriving: the time until
+    the head counted as silence, so each answer after more than 1.2 s was asked for twice.
+
+    """
+    waiting = WaitingRequest()
+    silent = []
+
+    async def on_silence(job, attempt):
+        silent.append(attempt)
+
+    async def read():
+        return b'answer'
+
+    waiting.monitor.on_silence = on_silence
+    waiting.job.route = SimpleNamespace(repeatable=True)
+    waiting.job.race = AnswerRace()
+    waiting.clock.now += TOO_LONG_S
+    began_at = waiting.clock.now
+    waiting.clock.now += body_s
+    connection = SimpleNamespace(read=read)
+    args = (waiting.job, waiting.attempt, connection, began_at)
+    assert curio.run(waiting.monitor.read_body, *args) == b'answer'
+    assert bool(silent) is handled
+
+
 class EndingVersion:
     """
     An entry that connects so slowly that version 1 has ended for new requests once the
