A notice from before a doubt does not end it

Cause: a back end in a zone that was taken back counts as cold for three heartbeats, but any lease with cold_left_ms 0 that arrived meanwhile ended this, whatever the time of its heartbeat. Leases carry no such time: an entry that turns to another replica, or a lease that is sent for another change, brings heartbeats from before the doubt.

Change: such a notice does not end the coldness before the doubt is over. A notice of coldness still extends it.

Result: the new test fails without the change and passes with it; tests/test_cold_back_ends.py and tests/test_evacuations.py pass.

--- a/packages/millfork-scheduling/millfork_scheduling/cold_share.py
+++ b/packages/millfork-scheduling/millfork_scheduling/cold_share.py
@@ -104,6 +104,8 @@
     cold_until: float = float('-inf')
     cold_since: float = float('-inf')
     noticed_at: float = float('-inf')
+    # Until when notices that the back end is warm may be older than a doubt about it.
+    doubted_until: float = float('-inf')
     # The latest sends, oldest first.
     sent: deque[float] = field(default_factory=deque)
     draw: float = field(init=False)
@@ -118,6 +120,9 @@
 
         """
         was_cold = self.is_cold(now)
+        if left_s <= 0 and now < self.doubted_until:
+            self.cold_until = self.doubted_until
+            return False
         if left_s <= 0:
             self.cold_until = float('-inf')
             self.noticed_at = float('-inf')
@@ -132,10 +137,15 @@
     def doubt(self, seconds: float, now: float) -> bool:
         """
         Treat the back end as cold for `seconds`, as it may have become cold unnoticed; returns
-        whether this begins a period of coldness.
+        whether this begins a period of coldness. Notices that it is warm don't end this: they may
+        have been sent before, as leases don't tell when their heartbeats were sent.
 
         """
-        return self.record_notice(seconds, now) if seconds > 0 else False
+        if seconds <= 0:
+            return False
+        began = self.record_notice(seconds, now)
+        self.doubted_until = min(now + seconds, self.cold_until)
+        return began
 
     def is_cold(self, now: float) -> bool:
         return now < self.cold_until
--- a/tests/test_cold_back_ends.py
+++ b/tests/test_cold_back_ends.py
@@ -212,6 +212,25 @@
     assert not table.servers[InstanceId('i-2')].availability.is_cold(clock.now)
 
 
+def test_a_notice_from_before_the_doubt_does_not_end_it(table, clock):
+    """
+    Guards against a rush at a zone that is taken back: an entry that turns to another replica then
+    receives leases with heartbeats from before the doubt, which named the back ends warm.
+
+    """
+    table.apply_leases([lease(1)])
+    table.doubt_zone(ZoneId('z1'), 4.0)
+    availability = table.servers[InstanceId('i-1')].availability
+    table.apply_leases([lease(1, sequence=2)])
+    assert availability.is_cold(clock.now)
+    table.apply_leases([lease(1, 6000, sequence=3)])
+    table.apply_leases([lease(1, sequence=4)])
+    clock.now += 3.9
+    assert availability.is_cold(clock.now)
+    clock.now += 0.2
+    assert not availability.is_cold(clock.now)
+
+
 @pytest.mark.parametrize(
     ('before_ms', 'after_ms', 'expected'),
     [(0, 3000, True), (1800, 600, False), (600, 3000, True), (600, 0, True), (0, 0, False)],
