Entries remember the number of entries across replicas

Cause: an entry took over the greatest number of entries that its present replica knows. A replica that lost its disk knows only the entries that follow it again, so an entry that turns to it divided the allowance of a cold back end, announced limits and the retry budget by too few.

Change: an entry keeps the greatest number that any replica told it within ENTRIES_REMEMBERED_S.

Result: the new test fails without the change (2 entries instead of 36) and passes with it; tests of the feed, the relay, the repeat budget and the number of entries pass.

--- a/packages/millfork-registry/millfork_registry/feed_client.py
+++ b/packages/millfork-registry/millfork_registry/feed_client.py
@@ -15,6 +15,7 @@
 from millfork_core.environment import Environment
 from millfork_core.ids import NO_INSTANCE, InstanceId
 from millfork_core.logs import Component, logger
+from millfork_core.windows import ENTRIES_REMEMBERED_S, WindowMax
 from millfork_registry.discovery import Discovery
 from millfork_registry.records import decode_leases, decode_states
 from millfork_registry.registry import Registry
@@ -95,9 +96,11 @@
         # some until there is a leader.
         self.was_current = False
         # The number of entries (front proxies) that the followed replica knows now, and the
-        # greatest number that it knew in recent minutes.
+        # greatest number that this replica, or one that was followed before, knew in recent
+        # minutes: a replica that lost its disk knows only the entries that follow it again.
         self.entries = 1
         self.peak_entries = 1
+        self.told_entries = WindowMax(ENTRIES_REMEMBERED_S)
         # Whether any replica has reported the number of entries.
         self.entries_known = False
         # The follower that relays the feed while no replica can be reached, and the follower
@@ -356,7 +359,8 @@
         if peer == self.source:
             self.source_contact_at = self.env.monotonic()
             self.entries = max(message.entries, 1)
-            self.peak_entries = max(message.most_entries, self.entries)
+            told = max(message.most_entries, self.entries)
+            self.peak_entries = self.told_entries.add(told, self.source_contact_at)
             self.entries_known = True
         try:
             leases = decode_leases(message.leases)
--- a/tests/test_feed_client.py
+++ b/tests/test_feed_client.py
@@ -10,6 +10,7 @@
 
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, Revision, ZoneId
+from millfork_core.windows import ENTRIES_REMEMBERED_S
 from millfork_registry import feed_client as feed_client_module
 from millfork_registry.discovery import Discovery
 from millfork_registry.feed_client import CUTOFF_QUERY_S, STALE_MS, FeedClient
@@ -190,3 +191,24 @@
     value = encode_versioned(Versioned(3, b''))
     client.view.apply_change(Revision(2), {version_key('m'): StoredValue(value, Revision(2))}, [])
     assert client.seeks_cutoff(clock.now)
+
+
+def test_an_entry_remembers_the_number_of_entries_when_it_turns_to_another_replica():
+    """
+    Guards against entries that divide shared limits by too few: a replica that lost its disk knows
+    only the entries that follow it again.
+
+    """
+    clock = Clock()
+    client = client_following(FakeReplicas(), monotonic=clock)
+
+    async def told(replica, most_entries):
+        client.source = InstanceId(replica)
+        await client._on_leases(client.source, Leases(entries=2, most_entries=most_entries))
+
+    curio.run(told, 'a:1', 36)
+    curio.run(told, 'b:1', 2)
+    assert client.peak_entries == 36
+    clock.now += ENTRIES_REMEMBERED_S + 1.0
+    curio.run(told, 'b:1', 2)
+    assert client.peak_entries == 2
