No back end is chosen for a second attempt that may not be sent

Cause: a request that is slow while there is no room for a second attempt chose a back end every 50 ms, and only then looked at whether callers are being turned away and whether the retry budget is used up.

Change: what does not depend on the back end is checked first.

Result: the new test fails without the change and passes with it; tests/test_slow_answers.py passes.

--- a/packages/millfork-scheduling/millfork_scheduling/slow_answers.py
+++ b/packages/millfork-scheduling/millfork_scheduling/slow_answers.py
@@ -60,9 +60,18 @@
     """
     if site.avoided or site.occupied >= site.slots * MAX_OCCUPIED_SHARE:
         return False
-    if now - site.turned_away_at < QUIET_AFTER_TURNED_AWAY_S:
+    return may_add(site.budget_spent, site.budget_allowed, site.turned_away_at, now)
+
+
+def may_add(budget_spent: int, budget_allowed: float, turned_away_at: float, now: float) -> bool:
+    """
+    Whether the load and the retry budget allow a second attempt, whatever back end it would be sent
+    to; for the arguments see `SecondAttemptSite`. This costs less than the choice of a back end.
+
+    """
+    if now - turned_away_at < QUIET_AFTER_TURNED_AWAY_S:
         return False
-    return site.budget_spent + 1 <= site.budget_allowed * MAX_BUDGET_SHARE
+    return budget_spent + 1 <= budget_allowed * MAX_BUDGET_SHARE
 
 
 @dataclass(slots=True)
--- a/packages/millforkd/millforkd/proxy/attempt_runner.py
+++ b/packages/millforkd/millforkd/proxy/attempt_runner.py
@@ -13,7 +13,7 @@
 from millfork_scheduling.placement import Choice, Requirements
 from millfork_scheduling.quarantine import SuspicionLevel
 from millfork_scheduling.server_table import ServerTable
-from millfork_scheduling.slow_answers import SecondAttemptSite, SlowAnswers, has_room
+from millfork_scheduling.slow_answers import SecondAttemptSite, SlowAnswers, has_room, may_add
 from millfork_web.exchange import CallerGone
 from millfork_web.framing import Framing
 from millforkd.proxy.admission import Admission
@@ -226,7 +226,7 @@
 
         """
         may_send = job.race.may_hedge and self._may_send_again(job)
-        if not may_send:
+        if not (may_send and self._may_add(job)):
             return
         requirements = self.current_requirements(job)
         tried = {*job.tried, attempt.server.instance}
@@ -248,6 +248,11 @@
         )
         await self._start_beside(job, choice, is_second=True)
 
+    def _may_add(self, job: Job) -> bool:
+        share = self.budget.current_share(job.requirements.service)
+        turned_away_at = self.admission.first_tries.turned_away_at
+        return may_add(share.spent, share.allowed, turned_away_at, self.env.monotonic())
+
     def _site_of(self, choice: Choice) -> SecondAttemptSite:
         now = self.env.monotonic()
         server = choice.server
--- a/tests/test_slow_answers.py
+++ b/tests/test_slow_answers.py
@@ -252,3 +252,20 @@
         other.own_requests = other.slots
     assert request.run() == []
     assert request.runner.budget.current_share(SERVICE).spent == 0
+
+
+def test_no_back_end_is_chosen_while_callers_are_turned_away(clock):
+    """
+    Guards against a choice every 50 ms for each slow request while the engines are full: it costs
+    the processor time that first attempts need, and nothing can be sent.
+
+    """
+    request = SlowRequest(clock)
+    request.runner.admission.first_tries.turned_away_at = clock.now - 0.1
+    choices = []
+    request.table.choose = lambda *args: choices.append(args)
+    assert request.run() == []
+    assert choices == []
+    clock.now += 1.0
+    request.run()
+    assert len(choices) == 1
