Tests of large endless answers set up their retries with sound answers

Cause: test_an_endless_answer_that_may_be_large_... earned retries while the back ends still gave the raw answer of the test or set-up before, to every second request. 24 and 27 of 100 set-up requests were answered 502 (closed connections), so the test failed before it sent what it is about. The asserted properties are unchanged.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -96,6 +96,8 @@
     Guards against connections and memory that are kept after the caller's time.
 
     """
+    # The previous test's answers would also be given to the requests that earn retries.
+    fleet.raw_answer = None
     earn_retries(fleet)
     before = memory_bytes(fleet)
     fleet.raw_answer = LARGE_ANSWERS[name]
