--- a/packages/millfork-core/millfork_core/metrics.py
+++ b/packages/millfork-core/millfork_core/metrics.py
@@ -63,6 +63,9 @@
         self.unsent_bytes = self._gauge(
             'millfork_unsent_bytes', 'Bytes that wait for callers to read them.'
         )
+        self.body_bytes = self._gauge(
+            'millfork_body_bytes', 'Bytes of the bodies of requests in progress.'
+        )
         self.slow_readers = self._gauge(
             'millfork_slow_readers', 'Callers cut off since the start, as they read too slowly.'
         )
--- a/packages/millfork-core/millfork_core/verdicts.py
+++ b/packages/millfork-core/millfork_core/verdicts.py
@@ -28,6 +28,7 @@
     BAD_REQUEST = 'bad_request'
     REQUEST_TIMEOUT = 'request_timeout'
     TOO_LARGE = 'too_large'
+    BODY_MEMORY = 'body_memory'
     UNAUTHENTICATED = 'unauthenticated'
     NOT_FOUND = 'not_found'
     NOT_READY = 'not_ready'
@@ -99,6 +100,7 @@
     Reason.UNREACHABLE: 1000,
     Reason.TIMED_OUT: 1000,
     Reason.BUSY: 1000,
+    Reason.BODY_MEMORY: 1000,
     Reason.OVER_SHARE: 1000,
     Reason.LEAVING: 1000,
     Reason.RESTING: 1000,
--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -15,6 +15,7 @@
 from millfork_core.logs import Component, logger
 from millfork_core.sockets import is_quiet
 from millfork_core.verdicts import Reason, Refusal, Verdict
+from millfork_web.body_memory import BodyMemory, NoBodyMemory
 from millfork_web.exchange import CallerGone, Exchange, has_received
 from millfork_web.models import Request
 from millfork_web.problem import problem
@@ -86,6 +87,7 @@
         self.spawn = spawn
         self.closing = False
         self.unsent = UnsentBytes()
+        self.body_memory = BodyMemory()
         # The number of connections with a request of which at least a part has been read.
         self.active = 0
         self.acceptor: curio.Task | None = None
@@ -220,6 +222,7 @@
                         break
                 finally:
                     self.active -= 1
+                    self.body_memory.release(sock)
                 conn.start_next_cycle()
                 self.idle_sockets[sock] = None
         except CallerGone as error:
@@ -253,6 +256,11 @@
             detail = f'the body is over {self.max_body} bytes'
             await self._refuse(sock, conn, address, Refusal(Reason.TOO_LARGE, detail=detail))
             return False
+        except NoBodyMemory:
+            detail = f'the bodies of other requests hold {self.body_memory.total} bytes'
+            self.body_memory.release(sock)
+            await self._refuse(sock, conn, address, Refusal(Reason.BODY_MEMORY, detail=detail))
+            return False
         if request is None:
             return False
         try:
@@ -363,6 +371,7 @@
                 break
             if not isinstance(event, h11.Data):
                 return None
+            self.body_memory.hold(sock, len(event.data))
             body += event.data
             if len(body) > self.max_body:
                 raise _TooLarge
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -343,6 +343,7 @@
                 await self.feed_client.changed.set()
             await self.pools.close_old()
             self.env.metrics.unsent_bytes.set({}, self.server.unsent.total)
+            self.env.metrics.body_bytes.set({}, self.server.body_memory.total)
             self.env.metrics.slow_readers.set({}, self.server.unsent.cut_off)
             for server in self.server_table.forget_lapsed_changes():
                 log.warning('Reports of a changing engine ended. server={}', server.instance)
