Endless data from engines and the origin is read up to a sensible size

Reports are now read up to 256 KiB, pieces and digests up to what the document names and 64 KiB. After data that can't be an answer the address is left alone for a second; a connection that only broke off is not such a case. Client.body also ends its generator itself: the garbage collector did so with a RuntimeError of curio after a body over the limit.

--- a/packages/millfork-web/millfork_web/client.py
+++ b/packages/millfork-web/millfork_web/client.py
@@ -35,6 +35,17 @@
         self.verdict = verdict
 
 
+class InvalidAnswer(ExchangeFailed):
+    """
+    Raised if the server sends data that can't be an answer, or that may never end. Asking it again
+    at once would most likely bring the same.
+
+    """
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(Verdict.MAY_HAVE_RUN, detail)
+
+
 class Reply:
     """
     A response to a request with `method` that is being received: first its head, then the parts of
@@ -51,6 +62,8 @@
         self.headers: Headers = []
         self.framing = Framing.LENGTH
         self.complete = False
+        # Whether the server has closed its side of the connection.
+        self.ended = False
 
     def header(self, name: str) -> str:
         return find_header(self.headers, name)
@@ -60,6 +73,8 @@
             event = await self._next()
             if not isinstance(event, h11.InformationalResponse):
                 break
+        if isinstance(event, h11.InformationalResponse):
+            raise InvalidAnswer(f'over {MAX_INFORMATIONAL} informational responses')
         if not isinstance(event, h11.Response):
             raise ExchangeFailed(Verdict.MAY_HAVE_RUN, 'the server closed without a response')
         self.status = event.status_code
@@ -90,19 +105,21 @@
                 self.complete = True
                 return
 
-    async def body(self) -> bytes:
+    async def body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """
         The whole body.
 
-        :raises ExchangeFailed: if the body is incomplete, or larger than `MAX_BODY_BYTES`.
+        :raises InvalidAnswer: if the body is larger than `max_bytes`.
+        :raises ExchangeFailed: if the body is incomplete.
 
         """
         content = bytearray()
-        async for part in self.parts():
-            content += part
-            if len(content) > MAX_BODY_BYTES:
-                detail = f'the body is over {MAX_BODY_BYTES} bytes'
-                raise ExchangeFailed(Verdict.MAY_HAVE_RUN, detail)
+        # An abandoned generator would be ended by the garbage collector, which curio rejects.
+        async with curio.meta.finalize(self.parts()) as parts:
+            async for part in parts:
+                content += part
+                if len(content) > max_bytes:
+                    raise InvalidAnswer(f'the body is over {max_bytes} bytes')
         return bytes(content)
 
     def _received_event(self) -> Any:
@@ -113,6 +130,8 @@
         try:
             return self.conn.next_event()
         except h11.RemoteProtocolError as error:
+            if not self.ended:
+                raise InvalidAnswer(str(error)) from error
             raise ExchangeFailed(Verdict.MAY_HAVE_RUN, str(error)) from error
 
     async def _next(self) -> Any:
@@ -123,6 +142,7 @@
                     return event
                 data = await self.sock.recv(READ_BYTES)
                 self.client.bytes_transferred += len(data)
+                self.ended = not data
                 self.conn.receive_data(data)
         except (OSError, h11.RemoteProtocolError) as error:
             raise ExchangeFailed(Verdict.MAY_HAVE_RUN, str(error)) from error
@@ -183,10 +203,12 @@
         headers: Headers,
         body: bytes = b'',
         timeout: float = 30.0,
+        max_bytes: int = MAX_BODY_BYTES,
     ) -> Response:
         """
         Send a request and read the whole response within `timeout` seconds.
 
+        :raises InvalidAnswer: if the body is larger than `max_bytes`, or the data is no answer.
         :raises ExchangeFailed: if no complete response arrives in time.
 
         """
@@ -194,7 +216,7 @@
             async with curio.timeout_after(timeout):
                 reply = await self.send(method, path, headers, body)
                 try:
-                    content = await reply.body()
+                    content = await reply.body(max_bytes)
                 finally:
                     await reply.close()
         except curio.TaskTimeout:
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -51,7 +51,7 @@
 from millforkd.proxy.turned_away_directory import TurnedAwayDirectory
 from millforkd.quarantine import Quarantine
 from millforkd.seeded import build_feed, fleet_key
-from millforkd.sidecar.origin import Origin, find_origin
+from millforkd.sidecar.origin import Origin, find_engine, find_origin
 from millforkd.sidecar.pieces import WeightsId
 from millforkd.sidecar.target import FIRST_VERSION
 
@@ -144,7 +144,13 @@
         self.document: Document | None = None
         # When the first document arrived (monotonic seconds); None before.
         self.first_document_at: float | None = None
-        origin = Origin(env, adapter, str(settings.address), lambda: find_origin(self.document))
+        origin = Origin(
+            env,
+            adapter,
+            str(settings.address),
+            lambda: find_origin(self.document),
+            lambda: find_engine(self.document),
+        )
         self.cache = PieceCache(env, self.peers, origin, self.discovery.caches)
         self.server = Server(
             *split_host_port(settings.listen.callers),
--- a/packages/millforkd/millforkd/sidecar/daemon.py
+++ b/packages/millforkd/millforkd/sidecar/daemon.py
@@ -33,7 +33,7 @@
 from millforkd.sidecar.gathering import PieceGatherer
 from millforkd.sidecar.layer_assignment import serves_all_layers
 from millforkd.sidecar.load import EngineLoads
-from millforkd.sidecar.origin import Origin, find_origin
+from millforkd.sidecar.origin import Origin, find_engine, find_origin
 from millforkd.sidecar.pieces import (
     PieceSet,
     PieceStore,
@@ -90,7 +90,13 @@
         self.store = PieceStore()
         self.fleet = Fleet(env, self.service, self.states, self._state, self._model_shape)
         self.pusher = PiecePusher(env, self.peers, self.fleet.origin_fetchers, self.link.outbound)
-        origin = Origin(env, adapter, str(settings.address), lambda: find_origin(self.document))
+        origin = Origin(
+            env,
+            adapter,
+            str(settings.address),
+            lambda: find_origin(self.document),
+            lambda: find_engine(self.document),
+        )
         self.gatherer = PieceGatherer(
             env, self.peers, self.fleet, origin, self.discovery.caches, self.pusher, self.link
         )
--- a/packages/millforkd/millforkd/sidecar/engine.py
+++ b/packages/millforkd/millforkd/sidecar/engine.py
@@ -12,13 +12,18 @@
 from millfork_adapter.adapter import Adapter
 from millfork_adapter.calls import InvalidMessage
 from millfork_adapter.exchange import EngineReport
+from millfork_core.clocks import elapsed_s
 from millfork_core.logs import Component, logger
-from millfork_web.client import Client, ExchangeFailed
+from millfork_web.client import MAX_BODY_BYTES, Client, ExchangeFailed, InvalidAnswer
 from millfork_web.models import Request, Response
 
 # Timeout of a call to the engine, in seconds. A sound engine may pause for up to two seconds, and
 # then answers and carries out what it was told meanwhile.
 CALL_TIMEOUT_S: Final = 2.5
+# The largest report of an engine that is read. Reports have some kilobytes.
+MAX_REPORT_BYTES: Final = 256 * 1024
+# After an answer that can't be a report, the engine isn't asked for one for this many seconds.
+PAUSE_AFTER_INVALID_S: Final = 1.0
 
 log = logger(Component.ENGINE)
 
@@ -35,24 +40,31 @@
         self.adapter = adapter
         self.client = client
         self.lock = curio.Lock()
+        self.paused_until = float('-inf')
 
-    async def _fetch(self, request: Request) -> Response:
+    async def _fetch(self, request: Request, max_bytes: int = MAX_BODY_BYTES) -> Response:
         async with self.lock:
-            return await self._send(request)
+            return await self._send(request, max_bytes)
 
-    async def _send(self, request: Request) -> Response:
+    async def _send(self, request: Request, max_bytes: int = MAX_BODY_BYTES) -> Response:
         return await self.client.fetch(
-            request.method, request.path, request.headers, request.body, CALL_TIMEOUT_S
+            request.method, request.path, request.headers, request.body, CALL_TIMEOUT_S, max_bytes
         )
 
     async def report(self) -> EngineReport | None:
         """
         The engine's state; None if the engine does not answer, refuses, or sends an invalid
-        report.
+        report, or did so less than PAUSE_AFTER_INVALID_S ago with endless data.
 
         """
+        if elapsed_s() < self.paused_until:
+            return None
         try:
-            response = await self._fetch(self.adapter.report_request())
+            response = await self._fetch(self.adapter.report_request(), MAX_REPORT_BYTES)
+        except InvalidAnswer as error:
+            self.paused_until = elapsed_s() + PAUSE_AFTER_INVALID_S
+            log.warning('The engine sent data that is no report: {}.', error)
+            return None
         except ExchangeFailed as error:
             log.debug('The engine did not answer the request for its report: {}.', error)
             return None
--- a/packages/millforkd/millforkd/sidecar/origin.py
+++ b/packages/millforkd/millforkd/sidecar/origin.py
@@ -10,8 +10,8 @@
 from millfork_adapter.calls import InvalidMessage
 from millfork_core.environment import Environment
 from millfork_core.logs import Component, logger
-from millfork_routing.documents import Document, OriginSpec
-from millfork_web.client import Client, ExchangeFailed
+from millfork_routing.documents import Document, EngineSpec, OriginSpec
+from millfork_web.client import MAX_BODY_BYTES, Client, ExchangeFailed, InvalidAnswer
 from millfork_web.models import Request
 from millforkd.sidecar.pieces import PieceSet
 from millforkd.sidecar.verification import store_if_valid
@@ -24,6 +24,12 @@
 # origin that comes back, and short compared with the second for which an origin may be up
 # before the next failure.
 PAUSE_AFTER_FAILURE_S: Final = 0.1
+# The same after data that can't be an answer: it uses the link of the origin, and is no sign of an
+# origin that is just starting.
+PAUSE_AFTER_INVALID_S: Final = 1.0
+# The greatest size of an answer beyond the pieces or digests in it, and of one digest in a list.
+ANSWER_MARGIN_BYTES: Final = 64 * 1024
+MAX_DIGEST_BYTES: Final = 256
 
 log = logger(Component.WEIGHTS)
 
@@ -39,6 +45,16 @@
     return next((service.origin for service in document.services if service.origin), None)
 
 
+def find_engine(document: Document | None) -> EngineSpec | None:
+    """
+    The engines of the service whose origin `find_origin` returns; None if there are none.
+
+    """
+    if document is None:
+        return None
+    return next((service.engine for service in document.services if service.origin), None)
+
+
 class Origin:
     """
     Fetches pieces and digests from the origin that the current document sets.
@@ -51,11 +67,13 @@
         adapter: Adapter,
         source: str,
         spec: Callable[[], OriginSpec | None],
+        engine: Callable[[], EngineSpec | None],
     ) -> None:
         self.env = env
         self.adapter = adapter
         self.source = source
         self.current_spec = spec
+        self.current_engine = engine
         self.client: Client | None = None
         self.paused_until = float('-inf')
         # Whether the last request got no answer. A failure is logged only when this changes.
@@ -114,16 +132,33 @@
             self.client = Client(spec.host, spec.port, source=self.source)
         return self.client
 
+    def _max_bytes(self) -> int:
+        """
+        The greatest size of an answer: of a piece, or of the list of all digests.
+
+        """
+        engine = self.current_engine()
+        if engine is None:
+            return MAX_BODY_BYTES
+        content = max(engine.piece_bytes, engine.pieces * MAX_DIGEST_BYTES)
+        return min(content + ANSWER_MARGIN_BYTES, MAX_BODY_BYTES)
+
     async def _fetch(self, request: Request) -> bytes | None:
         client = self._client()
         if client is None or self.env.monotonic() < self.paused_until:
             return None
         try:
             response = await client.fetch(
-                request.method, request.path, request.headers, timeout=ORIGIN_TIMEOUT_S
+                request.method,
+                request.path,
+                request.headers,
+                timeout=ORIGIN_TIMEOUT_S,
+                max_bytes=self._max_bytes(),
             )
         except ExchangeFailed as error:
-            self.paused_until = self.env.monotonic() + PAUSE_AFTER_FAILURE_S
+            is_invalid = isinstance(error, InvalidAnswer)
+            pause_s = PAUSE_AFTER_INVALID_S if is_invalid else PAUSE_AFTER_FAILURE_S
+            self.paused_until = self.env.monotonic() + pause_s
             if not self.failing:
                 log.warning('The request to the origin failed: {}. path={}', error, request.path)
             self.failing = True
--- a/tests/test_closed_back_ends.py
+++ b/tests/test_closed_back_ends.py
@@ -109,7 +109,7 @@
 
 def test_a_daemon_reads_the_signals_of_its_engine():
     class Client:
-        async def fetch(self, method, path, headers, body, timeout):
+        async def fetch(self, method, path, headers, body, timeout, max_bytes):
             headers = [(client_requests.SERVER_LEAVING, '1'), (client_requests.SERVER_LIMIT, '2.5')]
             return Response(200, headers, b'{"running":1,"queued":0}')
 
