Idle connections with unread data are closed, and large bodies aren't copied to be sent

Unread data on an idle connection stayed in the kernel's buffers until its next use or the end of its keep-alive time; housekeeping now closes such connections. A request's body was joined with its head into one write, which doubled its memory while a back end read slowly; bodies over 64 KiB are sent without that copy. tests/test_proxy_connections.py passes.

--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -35,6 +35,9 @@
 # The rest of an answer that isn't passed on is read for at most this long, and up to this size.
 DISCARD_TIMEOUT_S: Final = 0.5
 MAX_DISCARDED_BYTES: Final = 64 * 1024
+# Larger bodies aren't joined with the head into one write: the copy would double their memory while
+# a back end reads slowly.
+MAX_JOINED_BYTES: Final = 64 * 1024
 
 log = logger(Component.PROXY)
 
@@ -91,12 +94,16 @@
             headers = [item for item in headers if item[0] != 'content-length']
             headers = [*headers, ('content-length', str(len(body)))]
         request = h11.Request(method=method, target=path, headers=encode_headers(headers))
-        data = self.http.send(request) or b''
-        if body:
-            data += self.http.send(h11.Data(data=body)) or b''
-        data += self.http.send(h11.EndOfMessage()) or b''
+        head = self.http.send(request) or b''
+        content = (self.http.send(h11.Data(data=body)) or b'') if body else b''
+        end = self.http.send(h11.EndOfMessage()) or b''
         try:
-            await self.sock.sendall(data)
+            if len(content) > MAX_JOINED_BYTES:
+                await self.sock.sendall(head)
+                await self.sock.sendall(content)
+                await self.sock.sendall(end)
+            else:
+                await self.sock.sendall(head + content + end)
         except OSError as error:
             raise self._connection_lost(str(error)) from error
 
@@ -306,15 +313,17 @@
 
     async def close_old(self) -> None:
         """
-        Close the idle connections that the back end is about to close.
+        Close the idle connections that the back end is about to close, and those on which it has
+        sent something: they can't be used again, and the data may be endless.
 
         """
         now = self.env.monotonic()
-        while (
-            self.idle
-            and now - self.idle[0].used_at > self.idle[0].keep_alive_s - KEEP_ALIVE_MARGIN_S
-        ):
-            await self.close(self.idle.popleft())
+        for connection in list(self.idle):
+            idle_s = now - connection.used_at
+            is_old = idle_s > connection.keep_alive_s - KEEP_ALIVE_MARGIN_S
+            if connection in self.idle and (is_old or not connection.is_quiet):
+                self.idle.remove(connection)
+                await self.close(connection)
 
     async def close_idle(self) -> None:
         while self.idle:
--- a/tests/test_proxy_connections.py
+++ b/tests/test_proxy_connections.py
@@ -121,6 +121,32 @@
         curio.run(run, listener)
 
 
+def test_endless_data_on_an_idle_connection_ends_it():
+    """
+    Guards against idle connections whose unread data stays in memory until their next use.
+
+    """
+
+    async def run(listener):
+        pool, connection, peer = await pool_with_sent_request(listener)
+        peer.sendall(COMPLETE_ANSWER)
+        await connection.read_head()
+        await read_body(connection)
+        await pool.release(connection, 30.0)
+        await pool.close_old()
+        assert list(pool.idle) == [connection]
+        peer.sendall(COMPLETE_ANSWER * 100)
+        async with curio.timeout_after(5):
+            while connection.is_quiet:
+                await curio.sleep(0.01)
+        await pool.close_old()
+        assert not pool.idle
+        assert pool.open_count == 0
+
+    with Listener() as listener:
+        curio.run(run, listener)
+
+
 def test_idle_connections_are_closed_once_one_is_lost():
     async def run(listener):
         pool, idle_connection, peer = await pool_with_sent_request(listener)
