Data that arrives as fast as it is read keeps no other task waiting

An entry read an endless answer without a turn for its other tasks: reads of a socket with data don't switch tasks, and parsing 64 KiB of chunks with five bytes took 0.1 s. One read now joins at most 256 parts, and other tasks get a turn after it. The test fails without that turn.

--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -38,6 +38,9 @@
 # Larger bodies aren't joined with the head into one write: the copy would double their memory while
 # a back end reads slowly.
 MAX_JOINED_BYTES: Final = 64 * 1024
+# One read joins at most this many parts of a body. Parsing 64 KiB of chunks with five bytes each
+# keeps the event loop busy for 0.1 s; this many take 4 ms.
+MAX_JOINED_PARTS: Final = 256
 
 log = logger(Component.PROXY)
 
@@ -75,6 +78,8 @@
         self.framing = Framing.LENGTH
         # Whether the answer was received to its end.
         self.complete = False
+        # Whether more data may be there already than the last read returned.
+        self.has_more = False
         # Whether the connection broke off, or was silent until another back end took over.
         self.lost = False
         # Whether this entry has shut the connection down.
@@ -136,6 +141,10 @@
         """
         if self.complete:
             return b''
+        if self.has_more:
+            # Otherwise no other task would run while data arrives as fast as it is parsed.
+            self.has_more = False
+            await curio.sleep(0)
         event = await self._next_event()
         if isinstance(event, h11.EndOfMessage):
             self.complete = True
@@ -143,11 +152,14 @@
         if not isinstance(event, h11.Data):
             raise self._connection_lost('the body broke off')
         data = bytes(event.data)
-        while self.http.their_state is h11.SEND_BODY:
+        for _ in range(MAX_JOINED_PARTS):
+            if self.http.their_state is not h11.SEND_BODY:
+                break
             event = self.http.next_event()
             if not isinstance(event, h11.Data):
                 break
             data += bytes(event.data)
+        self.has_more = isinstance(event, h11.Data) or len(data) >= READ_BYTES // 2
         if isinstance(event, h11.EndOfMessage):
             self.complete = True
         return data
--- a/tests/test_proxy_connections.py
+++ b/tests/test_proxy_connections.py
@@ -11,9 +11,10 @@
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ZoneId
 from millfork_core.verdicts import Reason, Verdict
-from millforkd.proxy.connections import Pool, SendFailed
+from millforkd.proxy.connections import MAX_JOINED_PARTS, READ_BYTES, Pool, SendFailed
 
 COMPLETE_ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 HEADERS = [('host', 'h')]
 
 
@@ -147,6 +148,44 @@
         curio.run(run, listener)
 
 
+@pytest.mark.parametrize(
+    ('answer', 'most'),
+    [
+        (CHUNKED_HEAD + b'1\r\nx\r\n' * 2000, MAX_JOINED_PARTS + 1),
+        (b'HTTP/1.1 200 OK\r\n\r\n' + bytes(4 * READ_BYTES), READ_BYTES),
+    ],
+    ids=['small parts', 'large parts'],
+)
+def test_data_that_arrives_fast_keeps_no_other_task_waiting(answer, most):
+    """
+    Guards against an entry that reads nothing but one answer, while the data of that answer arrives
+    as fast as it is read.
+
+    """
+    turns = 0
+
+    async def take_turns():
+        nonlocal turns
+        while True:
+            turns += 1
+            await curio.sleep(0)
+
+    async def run(listener):
+        _, connection, peer = await pool_with_sent_request(listener)
+        peer.sendall(answer)
+        await connection.read_head()
+        other = await curio.spawn(take_turns)
+        for _ in range(3):
+            turns_before = turns
+            assert 0 < len(await connection.read()) <= most
+        assert turns > turns_before
+        await other.cancel()
+        await connection.abandon()
+
+    with Listener() as listener:
+        curio.run(run, listener)
+
+
 def test_idle_connections_are_closed_once_one_is_lost():
     async def run(listener):
         pool, idle_connection, peer = await pool_with_sent_request(listener)
