A stream without events is no answer, and back ends that complete nothing are avoided

Comments and empty lines were passed on as the beginning of an answer, after which no other back end may be asked, and a resumed stream that began with them was refused. They are now held until the first event. Where no event, or no end of a short answer, has come after 1.2 s, another back end is asked, and this one is avoided as a silent one.

--- a/packages/millfork-web/millfork_web/event_stream.py
+++ b/packages/millfork-web/millfork_web/event_stream.py
@@ -42,6 +42,8 @@
         # The first byte of an unfinished line; empty between two lines.
         self.line_start = b''
         self.ended_with_cr = False
+        # Whether a complete event has arrived: an empty line after at least one field.
+        self.has_event = False
 
     @property
     def is_inside_event(self) -> bool:
@@ -72,6 +74,7 @@
             is_empty = not self.line_start and line in LINE_ENDS
             self.line_start = b''
             if is_empty:
+                self.has_event = self.has_event or self.has_field
                 self.has_field = False
                 events_end = offset
                 continue
@@ -100,16 +103,21 @@
         """
         return self.parser.is_inside_event
 
+    @property
+    def has_event(self) -> bool:
+        return self.parser.has_event
+
     def feed(self, data: bytes) -> bytes:
         """
         Add received bytes; return the bytes of all events that are now complete (empty if none).
+        Comments and empty lines before the first event are returned along with that event.
 
         :raises InvalidEventStream: if more than `max_event_bytes` arrived without an end of an
             event.
 
         """
         end = self.parser.feed(data)
-        if not end:
+        if not (end and self.parser.has_event):
             self.incomplete += data
             if len(self.incomplete) > self.max_event_bytes:
                 raise InvalidEventStream(f'no end of an event in {len(self.incomplete)} bytes')
--- a/packages/millforkd/millforkd/proxy/response_monitor.py
+++ b/packages/millforkd/millforkd/proxy/response_monitor.py
@@ -11,6 +11,7 @@
 from millfork_core.environment import Environment
 from millfork_core.verdicts import Reason, Verdict
 from millfork_scheduling.slow_answers import SlowAnswers
+from millfork_web.event_stream import EventSplitter
 from millforkd.proxy.admission import Admission
 from millforkd.proxy.attempts import Attempt
 from millforkd.proxy.connections import SendFailed, ServerConnection
@@ -103,9 +104,7 @@
         if not job.route.repeatable:
             return await connection.read()
         while True:
-            if self.env.monotonic() - attempt.started_at > SILENT_SERVER_S:
-                await self.on_silence(job, attempt)
-                job.race.check(attempt)
+            await self._check_unfinished(job, attempt)
             try:
                 async with curio.timeout_after(HEAD_POLL_S):
                     return await connection.read()
@@ -134,6 +133,31 @@
             await self.on_silence(job, attempt)
             job.race.check(attempt)
 
+    async def check_first_event(self, job: Job, attempt: Attempt, splitter: EventSplitter) -> None:
+        """
+        Called for data of a stream that completes no event. If the first event has not arrived
+        after SILENT_SERVER_S, another back end is asked, as if this one were silent.
+
+        :raises Superseded: if another attempt has claimed the answer meanwhile.
+
+        """
+        if not splitter.has_event and job.may_be_repeated:
+            await self._check_unfinished(job, attempt)
+
+    async def _check_unfinished(self, job: Job, attempt: Attempt) -> None:
+        """
+        Handle an answer of which nothing can be passed on after SILENT_SERVER_S, as if its back end
+        were silent. Data that arrives slowly or says nothing would otherwise show a sound back end,
+        and the next requests would be sent to it.
+
+        """
+        now = self.env.monotonic()
+        if now - attempt.started_at <= SILENT_SERVER_S:
+            return
+        attempt.server.record_silence(now)
+        await self.on_silence(job, attempt)
+        job.race.check(attempt)
+
     async def _read_first(self, job: Job, attempt: Attempt, connection: ServerConnection) -> bytes:
         """
         The next bytes of a stream of which the caller has received nothing yet.
--- a/packages/millforkd/millforkd/proxy/response_relay.py
+++ b/packages/millforkd/millforkd/proxy/response_relay.py
@@ -131,12 +131,15 @@
         splitter = EventSplitter()
         resumed = job.answer_started
         while data := await self.response_monitor.read_stream(job, attempt, connection):
-            attempt.server.record_received(self.env.monotonic())
             try:
                 events = splitter.feed(data)
             except InvalidEventStream as error:
                 raise SendFailed(Reason.TRUNCATED, Verdict.RAN, str(error)) from error
+            if events or splitter.is_inside_event:
+                # Comments and empty lines alone don't show that a back end works.
+                attempt.server.record_received(self.env.monotonic())
             if not events:
+                await self.response_monitor.check_first_event(job, attempt, splitter)
                 continue
             attempt.record_data(self.env.monotonic())
             self._record_first_token(job, attempt, resumed)
--- a/tests/test_hedged_requests.py
+++ b/tests/test_hedged_requests.py
@@ -17,10 +17,12 @@
 from millfork_scheduling.placement import Choice
 from millfork_scheduling.server import Server
 from millfork_scheduling.server_table import ServerTable
+from millfork_web.event_stream import EventSplitter
 from millforkd.proxy import end_detection
 from millforkd.proxy.attempt_runner import AttemptRunner
 from millforkd.proxy.attempts import AnswerRace, Attempt, Superseded
 from millforkd.proxy.end_detection import EndDetector, ProbeResult
+from millforkd.proxy.response_monitor import SILENT_SERVER_S, ResponseMonitor
 from tests.test_servers import Clock, chosen, lease
 
 FINGERPRINT = Fingerprint('ab')
@@ -188,3 +190,47 @@
         server.replaced = True
 
     assert suspicion_after_silence(monkeypatch, ProbeResult.SILENT, replace).ends == 1
+
+
+@pytest.mark.parametrize('reads_body', [True, False], ids=['body', 'stream'])
+def test_a_back_end_whose_data_completes_nothing_is_avoided(reads_body):
+    """
+    Guards against requests that are sent, one after the other, to a back end that sends a byte now
+    and then, or only comments.
+
+    """
+    clock = Clock()
+    table = ServerTable(ZoneId('z1'), Random(1), clock)
+    table.apply_leases([lease(1), lease(2)])
+    server = table.servers[InstanceId('i-1')]
+    asked = []
+
+    async def ask_another(job, attempt):
+        asked.append(attempt)
+
+    async def read():
+        return b'x'
+
+    env = SimpleNamespace(monotonic=clock)
+    monitor = ResponseMonitor(env, None, ask_another, None, None, None)
+    job = SimpleNamespace(
+        race=SimpleNamespace(check=asked.append),
+        route=SimpleNamespace(repeatable=True),
+        may_be_repeated=True,
+    )
+    attempt = SimpleNamespace(started_at=clock.now, server=server)
+    connection = SimpleNamespace(read=read)
+
+    async def receive():
+        if reads_body:
+            await monitor.read_body(job, attempt, connection)
+            return
+        await monitor.check_first_event(job, attempt, EventSplitter())
+
+    curio.run(receive)
+    assert not asked
+    clock.now += SILENT_SERVER_S + 0.1
+    server.record_received(clock.now)
+    curio.run(receive)
+    assert asked == [attempt, attempt]
+    assert {chosen(table) for _ in range(20)} == {'i-2'}
