--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -35,6 +35,40 @@
             ),
         ),
     ),
+    Mutation(
+        'callers that read nothing are cut off',
+        'tests/test_slow_readers.py::test_a_peer_that_reads_too_slowly_is_cut_off[read_nothing]',
+        (
+            Edit(
+                'packages/millfork-web/millfork_web/unsent.py',
+                'if waited_s >= self.stall_s:',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'comments alone are no answer',
+        'tests/test_endless_answers.py::'
+        'test_another_back_end_is_asked_instead_of_a_stream_without_events[comments, slowly]',
+        (
+            Edit(
+                'packages/millfork-web/millfork_web/event_stream.py',
+                'if not (end and self.parser.has_event):',
+                'if not end:',
+            ),
+        ),
+    ),
+    Mutation(
+        'back ends whose data completes nothing are avoided',
+        'tests/test_hedged_requests.py::test_a_back_end_whose_data_completes_nothing_is_avoided',
+        (
+            Edit(
+                D + 'proxy/response_monitor.py',
+                'if now - attempt.started_at <= SILENT_SERVER_S:',
+                'if True:',
+            ),
+        ),
+    ),
     Mutation(
         'no requests are sent to the back ends of an evacuated zone',
         'tests/test_evacuations.py::test_no_choice_is_in_an_evacuated_zone',
