--- a/packages/millfork-core/millfork_core/sockets.py
+++ b/packages/millfork-core/millfork_core/sockets.py
@@ -43,26 +43,54 @@
 async def connect_repeatedly(host: str, port: int, source: str = '') -> Any:
     """
     Connect as `connect` does, but start another attempt each `ATTEMPT_INTERVAL_S` while no answer
-    arrives. The first attempt that ends decides. A machine that is still starting answers nothing,
-    and the kernel sends the opening packet again only after a second.
+    arrives. The first attempt that is answered decides. A machine that is still starting answers
+    nothing, and the kernel sends the opening packet again only after a second.
 
-    :raises OSError: if the first attempt that ends fails.
+    No task is started for an attempt, as a process that stops may start none.
 
+    :raises OSError: if an attempt fails, or `MAX_ATTEMPTS` have no answer.
+
+    """
+    pending: list[Any] = []
+    connected = None
+    try:
+        while connected is None and len(pending) < MAX_ATTEMPTS:
+            sock = _new_socket(source)
+            pending.append(sock)
+            try:
+                async with curio.timeout_after(ATTEMPT_INTERVAL_S):
+                    await sock.connect((host, port))
+                connected = sock
+            except curio.TaskTimeout:
+                connected = next(filter(_is_connected, pending), None)
+    finally:
+        for sock in pending:
+            if sock is not connected:
+                await sock.close()
+    if connected is None:
+        raise TimeoutError(f'{host}:{port} does not answer')
+    connected.setsockopt(socket_.IPPROTO_TCP, socket_.TCP_NODELAY, 1)
+    return connected
+
+
+def _new_socket(source: str) -> Any:
+    sock = socket.socket(socket_.AF_INET, socket_.SOCK_STREAM)
+    if source:
+        sock.bind((source, 0))
+    return sock
+
+
+def _is_connected(sock: Any) -> bool:
     """
-    async with curio.TaskGroup(wait=any) as group:
-        for number in range(MAX_ATTEMPTS):
-            await group.spawn(_connect_later, number * ATTEMPT_INTERVAL_S, host, port, source)
-    for task in group.tasks:
-        # An attempt may have succeeded in the same cycle of the event loop as the first one.
-        if task is not group.completed and not task.exception:
-            await task.result.close()
-    return group.result
-
-
-async def _connect_later(delay_s: float, host: str, port: int, source: str) -> Any:
-    if delay_s:
-        await curio.sleep(delay_s)
-    return await connect(host, port, source)
+    Whether an attempt to connect that was not waited for any longer has succeeded meanwhile.
+
+    """
+    try:
+        with sock.blocking() as raw:
+            raw.getpeername()
+    except OSError:
+        return False
+    return True
 
 
 def is_quiet(sock: Any) -> bool:
--- a/packages/millfork-scheduling/millfork_scheduling/server_table.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server_table.py
@@ -87,6 +87,8 @@
         self.regions_by_zone: dict[ZoneId, RegionId] = {}
         # The zones whose back ends are sent no requests.
         self.evacuated_zones: frozenset[ZoneId] = frozenset()
+        # Until when the back ends of a zone may have become cold unnoticed (monotonic seconds).
+        self.doubted_zones: dict[ZoneId, float] = {}
         # The bounds for cold back ends of the services that name any.
         self.cold_bounds: dict[ServiceName, ColdBounds] = {}
 
@@ -140,6 +142,7 @@
             self.servers[key] = new_server
             new_server.availability.set_cold_bounds(self.cold_bounds.get(new_server.service))
             self._apply_coldness(new_server, lease)
+            self._apply_doubt(new_server)
             return
         self._apply_coldness(server, lease)
         if lease.served == server.lease_served:
@@ -190,11 +193,17 @@
         may have become cold, and their next heartbeats may not have arrived yet.
 
         """
-        now = self.monotonic()
+        self.doubted_zones[zone] = self.monotonic() + min_s
         for server in self.servers.values():
-            cold = server.availability.cold
-            if server.zone == zone and cold is not None:
-                cold.doubt(max(cold.bounds.start_s, min_s), now)
+            if server.zone == zone:
+                self._apply_doubt(server)
+
+    def _apply_doubt(self, server: Server) -> None:
+        now = self.monotonic()
+        cold = server.availability.cold
+        remaining_s = self.doubted_zones.get(server.zone, now) - now
+        if cold is not None and remaining_s > 0:
+            cold.doubt(max(cold.bounds.start_s, remaining_s), now)
 
     def apply_reports(
         self, states: Iterable[EndpointState]
--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -35,6 +35,12 @@
 # The rest of an answer that isn't passed on is read for at most this long, and up to this size.
 DISCARD_TIMEOUT_S: Final = 0.5
 MAX_DISCARDED_BYTES: Final = 64 * 1024
+# Larger bodies aren't joined with the head into one write: the copy would double their memory while
+# a back end reads slowly.
+MAX_JOINED_BYTES: Final = 64 * 1024
+# One read joins at most this many parts of a body. Parsing 64 KiB of chunks with five bytes each
+# keeps the event loop busy for 0.1 s; this many take 4 ms.
+MAX_JOINED_PARTS: Final = 256
 
 log = logger(Component.PROXY)
 
@@ -72,6 +78,8 @@
         self.framing = Framing.LENGTH
         # Whether the answer was received to its end.
         self.complete = False
+        # Whether more data may be there already than the last read returned.
+        self.has_more = False
         # Whether the connection broke off, or was silent until another back end took over.
         self.lost = False
         # Whether this entry has shut the connection down.
@@ -91,12 +99,16 @@
             headers = [item for item in headers if item[0] != 'content-length']
             headers = [*headers, ('content-length', str(len(body)))]
         request = h11.Request(method=method, target=path, headers=encode_headers(headers))
-        data = self.http.send(request) or b''
-        if body:
-            data += self.http.send(h11.Data(data=body)) or b''
-        data += self.http.send(h11.EndOfMessage()) or b''
+        head = self.http.send(request) or b''
+        content = (self.http.send(h11.Data(data=body)) or b'') if body else b''
+        end = self.http.send(h11.EndOfMessage()) or b''
         try:
-            await self.sock.sendall(data)
+            if len(content) > MAX_JOINED_BYTES:
+                await self.sock.sendall(head)
+                await self.sock.sendall(content)
+                await self.sock.sendall(end)
+            else:
+                await self.sock.sendall(head + content + end)
         except OSError as error:
             raise self._connection_lost(str(error)) from error
 
@@ -129,6 +141,10 @@
         """
         if self.complete:
             return b''
+        if self.has_more:
+            # Otherwise no other task would run while data arrives as fast as it is parsed.
+            self.has_more = False
+            await curio.sleep(0)
         event = await self._next_event()
         if isinstance(event, h11.EndOfMessage):
             self.complete = True
@@ -136,11 +152,14 @@
         if not isinstance(event, h11.Data):
             raise self._connection_lost('the body broke off')
         data = bytes(event.data)
-        while self.http.their_state is h11.SEND_BODY:
+        for _ in range(MAX_JOINED_PARTS):
+            if self.http.their_state is not h11.SEND_BODY:
+                break
             event = self.http.next_event()
             if not isinstance(event, h11.Data):
                 break
             data += bytes(event.data)
+        self.has_more = isinstance(event, h11.Data) or len(data) >= READ_BYTES // 2
         if isinstance(event, h11.EndOfMessage):
             self.complete = True
         return data
@@ -306,15 +325,17 @@
 
     async def close_old(self) -> None:
         """
-        Close the idle connections that the back end is about to close.
+        Close the idle connections that the back end is about to close, and those on which it has
+        sent something: they can't be used again, and the data may be endless.
 
         """
         now = self.env.monotonic()
-        while (
-            self.idle
-            and now - self.idle[0].used_at > self.idle[0].keep_alive_s - KEEP_ALIVE_MARGIN_S
-        ):
-            await self.close(self.idle.popleft())
+        for connection in list(self.idle):
+            idle_s = now - connection.used_at
+            is_old = idle_s > connection.keep_alive_s - KEEP_ALIVE_MARGIN_S
+            if connection in self.idle and (is_old or not connection.is_quiet):
+                self.idle.remove(connection)
+                await self.close(connection)
 
     async def close_idle(self) -> None:
         while self.idle:
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -51,7 +51,7 @@
 from millforkd.proxy.turned_away_directory import TurnedAwayDirectory
 from millforkd.quarantine import Quarantine
 from millforkd.seeded import build_feed, fleet_key
-from millforkd.sidecar.origin import Origin, find_origin
+from millforkd.sidecar.origin import Origin, find_engine, find_origin
 from millforkd.sidecar.pieces import WeightsId
 from millforkd.sidecar.target import FIRST_VERSION
 
@@ -144,7 +144,13 @@
         self.document: Document | None = None
         # When the first document arrived (monotonic seconds); None before.
         self.first_document_at: float | None = None
-        origin = Origin(env, adapter, str(settings.address), lambda: find_origin(self.document))
+        origin = Origin(
+            env,
+            adapter,
+            str(settings.address),
+            lambda: find_origin(self.document),
+            lambda: find_engine(self.document),
+        )
         self.cache = PieceCache(env, self.peers, origin, self.discovery.caches, self._piece_bytes)
         self.server = Server(
             *split_host_port(settings.listen.callers),
@@ -343,6 +349,7 @@
                 await self.feed_client.changed.set()
             await self.pools.close_old()
             self.env.metrics.unsent_bytes.set({}, self.server.unsent.total)
+            self.env.metrics.body_bytes.set({}, self.server.body_memory.total)
             self.env.metrics.slow_readers.set({}, self.server.unsent.cut_off)
             for server in self.server_table.forget_lapsed_changes():
                 log.warning('Reports of a changing engine ended. server={}', server.instance)
--- a/packages/millforkd/millforkd/proxy/response_relay.py
+++ b/packages/millforkd/millforkd/proxy/response_relay.py
@@ -131,13 +131,18 @@
         """
         splitter = EventSplitter()
         resumed = job.answer_started
+        began_at: float | None = None
         while data := await self.response_monitor.read_stream(job, attempt, connection):
-            attempt.server.record_received(self.env.monotonic())
+            began_at = self.env.monotonic() if began_at is None else began_at
             try:
                 events = splitter.feed(data)
             except InvalidEventStream as error:
                 raise SendFailed(Reason.TRUNCATED, Verdict.RAN, str(error)) from error
+            if events or splitter.is_inside_event:
+                # Comments and empty lines alone don't show that a back end works.
+                attempt.server.record_received(self.env.monotonic())
             if not events:
+                await self.response_monitor.check_first_event(job, attempt, splitter, began_at)
                 continue
             attempt.record_data(self.env.monotonic())
             self._record_first_token(job, attempt, resumed)
--- a/tests/test_cold_back_ends.py
+++ b/tests/test_cold_back_ends.py
@@ -259,3 +259,15 @@
     registry.record_heartbeat(lease(1, 3000))
     clock.now += 1.2
     assert registry.record_heartbeat(lease(1, left_ms, sequence=2)) is expected
+
+
+def test_a_back_end_whose_lease_comes_later_is_in_doubt_with_its_zone(table, clock):
+    """
+    Guards against back ends that were unknown when their zone was taken back, and get a rush.
+
+    """
+    table.doubt_zone(ZoneId('z2'), 4.0)
+    clock.now += 1.0
+    table.apply_leases([lease(1, zone='z1'), lease(2, zone='z2')])
+    cold = [key for key, server in table.servers.items() if server.availability.is_cold(clock.now)]
+    assert cold == ['i-2']
