Stand-ins can say that they are cold, and fleets can have several zones

Heartbeats and documents of stand-ins left out the coldness of back ends, and their settings the zones of the deployment, so no run with real processes could test either.

Without these, a fleet is started as before.

Measured: tests/test_platform.py passes (2 new tests of the round trip).

--- a/packages/millfork-standins/millfork_standins/back_end.py
+++ b/packages/millfork-standins/millfork_standins/back_end.py
@@ -91,7 +91,7 @@
         self.framing = self.server.fleet.framing_of(
             self.headers.get(client_requests.REQUEST_ID, '')
         )
-        self.server.arrived_at.append(time.monotonic())
+        self.server.record_arrival(self.headers.get(client_requests.REQUEST_ID, ''))
         self.server.wait_while_silent()
         turns_away = self.server.turns_away
         if not turns_away:
@@ -318,6 +318,9 @@
         self._close_connections()
         threading.Thread(target=self._finish_crash, daemon=True).start()
 
+    def record_arrival(self, request_id: str) -> None:
+        self.arrived_at.append(time.monotonic())
+
     def reach_event(self, number: int) -> None:
         """
         Begin the pause if it is due after this event. While the back end is silent, all its
--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -67,6 +67,10 @@
         # For how many milliseconds after a new version is set in the configuration requests may
         # still begin on the older version.
         self.version_ms = version_ms
+        # Values that replace those of `DEFAULT_BOUNDS` in the settings.
+        self.bounds: dict[str, object] = {}
+        # Maps all zones of the deployment to their regions (None: the settings name none).
+        self.zones: dict[str, str] | None = None
         # Tests that run at the same time need different addresses.
         block, second_octet = divmod(os.getpid(), 100)
         subnets = [f'127.{100 + second_octet}.{10 * (block % 25) + role}' for role in range(1, 5)]
@@ -132,7 +136,7 @@
         template_values = TemplateValues(
             host,
             host,
-            'zone',
+            self.zone_of(host),
             'region',
             WIRE_PORT,
             CONTROL_PORT,
@@ -144,11 +148,16 @@
             data_folder=self.folder / host,
             engine=f'{host}:{ENGINE_PORT}',
             service='engines',
+            zones=self.zones,
         )
+        template_values.bounds.update(self.bounds)
         template_values.bounds['version_ms'] = self.version_ms
         template = ROOT / 'deploy' / 'settings' / f'{role.value}.yaml'
         return render_settings(template.read_text(), template_values)
 
+    def zone_of(self, host: str) -> str:
+        return 'zone'
+
     def _role(self, host: str) -> SeededRole:
         if host in self.replica_hosts:
             return SeededRole.REPLICA
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -21,9 +21,9 @@
 )
 from millfork_adapter.exchange import ForwardOptions, PathSegment
 from millfork_core.ids import ZoneId
-from millfork_platform import PlatformAdapter
-from millfork_registry.records import LeaseState, ServedVersion
-from millfork_routing.documents import RouteKind
+from millfork_platform import PlatformAdapter, client_requests
+from millfork_registry.records import Lease, LeaseState, ServedVersion
+from millfork_routing.documents import Document, RouteKind, Service
 from millfork_web.models import Request
 
 ADAPTER = PlatformAdapter()
@@ -86,6 +86,23 @@
     assert lease.served == (ServedVersion('m', 1, 0, 16),)
 
 
+def test_a_cold_back_end_of_a_stand_in_says_so_in_its_heartbeat():
+    """
+    Guards against stand-ins whose coldness never reaches the fleet, so that no run tests it.
+
+    """
+    lease = Lease(
+        'i-1', 's', '10.0.0.9', 8080, 'z', 4, LeaseState.READY, 1, incarnation=5, cold_left_ms=2500
+    )
+    assert ADAPTER.read_call(client_requests.heartbeat_request(lease)).lease == lease
+
+
+def test_a_document_of_a_stand_in_names_what_cold_back_ends_bear():
+    service = Service('s', 64, cold_start_s=3.0, cold_per_s=18.0)
+    request = client_requests.put_document_request(Document(1, (), (service,), ()))
+    assert ADAPTER.read_call(request).document.services == (service,)
+
+
 def test_an_empty_engine_serves_nothing():
     assert parse_heartbeat(layers={'from': 0, 'target_version': 0, 'version': 1}).lease.served == ()
 
