The soak evacuates zones and makes back ends cold

No run with drawn faults tested that evacuated zones get nothing and that cold back ends get few requests, although both have to outlive restarts of entries and replicas.

Every second process and back end is in a second zone. Zones are evacuated and taken back at times drawn from the seed; no request may arrive there later than 5 s after the acknowledgement, except through entries under a fault, up to 3 s after it, or links that hold requests. Back ends are cold after starts or at any moment; from 1.5 s without a fault of an entry or replica on, each may get no more than cold_per_s x cold_over + cold_slack requests within any second. The checks of lost and refused requests are unchanged.

--- a/packages/millfork-standins/millfork_standins/soak/__main__.py
+++ b/packages/millfork-standins/millfork_standins/soak/__main__.py
@@ -23,6 +23,8 @@
 CRASHING_PART = flags.DEFINE_bool(
     'crashing_part', False, 'Some prompts have a part that crashes each back end.'
 )
+EVACUATIONS = flags.DEFINE_bool('evacuations', True, 'Zones are evacuated.')
+COLD = flags.DEFINE_bool('cold', True, 'Back ends become cold.')
 FOLDER = flags.DEFINE_string(
     'folder', '', 'Folder for the files of the runs; empty: they are deleted.'
 )
@@ -43,12 +45,15 @@
                 ENTRIES.value,
                 CALLERS.value,
                 CRASHING_PART.value,
+                EVACUATIONS.value,
+                COLD.value,
             ).run()
         failed += bool(result.violations)
         statuses = ' '.join(f'{status}:{n}' for status, n in sorted(result.statuses.items()))
         print(
             f'seed {result.seed}: {result.faults} faults, answers {statuses}, '
             f'{result.acknowledged_version} documents, {result.reads} reads, '
+            f'{result.evacuations} evacuations, {result.cold_requests} cold requests, '
             f'{len(result.violations)} broken',
             flush=True,
         )
--- a/packages/millfork-standins/millfork_standins/soak/callers.py
+++ b/packages/millfork-standins/millfork_standins/soak/callers.py
@@ -28,6 +28,8 @@
 from millfork_standins.seeded_ports import CALLERS_PORT, CONTROL_PORT
 
 SERVICE: Final = ServiceName('plain')
+MAX_CONNECTIONS: Final = 64
+PLAIN_SERVICE: Final = Service(SERVICE, MAX_CONNECTIONS)
 DEADLINE_MS: Final = 3000
 CALL_TIMEOUT_S: Final = 5.0
 REQUEST_INTERVAL_S: Final = 0.02
@@ -177,6 +179,8 @@
         self.fleet = fleet
         self.stop = stop
         self.random = Random(0)
+        # The service of all documents.
+        self.service = PLAIN_SERVICE
         self.version = 1
         self.acknowledged_version = 0
         # Descriptions of the reads that returned an older version than the last version that was
@@ -191,7 +195,7 @@
 
         """
         self.version += 1
-        if self.fleet.put_document(document(self.version)).status != 200:
+        if self.fleet.put_document(document(self.version, self.service)).status != 200:
             return False
         self.acknowledged_version = self.version
         return True
@@ -225,7 +229,7 @@
                 )
 
 
-def document(version: int) -> Document:
+def document(version: int, service: Service = PLAIN_SERVICE) -> Document:
     """
     Return a document with three routes that all versions have, and one that only this version has.
     Versions with an even number allow each request one attempt, the others two.
@@ -237,11 +241,11 @@
         RequestKind.STREAM.value: RouteKind.STREAMING,
         f'/v{version}/': RouteKind.SAFE,
     }
-    shares = (Share(SERVICE, 1),)
+    shares = (Share(service.name, 1),)
     max_attempts = 1 + version % 2
     routes = tuple(
         Route(prefix, ROUTE_HOST, prefix, kind, 4000, 300, 1, shares, max_attempts, False, True, 0)
         for prefix, kind in kinds.items()
     )
     organisation = Organisation(OrganisationId('org'), (API_KEY,))
-    return Document(version, routes, (Service(SERVICE, 64),), (organisation,))
+    return Document(version, routes, (service,), (organisation,))
--- a/packages/millfork-standins/millfork_standins/soak/fleet.py
+++ b/packages/millfork-standins/millfork_standins/soak/fleet.py
@@ -8,6 +8,7 @@
 
 from millfork_standins.back_end import STREAM_EVENTS, BreakKind
 from millfork_standins.seeded import SeededFleet
+from millfork_standins.soak.back_end import FIRST_ZONE, SECOND_ZONE, SoakBackEnd, cold_after_start_s
 from millfork_web.framing import Framing
 
 # One of this many streams breaks off once.
@@ -26,6 +27,25 @@
     """
 
     broken_ids: set[str]
+    back_ends: list[SoakBackEnd]  # type: ignore[assignment]
+    # Whether every second back end, replica and entry is in a second zone.
+    has_second_zone = False
+    # The seed of the coldness of back ends after their start (None: they start warm).
+    cold_seed: int | None = None
+
+    def add_back_end(self, service: str, instance: str) -> SoakBackEnd:
+        zone = self._zone(len(self.back_ends))
+        cold_s = 0.0 if self.cold_seed is None else cold_after_start_s(self.cold_seed, instance)
+        back_end = SoakBackEnd(self.back_end_host, service, instance, self, zone, cold_s)
+        self.back_ends.append(back_end)
+        return back_end
+
+    def zone_of(self, host: str) -> str:
+        hosts = self.replica_hosts if host in self.replica_hosts else self.entry_hosts
+        return self._zone(hosts.index(host))
+
+    def _zone(self, number: int) -> str:
+        return SECOND_ZONE if self.has_second_zone and number % 2 else FIRST_ZONE
 
     def start(self) -> None:
         self.broken_ids = set()
--- a/packages/millfork-standins/millfork_standins/soak/link_proxy.py
+++ b/packages/millfork-standins/millfork_standins/soak/link_proxy.py
@@ -10,9 +10,11 @@
 from typing import Final
 
 from millfork_standins.back_end import LISTEN_BACKLOG
+from millfork_standins.soak.fault_plan import Fault, FaultKind
 
 READ_BYTES: Final = 64 * 1024
 POLL_INTERVAL_S: Final = 0.02
+DELAY_S: Final = 0.3
 # Value of `SO_LINGER` with which a close sends a reset: on, with a timeout of 0 s.
 RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 
@@ -102,3 +104,19 @@
             pass
         sock.close()
         self.open_sockets.discard(sock)
+
+
+def inject_link_fault(link: LinkProxy, fault: Fault) -> None:
+    """
+    Apply a fault to a link; returns when the fault has ended.
+
+    """
+    if fault.kind is FaultKind.RESET:
+        link.reset()
+        return
+    link.delay_s = DELAY_S if fault.kind is FaultKind.DELAY else 0.0
+    link.holds_requests = fault.kind is FaultKind.SILENCE
+    link.holds_answers = fault.kind in (FaultKind.SILENCE, FaultKind.ONE_WAY)
+    time.sleep(fault.duration_s)
+    link.delay_s = 0.0
+    link.holds_requests = link.holds_answers = False
--- /dev/null
+++ b/packages/millfork-standins/millfork_standins/soak/result.py
@@ -0,0 +1,25 @@
+"""
+The result of a soak run.
+
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class SoakResult:
+    """
+    The counts of a run, the version of the last acknowledged document, and descriptions of the
+    broken promises. `cold_requests` reached back ends that all entries could know to be cold.
+
+    """
+
+    seed: int
+    faults: int
+    statuses: Counter[int] = field(default_factory=Counter)
+    acknowledged_version: int = 0
+    reads: int = 0
+    violations: list[str] = field(default_factory=list)
+    evacuations: int = 0
+    cold_requests: int = 0
--- a/packages/millfork-standins/millfork_standins/soak/run.py
+++ b/packages/millfork-standins/millfork_standins/soak/run.py
@@ -11,7 +11,6 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Final
 
@@ -27,16 +26,20 @@
 )
 from millfork_standins.soak.callers import SERVICE, Caller, Operator
 from millfork_standins.soak.checks import Period, broken_promises, find_lost_requests
+from millfork_standins.soak.cold import ColdBackEnds
 from millfork_standins.soak.crashing_part import (
     CRASHING_PART,
     RESTART_DELAY_S,
     CrashingPartCaller,
     find_broken_promise,
 )
+from millfork_standins.soak.evacuations import Evacuator
 from millfork_standins.soak.fault_plan import Fault, FaultKind, plan_faults
 from millfork_standins.soak.fleet import SoakFleet
-from millfork_standins.soak.link_proxy import LinkProxy
+from millfork_standins.soak.link_proxy import LinkProxy, inject_link_fault
 from millfork_standins.soak.planned_work import PLANNED_KINDS, plan_pauses, plan_work
+from millfork_standins.soak.result import SoakResult
+from millfork_standins.soak.signals import handles_signal
 
 BACK_ENDS: Final = 3
 ENTRIES: Final = 2
@@ -49,39 +52,10 @@
 RECOVERY_TIMEOUT_S: Final = 12.0
 POLL_INTERVAL_S: Final = 0.1
 STOP_TIMEOUT_S: Final = 10.0
-LINK_DELAY_S: Final = 0.3
 # A full disk is simulated by this limit on the size of the files that a process writes.
 FULL_DISK_FILE_BYTES: Final = 1
 
 
-def handles_signal(pid: int, number: signal.Signals) -> bool:
-    """
-    Return whether a process ignores or catches a signal that would otherwise end the process.
-
-    """
-    fields = dict(
-        line.split(':\t', 1) for line in Path(f'/proc/{pid}/status').read_text().splitlines()
-    )
-    mask = int(fields['SigIgn'], 16) | int(fields['SigCgt'], 16)
-    return bool(mask >> (number - 1) & 1)
-
-
-@dataclass(slots=True)
-class SoakResult:
-    """
-    The counts of a run, the version of the last acknowledged document, and descriptions of the
-    broken promises.
-
-    """
-
-    seed: int
-    faults: int
-    statuses: Counter[int] = field(default_factory=Counter)
-    acknowledged_version: int = 0
-    reads: int = 0
-    violations: list[str] = field(default_factory=list)
-
-
 class SoakRun:
     """
     Runs a fleet for `planned_s` under the planned work of one seed, then for `seconds` under its
@@ -99,6 +73,8 @@
         entries: int = ENTRIES,
         callers: int = CALLERS,
         crashing_part: bool = False,
+        evacuations: bool = False,
+        cold: bool = False,
     ) -> None:
         self.seed = seed
         self.seconds = seconds
@@ -111,6 +87,8 @@
         self.entry_faults_at: list[float] = []
         self.fault_periods: list[Period] = []
         self.stop_periods: list[Period] = []
+        # Faults of links that delay requests to back ends, by instance.
+        self.request_delays: dict[str, list[Period]] = {}
         self.fleet = SoakFleet(folder, entries=entries, heartbeat_s=HEARTBEAT_S)
         if crashing_part:
             # Set before any stream begins, as it decides how streams are framed.
@@ -120,6 +98,11 @@
         self.links: list[LinkProxy] = []
         self.callers: list[Caller] = []
         self.operator = Operator(self.fleet, self.stop)
+        run_s = planned_s + seconds
+        self.evacuator = Evacuator(self.fleet, seed, run_s, self.stop) if evacuations else None
+        self.cold = ColdBackEnds(self.fleet, seed, run_s, self.stop) if cold else None
+        if self.cold:
+            self.operator.service = self.cold.service
         # Hosts with a fault in progress, whose processes may have exited because of the fault.
         self.hosts_under_fault: set[str] = set()
         # Processes that have got SIGTERM.
@@ -138,6 +121,10 @@
             if self.fleet.crashing_part:
                 CrashingPartCaller(self.fleet, self.seed, self.stop)
             threading.Thread(target=self._pause_back_ends, daemon=True).start()
+            if self.evacuator:
+                self.evacuator.thread.start()
+            if self.cold:
+                self.cold.thread.start()
             work = plan_work(
                 self.seed, self.planned_s, self.fleet.replica_hosts, self.fleet.entry_hosts
             )
@@ -150,6 +137,9 @@
                 BACK_ENDS,
             )
             self._inject_faults(faults, self.backpressure_signals)
+            if self.evacuator:
+                # No caller is served again while all zones are evacuated.
+                self.evacuator.thread.join()
             self._check_recovery()
             return self._result(len(faults))
         finally:
@@ -231,11 +221,14 @@
         if fault.kind is FaultKind.RELOAD:
             self._reload(fault.target)
         elif fault.target.isdigit():
-            self._inject_link_fault(self.links[int(fault.target)], fault)
+            inject_link_fault(self.links[int(fault.target)], fault)
         elif not self._inject_host_fault(fault):
             return
+        period = Period(fault.target, began_at, time.monotonic())
         if fault.kind not in PLANNED_KINDS:
-            self.fault_periods.append(Period(fault.target, began_at, time.monotonic()))
+            self.fault_periods.append(period)
+        if fault.kind in (FaultKind.SILENCE, FaultKind.DELAY):
+            self.request_delays.setdefault(f'i-{fault.target}', []).append(period)
 
     def _inject_host_fault(self, fault: Fault) -> bool:
         """
@@ -275,17 +268,6 @@
         if host in self.fleet.entry_hosts:
             self.entry_faults_at.append(time.monotonic())
 
-    def _inject_link_fault(self, link: LinkProxy, fault: Fault) -> None:
-        if fault.kind is FaultKind.RESET:
-            link.reset()
-            return
-        link.delay_s = LINK_DELAY_S if fault.kind is FaultKind.DELAY else 0.0
-        link.holds_requests = fault.kind is FaultKind.SILENCE
-        link.holds_answers = fault.kind in (FaultKind.SILENCE, FaultKind.ONE_WAY)
-        time.sleep(fault.duration_s)
-        link.delay_s = 0.0
-        link.holds_requests = link.holds_answers = False
-
     def _inject_process_fault(self, fault: Fault) -> None:
         host = fault.target
         # Until the daemon has installed its handlers, a signal would end the process.
@@ -410,6 +392,16 @@
             ),
         ]
         violations += find_exceeded_limits(self.limit_periods, self.entry_faults_at)
+        process_faults = [fault for fault in faults if not fault.target.isdigit()]
+        if self.evacuator:
+            entries = {
+                answer.request_id: answer.timeline.entry for answer in answers if answer.timeline
+            }
+            violations += self.evacuator.find_violations(
+                entries, process_faults, self.request_delays
+            )
+        if self.cold:
+            violations += self.cold.find_violations(process_faults, self.request_delays)
         return SoakResult(
             self.seed,
             fault_count,
@@ -417,4 +409,6 @@
             self.operator.acknowledged_version,
             self.operator.reads,
             violations,
+            len(self.evacuator.evacuations) if self.evacuator else 0,
+            self.cold.checked_requests if self.cold else 0,
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -35,6 +35,12 @@
 # Without the quarantine of parts, this seed breaks the promise about them in this time.
 CRASHING_PART_SEED = 106
 CRASHING_PART_S = 14.0
+# A seed with which a zone with a third of the load is evacuated beside planned stops.
+EVACUATION_SEED = 1
+EVACUATION_S = 9.0
+# A seed with which back ends become cold beside planned stops.
+COLD_SEED = 1
+COLD_S = 8.0
 # Seeds that failed in the past, with the cause of each.
 REGRESSIONS = (
     # SIGHUP or SIGTERM arrived while a daemon started, and killed it.
@@ -257,3 +263,26 @@
     assert result.faults
     assert result.statuses[200]
     assert result.acknowledged_version > 1
+
+
+def test_no_request_reaches_an_evacuated_zone(tmp_path):
+    """
+    Guards against entries that forget an evacuation when they or replicas restart.
+
+    """
+    run = SoakRun(tmp_path, EVACUATION_SEED, 1.0, planned_s=EVACUATION_S, evacuations=True)
+    result = run.run()
+    assert result.violations == []
+    assert result.statuses[200]
+    assert result.evacuations
+
+
+def test_cold_back_ends_get_few_requests(tmp_path):
+    """
+    Guards against entries that forget, when they or replicas restart, that a back end is cold.
+
+    """
+    result = SoakRun(tmp_path, COLD_SEED, 1.0, planned_s=COLD_S, cold=True).run()
+    assert result.violations == []
+    assert result.statuses[200]
+    assert result.cold_requests
