--- a/packages/millfork-scheduling/millfork_scheduling/placement.py
+++ b/packages/millfork-scheduling/millfork_scheduling/placement.py
@@ -233,13 +233,10 @@
     best: Choice | None = None
     lowest_cost = float('inf')
     for server in servers:
-        spec_ms = server.first_token_ms(
-            engine, requirements.prompt_tokens, context.now, context.entries
+        candidate, expected = expected_start(
+            server, requirements, engine, path_by_first.get(server.instance), context
         )
-        expected = spec_ms + max(context.mean_lateness_ms, server.lateness.mean_ms_at(context.now))
-        path = path_by_first.get(server.instance)
-        candidate = Choice(server, spec_ms, max(expected, 0.0), path)
-        if _version_ends_before_start(candidate, expected, requirements, engine, context.now):
+        if version_ends_before_start(candidate, expected, requirements, engine, context.now):
             continue
         cost = expected + _extra_cost(candidate, requirements, engine, context)
         cost += random.random() * COST_JITTER_MS
@@ -249,7 +246,26 @@
     return best
 
 
-def _version_ends_before_start(
+def expected_start(
+    server: Server,
+    requirements: Requirements,
+    engine: EngineSpec,
+    path: Path | None,
+    context: SelectionContext,
+) -> tuple[Choice, float]:
+    """
+    The choice of one engine, and the expected time to the first token there in ms; negative if
+    recent first tokens came earlier than predicted by more than the predicted time.
+
+    """
+    spec_ms = server.first_token_ms(
+        engine, requirements.prompt_tokens, context.now, context.entries
+    )
+    expected = spec_ms + max(context.mean_lateness_ms, server.lateness.mean_ms_at(context.now))
+    return Choice(server, spec_ms, max(expected, 0.0), path), expected
+
+
+def version_ends_before_start(
     choice: Choice, expected_ms: float, requirements: Requirements, engine: EngineSpec, now: float
 ) -> bool:
     """
--- a/packages/millfork-scheduling/millfork_scheduling/server_table.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server_table.py
@@ -279,7 +279,9 @@
         if requirements.engine is None:
             return []
         now = self.monotonic()
-        paths = self._paths(requirements.service, requirements.engine, requirements.newest_version)
+        paths = self.current_paths(
+            requirements.service, requirements.engine, requirements.newest_version
+        )
         sampled = self._sample(requirements, paths, tried, now)
         if sampled:
             return sampled
@@ -334,11 +336,12 @@
 
         """
         now = self.monotonic()
-        late_ms = self._lateness_of(requirements.service).mean_ms_at(now)
-        context = SelectionContext(now, self.zone, self.entries(), late_ms)
+        context = self.selection_context(requirements.service)
         if requirements.engine is None:
             return self._choose_from_all(requirements, [], tried, context)
-        paths = self._paths(requirements.service, requirements.engine, requirements.newest_version)
+        paths = self.current_paths(
+            requirements.service, requirements.engine, requirements.newest_version
+        )
         if candidates is None:
             sampled = self._sample(requirements, paths, tried, now)
         else:
@@ -354,6 +357,15 @@
             )
         return choice or self._choose_from_all(requirements, paths, tried, context)
 
+    def selection_context(self, service: ServiceName) -> SelectionContext:
+        """
+        The inputs of a choice for a service at this moment.
+
+        """
+        now = self.monotonic()
+        late_ms = self._lateness_of(service).mean_ms_at(now)
+        return SelectionContext(now, self.zone, self.entries(), late_ms)
+
     def _is_still_usable(
         self, server: Server, requirements: Requirements, paths: list[Path], tried: set[InstanceId]
     ) -> bool:
@@ -365,7 +377,7 @@
             return False
         return self._can_serve_now(server, requirements, paths, self.monotonic())
 
-    def _paths(self, service: ServiceName, engine: EngineSpec, newest: int) -> list[Path]:
+    def current_paths(self, service: ServiceName, engine: EngineSpec, newest: int) -> list[Path]:
         """
         The current paths of a service: pairs of engines that together hold all layers of version
         `newest` or a later one. They are computed again only once `path_generation` has increased.
@@ -487,7 +499,7 @@
         now = self.monotonic()
         paths: list[Path] = []
         if requirements.engine is not None:
-            paths = self._paths(
+            paths = self.current_paths(
                 requirements.service, requirements.engine, requirements.newest_version
             )
         closures = [
@@ -525,7 +537,7 @@
         Whether a back end meets the requirements of a request, whatever its own signals say.
 
         """
-        if not self._is_in_allowed_region(server, requirements):
+        if not self.is_in_allowed_region(server, requirements):
             return False
         engine = requirements.engine
         if engine is None:
@@ -537,7 +549,7 @@
             return self._is_in_usable_path(server, requirements, paths, now)
         return version >= requirements.min_version and server.refused.get(version, now) <= now
 
-    def _is_in_allowed_region(self, server: Server, requirements: Requirements) -> bool:
+    def is_in_allowed_region(self, server: Server, requirements: Requirements) -> bool:
         """
         Whether a request may be served in the region of a back end. A back end in a zone of an
         unknown region is not allowed for a request that is restricted to some regions.
@@ -554,7 +566,7 @@
 
         """
         return any(
-            self._is_in_allowed_region(server, requirements)
+            self.is_in_allowed_region(server, requirements)
             for server in self.index.by_service.get(requirements.service, [])
         )
 
@@ -569,7 +581,7 @@
         for path in paths:
             if server in path.servers:
                 if not all(
-                    self._is_in_allowed_region(member, requirements) for member in path.servers
+                    self.is_in_allowed_region(member, requirements) for member in path.servers
                 ):
                     return False
                 refused = [member.refused.get(path.version, now) for member in path.servers]
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -14,9 +14,10 @@
 from millfork_core.logs import Component, logger
 from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
 from millfork_routing.shared_budget import SharedBudget
+from millfork_scheduling.no_server import no_server_refusal
 from millfork_scheduling.placement import Choice
 from millfork_scheduling.quarantine import SuspicionLevel
-from millfork_scheduling.retry_after import closed_wait_ms, no_server_wait_ms, refusal_wait_ms
+from millfork_scheduling.retry_after import closed_wait_ms, refusal_wait_ms
 from millfork_scheduling.server_table import ServerTable
 from millfork_scheduling.slow_answers import SlowAnswers
 from millfork_web.exchange import CallerGone, Exchange
@@ -263,31 +264,13 @@
         the first of these back ends opens; that wait has a maximum.
 
         """
-        closure = self.server_table.first_to_open(job.requirements)
         if job.tried:
+            closure = self.server_table.first_to_open(job.requirements)
             refusal = self._final_refusal(job, job.failures[-1].reason)
             if closure is None or refusal.verdict is not Verdict.NOT_RUN:
                 return refusal
             return replace(refusal, retry_after_ms=closed_wait_ms(closure, self.env.random))
-        if closure is not None:
-            wait_ms = closed_wait_ms(closure, self.env.random)
-            reason = Reason(closure.closure_reason.value)
-            return Refusal(reason, Verdict.NOT_RUN, 'no server takes more requests', wait_ms)
-        wait_ms = no_server_wait_ms(self.env.random)
-        if not self._has_allowed_server(job):
-            detail = 'no server is in a region that may serve the request'
-            return Refusal(Reason.OUT_OF_REGION, Verdict.NOT_RUN, detail, wait_ms)
-        return Refusal(Reason.NO_ENDPOINT, Verdict.NOT_RUN, 'no server is available', wait_ms)
-
-    def _has_allowed_server(self, job: Job) -> bool:
-        """
-        Whether the request may be served in any region, or a back end is in a region in which it
-        may be served.
-
-        """
-        if job.requirements.regions is None:
-            return True
-        return self.server_table.allowed_region_exists(job.requirements)
+        return no_server_refusal(self.server_table, job.requirements, self.env.random)
 
     def _final_refusal(self, job: Job, reason: Reason, explanation: str = '') -> Refusal:
         """
--- a/tests/test_choice_in_large_fleets.py
+++ b/tests/test_choice_in_large_fleets.py
@@ -107,7 +107,7 @@
             table.servers[f'i-{number}'].avoided_until = now + 1
     requirements = Requirements(SERVICE, ENGINE, min_version, 2)
     excluded = {f'i-{number}' for number in tried}
-    paths = table._paths(SERVICE, ENGINE, 2)
+    paths = table.current_paths(SERVICE, ENGINE, 2)
     full_scan_choice = table._choose_from_all(requirements, paths, excluded, _context(table))
     for _ in range(20):
         choice = table.choose(requirements, excluded)
@@ -131,7 +131,7 @@
 def test_cached_paths_follow_every_change_of_the_engines(served_by_engine, changes):
     table = table_of(served_by_engine)
     for sequence, (number, served, changing) in enumerate(changes, 2):
-        table._paths(SERVICE, ENGINE, 2)
+        table.current_paths(SERVICE, ENGINE, 2)
         table.apply_reports([report(number, sequence, served, 2 if changing else 0)])
         fresh = find_paths(table.index.by_service[SERVICE], ENGINE, 2)
-        assert table._paths(SERVICE, ENGINE, 2) == fresh
+        assert table.current_paths(SERVICE, ENGINE, 2) == fresh
