Add millfork route, evacuations and evacuate for seeded fleets

An operator had to send evacuation orders as raw calls of the platform, and could ask no process where a request would go. Entries answer GET /route at the admin port, from copies of what they know; replicas carry out POST and DELETE /evacuations/ZONE there. The three commands try the given admin ports in turn, as others try entries. Malformed queries are answered with a problem body (400) and end the command with the usage status.

--- a/packages/millfork/millfork/__main__.py
+++ b/packages/millfork/millfork/__main__.py
@@ -60,6 +60,11 @@
         FLAGS.undo,
         FLAGS.json,
         FLAGS.every,
+        parse_entries(FLAGS.admin, '--admin'),
+        read_secret(Path(FLAGS.api_key_file)).decode() if FLAGS.api_key_file else '',
+        FLAGS.model,
+        FLAGS.prompt_tokens,
+        FLAGS.part,
     )
 
 
--- a/packages/millfork/millfork/cli/argtypes.py
+++ b/packages/millfork/millfork/cli/argtypes.py
@@ -16,9 +16,9 @@
     """
 
 
-def parse_entries(text: str) -> list[tuple[str, int]]:
+def parse_entries(text: str, flag: str = '--entries') -> list[tuple[str, int]]:
     """
-    Parse `HOST:PORT,HOST:PORT` into pairs of host and port.
+    Parse the value of a flag, `HOST:PORT,HOST:PORT`, into pairs of host and port.
 
     :raises BadArgument: if `text` has another form.
 
@@ -27,7 +27,7 @@
     for item in text.split(','):
         host, colon, port = item.strip().rpartition(':')
         if not colon or not host or not port.isdecimal():
-            raise BadArgument(f'--entries: HOST:PORT expected, not {item!r}')
+            raise BadArgument(f'{flag}: HOST:PORT expected, not {item!r}')
         pairs.append((host, int(port)))
     return pairs
 
--- a/packages/millfork/millfork/core.py
+++ b/packages/millfork/millfork/core.py
@@ -14,8 +14,10 @@
 from millfork.cli.argtypes import BadArgument, parse_labels
 from millfork.cli.constants import USAGE
 from millfork.client import ControlClient, NoEntryReachable
+from millfork.evacuations import evacuate, evacuations
 from millfork.explain import EndedRequest, format_table, read_ended_requests
 from millfork.models import Arguments, Environment
+from millfork.route import route
 from millfork.status import format_rollout, report_refusal, watch
 from millfork_core.status import ExitStatus
 from millfork_settings.declarations import Declaration
@@ -30,6 +32,9 @@
     'drain': 1,
     'check': 1,
     'status': 0,
+    'route': 2,
+    'evacuations': 0,
+    'evacuate': 1,
 }
 
 
@@ -175,4 +180,7 @@
     'drain': drain,
     'check': check,
     'explain': explain,
+    'route': route,
+    'evacuations': evacuations,
+    'evacuate': evacuate,
 }
--- a/packages/millfork/millfork/models.py
+++ b/packages/millfork/millfork/models.py
@@ -4,7 +4,7 @@
 """
 
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass
@@ -27,6 +27,13 @@
     json: bool = False
     # Seconds per line of the output of `explain`.
     every: float = 2.0
+    # The admin ports of daemons of a seeded fleet.
+    admin: list[tuple[str, int]] = field(default_factory=list)
+    # The request that `route` asks about.
+    api_key: str = ''
+    model: str = ''
+    prompt_tokens: str = '0'
+    parts: list[str] = field(default_factory=list)
 
 
 @dataclass
--- a/packages/millfork/millfork/status.py
+++ b/packages/millfork/millfork/status.py
@@ -79,6 +79,10 @@
     except ValueError:
         body = {}
     reason = body.get('reason', f'status {response.status}')
-    env.err(f'millfork: {reason}: {body.get("detail", "")}')
-    statuses = {'conflict': ExitStatus.CONFLICT, 'invalid': ExitStatus.BAD_DECLARATION}
+    env.err(f'millfork: {reason}: {body.get("detail") or body.get("error", "")}')
+    statuses = {
+        'conflict': ExitStatus.CONFLICT,
+        'invalid': ExitStatus.BAD_DECLARATION,
+        'bad_request': ExitStatus.USAGE,
+    }
     return statuses.get(reason, ExitStatus.REFUSED)
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -47,6 +47,7 @@
 from millforkd.proxy.load_queries import LoadQueries
 from millforkd.proxy.part_quarantine import PartQuarantine
 from millforkd.proxy.part_trials import PartTrials
+from millforkd.proxy.route_queries import RouteQueries
 from millforkd.proxy.suspicion_reporter import SuspicionReporter
 from millforkd.proxy.turned_away_directory import TurnedAwayDirectory
 from millforkd.quarantine import Quarantine
@@ -125,6 +126,9 @@
         self.part_trials = PartTrials(env, quarantine.listing, self.peers, self.discovery)
         slow = settings.slow_answers
         self.slow_answers = SlowAnswers(slow.extra_share, slow.min_delay_ms / 1000, env.monotonic)
+        part_quarantine = PartQuarantine(
+            suspicion_store, quarantine.listing, fingerprints, self.part_trials
+        )
         self.forwarding = Forwarding(
             env,
             adapter,
@@ -133,7 +137,7 @@
             self.pools,
             self.budget,
             quarantine,
-            PartQuarantine(suspicion_store, quarantine.listing, fingerprints, self.part_trials),
+            part_quarantine,
             self.turned_away,
             LoadQueries(env, self.peers, self.server_table),
             self.slow_answers,
@@ -159,6 +163,14 @@
             )
         self.admin = Admin(env, settings, self.is_ready)
         self.admin.show_evacuations(self.view, self.feed_client.knowledge_age_ms)
+        self.admin.handlers['GET', 'route'] = RouteQueries(
+            env,
+            self.admission,
+            self.server_table,
+            self.registry,
+            self.feed_client,
+            part_quarantine,
+        ).answer
         self.stopping = False
         self.document_revision = 0
         # The revision of the configuration whose evacuated zones were applied last.
--- a/packages/millforkd/millforkd/proxy/fingerprints.py
+++ b/packages/millforkd/millforkd/proxy/fingerprints.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from millfork_adapter.exchange import CallerRequest
 from millfork_core.ids import Fingerprint
 from millfork_web.models import Request
 from millforkd.fingerprints import fingerprint_of
@@ -54,13 +55,19 @@
 
         """
         if job.part_fingerprints is None:
-            shared = [name for name, _ in job.caller.prefix_parts[:-1]]
-            job.part_fingerprints = tuple(
-                self.for_part(job.requirements.service, job.caller.model, name)
-                for name in dict.fromkeys(shared[:MAX_PARTS])
-            )
+            job.part_fingerprints = self.for_shared_parts(job.requirements.service, job.caller)
         return job.part_fingerprints
 
+    def for_shared_parts(self, service: str, caller: CallerRequest) -> tuple[Fingerprint, ...]:
+        """
+        The fingerprints of the parts of a request's prompt, in order and without the last part.
+
+        """
+        shared = [name for name, _ in caller.prefix_parts[:-1]]
+        return tuple(
+            self.for_part(service, caller.model, name) for name in dict.fromkeys(shared[:MAX_PARTS])
+        )
+
     def for_part(self, service: str, model: str, part: str) -> Fingerprint:
         """
         The fingerprint of a part of prompts. It is the same for all callers, routes and versions of
--- a/packages/millforkd/millforkd/proxy/part_quarantine.py
+++ b/packages/millforkd/millforkd/proxy/part_quarantine.py
@@ -4,7 +4,8 @@
 
 """
 
-from millfork_core.ids import Fingerprint
+from millfork_adapter.exchange import CallerRequest
+from millfork_core.ids import Fingerprint, ServiceName
 from millfork_registry.suspicion_store import SuspicionStore
 from millfork_registry.suspicions import Suspicion
 from millfork_scheduling.quarantine import is_at_fault_among
@@ -54,8 +55,27 @@
         return tuple(
             suspicion.fingerprint
             for suspicion in self.suspicions_of(job)
-            if self.listing.includes(suspicion)
-            or is_at_fault_among(suspicion, self.suspicion_store)
+            if self._is_blocked(suspicion)
+        )
+
+    def blocked_shared_parts(
+        self, service: ServiceName, caller: CallerRequest
+    ) -> tuple[Fingerprint, ...]:
+        """
+        Return the fingerprints of the parts for which a request would be blocked, without a job.
+
+        """
+        self.listing.refresh()
+        fingerprints = self.fingerprints.for_shared_parts(service, caller)
+        return tuple(
+            fingerprint
+            for fingerprint in fingerprints
+            if self._is_blocked(self.suspicion_store.get(fingerprint))
+        )
+
+    def _is_blocked(self, suspicion: Suspicion) -> bool:
+        return self.listing.includes(suspicion) or is_at_fault_among(
+            suspicion, self.suspicion_store
         )
 
     async def clear(self, job: Job) -> None:
--- a/packages/millforkd/millforkd/replica/daemon.py
+++ b/packages/millforkd/millforkd/replica/daemon.py
@@ -131,6 +131,8 @@
         )
         self.admin = Admin(env, settings, self.is_ready)
         self.admin.show_evacuations(self.replica.view, self.replica.age_ms)
+        for method in ('POST', 'DELETE'):
+            self.admin.handlers[method, 'evacuations'] = self.control.evacuations.answer
 
     def _leads(self) -> bool:
         return self.replica.state is ReplicaState.LEADER
--- a/packages/millforkd/millforkd/replica/evacuations.py
+++ b/packages/millforkd/millforkd/replica/evacuations.py
@@ -5,6 +5,7 @@
 
 import time
 from typing import Final
+from urllib.parse import unquote
 
 import msgspec
 
@@ -16,6 +17,7 @@
 from millfork_state.commands import Apply, ApplyResult, Change
 from millfork_state.keys import evacuation_key
 from millfork_state.leader_client import LeaderClient
+from millfork_web.models import Request, Response, json_response
 from millforkd.evacuations import EvacuationRecord, encode_record
 
 # An order is answered within this time: after one second, an operator's client asks another
@@ -24,6 +26,7 @@
 ID_BITS: Final = 64
 # The greatest number of zones that a refusal names.
 MAX_NAMED_ZONES: Final = 20
+PATH_PREFIX: Final = '/evacuations/'
 
 log = logger(Component.CONTROL)
 
@@ -86,6 +89,22 @@
                 return
             # Another order changed the zone since the state was read.
 
+    async def answer(self, request: Request) -> Response:
+        """
+        Answer an operator's order at the admin port: `POST /evacuations/ZONE` evacuates a zone,
+        `DELETE /evacuations/ZONE` takes it back.
+
+        :raises Refused: see `set`; also if the path names no zone.
+
+        """
+        segment = request.path.partition('?')[0].removeprefix(PATH_PREFIX)
+        if not request.path.startswith(PATH_PREFIX) or not segment or '/' in segment:
+            raise Refused(Refusal(Reason.BAD_REQUEST, detail=f'expected: {PATH_PREFIX}ZONE'))
+        name = unquote(segment)
+        evacuated = request.method == 'POST'
+        await self.set(ZoneId(name), evacuated)
+        return json_response({'zone': name, 'evacuated': evacuated})
+
     def _check_known(self, zone: ZoneId) -> None:
         known = self.known_zones()
         if zone in known:
