Copy only the back ends that a choice changes

Explaining a route for 3,000 back ends took 232 ms to 251 ms, 0.1 s of it for copies of back ends whose permits and sends no choice changes. These are now read in place.

--- a/packages/millfork-scheduling/millfork_scheduling/table_copy.py
+++ b/packages/millfork-scheduling/millfork_scheduling/table_copy.py
@@ -54,8 +54,16 @@
 
 
 def _copy_server(server: Server, random: Random) -> Server:
+    """
+    A copy of a back end, or the back end itself if choices only read it: copies take most of the
+    time in large fleets, where an entry has sent nothing to most back ends.
+
+    """
+    availability = server.availability
+    if availability.limit is None and (availability.cold is None or not availability.cold.sent):
+        return server
     copied = copy.copy(server)
-    copied.availability = _copy_availability(server.availability, random)
+    copied.availability = _copy_availability(availability, random)
     return copied
 
 
