--- a/packages/millforkd/millforkd/proxy/part_quarantine.py
+++ b/packages/millforkd/millforkd/proxy/part_quarantine.py
@@ -4,6 +4,8 @@
 
 """
 
+from collections.abc import Iterable
+
 from millfork_adapter.exchange import CallerRequest
 from millfork_core.ids import Fingerprint, ServiceName
 from millfork_registry.suspicion_store import SuspicionStore
@@ -52,11 +54,7 @@
         self.listing.refresh()
         if not self.suspicion_store.table and not self.listing.epochs:
             return ()
-        return tuple(
-            suspicion.fingerprint
-            for suspicion in self.suspicions_of(job)
-            if self._is_blocked(suspicion)
-        )
+        return self._blocked_among(self.suspicions_of(job))
 
     def blocked_shared_parts(
         self, service: ServiceName, caller: CallerRequest
@@ -67,15 +65,14 @@
         """
         self.listing.refresh()
         fingerprints = self.fingerprints.for_shared_parts(service, caller)
-        return tuple(
-            fingerprint
-            for fingerprint in fingerprints
-            if self._is_blocked(self.suspicion_store.get(fingerprint))
-        )
+        return self._blocked_among(self.suspicion_store.get(found) for found in fingerprints)
 
-    def _is_blocked(self, suspicion: Suspicion) -> bool:
-        return self.listing.includes(suspicion) or is_at_fault_among(
-            suspicion, self.suspicion_store
+    def _blocked_among(self, suspicions: Iterable[Suspicion]) -> tuple[Fingerprint, ...]:
+        return tuple(
+            suspicion.fingerprint
+            for suspicion in suspicions
+            if self.listing.includes(suspicion)
+            or is_at_fault_among(suspicion, self.suspicion_store)
         )
 
     async def clear(self, job: Job) -> None:
