Test route explanations for engines and quarantined parts

The test on real daemons has a back end without an engine and no quarantine, so the expected wait and the refusal quarantined_part were not covered. One test asks an entry's RouteQueries for both.

--- a/tests/test_route_command.py
+++ b/tests/test_route_command.py
@@ -4,6 +4,8 @@
 """
 
 import json
+from dataclasses import replace
+from types import SimpleNamespace
 from urllib.parse import urlencode
 
 import pytest
@@ -12,13 +14,24 @@
 from millfork.models import Arguments, Environment
 from millfork_core.status import ExitStatus
 from millfork_core.verdicts import Reason, Refused
+from millfork_registry.suspicion_store import SuspicionStore
+from millfork_routing.documents import Service
+from millfork_routing.routes import RouteTable
 from millfork_standins.seeded import SeededFleet
-from millforkd.proxy.route_queries import parse_query
+from millfork_state.view import View
+from millforkd.proxy.fingerprints import Fingerprints
+from millforkd.proxy.part_quarantine import PartQuarantine
+from millforkd.proxy.route_queries import RouteQueries, parse_query
+from millforkd.quarantine import QuarantineListing
+from tests.test_admission import new_admission
+from tests.test_route_explanation import make_table
 from tests.test_seeded_fleet import document, request
+from tests.test_servers import ENGINE, SERVICE, Clock
 from tests.utils.fleets import wait_until
 
 ZONE = 'zone'
 ADMIN_PORT = 9400
+FINGERPRINTS = Fingerprints(b'key', lambda: 'cluster')
 UNUSED = ('127.9.9.9', 9)
 
 
@@ -104,6 +117,34 @@
     assert command(entry, 'route', 'h.example')[0] == ExitStatus.USAGE
 
 
+def test_a_quarantined_part_is_named_and_an_engines_wait_is_expected():
+    """
+    Guards against an answer that names an engine for a prompt that entries refuse.
+
+    """
+    admission = new_admission()
+    queries = RouteQueries(
+        admission.env,
+        admission,
+        make_table(['free'], Clock()),
+        SimpleNamespace(leases={}),
+        SimpleNamespace(knowledge_age_ms=lambda: 7),
+        PartQuarantine(SuspicionStore(Clock()), QuarantineListing(View()), FINGERPRINTS, None),
+    )
+    caller = parse_query('/route?host=h.example&path=/safe/x&model=m&key=key&part=p&part=own')
+    assert queries.explain(caller)['refusal']['reason'] == 'not_ready'
+    services = (Service(SERVICE, 64, ENGINE),)
+    admission.table = RouteTable(replace(document(1, '/safe/', service=SERVICE), services=services))
+    answer = queries.explain(caller)
+    assert answer['choice']['servers'] == ['i-1']
+    assert answer['choice']['expected_wait_ms'] == answer['servers'][0]['expected_ms'] > 0
+    blocked = FINGERPRINTS.for_part(SERVICE, 'm', 'p')
+    queries.part_quarantine.listing.epochs[blocked] = 0
+    answer = queries.explain(caller)
+    assert (answer['choice'], answer['refusal']['reason']) == (None, 'quarantined_part')
+    assert blocked in answer['refusal']['detail']
+
+
 @pytest.mark.parametrize(
     ('query', 'detail'),
     [
