--- a/packages/millforkd/millforkd/proxy/part_quarantine.py
+++ b/packages/millforkd/millforkd/proxy/part_quarantine.py
@@ -4,7 +4,10 @@
 
 """
 
-from millfork_core.ids import Fingerprint
+from collections.abc import Iterable
+
+from millfork_adapter.exchange import CallerRequest
+from millfork_core.ids import Fingerprint, ServiceName
 from millfork_registry.suspicion_store import SuspicionStore
 from millfork_registry.suspicions import Suspicion
 from millfork_scheduling.quarantine import is_at_fault_among
@@ -51,9 +54,23 @@
         self.listing.refresh()
         if not self.suspicion_store.table and not self.listing.epochs:
             return ()
+        return self._blocked_among(self.suspicions_of(job))
+
+    def blocked_shared_parts(
+        self, service: ServiceName, caller: CallerRequest
+    ) -> tuple[Fingerprint, ...]:
+        """
+        Return the fingerprints of the parts for which a request would be blocked, without a job.
+
+        """
+        self.listing.refresh()
+        fingerprints = self.fingerprints.for_shared_parts(service, caller)
+        return self._blocked_among(self.suspicion_store.get(found) for found in fingerprints)
+
+    def _blocked_among(self, suspicions: Iterable[Suspicion]) -> tuple[Fingerprint, ...]:
         return tuple(
             suspicion.fingerprint
-            for suspicion in self.suspicions_of(job)
+            for suspicion in suspicions
             if self.listing.includes(suspicion)
             or is_at_fault_among(suspicion, self.suspicion_store)
         )
