Other tasks get a turn after eight reads of an answer

With a load average of 15, an entry relayed parts of 16 KiB that were always there already: no other task ran for 97 s, and the caller's deadline of 4 s had no effect, as reads of a socket with data don't switch tasks. The turn depended on the size of a read; now it depends on the number of reads. Under load the case of a large answer of tests/test_endless_answers.py still didn't end within 60 s once; the cause isn't known.

--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -41,6 +41,9 @@
 # One read joins at most this many parts of a body. Parsing 64 KiB of chunks with five bytes each
 # keeps the event loop busy for 0.1 s; this many take 4 ms.
 MAX_JOINED_PARTS: Final = 256
+# After this many reads other tasks get a turn. Where data was always there already, parts of 16 KiB
+# kept an entry from all other work, and from the caller's deadline, for 97 s.
+READS_PER_TURN: Final = 8
 
 log = logger(Component.PROXY)
 
@@ -78,8 +81,9 @@
         self.framing = Framing.LENGTH
         # Whether the answer was received to its end.
         self.complete = False
-        # Whether more data may be there already than the last read returned.
-        self.has_more = False
+        # Whether other tasks get a turn before the next read.
+        self.yields_first = False
+        self.read_count = 0
         # Whether the connection broke off, or was silent until another back end took over.
         self.lost = False
         # Whether this entry has shut the connection down.
@@ -141,9 +145,9 @@
         """
         if self.complete:
             return b''
-        if self.has_more:
+        if self.yields_first:
             # Otherwise no other task would run while data arrives as fast as it is parsed.
-            self.has_more = False
+            self.yields_first = False
             await curio.sleep(0)
         event = await self._next_event()
         if isinstance(event, h11.EndOfMessage):
@@ -159,7 +163,9 @@
             if not isinstance(event, h11.Data):
                 break
             data += bytes(event.data)
-        self.has_more = isinstance(event, h11.Data) or len(data) >= READ_BYTES // 2
+        self.read_count += 1
+        is_turn_over = self.read_count % READS_PER_TURN == 0
+        self.yields_first = is_turn_over or isinstance(event, h11.Data)
         if isinstance(event, h11.EndOfMessage):
             self.complete = True
         return data
--- a/tests/test_proxy_connections.py
+++ b/tests/test_proxy_connections.py
@@ -11,7 +11,8 @@
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ZoneId
 from millfork_core.verdicts import Reason, Verdict
-from millforkd.proxy.connections import MAX_JOINED_PARTS, READ_BYTES, Pool, SendFailed
+from millforkd.proxy import connections
+from millforkd.proxy.connections import MAX_JOINED_PARTS, READS_PER_TURN, Pool, SendFailed
 
 COMPLETE_ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
 CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
@@ -149,14 +150,14 @@
 
 
 @pytest.mark.parametrize(
-    ('answer', 'most'),
+    ('answer', 'read_bytes', 'most'),
     [
-        (CHUNKED_HEAD + b'1\r\nx\r\n' * 2000, MAX_JOINED_PARTS + 1),
-        (b'HTTP/1.1 200 OK\r\n\r\n' + bytes(4 * READ_BYTES), READ_BYTES),
+        (CHUNKED_HEAD + b'1\r\nx\r\n' * 4000, 65_536, MAX_JOINED_PARTS + 1),
+        (b'HTTP/1.1 200 OK\r\n\r\n' + bytes(1_000 * READS_PER_TURN), 500, 500),
     ],
-    ids=['small parts', 'large parts'],
+    ids=['many parts', 'many reads'],
 )
-def test_data_that_arrives_fast_keeps_no_other_task_waiting(answer, most):
+def test_data_that_arrives_fast_keeps_no_other_task_waiting(monkeypatch, answer, read_bytes, most):
     """
     Guards against an entry that reads nothing but one answer, while the data of that answer arrives
     as fast as it is read.
@@ -173,11 +174,13 @@
     async def run(listener):
         _, connection, peer = await pool_with_sent_request(listener)
         peer.sendall(answer)
+        monkeypatch.setattr(connections, 'READ_BYTES', read_bytes)
         await connection.read_head()
         other = await curio.spawn(take_turns)
-        for _ in range(3):
-            turns_before = turns
+        turns_before = turns
+        for _ in range(READS_PER_TURN):
             assert 0 < len(await connection.read()) <= most
+        await connection.read()
         assert turns > turns_before
         await other.cancel()
         await connection.abandon()
