An answer that is always there ends at the deadline

Beside load an entry passed an endless answer on for 43 s and 97 s past the deadline of 4 s and did nothing else: the event loop delivers a time-out only to a task that waits, and neither reading nor writing had to. The relay checks the deadline itself.

The test of requests at changing engines names its route, which is read since second attempts are counted by route.

--- a/packages/millforkd/millforkd/proxy/response_relay.py
+++ b/packages/millforkd/millforkd/proxy/response_relay.py
@@ -116,9 +116,21 @@
         await job.exchange.start(connection.status, headers)
         await job.exchange.write(received)
         while data := await connection.read():
+            self._check_deadline(job)
             await job.exchange.write(data)
         await job.exchange.finish()
 
+    def _check_deadline(self, job: Job) -> None:
+        """
+        Check that the job has time left. The event loop ends an attempt at its deadline only while
+        the attempt waits, and none does whose data arrives as fast as it is passed on.
+
+        :raises SendFailed: if the deadline has passed.
+
+        """
+        if job.remaining_s(self.env.monotonic()) <= 0:
+            raise SendFailed(Reason.TIMED_OUT, Verdict.MAY_HAVE_RUN, 'the deadline has passed')
+
     async def stream(self, job: Job, attempt: Attempt, connection: ServerConnection) -> None:
         """
         Pass the complete events of a stream on as they arrive. If the caller has received events
@@ -133,6 +145,7 @@
         resumed = job.answer_started
         began_at: float | None = None
         while data := await self.response_monitor.read_stream(job, attempt, connection):
+            self._check_deadline(job)
             began_at = self.env.monotonic() if began_at is None else began_at
             try:
                 events = splitter.feed(data)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -6,12 +6,20 @@
 import re
 import time
 from pathlib import Path
+from types import SimpleNamespace
 
+import curio
 import pytest
 
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_core.verdicts import Reason
 from millfork_standins.back_end import RawAnswer
 from millfork_standins.seeded import SeededFleet
+from millforkd.proxy.connections import SendFailed
+from millforkd.proxy.response_relay import ResponseRelay
 from tests.test_seeded_fleet import request
+from tests.test_servers import Clock
 from tests.test_unusual_answers import CALLS, ID, OK, send_calls
 from tests.utils.fleets import wait_until
 from tests.utils.streams import (
@@ -138,3 +146,37 @@
     assert time.monotonic() - started_at < 2 * 4.0 + 2.0
     assert memory_bytes(fleet) - before < MEMORY_BYTES
     wait_until(lambda: fleet.send_request(request(SAFE_PATH)).status == 200)
+
+
+def test_an_answer_that_is_always_there_ends_with_the_callers_time():
+    """
+    Guards against an entry that passes an endless answer on long after the deadline, and does
+    nothing else: the event loop ends no task that never waits.
+
+    """
+    clock = Clock()
+    env = Environment(InstanceId('a:1'), ZoneId('z1'), monotonic=clock)
+    written = []
+
+    async def read():
+        clock.now += 0.01
+        return b'x'
+
+    async def write(data):
+        written.append(data)
+
+    async def start(*arguments):
+        pass
+
+    connection = SimpleNamespace(read=read, status=200, headers=[], framing=None)
+    job = SimpleNamespace(
+        race=SimpleNamespace(claim=start),
+        exchange=SimpleNamespace(start=start, write=write),
+        remaining_s=lambda now: 104.0 - now,
+    )
+    adapter = SimpleNamespace(caller_headers=lambda headers: headers)
+    relay = ResponseRelay(env, adapter, None, None)
+    with pytest.raises(SendFailed) as error:
+        curio.run(relay._respond_large, job, None, connection, b'x')
+    assert error.value.reason is Reason.TIMED_OUT
+    assert 390 < len(written) < 410
--- a/tests/test_requests_at_changing_engines.py
+++ b/tests/test_requests_at_changing_engines.py
@@ -40,7 +40,7 @@
         self.forwarding.attempt_runner.budget.count_entries()
         self.clock.now += 11.0
         self.job.deadline = self.clock.now + 6.0
-        self.job.route = SimpleNamespace(repeatable=True, max_attempts=max_attempts)
+        self.job.route = SimpleNamespace(name='r', repeatable=True, max_attempts=max_attempts)
 
     def choose(self, requirements, tried, candidates=None):
         untried = [
