--- a/packages/millfork-registry/millfork_registry/records.py
+++ b/packages/millfork-registry/millfork_registry/records.py
@@ -55,7 +55,7 @@
     """
     The lease of one incarnation of a back end. `sequence` increases with each heartbeat and
     restarts with the next incarnation. `owner` is the replica that received the last heartbeat
-    or leave notice, or that expired the lease. `cold_left_ms` is for how much longer the back end
+    or leave notice, or that expired the lease. `cold_for_ms` is for how much longer the back end
     was cold when it sent the heartbeat.
 
     """
@@ -71,7 +71,7 @@
     owner: str = ''
     served: tuple[ServedVersion, ...] = ()
     incarnation: Incarnation = UNKNOWN_INCARNATION
-    cold_left_ms: int = 0
+    cold_for_ms: int = 0
 
     @property
     def sort_key(self) -> tuple[Incarnation, bool, int, bool]:
@@ -93,11 +93,11 @@
         seconds earlier. A lease that was only renewed, with a higher `sequence`, need not be sent.
 
         """
-        if bool(self.cold_left_ms) != bool(older.cold_left_ms):
+        if bool(self.cold_for_ms) != bool(older.cold_for_ms):
             # The back end became cold, or is no longer cold.
             return True
-        expected_ms = max(older.cold_left_ms - elapsed_s * 1000, 0.0)
-        if self.cold_left_ms > expected_ms + COLD_JITTER_MS:
+        expected_ms = max(older.cold_for_ms - elapsed_s * 1000, 0.0)
+        if self.cold_for_ms > expected_ms + COLD_JITTER_MS:
             # The back end became cold again meanwhile, so it stays cold for longer than it said.
             return True
         return (
--- a/packages/millfork-scheduling/millfork_scheduling/server_table.py
+++ b/packages/millfork-scheduling/millfork_scheduling/server_table.py
@@ -161,14 +161,14 @@
             return
         server.lease_sequence = lease.sequence
         now = self.monotonic()
-        server.lease_cold_until = now + lease.cold_left_ms / 1000
+        server.lease_cold_until = now + lease.cold_for_ms / 1000
         cold = server.availability.cold
-        if cold is not None and cold.record_notice(lease.cold_left_ms / 1000, now):
+        if cold is not None and cold.record_notice(lease.cold_for_ms / 1000, now):
             log.info(
                 'Back end {}. server={} left_ms={}',
-                'cold' if lease.cold_left_ms else 'warm',
+                'cold' if lease.cold_for_ms else 'warm',
                 server.instance,
-                lease.cold_left_ms,
+                lease.cold_for_ms,
             )
 
     def set_cold_bounds(self, bounds: dict[ServiceName, ColdBounds]) -> None:
--- a/packages/millfork-standins/millfork_standins/soak/back_end.py
+++ b/packages/millfork-standins/millfork_standins/soak/back_end.py
@@ -67,7 +67,7 @@
         left_ms = max(round((self.told_cold_until - time.monotonic()) * 1000), 0)
         if not left_ms:
             self.told_cold_until = 0.0
-        return msgspec.structs.replace(super()._lease(), zone=self.zone, cold_left_ms=left_ms)
+        return msgspec.structs.replace(super()._lease(), zone=self.zone, cold_for_ms=left_ms)
 
     def heartbeat(self) -> bool:
         is_acknowledged = super().heartbeat()
--- a/tests/test_cold_back_ends.py
+++ b/tests/test_cold_back_ends.py
@@ -29,11 +29,11 @@
 START_S = BOUNDS.start_s
 
 
-def lease(number, cold_left_ms=0, sequence=1, zone='z1'):
+def lease(number, cold_for_ms=0, sequence=1, zone='z1'):
     held = warm_lease(number, zone)
     return Lease(
         held.instance, held.service, held.host, held.port, zone, 16, LeaseState.READY, sequence,
-        'r:1', held.served, cold_left_ms=cold_left_ms,
+        'r:1', held.served, cold_for_ms=cold_for_ms,
     )  # fmt: skip
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -92,7 +92,7 @@
 
     """
     lease = Lease(
-        'i-1', 's', '10.0.0.9', 8080, 'z', 4, LeaseState.READY, 1, incarnation=5, cold_left_ms=2500
+        'i-1', 's', '10.0.0.9', 8080, 'z', 4, LeaseState.READY, 1, incarnation=5, cold_for_ms=2500
     )
     assert ADAPTER.read_call(client_requests.heartbeat_request(lease)).lease == lease
 
