--- a/packages/millfork-routing/millfork_routing/documents.py
+++ b/packages/millfork-routing/millfork_routing/documents.py
@@ -126,8 +126,8 @@
     """
     One service. At most `max_connections` connections are open to each of its back ends, for all
     callers together. `engine` is None if the back ends aren't engines. After a start, a back end is
-    cold for `cold_start_s` seconds; while it is cold, it bears `cold_per_s` requests a second (0:
-    there is no bound).
+    cold for `usual_cold_s` seconds; while it is cold, it bears `cold_requests_per_s` requests a
+    second (0: there is no bound).
 
     """
 
@@ -135,8 +135,8 @@
     max_connections: int
     engine: EngineSpec | None = None
     origin: OriginSpec | None = None
-    cold_start_s: float = 0.0
-    cold_per_s: float = 0.0
+    usual_cold_s: float = 0.0
+    cold_requests_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/millfork-standins/millfork_standins/soak/cold.py
+++ b/packages/millfork-standins/millfork_standins/soak/cold.py
@@ -76,9 +76,12 @@
         self.fleet = fleet
         fleet.bounds.update(cold_over=COLD_OVER, cold_slack=COLD_SLACK)
         fleet.cold_seed = seed
-        self.cold_per_s = Random(f'cold rate {seed}').choice(COLD_PER_S_CHOICES)
+        self.cold_requests_per_s = Random(f'cold rate {seed}').choice(COLD_PER_S_CHOICES)
         self.service = Service(
-            SERVICE, MAX_CONNECTIONS, cold_start_s=COLD_START_S, cold_per_s=self.cold_per_s
+            SERVICE,
+            MAX_CONNECTIONS,
+            usual_cold_s=COLD_START_S,
+            cold_requests_per_s=self.cold_requests_per_s,
         )
         self.seed = seed
         self.seconds = seconds
@@ -105,7 +108,7 @@
             for back_end in self.fleet.back_ends
             for arrivals in known_cold_arrivals(back_end, faults)
         )
-        max_requests = self.cold_per_s * COLD_OVER + COLD_SLACK
+        max_requests = self.cold_requests_per_s * COLD_OVER + COLD_SLACK
         return find_exceeded_coldness(self.fleet.back_ends, max_requests, faults, link_faults)
 
 
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -348,7 +348,10 @@
         found = {}
         for service in document.services:
             bounds = cold_bounds(
-                service.cold_per_s, service.cold_start_s, promises.cold_over, promises.cold_slack
+                service.cold_requests_per_s,
+                service.usual_cold_s,
+                promises.cold_over,
+                promises.cold_slack,
             )
             if bounds is not None:
                 found[service.name] = bounds
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -98,7 +98,7 @@
 
 
 def test_a_document_of_a_stand_in_names_what_cold_back_ends_bear():
-    service = Service('s', 64, cold_start_s=3.0, cold_per_s=18.0)
+    service = Service('s', 64, usual_cold_s=3.0, cold_requests_per_s=18.0)
     request = client_requests.put_document_request(Document(1, (), (service,), ()))
     assert ADAPTER.read_call(request).document.services == (service,)
 
