--- a/tests/test_hedged_requests.py
+++ b/tests/test_hedged_requests.py
@@ -220,12 +220,13 @@
     )
     attempt = SimpleNamespace(started_at=clock.now, server=server)
     connection = SimpleNamespace(read=read)
+    began_at = clock.now
 
     async def receive():
         if reads_body:
-            await monitor.read_body(job, attempt, connection)
+            await monitor.read_body(job, attempt, connection, began_at)
             return
-        await monitor.check_first_event(job, attempt, EventSplitter())
+        await monitor.check_first_event(job, attempt, EventSplitter(), began_at)
 
     curio.run(receive)
     assert not asked
