Share the creation of sockets and the limit of informational responses

`connect` and `connect_repeatedly` each created and bound a socket, and only the first one closed it if the address could not be bound. The limit of informational responses stood in two modules. The id of one parametrized test held a blank, so the check of the mutation list, which takes a blank for the end of a name, reported a test that does not exist.

Behavior is the same.

--- a/packages/millfork-core/millfork_core/sockets.py
+++ b/packages/millfork-core/millfork_core/sockets.py
@@ -8,16 +8,16 @@
 from typing import Any, Final
 
 import curio
-from curio import socket
+from curio.io import Socket
 
 # SO_LINGER on with a timeout of 0 s: closing discards unsent data and resets the connection.
 RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
+# SO_LINGER off: closing sends unsent data first.
+FLUSH_ON_CLOSE: Final = struct.pack('ii', 0, 0)
 # The time between two attempts to open one connection, much longer than a round trip between
 # regions (some ms), and the number of attempts.
 ATTEMPT_INTERVAL_S: Final = 0.2
 MAX_ATTEMPTS: Final = 5
-# SO_LINGER off: closing sends unsent data first.
-FLUSH_ON_CLOSE: Final = struct.pack('ii', 0, 0)
 
 
 async def connect(host: str, port: int, source: str = '') -> Any:
@@ -28,10 +28,8 @@
     :raises OSError: if the connection fails.
 
     """
-    sock = socket.socket(socket_.AF_INET, socket_.SOCK_STREAM)
+    sock = _new_socket(source)
     try:
-        if source:
-            sock.bind((source, 0))
         await sock.connect((host, port))
     except BaseException:
         await sock.close()
@@ -74,10 +72,14 @@
 
 
 def _new_socket(source: str) -> Any:
-    sock = socket.socket(socket_.AF_INET, socket_.SOCK_STREAM)
-    if source:
-        sock.bind((source, 0))
-    return sock
+    sock = socket_.socket(socket_.AF_INET, socket_.SOCK_STREAM)
+    try:
+        if source:
+            sock.bind((source, 0))
+    except BaseException:
+        sock.close()
+        raise
+    return Socket(sock)
 
 
 def _is_connected(sock: Any) -> bool:
--- a/packages/millfork-state/millfork_state/keys.py
+++ b/packages/millfork-state/millfork_state/keys.py
@@ -18,7 +18,6 @@
 # Prefix of the keys that count the trials of quarantined parts of prompts. The fingerprint of the
 # part follows the prefix.
 TRIAL_PREFIX: Final = 'quarantine-trials/'
-
 # Prefix of the keys of evacuated zones, whose back ends are sent no more requests. The name of the
 # zone follows the prefix.
 EVACUATION_PREFIX: Final = 'evacuations/'
--- a/packages/millfork-web/millfork_web/client.py
+++ b/packages/millfork-web/millfork_web/client.py
@@ -11,15 +11,13 @@
 
 from millfork_core.sockets import connect, is_quiet
 from millfork_core.verdicts import Verdict
-from millfork_web.framing import Framing, read_framing
+from millfork_web.framing import MAX_INFORMATIONAL, Framing, read_framing
 from millfork_web.models import Headers, Response, encode_headers, find_header
 
 READ_BYTES: Final = 256 * 1024
 CONNECT_TIMEOUT_S: Final = 2.0
 # The largest body that `Reply.body` reads into memory. Chunks of weights are the largest ones.
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
-# The greatest number of informational responses before a response.
-MAX_INFORMATIONAL: Final = 16
 MAX_IDLE_CONNECTIONS: Final = 64
 
 
--- a/packages/millfork-web/millfork_web/framing.py
+++ b/packages/millfork-web/millfork_web/framing.py
@@ -9,6 +9,8 @@
 from millfork_web.models import Headers, find_header
 
 BODILESS_STATUSES: Final = (204, 304)
+# The greatest number of informational responses before a response.
+MAX_INFORMATIONAL: Final = 16
 
 
 class Framing(Enum):
--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -15,7 +15,7 @@
 from millfork_core.sockets import RESET_ON_CLOSE, connect, is_quiet
 from millfork_core.verdicts import Reason, Verdict
 from millfork_scheduling.server import Server
-from millfork_web.framing import Framing, read_framing
+from millfork_web.framing import MAX_INFORMATIONAL, Framing, read_framing
 from millfork_web.models import Headers, encode_headers
 
 READ_BYTES: Final = 64 * 1024
@@ -30,8 +30,6 @@
 # A request that must not run twice is sent only on a new connection or on one that was in use
 # within this time: the back end may be closing a connection that was idle for longer.
 RECENT_USE_S: Final = 0.3
-# The greatest number of informational responses before an answer.
-MAX_INFORMATIONAL: Final = 16
 # The rest of an answer that isn't passed on is read for at most this long, and up to this size.
 DISCARD_TIMEOUT_S: Final = 0.5
 MAX_DISCARDED_BYTES: Final = 64 * 1024
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -49,7 +49,7 @@
     Mutation(
         'comments alone are no answer',
         'tests/test_endless_answers.py::'
-        'test_another_back_end_is_asked_instead_of_a_stream_without_events[comments, slowly]',
+        'test_another_back_end_is_asked_instead_of_a_stream_without_events[slow-comments]',
         (
             Edit(
                 'packages/millfork-web/millfork_web/event_stream.py',
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -64,8 +64,8 @@
 STREAM = OK + b'content-type: text/event-stream\r\n' + CHUNKED
 ENDLESS_STREAMS = {
     'comments': RawAnswer(STREAM, endless=b'5\r\n: x\n\n\r\n'),
-    'comments, slowly': RawAnswer(STREAM, endless=b'5\r\n: x\n\n\r\n', pause_s=0.2),
-    'blank lines, slowly': RawAnswer(STREAM, endless=b'1\r\n\n\r\n', pause_s=0.2),
+    'slow-comments': RawAnswer(STREAM, endless=b'5\r\n: x\n\n\r\n', pause_s=0.2),
+    'slow-blank-lines': RawAnswer(STREAM, endless=b'1\r\n\n\r\n', pause_s=0.2),
     'an event': RawAnswer(STREAM, endless=CHUNK),
     'an event, a byte at a time': RawAnswer(STREAM, endless=b'1\r\nx\r\n', pause_s=0.2),
 }
