--- a/review/1/run.py
+++ b/review/1/run.py
@@ -9,9 +9,6 @@
 import time
 from pathlib import Path
 
-HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / 'lib'))
-
 from fleet import (
     BROKEN,
     CONTROL_PORT,
@@ -25,6 +22,8 @@
     wait_until,
 )
 
+HERE = Path(__file__).resolve().parent
+
 # How long a machine that is new or has returned counts as lost (`catch_up_s` of the deployment).
 CATCH_UP_S = 4.0
 # How long a machine that lost its disk is down (`for_s` of `after_ack_wipe` is up to 3.0).
