--- a/review/lib/back_end.py
+++ b/review/lib/back_end.py
@@ -95,6 +95,12 @@
             self.answered += 1
             return bool(self.spoils_each) and self.answered % self.spoils_each == 0
 
+    def handle_error(self, request, client_address):
+        """
+        Ignore errors, as entries reset the connections of requests that they cancel.
+
+        """
+
     def next_heartbeat(self):
         """
         The path and the body of the next heartbeat.
