Answers without the request's id or without the signature fail the attempt

Cause: RequestSender._exchange compared the id only where an answer had one, and nothing read AnswerHead.has_signature. Evidence: in the record of the case each spoilt answer went to the caller whose request its back end had just run, so no answer was mistaken for another one, and all paths (second attempts, resumed streams, held failures) share _exchange.

Change: answer_validation judges the head before anything else is believed of it. A response without the id, a success without signature, an encoded body or a success that did not run fails as invalid_answer: another back end is asked where the route allows it, else the caller gets 502. The connection is closed, signals are ignored, and the request isn't suspected of ending the back end. 408, 429 and 503 that don't say 'not run' are no longer passed on, as callers take them as a promise.

In test_unusual_answers.py answers that are to be passed on get a signature, as the users' page asks, and 'no id' moves to the malformed ones: passing it on was the fault.

--- a/packages/millfork-adapter/millfork_adapter/exchange.py
+++ b/packages/millfork-adapter/millfork_adapter/exchange.py
@@ -91,11 +91,12 @@
     """
     The status and headers of a back end's response.
 
-    `not_run` means that the back end did not run the request. `misdirected` means that the
+    `request_id` is the id of the request that the response answers (empty: none, or several that
+    differ). `not_run` means that the back end did not run the request. `misdirected` means that the
     response came from another back end than the addressed one, at the same address; `not_run` is
     then set too. `has_signature` means that the response has the header by which a back end
-    identifies itself. `keep_alive_s` is how long the back end keeps an idle connection (None:
-    unspecified).
+    identifies itself, and `is_encoded` that its body has a content coding. `keep_alive_s` is how
+    long the back end keeps an idle connection (None: unspecified).
 
     """
 
@@ -104,6 +105,7 @@
     not_run: bool = False
     misdirected: bool = False
     has_signature: bool = False
+    is_encoded: bool = False
     closes_connection: bool = False
     keep_alive_s: float | None = None
     backpressure: Backpressure = NO_BACKPRESSURE
--- a/packages/millfork-core/millfork_core/verdicts.py
+++ b/packages/millfork-core/millfork_core/verdicts.py
@@ -50,6 +50,7 @@
     SUPERSEDED = 'superseded'
     BACKEND_FAILED = 'backend_failed'
     TRUNCATED = 'truncated'
+    INVALID_ANSWER = 'invalid_answer'
     EXPIRED = 'expired'
     RETRY_BUDGET = 'retry_budget'
     SUSPECTED = 'suspected'
@@ -86,6 +87,7 @@
     Reason.SUPERSEDED: 502,
     Reason.BACKEND_FAILED: 502,
     Reason.TRUNCATED: 502,
+    Reason.INVALID_ANSWER: 502,
     Reason.QUARANTINED: 502,
     Reason.QUARANTINED_PART: 502,
     Reason.VERSION_MISMATCH: 502,
--- a/packages/millforkd/millforkd/proxy/request_sender.py
+++ b/packages/millforkd/millforkd/proxy/request_sender.py
@@ -20,6 +20,7 @@
 from millfork_web.framing import Framing
 from millfork_web.models import find_header
 from millforkd.proxy.admission import Admission
+from millforkd.proxy.answer_validation import find_problem, promises_not_run
 from millforkd.proxy.attempts import Attempt, FailedAttempt
 from millforkd.proxy.backpressure import BackpressureRecorder
 from millforkd.proxy.connections import Pools, SendFailed, ServerConnection
@@ -39,6 +40,9 @@
 CONNECTION_FAILURES: Final = frozenset(
     {Reason.UNREACHABLE, Reason.CONNECTION_LOST, Reason.TRUNCATED}
 )
+# The reasons of failed attempts after which a back end is avoided for a while. One that sends
+# invalid answers is running, so these don't show that it ended.
+AVOIDED_AFTER: Final = CONNECTION_FAILURES | {Reason.INVALID_ANSWER}
 
 
 class NotSent(SendFailed):
@@ -135,8 +139,8 @@
         self, job: Job, attempt: Attempt, reason: Reason, verdict: Verdict, detail: str
     ) -> FailedAttempt:
         """
-        Record a failed attempt in the job and, for each of its back ends that may have failed or
-        lost the connection, in the `Server` of the back end.
+        Record a failed attempt in the job and, for each of its back ends that may have failed, lost
+        the connection or sent an invalid answer, in the `Server` of the back end.
 
         """
         now = self.env.monotonic()
@@ -145,7 +149,7 @@
                 job.tried.append(server.instance)
             # An engine that changes its weights was told to interrupt its running requests, so a
             # broken answer is no failure of that engine.
-            if reason in CONNECTION_FAILURES and not server.changes_version:
+            if reason in AVOIDED_AFTER and not server.changes_version:
                 server.record_failure(now)
         if reason is Reason.TIMED_OUT and attempt.server.last_received_at < attempt.started_at:
             self._record_silent_timeout(attempt, now)
@@ -243,13 +247,14 @@
         attempt.pending_servers = tuple(attempt.choice.servers)
         await connection.send(request.method, request.path, headers, request.body)
         await self.response_monitor.read_head(job, attempt, connection, version)
+        head = self.adapter.read_answer_head(connection.status, connection.headers)
+        problem = find_problem(head, job.caller.request_id)
+        if problem:
+            # The rest of the answer stays unread, so the connection is closed: the answer to this
+            # request may still arrive there.
+            raise SendFailed(Reason.INVALID_ANSWER, Verdict.MAY_HAVE_RUN, problem)
         server.record_received(self.env.monotonic())
         server.record_answered(job.urgency, attempt.started_at)
-        head = self.adapter.read_answer_head(connection.status, connection.headers)
-        if head.request_id and head.request_id != job.caller.request_id:
-            raise SendFailed(
-                Reason.TRUNCATED, Verdict.MAY_HAVE_RUN, 'the answer belongs to another request'
-            )
         self.backpressure.record_answer(job, server, head, now)
         if head.not_run:
             await connection.discard_body()
@@ -257,6 +262,15 @@
             if version is not None and (head.misdirected or through_path):
                 server.refused[version] = self.env.monotonic() + REFUSED_VERSION_S
             raise SendFailed(Reason.BUSY, Verdict.NOT_RUN, f'the server answered {head.status}')
+        if promises_not_run(head.status):
+            # Passed on, the status would make a promise to the caller that the back end didn't.
+            await connection.discard_body()
+            server.record_outcome(failed=True)
+            raise SendFailed(
+                Reason.BACKEND_FAILED,
+                Verdict.MAY_HAVE_RUN,
+                f'the server answered {head.status}, but may have run the request',
+            )
         if head.status >= 300 and job.answer_started:
             # The caller has received the head of another answer, so this one can't be passed on.
             await connection.discard_body()
--- a/tests/test_unusual_answers.py
+++ b/tests/test_unusual_answers.py
@@ -14,19 +14,20 @@
 
 CALLS = 8
 ID = f'{client_requests.REQUEST_ID}: @id\r\n'.encode()
-OK = b'HTTP/1.1 200 OK\r\n' + ID
+SIGNATURE = f'{client_requests.SIGNATURE}: i\r\n'.encode()
+OK = b'HTTP/1.1 200 OK\r\n' + ID + SIGNATURE
 LENGTH = b'content-length: 6\r\n\r\n'
 WHOLE = OK + LENGTH + b'answer'
 OTHER = WHOLE.replace(b'@id', b'other').replace(b'answer', b'others')
+WHOLE_HTTP_1_0 = b'HTTP/1.0 200 OK\r\n' + ID + SIGNATURE + b'\r\nanswer'
 CHUNKS = b'6\r\nanswer\r\n0\r\n'
 
 WHOLE_ANSWERS = {
     'early hints first': RawAnswer(b'HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n' + WHOLE),
     'trailers': RawAnswer(OK + b'transfer-encoding: chunked\r\n\r\n' + CHUNKS + b'x: y\r\n\r\n'),
     'HTTP/1.0': RawAnswer(WHOLE.replace(b'1.1', b'1.0'), closes=True),
-    'HTTP/1.0 without length': RawAnswer(b'HTTP/1.0 200 OK\r\n' + ID + b'\r\nanswer', closes=True),
+    'HTTP/1.0 without length': RawAnswer(WHOLE_HTTP_1_0, closes=True),
     'neither length nor chunks': RawAnswer(OK + b'\r\nanswer', closes=True),
-    'no id': RawAnswer(b'HTTP/1.1 200 OK\r\n' + LENGTH + b'answer'),
     'the same length twice': RawAnswer(OK + b'content-length: 6\r\n' + LENGTH + b'answer'),
     'announced close': RawAnswer(OK + b'connection: close\r\n' + LENGTH + b'answer', closes=True),
     'short keep-alive': RawAnswer(OK + b'keep-alive: timeout=1\r\n' + LENGTH + b'answer'),
@@ -44,6 +45,7 @@
     'nothing': RawAnswer(b'', closes=True),
     'a head that is cut': RawAnswer(OK, closes=True),
     'the answer to another request': RawAnswer(OTHER),
+    'no id': RawAnswer(b'HTTP/1.1 200 OK\r\n' + SIGNATURE + LENGTH + b'answer'),
 }
 
 
@@ -84,5 +86,7 @@
 
 
 def test_an_answer_without_a_body_is_passed_on(fleet):
-    replies = send_calls(fleet, RawAnswer(b'HTTP/1.1 204 No Content\r\n' + ID + b'\r\n'))
+    replies = send_calls(
+        fleet, RawAnswer(b'HTTP/1.1 204 No Content\r\n' + ID + SIGNATURE + b'\r\n')
+    )
     assert sorted(replies) == [(200, b'answer')] * (CALLS // 2) + [(204, b'')] * (CALLS // 2)
