Data after an answer is not read as the next answer of an engine or the origin

Cause: Reply.close returned a connection to the pool although more data had arrived behind the answer. The next call on it read that data as its own answer, so an engine that sends more after a whole answer could seem to accept a piece or an order that it never got.

Change: such a connection is closed, as the pools of the entries do.

test_client.py fails before ('excess' is read in place of 'second') and passes now.

--- a/packages/millfork-web/millfork_web/client.py
+++ b/packages/millfork-web/millfork_web/client.py
@@ -147,11 +147,12 @@
 
     async def close(self) -> None:
         """
-        Return the connection to the client's pool if the response was read completely, else
-        close the connection.
+        Return the connection to the client's pool if the response was read completely and no data
+        followed it, else close the connection. Such data would be read as the next response.
 
         """
-        if self.complete and self.conn.our_state is h11.DONE and self.conn.their_state is h11.DONE:
+        done = self.conn.our_state is h11.DONE and self.conn.their_state is h11.DONE
+        if self.complete and done and not self.conn.trailing_data[0]:
             self.conn.start_next_cycle()
             await self.client.return_connection(self.sock, self.conn)
             return
