A replica that gets SIGTERM leaves the voters before it stops

Cause: the replaced replica stayed a voter until the leader had missed it for 4 s. With its successor there were four voters, so the loss of one more left two where three are needed. Evidence: the log lists four voters until the loss and has no later change of voters; no election follows.

Change: a stopping replica says in its append replies that it leaves. The leader removes it if 2 x losses + 1 voters remain and adds it again once it has returned; a leader removes itself last. The replica waits for the committed removal, for 3 s at most, and not at all if too few would remain.

Why it works: after the planned end three voters are left, which tolerate one loss. A replica that knows its own end needs no time-out to be found out.

--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -74,6 +74,8 @@
         # Tests that run at the same time need different addresses.
         block, second_octet = divmod(os.getpid(), 100)
         subnets = [f'127.{100 + second_octet}.{10 * (block % 25) + role}' for role in range(1, 5)]
+        self.replica_subnet = subnets[0]
+        self.last_replica = replicas
         self.replica_hosts = [f'{subnets[0]}.{number}' for number in range(1, replicas + 1)]
         self.entry_hosts = [f'{subnets[1]}.{number}' for number in range(1, entries + 1)]
         self.back_end_host = f'{subnets[2]}.1'
@@ -174,6 +176,27 @@
         process.kill()
         process.wait()
 
+    def stop(self, host: str) -> int:
+        """
+        Stop a process by SIGTERM; return its exit status.
+
+        """
+        process = self.processes.pop(host)
+        process.terminate()
+        return process.wait()
+
+    def add_replica(self) -> str:
+        """
+        Start another replica on an empty disk, at a host that no replica had before; return its
+        host.
+
+        """
+        self.last_replica += 1
+        host = f'{self.replica_subnet}.{self.last_replica}'
+        self.replica_hosts.append(host)
+        self.start_process(host)
+        return host
+
     def add_back_end(self, service: str, instance: str) -> BackEnd:
         back_end = BackEnd(self.back_end_host, service, instance, self)
         self.back_ends.append(back_end)
--- a/packages/millfork-state/millfork_state/leadership.py
+++ b/packages/millfork-state/millfork_state/leadership.py
@@ -35,7 +35,8 @@
     """
     The leader's record of one other replica: the next log index to send, the highest log index
     known to be durable on that replica, the replica's disk id, and when the last request that the
-    replica answered was sent (monotonic seconds). `wake` ends the pause before the next request.
+    replica answered was sent (monotonic seconds). `leaving` is set while the replica asks to be
+    removed from the voters. `wake` ends the pause before the next request.
 
     """
 
@@ -44,6 +45,7 @@
     match_index: int = 0
     disk: str = ''
     acked_at: float = 0.0
+    leaving: bool = False
     wake: curio.Event = field(default_factory=curio.Event)
 
 
@@ -238,6 +240,7 @@
             progress.disk = reply.disk
             progress.match_index = 0
         progress.acked_at = sent_at
+        progress.leaving = reply.leaving
         async with self.acked:
             await self.acked.notify_all()
         if not reply.ok:
@@ -309,9 +312,10 @@
 
     async def _maintain_members(self) -> None:
         """
-        The task that adds replicas that have caught up and removes silent voters. If a voter's
-        instance returned with another disk, the first of two log entries removes the voter with
-        the old disk, and the second adds the one with the new disk.
+        The task that adds replicas that have caught up, and removes voters that are about to stop
+        or silent as long as there are spare ones. If a voter's instance returned with another disk,
+        the first of two log entries removes the voter with the old disk, and the second adds the
+        one with the new disk.
 
         """
         replica = self.replica
@@ -330,37 +334,59 @@
             log.notice('Voters are now {}.', ', '.join(instance for instance, _ in members))
 
     def _next_members(self) -> list[tuple[str, str]] | None:
+        """
+        The voters after the next change; None if there is nothing to change. Replicas are added
+        before others are removed, so that a replaced voter can leave.
+
+        """
         members = self.replica.members
         for progress in self.progress:
             instance = progress.address.instance
             caught_up = progress.match_index >= self.replica.commit > 0
             if not progress.disk or not caught_up or (instance, progress.disk) in members:
                 continue
+            if progress.leaving:
+                continue
             others = [member for member in members if member[0] != instance]
             if len(others) < len(members):
                 return others
             if len(members) < MAX_VOTERS:
                 return [*members, (instance, progress.disk)]
-        return self._without_silent_voter()
+        if not self.replica.has_spare_voter:
+            return None
+        return self._without(self._leaving_instances()) or self._without(self._silent_instances())
 
-    def _without_silent_voter(self) -> list[tuple[str, str]] | None:
+    def _without(self, instances: list[str]) -> list[tuple[str, str]] | None:
         """
-        The voters without one that has been silent for `SILENT_VOTER_TIMEOUT_S`.
-
-        None if no voter is silent, if the setting `losses` isn't set, or if the remaining voters
-        could not tolerate the loss of `losses` disks.
+        The voters without the first of these instances that has one; None if none has.
 
         """
-        replica = self.replica
-        tolerated_losses = replica.settings.losses
-        if tolerated_losses is None or len(replica.members) - 1 < 2 * tolerated_losses + 1:
-            return None
-        now = replica.env.monotonic()
-        for progress in self.progress:
-            voter = (str(progress.address.instance), progress.disk)
-            if now - progress.acked_at < SILENT_VOTER_TIMEOUT_S:
-                continue
-            remaining = [member for member in replica.members if member[0] != voter[0]]
-            if len(remaining) < len(replica.members):
+        members = self.replica.members
+        for instance in instances:
+            remaining = [member for member in members if member[0] != instance]
+            if len(remaining) < len(members):
                 return remaining
         return None
+
+    def _leaving_instances(self) -> list[str]:
+        """
+        The instances whose replicas ask to be removed. This replica is the last one, as it leads no
+        longer once it is removed.
+
+        """
+        instances = [str(item.address.instance) for item in self.progress if item.leaving]
+        if self.replica.leaving:
+            instances.append(str(self.replica.env.instance))
+        return instances
+
+    def _silent_instances(self) -> list[str]:
+        """
+        The instances whose replicas have been silent for `SILENT_VOTER_TIMEOUT_S`.
+
+        """
+        now = self.replica.env.monotonic()
+        return [
+            str(item.address.instance)
+            for item in self.progress
+            if now - item.acked_at >= SILENT_VOTER_TIMEOUT_S
+        ]
--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -47,6 +47,9 @@
 # up to date.
 MAX_AGE_MS: Final = 2**32 - 1
 
+# How many times within a heartbeat period a replica that leaves checks whether it is still a voter.
+CHECKS_PER_HEARTBEAT: Final = 4
+
 log = logger(Component.STATE)
 
 
@@ -97,6 +100,8 @@
         self.commit = 0
         self.applied = 0
         self.members: list[tuple[str, str]] = []
+        # Whether this replica is about to stop and asks to be removed from the voters.
+        self.leaving = False
         self.lock = curio.Lock()
         self.stepped_down = curio.Event()
         self.pending: dict[int, PendingProposal] = {}
@@ -135,6 +140,40 @@
     def majority(self) -> int:
         return len(self.members) // 2 + 1
 
+    @property
+    def has_spare_voter(self) -> bool:
+        """
+        Whether the voters without any one of them could tolerate the loss of `losses` disks. False
+        if the setting `losses` isn't set.
+
+        """
+        losses = self.settings.losses
+        return losses is not None and len(self.members) - 1 >= 2 * losses + 1
+
+    @property
+    def is_committed_voter(self) -> bool:
+        """
+        Whether this replica is a voter by the newest committed membership.
+
+        """
+        return (self.env.instance, self.storage.disk) in self._members_at(self.commit)
+
+    async def leave(self, timeout_s: float) -> bool:
+        """
+        Ask the leader, which may be this replica, to remove this replica from the voters. Otherwise
+        the replica would count as a lost voter once it has stopped. Returns whether it is no voter
+        any more; False if the remaining voters would be too few, or after `timeout_s` seconds.
+
+        """
+        self.leaving = True
+        deadline = self.env.monotonic() + timeout_s
+        while self.is_committed_voter:
+            is_removed = not self.is_voter
+            if not (is_removed or self.has_spare_voter) or self.env.monotonic() >= deadline:
+                return False
+            await curio.sleep(self.heartbeat_s / CHECKS_PER_HEARTBEAT)
+        return True
+
     async def recover(self) -> None:
         """
         Restore the state from the files, up to the last log entry known to be committed.
@@ -340,6 +379,9 @@
         self.leader_contact_at = self.env.monotonic()
         return True
 
+    def _append_reply(self, ok: bool, match: int) -> AppendReply:
+        return AppendReply(self.term, ok, match, self.storage.disk, self.leaving)
+
     async def on_append(self, request: AppendRequest) -> AppendReply:
         """
         Store log entries from the leader and apply those that are committed. The answer follows
@@ -348,14 +390,14 @@
         """
         async with self.lock:
             if not await self._accept_leader(request.cluster, request.term, request.leader):
-                return AppendReply(self.term, False, 0, self.storage.disk)
+                return self._append_reply(False, 0)
             prev_term = self.storage.term_at(request.prev_index)
             if prev_term is None and request.prev_index < self.storage.snapshot_index:
                 # Entries that a snapshot covers are committed, so the leader has them too.
-                return AppendReply(self.term, True, self.storage.snapshot_index, self.storage.disk)
+                return self._append_reply(True, self.storage.snapshot_index)
             if prev_term != request.prev_term:
                 index = min(request.prev_index - 1, self.storage.last_index)
-                return AppendReply(self.term, False, max(index, self.commit), self.storage.disk)
+                return self._append_reply(False, max(index, self.commit))
             await self._write_new_entries(request.entries, request.commit)
             match_index = request.prev_index + len(request.entries)
             # Entries may be in the log without being durable, if an earlier sync was cancelled.
@@ -364,7 +406,7 @@
             await self.advance_commit(min(request.commit, match_index))
             if self.applied >= request.commit:
                 self.caught_up_at = self.env.monotonic()
-            return AppendReply(self.term, True, match_index, self.storage.disk)
+            return self._append_reply(True, match_index)
 
     async def _write_new_entries(self, entries: list[Entry], committed: int) -> None:
         new = [item for item in entries if self.storage.term_at(item.index) != item.term]
@@ -383,9 +425,9 @@
         """
         async with self.lock:
             if not await self._accept_leader(request.cluster, request.term, request.leader):
-                return AppendReply(self.term, False, 0, self.storage.disk)
+                return self._append_reply(False, 0)
             if request.last_index <= self.commit:
-                return AppendReply(self.term, True, self.commit, self.storage.disk)
+                return self._append_reply(True, self.commit)
             before = self.view.position
             members = members_in(request.snapshot)
             snapshot = Snapshot(request.last_index, request.last_term, members, request.snapshot)
@@ -398,7 +440,7 @@
                 self.env.metrics.revision.set({}, self.view.revision)
                 await self.view.notify_waiters()
             self.env.metrics.count(self.env.metrics.state, event='snapshot_installed')
-            return AppendReply(self.term, True, request.last_index, self.storage.disk)
+            return self._append_reply(True, request.last_index)
 
     # Proposals.
 
--- a/packages/millfork-wire/millfork_wire/messages/state.py
+++ b/packages/millfork-wire/millfork_wire/messages/state.py
@@ -55,6 +55,8 @@
     ok: bool = False
     match: int = 0
     disk: str = ''
+    # Whether the replica is about to stop and asks to be removed from the voters.
+    leaving: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -77,7 +77,7 @@
   cluster @0 :Text; term @1 :UInt64; leader @2 :Text; prevIndex @3 :UInt64; prevTerm @4 :UInt64;
   entries @5 :List(Entry); commit @6 :UInt64;
 }
-struct AppendReply { term @0 :UInt64; ok @1 :Bool; match @2 :UInt64; disk @3 :Text; }
+struct AppendReply { term @0 :UInt64; ok @1 :Bool; match @2 :UInt64; disk @3 :Text; leaving @4 :Bool; }
 struct InstallRequest { cluster @0 :Text; term @1 :UInt64; leader @2 :Text; lastIndex @3 :UInt64; lastTerm @4 :UInt64; snapshot @5 :Data; }
 struct Identify {}
 struct Identity { disk @0 :Text; cluster @1 :Text; empty @2 :Bool; }
--- a/packages/millforkd/millforkd/replica/daemon.py
+++ b/packages/millforkd/millforkd/replica/daemon.py
@@ -44,6 +44,9 @@
 # How long a stopping replica waits for calls in progress. Callers wait about a second for an answer
 # and then ask another replica, and the process must end within its grace period.
 DRAIN_TIMEOUT_S: Final = 4.0
+# How long a stopping replica waits until it is removed from the voters. An election may have to end
+# before.
+LEAVE_TIMEOUT_S: Final = 3.0
 # The longest pause between two checks for new model versions, in case a notification of a change of
 # the configuration is missed.
 VERSION_CHECK_PERIOD_S: Final = 0.15
@@ -192,12 +195,14 @@
 
     async def drain(self) -> None:
         """
-        Prepare a planned stop: if this replica leads, it steps down, so that the other replicas
-        needn't wait for an election timeout. Returns once no calls are in progress, or after
-        DRAIN_TIMEOUT_S.
+        Prepare a planned stop: this replica leaves the voters if the others are enough, and if it
+        leads, it steps down, so that the other replicas needn't wait for an election timeout.
+        Returns once no calls are in progress, or after DRAIN_TIMEOUT_S.
 
         """
         self.server.closing = True
+        has_left = await self.replica.leave(LEAVE_TIMEOUT_S)
+        log.notice('Stopping. has_left_voters={} voters={}', has_left, len(self.replica.members))
         async with self.replica.lock:
             await self.replica.step_down()
             # Like a replica whose disk failed, this replica then doesn't stand for election for one
