Parsing a request or an answer leaves turns to other tasks

Cause: receiving doesn't suspend a task while data is there, so a task that parses chunk after chunk keeps all others, and all time-outs, from taking effect.

--- a/packages/millfork-web/millfork_web/client.py
+++ b/packages/millfork-web/millfork_web/client.py
@@ -13,6 +13,7 @@
 from millfork_core.verdicts import Verdict
 from millfork_web.framing import MAX_INFORMATIONAL, Framing, read_framing
 from millfork_web.models import Headers, Response, encode_headers, find_header
+from millfork_web.turns import Turns
 
 READ_BYTES: Final = 256 * 1024
 CONNECT_TIMEOUT_S: Final = 2.0
@@ -81,11 +82,13 @@
 
     async def parts(self) -> AsyncIterator[bytes]:
         """
-        Yield the body as it arrives; each part holds all bytes received since the previous one.
+        Yield the body as it arrives; each part joins what was received since the previous one, but
+        at most as many chunks as may be parsed in one turn.
 
         :raises ExchangeFailed: if the body is incomplete.
 
         """
+        turns = Turns()
         while True:
             event = await self._next()
             if isinstance(event, h11.EndOfMessage):
@@ -93,13 +96,16 @@
                 return
             if not isinstance(event, h11.Data):
                 raise ExchangeFailed(Verdict.MAY_HAVE_RUN, 'the body is incomplete')
-            data = bytes(event.data)
-            more = self._received_event() if self.conn.their_state is h11.SEND_BODY else None
-            while isinstance(more, h11.Data):
-                data += bytes(more.data)
-                more = self._received_event()
-            yield data
-            if isinstance(more, h11.EndOfMessage):
+            data = bytearray(event.data)
+            had_turn = await turns.count_event()
+            while not had_turn and self.conn.their_state is h11.SEND_BODY:
+                event = self._received_event()
+                if not isinstance(event, h11.Data):
+                    break
+                data += event.data
+                had_turn = await turns.count_event()
+            yield bytes(data)
+            if isinstance(event, h11.EndOfMessage):
                 self.complete = True
                 return
 
--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -19,6 +19,7 @@
 from millfork_web.exchange import CallerGone, Exchange, has_received
 from millfork_web.models import Request
 from millfork_web.problem import problem
+from millfork_web.turns import Turns
 from millfork_web.unsent import UnsentBytes
 
 READ_BYTES: Final = 64 * 1024
@@ -225,6 +226,10 @@
                     self.body_memory.release(sock)
                 conn.start_next_cycle()
                 self.idle_sockets[sock] = None
+                if conn.trailing_data[0]:
+                    # A caller that sends one request after another would otherwise keep other tasks
+                    # from running.
+                    await curio.sleep(0)
         except CallerGone as error:
             self._log_unanswered(address, f'the caller left: {error}')
         except OSError as error:
@@ -365,6 +370,7 @@
             return None
         body = bytearray()
         body_deadline = elapsed_s() + BODY_TIMEOUT_S
+        turns = Turns()
         while True:
             event = await _next_event(sock, conn, body_deadline)
             if isinstance(event, h11.EndOfMessage):
@@ -375,6 +381,8 @@
             body += event.data
             if len(body) > self.max_body:
                 raise _TooLarge
+            if await turns.count_event() and elapsed_s() > body_deadline:
+                raise curio.TaskTimeout
         headers = [(name.decode(), value.decode('latin-1')) for name, value in head.headers]
         return Request(head.method.decode(), head.target.decode(), headers, bytes(body))
 
