An empty list of organisations makes no key valid

Cause: a missing list and an empty one were the same empty tuple, which RouteTable.needs_keys took for a deployment without keys. Evidence: requests ran at each entry, 3 s after the acknowledgement.

Change: Document.organisations is None where the operator's document has no list; an empty list means that keys are needed and none is valid. allowed_regions was looked at and stays: the users' own example sends an empty list where any region is meant.

--- a/packages/millfork-routing/millfork_routing/documents.py
+++ b/packages/millfork-routing/millfork_routing/documents.py
@@ -172,14 +172,15 @@
 @dataclass(frozen=True, slots=True)
 class Document:
     """
-    One version of the complete configuration.
+    One version of the complete configuration. `organisations` is None if requests need no API key;
+    if it is empty, no key is valid.
 
     """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
-    organisations: tuple[Organisation, ...] = ()
+    organisations: tuple[Organisation, ...] | None = None
     limits: CallerLimits = NO_LIMITS
 
 
@@ -215,7 +216,7 @@
 def _key_problems(document: Document) -> list[str]:
     problems = []
     holders: dict[str, OrganisationId] = {}
-    for organisation in document.organisations:
+    for organisation in document.organisations or ():
         for key in organisation.keys:
             holder = holders.setdefault(key, organisation.name)
             if holder != organisation.name:
--- a/packages/millfork-routing/millfork_routing/regions.py
+++ b/packages/millfork-routing/millfork_routing/regions.py
@@ -37,6 +37,6 @@
     named: set[RegionId] = set()
     for route in document.routes:
         named |= route.regions
-    for organisation in document.organisations:
+    for organisation in document.organisations or ():
         named |= organisation.regions
     return sorted(named.difference(known))
--- a/packages/millfork-routing/millfork_routing/routes.py
+++ b/packages/millfork-routing/millfork_routing/routes.py
@@ -20,7 +20,7 @@
         }
         self.organisations_by_key: dict[str, Organisation] = {
             key: organisation
-            for organisation in document.organisations
+            for organisation in document.organisations or ()
             for key in organisation.keys
         }
         self.by_host: dict[str, list[Route]] = {}
@@ -35,7 +35,7 @@
 
     @property
     def needs_keys(self) -> bool:
-        return bool(self.document.organisations)
+        return self.document.organisations is not None
 
     def find(self, host: str, path: str) -> Route | None:
         """
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -103,6 +103,13 @@
     assert ADAPTER.read_call(request).document.services == (service,)
 
 
+@pytest.mark.parametrize('organisations', [None, ()])
+def test_a_document_without_organisations_differs_from_one_with_none_left(organisations):
+    sent = Document(1, (), (), organisations)
+    request = client_requests.put_document_request(sent)
+    assert ADAPTER.read_call(request).document.organisations == organisations
+
+
 def test_an_empty_engine_serves_nothing():
     assert parse_heartbeat(layers={'from': 0, 'target_version': 0, 'version': 1}).lease.served == ()
 
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -57,6 +57,11 @@
     assert any(expected_text in problem for problem in find_problems(invalid_document))
 
 
+@pytest.mark.parametrize(('organisations', 'needs_keys'), [(None, False), ((), True)])
+def test_keys_are_needed_where_the_document_lists_organisations(organisations, needs_keys):
+    assert RouteTable(Document(1, organisations=organisations)).needs_keys is needs_keys
+
+
 def test_the_longest_prefix_of_the_host_wins():
     table = RouteTable(document(route('a', prefix='/a/'), route('b', prefix='/a/b/')))
     assert table.find('h', '/a/b/c').name == 'b'
--- a/tests/test_seeded_fleet.py
+++ b/tests/test_seeded_fleet.py
@@ -7,6 +7,7 @@
 import itertools
 import signal
 import threading
+from dataclasses import replace
 
 import pytest
 
@@ -201,3 +202,16 @@
     wait_until(lambda: handles_signal(process.pid, signal.SIGTERM))
     process.terminate()
     assert process.wait(20) == 0
+
+
+def test_no_key_is_taken_once_the_last_organisation_is_gone(fleet):
+    # Guards against routes that open to everybody when the last organisation is taken out.
+    empty = replace(document(2, '/safe/', '/unsafe/'), organisations=())
+    assert fleet.put_document(empty).status == 200
+    wait_until(lambda: fleet.send_request(request('/safe/x')).status == 401)
+    before = len(fleet.back_end.executed)
+    for key in ('key', 'unknown'):
+        assert fleet.send_request(request('/safe/x', key=key)).status == 401
+    assert len(fleet.back_end.executed) == before
+    assert fleet.put_document(replace(empty, version=3, organisations=None)).status == 200
+    wait_until(lambda: fleet.send_request(request('/safe/x', key='unknown')).status == 200)
