--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -193,7 +193,8 @@
         """
         self.last_replica += 1
         host = f'{self.replica_subnet}.{self.last_replica}'
-        self.replica_hosts.append(host)
+        # Replaced, as other threads iterate over the list.
+        self.replica_hosts = [*self.replica_hosts, host]
         self.start_process(host)
         return host
 
--- a/packages/millfork-standins/millfork_standins/soak/__main__.py
+++ b/packages/millfork-standins/millfork_standins/soak/__main__.py
@@ -25,6 +25,7 @@
 )
 EVACUATIONS = flags.DEFINE_bool('evacuations', True, 'Zones are evacuated.')
 COLD = flags.DEFINE_bool('cold', True, 'Back ends become cold.')
+REPLACEMENTS = flags.DEFINE_bool('replacements', True, 'Replicas are replaced.')
 FOLDER = flags.DEFINE_string(
     'folder', '', 'Folder for the files of the runs; empty: they are deleted.'
 )
@@ -47,6 +48,7 @@
                 CRASHING_PART.value,
                 EVACUATIONS.value,
                 COLD.value,
+                REPLACEMENTS.value,
             ).run()
         failed += bool(result.violations)
         statuses = ' '.join(f'{status}:{n}' for status, n in sorted(result.statuses.items()))
--- a/packages/millfork-standins/millfork_standins/soak/run.py
+++ b/packages/millfork-standins/millfork_standins/soak/run.py
@@ -11,6 +11,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Final
 
@@ -38,6 +39,7 @@
 from millfork_standins.soak.fleet import SoakFleet
 from millfork_standins.soak.link_proxy import LinkProxy, inject_link_fault
 from millfork_standins.soak.planned_work import PLANNED_KINDS, plan_pauses, plan_work
+from millfork_standins.soak.replacements import is_voter, plan_replacements
 from millfork_standins.soak.result import SoakResult
 from millfork_standins.soak.signals import handles_signal
 
@@ -75,6 +77,7 @@
         crashing_part: bool = False,
         evacuations: bool = False,
         cold: bool = False,
+        replacements: bool = False,
     ) -> None:
         self.seed = seed
         self.seconds = seconds
@@ -103,11 +106,18 @@
         self.cold = ColdBackEnds(self.fleet, seed, run_s, self.stop) if cold else None
         if self.cold:
             self.operator.service = self.cold.service
+        self.replacements = (
+            plan_replacements(seed, run_s, len(self.fleet.replica_hosts)) if replacements else []
+        )
+        # The replicas that replaced others, by the host of the replica that they replaced.
+        self.successors: dict[str, str] = {}
         # Hosts with a fault in progress, whose processes may have exited because of the fault.
         self.hosts_under_fault: set[str] = set()
         # Processes that have got SIGTERM.
         self.stopping: dict[str, subprocess.Popen[bytes]] = {}
         self.lock = threading.Lock()
+        # No replacement begins after the last fault.
+        self.faults_ended = threading.Event()
         self.violations: list[str] = []
 
     def run(self) -> SoakResult:
@@ -125,6 +135,8 @@
                 self.evacuator.thread.start()
             if self.cold:
                 self.cold.thread.start()
+            replacing = threading.Thread(target=self._replace_replicas, daemon=True)
+            replacing.start()
             work = plan_work(
                 self.seed, self.planned_s, self.fleet.replica_hosts, self.fleet.entry_hosts
             )
@@ -140,6 +152,8 @@
             if self.evacuator:
                 # No caller is served again while all zones are evacuated.
                 self.evacuator.thread.join()
+            self.faults_ended.set()
+            replacing.join()
             self._check_recovery()
             return self._result(len(faults))
         finally:
@@ -235,19 +249,71 @@
         Inject the fault unless one is in progress on its host; return whether it was injected.
 
         """
-        with self.lock:
-            if fault.target in self.hosts_under_fault:
-                return False
-            self.hosts_under_fault.add(fault.target)
+        fault = replace(fault, target=self._current_host(fault.target))
+        if not self._claim(fault.target):
+            return False
         try:
             self._record_entry_fault(fault.target)
             self._inject_process_fault(fault)
         finally:
             self._record_entry_fault(fault.target)
-            with self.lock:
-                self.hosts_under_fault.discard(fault.target)
+            self._release(fault.target)
         return True
 
+    def _claim(self, host: str) -> bool:
+        """
+        Return whether no fault was in progress on the host; one is from now on.
+
+        """
+        with self.lock:
+            if host in self.hosts_under_fault or host in self.successors:
+                return False
+            self.hosts_under_fault.add(host)
+            return True
+
+    def _release(self, host: str) -> None:
+        with self.lock:
+            self.hosts_under_fault.discard(host)
+
+    def _current_host(self, host: str) -> str:
+        """
+        Return the host of the replica that has replaced the one on `host`, directly or not.
+
+        """
+        while host in self.successors:
+            host = self.successors[host]
+        return host
+
+    def _replace_replicas(self) -> None:
+        first_hosts = self.fleet.replica_hosts
+        for planned in self.replacements:
+            if self.faults_ended.wait(planned.after_s):
+                return
+            self._replace_replica(first_hosts[planned.number])
+
+    def _replace_replica(self, first_host: str) -> None:
+        """
+        Replace the replica that holds the place of `first_host`, unless a fault is in progress
+        there once the new one is a voter.
+
+        """
+        new = self.fleet.add_replica()
+        if not self._wait_until(lambda: is_voter(new), START_TIMEOUT_S):
+            self.violations.append(f'{new} is no voter {START_TIMEOUT_S} s after its start')
+            return
+        old = self._current_host(first_host)
+        if not self._claim(old):
+            return
+        try:
+            self._wait_until(lambda: self._handles_signals(old), START_TIMEOUT_S)
+            self._stop_gracefully(old)
+            hosts = self.fleet.replica_hosts
+            self.fleet.replica_hosts = [host for host in hosts if host != old]
+            shutil.rmtree(self.fleet.folder / old, ignore_errors=True)
+            self.successors[old] = new
+        finally:
+            self._release(old)
+
     def _reload(self, host: str) -> None:
         """
         Send SIGHUP to the host's process, also if it is being stopped.
--- a/packages/millforkd/millforkd/proxy/request_sender.py
+++ b/packages/millforkd/millforkd/proxy/request_sender.py
@@ -42,7 +42,7 @@
 )
 # The reasons of failed attempts after which a back end is avoided for a while. One that sends
 # invalid answers is running, so these don't show that it ended.
-AVOIDED_AFTER: Final = CONNECTION_FAILURES | {Reason.INVALID_ANSWER}
+AVOIDANCE_REASONS: Final = CONNECTION_FAILURES | {Reason.INVALID_ANSWER}
 
 
 class NotSent(SendFailed):
@@ -149,7 +149,7 @@
                 job.tried.append(server.instance)
             # An engine that changes its weights was told to interrupt its running requests, so a
             # broken answer is no failure of that engine.
-            if reason in AVOIDED_AFTER and not server.changes_version:
+            if reason in AVOIDANCE_REASONS and not server.changes_version:
                 server.record_failure(now)
         if reason is Reason.TIMED_OUT and attempt.server.last_received_at < attempt.started_at:
             self._record_silent_timeout(attempt, now)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,6 +21,7 @@
 from millfork_standins.soak.fault_plan import MIN_DISK_LOSS_GAP_S, FaultKind, plan_faults
 from millfork_standins.soak.link_proxy import LinkProxy
 from millfork_standins.soak.planned_work import PLANNED_KINDS, plan_pauses, plan_work
+from millfork_standins.soak.replacements import plan_replacements
 from millfork_standins.soak.run import SoakRun
 
 REPLICAS = ['r1', 'r2', 'r3']
@@ -41,6 +42,9 @@
 # A seed with which back ends become cold beside planned stops.
 COLD_SEED = 1
 COLD_S = 8.0
+# A seed with which replicas are replaced beside planned stops and restarts of others.
+REPLACEMENT_SEED = 1
+REPLACEMENT_S = 9.0
 # Seeds that failed in the past, with the cause of each.
 REGRESSIONS = (
     # SIGHUP or SIGTERM arrived while a daemon started, and killed it.
@@ -265,6 +269,23 @@
     assert result.acknowledged_version > 1
 
 
+def test_replicas_are_replaced_beside_planned_stops_and_no_promise_is_broken(tmp_path):
+    # Guards against a state without a majority after replacements beside planned restarts.
+    run = SoakRun(tmp_path, REPLACEMENT_SEED, 3.0, planned_s=REPLACEMENT_S, replacements=True)
+    result = run.run()
+    assert result.violations == []
+    assert result.statuses[200]
+    assert run.successors
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_replacements_begin_within_the_run_and_concern_all_replicas(seed):
+    planned = plan_replacements(seed, 60, 3)
+    assert planned == plan_replacements(seed, 60, 3)
+    assert sum(item.after_s for item in planned) < 60
+    assert {item.number for item in planned} == {0, 1, 2}
+
+
 def test_no_request_reaches_an_evacuated_zone(tmp_path):
     """
     Guards against entries that forget an evacuation when they or replicas restart.
