--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -1194,4 +1194,38 @@
             ),
         ),
     ),
+    Mutation(
+        'a success without a signature is no answer',
+        'tests/test_invalid_answers.py::test_an_invalid_answer_to_an_unsafe_request_promises_nothing'
+        '_and_repeats_nothing',
+        (Edit(D + 'proxy/answer_validation.py', 'and not head.has_signature', 'and False'),),
+    ),
+    Mutation(
+        'a replica leaves the voters before it stops',
+        'tests/test_replaced_replicas.py::test_replacements_in_series_leave_no_lost_voter',
+        (
+            Edit(D + 'replica/daemon.py', 'await self.replica.leave(LEAVE_TIMEOUT_S)', 'False'),
+            Edit(
+                S + 'leadership.py',
+                'or self._without(self._silent_instances())',
+                '',
+            ),
+        ),
+    ),
+    Mutation(
+        'a killed voter is removed after an election timeout',
+        'tests/test_replaced_replicas.py::'
+        'test_a_replica_that_was_killed_after_its_replacement_is_soon_no_voter',
+        (Edit(S + 'leadership.py', '- self.replica.election_s', '- 4.0'),),
+    ),
+    Mutation(
+        'parsing a body leaves turns to other tasks',
+        'tests/test_turns.py::test_a_body_in_small_chunks_leaves_turns_to_other_requests',
+        (Edit('packages/millfork-web/millfork_web/turns.py', 'await curio.sleep(0)', 'pass'),),
+    ),
+    Mutation(
+        'an empty list of organisations makes no key valid',
+        'tests/test_seeded_fleet.py::test_no_key_is_taken_once_the_last_organisation_is_gone',
+        (Edit(R + 'routes.py', 'organisations is not None', 'organisations'),),
+    ),
 )
