The soak stops a replaced replica only once its successor has joined

Trace: two of three voters were down, one of them without its disk; the new replica counted itself among the voters by a proposal that was never committed, and the soak stopped the leader for good within a second of the successor's start. A new machine counts as lost for catch_up_s (4 s), so these are two lost disks where one is tolerated.

Change: the soak waits for these 4 s, the voter's metric and a read of the document at the new replica.

--- a/packages/millfork-standins/millfork_standins/soak/run.py
+++ b/packages/millfork-standins/millfork_standins/soak/run.py
@@ -39,7 +39,7 @@
 from millfork_standins.soak.fleet import SoakFleet
 from millfork_standins.soak.link_proxy import LinkProxy, inject_link_fault
 from millfork_standins.soak.planned_work import PLANNED_KINDS, plan_pauses, plan_work
-from millfork_standins.soak.replacements import is_voter, plan_replacements
+from millfork_standins.soak.replacements import has_joined, plan_replacements
 from millfork_standins.soak.result import SoakResult
 from millfork_standins.soak.signals import handles_signal
 
@@ -294,12 +294,13 @@
     def _replace_replica(self, first_host: str) -> None:
         """
         Replace the replica that holds the place of `first_host`, unless a fault is in progress
-        there once the new one is a voter.
+        there once the new one has joined.
 
         """
+        started_at = time.monotonic()
         new = self.fleet.add_replica()
-        if not self._wait_until(lambda: is_voter(new), START_TIMEOUT_S):
-            self.violations.append(f'{new} is no voter {START_TIMEOUT_S} s after its start')
+        if not self._wait_until(lambda: has_joined(new, started_at), START_TIMEOUT_S):
+            self.violations.append(f'{new} has not joined {START_TIMEOUT_S} s after its start')
             return
         old = self._current_host(first_host)
         if not self._claim(old):
