--- a/packages/millfork-standins/millfork_standins/soak/run.py
+++ b/packages/millfork-standins/millfork_standins/soak/run.py
@@ -39,7 +39,7 @@
 from millfork_standins.soak.fleet import SoakFleet
 from millfork_standins.soak.link_proxy import LinkProxy, inject_link_fault
 from millfork_standins.soak.planned_work import PLANNED_KINDS, plan_pauses, plan_work
-from millfork_standins.soak.replacements import has_joined, plan_replacements
+from millfork_standins.soak.replacements import ReplicaReplacer
 from millfork_standins.soak.result import SoakResult
 from millfork_standins.soak.signals import handles_signal
 
@@ -106,18 +106,16 @@
         self.cold = ColdBackEnds(self.fleet, seed, run_s, self.stop) if cold else None
         if self.cold:
             self.operator.service = self.cold.service
-        self.replacements = (
-            plan_replacements(seed, run_s, len(self.fleet.replica_hosts)) if replacements else []
-        )
-        # The replicas that replaced others, by the host of the replica that they replaced.
-        self.successors: dict[str, str] = {}
+        self.replacer = None
+        if replacements:
+            self.replacer = ReplicaReplacer(
+                self.fleet, seed, run_s, self._claim, self._release, self._stop_replica
+            )
         # Hosts with a fault in progress, whose processes may have exited because of the fault.
         self.hosts_under_fault: set[str] = set()
         # Processes that have got SIGTERM.
         self.stopping: dict[str, subprocess.Popen[bytes]] = {}
         self.lock = threading.Lock()
-        # No replacement begins after the last fault.
-        self.faults_ended = threading.Event()
         self.violations: list[str] = []
 
     def run(self) -> SoakResult:
@@ -135,8 +133,8 @@
                 self.evacuator.thread.start()
             if self.cold:
                 self.cold.thread.start()
-            replacing = threading.Thread(target=self._replace_replicas, daemon=True)
-            replacing.start()
+            if self.replacer:
+                self.replacer.thread.start()
             work = plan_work(
                 self.seed, self.planned_s, self.fleet.replica_hosts, self.fleet.entry_hosts
             )
@@ -152,8 +150,8 @@
             if self.evacuator:
                 # No caller is served again while all zones are evacuated.
                 self.evacuator.thread.join()
-            self.faults_ended.set()
-            replacing.join()
+            if self.replacer:
+                self.replacer.finish()
             self._check_recovery()
             return self._result(len(faults))
         finally:
@@ -249,7 +247,8 @@
         Inject the fault unless one is in progress on its host; return whether it was injected.
 
         """
-        fault = replace(fault, target=self._current_host(fault.target))
+        if self.replacer:
+            fault = replace(fault, target=self.replacer.current_host(fault.target))
         if not self._claim(fault.target):
             return False
         try:
@@ -266,7 +265,8 @@
 
         """
         with self.lock:
-            if host in self.hosts_under_fault or host in self.successors:
+            is_gone = self.replacer is not None and host in self.replacer.successors
+            if is_gone or host in self.hosts_under_fault:
                 return False
             self.hosts_under_fault.add(host)
             return True
@@ -275,45 +275,9 @@
         with self.lock:
             self.hosts_under_fault.discard(host)
 
-    def _current_host(self, host: str) -> str:
-        """
-        Return the host of the replica that has replaced the one on `host`, directly or not.
-
-        """
-        while host in self.successors:
-            host = self.successors[host]
-        return host
-
-    def _replace_replicas(self) -> None:
-        first_hosts = self.fleet.replica_hosts
-        for planned in self.replacements:
-            if self.faults_ended.wait(planned.after_s):
-                return
-            self._replace_replica(first_hosts[planned.number])
-
-    def _replace_replica(self, first_host: str) -> None:
-        """
-        Replace the replica that holds the place of `first_host`, unless a fault is in progress
-        there once the new one has joined.
-
-        """
-        started_at = time.monotonic()
-        new = self.fleet.add_replica()
-        if not self._wait_until(lambda: has_joined(new, started_at), START_TIMEOUT_S):
-            self.violations.append(f'{new} has not joined {START_TIMEOUT_S} s after its start')
-            return
-        old = self._current_host(first_host)
-        if not self._claim(old):
-            return
-        try:
-            self._wait_until(lambda: self._handles_signals(old), START_TIMEOUT_S)
-            self._stop_gracefully(old)
-            hosts = self.fleet.replica_hosts
-            self.fleet.replica_hosts = [host for host in hosts if host != old]
-            shutil.rmtree(self.fleet.folder / old, ignore_errors=True)
-            self.successors[old] = new
-        finally:
-            self._release(old)
+    def _stop_replica(self, host: str) -> None:
+        self._wait_until(lambda: self._handles_signals(host), START_TIMEOUT_S)
+        self._stop_gracefully(host)
 
     def _reload(self, host: str) -> None:
         """
@@ -467,6 +431,8 @@
             violations += self.evacuator.find_violations(
                 entries, process_faults, self.request_delays
             )
+        if self.replacer:
+            violations += self.replacer.violations
         if self.cold:
             violations += self.cold.find_violations(process_faults, self.request_delays)
         return SoakResult(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -275,7 +275,7 @@
     result = run.run()
     assert result.violations == []
     assert result.statuses[200]
-    assert run.successors
+    assert run.replacer.successors
 
 
 @pytest.mark.parametrize('seed', range(20))
