Log how long staging, drain, answer and load of an order took

The logs could not tell why pieces were old when the engine took them: the line of an order had neither the time that staging took nor the age of the oldest staged piece, and nothing told when the layers appeared. 'Load order answered' and 'Layers loaded' name them.

--- a/packages/millforkd/millforkd/sidecar/rollout.py
+++ b/packages/millforkd/millforkd/sidecar/rollout.py
@@ -406,14 +406,29 @@
         weights = target.weights
         interrupts = False
         async with self.load_order_lock:
+            began_at = self.env.monotonic()
             for index in layers.pieces(target.layers, target.pieces):
                 if not await self.engine.stage(weights.model, index, held.pieces[index]):
                     return False
+            staged_at = self.env.monotonic()
             if draining is not None:
                 interrupts = await draining.join()
-            return await self.engine.load_layers(
+            drained_at = self.env.monotonic()
+            accepted = await self.engine.load_layers(
                 weights.model, weights.version, layers.first, layers.end, interrupts
             )
+            # The first piece may have turned bad at any time since it was staged.
+            log.notice(
+                'Load order answered. weights={} accepted={} staging_s={:.2f} drain_s={:.2f} '
+                'answer_s={:.2f} oldest_piece_s={:.2f}',
+                weights,
+                accepted,
+                staged_at - began_at,
+                drained_at - staged_at,
+                self.env.monotonic() - drained_at,
+                self.env.monotonic() - began_at,
+            )
+            return accepted
 
     async def _announce_state(self) -> None:
         """
@@ -429,7 +444,8 @@
             log.info('No replica accepted the state within {} s.', ANNOUNCEMENT_WAIT_S)
 
     async def _wait_until_served(self, target: Target, layers: Layers) -> None:
-        until = self.env.monotonic() + START_TIMEOUT_S
+        ordered_at = self.env.monotonic()
+        until = ordered_at + START_TIMEOUT_S
         ordered_incarnation = self.incarnation
         while self.env.monotonic() < until:
             report = await self.engine.report()
@@ -440,6 +456,7 @@
                 return
             serving = self._served_layers(target)
             if serving is not None and serving.first <= layers.first and layers.end <= serving.end:
+                log.info('Layers loaded. load_s={:.2f}', self.env.monotonic() - ordered_at)
                 return
             await curio.sleep(POLL_S)
         log.warning('The engine does not serve layers {} of {} yet.', layers, target.weights)
