A load order's outcome says whether the engine may still carry it out

LocalEngine.load_layers told an order that was refused and one without an answer apart only in its log line. It returns an OrderOutcome now. The version that a daemon announces its engine to be changing to has a property of its own.

--- a/packages/millforkd/millforkd/sidecar/daemon.py
+++ b/packages/millforkd/millforkd/sidecar/daemon.py
@@ -244,7 +244,7 @@
             report.pace if report is not None else 1.0,
             served,
             self._held_versions(served),
-            self.rollout.changing_to,
+            self.rollout.announced_version,
             self.rollout.goal,
             self.rollout.incarnation,
             report.backpressure.limit_per_s if report is not None else None,
--- a/packages/millforkd/millforkd/sidecar/engine.py
+++ b/packages/millforkd/millforkd/sidecar/engine.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import replace
+from enum import Enum
 from typing import Final
 
 import curio
@@ -28,6 +29,18 @@
 log = logger(Component.ENGINE)
 
 
+class OrderOutcome(Enum):
+    """
+    What became of a load order: the engine ACCEPTED or REFUSED it, or its answer doesn't tell
+    (UNKNOWN), so that the engine may carry it out later.
+
+    """
+
+    ACCEPTED = 'accepted'
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+
+
 class LocalEngine:
     """
     Calls the engine, one call at a time over one persistent connection, because each
@@ -111,11 +124,10 @@
 
     async def load_layers(
         self, model: str, version: int, first: int, end: int, interrupts: bool
-    ) -> bool:
+    ) -> OrderOutcome:
         """
         Tell the engine to load the layers `first` to `end` - 1, whose pieces have been staged.
         The engine lets running requests finish first, or ends them if `interrupts` is set.
-        False if the engine does not answer or does not accept the load order.
 
         """
         try:
@@ -126,7 +138,7 @@
             log.warning(
                 'The engine did not answer the order to load {} {}: {}.', model, version, error
             )
-            return False
+            return OrderOutcome.UNKNOWN
         log.notice(
             'Ordered the engine to load layers. '
             'model={} version={} layers={}-{} breaks_off={} status={}',
@@ -137,4 +149,6 @@
             interrupts,
             response.status,
         )
-        return response.status < 300
+        if response.status < 300:
+            return OrderOutcome.ACCEPTED
+        return OrderOutcome.REFUSED if response.status < 500 else OrderOutcome.UNKNOWN
--- a/packages/millforkd/millforkd/sidecar/expiry.py
+++ b/packages/millforkd/millforkd/sidecar/expiry.py
@@ -23,7 +23,7 @@
 from millfork_core.ids import UNKNOWN_INCARNATION
 from millfork_core.logs import Component, logger
 from millfork_registry.records import ServedVersion
-from millforkd.sidecar.engine import LocalEngine
+from millforkd.sidecar.engine import LocalEngine, OrderOutcome
 from millforkd.sidecar.layer_assignment import Layers
 from millforkd.sidecar.pieces import PieceSet, PieceStore, WeightsId
 from millforkd.sidecar.rollout import Rollout
@@ -190,7 +190,8 @@
 
     async def _order(self, weights: WeightsId, layer: Layers) -> ServedVersion | None:
         model, version = weights.model, weights.version
-        if not await self.engine.load_layers(model, version, layer.first, layer.end, False):
+        outcome = await self.engine.load_layers(model, version, layer.first, layer.end, False)
+        if outcome is not OrderOutcome.ACCEPTED:
             return None
         return ServedVersion(model, version, layer.first, layer.end)
 
--- a/packages/millforkd/millforkd/sidecar/rollout.py
+++ b/packages/millforkd/millforkd/sidecar/rollout.py
@@ -19,7 +19,7 @@
 from millfork_core.ids import UNKNOWN_INCARNATION
 from millfork_core.logs import Component, logger
 from millfork_registry.records import ServedVersion
-from millforkd.sidecar.engine import LocalEngine
+from millforkd.sidecar.engine import LocalEngine, OrderOutcome
 from millforkd.sidecar.fleet import Fleet
 from millforkd.sidecar.gathering import PieceGatherer
 from millforkd.sidecar.layer_assignment import LayerAssignment, Layers, served_layers
@@ -139,6 +139,15 @@
             return ()
         return tuple(ServedVersion(*item) for item in self.report.served)
 
+    @property
+    def announced_version(self) -> int:
+        """
+        The version that the engine is announced to be changing to, 0 if none. Entries send nothing
+        to an engine that is changing.
+
+        """
+        return self.changing_to
+
     @property
     def goal(self) -> ServedVersion | None:
         """
@@ -414,9 +423,10 @@
             if draining is not None:
                 interrupts = await draining.join()
             drained_at = self.env.monotonic()
-            accepted = await self.engine.load_layers(
+            outcome = await self.engine.load_layers(
                 weights.model, weights.version, layers.first, layers.end, interrupts
             )
+            accepted = outcome is OrderOutcome.ACCEPTED
             # The first piece may have turned bad at any time since it was staged.
             log.notice(
                 'Load order answered. weights={} accepted={} staging_s={:.2f} drain_s={:.2f} '
--- a/tests/test_pauses_of_engines.py
+++ b/tests/test_pauses_of_engines.py
@@ -13,7 +13,7 @@
 
 from millfork_platform.adapter import PlatformAdapter
 from millfork_web.client import Client
-from millforkd.sidecar.engine import LocalEngine
+from millforkd.sidecar.engine import LocalEngine, OrderOutcome
 from millforkd.sidecar.pieces import WeightsId
 from millforkd.sidecar.rollout import DRAIN_S, SILENT_ENGINE_S
 from millforkd.version_switching import LAST_SEND_BEFORE_END_S
@@ -79,7 +79,7 @@
 
     report, staged, read, ordered = curio.run(run)
     assert report is not None
-    assert (staged, read, ordered) == (True, PIECE, True)
+    assert (staged, read, ordered) == (True, PIECE, OrderOutcome.ACCEPTED)
     assert len(engine.calls) == 4
 
 
@@ -97,7 +97,7 @@
 
     report, ordered = curio.run(run)
     assert report is not None
-    assert ordered
+    assert ordered is OrderOutcome.ACCEPTED
 
 
 def test_a_silent_engine_is_not_taken_for_an_empty_one():
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -15,6 +15,7 @@
 from millfork_core.ids import InstanceId, ZoneId
 from millfork_core.ranks import rank
 from millfork_registry.records import EndpointState, ServedVersion
+from millforkd.sidecar.engine import OrderOutcome
 from millforkd.sidecar.expiry import ExpiryWatcher
 from millforkd.sidecar.fleet import Fleet
 from millforkd.sidecar.pieces import PieceStore, WeightsId
@@ -59,7 +60,7 @@
         self.orders.append((version, first, end, interrupts, self.running))
         self.served = (ServedVersion(model, version, first, end),)
         self.running = 0
-        return True
+        return OrderOutcome.ACCEPTED
 
 
 class FakeGatherer:
