An engine serves no layer loaded from pieces that may have been bad

Seen by callers: tokens made with layers whose staged pieces had been bad for over 3 s when the engine took them.

Cause: a daemon staged all pieces one after the other, waited for the drain and sent the order, and read nothing back. So the time from a piece's last good state to the order grew with pieces x time of a call and with the drain, and nothing noticed a write that stored nothing, an order that was taken late, or pieces that an unanswered order found replaced.

Evidence: tests/test_stale_pieces.py, failing before (14 of 16): bad for 3.8 s at 80 ms a call and 48 pieces, 4.7 s with two calls of 2.4 s, 3.5 s with an order that is taken or carried out late; version 3's pieces served as version 2.

Change: each piece is read back after it was written. An order names only layers that were read back within the last 1 s (at most 1.5 s with a drain); the next layers follow in further orders. A layer that the engine reports over 3 s after the proof, or that no order with a proof explains, is announced as changing, so entries send nothing to it, until its pieces are read back again; layers of bad ones are dropped and loaded again. Pieces are written before the engine stops serving, so that only the reads remain.

--- a/packages/millfork-core/millfork_core/metrics.py
+++ b/packages/millfork-core/millfork_core/metrics.py
@@ -32,6 +32,12 @@
         )
         self.chunks = self._counter('millfork_chunks_total', 'Chunks by source and outcome.')
         self.chunk_bytes = self._counter('millfork_chunk_bytes_total', 'Chunk bytes by source.')
+        self.staged_pieces = self._counter(
+            'millfork_staged_pieces_total', 'Pieces read back from the staging area, by outcome.'
+        )
+        self.loaded_layers = self._counter(
+            'millfork_loaded_layers_total', 'Checks of the pieces of loaded layers, by outcome.'
+        )
         self.state = self._counter('millfork_state_total', 'Replica events by kind.')
         self.orders = self._counter('millfork_orders_total', 'Orders to the engine by outcome.')
         self.connections = self._counter(
--- a/packages/millforkd/millforkd/sidecar/daemon.py
+++ b/packages/millforkd/millforkd/sidecar/daemon.py
@@ -271,6 +271,7 @@
                 for item in served
                 if item.is_complete(layers)
                 and not self._holds_whole(WeightsId(item.model, item.version))
+                and not self.rollout.loader.staging.holds_other(WeightsId(item.model, item.version))
             ]
         return tuple(held)
 
@@ -396,7 +397,8 @@
         """
         layers, _ = self._model_shape()
         served = self.rollout.served
-        return not self.rollout.changing_to and serves_all_layers(served, weights, layers)
+        is_replaced = self.rollout.changing_to or self.rollout.loader.staging.holds_other(weights)
+        return not is_replaced and serves_all_layers(served, weights, layers)
 
 
 def _link_bytes_per_s(settings: SeededSettings) -> int:
--- a/packages/millforkd/millforkd/sidecar/expiry.py
+++ b/packages/millforkd/millforkd/sidecar/expiry.py
@@ -23,7 +23,7 @@
 from millfork_core.ids import UNKNOWN_INCARNATION
 from millfork_core.logs import Component, logger
 from millfork_registry.records import ServedVersion
-from millforkd.sidecar.engine import LocalEngine, OrderOutcome
+from millforkd.sidecar.engine import LocalEngine
 from millforkd.sidecar.layer_assignment import Layers
 from millforkd.sidecar.pieces import PieceSet, PieceStore, WeightsId
 from millforkd.sidecar.rollout import Rollout
@@ -131,7 +131,7 @@
         return self.env.monotonic() > target.due + LAST_SEND_BEFORE_END_S - EMPTY_AHEAD_S
 
     async def _empty_engine(self, target: Target) -> None:
-        async with self.rollout.load_order_lock:
+        async with self.rollout.loader.order_lock:
             if not self._serves_ending_version(target):
                 return
             emptied = (self.rollout.incarnation, target.weights.version)
@@ -161,10 +161,9 @@
         layer = _find_complete_layer(held, target)
         if layer is None:
             return await self._order_layer_of_served_version(target)
-        for index in layer.pieces(target.layers, target.pieces):
-            if not await self.engine.stage(weights.model, index, held.pieces[index]):
-                return None
-        return await self._order(weights, layer)
+        if not await self.rollout.loader.order_layer(target, held, layer.first):
+            return None
+        return _single_layer(weights, layer)
 
     async def _order_layer_of_served_version(self, target: Target) -> ServedVersion | None:
         """
@@ -185,15 +184,14 @@
         # of the model: entries that know of no newer version then can't use this engine as the
         # first or last of the engines that run a request together.
         middle = (serves.first + end) // 2
-        layer = Layers(middle, middle + 1)
-        return await self._order(WeightsId(serves.model, serves.version), layer)
-
-    async def _order(self, weights: WeightsId, layer: Layers) -> ServedVersion | None:
-        model, version = weights.model, weights.version
-        outcome = await self.engine.load_layers(model, version, layer.first, layer.end, False)
-        if outcome is not OrderOutcome.ACCEPTED:
+        weights, layer = WeightsId(serves.model, serves.version), Layers(middle, middle + 1)
+        if not await self.rollout.loader.order_unproven(weights, layer):
             return None
-        return ServedVersion(model, version, layer.first, layer.end)
+        return _single_layer(weights, layer)
+
+
+def _single_layer(weights: WeightsId, layer: Layers) -> ServedVersion:
+    return ServedVersion(weights.model, weights.version, layer.first, layer.end)
 
 
 def _find_complete_layer(held: PieceSet, target: Target) -> Layers | None:
--- a/packages/millforkd/millforkd/sidecar/layer_assignment.py
+++ b/packages/millforkd/millforkd/sidecar/layer_assignment.py
@@ -36,6 +36,30 @@
             return range(pieces)
         return range(self.first * pieces // layers, -(-self.end * pieces // layers))
 
+    @property
+    def numbers(self) -> range:
+        """
+        The numbers of these layers. A model that is not divided into layers counts as one layer.
+
+        """
+        return range(self.first, max(self.end, self.first + 1))
+
+    def contains(self, other: 'Layers') -> bool:
+        return self.first <= other.first and other.end <= self.end
+
+
+def layers_with_piece(index: int, layers: int, pieces: int) -> list[int]:
+    """
+    The numbers of the layers that a piece contains a part of, in a model of `layers` layers and
+    `pieces` pieces.
+
+    """
+    return [
+        number
+        for number in Layers(0, layers).numbers
+        if index in Layers(number, number + 1).pieces(layers, pieces)
+    ]
+
 
 @dataclass(frozen=True, slots=True)
 class LayerAssignment:
--- /dev/null
+++ b/packages/millforkd/millforkd/sidecar/loaded_layers.py
@@ -0,0 +1,205 @@
+"""
+Which of the layers that an engine serves were loaded from good pieces.
+
+An engine loads what lies in its staging area without checking it, and a staged piece may turn bad
+at any time. So a layer counts as proven only if all of its pieces had been read back intact at
+most `PROOF_VALID_S` before the engine reported the layer, or are read back intact afterwards: a
+piece that is good was good before, unless it has been written again.
+
+"""
+
+from collections import deque
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Final
+
+from millfork_core.logs import Component, logger
+from millfork_registry.records import ServedVersion
+from millforkd.sidecar.layer_assignment import Layers
+from millforkd.sidecar.pieces import WeightsId
+
+# A layer may be loaded from a piece that turned bad at most this many seconds before.
+PROOF_VALID_S: Final = 3.0
+# The number of load orders that may still be carried out, of which the proofs are kept.
+MAX_PENDING_ORDERS: Final = 8
+
+log = logger(Component.WEIGHTS)
+
+
+class LayerState(Enum):
+    """
+    What is known of the pieces that a layer was loaded from: PROVEN ones were good. UNPROVEN ones
+    may have been bad; they were good if they still are. SUSPECT ones may have been bad, and can no
+    longer be checked, so the layer has to be loaded again.
+
+    """
+
+    PROVEN = 'proven'
+    UNPROVEN = 'unproven'
+    SUSPECT = 'suspect'
+
+
+@dataclass(frozen=True, slots=True)
+class LoadOrder:
+    """
+    An order to hold exactly these layers. `proofs` has, by layer, when all of its pieces were last
+    known to be good (seconds of `elapsed_s`); layers that are held already need none.
+
+    """
+
+    weights: WeightsId
+    layers: Layers
+    proofs: Mapping[int, float] = field(default_factory=dict)
+
+    @property
+    def oldest_proof(self) -> float:
+        return min(self.proofs.values(), default=float('-inf'))
+
+    def covers(self, layer: 'LayerOfVersion') -> bool:
+        return layer.weights == self.weights and layer.number in self.layers.numbers
+
+
+@dataclass(frozen=True, slots=True)
+class LayerOfVersion:
+    """
+    One layer of one version of a model.
+
+    """
+
+    weights: WeightsId
+    number: int
+
+
+class LoadedLayers:
+    """
+    The layers that an engine serves, each with its state.
+
+    """
+
+    def __init__(self) -> None:
+        # None before the first report.
+        self.states: dict[LayerOfVersion, LayerState] | None = None
+        # The orders whose layers the engine has not reported yet, oldest first.
+        self.pending: deque[LoadOrder] = deque(maxlen=MAX_PENDING_ORDERS)
+        # Layers of which a piece was written after a pending order could have loaded them.
+        self.rewritten: set[LayerOfVersion] = set()
+
+    def record_restart(self) -> None:
+        """
+        Record that the engine has restarted, and so holds no layers until an order reaches it. An
+        order that was sent before may have reached the new process.
+
+        """
+        if self.states is not None:
+            self.states = {}
+
+    def record_order(self, order: LoadOrder) -> None:
+        """
+        Record an order before it is sent.
+
+        """
+        self.pending.append(order)
+
+    def withdraw(self, order: LoadOrder) -> None:
+        """
+        Remove an order that the engine has refused.
+
+        """
+        self.pending.remove(order)
+
+    def record_write(self, numbers: Iterable[int]) -> None:
+        """
+        Record that a piece of the layers with these numbers was written. If a pending order has
+        loaded such a layer unnoticed, it may have loaded what the piece replaced, or what replaced
+        its own piece.
+
+        """
+        for number in numbers:
+            self.rewritten.update(
+                LayerOfVersion(order.weights, number)
+                for order in self.pending
+                if number in order.layers.numbers
+            )
+
+    def record_report(self, served: Iterable[ServedVersion], reported_at: float) -> None:
+        """
+        Record which layers the engine serves by a report that arrived at `reported_at`. The layers
+        in the first report count as proven: an earlier process of this daemon loaded them.
+
+        """
+        layers = [
+            LayerOfVersion(WeightsId(item.model, item.version), number)
+            for item in served
+            for number in _layer_numbers(item)
+        ]
+        if self.states is None:
+            self.states = dict.fromkeys(layers, LayerState.PROVEN)
+            return
+        # An engine that is told to hold more layers of the same version keeps those that it holds.
+        # Any other order may load all of its layers anew.
+        kept = self.states if self.states.keys() <= set(layers) else {}
+        self.states = {
+            layer: kept[layer] if layer in kept else self._judge(layer, reported_at)
+            for layer in layers
+        }
+        self.rewritten -= self.states.keys()
+        for order in list(self.pending):
+            if all(
+                LayerOfVersion(order.weights, number) in self.states
+                for number in order.layers.numbers
+            ):
+                self.pending.remove(order)
+
+    def _judge(self, layer: LayerOfVersion, reported_at: float) -> LayerState:
+        if layer in self.rewritten:
+            log.warning('Layer {} of {} may have a bad piece.', layer.number, layer.weights)
+            return LayerState.SUSPECT
+        # If several orders are pending, any of them may have loaded the layer. The pieces that were
+        # good for the latest one were good for the others.
+        for order in reversed(self.pending):
+            if not order.covers(layer) or layer.number not in order.proofs:
+                continue
+            if reported_at - order.proofs[layer.number] <= PROOF_VALID_S:
+                return LayerState.PROVEN
+            break
+        return LayerState.UNPROVEN
+
+    def confirm(self, layer: LayerOfVersion, intact: bool) -> None:
+        """
+        Record whether the pieces of a layer that the engine serves are still intact.
+
+        """
+        if self.states is not None and layer in self.states:
+            self.states[layer] = LayerState.PROVEN if intact else LayerState.SUSPECT
+
+    def numbers(self, weights: WeightsId, state: LayerState) -> list[int]:
+        """
+        The numbers of the layers of a version that are in this state.
+
+        """
+        return [
+            layer.number
+            for layer, known in (self.states or {}).items()
+            if layer.weights == weights and known is state
+        ]
+
+    @property
+    def unproven_version(self) -> int:
+        """
+        The newest version of which the engine serves layers that are not proven; 0 if there is
+        none.
+
+        """
+        return max(
+            (
+                layer.weights.version
+                for layer, state in (self.states or {}).items()
+                if state is not LayerState.PROVEN
+            ),
+            default=0,
+        )
+
+
+def _layer_numbers(item: ServedVersion) -> range:
+    return Layers(item.first, item.end if item.end is not None else item.first).numbers
--- a/packages/millforkd/millforkd/sidecar/pieces.py
+++ b/packages/millforkd/millforkd/sidecar/pieces.py
@@ -129,6 +129,13 @@
             return False
         return hashlib.sha256(data).hexdigest() == self.digests[index]
 
+    def is_piece(self, index: int, data: bytes) -> bool:
+        """
+        Whether `data` is the piece with this index, also if that piece is not held.
+
+        """
+        return self.pieces.get(index) == data or self.matches_digest(index, data)
+
     async def notify_waiters(self) -> None:
         """
         Wake the tasks that wait for a piece or for the digests.
--- a/packages/millforkd/millforkd/sidecar/rollout.py
+++ b/packages/millforkd/millforkd/sidecar/rollout.py
@@ -16,13 +16,15 @@
 
 from millfork_adapter.exchange import EngineReport
 from millfork_core.environment import Environment
-from millfork_core.ids import UNKNOWN_INCARNATION
+from millfork_core.ids import Incarnation
 from millfork_core.logs import Component, logger
 from millfork_registry.records import ServedVersion
-from millforkd.sidecar.engine import LocalEngine, OrderOutcome
+from millforkd.sidecar.engine import LocalEngine
+from millforkd.sidecar.engine_state import EngineState
 from millforkd.sidecar.fleet import Fleet
 from millforkd.sidecar.gathering import PieceGatherer
 from millforkd.sidecar.layer_assignment import LayerAssignment, Layers, served_layers
+from millforkd.sidecar.loading import LayerLoader
 from millforkd.sidecar.pieces import PieceSet, PieceStore, WeightsId
 from millforkd.sidecar.target import Target
 from millforkd.version_switching import LAST_SEND_BEFORE_END_S
@@ -57,9 +59,6 @@
 # If this many staged pieces are missing or do not match the digests of the target, and none has
 # matched, the staged pieces are assumed to belong to another version.
 MAX_STAGED_MISMATCHES: Final = 3
-# Limit of the time from the load order until the engine serves the ordered layers, in seconds.
-# It includes the time in which the engine ends its running requests.
-START_TIMEOUT_S: Final = 6.0
 
 log = logger(Component.WEIGHTS)
 
@@ -90,13 +89,10 @@
         # Sends this daemon's state to the replica or daemon from which this daemon receives the
         # feed (the stream of registry updates).
         self.announce = announce
-        self.report: EngineReport | None = None
-        # The engine's incarnation in its last report.
-        self.incarnation = UNKNOWN_INCARNATION
+        self.state = EngineState(env)
+        self.loader = LayerLoader(env, engine, self.state, self.record_report)
         # The version that the engine is changing to, 0 if none.
         self.changing_to = 0
-        # Held from before pieces are staged until the engine has answered the order to load them.
-        self.load_order_lock = curio.Lock()
         # Whether the check for staged pieces of the target has run since this process and the
         # engine started (the check reads no pieces if the digests are held already or can't be
         # fetched). An earlier process of this daemon may have staged such pieces and ended before
@@ -114,20 +110,30 @@
         restarted, reset the check of its staged pieces and its layer assignment.
 
         """
-        self.report = report
-        if report is None or report.incarnation == self.incarnation:
+        if not self.state.record(report):
             return
-        log.notice(
-            'The incarnation of the engine changed. before={} now={}',
-            self.incarnation,
-            report.incarnation,
-        )
-        self.incarnation = report.incarnation
         # Staged pieces may have outlived the restart, so the check for them runs again.
         self.staged_checked = False
         self.staged_weights = None
+        self.loader.staging.reset()
         self.assignment = None
 
+    @property
+    def report(self) -> EngineReport | None:
+        """
+        The engine's last report; None if the engine did not answer.
+
+        """
+        return self.state.report
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """
+        The engine's incarnation in its last report.
+
+        """
+        return self.state.incarnation
+
     @property
     def served(self) -> tuple[ServedVersion, ...]:
         """
@@ -135,18 +141,17 @@
         the engine did not answer.
 
         """
-        if self.report is None:
-            return ()
-        return tuple(ServedVersion(*item) for item in self.report.served)
+        return self.state.served
 
     @property
     def announced_version(self) -> int:
         """
         The version that the engine is announced to be changing to, 0 if none. Entries send nothing
-        to an engine that is changing.
+        to an engine that is changing, so this holds also while the engine serves layers that may
+        have been loaded from bad pieces.
 
         """
-        return self.changing_to
+        return self.changing_to or self.state.loaded.unproven_version
 
     @property
     def goal(self) -> ServedVersion | None:
@@ -163,10 +168,11 @@
         )
 
     def _served_layers(self, target: Target) -> Layers | None:
-        return served_layers(self.served, target.weights, target.layers)
+        return self.state.served_layers(target)
 
     def _is_done(self, target: Target) -> bool:
-        return self._served_layers(target) == Layers(0, target.layers)
+        serves_all = self._served_layers(target) == Layers(0, target.layers)
+        return serves_all and not self.state.loaded.unproven_version
 
     def serves_another(self, target: Target) -> bool:
         """
@@ -209,12 +215,16 @@
         started_at = self.env.monotonic()
         held = self.store.get_or_create(target.weights)
         await self._check_staged(held)
-        if self.report is None:
+        if held.digests:
+            await self.loader.check_unproven(target, held)
+        if self.report is None or self._is_done(target):
             return
         goal = self._choose_goal(target, held)
         if not await self._gather(held, target, goal):
             return
         gathered_at = self.env.monotonic()
+        if self.serves_another(target):
+            await self.loader.stage_ahead(target, held, goal, lambda: self._must_change(target))
         if not await self._wait_for_turn(target) or self.report is None:
             return
         await self._start(target, held, goal)
@@ -263,6 +273,13 @@
             return target.due
         return current.due
 
+    def _must_change(self, target: Target) -> bool:
+        """
+        Whether the engine has to change to the target at once, or to another one.
+
+        """
+        return self._is_outdated(target) or self.env.monotonic() >= self._due(target)
+
     async def _gather(self, held: PieceSet, target: Target, goal: Layers) -> bool:
         """
         Fetch the pieces of the `goal` layers into `held`; False if some are still missing,
@@ -302,6 +319,7 @@
         for index in held.missing():
             data = await self.engine.read_staged(model, index)
             if data is not None and await held.put(index, data):
+                self.loader.staging.written[index] = held.weights
                 matching += 1
                 continue
             mismatched += 1
@@ -376,70 +394,27 @@
     async def _start(self, target: Target, held: PieceSet, layers: Layers) -> None:
         """
         Bring the engine to hold exactly these layers of the target, and return when the engine
-        serves them, refuses them, restarts, or does not serve them within `START_TIMEOUT_S`. An
-        engine that already serves some of them continues to do so.
+        serves them, refuses them, restarts, or does not serve them in time. An engine that already
+        serves some of them continues to do so.
 
         """
-        weights = target.weights
         # An emptied engine has no requests to drain, so it gets the load order 0.3 s sooner.
         replaces = self.serves_another(target) and not self.is_emptied(target)
         if self._served_layers(target) is None:
-            self.changing_to = weights.version
+            self.changing_to = target.weights.version
             await self._announce_state()
         draining = None
         try:
             if replaces:
                 await curio.sleep(ANNOUNCEMENT_WAIT_S)
                 draining = await self.env.spawn(self._wait_for_drain, target)
-            if await self._send_load_order(target, held, layers, draining):
-                await self._wait_until_served(target, layers)
+            await self.loader.load(target, held, layers, draining)
         finally:
             if draining is not None:
                 await draining.cancel()
             self.changing_to = 0
             await self._announce_state()
 
-    async def _send_load_order(
-        self,
-        target: Target,
-        held: PieceSet,
-        layers: Layers,
-        draining: curio.Task | None,
-    ) -> bool:
-        """
-        Stage the pieces at the engine, wait for `draining`, and send the load order. False if the
-        engine did not accept a piece or the load order. An order that interrupts no requests is
-        carried out once they have ended; the engine begins no others meanwhile.
-
-        """
-        weights = target.weights
-        interrupts = False
-        async with self.load_order_lock:
-            began_at = self.env.monotonic()
-            for index in layers.pieces(target.layers, target.pieces):
-                if not await self.engine.stage(weights.model, index, held.pieces[index]):
-                    return False
-            staged_at = self.env.monotonic()
-            if draining is not None:
-                interrupts = await draining.join()
-            drained_at = self.env.monotonic()
-            outcome = await self.engine.load_layers(
-                weights.model, weights.version, layers.first, layers.end, interrupts
-            )
-            accepted = outcome is OrderOutcome.ACCEPTED
-            # The first piece may have turned bad at any time since it was staged.
-            log.notice(
-                'Load order answered. weights={} accepted={} staging_s={:.2f} drain_s={:.2f} '
-                'answer_s={:.2f} oldest_piece_s={:.2f}',
-                weights,
-                accepted,
-                staged_at - began_at,
-                drained_at - staged_at,
-                self.env.monotonic() - drained_at,
-                self.env.monotonic() - began_at,
-            )
-            return accepted
-
     async def _announce_state(self) -> None:
         """
         Announce this daemon's state at once. The wait is limited, because a replica that does
@@ -452,21 +427,3 @@
                 await self.announce()
         except curio.TaskTimeout:
             log.info('No replica accepted the state within {} s.', ANNOUNCEMENT_WAIT_S)
-
-    async def _wait_until_served(self, target: Target, layers: Layers) -> None:
-        ordered_at = self.env.monotonic()
-        until = ordered_at + START_TIMEOUT_S
-        ordered_incarnation = self.incarnation
-        while self.env.monotonic() < until:
-            report = await self.engine.report()
-            if report is not None:
-                self.record_report(report)
-            if self.incarnation != ordered_incarnation:
-                log.warning('The engine restarted before it served {}.', target.weights)
-                return
-            serving = self._served_layers(target)
-            if serving is not None and serving.first <= layers.first and layers.end <= serving.end:
-                log.info('Layers loaded. load_s={:.2f}', self.env.monotonic() - ordered_at)
-                return
-            await curio.sleep(POLL_S)
-        log.warning('The engine does not serve layers {} of {} yet.', layers, target.weights)
--- /dev/null
+++ b/packages/millforkd/millforkd/sidecar/staging.py
@@ -0,0 +1,107 @@
+"""
+Writes pieces to the engine's staging area and reads them back.
+
+The engine stores whatever it is given, may answer a write that stored nothing, and may carry out an
+unanswered write later. A staged piece may also turn bad at any time. So only a piece that was read
+back intact is known to be staged, and only as of the moment at which the read began.
+
+"""
+
+from typing import Final
+
+from millfork_core.environment import Environment
+from millfork_core.logs import Component, logger
+from millforkd.sidecar.engine import LocalEngine
+from millforkd.sidecar.layer_assignment import layers_with_piece
+from millforkd.sidecar.loaded_layers import LoadedLayers
+from millforkd.sidecar.pieces import PieceSet, WeightsId
+from millforkd.sidecar.target import Target
+
+# A piece is written at most this many times in a row if it can't be read back intact.
+MAX_WRITES: Final = 2
+
+log = logger(Component.WEIGHTS)
+
+
+class StagingArea:
+    """
+    The staging area of one engine, which has one piece for each index.
+
+    """
+
+    def __init__(self, env: Environment, engine: LocalEngine, loaded: LoadedLayers) -> None:
+        self.env = env
+        self.engine = engine
+        self.loaded = loaded
+        # By index: the version of the piece that was written last, or found to be staged.
+        self.written: dict[int, WeightsId] = {}
+        # The indexes of pieces with writes that were not accepted, and that may be carried out yet.
+        self.unsettled: set[int] = set()
+
+    def reset(self) -> None:
+        """
+        Forget which pieces are staged, as the engine has restarted.
+
+        """
+        self.written.clear()
+        self.unsettled.clear()
+
+    async def prove_layer(self, target: Target, held: PieceSet, number: int) -> float | None:
+        """
+        Stage the pieces of one layer of the target and read them back. Returns the last time
+        (monotonic seconds) at which all of them are known to have been staged; None if one of them
+        can't be staged.
+
+        """
+        oldest = float('inf')
+        for index in target.pieces_of(number):
+            read_at = await self._prove_piece(target, held, index)
+            if read_at is None:
+                return None
+            oldest = min(oldest, read_at)
+        return oldest
+
+    async def _prove_piece(self, target: Target, held: PieceSet, index: int) -> float | None:
+        for _ in range(MAX_WRITES):
+            if not await self.write(target, held, index):
+                return None
+            read_at = self.env.monotonic()
+            if await self.is_intact(held, index):
+                return read_at
+            self.written.pop(index, None)
+        return None
+
+    async def write(self, target: Target, held: PieceSet, index: int) -> bool:
+        """
+        Stage a piece of the target, unless it was written already; False if the engine did not
+        accept it.
+
+        """
+        if self.written.get(index) == target.weights:
+            return True
+        self.loaded.record_write(layers_with_piece(index, target.layers, target.pieces))
+        if not await self.engine.stage(held.weights.model, index, held.pieces[index]):
+            self.unsettled.add(index)
+            return False
+        self.written[index] = held.weights
+        return True
+
+    def holds_other(self, weights: WeightsId) -> bool:
+        """
+        Whether pieces of another version than this one have been written.
+
+        """
+        return any(written != weights for written in self.written.values())
+
+    async def is_intact(self, held: PieceSet, index: int) -> bool:
+        """
+        Whether a piece can be read back as it was written.
+
+        """
+        data = await self.engine.read_staged(held.weights.model, index)
+        intact = data is not None and held.is_piece(index, data)
+        outcome = 'intact' if intact else 'missing' if data is None else 'corrupt'
+        self.env.metrics.count(self.env.metrics.staged_pieces, outcome=outcome)
+        if not intact:
+            log.warning('Staged piece {} of {} is {}.', index, held.weights, outcome)
+        return intact
--- a/packages/millforkd/millforkd/sidecar/target.py
+++ b/packages/millforkd/millforkd/sidecar/target.py
@@ -15,6 +15,7 @@
 from millfork_core.environment import Environment
 from millfork_core.logs import Component, logger
 from millfork_routing.documents import EngineSpec
+from millforkd.sidecar.layer_assignment import Layers
 from millforkd.sidecar.pieces import PieceStore, WeightsId
 from millforkd.version_switching import LAST_SEND_BEFORE_END_S
 from millforkd.versions import VersionTracker
@@ -49,6 +50,13 @@
     chosen_at: float
     due: float
 
+    def pieces_of(self, layer: int) -> range:
+        """
+        The indexes of the pieces that contain a layer.
+
+        """
+        return Layers(layer, layer + 1).pieces(self.layers, self.pieces)
+
 
 class TargetChooser:
     """
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -43,6 +43,7 @@
     served: tuple = (OLD,)
     running: int = 0
     staged_indexes: list = field(default_factory=list)
+    staged: dict = field(default_factory=dict)
     orders: list = field(default_factory=list)
 
     async def report(self):
@@ -50,10 +51,11 @@
         return EngineReport(self.running, 0, 0, 0, 1.0, False, items)
 
     async def read_staged(self, model, index):
-        return None
+        return self.staged.get(index)
 
     async def stage(self, model, index, data):
         self.staged_indexes.append(index)
+        self.staged[index] = data
         return True
 
     async def load_layers(self, model, version, first, end, interrupts):
@@ -132,7 +134,7 @@
                 await curio.sleep(0.01)
 
     async def run(self):
-        self.rollout.report = await self.engine.report()
+        self.rollout.record_report(await self.engine.report())
         return await curio.spawn(self.rollout.run, daemon=True)
 
 
@@ -294,7 +296,7 @@
         (order,) = under_test.engine.orders
         assert order == (1, LAYERS // 2, LAYERS // 2 + 1, False, 3)
         assert under_test.engine.staged_indexes == []
-        rollout.report = await under_test.engine.report()
+        rollout.record_report(await under_test.engine.report())
         await under_test.gatherer.resume.set()
         await under_test.until(lambda: under_test.engine.served == (NEW,))
         assert under_test.engine.orders == [order, (2, 0, LAYERS, False, 0)]
@@ -320,14 +322,14 @@
         under_test = RolloutUnderTest(0, FakeEngine(served))
         under_test.target = replace(under_test.target, layers=layers, due=0.0)
         rollout = under_test.rollout
-        rollout.report = await under_test.engine.report()
+        rollout.record_report(await under_test.engine.report())
         expiry = ExpiryWatcher(under_test.env, under_test.engine, rollout.store, rollout)
         for version in (2, 3, 2):
             under_test.target = replace(under_test.target, weights=WeightsId('m', version))
             rollout.staged_checked = True
             if expiry._serves_ending_version(under_test.target):
                 await expiry._empty_engine(under_test.target)
-            rollout.report = await under_test.engine.report()
+            rollout.record_report(await under_test.engine.report())
         assert len(under_test.engine.orders) == orders
 
     curio.run(run)
@@ -346,7 +348,7 @@
     async def run():
         under_test = RolloutUnderTest(0, FakeEngine(), StalledGatherer(0))
         rollout = under_test.rollout
-        rollout.report = await under_test.engine.report()
+        rollout.record_report(await under_test.engine.report())
         expiry = ExpiryWatcher(under_test.env, under_test.engine, rollout.store, rollout)
         under_test.target = replace(under_test.target, due=0.0)
         await expiry._empty_engine(under_test.target)
@@ -384,7 +386,7 @@
     async def run():
         under_test = RolloutUnderTest(0, FakeEngine(), StalledGatherer(0))
         rollout = under_test.rollout
-        rollout.report = await under_test.engine.report()
+        rollout.record_report(await under_test.engine.report())
         expiry = ExpiryWatcher(under_test.env, under_test.engine, rollout.store, rollout)
         rollout.staged_checked = True
         under_test.target = replace(under_test.target, weights=WeightsId('m', 4), due=0.0)
@@ -402,7 +404,7 @@
         under_test.env.monotonic = clock
         under_test.target = replace(under_test.target, due=clock.now + 1.0)
         rollout = under_test.rollout
-        rollout.report = await under_test.engine.report()
+        rollout.record_report(await under_test.engine.report())
         expiry = ExpiryWatcher(under_test.env, under_test.engine, rollout.store, rollout)
         held = rollout.store.get_or_create(under_test.target.weights)
         clock.now = under_test.target.due + LAST_SEND_BEFORE_END_S - 1.0
@@ -421,7 +423,7 @@
         under_test.target = replace(under_test.target, due=float('inf'))
         rollout = under_test.rollout
         expiry = ExpiryWatcher(under_test.env, under_test.engine, rollout.store, rollout)
-        rollout.report = await under_test.engine.report()
+        rollout.record_report(await under_test.engine.report())
         assert not expiry._serves_ending_version(under_test.target)
 
     curio.run(run)
--- a/tests/test_stale_pieces.py
+++ b/tests/test_stale_pieces.py
@@ -61,8 +61,8 @@
     order_delays: list = field(default_factory=list)
     # Seconds from the next orders, which get no answer, until the engine takes them.
     unanswered_delays: list = field(default_factory=list)
-    # The engine takes an order at once, but what is staged only after this time.
-    load_after_s: float = 0.0
+    # The engine takes the next orders at once, but what is staged for them after these times.
+    load_delays: list = field(default_factory=list)
     running: int = 0
     busy: bool = False
     on_first_stage: object = None
@@ -118,8 +118,8 @@
 
     async def _take(self, order):
         self.busy = True
-        if self.load_after_s:
-            await curio.spawn(self._load, order, self.load_after_s, daemon=True)
+        if self.load_delays:
+            await curio.spawn(self._load, order, self.load_delays.pop(0), daemon=True)
             return
         self._read_pieces(order)
         await curio.spawn(self._load, order, 0.0, daemon=True)
@@ -331,9 +331,9 @@
     would do. With all layers bad, none is left that the engine can be reduced to.
 
     """
-    engine = StagingEngine(load_after_s=LATE_ORDER_S if late == 'load' else 0.0)
-    if late == 'order':
-        engine.order_delays.append(LATE_ORDER_S)
+    engine = StagingEngine()
+    delays = engine.order_delays if late == 'order' else engine.load_delays
+    delays.append(LATE_ORDER_S)
 
     async def run():
         engine.on_first_stage = spoil_after_order(engine, spoiled)
