An emptied engine keeps no layer that begins or ends a path

Of the two topmost layers that an engine served, the one that it was reduced to was the model's last one, with which entries that know of no newer version may end a path. That layer is loaded from pieces that lay staged since its version came, and that nothing has read since. The layer is now one that neither begins nor ends a path; an engine that holds no such layer is not reduced. The test failed before with layer 7 of 8.

--- a/packages/millforkd/millforkd/sidecar/expiry.py
+++ b/packages/millforkd/millforkd/sidecar/expiry.py
@@ -180,10 +180,13 @@
         end = serves.end if serves.end is not None else target.layers
         if end - serves.first <= 1:
             return None
-        # The middle of the served layers, which usually is neither the first nor the last layer
-        # of the model: entries that know of no newer version then can't use this engine as the
-        # first or last of the engines that run a request together.
-        middle = (serves.first + end) // 2
+        # A path of engines that run a request together begins with the first layer of the model
+        # and ends with the last one. With any other layer, the engine is in no path, also not of
+        # entries that know of no newer version. So the pieces need not be read back.
+        inner = range(max(serves.first, 1), min(end, target.layers - 1))
+        if not inner:
+            return None
+        middle = inner[len(inner) // 2]
         weights, layer = WeightsId(serves.model, serves.version), Layers(middle, middle + 1)
         if not await self.rollout.loader.order_unproven(weights, layer):
             return None
