--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -569,6 +569,65 @@
             ),
         ),
     ),
+    Mutation(
+        'layers are loaded only from pieces that were read back intact',
+        'tests/test_stale_pieces.py::test_a_write_that_stored_nothing_is_noticed_before_the_order',
+        (
+            Edit(
+                D + 'sidecar/staging.py',
+                'if await self.is_intact(held, index):',
+                'if True:',
+            ),
+        ),
+    ),
+    Mutation(
+        'an order names only layers that were proven a short time before',
+        'tests/test_stale_pieces.py::'
+        'test_no_layer_is_loaded_from_a_piece_that_turned_bad_after_it_was_read_back',
+        (
+            Edit(
+                D + 'sidecar/loading.py',
+                'if proofs and self.env.monotonic() - began_at > PROVING_S:',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'layers that were loaded late are not used before their pieces were checked',
+        'tests/test_stale_pieces.py::'
+        'test_layers_that_were_loaded_late_from_bad_pieces_are_loaded_again',
+        (
+            Edit(
+                D + 'sidecar/loaded_layers.py',
+                'if reported_at - order.proofs[layer.number] <= PROOF_VALID_S:',
+                'if True:',
+            ),
+        ),
+    ),
+    Mutation(
+        'layers of a pending order whose pieces were overwritten are not used',
+        'tests/test_stale_pieces.py::'
+        'test_an_order_that_is_taken_after_newer_pieces_were_staged_is_noticed',
+        (
+            Edit(
+                D + 'sidecar/loaded_layers.py',
+                'if layer in self.rewritten:',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'an engine is reduced to a layer with which no path begins or ends',
+        'tests/test_stale_pieces.py::'
+        'test_an_emptied_engine_keeps_no_layer_that_begins_or_ends_a_path',
+        (
+            Edit(
+                D + 'sidecar/expiry.py',
+                'inner = range(max(serves.first, 1), min(end, target.layers - 1))',
+                'inner = range(serves.first, end)',
+            ),
+        ),
+    ),
     Mutation(
         'no request is sent to a version that ends while connecting',
         'tests/test_forwarding.py::test_nothing_is_sent_to_a_version_that_ends_while_connecting',
--- a/tests/test_stale_pieces.py
+++ b/tests/test_stale_pieces.py
@@ -33,7 +33,7 @@
 LONG_CALL_S = 2.4
 # The engine takes an order, or what is staged for it, this long after the order was sent.
 LATE_ORDER_S = 3.5
-VERY_LATE_ORDER_S = 4.5
+DUE_S = 60.0
 TIMEOUT_S = 40.0
 
 
@@ -56,6 +56,8 @@
     # The next writes of these pieces store nothing.
     ignored: set = field(default_factory=set)
     bad_for: dict = field(default_factory=dict)
+    # The longest such time of all layers that were ever loaded.
+    worst_bad_s: float = 0.0
     orders: list = field(default_factory=list)
     # Seconds from the next orders until the engine takes and answers them.
     order_delays: list = field(default_factory=list)
@@ -132,6 +134,7 @@
                 self.bad_for[order.version, layer] = max(
                     self._bad_for(order.version, index) for index in indexes
                 )
+                self.worst_bad_s = max(self.worst_bad_s, self.bad_for[order.version, layer])
 
     def _bad_for(self, version, index):
         if self.staged[index] == piece(version, index):
@@ -190,10 +193,11 @@
 
     """
 
-    def __init__(self, engine, due_s=60.0):
+    def __init__(self, engine, max_bad_s=MAX_BAD_S):
         self.engine = engine
+        self.max_bad_s = max_bad_s
         self.env = Environment(InstanceId('10.0.0.1:1'), ZoneId('z1'))
-        self.target = self.make_target(2, due_s)
+        self.target = self.make_target(2)
         fleet = Fleet(self.env, 's', list, self._own, lambda: (LAYERS, PIECES))
         self.rollout = Rollout(
             self.env, engine, PieceStore(), Origin(), fleet, lambda: self.target, self._announce
@@ -201,9 +205,9 @@
         self.expiry = ExpiryWatcher(self.env, engine, self.rollout.store, self.rollout)
         self.violations = []
 
-    def make_target(self, version, due_s=60.0):
+    def make_target(self, version):
         now = self.env.monotonic()
-        return Target(WeightsId('m', version), LAYERS, PIECES, now, now + due_s)
+        return Target(WeightsId('m', version), LAYERS, PIECES, now, now + DUE_S)
 
     def _own(self):
         served = (self.engine.served,) if self.engine.served is not None else ()
@@ -242,7 +246,7 @@
     async def _check(self):
         while True:
             for layer in self.usable_layers:
-                if self.engine.bad_for.get(layer, 0.0) > MAX_BAD_S:
+                if self.engine.bad_for.get(layer, 0.0) > self.max_bad_s:
                     self.violations.append((layer, self.engine.bad_for[layer]))
             await curio.sleep(0.01)
 
@@ -290,13 +294,31 @@
 def test_no_layer_is_loaded_from_a_piece_that_turned_bad_long_before(call_s):
     daemon = change_version(StagingEngine(call_s=call_s))
     assert daemon.violations == []
-    assert max(daemon.engine.bad_for.values()) <= MAX_BAD_S
+    assert daemon.engine.worst_bad_s <= MAX_BAD_S
+
+
+def test_no_layer_is_loaded_from_a_piece_that_turned_bad_after_it_was_read_back():
+    class TurnsBad(StagingEngine):
+        async def read_staged(self, model, index):
+            data = await super().read_staged(model, index)
+            if index == 0 and data == piece(2, index) and self.spoil_count:
+                self.spoil_count -= 1
+                self.spoil(index)
+            return data
+
+    engine = TurnsBad(call_s=0.08)
+    # Also if the piece is read back a second time before the order.
+    engine.spoil_count = 2
+    daemon = change_version(engine, spoiled=())
+    assert engine.spoil_count < 2
+    assert daemon.violations == []
+    assert engine.worst_bad_s <= MAX_BAD_S
 
 
 def test_a_write_that_stored_nothing_is_noticed_before_the_order():
     daemon = change_version(StagingEngine(ignored={0, 17}), spoiled=())
     assert daemon.violations == []
-    assert max(daemon.engine.bad_for.values()) == 0.0
+    assert daemon.engine.worst_bad_s == 0.0
 
 
 def test_a_long_call_while_staging_does_not_make_pieces_stale():
@@ -310,7 +332,7 @@
 
     daemon = change_version(OneLongCall())
     assert daemon.violations == []
-    assert max(daemon.engine.bad_for.values()) <= MAX_BAD_S
+    assert daemon.engine.worst_bad_s <= MAX_BAD_S
 
 
 def spoil_after_order(engine, indexes):
@@ -345,11 +367,13 @@
     assert curio.run(run).violations == []
 
 
-def test_an_order_that_is_taken_after_newer_pieces_were_staged_is_noticed():
-    engine = StagingEngine(unanswered_delays=[VERY_LATE_ORDER_S])
+@pytest.mark.parametrize('late_s', [1.5, 4.5])
+def test_an_order_that_is_taken_after_newer_pieces_were_staged_is_noticed(late_s):
+    engine = StagingEngine(unanswered_delays=[late_s])
 
     async def run():
-        daemon = Daemon(engine)
+        # The daemon itself wrote the newer pieces, so no time since then excuses it.
+        daemon = Daemon(engine, max_bad_s=0.0)
         await daemon.start()
         await daemon.until(lambda: engine.orders)
         daemon.target = daemon.make_target(3)
