Engines that load the rest of their layers in several orders stay in their path

Since an order names only layers that were just read back, a slow engine goes from half of the layers to all of them in several steps. Two engines were a path only if the layers of one began exactly where those of the other ended, so a pair served nothing while either of them grew. Now they may overlap, and each runs its layers up to the middle of the overlap. Three of the four new tests failed before; halves that meet exactly have the same split as before.

--- a/packages/millfork-scheduling/millfork_scheduling/paths.py
+++ b/packages/millfork-scheduling/millfork_scheduling/paths.py
@@ -12,8 +12,8 @@
 @dataclass(frozen=True, slots=True)
 class Path:
     """
-    Two back ends that together hold all layers of a model: the first holds the layers before
-    `split`, the second the remaining ones.
+    Two back ends that together hold all layers of a model: the first runs the layers before
+    `split`, the second the remaining ones. Both may hold more layers than they run.
 
     """
 
@@ -37,7 +37,8 @@
 
     A back end is in at most one path, and pairs within one zone are preferred. Entries that know
     the same back ends find the same paths. Versions before `newest` have no paths, as their back
-    ends are about to change to `newest`.
+    ends are about to change to `newest`. A back end that loads the remaining layers a few at a
+    time stays in a path, where its layers and those of the other one overlap.
 
     """
     lower: list[tuple[Server, int]] = []
@@ -52,17 +53,17 @@
                 upper.append((server, item.first))
     paths = []
     for same_zone in (True, False):
-        for first, split in list(lower):
+        for first, end in list(lower):
             for second, begins in list(upper):
-                if begins != split or (same_zone and first.zone != second.zone):
+                if begins > end or (same_zone and first.zone != second.zone):
                     continue
                 if first.instance == second.instance:
                     continue
                 version = first.served[0].version
                 if second.served[0].version != version:
                     continue
-                paths.append(Path(first, second, version, split))
-                lower.remove((first, split))
+                paths.append(Path(first, second, version, (begins + end) // 2))
+                lower.remove((first, end))
                 upper.remove((second, begins))
                 break
     return paths
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -193,6 +193,19 @@
     assert table.choose(Requirements(SERVICE, ENGINE, 0, 3, 900), set()) is None
 
 
+@pytest.mark.parametrize(('end', 'begins', 'split'), [(12, 8, 10), (8, 4, 6), (12, 4, 8)])
+def test_engines_that_load_more_layers_stay_in_their_path(table, end, begins, split):
+    table.apply_leases([lease(1, version=2, end=end), lease(2, version=2, first=begins)])
+    choice = table.choose(Requirements(SERVICE, ENGINE, 2, 2, 900), set())
+    assert [server.instance for server in choice.servers] == ['i-1', 'i-2']
+    assert choice.path.split == split
+
+
+def test_engines_that_lack_a_layer_between_them_form_no_path(table):
+    table.apply_leases([lease(1, version=2, end=7), lease(2, version=2, first=8)])
+    assert table.choose(Requirements(SERVICE, ENGINE, 2, 2, 900), set()) is None
+
+
 def test_a_path_needs_both_of_its_engines(table, clock):
     table.apply_leases(halves())
     requirements = Requirements(SERVICE, ENGINE, 2, 2, 900)
