Engines whose layers overlap form a path

Cause: a path needed the second engine to begin exactly where the first one ends. Halves grow in several orders now, so a pair served nothing from the first added layer until one engine held all of them.

Change: the second engine may begin earlier; it runs the layers from where it begins.

--- a/packages/millfork-scheduling/millfork_scheduling/paths.py
+++ b/packages/millfork-scheduling/millfork_scheduling/paths.py
@@ -12,8 +12,8 @@
 @dataclass(frozen=True, slots=True)
 class Path:
     """
-    Two back ends that together hold all layers of a model: the first holds the layers before
-    `split`, the second the remaining ones.
+    Two back ends that together hold all layers of a model: the first runs the layers before
+    `split`, the second the remaining ones. Either may hold more layers.
 
     """
 
@@ -50,19 +50,21 @@
                 lower.append((server, item.end))
             elif item.end == engine.layers:
                 upper.append((server, item.first))
+    # The one with the fewest layers that completes a path is used.
+    upper.sort(key=lambda item: -item[1])
     paths = []
     for same_zone in (True, False):
-        for first, split in list(lower):
+        for first, end in list(lower):
             for second, begins in list(upper):
-                if begins != split or (same_zone and first.zone != second.zone):
+                if begins > end or (same_zone and first.zone != second.zone):
                     continue
                 if first.instance == second.instance:
                     continue
                 version = first.served[0].version
                 if second.served[0].version != version:
                     continue
-                paths.append(Path(first, second, version, split))
-                lower.remove((first, split))
+                paths.append(Path(first, second, version, begins))
+                lower.remove((first, end))
                 upper.remove((second, begins))
                 break
     return paths
