An order to hold fewer layers stays pending until it is carried out

Cause: an order counted as carried out once all of its layers were reported. The layers of an order to hold fewer are reported already before it reaches the engine. If the engine then refused it, removing it again raised ValueError and the daemon ended; if it was carried out late, a piece written meanwhile was not noticed and its layer counted as proven.

Change: an order is carried out once exactly its layers are reported, and an order that is no longer pending can be refused.

--- a/packages/millforkd/millforkd/sidecar/loaded_layers.py
+++ b/packages/millforkd/millforkd/sidecar/loaded_layers.py
@@ -103,10 +103,12 @@
 
     def withdraw(self, order: LoadOrder) -> None:
         """
-        Remove an order that the engine has refused.
+        Remove an order that the engine has refused, unless a report that arrived before the refusal
+        has done so already.
 
         """
-        self.pending.remove(order)
+        if order in self.pending:
+            self.pending.remove(order)
 
     def record_write(self, numbers: Iterable[int]) -> None:
         """
@@ -144,11 +146,10 @@
             for layer in layers
         }
         self.rewritten -= self.states.keys()
+        # An order for some of the layers that the engine holds has not been carried out yet.
         for order in list(self.pending):
-            if all(
-                LayerOfVersion(order.weights, number) in self.states
-                for number in order.layers.numbers
-            ):
+            held = {layer.number for layer in self.states if layer.weights == order.weights}
+            if held == set(order.layers.numbers):
                 self.pending.remove(order)
 
     def _judge(self, layer: LayerOfVersion, reported_at: float) -> LayerState:
