A piece that was once refused makes no layer suspect for ever

Cause: the index of a piece whose write was not accepted was kept until the engine restarted, and a layer with such a piece was never proven by reading it back. An engine that loads for longer than a proof is valid dropped and loaded these layers again without end (tried for 40 s).

Change: such a write counts as possibly outstanding for 10 s. The test failed before and passes.

--- a/packages/millforkd/millforkd/sidecar/loading.py
+++ b/packages/millforkd/millforkd/sidecar/loading.py
@@ -228,7 +228,9 @@
 
     async def _is_layer_intact(self, target: Target, held: PieceSet, number: int) -> bool:
         for index in target.pieces_of(number):
-            if index in self.staging.unsettled or not await self.staging.is_intact(held, index):
+            if not self.staging.is_settled(index):
+                return False
+            if not await self.staging.is_intact(held, index):
                 return False
         return True
 
--- a/packages/millforkd/millforkd/sidecar/staging.py
+++ b/packages/millforkd/millforkd/sidecar/staging.py
@@ -19,6 +19,9 @@
 
 # A piece is written at most this many times in a row if it can't be read back intact.
 MAX_WRITES: Final = 2
+# A write that was not accepted is carried out within this many seconds, or never. Sound engines
+# pause for up to two seconds.
+MAX_WRITE_DELAY_S: Final = 10.0
 
 log = logger(Component.WEIGHTS)
 
@@ -35,8 +38,8 @@
         self.loaded = loaded
         # By index: the version of the piece that was written last, or found to be staged.
         self.written: dict[int, WeightsId] = {}
-        # The indexes of pieces with writes that were not accepted, and that may be carried out yet.
-        self.unsettled: set[int] = set()
+        # By index: when a write of the piece was last not accepted (seconds of `elapsed_s`).
+        self.failed_at: dict[int, float] = {}
 
     def reset(self) -> None:
         """
@@ -44,7 +47,7 @@
 
         """
         self.written.clear()
-        self.unsettled.clear()
+        self.failed_at.clear()
 
     async def prove_layer(self, target: Target, held: PieceSet, number: int) -> float | None:
         """
@@ -81,11 +84,20 @@
             return True
         self.loaded.record_write(layers_with_piece(index, target.layers, target.pieces))
         if not await self.engine.stage(held.weights.model, index, held.pieces[index]):
-            self.unsettled.add(index)
+            self.failed_at[index] = self.env.monotonic()
             return False
         self.written[index] = held.weights
         return True
 
+    def is_settled(self, index: int) -> bool:
+        """
+        Whether no write of this piece that was not accepted may be carried out yet, or may just
+        have been.
+
+        """
+        failed_at = self.failed_at.get(index, float('-inf'))
+        return self.env.monotonic() - failed_at > MAX_WRITE_DELAY_S
+
     def holds_other(self, weights: WeightsId) -> bool:
         """
         Whether pieces of another version than this one have been written.
