An engine that does not accept a piece goes on with its version

Cause: pieces that could not be staged ahead were ignored, and the layers before them were ordered. So an engine gave up a version that had not ended for part of the next one, which it could not complete.

Change: before the served version ends, no load begins until all pieces were staged ahead.

--- a/packages/millforkd/millforkd/sidecar/loading.py
+++ b/packages/millforkd/millforkd/sidecar/loading.py
@@ -63,16 +63,20 @@
 
     async def stage_ahead(
         self, target: Target, held: PieceSet, layers: Layers, is_due: Callable[[], bool]
-    ) -> None:
+    ) -> bool:
         """
         Stage the pieces of these layers while the engine serves another version, until `is_due`,
-        so that they only have to be read back once the engine serves nothing.
+        so that they only have to be read back once the engine serves nothing. False if the engine
+        did not accept a piece.
 
         """
         for index in layers.pieces(target.layers, target.pieces):
             async with self.order_lock:
-                if is_due() or not await self.staging.write(target, held, index):
-                    return
+                if is_due():
+                    return True
+                if not await self.staging.write(target, held, index):
+                    return False
+        return True
 
     async def load(
         self, target: Target, held: PieceSet, goal: Layers, draining: curio.Task | None = None
--- a/packages/millforkd/millforkd/sidecar/rollout.py
+++ b/packages/millforkd/millforkd/sidecar/rollout.py
@@ -224,7 +224,12 @@
             return
         gathered_at = self.env.monotonic()
         if self.serves_another(target):
-            await self.loader.stage_ahead(target, held, goal, lambda: self._must_change(target))
+            staged = await self.loader.stage_ahead(
+                target, held, goal, lambda: self._must_change(target)
+            )
+            if not staged and not self._must_change(target):
+                # The engine goes on with the version that it serves, as that has not ended.
+                return
         if not await self._wait_for_turn(target) or self.report is None:
             return
         await self._start(target, held, goal)
