A suspect model of one layer is not ordered again and again

Cause: an engine does not load a layer anew that it holds, and a model of a single layer has no other layer that the engine could be reduced to. It answered the order to hold the layer at once, the layer stayed suspect, and the daemon ordered it 1,000 times a second.

Change: no order is sent. The engine is not used until it restarts or loads another version.

--- a/packages/millforkd/millforkd/sidecar/load_plan.py
+++ b/packages/millforkd/millforkd/sidecar/load_plan.py
@@ -41,10 +41,11 @@
     layers `goal` of a model of `layers` layers; None if the engine holds the goal.
 
     An engine doesn't load a layer anew that it holds. So suspect layers are dropped first: the
-    engine is reduced to another layer.
+    engine is reduced to another layer. That is not possible if the model has a single one; the
+    engine is then not used until it restarts or loads another version.
 
     """
-    if served is not None and suspects:
+    if served is not None and suspects and layers > 1:
         return LoadPlan(None, [_other_layer(served, suspects, layers)], interrupts=True)
     if served is None or not goal.contains(served):
         if served is not None and served.contains(goal):
