A load in several orders ends with its version

Cause: the load went on until all layers were there, whatever the target. With slow calls an engine got more layers of an ended version for seconds, and as it was busy, it refused each order to empty it (0.12 s a call: for 3.3 s after the end).

Change: no further order is sent once there is another target and the engine has to change to it.

--- a/packages/millforkd/millforkd/sidecar/loading.py
+++ b/packages/millforkd/millforkd/sidecar/loading.py
@@ -79,24 +79,29 @@
         return True
 
     async def load(
-        self, target: Target, held: PieceSet, goal: Layers, draining: curio.Task | None = None
+        self,
+        target: Target,
+        held: PieceSet,
+        goal: Layers,
+        is_obsolete: Callable[[], bool],
+        draining: curio.Task | None = None,
     ) -> None:
         """
         Bring the engine to hold the `goal` layers of the target, in as many orders as needed, the
         first one once `draining` has ended. That task returns whether the order may interrupt
         requests; otherwise the engine carries it out once they have ended, and begins no others
-        meanwhile. Ends early if the engine does not accept a piece or an order, restarts, or does
-        not serve the ordered layers in time.
+        meanwhile. Ends early if the target `is_obsolete`, or if the engine does not accept a piece
+        or an order, restarts, or does not serve the ordered layers in time.
 
         """
-        while True:
+        while not is_obsolete():
             suspects = self.state.loaded.numbers(target.weights, LayerState.SUSPECT)
             served = self.state.served_layers(target)
             plan = plan_load(served, suspects, goal, target.layers)
             if plan is None:
                 return
             async with self.order_lock:
-                order = await self._stage_and_order(target, held, goal, plan, draining)
+                order = await self._stage_and_order(target, held, goal, plan, is_obsolete, draining)
             if order is None:
                 return
             is_growth = plan.kept is not None
@@ -111,11 +116,13 @@
         held: PieceSet,
         goal: Layers,
         plan: LoadPlan,
+        is_obsolete: Callable[[], bool],
         draining: curio.Task | None,
     ) -> LoadOrder | None:
         """
         Stage and prove the first of the wanted layers, wait for `draining`, and send the load
-        order. Returns the order; None if the engine did not accept a piece or the order.
+        order. Returns the order; None if the target `is_obsolete` by then, or if the engine did not
+        accept a piece or the order.
 
         """
         began_at = self.env.monotonic()
@@ -131,6 +138,8 @@
             proofs = await self._prove(target, held, plan.wanted)
             if not proofs:
                 return None
+        if is_obsolete():
+            return None
         order = LoadOrder(target.weights, plan.layers_with(proofs, goal), proofs)
         accepted = await self.send(order, interrupts)
         log.notice(
--- a/packages/millforkd/millforkd/sidecar/rollout.py
+++ b/packages/millforkd/millforkd/sidecar/rollout.py
@@ -285,6 +285,17 @@
         """
         return self._is_outdated(target) or self.env.monotonic() >= self._due(target)
 
+    def _is_obsolete(self, target: Target) -> bool:
+        """
+        Whether there is another target, and the engine has to change to it at once. Until then it
+        may serve this one.
+
+        """
+        current = self.get_target()
+        if current is None or current.weights == target.weights:
+            return False
+        return self.env.monotonic() >= current.due
+
     async def _gather(self, held: PieceSet, target: Target, goal: Layers) -> bool:
         """
         Fetch the pieces of the `goal` layers into `held`; False if some are still missing,
@@ -413,7 +424,9 @@
             if replaces:
                 await curio.sleep(ANNOUNCEMENT_WAIT_S)
                 draining = await self.env.spawn(self._wait_for_drain, target)
-            await self.loader.load(target, held, layers, draining)
+            await self.loader.load(
+                target, held, layers, lambda: self._is_obsolete(target), draining
+            )
         finally:
             if draining is not None:
                 await draining.cancel()
