--- a/packages/millforkd/millforkd/sidecar/loading.py
+++ b/packages/millforkd/millforkd/sidecar/loading.py
@@ -63,36 +63,45 @@
 
     async def stage_ahead(
         self, target: Target, held: PieceSet, layers: Layers, is_due: Callable[[], bool]
-    ) -> None:
+    ) -> bool:
         """
         Stage the pieces of these layers while the engine serves another version, until `is_due`,
-        so that they only have to be read back once the engine serves nothing.
+        so that they only have to be read back once the engine serves nothing. False if the engine
+        did not accept a piece.
 
         """
         for index in layers.pieces(target.layers, target.pieces):
             async with self.order_lock:
-                if is_due() or not await self.staging.write(target, held, index):
-                    return
+                if is_due():
+                    return True
+                if not await self.staging.write(target, held, index):
+                    return False
+        return True
 
     async def load(
-        self, target: Target, held: PieceSet, goal: Layers, draining: curio.Task | None = None
+        self,
+        target: Target,
+        held: PieceSet,
+        goal: Layers,
+        is_obsolete: Callable[[], bool],
+        draining: curio.Task | None = None,
     ) -> None:
         """
         Bring the engine to hold the `goal` layers of the target, in as many orders as needed, the
         first one once `draining` has ended. That task returns whether the order may interrupt
         requests; otherwise the engine carries it out once they have ended, and begins no others
-        meanwhile. Ends early if the engine does not accept a piece or an order, restarts, or does
-        not serve the ordered layers in time.
+        meanwhile. Ends early if the target `is_obsolete`, or if the engine does not accept a piece
+        or an order, restarts, or does not serve the ordered layers in time.
 
         """
-        while True:
+        while not is_obsolete():
             suspects = self.state.loaded.numbers(target.weights, LayerState.SUSPECT)
             served = self.state.served_layers(target)
             plan = plan_load(served, suspects, goal, target.layers)
             if plan is None:
                 return
             async with self.order_lock:
-                order = await self._stage_and_order(target, held, goal, plan, draining)
+                order = await self._stage_and_order(target, held, goal, plan, is_obsolete, draining)
             if order is None:
                 return
             is_growth = plan.kept is not None
@@ -107,11 +116,13 @@
         held: PieceSet,
         goal: Layers,
         plan: LoadPlan,
+        is_obsolete: Callable[[], bool],
         draining: curio.Task | None,
     ) -> LoadOrder | None:
         """
         Stage and prove the first of the wanted layers, wait for `draining`, and send the load
-        order. Returns the order; None if the engine did not accept a piece or the order.
+        order. Returns the order; None if the target `is_obsolete` by then, or if the engine did not
+        accept a piece or the order.
 
         """
         began_at = self.env.monotonic()
@@ -127,6 +138,8 @@
             proofs = await self._prove(target, held, plan.wanted)
             if not proofs:
                 return None
+        if is_obsolete():
+            return None
         order = LoadOrder(target.weights, plan.layers_with(proofs, goal), proofs)
         accepted = await self.send(order, interrupts)
         log.notice(
@@ -228,7 +241,9 @@
 
     async def _is_layer_intact(self, target: Target, held: PieceSet, number: int) -> bool:
         for index in target.pieces_of(number):
-            if index in self.staging.unsettled or not await self.staging.is_intact(held, index):
+            if not self.staging.is_settled(index):
+                return False
+            if not await self.staging.is_intact(held, index):
                 return False
         return True
 
