Layers of a version that is no longer the target are checked as well

Cause: only layers of the target were read back. If an order was carried out late, after the target had changed, the engine was not used until the next version was there, also if all pieces were intact.

Change: unproven layers of any version of the model are read back, also while pieces are fetched or a turn is awaited.

--- a/packages/millforkd/millforkd/sidecar/loaded_layers.py
+++ b/packages/millforkd/millforkd/sidecar/loaded_layers.py
@@ -185,6 +185,15 @@
             if layer.weights == weights and known is state
         ]
 
+    @property
+    def unproven_weights(self) -> set[WeightsId]:
+        """
+        The versions of which the engine serves layers that may be proven by reading their pieces.
+
+        """
+        states = self.states or {}
+        return {layer.weights for layer in states if states[layer] is LayerState.UNPROVEN}
+
     @property
     def unproven_version(self) -> int:
         """
--- a/packages/millforkd/millforkd/sidecar/rollout.py
+++ b/packages/millforkd/millforkd/sidecar/rollout.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Final
 
 import curio
@@ -215,8 +216,7 @@
         started_at = self.env.monotonic()
         held = self.store.get_or_create(target.weights)
         await self._check_staged(held)
-        if held.digests:
-            await self.loader.check_unproven(target, held)
+        await self._check_unproven(target)
         if self.report is None or self._is_done(target):
             return
         goal = self._choose_goal(target, held)
@@ -246,6 +246,17 @@
             now - target.chosen_at,
         )
 
+    async def _check_unproven(self, target: Target) -> None:
+        """
+        Check the unproven layers that the engine serves, of the target or of another version of
+        its model, if the digests of that version are still held.
+
+        """
+        for weights in self.state.loaded.unproven_weights:
+            held = self.store.find(weights)
+            if weights.model == target.weights.model and held is not None and held.digests:
+                await self.loader.check_unproven(replace(target, weights=weights), held)
+
     def _choose_goal(self, target: Target, held: PieceSet) -> Layers:
         """
         The layers that the engine loads next: the assigned ones if the engine serves no layer of
@@ -309,6 +320,7 @@
         try:
             while not task.terminated:
                 await curio.sleep(POLL_S)
+                await self._check_unproven(target)
                 if self._is_outdated(target):
                     return False
         finally:
@@ -359,6 +371,7 @@
             if self._changed_count(target) * ROLLOUT_TURNS >= turn * len(self.fleet.members()):
                 break
             await curio.sleep(POLL_S)
+            await self._check_unproven(target)
             if self._is_outdated(target):
                 return False
         return True
