A piece written after a late load proves the layer: failing tests

An order without an answer is carried out 3.5 s later, while the daemon reads the pieces back for the next order. The engine serves a layer that was loaded from a piece that had been bad for 3.49 s.

--- a/tests/test_stale_pieces_reviewed.py
+++ b/tests/test_stale_pieces_reviewed.py
@@ -16,7 +16,7 @@
 from millfork_scheduling.server_table import ServerTable
 from millforkd.sidecar.engine import OrderOutcome
 from millforkd.sidecar.layer_assignment import Layers
-from millforkd.sidecar.loaded_layers import LayerState, LoadedLayers, LoadOrder
+from millforkd.sidecar.loaded_layers import LayerOfVersion, LayerState, LoadedLayers, LoadOrder
 from millforkd.sidecar.pieces import WeightsId
 from millforkd.version_switching import LAST_SEND_BEFORE_END_S
 from tests import test_stale_pieces as stale
@@ -204,3 +204,56 @@
     (path,) = find_paths(list(table.servers.values()), ENGINE, 2)
     assert [server.instance for server in path.servers] == ['i-1', 'i-2']
     assert 8 <= path.split <= 9
+
+
+def test_a_layer_is_not_proven_by_a_piece_that_was_written_after_it_was_loaded():
+    """
+    An unanswered order is carried out over 3 s after a piece turned bad, while the daemon reads
+    the pieces back for the next order. It writes the piece again once the layers are reported.
+
+    """
+
+    class TakesLate(StagingEngine):
+        async def load_layers(self, model, version, first, end, interrupts):
+            outcome = await super().load_layers(model, version, first, end, interrupts)
+            if outcome is OrderOutcome.UNKNOWN:
+                # The daemon gives the call up.
+                await curio.sleep(stale.LONG_CALL_S)
+            return outcome
+
+        async def read_staged(self, model, index):
+            if index == stale.PIECES - 1 and self.spoiled:
+                # The layers are reported after the daemon began to read their pieces back.
+                await self.until_reported()
+            return await super().read_staged(model, index)
+
+    engine = TakesLate(unanswered_delays=[stale.LATE_ORDER_S])
+    engine.spoiled = False
+
+    async def run():
+        daemon = Daemon(engine)
+
+        async def spoil():
+            await daemon.until(lambda: engine.orders)
+            engine.spoil(stale.PIECES - 1)
+            engine.spoiled = True
+
+        engine.on_first_stage = spoil
+        engine.until_reported = lambda: daemon.until(
+            lambda: daemon.rollout.served == (ServedVersion('m', 2, 0, LAYERS),)
+        )
+        await daemon.start()
+        await daemon.until_changed()
+        return daemon
+
+    assert curio.run(run).violations == []
+
+
+def test_a_check_proves_no_layer_of_which_a_piece_was_written_meanwhile():
+    loaded = LoadedLayers()
+    weights = WeightsId('m', 2)
+    loaded.record_report([], 0.0)
+    loaded.record_report([ServedVersion('m', 2, 0, LAYERS)], 0.1)
+    loaded.record_write([1])
+    loaded.confirm(LayerOfVersion(weights, 1), True)
+    assert loaded.numbers(weights, LayerState.SUSPECT) == [1]
