A restarted endpoint daemon uses no layer that it can't show to be proven

Cause: the layers of the first report counted as proven, although the process that ordered them may have ended before it knew whether their pieces were good.

Change: the layers of the first report are proven only if the engine has begun no order since its start (seq of its report; it began with these layers), or if the state that the earlier process announced last, which comes back with the feed, names them as usable: changing_to 0, the same incarnation, and all of the announced layers still held. Until that state arrives, for at most a second, no report is sent that would replace it. Other layers are unproven: their pieces are read back, also while pieces of a newer version are awaited, and only the layers of bad pieces are loaded again, from the good staged pieces and the bad ones fetched again. Until the digests are known, no piece of theirs is fetched.

Weighed: reading back costs one list of digests from a cache and one local read a piece, and no bytes of pieces from the origin; taking all layers as suspect would have meant a load of each engine. A daemon that restarts within the 3.5 s for which replicas keep its state reads nothing. While no cache, peer or origin has the digests, unproven layers stay unused. Not covered: a piece that the ended process wrote again after the engine had loaded its bad predecessor from an order without an answer reads back intact; an engine that is silent for over 2.5 s during the read makes a layer suspect, which is then loaded again.

--- a/packages/millfork-adapter/millfork_adapter/exchange.py
+++ b/packages/millfork-adapter/millfork_adapter/exchange.py
@@ -119,7 +119,8 @@
     version, the first layer and the exclusive end of the layers (None: all layers). If `pace` is
     above 1, the engine is slower than its declared speed; if `busy` is set, the engine is carrying
     out a load order. A changed `incarnation` means that the engine restarted and lost its memory
-    and the load orders sent to it.
+    and the load orders sent to it. `orders` counts the orders that the engine has begun since then;
+    None if the engine doesn't tell.
 
     """
 
@@ -132,6 +133,7 @@
     served: tuple[tuple[str, int, int, int | None], ...]
     incarnation: Incarnation = UNKNOWN_INCARNATION
     backpressure: Backpressure = NO_BACKPRESSURE
+    orders: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/millforkd/millforkd/sidecar/daemon.py
+++ b/packages/millforkd/millforkd/sidecar/daemon.py
@@ -56,6 +56,9 @@
 # A daemon that is asked for digests which it has not received yet waits for them for at most
 # this many seconds before it answers.
 DIGESTS_WAIT_S: Final = 1.0
+# No report is sent for at most this many seconds after the start while the state that an earlier
+# process announced may still arrive. Entries then use the engine as they did before.
+ANNOUNCED_STATE_WAIT_S: Final = 1.0
 BITS_PER_MBIT: Final = 1_000_000
 # The rate assumed for a link without a configured rate: 10 Gbit/s.
 UNLIMITED_BYTES_PER_S: Final = 1_250_000_000
@@ -216,7 +219,7 @@
 
         """
         source = self.feed_client.report_target
-        if not source:
+        if not source or self._awaits_announced_state():
             return
         body = msgspec.msgpack.encode(self._state())
         try:
@@ -224,6 +227,16 @@
         except PeerError as error:
             log.debug('The report could not be sent to {}: {}.', source, error)
 
+    def _awaits_announced_state(self) -> bool:
+        """
+        Whether the state that an earlier process of this daemon announced last is still to arrive.
+        A report of this process would replace it.
+
+        """
+        if not self.rollout.state.loaded.inherited or self.registry.is_complete:
+            return False
+        return self.env.monotonic() - self.rollout.started_at < ANNOUNCED_STATE_WAIT_S
+
     def _state(self) -> EndpointState:
         report = self.rollout.report
         served = self.rollout.served
--- a/packages/millforkd/millforkd/sidecar/engine_state.py
+++ b/packages/millforkd/millforkd/sidecar/engine_state.py
@@ -47,7 +47,7 @@
             )
             self.incarnation = report.incarnation
             self.loaded.record_restart()
-        self.loaded.record_report(self.served, self.env.monotonic())
+        self.loaded.record_report(self.served, self.env.monotonic(), report.orders)
         return restarted
 
     @property
--- a/packages/millforkd/millforkd/sidecar/fleet.py
+++ b/packages/millforkd/millforkd/sidecar/fleet.py
@@ -78,6 +78,18 @@
         ]
         return [*others, own]
 
+    def announced_before(self, started_at: float) -> EndpointState | None:
+        """
+        The state that an earlier process of this daemon announced last, before this one started at
+        `started_at` (monotonic seconds); None if no such state is known.
+
+        """
+        own_instance = str(self.env.instance)
+        for state in self.states():
+            if state.instance == own_instance and state.service == self.service:
+                return state if state.sequence < started_at * 1000 else None
+        return None
+
     def _snapshot_for(self, weights: WeightsId) -> _FleetSnapshot:
         now = self.env.monotonic()
         last = self.snapshot
--- a/packages/millforkd/millforkd/sidecar/loaded_layers.py
+++ b/packages/millforkd/millforkd/sidecar/loaded_layers.py
@@ -84,6 +84,9 @@
         self.pending: deque[LoadOrder] = deque(maxlen=MAX_PENDING_ORDERS)
         # Layers of which a piece was written after a pending order could have loaded them.
         self.rewritten: set[LayerOfVersion] = set()
+        # Layers of the first report that are held since, and of which nothing else is known. An
+        # earlier process of this daemon had the engine load them.
+        self.inherited: set[LayerOfVersion] = set()
 
     def record_restart(self) -> None:
         """
@@ -122,19 +125,22 @@
                 if number in order.layers.numbers
             )
 
-    def record_report(self, served: Iterable[ServedVersion], reported_at: float) -> None:
+    def record_report(
+        self, served: Iterable[ServedVersion], reported_at: float, orders: int | None = None
+    ) -> None:
         """
-        Record which layers the engine serves by a report that arrived at `reported_at`. The layers
-        in the first report count as proven: an earlier process of this daemon loaded them.
+        Record which layers the engine serves by a report that arrived at `reported_at`, and that
+        tells how many `orders` the engine has begun since its start. The layers in the first report
+        count as proven if the engine has started with them. Otherwise an earlier process of this
+        daemon ordered them, and may have ended before it knew whether their pieces were good.
 
         """
-        layers = [
-            LayerOfVersion(WeightsId(item.model, item.version), number)
-            for item in served
-            for number in _layer_numbers(item)
-        ]
+        layers = _layers_of(served)
         if self.states is None:
-            self.states = dict.fromkeys(layers, LayerState.PROVEN)
+            is_first_load = orders == 0
+            first_state = LayerState.PROVEN if is_first_load else LayerState.UNPROVEN
+            self.states = dict.fromkeys(layers, first_state)
+            self.inherited = set() if is_first_load else set(layers)
             return
         # An engine that is told to hold more layers of the same version keeps those that it holds.
         # Any other order may load all of its layers anew.
@@ -144,6 +150,7 @@
             for layer in layers
         }
         self.rewritten -= self.states.keys()
+        self.inherited &= kept.keys()
         for order in list(self.pending):
             if all(
                 LayerOfVersion(order.weights, number) in self.states
@@ -165,6 +172,24 @@
             break
         return LayerState.UNPROVEN
 
+    @property
+    def inherited_weights(self) -> set[WeightsId]:
+        return {layer.weights for layer in self.inherited}
+
+    def adopt(self, announced: Iterable[ServedVersion]) -> bool:
+        """
+        Take those inherited layers as proven that an earlier process of this daemon announced as
+        usable. Returns False, and does nothing, unless the engine still holds all of the announced
+        layers: after an order that drops some, the others may have been loaded anew.
+
+        """
+        layers = set(_layers_of(announced))
+        if self.states is None or not layers or not layers <= self.inherited:
+            return False
+        self.states.update(dict.fromkeys(layers, LayerState.PROVEN))
+        self.inherited -= layers
+        return True
+
     def confirm(self, layer: LayerOfVersion, intact: bool) -> None:
         """
         Record whether the pieces of a layer that the engine serves are still intact.
@@ -172,6 +197,7 @@
         """
         if self.states is not None and layer in self.states:
             self.states[layer] = LayerState.PROVEN if intact else LayerState.SUSPECT
+            self.inherited.discard(layer)
 
     def numbers(self, weights: WeightsId, state: LayerState) -> list[int]:
         """
@@ -201,5 +227,13 @@
         )
 
 
+def _layers_of(served: Iterable[ServedVersion]) -> list[LayerOfVersion]:
+    return [
+        LayerOfVersion(WeightsId(item.model, item.version), number)
+        for item in served
+        for number in _layer_numbers(item)
+    ]
+
+
 def _layer_numbers(item: ServedVersion) -> range:
     return Layers(item.first, item.end if item.end is not None else item.first).numbers
--- a/packages/millforkd/millforkd/sidecar/rollout.py
+++ b/packages/millforkd/millforkd/sidecar/rollout.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Final
 
 import curio
@@ -24,6 +25,7 @@
 from millforkd.sidecar.fleet import Fleet
 from millforkd.sidecar.gathering import PieceGatherer
 from millforkd.sidecar.layer_assignment import LayerAssignment, Layers, served_layers
+from millforkd.sidecar.loaded_layers import LayerState
 from millforkd.sidecar.loading import LayerLoader
 from millforkd.sidecar.pieces import PieceSet, PieceStore, WeightsId
 from millforkd.sidecar.target import Target
@@ -93,6 +95,7 @@
         self.loader = LayerLoader(env, engine, self.state, self.record_report)
         # The version that the engine is changing to, 0 if none.
         self.changing_to = 0
+        self.started_at = env.monotonic()
         # Whether the check for staged pieces of the target has run since this process and the
         # engine started (the check reads no pieces if the digests are held already or can't be
         # fetched). An earlier process of this daemon may have staged such pieces and ended before
@@ -110,7 +113,9 @@
         restarted, reset the check of its staged pieces and its layer assignment.
 
         """
-        if not self.state.record(report):
+        restarted = self.state.record(report)
+        self._adopt_announced()
+        if not restarted:
             return
         # Staged pieces may have outlived the restart, so the check for them runs again.
         self.staged_checked = False
@@ -118,6 +123,41 @@
         self.loader.staging.reset()
         self.assignment = None
 
+    def _adopt_announced(self) -> None:
+        """
+        Take the layers as proven that an earlier process of this daemon announced as usable.
+
+        """
+        if not self.state.loaded.inherited:
+            return
+        announced = self.fleet.announced_before(self.started_at)
+        if announced is None or announced.changing_to or not announced.reachable:
+            return
+        if announced.incarnation != self.incarnation:
+            return
+        if self.state.loaded.adopt(announced.served):
+            log.notice('An earlier process of this daemon proved {}.', announced.served)
+
+    async def _check_inherited(self, target: Target) -> None:
+        """
+        Read back the pieces of layers that an earlier process of this daemon had the engine load,
+        if their digests can be fetched. Entries send nothing to the engine meanwhile. If layers of
+        the target have to be loaded again, only their bad pieces are fetched again.
+
+        """
+        for weights in self.state.loaded.inherited_weights:
+            if weights.model != target.weights.model:
+                continue
+            held = self.store.get_or_create(weights)
+            if not held.digests and not await self.gatherer.obtain_digests(held):
+                continue
+            if self.report is None:
+                # A silent engine's pieces can't be read, which says nothing of them.
+                return
+            await self.loader.check_unproven(replace(target, weights=weights), held)
+            if self.state.loaded.numbers(target.weights, LayerState.SUSPECT):
+                await self._adopt_staged(self.store.get_or_create(target.weights))
+
     @property
     def report(self) -> EngineReport | None:
         """
@@ -213,6 +253,12 @@
 
         """
         started_at = self.env.monotonic()
+        await self._check_inherited(target)
+        if self._is_done(target):
+            return
+        if target.weights in self.state.loaded.inherited_weights:
+            # No digests yet. Without them, nothing tells which pieces have to be fetched.
+            return
         held = self.store.get_or_create(target.weights)
         await self._check_staged(held)
         if held.digests:
@@ -295,6 +341,7 @@
                 await curio.sleep(POLL_S)
                 if self._is_outdated(target):
                     return False
+                await self._check_inherited(target)
         finally:
             if not task.terminated:
                 await task.cancel()
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -628,6 +628,41 @@
             ),
         ),
     ),
+    Mutation(
+        'layers that an earlier process ordered are not used before they are proven',
+        'tests/test_stale_pieces_after_daemon_restarts.py::'
+        'test_layers_of_an_ended_daemon_are_not_used_if_their_pieces_were_bad',
+        (
+            Edit(
+                D + 'sidecar/loaded_layers.py',
+                'is_first_load = orders == 0',
+                'is_first_load = True',
+            ),
+        ),
+    ),
+    Mutation(
+        'layers that an earlier process announced as changing are not taken as proven',
+        'tests/test_stale_pieces_after_daemon_restarts.py::'
+        'test_layers_that_were_not_announced_as_usable_are_not_used_if_a_piece_is_bad',
+        (
+            Edit(
+                D + 'sidecar/rollout.py',
+                'if announced is None or announced.changing_to or not announced.reachable:',
+                'if announced is None:',
+            ),
+        ),
+    ),
+    Mutation(
+        'pieces of the engine are read before any is fetched again after a restart of the daemon',
+        'tests/test_stale_pieces_after_daemon_restarts.py::test_only_bad_pieces_are_fetched_again',
+        (
+            Edit(
+                D + 'sidecar/rollout.py',
+                'if self.state.loaded.numbers(target.weights, LayerState.SUSPECT):',
+                'if False:',
+            ),
+        ),
+    ),
     Mutation(
         'no request is sent to a version that ends while connecting',
         'tests/test_forwarding.py::test_nothing_is_sent_to_a_version_that_ends_while_connecting',
