--- a/packages/millfork-standins/millfork_standins/back_end.py
+++ b/packages/millfork-standins/millfork_standins/back_end.py
@@ -53,8 +53,9 @@
 class RawAnswer:
     """
     The bytes of an answer, in which REQUEST_ID stands for the id of the request, and whether the
-    back end closes the connection afterwards. If `endless` isn't empty, these bytes follow again
-    and again, each after `pause_s` seconds, until the entry closes the connection.
+    back end closes the connection afterwards, with a reset if `resets`. If `rest` isn't empty, it
+    follows after `pause_s` seconds. If `endless` isn't empty, these bytes follow again and again,
+    each after `pause_s` seconds, until the entry closes the connection.
 
     """
 
@@ -64,6 +65,8 @@
     closes: bool = False
     endless: bytes = b''
     pause_s: float = 0.0
+    rest: bytes = b''
+    resets: bool = False
 
 
 def stream_event(number: int) -> bytes:
@@ -118,7 +121,7 @@
         if self.server.drops_requests:
             self._break_off(b'')
             return
-        raw_answer = self.server.fleet.take_raw_answer()
+        raw_answer = self.server.fleet.take_raw_answer(request_body)
         if raw_answer is not None:
             self._send_raw(raw_answer)
             return
@@ -154,6 +157,11 @@
         self.close_connection = raw_answer.closes
         request_id = self.headers[client_requests.REQUEST_ID].encode()
         self.wfile.write(raw_answer.data.replace(RawAnswer.REQUEST_ID, request_id))
+        if raw_answer.rest and not self.server.ended.wait(raw_answer.pause_s):
+            self.wfile.write(raw_answer.rest.replace(RawAnswer.REQUEST_ID, request_id))
+        if raw_answer.resets:
+            self._break_off(b'', BreakKind.RESET)
+            return
         while raw_answer.endless and not self.server.ended.wait(raw_answer.pause_s):
             # Ends with an error once the entry has closed the connection.
             self.wfile.write(raw_answer.endless)
--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -93,6 +93,8 @@
         # If set, every second request is answered with these bytes.
         self.raw_answer: RawAnswer | None = None
         self.raw_answer_turns = itertools.count()
+        # The answers to the next requests with a body, by that body; None stands for a usual one.
+        self.raw_answers: dict[bytes, list[RawAnswer | None]] = {}
         # The content type of all answers, which then are no streams; none if empty.
         self.content_type = ''
         # The next bodies that are neither streams nor large; `answer` once there is none.
@@ -240,11 +242,14 @@
         """
         return self.break_kind if self.take_break(event) else None
 
-    def take_raw_answer(self) -> RawAnswer | None:
+    def take_raw_answer(self, request_body: bytes) -> RawAnswer | None:
         """
-        Return `raw_answer` for every second request, else None.
+        Return the next one of `raw_answers` for a request with this body. If there is none, return
+        `raw_answer` for every second request, else None.
 
         """
+        if raw_answers := self.raw_answers.get(request_body):
+            return raw_answers.pop(0)
         return self.raw_answer if next(self.raw_answer_turns) % 2 else None
 
     def take_answer(self) -> bytes:
