An empty resumed stream that ends with its connection has been broken off

What callers saw: a stream that broke off after four of eight events, and whose second back end closed after a head without length or chunks, was framed as complete after the four events. A stream that the caller resumed itself was empty and framed as complete.

Cause: a stream that ends with its connection before any event was taken to be broken off only if it had been asked for from its beginning, as one that is resumed after its last event is empty. Nothing in the answer tells the two apart.

Change: without length and chunks, a stream without any event has been broken off, resumed or not: another back end is asked, and if none is left the caller sees the break. An empty one with a length or a last chunk is whole, as before. The cost: after the last event of a stream that broke off there, a back end that answers without framing no longer ends it.

--- a/packages/millforkd/millforkd/proxy/response_relay.py
+++ b/packages/millforkd/millforkd/proxy/response_relay.py
@@ -169,7 +169,9 @@
         job.unfinished_bytes = len(splitter.incomplete)
         if splitter.is_inside_event:
             raise connection.broken_off('the stream ended inside an event')
-        if connection.framing is Framing.CONNECTION and _is_empty(job, splitter):
+        is_empty = not (splitter.has_event or splitter.incomplete)
+        if connection.framing is Framing.CONNECTION and is_empty:
+            # Also if the stream was resumed: nothing tells that it had no events left.
             raise connection.broken_off('the connection closed before the first event')
         if splitter.incomplete or not job.answer_started:
             await self._write(job, attempt, connection, splitter.incomplete)
@@ -208,15 +210,6 @@
     return is_json(find_header(connection.headers, 'content-type'))
 
 
-def _is_empty(job: Job, splitter: EventSplitter) -> bool:
-    """
-    Whether the caller asked for a stream from its beginning and nothing of it has arrived. A stream
-    that continues after its last event is empty.
-
-    """
-    return not (job.answer_started or splitter.incomplete or job.resume_after is not None)
-
-
 def _check_resumed(job: Job, splitter: EventSplitter) -> None:
     """
     Check that a resumed stream continues with the event after the last one passed on. Nothing is
