Heads of answers that are cut short on listed fleets: tests

The stand-in engine sends text that a request names as its answer, pauses within it, and closes, resets or holds the connection.

--- a/packages/millfork-standins/millfork_standins/engine.py
+++ b/packages/millfork-standins/millfork_standins/engine.py
@@ -18,6 +18,7 @@
 import blake3
 import curio
 
+from millfork_core.sockets import RESET_ON_CLOSE
 from millfork_standins.execution_log import ExecutionLog
 from millfork_standins.settings import EngineSettings
 from millfork_standins.weights import token, weights_key
@@ -145,6 +146,9 @@
         headers: Headers = [('millfork-version', body['model']), ('x-request-id', request_id)]
         prompt = body['prompt']
         self.log.write(kind='begin', id=request_id, nonce=body.get('nonce'), model=body['model'])
+        if 'raw' in body:
+            await self._send_raw(exchange, request_id, body)
+            return
         await self._acquire_slot(int(request.header('x-priority') or 0))
         try:
             if prompt == CRASHING_PROMPT:
@@ -206,6 +210,25 @@
             await exchange.sock.sendall(part)
         await exchange.abort()
 
+    async def _send_raw(self, exchange: Exchange, request_id: str, body: dict[str, Any]) -> None:
+        """
+        Send the text `raw` and, after `pause_s`, the text `rest`; in both, @id stands for the id of
+        the request and @version for its version. Then close the connection, after the peer if
+        `holds`, or reset it if `resets`.
+
+        """
+        for field, pause_s in (('raw', 0.0), ('rest', body.get('pause_s', 0.0))):
+            await curio.sleep(pause_s)
+            text = body.get(field, '').replace('@id', request_id).replace('@version', body['model'])
+            await exchange.sock.sendall(text.encode())
+        if body.get('holds'):
+            await exchange.sock.recv(1)
+        if body.get('resets'):
+            exchange.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            await exchange.sock.close()
+            return
+        await exchange.abort()
+
     async def _crash(self, exchange: Exchange, headers: Headers, is_stream: bool) -> None:
         """
         Send the first event if the answer is a stream, wait for `crash_after_ms` and end the
