A back end that is silent between the head and the first event is silent

What callers saw: a resumable stream whose back end sent a whole head and nothing more got 504 at its deadline of 4 s, though other back ends were free. One that stood still within the head, or after the first event, was asked of another back end after 1.2 s.

Cause: the check for silence ran while the head was awaited and again once an event had been passed on, but not between them.

Change: it runs there as well, by the time since the back end sent anything at all to this entry; the check by later answers stays with the head, as heads don't come in the order in which requests start.

--- a/packages/millforkd/millforkd/proxy/response_monitor.py
+++ b/packages/millforkd/millforkd/proxy/response_monitor.py
@@ -167,17 +167,19 @@
 
     async def _read_first(self, job: Job, attempt: Attempt, connection: ServerConnection) -> bytes:
         """
-        The next bytes of a stream of which the caller has received nothing yet.
+        The next bytes of a stream of which the caller has received nothing yet. While the back end
+        is silent after the head, another one is asked, as before it.
 
         """
-        while self._slow_in_s(job, attempt) is not None:
+        while True:
             try:
                 async with curio.timeout_after(self._poll_s(job, attempt)):
                     return await connection.read()
             except curio.TaskTimeout:
                 await self._check_slow(job, attempt)
-                job.race.check(attempt)
-        return await connection.read()
+            if self._silent_s(attempt) > SILENT_SERVER_S:
+                await self.on_silence(job, attempt)
+            job.race.check(attempt)
 
     def _slow_in_s(self, job: Job, attempt: Attempt) -> float | None:
         """
@@ -231,9 +233,15 @@
         that long while the back end answers requests that were sent later.
 
         """
-        now = self.env.monotonic()
-        server = attempt.server
-        silent_s = now - max(attempt.started_at, server.last_received_at)
-        if server.answered_since(job.urgency, attempt.started_at + REORDER_THRESHOLD_S):
-            silent_s = now - attempt.started_at
+        silent_s = self._silent_s(attempt)
+        if attempt.server.answered_since(job.urgency, attempt.started_at + REORDER_THRESHOLD_S):
+            silent_s = self.env.monotonic() - attempt.started_at
         return silent_s > SILENT_SERVER_S
+
+    def _silent_s(self, attempt: Attempt) -> float:
+        """
+        For how many seconds of an attempt its back end has sent nothing.
+
+        """
+        last_sent_at = max(attempt.started_at, attempt.server.last_received_at)
+        return self.env.monotonic() - last_sent_at
