The engine of the tests of staged pieces tells how many orders it has begun

An engine that began with its layers is not checked at the daemon's start, which takes 'seq' of its report; the harness told none, so the engine counted as one that an earlier process had ordered to load.

--- a/tests/test_stale_pieces.py
+++ b/tests/test_stale_pieces.py
@@ -83,7 +83,8 @@
     async def report(self):
         served = (self.served,) if self.served is not None else ()
         items = tuple((item.model, item.version, item.first, item.end) for item in served)
-        return EngineReport(self.running, 0, 0, 0, 1.0, self.busy, items)
+        begun = len(self.orders)
+        return EngineReport(self.running, 0, 0, 0, 1.0, self.busy, items, orders=begun)
 
     async def read_staged(self, model, index):
         await curio.sleep(self.call_s)
