A piece written after its layer was loaded proves nothing

Seen in the test: an engine serves a layer that was loaded from a piece that had been bad for 3.49 s.

Cause: a write was only held against orders that were still pending. A late order is no longer pending once its layers are reported; if the daemon was reading the pieces back for the next order, it wrote the bad one again, and the check that followed found it intact.

Change: a write makes unproven layers of that piece suspect, and a check changes only layers that are still unproven. The test of the late order let a read wait for ever once the engine had dropped the layers; it holds up one read now.

--- a/packages/millforkd/millforkd/sidecar/loaded_layers.py
+++ b/packages/millforkd/millforkd/sidecar/loaded_layers.py
@@ -114,10 +114,15 @@
         """
         Record that a piece of the layers with these numbers was written. If a pending order has
         loaded such a layer unnoticed, it may have loaded what the piece replaced, or what replaced
-        its own piece.
+        its own piece. Unproven layers can no longer be checked, as the piece tells nothing of the
+        one that was there when they were loaded.
 
         """
-        for number in numbers:
+        written = set(numbers)
+        for layer, state in (self.states or {}).items():
+            if layer.number in written and state is LayerState.UNPROVEN:
+                self.confirm(layer, False)
+        for number in written:
             self.rewritten.update(
                 LayerOfVersion(order.weights, number)
                 for order in self.pending
@@ -168,10 +173,11 @@
 
     def confirm(self, layer: LayerOfVersion, intact: bool) -> None:
         """
-        Record whether the pieces of a layer that the engine serves are still intact.
+        Record whether the pieces of an unproven layer that the engine serves are still intact.
+        Ignored if the layer is no longer unproven.
 
         """
-        if self.states is not None and layer in self.states:
+        if self.states is not None and self.states.get(layer) is LayerState.UNPROVEN:
             self.states[layer] = LayerState.PROVEN if intact else LayerState.SUSPECT
 
     def numbers(self, weights: WeightsId, state: LayerState) -> list[int]:
--- a/tests/test_stale_pieces_reviewed.py
+++ b/tests/test_stale_pieces_reviewed.py
@@ -224,6 +224,7 @@
         async def read_staged(self, model, index):
             if index == stale.PIECES - 1 and self.spoiled:
                 # The layers are reported after the daemon began to read their pieces back.
+                self.spoiled = False
                 await self.until_reported()
             return await super().read_staged(model, index)
 
