An engine is emptied without reading pieces back first

Cause: the order that removes an ended version waited until the pieces of its layer had been read back. With six pieces a layer it came 0.18 s after the end at 40 ms a call and 5.7 s after it at 0.5 s.

Change: the pieces are written, and the layer is checked after it is loaded; until then the engine is announced as changing. The test failed before and passes.

--- a/packages/millforkd/millforkd/sidecar/loading.py
+++ b/packages/millforkd/millforkd/sidecar/loading.py
@@ -180,14 +180,14 @@
     async def order_layer(self, target: Target, held: PieceSet, number: int) -> bool:
         """
         Tell the engine to hold a single layer of the target; False if the engine did not accept a
-        piece or the order. The caller holds `order_lock`.
+        piece or the order. The caller holds `order_lock`. The pieces are not read back, which would
+        take as long again: the layer has to be checked before it is used.
 
         """
-        proof = await self.staging.prove_layer(target, held, number)
-        if proof is None:
-            return False
-        layer = Layers(number, number + 1)
-        return await self.send(LoadOrder(target.weights, layer, {number: proof}), False)
+        for index in target.pieces_of(number):
+            if not await self.staging.write(target, held, index):
+                return False
+        return await self.send(LoadOrder(target.weights, Layers(number, number + 1)), False)
 
     async def send(self, order: LoadOrder, interrupts: bool) -> bool:
         """
--- a/tests/test_stale_pieces_reviewed.py
+++ b/tests/test_stale_pieces_reviewed.py
@@ -258,3 +258,36 @@
     loaded.record_write([1])
     loaded.confirm(LayerOfVersion(weights, 1), True)
     assert loaded.numbers(weights, LayerState.SUSPECT) == [1]
+
+
+def test_an_engine_is_emptied_without_reading_pieces_back_first():
+    """
+    With slow calls, reading back delays the order beyond the end of the served version. The layer
+    is not used until it is checked.
+
+    """
+
+    class CountsReads(StagingEngine):
+        async def read_staged(self, model, index):
+            if not self.orders:
+                reads.append(index)
+            return await super().read_staged(model, index)
+
+    reads = []
+    engine = CountsReads()
+
+    async def run():
+        daemon = Daemon(engine)
+        daemon.rollout.record_report(await engine.report())
+        daemon.target = replace(daemon.target, due=0.0)
+        held = daemon.rollout.store.get_or_create(daemon.target.weights)
+        await stale.Origin().gather(held, range(stale.PIECES_PER_LAYER))
+        await daemon.expiry._empty_engine(daemon.target)
+        await daemon.until(lambda: engine.served == ServedVersion('m', 2, 0, 1))
+        daemon.rollout.record_report(await engine.report())
+        assert daemon.rollout.announced_version == 2
+        await daemon.rollout._check_unproven(daemon.target)
+        assert daemon.rollout.announced_version == 0
+
+    curio.run(run)
+    assert reads == []
