The log tells why an engine holds layers from stale pieces

Cause: no line told when ordered layers appeared, nor that an order of an ended process or one without an answer had brought them; the line of an order without an answer named no layers; a refused write left no line; a piece that could not be read back didn't tell how long it had been staged; and a stopped daemon looked like one with slow calls.

--- a/packages/millforkd/millforkd/sidecar/daemon.py
+++ b/packages/millforkd/millforkd/sidecar/daemon.py
@@ -59,6 +59,8 @@
 # No report is sent for at most this many seconds after the start while the state that an earlier
 # process announced may still arrive. Entries then use the engine as they did before.
 ANNOUNCED_STATE_WAIT_S: Final = 1.0
+# Shorter pauses of this process are not logged, in seconds. They don't make a staged piece stale.
+MIN_PAUSE_S: Final = 0.5
 BITS_PER_MBIT: Final = 1_000_000
 # The rate assumed for a link without a configured rate: 10 Gbit/s.
 UNLIMITED_BYTES_PER_S: Final = 1_250_000_000
@@ -142,6 +144,7 @@
         await self.env.spawn_essential(self._report_periodically)
         await self.env.spawn_essential(self.rollout.run)
         await self.env.spawn_essential(self.expiry.run)
+        await self.env.spawn_essential(self._log_pauses)
 
     async def reload(self, settings: SeededSettings) -> None:
         """
@@ -202,6 +205,19 @@
             await self._send_report()
             await curio.sleep(REPORT_INTERVAL_S)
 
+    async def _log_pauses(self) -> None:
+        """
+        Log the pauses in which this process did not run: it was stopped or suspended, or had no
+        processor time.
+
+        """
+        while True:
+            slept_at = self.env.monotonic()
+            await curio.sleep(REPORT_INTERVAL_S)
+            paused_s = self.env.monotonic() - slept_at - REPORT_INTERVAL_S
+            if paused_s >= MIN_PAUSE_S:
+                log.warning('This process was paused. seconds={:.1f}', paused_s)
+
     def _log_backpressure(self, report: EngineReport | None) -> None:
         if report is None:
             return
--- a/packages/millforkd/millforkd/sidecar/engine.py
+++ b/packages/millforkd/millforkd/sidecar/engine.py
@@ -108,6 +108,8 @@
         except ExchangeFailed as error:
             log.warning('Piece {} of {} was not staged: {}.', index, model, error)
             return False
+        if response.status >= 300:
+            log.warning('Piece {} of {} was not staged. status={}', index, model, response.status)
         return response.status < 300
 
     async def read_staged(self, model: str, index: int) -> bytes | None:
@@ -136,7 +138,14 @@
             )
         except ExchangeFailed as error:
             log.warning(
-                'The engine did not answer the order to load {} {}: {}.', model, version, error
+                'The engine did not answer the order to load layers. '
+                'model={} version={} layers={}-{} breaks_off={} detail={}',
+                model,
+                version,
+                first,
+                end,
+                interrupts,
+                error,
             )
             return OrderOutcome.UNKNOWN
         log.notice(
--- a/packages/millforkd/millforkd/sidecar/loaded_layers.py
+++ b/packages/millforkd/millforkd/sidecar/loaded_layers.py
@@ -9,7 +9,7 @@
 """
 
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Final
@@ -140,6 +140,7 @@
             is_first_load = orders == 0
             first_state = LayerState.PROVEN if is_first_load else LayerState.UNPROVEN
             self.states = dict.fromkeys(layers, first_state)
+            self._log_new_layers(layers, reported_at)
             self.inherited = set() if is_first_load else set(layers)
             return
         # An engine that is told to hold more layers of the same version keeps those that it holds.
@@ -149,6 +150,9 @@
             layer: kept[layer] if layer in kept else self._judge(layer, reported_at)
             for layer in layers
         }
+        new_layers = [layer for layer in layers if layer not in kept]
+        if new_layers:
+            self._log_new_layers(new_layers, reported_at)
         self.rewritten -= self.states.keys()
         self.inherited &= kept.keys()
         for order in list(self.pending):
@@ -158,18 +162,43 @@
             ):
                 self.pending.remove(order)
 
+    def _log_new_layers(self, layers: Sequence[LayerOfVersion], reported_at: float) -> None:
+        """
+        Log that the engine holds these layers, which no report has shown before; `oldest_proof_s`
+        is infinity if no order of this process explains one of them.
+
+        """
+        states = [] if self.states is None else [self.states[layer] for layer in layers]
+        if not states:
+            return
+        proofs = [self._latest_proof(layer) for layer in layers]
+        log.notice(
+            'The engine holds new layers. weights={} layers={}-{} proven={} unproven={} '
+            'suspect={} oldest_proof_s={:.2f} pending_orders={}',
+            layers[0].weights,
+            min(layer.number for layer in layers),
+            max(layer.number for layer in layers) + 1,
+            states.count(LayerState.PROVEN),
+            states.count(LayerState.UNPROVEN),
+            states.count(LayerState.SUSPECT),
+            reported_at - min(proofs),
+            len(self.pending),
+        )
+
+    def _latest_proof(self, layer: LayerOfVersion) -> float:
+        for order in reversed(self.pending):
+            if order.covers(layer) and layer.number in order.proofs:
+                return order.proofs[layer.number]
+        return float('-inf')
+
     def _judge(self, layer: LayerOfVersion, reported_at: float) -> LayerState:
         if layer in self.rewritten:
             log.warning('Layer {} of {} may have a bad piece.', layer.number, layer.weights)
             return LayerState.SUSPECT
         # If several orders are pending, any of them may have loaded the layer. The pieces that were
         # good for the latest one were good for the others.
-        for order in reversed(self.pending):
-            if not order.covers(layer) or layer.number not in order.proofs:
-                continue
-            if reported_at - order.proofs[layer.number] <= PROOF_VALID_S:
-                return LayerState.PROVEN
-            break
+        if reported_at - self._latest_proof(layer) <= PROOF_VALID_S:
+            return LayerState.PROVEN
         return LayerState.UNPROVEN
 
     @property
--- a/packages/millforkd/millforkd/sidecar/loading.py
+++ b/packages/millforkd/millforkd/sidecar/loading.py
@@ -174,7 +174,16 @@
         if proof is None:
             return False
         layer = Layers(number, number + 1)
-        return await self.send(LoadOrder(target.weights, layer, {number: proof}), False)
+        accepted = await self.send(LoadOrder(target.weights, layer, {number: proof}), False)
+        log.notice(
+            'Single layer ordered. weights={} layers={}-{} accepted={} oldest_proof_s={:.2f}',
+            target.weights,
+            layer.first,
+            layer.end,
+            accepted,
+            self.env.monotonic() - proof,
+        )
+        return accepted
 
     async def send(self, order: LoadOrder, interrupts: bool) -> bool:
         """
--- a/packages/millforkd/millforkd/sidecar/staging.py
+++ b/packages/millforkd/millforkd/sidecar/staging.py
@@ -35,6 +35,8 @@
         self.loaded = loaded
         # By index: the version of the piece that was written last, or found to be staged.
         self.written: dict[int, WeightsId] = {}
+        # When these pieces were written or found, in monotonic seconds.
+        self.written_at: dict[int, float] = {}
         # The indexes of pieces with writes that were not accepted, and that may be carried out yet.
         self.unsettled: set[int] = set()
 
@@ -44,6 +46,7 @@
 
         """
         self.written.clear()
+        self.written_at.clear()
         self.unsettled.clear()
 
     async def prove_layer(self, target: Target, held: PieceSet, number: int) -> float | None:
@@ -84,6 +87,7 @@
             self.unsettled.add(index)
             return False
         self.written[index] = held.weights
+        self.written_at[index] = self.env.monotonic()
         return True
 
     def holds_other(self, weights: WeightsId) -> bool:
@@ -103,5 +107,13 @@
         outcome = 'intact' if intact else 'missing' if data is None else 'corrupt'
         self.env.metrics.count(self.env.metrics.staged_pieces, outcome=outcome)
         if not intact:
-            log.warning('Staged piece {} of {} is {}.', index, held.weights, outcome)
+            written_at = self.written_at.get(index, float('-inf'))
+            log.warning(
+                'Staged piece {} of {} is {}. written={} written_s={:.2f}',
+                index,
+                held.weights,
+                outcome,
+                self.written.get(index, ''),
+                self.env.monotonic() - written_at,
+            )
         return intact
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -599,7 +599,7 @@
         (
             Edit(
                 D + 'sidecar/loaded_layers.py',
-                'if reported_at - order.proofs[layer.number] <= PROOF_VALID_S:',
+                'if reported_at - self._latest_proof(layer) <= PROOF_VALID_S:',
                 'if True:',
             ),
         ),
