--- a/packages/millforkd/millforkd/sidecar/loading.py
+++ b/packages/millforkd/millforkd/sidecar/loading.py
@@ -187,7 +187,16 @@
         for index in target.pieces_of(number):
             if not await self.staging.write(target, held, index):
                 return False
-        return await self.send(LoadOrder(target.weights, Layers(number, number + 1)), False)
+        layer = Layers(number, number + 1)
+        accepted = await self.send(LoadOrder(target.weights, layer), False)
+        log.notice(
+            'Single layer ordered. weights={} layers={}-{} accepted={}',
+            target.weights,
+            layer.first,
+            layer.end,
+            accepted,
+        )
+        return accepted
 
     async def send(self, order: LoadOrder, interrupts: bool) -> bool:
         """
--- a/packages/millforkd/millforkd/sidecar/staging.py
+++ b/packages/millforkd/millforkd/sidecar/staging.py
@@ -38,7 +38,9 @@
         self.loaded = loaded
         # By index: the version of the piece that was written last, or found to be staged.
         self.written: dict[int, WeightsId] = {}
-        # By index: when a write of the piece was last not accepted (seconds of `elapsed_s`).
+        # When these pieces were written or found, in monotonic seconds.
+        self.written_at: dict[int, float] = {}
+        # By index: when a write of the piece was last not accepted, in monotonic seconds.
         self.failed_at: dict[int, float] = {}
 
     def reset(self) -> None:
@@ -47,6 +49,7 @@
 
         """
         self.written.clear()
+        self.written_at.clear()
         self.failed_at.clear()
 
     async def prove_layer(self, target: Target, held: PieceSet, number: int) -> float | None:
@@ -87,6 +90,7 @@
             self.failed_at[index] = self.env.monotonic()
             return False
         self.written[index] = held.weights
+        self.written_at[index] = self.env.monotonic()
         return True
 
     def is_settled(self, index: int) -> bool:
@@ -115,5 +119,13 @@
         outcome = 'intact' if intact else 'missing' if data is None else 'corrupt'
         self.env.metrics.count(self.env.metrics.staged_pieces, outcome=outcome)
         if not intact:
-            log.warning('Staged piece {} of {} is {}.', index, held.weights, outcome)
+            written_at = self.written_at.get(index, float('-inf'))
+            log.warning(
+                'Staged piece {} of {} is {}. written={} written_s={:.2f}',
+                index,
+                held.weights,
+                outcome,
+                self.written.get(index, ''),
+                self.env.monotonic() - written_at,
+            )
         return intact
