--- a/packages/millfork-standins/millfork_standins/soak/run.py
+++ b/packages/millfork-standins/millfork_standins/soak/run.py
@@ -3,14 +3,9 @@
 
 """
 
-import resource
-import shutil
-import signal
-import subprocess
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 from typing import Final
@@ -39,9 +34,14 @@
 from millfork_standins.soak.fleet import SoakFleet
 from millfork_standins.soak.link_proxy import LinkProxy, inject_link_fault
 from millfork_standins.soak.planned_work import PLANNED_KINDS, plan_pauses, plan_work
+from millfork_standins.soak.process_faults import (
+    POLL_INTERVAL_S,
+    START_TIMEOUT_S,
+    ProcessFaults,
+    wait_until,
+)
 from millfork_standins.soak.replacements import ReplicaReplacer
 from millfork_standins.soak.result import SoakResult
-from millfork_standins.soak.signals import handles_signal
 
 BACK_ENDS: Final = 3
 ENTRIES: Final = 2
@@ -49,13 +49,8 @@
 # As in a deployment: a back end that pauses keeps its lease.
 HEARTBEAT_S: Final = 1.2
 EVENT_INTERVAL_S: Final = 0.05
-START_TIMEOUT_S: Final = 20.0
 # The platform requires that callers are served again within this time after the last fault.
 RECOVERY_TIMEOUT_S: Final = 12.0
-POLL_INTERVAL_S: Final = 0.1
-STOP_TIMEOUT_S: Final = 10.0
-# A full disk is simulated by this limit on the size of the files that a process writes.
-FULL_DISK_FILE_BYTES: Final = 1
 
 
 class SoakRun:
@@ -89,10 +84,10 @@
         # Times (monotonic seconds) at which faults of entries began and ended.
         self.entry_faults_at: list[float] = []
         self.fault_periods: list[Period] = []
-        self.stop_periods: list[Period] = []
         # Faults of links that delay requests to back ends, by instance.
         self.request_delays: dict[str, list[Period]] = {}
         self.fleet = SoakFleet(folder, entries=entries, heartbeat_s=HEARTBEAT_S)
+        self.processes = ProcessFaults(self.fleet)
         if crashing_part:
             # Set before any stream begins, as it decides how streams are framed.
             self.fleet.crashing_part = CRASHING_PART
@@ -109,13 +104,13 @@
         self.replacer = None
         if replacements:
             self.replacer = ReplicaReplacer(
-                self.fleet, seed, run_s, self._claim, self._release, self._stop_replica
+                self.fleet,
+                seed,
+                run_s,
+                self.processes.claim,
+                self.processes.release,
+                self.processes.remove_replica,
             )
-        # Hosts with a fault in progress, whose processes may have exited because of the fault.
-        self.hosts_under_fault: set[str] = set()
-        # Processes that have got SIGTERM.
-        self.stopping: dict[str, subprocess.Popen[bytes]] = {}
-        self.lock = threading.Lock()
         self.violations: list[str] = []
 
     def run(self) -> SoakResult:
@@ -172,13 +167,13 @@
             threading.Thread(
                 target=self._close_after_end, args=(link, back_end), daemon=True
             ).start()
-        if not self._wait_until(self.operator.put_next, START_TIMEOUT_S):
+        if not wait_until(self.operator.put_next, START_TIMEOUT_S):
             raise RuntimeError(f'no replica accepted a document within {START_TIMEOUT_S} s')
         self.operator.thread.start()
         self.callers = [
             Caller(number, self.fleet, self.stop) for number in range(self.caller_count)
         ]
-        if not self._wait_until(self._all_callers_served, START_TIMEOUT_S):
+        if not wait_until(self._all_callers_served, START_TIMEOUT_S):
             raise RuntimeError(f'not all callers are served within {START_TIMEOUT_S} s')
 
     def _close_after_end(self, link: LinkProxy, back_end: BackEnd) -> None:
@@ -208,7 +203,7 @@
             thread.start()
         for fault in faults:
             while time.monotonic() - started_at < fault.at_s:
-                self._restart_ended_processes()
+                self.processes.restart_ended()
                 time.sleep(POLL_INTERVAL_S)
             thread = threading.Thread(target=self._inject_fault, args=(fault,), daemon=True)
             thread.start()
@@ -231,7 +226,7 @@
     def _inject_fault(self, fault: Fault) -> None:
         began_at = time.monotonic()
         if fault.kind is FaultKind.RELOAD:
-            self._reload(fault.target)
+            self.processes.reload(fault.target)
         elif fault.target.isdigit():
             inject_link_fault(self.links[int(fault.target)], fault)
         elif not self._inject_host_fault(fault):
@@ -249,126 +244,20 @@
         """
         if self.replacer:
             fault = replace(fault, target=self.replacer.current_host(fault.target))
-        if not self._claim(fault.target):
+        if not self.processes.claim(fault.target):
             return False
         try:
             self._record_entry_fault(fault.target)
-            self._inject_process_fault(fault)
+            self.processes.inject(fault)
         finally:
             self._record_entry_fault(fault.target)
-            self._release(fault.target)
+            self.processes.release(fault.target)
         return True
 
-    def _claim(self, host: str) -> bool:
-        """
-        Return whether no fault was in progress on the host; one is from now on.
-
-        """
-        with self.lock:
-            is_gone = self.replacer is not None and host in self.replacer.successors
-            if is_gone or host in self.hosts_under_fault:
-                return False
-            self.hosts_under_fault.add(host)
-            return True
-
-    def _release(self, host: str) -> None:
-        with self.lock:
-            self.hosts_under_fault.discard(host)
-
-    def _stop_replica(self, host: str) -> None:
-        self._wait_until(lambda: self._handles_signals(host), START_TIMEOUT_S)
-        self._stop_gracefully(host)
-
-    def _reload(self, host: str) -> None:
-        """
-        Send SIGHUP to the host's process, also if it is being stopped.
-
-        """
-        process = self.fleet.processes.get(host) or self.stopping.get(host)
-        if process is None:
-            return
-        try:
-            # Until the daemon has installed its handler, the signal would end the process.
-            self._wait_until(lambda: handles_signal(process.pid, signal.SIGHUP), START_TIMEOUT_S)
-            process.send_signal(signal.SIGHUP)
-        except OSError:
-            # The process has exited meanwhile.
-            return
-
     def _record_entry_fault(self, host: str) -> None:
         if host in self.fleet.entry_hosts:
             self.entry_faults_at.append(time.monotonic())
 
-    def _inject_process_fault(self, fault: Fault) -> None:
-        host = fault.target
-        # Until the daemon has installed its handlers, a signal would end the process.
-        self._wait_until(lambda: self._handles_signals(host), START_TIMEOUT_S)
-        if fault.kind is FaultKind.PAUSE:
-            self.fleet.signal(host, signal.SIGSTOP)
-            time.sleep(fault.duration_s)
-            self.fleet.signal(host, signal.SIGCONT)
-            return
-        if fault.kind is FaultKind.FULL_DISK:
-            self._limit_file_size(host, FULL_DISK_FILE_BYTES)
-            time.sleep(fault.duration_s)
-            self._limit_file_size(host, resource.RLIM_INFINITY)
-            return
-        if fault.kind is FaultKind.STOP:
-            self._stop_gracefully(host)
-        else:
-            self.fleet.kill(host)
-        if fault.kind is FaultKind.LOSE_DISK:
-            shutil.rmtree(self.fleet.folder / host, ignore_errors=True)
-        time.sleep(fault.duration_s)
-        self.fleet.start_process(host)
-
-    def _stop_gracefully(self, host: str) -> None:
-        process = self.stopping[host] = self.fleet.processes.pop(host)
-        began_at = time.monotonic()
-        process.terminate()
-        try:
-            status = process.wait(STOP_TIMEOUT_S)
-        except subprocess.TimeoutExpired:
-            process.kill()
-            process.wait()
-            self.violations.append(f'{host} did not exit within {STOP_TIMEOUT_S} s of SIGTERM')
-            return
-        finally:
-            del self.stopping[host]
-            self.stop_periods.append(Period(host, began_at, time.monotonic()))
-        if status:
-            self.violations.append(f'{host} exited with status {status} after SIGTERM')
-
-    def _handles_signals(self, host: str) -> bool:
-        """
-        Return whether the host's process handles SIGHUP and SIGTERM, which this run sends.
-
-        """
-        pid = self.fleet.processes[host].pid
-        return all(handles_signal(pid, number) for number in (signal.SIGHUP, signal.SIGTERM))
-
-    def _limit_file_size(self, host: str, size: int) -> None:
-        pid = self.fleet.processes[host].pid
-        resource.prlimit(pid, resource.RLIMIT_FSIZE, (size, resource.RLIM_INFINITY))
-
-    def _restart_ended_processes(self) -> None:
-        """
-        Start each process again that exited without a fault, and record the exit as a violation.
-
-        """
-        for host, process in list(self.fleet.processes.items()):
-            if host not in self.hosts_under_fault and process.poll() is not None:
-                self.violations.append(f'{host} exited by itself with status {process.returncode}')
-                self.fleet.start_process(host)
-
-    def _wait_until(self, condition: Callable[[], bool], timeout_s: float) -> bool:
-        deadline = time.monotonic() + timeout_s
-        while time.monotonic() < deadline:
-            if condition():
-                return True
-            time.sleep(POLL_INTERVAL_S)
-        return False
-
     def _all_callers_served(self) -> bool:
         return all(
             any(answer.status == 200 for answer in caller.answers[-5:]) for caller in self.callers
@@ -383,13 +272,13 @@
                 for caller, answer_count in zip(self.callers, answer_counts, strict=True)
             )
 
-        if not self._wait_until(all_callers_served_again, RECOVERY_TIMEOUT_S):
+        if not wait_until(all_callers_served_again, RECOVERY_TIMEOUT_S):
             self.violations.append(
                 f'not all callers are served {RECOVERY_TIMEOUT_S} s after the last fault'
             )
-        if not self._wait_until(lambda: self.operator.read() is not None, RECOVERY_TIMEOUT_S):
+        if not wait_until(lambda: self.operator.read() is not None, RECOVERY_TIMEOUT_S):
             self.violations.append('the document cannot be read back')
-        self._restart_ended_processes()
+        self.processes.restart_ended()
         self.stop.set()
         for thread in (self.operator.thread, *(caller.thread for caller in self.callers)):
             thread.join(START_TIMEOUT_S)
@@ -411,6 +300,7 @@
         ]
         violations = [
             *self.violations,
+            *self.processes.violations,
             *find_broken_promise(ends, self.fleet.crashing_requests_at, faults),
             *self.operator.stale_reads,
             *broken_promises(answers, executed),
@@ -418,7 +308,7 @@
                 answers,
                 executed,
                 faults + [Period('', ended_at, ended_at + RESTART_DELAY_S) for ended_at in ends],
-                self.stop_periods,
+                self.processes.stop_periods,
                 self.fleet.broken_ids,
             ),
         ]
