--- a/packages/millfork-standins/millfork_standins/back_end.py
+++ b/packages/millfork-standins/millfork_standins/back_end.py
@@ -74,7 +74,7 @@
     return f'id: {number}\ndata: word {number}\n\n'.encode()
 
 
-class _Handler(BaseHTTPRequestHandler):
+class BackEndHandler(BaseHTTPRequestHandler):
     protocol_version = 'HTTP/1.1'
     server: 'BackEnd'
     # The framing of the answer to the current request.
@@ -240,11 +240,12 @@
     """
 
     daemon_threads = True
+    handler_type: ClassVar[type[BackEndHandler]] = BackEndHandler
     # Connections of all entries of a large fleet may arrive at once.
     request_queue_size = LISTEN_BACKLOG
 
     def __init__(self, host: str, service: str, instance: str, fleet: 'SeededFleet') -> None:
-        super().__init__((host, 0), _Handler)
+        super().__init__((host, 0), self.handler_type)
         self.service = service
         self.instance = instance
         self.fleet = fleet
--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -79,8 +79,10 @@
         self.replica_hosts = [f'{subnets[0]}.{number}' for number in range(1, replicas + 1)]
         self.entry_hosts = [f'{subnets[1]}.{number}' for number in range(1, entries + 1)]
         self.back_end_host = f'{subnets[2]}.1'
-        # Hosts of the endpoint daemons; no engine runs beside them.
+        # Hosts of the endpoint daemons. No engine runs beside them, unless `engine_addresses` has
+        # its address.
         self.endpoint_hosts = [f'{subnets[3]}.{number}' for number in range(1, endpoints + 1)]
+        self.engine_addresses: dict[str, str] = {}
         # The event before which streams break off, and the number of streams that are still to.
         self.break_before_event = 0
         self.breaks_left = 0
@@ -148,7 +150,7 @@
             first_start,
             int(self.heartbeat_s * 1000),
             data_folder=self.folder / host,
-            engine=f'{host}:{ENGINE_PORT}',
+            engine=self.engine_addresses.get(host, f'{host}:{ENGINE_PORT}'),
             service='engines',
             zones=self.zones,
         )
--- a/tests/test_pauses_in_version_changes.py
+++ b/tests/test_pauses_in_version_changes.py
@@ -81,7 +81,7 @@
         return None
 
 
-class EngineHandler(back_end._Handler):
+class EngineHandler(back_end.BackEndHandler):
     """
     Answers the daemon's calls, and streams if the version that the entry expects is served.
 
