--- a/packages/millfork-standins/millfork_standins/soak/__main__.py
+++ b/packages/millfork-standins/millfork_standins/soak/__main__.py
@@ -26,6 +26,9 @@
 EVACUATIONS = flags.DEFINE_bool('evacuations', True, 'Zones are evacuated.')
 COLD = flags.DEFINE_bool('cold', True, 'Back ends become cold.')
 REPLACEMENTS = flags.DEFINE_bool('replacements', True, 'Replicas are replaced.')
+WEIGHTS = flags.DEFINE_bool('weights', False, 'Engines change the versions of their weights.')
+ENGINES = flags.DEFINE_integer('engines', 3, 'Number of engines with --weights.', lower_bound=1)
+flags.mark_bool_flags_as_mutual_exclusive(['weights', 'crashing_part'])
 FOLDER = flags.DEFINE_string(
     'folder', '', 'Folder for the files of the runs; empty: they are deleted.'
 )
@@ -49,6 +52,7 @@
                 EVACUATIONS.value,
                 COLD.value,
                 REPLACEMENTS.value,
+                ENGINES.value if WEIGHTS.value else 0,
             ).run()
         failed += bool(result.violations)
         statuses = ' '.join(f'{status}:{n}' for status, n in sorted(result.statuses.items()))
@@ -59,6 +63,8 @@
             f'{len(result.violations)} broken',
             flush=True,
         )
+        if WEIGHTS.value:
+            print(f'  {result.weights}', flush=True)
         for line in result.violations:
             print(f'  {line}', flush=True)
     print(f'{RUNS.value - failed} passed, {failed} failed')
--- a/packages/millfork-standins/millfork_standins/soak/callers.py
+++ b/packages/millfork-standins/millfork_standins/soak/callers.py
@@ -6,11 +6,12 @@
 import itertools
 import threading
 import time
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from http.client import HTTPConnection, HTTPException
 from random import Random
-from typing import Final
+from typing import ClassVar, Final
 
 from millfork_core.ids import OrganisationId, ServiceName
 from millfork_platform import client_requests
@@ -96,6 +97,23 @@
     timeline: Timeline | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class DrawnRequest:
+    """
+    A request that a caller is about to send. `headers` are besides the id, host, key and deadline.
+
+    """
+
+    method: str
+    path: str
+    body: bytes | None
+    repeatable: bool
+    expected_body: bytes
+    host: str = ROUTE_HOST
+    deadline_ms: int = DEADLINE_MS
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
 class Caller:
     """
     Sends one request after another over one connection. When the connection breaks, the caller
@@ -103,6 +121,9 @@
 
     """
 
+    # The start of the ids of all requests.
+    id_prefix: ClassVar[str] = ''
+
     def __init__(self, number: int, fleet: SeededFleet, stop: threading.Event) -> None:
         self.number = number
         self.fleet = fleet
@@ -124,21 +145,26 @@
             return self.random.uniform(0.0, MAX_IDLE_S)
         return REQUEST_INTERVAL_S
 
-    def _send_request(self) -> Answer:
-        request_id = f'{self.number}-{next(self.ids)}'
+    def _draw_request(self, request_id: str) -> DrawnRequest:
         kind = self.random.choice(list(RequestKind))
-        repeatable = kind is not RequestKind.UNSAFE
+        method, body = ('GET', None) if kind is RequestKind.SAFE else ('POST', b'body')
+        if kind is RequestKind.STREAM:
+            # Streams that break off often must not make each other suspected.
+            body = request_id.encode()
         expected_body = WHOLE_STREAM if kind is RequestKind.STREAM else WHOLE_BODY
+        repeatable = kind is not RequestKind.UNSAFE
+        return DrawnRequest(method, f'{kind.value}x', body, repeatable, expected_body)
+
+    def _send_request(self) -> Answer:
+        request_id = f'{self.id_prefix}{self.number}-{next(self.ids)}'
+        drawn = self._draw_request(request_id)
         headers = {
-            'host': ROUTE_HOST,
+            'host': drawn.host,
             'authorization': f'Bearer {API_KEY}',
             client_requests.REQUEST_ID: request_id,
-            client_requests.DEADLINE_MS: str(DEADLINE_MS),
+            client_requests.DEADLINE_MS: str(drawn.deadline_ms),
+            **drawn.headers,
         }
-        method, body = ('GET', None) if kind is RequestKind.SAFE else ('POST', b'body')
-        if kind is RequestKind.STREAM:
-            # Streams that break off often must not make each other suspected.
-            body = request_id.encode()
         if self.connection is None:
             host = self.random.choice(self.fleet.entry_hosts)
             self.connection = HTTPConnection(host, CALLERS_PORT, timeout=CALL_TIMEOUT_S)
@@ -146,7 +172,7 @@
             self.connected_at = time.monotonic()
         timeline = Timeline(self.connection.host, self.connected_at, time.monotonic())
         try:
-            self.connection.request(method, f'{kind.value}x', body, headers)
+            self.connection.request(drawn.method, drawn.path, drawn.body, headers)
             timeline.sent_at = time.monotonic()
             response = self.connection.getresponse()
             timeline.has_head = True
@@ -154,17 +180,17 @@
         except (OSError, HTTPException):
             self.connection.close()
             self.connection = None
-            return Answer(request_id, repeatable, 0, timeline=timeline)
+            return Answer(request_id, drawn.repeatable, 0, timeline=timeline)
         finally:
             timeline.ended_at = time.monotonic()
         return Answer(
             request_id,
-            repeatable,
+            drawn.repeatable,
             response.status,
             response.headers.get(client_requests.REQUEST_ID, ''),
             response.headers.get(client_requests.SIGNATURE, ''),
             received,
-            expected_body,
+            drawn.expected_body,
             timeline,
         )
 
@@ -179,8 +205,10 @@
         self.fleet = fleet
         self.stop = stop
         self.random = Random(0)
-        # The service of all documents.
+        # The service of all documents, and other services and routes that all documents have.
         self.service = PLAIN_SERVICE
+        self.other_services: tuple[Service, ...] = ()
+        self.other_routes: tuple[Route, ...] = ()
         self.version = 1
         self.acknowledged_version = 0
         # Descriptions of the reads that returned an older version than the last version that was
@@ -195,7 +223,13 @@
 
         """
         self.version += 1
-        if self.fleet.put_document(document(self.version, self.service)).status != 200:
+        next_document = document(self.version, self.service)
+        next_document = replace(
+            next_document,
+            services=next_document.services + self.other_services,
+            routes=next_document.routes + self.other_routes,
+        )
+        if self.fleet.put_document(next_document).status != 200:
             return False
         self.acknowledged_version = self.version
         return True
--- a/packages/millfork-standins/millfork_standins/soak/cold.py
+++ b/packages/millfork-standins/millfork_standins/soak/cold.py
@@ -92,7 +92,7 @@
 
     def _run(self) -> None:
         started_at = time.monotonic()
-        back_ends = list(self.fleet.back_ends)
+        back_ends = list(self.fleet.plain_back_ends)
         for planned in plan_coldness(self.seed, self.seconds, len(back_ends)):
             if self.stop.wait(max(started_at + planned.at_s - time.monotonic(), 0.0)):
                 return
@@ -105,11 +105,11 @@
     ) -> list[str]:
         self.checked_requests = sum(
             len(arrivals)
-            for back_end in self.fleet.back_ends
+            for back_end in self.fleet.plain_back_ends
             for arrivals in known_cold_arrivals(back_end, faults)
         )
         max_requests = self.cold_requests_per_s * COLD_OVER + COLD_SLACK
-        return find_exceeded_coldness(self.fleet.back_ends, max_requests, faults, link_faults)
+        return find_exceeded_coldness(self.fleet.plain_back_ends, max_requests, faults, link_faults)
 
 
 def known_at(acknowledged_at: float, faults: Sequence[Period]) -> float:
--- a/packages/millfork-standins/millfork_standins/soak/evacuations.py
+++ b/packages/millfork-standins/millfork_standins/soak/evacuations.py
@@ -120,7 +120,7 @@
         faults: Sequence[Period],
         link_faults: Mapping[str, Sequence[Period]],
     ) -> list[str]:
-        back_ends = self.fleet.back_ends
+        back_ends = self.fleet.plain_back_ends
         return self.violations + find_late_requests(
             self.evacuations, back_ends, entries, faults, link_faults
         )
--- a/packages/millfork-standins/millfork_standins/soak/fleet.py
+++ b/packages/millfork-standins/millfork_standins/soak/fleet.py
@@ -15,19 +15,20 @@
 BREAK_INTERVAL: Final = 10
 # How many bytes of an event are sent before its stream breaks off.
 SENT_EVENT_BYTES: Final = 9
+# The start of the ids of requests to engines.
+ENGINE_REQUEST_PREFIX: Final = 'engine-'
 
 
 class SoakFleet(SeededFleet):
     """
-    Half of the answers end with their connections, unless a part of prompts crashes back ends: an
-    answer that a crash ends between two events would look complete. Some streams break off inside
-    an event, in a way that looks like the end of the answer. `broken_ids` has the ids of their
-    requests.
+    Half of the answers end with their connections, unless a part of prompts crashes back ends or
+    engines run them: an answer that a crash or an order ends between two events would look
+    complete. Some streams break off inside an event, in a way that looks like the end of the
+    answer. `broken_ids` has the ids of their requests.
 
     """
 
     broken_ids: set[str]
-    back_ends: list[SoakBackEnd]  # type: ignore[assignment]
     # Whether every second back end, replica and entry is in a second zone.
     has_second_zone = False
     # The seed of the coldness of back ends after their start (None: they start warm).
@@ -41,9 +42,19 @@
         return back_end
 
     def zone_of(self, host: str) -> str:
+        if host in self.endpoint_hosts:
+            return FIRST_ZONE
         hosts = self.replica_hosts if host in self.replica_hosts else self.entry_hosts
         return self._zone(hosts.index(host))
 
+    @property
+    def plain_back_ends(self) -> list[SoakBackEnd]:
+        """
+        All back ends but the engines.
+
+        """
+        return [back_end for back_end in self.back_ends if isinstance(back_end, SoakBackEnd)]
+
     def _zone(self, number: int) -> str:
         return SECOND_ZONE if self.has_second_zone and number % 2 else FIRST_ZONE
 
@@ -53,7 +64,7 @@
         super().start()
 
     def framing_of(self, request_id: str) -> Framing:
-        if self.crashing_part:
+        if self.crashing_part or request_id.startswith(ENGINE_REQUEST_PREFIX):
             return Framing.CHUNKED
         return Framing.CONNECTION if crc32(request_id.encode()) & 1 else Framing.CHUNKED
 
--- a/packages/millfork-standins/millfork_standins/soak/result.py
+++ b/packages/millfork-standins/millfork_standins/soak/result.py
@@ -7,6 +7,21 @@
 from dataclasses import dataclass, field
 
 
+@dataclass(frozen=True, slots=True)
+class WeightCounts:
+    """
+    What happened to the engines of a run: how many versions were named, how many streams had
+    tokens, how many layers were loaded, and how many of them from pieces that had been bad for too
+    long.
+
+    """
+
+    versions: int = 0
+    streams: int = 0
+    layers: int = 0
+    bad_layers: int = 0
+
+
 @dataclass(slots=True)
 class SoakResult:
     """
@@ -23,3 +38,4 @@
     violations: list[str] = field(default_factory=list)
     evacuations: int = 0
     cold_requests: int = 0
+    weights: WeightCounts = field(default_factory=WeightCounts)
--- a/packages/millfork-standins/millfork_standins/soak/run.py
+++ b/packages/millfork-standins/millfork_standins/soak/run.py
@@ -41,7 +41,8 @@
     wait_until,
 )
 from millfork_standins.soak.replacements import ReplicaReplacer
-from millfork_standins.soak.result import SoakResult
+from millfork_standins.soak.result import SoakResult, WeightCounts
+from millfork_standins.soak.weights import VERSION_MS, WeightChanges
 
 BACK_ENDS: Final = 3
 ENTRIES: Final = 2
@@ -73,6 +74,7 @@
         evacuations: bool = False,
         cold: bool = False,
         replacements: bool = False,
+        engines: int = 0,
     ) -> None:
         self.seed = seed
         self.seconds = seconds
@@ -86,7 +88,13 @@
         self.fault_periods: list[Period] = []
         # Faults of links that delay requests to back ends, by instance.
         self.request_delays: dict[str, list[Period]] = {}
-        self.fleet = SoakFleet(folder, entries=entries, heartbeat_s=HEARTBEAT_S)
+        self.fleet = SoakFleet(
+            folder,
+            entries=entries,
+            version_ms=VERSION_MS if engines else 0,
+            endpoints=engines,
+            heartbeat_s=HEARTBEAT_S,
+        )
         self.processes = ProcessFaults(self.fleet)
         if crashing_part:
             # Set before any stream begins, as it decides how streams are framed.
@@ -111,6 +119,11 @@
                 self.processes.release,
                 self.processes.remove_replica,
             )
+        self.weights = None
+        if engines:
+            self.weights = WeightChanges(self.fleet, self.processes, seed, run_s, self.stop)
+            self.operator.other_services = self.weights.services
+            self.operator.other_routes = self.weights.routes
         self.violations: list[str] = []
 
     def run(self) -> SoakResult:
@@ -130,6 +143,8 @@
                 self.cold.thread.start()
             if self.replacer:
                 self.replacer.thread.start()
+            if self.weights:
+                self.weights.start()
             work = plan_work(
                 self.seed, self.planned_s, self.fleet.replica_hosts, self.fleet.entry_hosts
             )
@@ -147,6 +162,8 @@
                 self.evacuator.thread.join()
             if self.replacer:
                 self.replacer.finish()
+            if self.weights:
+                self.weights.finish()
             self._check_recovery()
             return self._result(len(faults))
         finally:
@@ -154,6 +171,8 @@
             for link in self.links:
                 link.close()
             self.fleet.close()
+            if self.weights:
+                self.weights.close()
 
     def _start(self) -> None:
         self.fleet.start()
@@ -325,6 +344,8 @@
             violations += self.replacer.violations
         if self.cold:
             violations += self.cold.find_violations(process_faults, self.request_delays)
+        if self.weights:
+            violations += self.weights.find_violations(faults, executed)
         return SoakResult(
             self.seed,
             fault_count,
@@ -334,4 +355,5 @@
             violations,
             len(self.evacuator.evacuations) if self.evacuator else 0,
             self.cold.checked_requests if self.cold else 0,
+            self.weights.counts if self.weights else WeightCounts(),
         )
