--- a/tests/test_changes_under_load.py
+++ b/tests/test_changes_under_load.py
@@ -17,7 +17,7 @@
 from millfork_routing.documents import CallerLimits, Organisation
 from millfork_standins.seeded import SeededFleet
 from millfork_standins.soak.callers import API_KEY, SERVICE, Caller, document
-from millfork_standins.soak.run import handles_signal
+from millfork_standins.soak.signals import handles_signal
 from tests.utils.fleets import wait_until
 
 CALLERS = 8
--- a/tests/test_seeded_fleet.py
+++ b/tests/test_seeded_fleet.py
@@ -24,7 +24,7 @@
 from millfork_standins.http_calls import call
 from millfork_standins.seeded import SeededFleet
 from millfork_standins.seeded_ports import READY_PORT
-from millfork_standins.soak.run import handles_signal
+from millfork_standins.soak.signals import handles_signal
 from millfork_web.models import Request
 from tests.utils.fleets import wait_until
 
