--- a/packages/millfork-standins/millfork_standins/soak/__main__.py
+++ b/packages/millfork-standins/millfork_standins/soak/__main__.py
@@ -5,6 +5,7 @@
 
 import sys
 import tempfile
+from collections import Counter
 from pathlib import Path
 
 from absl import app, flags
@@ -34,6 +35,10 @@
 )
 
 
+def _counts(statuses: Counter[int]) -> str:
+    return ' '.join(f'{status}:{count}' for status, count in sorted(statuses.items()))
+
+
 def main(argv: list[str]) -> int:
     failed = 0
     for seed in range(SEED.value, SEED.value + RUNS.value):
@@ -55,16 +60,21 @@
                 ENGINES.value if WEIGHTS.value else 0,
             ).run()
         failed += bool(result.violations)
-        statuses = ' '.join(f'{status}:{n}' for status, n in sorted(result.statuses.items()))
         print(
-            f'seed {result.seed}: {result.faults} faults, answers {statuses}, '
+            f'seed {result.seed}: {result.faults} faults, answers {_counts(result.statuses)}, '
             f'{result.acknowledged_version} documents, {result.reads} reads, '
             f'{result.evacuations} evacuations, {result.cold_requests} cold requests, '
             f'{len(result.violations)} broken',
             flush=True,
         )
         if WEIGHTS.value:
-            print(f'  {result.weights}', flush=True)
+            weights = result.weights
+            print(
+                f'  engines: {weights.versions} versions, {weights.layers} layers loaded, '
+                f'{weights.bad_layers} of bad pieces, {weights.streams} streams, '
+                f'answers {_counts(weights.statuses)}',
+                flush=True,
+            )
         for line in result.violations:
             print(f'  {line}', flush=True)
     print(f'{RUNS.value - failed} passed, {failed} failed')
--- a/packages/millfork-standins/millfork_standins/soak/result.py
+++ b/packages/millfork-standins/millfork_standins/soak/result.py
@@ -12,7 +12,7 @@
     """
     What happened to the engines of a run: how many versions were named, how many streams had
     tokens, how many layers were loaded, and how many of them from pieces that had been bad for too
-    long.
+    long; and the statuses that the callers of the engines got.
 
     """
 
@@ -20,6 +20,7 @@
     streams: int = 0
     layers: int = 0
     bad_layers: int = 0
+    statuses: Counter[int] = field(default_factory=Counter)
 
 
 @dataclass(slots=True)
--- a/packages/millfork-standins/millfork_standins/soak/weights.py
+++ b/packages/millfork-standins/millfork_standins/soak/weights.py
@@ -6,6 +6,7 @@
 
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable, Sequence
 from datetime import UTC, datetime
 from random import Random
@@ -314,6 +315,7 @@
             sum(engine.stream_count for engine in self.engines),
             len(taken),
             sum(layer.is_bad for layer in taken),
+            Counter(answer.status for answer in self.answers),
         )
 
     @property
