--- a/packages/millfork-standins/millfork_standins/soak/weights.py
+++ b/packages/millfork-standins/millfork_standins/soak/weights.py
@@ -294,6 +294,8 @@
             caller.thread.join(START_TIMEOUT_S)
         self._write_log()
         answers = self.answers
+        # By the platform's rules an answer that the engine itself broke off is not lost.
+        cut_ids = {request_id for engine in self.engines for request_id in engine.cut_ids}
         return [
             *self.violations,
             *find_wrong_streams(self.engines),
@@ -303,7 +305,7 @@
                 executed,
                 [*faults, *self.fault_periods],
                 self.processes.stop_periods,
-                self.fleet.broken_ids,
+                self.fleet.broken_ids | cut_ids,
             ),
         ]
 
--- a/packages/millfork-standins/millfork_standins/staging_engine.py
+++ b/packages/millfork-standins/millfork_standins/staging_engine.py
@@ -143,6 +143,8 @@
         self.orders: list[LoadLayers] = []
         self.taken: list[TakenLayer] = []
         self.violations: list[Violation] = []
+        # The ids of the requests that an order or a restart ended.
+        self.cut_ids: set[str] = set()
         # The number of streams that had at least one event made.
         self.stream_count = 0
         # Fault controls. Seconds for each call of the daemon.
@@ -316,6 +318,7 @@
 
     def _cut_running(self) -> None:
         for request in self.running:
+            self.cut_ids.add(request.request_id)
             request.cut()
 
     def begin(self, headers: dict[str, str], sock: socket.socket) -> RunningRequest | int:
