--- a/packages/millfork-standins/millfork_standins/soak/weights.py
+++ b/packages/millfork-standins/millfork_standins/soak/weights.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from datetime import UTC, datetime
+from functools import partial
 from random import Random
 from typing import Final
 
@@ -46,6 +47,8 @@
 # A version may be ended for `VERSION_MS` after the next one was named, and the platform requires
 # service again within 12 s after the last fault.
 NEWEST_VERSION_TIMEOUT_S: Final = VERSION_MS / 1000 + 12.0
+# Longer than all replicas together are away in a run.
+ACKNOWLEDGE_TIMEOUT_S: Final = 30.0
 # How far the wall clock is ahead of the monotonic one, for the times in the log of the engines.
 CLOCK_OFFSET_S: Final = time.time() - time.monotonic()
 
@@ -211,12 +214,18 @@
                 return
             version = self.named_version + 1
             self._record(f'version {version} is named')
-            request = client_requests.set_version_request(WEIGHTS.model, version)
-            # As the operator's call: it is sent again until it is acknowledged.
-            while not self.stop.is_set() and self.fleet.control(request).status >= 300:
-                continue
+            # The operator sends a call again until it is acknowledged.
+            if not wait_until(partial(self._name_version, version), ACKNOWLEDGE_TIMEOUT_S):
+                self.violations.append(
+                    f'version {version} is not acknowledged within {ACKNOWLEDGE_TIMEOUT_S} s'
+                )
+                return
             self.named_version = version
 
+    def _name_version(self, version: int) -> bool:
+        request = client_requests.set_version_request(WEIGHTS.model, version)
+        return 200 <= self.fleet.control(request).status < 300
+
     def _inject_faults(self) -> None:
         started_at = time.monotonic()
         threads = []
