Entries send to an engine whose daemon has ended, after its late order: failing test

Seen: a stream with a layer whose piece had been bad for 5.0 s, while the daemon that sent the order is away. Stopped by SIGSTOP for 5 s instead, its last word holds and no stream is wrong.

--- a/tests/test_late_orders_at_restarted_daemons.py
+++ b/tests/test_late_orders_at_restarted_daemons.py
@@ -1,6 +1,6 @@
 """
 An endpoint daemon ends after it sent a load order that its engine takes late, when a piece has been
-bad for over 3 s. The next process of the daemon must not have the engine serve that layer.
+bad for over 3 s. The engine must not serve that layer, with or without a next process of the daemon.
 
 """
 
@@ -17,7 +17,7 @@
 
 WEIGHTS = SimulatedWeights('m', layers=8, pieces=48)
 ORDER_DELAY_S = 5.0
-# Streams are sent for this long after the next process of the daemon has started.
+# Streams are sent for this long after the engine has loaded the layers.
 CHECKED_S = 6.0
 
 
@@ -39,10 +39,12 @@
         fleet.close()
 
 
-def test_a_late_order_of_an_ended_daemon_puts_no_bad_layer_in_service(fleet):
+@pytest.mark.parametrize('restarts', [True, False])
+def test_a_late_order_of_an_ended_daemon_puts_no_bad_layer_in_service(fleet, restarts):
     """
-    A daemon counts the layers in the first report of its engine as proven, also those of an order
-    that its predecessor sent and that the engine took after the predecessor had ended.
+    A daemon that restarts counts the layers in the first report of its engine as proven, also those
+    of an order of its predecessor. One that doesn't has told the entries that its engine changes,
+    but they send again to an engine without a daemon, by the layers in its heartbeats.
 
     """
     assert fleet.put_document(fleet.document()).status == 200
@@ -55,7 +57,8 @@
     fleet.kill(host)
     wait_until(lambda: engine.taken and engine.order is None)
     assert engine.worst_bad_s > 3.0
-    fleet.start_process(host)
+    if restarts:
+        fleet.start_process(host)
     checked_until = time.monotonic() + CHECKED_S
     while time.monotonic() < checked_until:
         fleet.send_request(stream_request())
