--- a/packages/millfork-standins/millfork_standins/soak/run.py
+++ b/packages/millfork-standins/millfork_standins/soak/run.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from millfork_standins.back_end import BackEnd
+from millfork_standins.soak.back_end import FIRST_ZONE
 from millfork_standins.soak.backpressure import (
     LimitPeriod,
     PlannedSignal,
@@ -29,6 +30,7 @@
     CrashingPartCaller,
     find_broken_promise,
 )
+from millfork_standins.soak.engines import ROUTE, VERSION_MS, engine_services
 from millfork_standins.soak.evacuations import Evacuator
 from millfork_standins.soak.fault_plan import Fault, FaultKind, plan_faults
 from millfork_standins.soak.fleet import SoakFleet
@@ -42,7 +44,7 @@
 )
 from millfork_standins.soak.replacements import ReplicaReplacer
 from millfork_standins.soak.result import SoakResult, WeightCounts
-from millfork_standins.soak.weights import VERSION_MS, WeightChanges
+from millfork_standins.soak.weights import WeightChanges
 
 BACK_ENDS: Final = 3
 ENTRIES: Final = 2
@@ -122,8 +124,8 @@
         self.weights = None
         if engines:
             self.weights = WeightChanges(self.fleet, self.processes, seed, run_s, self.stop)
-            self.operator.other_services = self.weights.services
-            self.operator.other_routes = self.weights.routes
+            self.operator.other_services = engine_services(self.weights.origin.spec(FIRST_ZONE))
+            self.operator.other_routes = (ROUTE,)
         self.violations: list[str] = []
 
     def run(self) -> SoakResult:
--- a/packages/millfork-standins/millfork_standins/soak/weights.py
+++ b/packages/millfork-standins/millfork_standins/soak/weights.py
@@ -13,15 +13,12 @@
 from random import Random
 from typing import Final
 
-from millfork_core.ids import ServiceName
 from millfork_platform import client_requests
-from millfork_routing.documents import EngineSpec, Route, RouteKind, Service, Share
-from millfork_standins.back_end import STREAM_PATH
-from millfork_standins.soak.back_end import FIRST_ZONE
-from millfork_standins.soak.callers import WHOLE_STREAM, Answer, Caller, DrawnRequest
+from millfork_standins.soak.callers import Answer, Caller
 from millfork_standins.soak.checks import Period, broken_promises, find_lost_requests
+from millfork_standins.soak.engines import LOAD_S, SERVICE, VERSION_MS, WEIGHTS, EngineCaller
 from millfork_standins.soak.fault_plan import Fault, FaultKind
-from millfork_standins.soak.fleet import ENGINE_REQUEST_PREFIX, SoakFleet
+from millfork_standins.soak.fleet import SoakFleet
 from millfork_standins.soak.process_faults import START_TIMEOUT_S, ProcessFaults, wait_until
 from millfork_standins.soak.result import WeightCounts
 from millfork_standins.soak.weights_plan import (
@@ -30,17 +27,11 @@
     plan_versions,
     plan_weight_faults,
 )
-from millfork_standins.staging_engine import SLOTS, StagingEngine
-from millfork_standins.weights_origin import SimulatedWeights, WeightsOrigin
+from millfork_standins.staging_engine import StagingEngine
+from millfork_standins.weights_origin import WeightsOrigin
 
 ENGINES: Final = 3
 CALLERS: Final = 6
-# The service and host names of the settings of the endpoint daemons, and of the callers' route.
-SERVICE: Final = ServiceName('engines')
-ROUTE_HOST: Final = 'models.example'
-WEIGHTS: Final = SimulatedWeights('m', layers=8, pieces=96)
-LOAD_S: Final = 0.3
-VERSION_MS: Final = 5000
 # Streams of 8 events take 0.4 s to 1.6 s, by the engine.
 MIN_EVENT_INTERVAL_S: Final = 0.05
 MAX_EVENT_INTERVAL_S: Final = 0.2
@@ -52,23 +43,6 @@
 # How far the wall clock is ahead of the monotonic one, for the times in the log of the engines.
 CLOCK_OFFSET_S: Final = time.time() - time.monotonic()
 
-ENGINE: Final = EngineSpec(
-    slots=SLOTS,
-    tokens=300_000,
-    step_ms=9.0,
-    per_sequence_ms=0.02,
-    per_context_ms=0.03,
-    read_per_s=20_000,
-    pairs_ms_per_million=1.0,
-    steps_per_event=5,
-    usual_prompt=100,
-    usual_answer=40,
-    model=WEIGHTS.model,
-    layers=WEIGHTS.layers,
-    pieces=WEIGHTS.pieces,
-    piece_bytes=WEIGHTS.piece_bytes,
-    warm_s=LOAD_S,
-)
 DAEMON_FAULTS: Final = {
     WeightFaultKind.KILL_DAEMON: FaultKind.KILL,
     WeightFaultKind.STOP_DAEMON: FaultKind.STOP,
@@ -84,26 +58,6 @@
 )
 
 
-class EngineCaller(Caller):
-    """
-    Streams from the engines.
-
-    """
-
-    id_prefix = ENGINE_REQUEST_PREFIX
-
-    def _draw_request(self, request_id: str) -> DrawnRequest:
-        return DrawnRequest(
-            'POST',
-            f'{STREAM_PATH}x',
-            request_id.encode(),
-            True,
-            WHOLE_STREAM,
-            ROUTE_HOST,
-            headers={client_requests.MODEL: WEIGHTS.model, client_requests.TOKEN_COUNT: '100,40'},
-        )
-
-
 class WeightChanges:
     """
     The engines of a run, their origin, callers and operator, and their faults, all as planned for a
@@ -133,8 +87,13 @@
         for number, host in enumerate(fleet.endpoint_hosts):
             engine = StagingEngine(host, SERVICE, f'engine-{number}', fleet, WEIGHTS, LOAD_S)
             engine.event_interval_s = random.uniform(MIN_EVENT_INTERVAL_S, MAX_EVENT_INTERVAL_S)
+            engine.on_delayed_order = partial(self._strike_order, engine)
             fleet.engine_addresses[host] = f'{host}:{engine.server_address[1]}'
             self.engines.append(engine)
+        # The faults of late orders that have not arrived yet, by engine, and the threads of those
+        # that have.
+        self.late_orders: dict[str, list[WeightFault]] = {}
+        self.strikes: list[threading.Thread] = []
         self.callers: list[Caller] = []
         self.fault_periods: list[Period] = []
         self.log: list[tuple[float, str]] = []
@@ -144,20 +103,6 @@
             threading.Thread(target=self._name_versions, daemon=True),
         ]
 
-    @property
-    def services(self) -> tuple[Service, ...]:
-        origin = self.origin.spec(FIRST_ZONE)
-        return (
-            Service(SERVICE, SLOTS, ENGINE),
-            Service(ServiceName('origin'), origin.max_connections, origin=origin),
-        )
-
-    @property
-    def routes(self) -> tuple[Route, ...]:
-        shares = (Share(SERVICE, 1),)
-        kind = RouteKind.STREAMING
-        return (Route('e', ROUTE_HOST, STREAM_PATH, kind, 4000, 300, 1, shares, 2, False, True, 0),)
-
     def start(self) -> None:
         """
         Start the callers, and the faults and changes once all callers are served.
@@ -239,6 +184,9 @@
             thread.join()
         for engine in self.engines:
             engine.order_delays_s.clear()
+        for thread in self.strikes:
+            thread.join()
+        for engine in self.engines:
             engine.staged.ignored_writes = 0
 
     def _inject(self, fault: WeightFault) -> None:
@@ -246,22 +194,40 @@
         self._record(f'{engine.instance} {fault}')
         began_at = time.monotonic()
         if fault.kind in DAEMON_FAULTS:
-            self._inject_daemon_fault(fault)
+            self._inject_daemon_fault(fault.engine, DAEMON_FAULTS[fault.kind], fault.duration_s)
         else:
             ENGINE_FAULTS[fault.kind](self, engine, fault)
         if fault.kind in EXCUSING_KINDS:
             self.fault_periods.append(Period(engine.instance, began_at, time.monotonic()))
 
-    def _inject_daemon_fault(self, fault: WeightFault) -> None:
-        host = self.fleet.endpoint_hosts[fault.engine]
+    def _inject_daemon_fault(self, engine: int, kind: FaultKind, duration_s: float) -> None:
+        host = self.fleet.endpoint_hosts[engine]
         if not self.processes.claim(host):
             return
         try:
-            kind = DAEMON_FAULTS[fault.kind]
-            self.processes.inject(Fault(fault.at_s, fault.duration_s, kind, host))
+            self.processes.inject(Fault(0.0, duration_s, kind, host))
         finally:
             self.processes.release(host)
 
+    def _strike_order(self, engine: StagingEngine) -> None:
+        """
+        Strike the pieces and the daemon as an order arrives that is taken late.
+
+        """
+        fault = self.late_orders[engine.instance].pop(0)
+        self._record(f'{engine.instance} an order arrives for {fault}')
+        self._spoil_pieces(engine, fault)
+        if fault.daemon_down_s:
+            thread = threading.Thread(target=self._end_daemon, args=(fault,), daemon=True)
+            thread.start()
+            self.strikes.append(thread)
+
+    def _end_daemon(self, fault: WeightFault) -> None:
+        began_at = time.monotonic()
+        self._inject_daemon_fault(fault.engine, FaultKind.KILL, fault.daemon_down_s)
+        instance = self.engines[fault.engine].instance
+        self.fault_periods.append(Period(instance, began_at, time.monotonic()))
+
     def _slow_calls(self, engine: StagingEngine, fault: WeightFault) -> None:
         engine.call_s = fault.call_s
         self.stop.wait(fault.duration_s)
@@ -275,6 +241,7 @@
         engine.staged.ignored_writes = fault.writes
 
     def _delay_order(self, engine: StagingEngine, fault: WeightFault) -> None:
+        self.late_orders.setdefault(engine.instance, []).append(fault)
         engine.order_delays_s.append(fault.duration_s)
 
     def _take_late(self, engine: StagingEngine, fault: WeightFault) -> None:
--- a/packages/millfork-standins/millfork_standins/soak/weights_plan.py
+++ b/packages/millfork-standins/millfork_standins/soak/weights_plan.py
@@ -58,6 +58,10 @@
     PAUSE_DAEMON = 'pause_daemon'
 
 
+LATE_ORDERS: Final = frozenset({WeightFaultKind.LATE_ANSWER, WeightFaultKind.UNANSWERED})
+# The share of late orders at whose arrival pieces turn bad, and at whose arrival the daemon ends.
+BAD_PIECES_SHARE: Final = 0.5
+DAEMON_END_SHARE: Final = 0.25
 # The range of the durations; faults that are not named here have none.
 DURATIONS_S: Final = {
     WeightFaultKind.SLOW_CALLS: (2.0, 8.0),
@@ -92,6 +96,8 @@
     One fault of the engine `engine` or of its daemon, `at_s` after the start of the run.
     `duration_s` is 0 for faults without a duration. `call_s` is the time of a call during
     `SLOW_CALLS`, `pieces` has the indexes of `BAD_PIECES`, `writes` is the number of `LOST_WRITES`.
+    As an order arrives that is to be taken late, these `pieces` turn bad as well, and the daemon is
+    killed for `daemon_down_s`, unless that is 0.
 
     """
 
@@ -102,6 +108,7 @@
     call_s: float = 0.0
     pieces: tuple[int, ...] = ()
     writes: int = 0
+    daemon_down_s: float = 0.0
 
 
 def plan_weight_faults(seed: int, seconds: float, engines: int, pieces: int) -> list[WeightFault]:
@@ -128,14 +135,21 @@
         call_s = random.uniform(0.0, MAX_CALL_S)
         return WeightFault(at_s, duration_s, kind, engine, call_s=call_s)
     if kind is WeightFaultKind.BAD_PIECES:
-        struck = random.sample(range(pieces), random.randint(1, min(MAX_BAD_PIECES, pieces)))
-        return WeightFault(at_s, duration_s, kind, engine, pieces=tuple(struck))
+        return WeightFault(at_s, duration_s, kind, engine, pieces=_draw_pieces(random, pieces))
+    if kind in LATE_ORDERS:
+        struck = _draw_pieces(random, pieces) if random.random() < BAD_PIECES_SHARE else ()
+        down_s = random.uniform(0.1, MAX_LATE_S) if random.random() < DAEMON_END_SHARE else 0.0
+        return WeightFault(at_s, duration_s, kind, engine, pieces=struck, daemon_down_s=down_s)
     if kind is WeightFaultKind.LOST_WRITES:
         writes = random.randint(1, MAX_LOST_WRITES)
         return WeightFault(at_s, duration_s, kind, engine, writes=writes)
     return WeightFault(at_s, duration_s, kind, engine)
 
 
+def _draw_pieces(random: Random, pieces: int) -> tuple[int, ...]:
+    return tuple(random.sample(range(pieces), random.randint(1, min(MAX_BAD_PIECES, pieces))))
+
+
 def plan_versions(seed: int, seconds: float) -> list[float]:
     """
     Return the times, in seconds after the start of the run, at which the operator names the next
--- a/packages/millfork-standins/millfork_standins/staging_engine.py
+++ b/packages/millfork-standins/millfork_standins/staging_engine.py
@@ -9,6 +9,7 @@
 import socket
 import threading
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING, ClassVar, Final
 
 import msgspec
@@ -152,6 +153,8 @@
         # Seconds from the next orders until each is taken and then answered. The daemon may have
         # given up the call meanwhile.
         self.order_delays_s: list[float] = []
+        # Called as an order arrives that is taken after a delay.
+        self.on_delayed_order: Callable[[], None] = lambda: None
         # Whether orders that replace all layers take what is staged only once the running requests
         # have ended, and not when they are accepted.
         self.takes_when_idle = False
@@ -262,7 +265,9 @@
 
         """
         if self.order_delays_s:
-            time.sleep(self.order_delays_s.pop(0))
+            delay_s = self.order_delays_s.pop(0)
+            self.on_delayed_order()
+            time.sleep(delay_s)
         with LOCK:
             if self.order is not None:
                 return 409
--- a/tests/test_late_orders_at_restarted_daemons.py
+++ b/tests/test_late_orders_at_restarted_daemons.py
@@ -1,6 +1,6 @@
 """
 An endpoint daemon ends after it sent a load order that its engine takes late, when a piece has been
-bad for over 3 s. The engine must not serve that layer, with or without a next process of the daemon.
+bad for over 3 s. The engine must not serve that layer, whether the daemon restarts or not.
 
 """
 
--- a/tests/test_soak_weights.py
+++ b/tests/test_soak_weights.py
@@ -6,9 +6,11 @@
 import pytest
 
 from millfork_standins.running_requests import Violation
+from millfork_standins.soak.engines import WEIGHTS
 from millfork_standins.soak.run import SoakRun
-from millfork_standins.soak.weights import WEIGHTS, find_wrong_streams
+from millfork_standins.soak.weights import find_wrong_streams
 from millfork_standins.soak.weights_plan import (
+    LATE_ORDERS,
     MAX_CALL_S,
     WeightFaultKind,
     plan_versions,
@@ -29,6 +31,10 @@
         (kind, engine) for kind in WeightFaultKind for engine in range(ENGINES)
     }
     assert max(fault.call_s for fault in faults) <= MAX_CALL_S
+    late = [fault for fault in faults if fault.kind in LATE_ORDERS]
+    assert {(bool(fault.pieces), bool(fault.daemon_down_s)) for fault in late} == {
+        (is_bad, ends) for is_bad in (False, True) for ends in (False, True)
+    }
     assert {index for fault in faults for index in fault.pieces} == set(range(WEIGHTS.pieces))
 
 
