--- a/packages/millfork-standins/millfork_standins/soak/process_faults.py
+++ b/packages/millfork-standins/millfork_standins/soak/process_faults.py
@@ -15,6 +15,7 @@
 from millfork_standins.soak.checks import Period
 from millfork_standins.soak.fault_plan import Fault, FaultKind
 from millfork_standins.soak.fleet import SoakFleet
+from millfork_standins.soak.replacements import CATCH_UP_S
 from millfork_standins.soak.signals import handles_signal
 
 START_TIMEOUT_S: Final = 20.0
@@ -52,6 +53,9 @@
         self.gone_hosts: set[str] = set()
         # Processes that have got SIGTERM.
         self.stopping: dict[str, subprocess.Popen[bytes]] = {}
+        # Whether a replica is losing its disk now, and when the next one may (monotonic seconds).
+        self.losing_disk = False
+        self.next_disk_loss_at = 0.0
         self.lock = threading.Lock()
         self.violations: list[str] = []
 
@@ -61,15 +65,37 @@
 
         """
         with self.lock:
-            if host in self.gone_hosts or host in self.hosts_under_fault:
-                return False
-            self.hosts_under_fault.add(host)
-            return True
+            return self._claim_locked(host)
+
+    def _claim_locked(self, host: str) -> bool:
+        if host in self.gone_hosts or host in self.hosts_under_fault:
+            return False
+        self.hosts_under_fault.add(host)
+        return True
 
     def release(self, host: str) -> None:
         with self.lock:
             self.hosts_under_fault.discard(host)
 
+    def claim_disk(self, host: str) -> bool:
+        """
+        As `claim`, for a replica that is about to lose its disk. False also if another one has lost
+        its disk, by a fault or for good, and has been back or replaced for less than `CATCH_UP_S`:
+        a fleet tolerates the loss of one disk at a time.
+
+        """
+        with self.lock:
+            if self.losing_disk or time.monotonic() < self.next_disk_loss_at:
+                return False
+            self.losing_disk = self._claim_locked(host)
+            return self.losing_disk
+
+    def release_disk(self, host: str) -> None:
+        self.release(host)
+        with self.lock:
+            self.losing_disk = False
+            self.next_disk_loss_at = time.monotonic() + CATCH_UP_S
+
     def remove_replica(self, host: str) -> None:
         """
         Stop a replica by SIGTERM for good. The caller has claimed its host.
--- a/packages/millfork-standins/millfork_standins/soak/run.py
+++ b/packages/millfork-standins/millfork_standins/soak/run.py
@@ -117,8 +117,8 @@
                 self.fleet,
                 seed,
                 run_s,
-                self.processes.claim,
-                self.processes.release,
+                self.processes.claim_disk,
+                self.processes.release_disk,
                 self.processes.remove_replica,
             )
         self.weights = None
@@ -265,14 +265,17 @@
         """
         if self.replacer:
             fault = replace(fault, target=self.replacer.current_host(fault.target))
-        if not self.processes.claim(fault.target):
+        loses_disk = fault.kind is FaultKind.LOSE_DISK
+        claim = self.processes.claim_disk if loses_disk else self.processes.claim
+        release = self.processes.release_disk if loses_disk else self.processes.release
+        if not claim(fault.target):
             return False
         try:
             self._record_entry_fault(fault.target)
             self.processes.inject(fault)
         finally:
             self._record_entry_fault(fault.target)
-            self.processes.release(fault.target)
+            release(fault.target)
         return True
 
     def _record_entry_fault(self, host: str) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,8 +19,10 @@
 from millfork_standins.soak.checks import CONTACT_S, Period, broken_promises, find_lost_requests
 from millfork_standins.soak.crashing_part import MAX_SENT_LATE, find_broken_promise
 from millfork_standins.soak.fault_plan import MIN_DISK_LOSS_GAP_S, FaultKind, plan_faults
+from millfork_standins.soak.fleet import SoakFleet
 from millfork_standins.soak.link_proxy import LinkProxy
 from millfork_standins.soak.planned_work import PLANNED_KINDS, plan_pauses, plan_work
+from millfork_standins.soak.process_faults import ProcessFaults
 from millfork_standins.soak.replacements import plan_replacements
 from millfork_standins.soak.run import SoakRun
 
@@ -97,6 +99,19 @@
     )
 
 
+def test_no_disk_is_lost_while_another_replica_is_replaced_or_catches_up(tmp_path):
+    # Guards against runs without a quorum that the platform need not survive (seed 204).
+    processes = ProcessFaults(SoakFleet(tmp_path))
+    assert processes.claim_disk('r1')
+    assert not processes.claim_disk('r2')
+    processes.release_disk('r1')
+    assert not processes.claim_disk('r2')
+    assert processes.claim('r2')
+    processes.next_disk_loss_at = 0.0
+    assert not processes.claim_disk('r2')
+    assert processes.claim_disk('r3')
+
+
 COMPLETE_ANSWER = Answer('1', False, 200, '1', 'i-1', b'answer')
 
 
