--- a/packages/millfork-standins/millfork_standins/soak/__main__.py
+++ b/packages/millfork-standins/millfork_standins/soak/__main__.py
@@ -5,6 +5,7 @@
 
 import sys
 import tempfile
+from collections import Counter
 from pathlib import Path
 
 from absl import app, flags
@@ -26,11 +27,18 @@
 EVACUATIONS = flags.DEFINE_bool('evacuations', True, 'Zones are evacuated.')
 COLD = flags.DEFINE_bool('cold', True, 'Back ends become cold.')
 REPLACEMENTS = flags.DEFINE_bool('replacements', True, 'Replicas are replaced.')
+WEIGHTS = flags.DEFINE_bool('weights', False, 'Engines change the versions of their weights.')
+ENGINES = flags.DEFINE_integer('engines', 3, 'Number of engines with --weights.', lower_bound=1)
+flags.mark_bool_flags_as_mutual_exclusive(['weights', 'crashing_part'])
 FOLDER = flags.DEFINE_string(
     'folder', '', 'Folder for the files of the runs; empty: they are deleted.'
 )
 
 
+def _counts(statuses: Counter[int]) -> str:
+    return ' '.join(f'{status}:{count}' for status, count in sorted(statuses.items()))
+
+
 def main(argv: list[str]) -> int:
     failed = 0
     for seed in range(SEED.value, SEED.value + RUNS.value):
@@ -49,16 +57,24 @@
                 EVACUATIONS.value,
                 COLD.value,
                 REPLACEMENTS.value,
+                ENGINES.value if WEIGHTS.value else 0,
             ).run()
         failed += bool(result.violations)
-        statuses = ' '.join(f'{status}:{n}' for status, n in sorted(result.statuses.items()))
         print(
-            f'seed {result.seed}: {result.faults} faults, answers {statuses}, '
+            f'seed {result.seed}: {result.faults} faults, answers {_counts(result.statuses)}, '
             f'{result.acknowledged_version} documents, {result.reads} reads, '
             f'{result.evacuations} evacuations, {result.cold_requests} cold requests, '
             f'{len(result.violations)} broken',
             flush=True,
         )
+        if WEIGHTS.value:
+            weights = result.weights
+            print(
+                f'  engines: {weights.versions} versions, {weights.layers} layers loaded, '
+                f'{weights.bad_layers} of bad pieces, {weights.streams} streams, '
+                f'answers {_counts(weights.statuses)}',
+                flush=True,
+            )
         for line in result.violations:
             print(f'  {line}', flush=True)
     print(f'{RUNS.value - failed} passed, {failed} failed')
