--- a/packages/millfork-standins/millfork_standins/staged_pieces.py
+++ b/packages/millfork-standins/millfork_standins/staged_pieces.py
@@ -57,6 +57,8 @@
         self.right_until: dict[tuple[int, int], float] = {}
         # All writes that were accepted, also those that stored nothing.
         self.writes: list[Write] = []
+        # The number of pieces that were read back.
+        self.read_count = 0
         # How many of the next writes are accepted and store nothing.
         self.ignored_writes = 0
 
@@ -79,6 +81,14 @@
             return
         self._store(index, data)
 
+    def read(self, index: int) -> bytes | None:
+        """
+        Carry out a daemon's read of a piece; None if there is none with this index.
+
+        """
+        self.read_count += 1
+        return self.data.get(index)
+
     def spoil(self, index: int) -> None:
         """
         Make the piece with this index bad.
--- a/packages/millfork-standins/millfork_standins/staging_engine.py
+++ b/packages/millfork-standins/millfork_standins/staging_engine.py
@@ -139,6 +139,8 @@
         self.replaces = False
         self.running: list[RunningRequest] = []
         self.incarnation = _new_incarnation()
+        # Orders that arrived. They may be taken later, or refused.
+        self.arrived_orders: list[LoadLayers] = []
         # Orders that were accepted, layers that were taken, and streams that used wrong layers.
         self.orders: list[LoadLayers] = []
         self.taken: list[TakenLayer] = []
@@ -199,12 +201,13 @@
         with LOCK:
             self.staged.spoil(index)
 
-    def restart(self) -> None:
+    def restart(self, silent_s: float = 0.0) -> None:
         """
         End and start again under the same id: running requests and orders end, the layers are
-        lost, and the staged pieces stay.
+        lost, and the staged pieces stay. The engine is silent for `silent_s` meanwhile.
 
         """
+        self.pause(silent_s)
         with LOCK:
             self.incarnation = _new_incarnation(self.incarnation)
             self.sequence = 0
@@ -235,7 +238,7 @@
             if isinstance(request, ReportQuery):
                 return 200, self._report()
             if isinstance(request, StagedPieceQuery):
-                data = self.staged.data.get(request.index)
+                data = self.staged.read(request.index)
                 return (404, b'') if data is None else (200, data)
             self.staged.write(request.index, request.data)
             if self.pause_at_write_s:
@@ -259,6 +262,7 @@
         answer.
 
         """
+        self.arrived_orders.append(order)
         if self.order_delays_s:
             time.sleep(self.order_delays_s.pop(0))
         with LOCK:
