--- a/tests/test_stale_pieces_on_real_daemons.py
+++ b/tests/test_stale_pieces_on_real_daemons.py
@@ -13,14 +13,12 @@
 
 import pytest
 
-from millfork_platform import client_requests, names
-from millfork_standins.back_end import STREAM_PATH
+from millfork_platform import client_requests
 from millfork_standins.staged_pieces import MAX_BAD_S
-from millfork_standins.staging_fleet import DEADLINE_MS, StagingFleet
+from millfork_standins.staging_fleet import StagingFleet
 from millfork_standins.weights_origin import SimulatedWeights
-from millfork_web.models import Request
-from tests.test_seeded_fleet import request
 from tests.utils.fleets import wait_until
+from tests.utils.staging import stream_request
 from tests.utils.streams import WHOLE_STREAM
 
 WEIGHTS = SimulatedWeights('m', layers=16, pieces=96)
@@ -40,14 +38,6 @@
 CHANGE_TIMEOUT_S = 20.0
 
 
-def stream_request():
-    call = request(STREAM_PATH, 'POST', body=b'prompt')
-    headers = [item for item in call.headers if item[0] != client_requests.DEADLINE_MS]
-    headers += [(client_requests.DEADLINE_MS, str(DEADLINE_MS)), (names.MODEL, WEIGHTS.model)]
-    headers += [(names.TOKEN_COUNT, '100,40')]
-    return Request(call.method, call.path, headers, call.body)
-
-
 @contextmanager
 def running_fleet(tmp_path, empty=False, call_s=0.0, version_ms=VERSION_MS):
     """
