Suspect layers of a half are dropped for a layer whose pieces are held

Its engine was to hold layers 4 to 7, of which 4 and 5 were suspect, and the plan chose layer 0 to replace them, whose pieces the daemon did not have. The layer is now one of the goal, and a piece that is not held is not staged but logged. tests/test_load_plans.py failed before and passes.

--- a/packages/millforkd/millforkd/sidecar/load_plan.py
+++ b/packages/millforkd/millforkd/sidecar/load_plan.py
@@ -46,7 +46,7 @@
 
     """
     if served is not None and suspects and layers > 1:
-        return LoadPlan(None, [_other_layer(served, suspects, layers)], interrupts=True)
+        return LoadPlan(None, [_other_layer(served, suspects, goal)], interrupts=True)
     if served is None or not goal.contains(served):
         if served is not None and served.contains(goal):
             return None
@@ -58,10 +58,11 @@
     return None
 
 
-def _other_layer(served: Layers, suspects: Collection[int], layers: int) -> int:
+def _other_layer(served: Layers, suspects: Collection[int], goal: Layers) -> int:
     """
-    A layer that is not suspect, one that the engine serves if possible.
+    A layer that is not suspect, one that the engine serves if possible, else one of the goal, whose
+    pieces are held.
 
     """
-    candidates = [number for number in (*served.numbers, *range(layers)) if number not in suspects]
+    candidates = [number for number in (*served.numbers, *goal.numbers) if number not in suspects]
     return candidates[0] if candidates else served.first
--- a/packages/millforkd/millforkd/sidecar/staging.py
+++ b/packages/millforkd/millforkd/sidecar/staging.py
@@ -79,12 +79,15 @@
 
     async def write(self, target: Target, held: PieceSet, index: int) -> bool:
         """
-        Stage a piece of the target, unless it was written already; False if the engine did not
-        accept it.
+        Stage a piece of the target, unless it was written already; False if it is not held, or the
+        engine did not accept it.
 
         """
         if self.written.get(index) == target.weights:
             return True
+        if index not in held.pieces:
+            log.warning('Piece {} of {} is to be staged, but not held.', index, held.weights)
+            return False
         self.loaded.record_write(layers_with_piece(index, target.layers, target.pieces))
         if not await self.engine.stage(held.weights.model, index, held.pieces[index]):
             self.failed_at[index] = self.env.monotonic()
