A restarted endpoint daemon waits for its last announcement before it reads pieces back

Cause: pieces were read back 0.1 s after the start, in parallel with the arrival of the state that the ended process had announced; the first layer that was confirmed made that state count no longer. Where pieces of the next version had been staged meanwhile, the layers that engines served would have become suspect.

Change: no piece is read back while that state may still arrive (at most 1 s after the start, until the records of a replica are complete), and it is looked at before any read. Until then no report is sent, so entries go on as before.

--- a/packages/millforkd/millforkd/sidecar/daemon.py
+++ b/packages/millforkd/millforkd/sidecar/daemon.py
@@ -121,6 +121,7 @@
             self._current_target,
             self._send_report,
         )
+        self.rollout.awaits_announced = self._awaits_announced
         self.loads = EngineLoads(env, self.engine, lambda: self.rollout.report is not None)
         self.expiry = ExpiryWatcher(env, self.engine, self.store, self.rollout)
         self.admin = Admin(env, settings, lambda: bool(self.view.cluster))
@@ -235,7 +236,7 @@
 
         """
         source = self.feed_client.report_target
-        if not source or self._awaits_announced_state():
+        if not source or self._awaits_announced():
             return
         body = msgspec.msgpack.encode(self._state())
         try:
@@ -243,7 +244,7 @@
         except PeerError as error:
             log.debug('The report could not be sent to {}: {}.', source, error)
 
-    def _awaits_announced_state(self) -> bool:
+    def _awaits_announced(self) -> bool:
         """
         Whether the state that an earlier process of this daemon announced last is still to arrive.
         A report of this process would replace it.
--- a/packages/millforkd/millforkd/sidecar/rollout.py
+++ b/packages/millforkd/millforkd/sidecar/rollout.py
@@ -96,6 +96,8 @@
         # The version that the engine is changing to, 0 if none.
         self.changing_to = 0
         self.started_at = env.monotonic()
+        # Whether the state that an earlier process of this daemon announced may still arrive.
+        self.awaits_announced: Callable[[], bool] = lambda: False
         # Whether the check for staged pieces of the target has run since this process and the
         # engine started (the check reads no pieces if the digests are held already or can't be
         # fetched). An earlier process of this daemon may have staged such pieces and ended before
@@ -136,7 +138,14 @@
         if announced.incarnation != self.incarnation:
             return
         if self.state.loaded.adopt(announced.served):
-            log.notice('An earlier process of this daemon proved {}.', announced.served)
+            for item in announced.served:
+                log.notice(
+                    'An earlier process of this daemon proved layers. weights={}@{} layers={}-{}',
+                    item.model,
+                    item.version,
+                    item.first,
+                    item.end,
+                )
 
     async def _check_inherited(self, target: Target) -> None:
         """
@@ -145,6 +154,9 @@
         the target have to be loaded again, only their bad pieces are fetched again.
 
         """
+        if self.awaits_announced():
+            return
+        self._adopt_announced()
         for weights in self.state.loaded.inherited_weights:
             if weights.model != target.weights.model:
                 continue
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -652,6 +652,18 @@
             ),
         ),
     ),
+    Mutation(
+        'no piece is read back while the announcement of an earlier process may still arrive',
+        'tests/test_stale_pieces_after_daemon_restarts.py::'
+        'test_a_state_that_arrives_with_the_target_is_known_before_pieces_are_read_back',
+        (
+            Edit(
+                D + 'sidecar/rollout.py',
+                'if self.awaits_announced():',
+                'if False:',
+            ),
+        ),
+    ),
     Mutation(
         'pieces of the engine are read before any is fetched again after a restart of the daemon',
         'tests/test_stale_pieces_after_daemon_restarts.py::test_only_bad_pieces_are_fetched_again',
--- a/tests/test_stale_pieces_after_daemon_restarts.py
+++ b/tests/test_stale_pieces_after_daemon_restarts.py
@@ -141,6 +141,32 @@
     assert engine.reads == engine.orders == []
 
 
+def test_a_state_that_arrives_with_the_target_is_known_before_pieces_are_read_back():
+    """
+    The ended process had staged pieces of the next version, so those of the served version can't be
+    read back.
+
+    """
+    engine = CountingEngine()
+    for index in range(PIECES):
+        engine._store(index, piece(3, index))
+
+    async def run():
+        daemon = RestartedDaemon(engine)
+        daemon.rollout.awaits_announced = lambda: True
+        daemon.rollout.record_report(await engine.report())
+        await daemon.rollout._step(daemon.target)
+        assert daemon.usable_layers == []
+        state = announced_state(engine)
+        daemon.rollout.fleet.states = lambda: [state]
+        daemon.rollout.awaits_announced = lambda: False
+        await daemon.rollout._step(daemon.target)
+        assert daemon.usable_layers
+
+    curio.run(run)
+    assert engine.reads == engine.orders == []
+
+
 def test_layers_that_an_engine_has_started_with_are_usable_at_once():
     engine = CountingEngine(earlier_orders=0)
     for index in range(PIECES):
