Suspect layers are dropped for a layer of the goal, whose pieces are there

Cause: an engine with half of the layers had only suspect ones, and plan_load chose the first layer of the model to replace them, also one of which the daemon had gathered no piece: KeyError in StagingArea.write.

Change: the layer is one that the engine serves or one of the goal, whose pieces are gathered before. If all of these are suspect, the engine is reduced to the first one as before, and the next order drops that.

--- a/packages/millforkd/millforkd/sidecar/load_plan.py
+++ b/packages/millforkd/millforkd/sidecar/load_plan.py
@@ -33,19 +33,17 @@
         return Layers(min(numbers), max(numbers) + 1)
 
 
-def plan_load(
-    served: Layers | None, suspects: Collection[int], goal: Layers, layers: int
-) -> LoadPlan | None:
+def plan_load(served: Layers | None, suspects: Collection[int], goal: Layers) -> LoadPlan | None:
     """
     The next step from the layers `served`, of which `suspects` have to be loaded again, to the
-    layers `goal` of a model of `layers` layers; None if the engine holds the goal.
+    layers `goal`; None if the engine holds the goal.
 
     An engine doesn't load a layer anew that it holds. So suspect layers are dropped first: the
     engine is reduced to another layer.
 
     """
     if served is not None and suspects:
-        return LoadPlan(None, [_other_layer(served, suspects, layers)], interrupts=True)
+        return LoadPlan(None, [_other_layer(served, suspects, goal)], interrupts=True)
     if served is None or not goal.contains(served):
         if served is not None and served.contains(goal):
             return None
@@ -57,10 +55,11 @@
     return None
 
 
-def _other_layer(served: Layers, suspects: Collection[int], layers: int) -> int:
+def _other_layer(served: Layers, suspects: Collection[int], goal: Layers) -> int:
     """
-    A layer that is not suspect, one that the engine serves if possible.
+    A layer that is not suspect, one that the engine serves if possible, else one of the goal: of
+    other layers the pieces may not have arrived.
 
     """
-    candidates = [number for number in (*served.numbers, *range(layers)) if number not in suspects]
+    candidates = [number for number in (*served.numbers, *goal.numbers) if number not in suspects]
     return candidates[0] if candidates else served.first
--- a/packages/millforkd/millforkd/sidecar/loading.py
+++ b/packages/millforkd/millforkd/sidecar/loading.py
@@ -88,7 +88,7 @@
         while True:
             suspects = self.state.loaded.numbers(target.weights, LayerState.SUSPECT)
             served = self.state.served_layers(target)
-            plan = plan_load(served, suspects, goal, target.layers)
+            plan = plan_load(served, suspects, goal)
             if plan is None:
                 return
             async with self.order_lock:
--- a/tests/test_load_plans.py
+++ b/tests/test_load_plans.py
@@ -3,7 +3,6 @@
 
 """
 
-from millfork_standins.soak.engines import WEIGHTS
 from millforkd.sidecar.layer_assignment import Layers
 from millforkd.sidecar.load_plan import plan_load
 
@@ -16,8 +15,8 @@
 
     """
     goal = Layers(4, 8)
-    plan = plan_load(Layers(4, 6), [4, 5], goal, WEIGHTS.layers)
+    plan = plan_load(Layers(4, 6), [4, 5], goal)
     assert list(plan.wanted) == [6]
     assert plan.interrupts
-    plan = plan_load(Layers(4, 8), goal.numbers, goal, WEIGHTS.layers)
+    plan = plan_load(Layers(4, 8), goal.numbers, goal)
     assert plan.wanted[0] in goal.numbers
