--- a/packages/millforkd/millforkd/sidecar/load_plan.py
+++ b/packages/millforkd/millforkd/sidecar/load_plan.py
@@ -33,19 +33,17 @@
         return Layers(min(numbers), max(numbers) + 1)
 
 
-def plan_load(
-    served: Layers | None, suspects: Collection[int], goal: Layers, layers: int
-) -> LoadPlan | None:
+def plan_load(served: Layers | None, suspects: Collection[int], goal: Layers) -> LoadPlan | None:
     """
     The next step from the layers `served`, of which `suspects` have to be loaded again, to the
-    layers `goal` of a model of `layers` layers; None if the engine holds the goal.
+    layers `goal`; None if the engine holds the goal.
 
     An engine doesn't load a layer anew that it holds. So suspect layers are dropped first: the
-    engine is reduced to another layer. That is not possible if the model has a single one; the
+    engine is reduced to another layer. That is not possible if the goal is a single one; the
     engine is then not used until it restarts or loads another version.
 
     """
-    if served is not None and suspects and layers > 1:
+    if served is not None and suspects and len(goal.numbers) > 1:
         return LoadPlan(None, [_other_layer(served, suspects, goal)], interrupts=True)
     if served is None or not goal.contains(served):
         if served is not None and served.contains(goal):
@@ -60,8 +58,8 @@
 
 def _other_layer(served: Layers, suspects: Collection[int], goal: Layers) -> int:
     """
-    A layer that is not suspect, one that the engine serves if possible, else one of the goal, whose
-    pieces are held.
+    A layer that is not suspect, one that the engine serves if possible, else one of the goal: of
+    other layers the pieces may not have arrived.
 
     """
     candidates = [number for number in (*served.numbers, *goal.numbers) if number not in suspects]
