Checks of loaded layers have a module of their own; one specification of engines for tests and soak

A mutation named a line that has changed. No change of behaviour; the tests of restarted daemons, of the review and of the mutations' texts pass.

--- a/packages/millfork-standins/millfork_standins/soak/engines.py
+++ b/packages/millfork-standins/millfork_standins/soak/engines.py
@@ -7,11 +7,12 @@
 
 from millfork_core.ids import ServiceName
 from millfork_platform import client_requests
-from millfork_routing.documents import EngineSpec, OriginSpec, Route, RouteKind, Service, Share
+from millfork_routing.documents import OriginSpec, Route, RouteKind, Service, Share
 from millfork_standins.back_end import STREAM_PATH
 from millfork_standins.soak.callers import WHOLE_STREAM, Caller, DrawnRequest
 from millfork_standins.soak.fleet import ENGINE_REQUEST_PREFIX
 from millfork_standins.staging_engine import SLOTS
+from millfork_standins.staging_fleet import engine_spec
 from millfork_standins.weights_origin import SimulatedWeights
 
 # The service and host names of the settings of the endpoint daemons, and of the callers' route.
@@ -20,23 +21,7 @@
 WEIGHTS: Final = SimulatedWeights('m', layers=8, pieces=96)
 LOAD_S: Final = 0.3
 VERSION_MS: Final = 5000
-ENGINE: Final = EngineSpec(
-    slots=SLOTS,
-    tokens=300_000,
-    step_ms=9.0,
-    per_sequence_ms=0.02,
-    per_context_ms=0.03,
-    read_per_s=20_000,
-    pairs_ms_per_million=1.0,
-    steps_per_event=5,
-    usual_prompt=100,
-    usual_answer=40,
-    model=WEIGHTS.model,
-    layers=WEIGHTS.layers,
-    pieces=WEIGHTS.pieces,
-    piece_bytes=WEIGHTS.piece_bytes,
-    warm_s=LOAD_S,
-)
+ENGINE: Final = engine_spec(WEIGHTS, LOAD_S)
 ROUTE: Final = Route(
     'e',
     ROUTE_HOST,
--- a/packages/millfork-standins/millfork_standins/staging_fleet.py
+++ b/packages/millfork-standins/millfork_standins/staging_fleet.py
@@ -27,6 +27,30 @@
 TARGET_MS: Final = 3000
 
 
+def engine_spec(weights: SimulatedWeights, load_s: float) -> EngineSpec:
+    """
+    The specification of engines that load all layers of these weights in `load_s` seconds.
+
+    """
+    return EngineSpec(
+        slots=SLOTS,
+        tokens=300_000,
+        step_ms=9.0,
+        per_sequence_ms=0.02,
+        per_context_ms=0.03,
+        read_per_s=20_000,
+        pairs_ms_per_million=1.0,
+        steps_per_event=5,
+        usual_prompt=100,
+        usual_answer=40,
+        model=weights.model,
+        layers=weights.layers,
+        pieces=weights.pieces,
+        piece_bytes=weights.piece_bytes,
+        warm_s=load_s,
+    )
+
+
 class StagingFleet(SeededFleet):
     """
     A fleet of `engines` simulated engines, all of the service 'engines'. They hold version 1 of
@@ -61,23 +85,7 @@
 
         """
         weights = self.weights
-        engine = EngineSpec(
-            slots=SLOTS,
-            tokens=300_000,
-            step_ms=9.0,
-            per_sequence_ms=0.02,
-            per_context_ms=0.03,
-            read_per_s=20_000,
-            pairs_ms_per_million=1.0,
-            steps_per_event=5,
-            usual_prompt=100,
-            usual_answer=40,
-            model=weights.model,
-            layers=weights.layers,
-            pieces=weights.pieces,
-            piece_bytes=weights.piece_bytes,
-            warm_s=self.load_s,
-        )
+        engine = engine_spec(weights, self.load_s)
         service = ServiceName(SERVICE)
         origin = self.origin.spec(ZONE)
         route = Route(
--- a/packages/millforkd/millforkd/sidecar/daemon.py
+++ b/packages/millforkd/millforkd/sidecar/daemon.py
@@ -121,7 +121,7 @@
             self._current_target,
             self._send_report,
         )
-        self.rollout.awaits_announced = self._awaits_announced
+        self.rollout.checks.awaits_announced = self._awaits_announced
         self.loads = EngineLoads(env, self.engine, lambda: self.rollout.report is not None)
         self.expiry = ExpiryWatcher(env, self.engine, self.store, self.rollout)
         self.admin = Admin(env, settings, lambda: bool(self.view.cluster))
@@ -252,7 +252,7 @@
         """
         if not self.rollout.state.loaded.inherited or self.registry.is_complete:
             return False
-        return self.env.monotonic() - self.rollout.started_at < ANNOUNCED_STATE_WAIT_S
+        return self.env.monotonic() - self.rollout.checks.started_at < ANNOUNCED_STATE_WAIT_S
 
     def _state(self) -> EndpointState:
         report = self.rollout.report
--- a/packages/millforkd/millforkd/sidecar/rollout.py
+++ b/packages/millforkd/millforkd/sidecar/rollout.py
@@ -10,7 +10,6 @@
 """
 
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 from typing import Final
 
 import curio
@@ -25,7 +24,7 @@
 from millforkd.sidecar.fleet import Fleet
 from millforkd.sidecar.gathering import PieceGatherer
 from millforkd.sidecar.layer_assignment import LayerAssignment, Layers, served_layers
-from millforkd.sidecar.loaded_layers import LayerState
+from millforkd.sidecar.layer_checks import LayerChecks
 from millforkd.sidecar.loading import LayerLoader
 from millforkd.sidecar.pieces import PieceSet, PieceStore, WeightsId
 from millforkd.sidecar.target import Target
@@ -93,11 +92,11 @@
         self.announce = announce
         self.state = EngineState(env)
         self.loader = LayerLoader(env, engine, self.state, self.record_report)
+        self.checks = LayerChecks(
+            env, self.state, store, gatherer, fleet, self.loader, self._adopt_staged
+        )
         # The version that the engine is changing to, 0 if none.
         self.changing_to = 0
-        self.started_at = env.monotonic()
-        # Whether the state that an earlier process of this daemon announced may still arrive.
-        self.awaits_announced: Callable[[], bool] = lambda: False
         # Whether the check for staged pieces of the target has run since this process and the
         # engine started (the check reads no pieces if the digests are held already or can't be
         # fetched). An earlier process of this daemon may have staged such pieces and ended before
@@ -116,7 +115,7 @@
 
         """
         restarted = self.state.record(report)
-        self._adopt_announced()
+        self.checks.adopt_announced()
         if not restarted:
             return
         # Staged pieces may have outlived the restart, so the check for them runs again.
@@ -125,51 +124,6 @@
         self.loader.staging.reset()
         self.assignment = None
 
-    def _adopt_announced(self) -> None:
-        """
-        Take the layers as proven that an earlier process of this daemon announced as usable.
-
-        """
-        if not self.state.loaded.inherited:
-            return
-        announced = self.fleet.announced_before(self.started_at)
-        if announced is None or announced.changing_to or not announced.reachable:
-            return
-        if announced.incarnation != self.incarnation:
-            return
-        if self.state.loaded.adopt(announced.served):
-            for item in announced.served:
-                log.notice(
-                    'An earlier process of this daemon proved layers. weights={}@{} layers={}-{}',
-                    item.model,
-                    item.version,
-                    item.first,
-                    item.end,
-                )
-
-    async def _check_inherited(self, target: Target) -> None:
-        """
-        Read back the pieces of layers that an earlier process of this daemon had the engine load,
-        if their digests can be fetched. Entries send nothing to the engine meanwhile. If layers of
-        the target have to be loaded again, only their bad pieces are fetched again.
-
-        """
-        if self.awaits_announced():
-            return
-        self._adopt_announced()
-        for weights in self.state.loaded.inherited_weights:
-            if weights.model != target.weights.model:
-                continue
-            held = self.store.get_or_create(weights)
-            if not held.digests and not await self.gatherer.obtain_digests(held):
-                continue
-            if self.report is None:
-                # A silent engine's pieces can't be read, which says nothing of them.
-                return
-            await self.loader.check_unproven(replace(target, weights=weights), held)
-            if self.state.loaded.numbers(target.weights, LayerState.SUSPECT):
-                await self._adopt_staged(self.store.get_or_create(target.weights))
-
     @property
     def report(self) -> EngineReport | None:
         """
@@ -265,7 +219,7 @@
 
         """
         started_at = self.env.monotonic()
-        await self._check_inherited(target)
+        await self.checks.check_inherited(target)
         if self._is_done(target):
             return
         if target.weights in self.state.loaded.inherited_weights:
@@ -273,7 +227,7 @@
             return
         held = self.store.get_or_create(target.weights)
         await self._check_staged(held)
-        await self._check_unproven(target)
+        await self.checks.check_unproven(target)
         if self.report is None or self._is_done(target):
             return
         goal = self._choose_goal(target, held)
@@ -303,17 +257,6 @@
             now - target.chosen_at,
         )
 
-    async def _check_unproven(self, target: Target) -> None:
-        """
-        Check the unproven layers that the engine serves, of the target or of another version of
-        its model, if the digests of that version are still held.
-
-        """
-        for weights in self.state.loaded.unproven_weights:
-            held = self.store.find(weights)
-            if weights.model == target.weights.model and held is not None and held.digests:
-                await self.loader.check_unproven(replace(target, weights=weights), held)
-
     def _choose_goal(self, target: Target, held: PieceSet) -> Layers:
         """
         The layers that the engine loads next: the assigned ones if the engine serves no layer of
@@ -377,10 +320,10 @@
         try:
             while not task.terminated:
                 await curio.sleep(POLL_S)
-                await self._check_unproven(target)
+                await self.checks.check_unproven(target)
                 if self._is_outdated(target):
                     return False
-                await self._check_inherited(target)
+                await self.checks.check_inherited(target)
         finally:
             if not task.terminated:
                 await task.cancel()
@@ -405,7 +348,7 @@
         for index in held.missing():
             data = await self.engine.read_staged(model, index)
             if data is not None and await held.put(index, data):
-                self.loader.staging.written[index] = held.weights
+                self.loader.staging.record_staged(held.weights, index)
                 matching += 1
                 continue
             mismatched += 1
@@ -429,7 +372,7 @@
             if self._changed_count(target) * ROLLOUT_TURNS >= turn * len(self.fleet.members()):
                 break
             await curio.sleep(POLL_S)
-            await self._check_unproven(target)
+            await self.checks.check_unproven(target)
             if self._is_outdated(target):
                 return False
         return True
--- a/packages/millforkd/millforkd/sidecar/staging.py
+++ b/packages/millforkd/millforkd/sidecar/staging.py
@@ -92,10 +92,17 @@
         if not await self.engine.stage(held.weights.model, index, held.pieces[index]):
             self.failed_at[index] = self.env.monotonic()
             return False
-        self.written[index] = held.weights
-        self.written_at[index] = self.env.monotonic()
+        self.record_staged(held.weights, index)
         return True
 
+    def record_staged(self, weights: WeightsId, index: int) -> None:
+        """
+        Record that a piece was written, or found to be staged.
+
+        """
+        self.written[index] = weights
+        self.written_at[index] = self.env.monotonic()
+
     def is_settled(self, index: int) -> bool:
         """
         Whether no write of this piece that was not accepted may be carried out yet, or may just
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -435,7 +435,8 @@
         (
             Edit(
                 D + 'proxy/response_monitor.py',
-                'if server.answered_since(job.urgency, attempt.started_at + REORDER_THRESHOLD_S):',
+                'if attempt.server.answered_since('
+                'job.urgency, attempt.started_at + REORDER_THRESHOLD_S):',
                 'if False:',
             ),
         ),
@@ -646,7 +647,7 @@
         'test_layers_that_were_not_announced_as_usable_are_not_used_if_a_piece_is_bad',
         (
             Edit(
-                D + 'sidecar/rollout.py',
+                D + 'sidecar/layer_checks.py',
                 'if announced is None or announced.changing_to or not announced.reachable:',
                 'if announced is None:',
             ),
@@ -658,7 +659,7 @@
         'test_a_state_that_arrives_with_the_target_is_known_before_pieces_are_read_back',
         (
             Edit(
-                D + 'sidecar/rollout.py',
+                D + 'sidecar/layer_checks.py',
                 'if self.awaits_announced():',
                 'if False:',
             ),
@@ -669,7 +670,7 @@
         'tests/test_stale_pieces_after_daemon_restarts.py::test_only_bad_pieces_are_fetched_again',
         (
             Edit(
-                D + 'sidecar/rollout.py',
+                D + 'sidecar/layer_checks.py',
                 'if self.state.loaded.numbers(target.weights, LayerState.SUSPECT):',
                 'if False:',
             ),
--- a/tests/test_stale_pieces_after_daemon_restarts.py
+++ b/tests/test_stale_pieces_after_daemon_restarts.py
@@ -153,13 +153,13 @@
 
     async def run():
         daemon = RestartedDaemon(engine)
-        daemon.rollout.awaits_announced = lambda: True
+        daemon.rollout.checks.awaits_announced = lambda: True
         daemon.rollout.record_report(await engine.report())
         await daemon.rollout._step(daemon.target)
         assert daemon.usable_layers == []
         state = announced_state(engine)
         daemon.rollout.fleet.states = lambda: [state]
-        daemon.rollout.awaits_announced = lambda: False
+        daemon.rollout.checks.awaits_announced = lambda: False
         await daemon.rollout._step(daemon.target)
         assert daemon.usable_layers
 
--- a/tests/test_stale_pieces_reviewed.py
+++ b/tests/test_stale_pieces_reviewed.py
@@ -286,7 +286,7 @@
         await daemon.until(lambda: engine.served == ServedVersion('m', 2, 0, 1))
         daemon.rollout.record_report(await engine.report())
         assert daemon.rollout.announced_version == 2
-        await daemon.rollout._check_unproven(daemon.target)
+        await daemon.rollout.checks.check_unproven(daemon.target)
         assert daemon.rollout.announced_version == 0
 
     curio.run(run)
