--- a/tests/test_cut_heads_in_version_changes.py
+++ b/tests/test_cut_heads_in_version_changes.py
@@ -17,8 +17,8 @@
 from millfork_core.sockets import RESET_ON_CLOSE
 from millfork_platform import client_requests, names
 from millfork_registry.records import ServedVersion
-from tests import test_pauses_in_version_changes as changes
-from tests.test_pauses_in_version_changes import (
+from tests.utils import changing_engines as changes
+from tests.utils.changing_engines import (
     LAYERS,
     LOAD_S,
     MODEL,
