Logs tell why no leader lasts: lost votes, unconfirmed log entries, failed reads

A candidate that lost its pre-votes left no line, and the line of a leader that stepped down did not tell which voter was silent or what was being sent to it. The tests of replicas, connections, documentation and operations pass.

--- a/packages/millfork-state/millfork_state/election.py
+++ b/packages/millfork-state/millfork_state/election.py
@@ -49,6 +49,7 @@
 
     """
     if not await _gather_votes(replica, _pre_vote_request(replica)):
+        replica.env.metrics.count(replica.env.metrics.state, event='pre_votes_lost')
         replica.campaign_delay_from = replica.env.monotonic() - replica.election_s / 2
         return False
     async with replica.lock:
@@ -100,6 +101,8 @@
     granted = {(replica.env.instance, replica.storage.disk)} & set(replica.members)
     timeout = replica.election_s * VOTE_TIMEOUT_FRACTION
     has_majority: Callable[[], bool] = lambda: len(granted) >= replica.majority  # noqa: E731
+    refused: list[str] = []
+    unanswered: list[str] = []
     async with curio.TaskGroup() as group:
         for address in replica.others:
             await group.spawn(_request_vote, replica, address, request, timeout)
@@ -108,13 +111,28 @@
                 continue
             voter, reply = task.result
             if reply is None:
+                unanswered.append(voter)
                 continue
             if reply.term > replica.term:
                 await _adopt_term(replica, reply.term)
             if reply.granted and (voter, reply.disk) in replica.members:
                 granted.add((voter, reply.disk))
+            else:
+                refused.append(voter)
             if has_majority():
                 await group.cancel_remaining()
+    if not has_majority():
+        log.info(
+            'Too few votes. kind={} term={} granted={} needed={} voters={} refused={} '
+            'unanswered={}',
+            'pre_vote' if isinstance(request, PreVote) else 'vote',
+            request.term,
+            len(granted),
+            replica.majority,
+            len(replica.members),
+            ','.join(sorted(refused)),
+            ','.join(sorted(unanswered)),
+        )
     return has_majority()
 
 
--- a/packages/millfork-state/millfork_state/leader_client.py
+++ b/packages/millfork-state/millfork_state/leader_client.py
@@ -10,6 +10,7 @@
 
 from millfork_core.environment import Environment
 from millfork_core.ids import NO_INSTANCE, InstanceId
+from millfork_core.logs import Component, logger
 from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
 from millfork_state.commands import AnyCommand, encode_command
 from millfork_state.node import ReadTarget, ReportRow, StateBody, StateNode
@@ -21,6 +22,8 @@
 RETRY_DELAY_S: Final = 0.1
 DEFAULT_TIMEOUT_S: Final = 6.0
 
+log = logger(Component.STATE)
+
 
 class LeaderClient:
     """
@@ -43,6 +46,8 @@
         self.node = node
         self.call_timeout_s = call_timeout_s
         self.leader: InstanceId = NO_INSTANCE
+        # The replica that was last asked for a read which failed, and how it failed, for the log.
+        self.last_read_failure = ''
 
     @property
     def replicas(self) -> dict[InstanceId, PeerAddress]:
@@ -137,18 +142,25 @@
             if body is not None:
                 return body
             await curio.sleep(RETRY_DELAY_S)
+        log.info('Read not confirmed. target={} {}', target.value, self.last_read_failure)
         raise Refused(Refusal(Reason.NO_QUORUM, detail='no leader confirms its state'))
 
     async def _read_once(self, target: ReadTarget) -> bytes | None:
         if self.node is not None and self.node.leads:
+            self.last_read_failure = 'leader=self failure=not_confirmed'
             return await self.node.read(target, self.call_timeout_s)
+        address = self._next_address()
         try:
-            reply = await self.peers.call(
-                self._next_address(), ReadState(target.value), self.call_timeout_s
-            )
-        except PeerError:
+            reply = await self.peers.call(address, ReadState(target.value), self.call_timeout_s)
+        except PeerError as error:
+            self.last_read_failure = f'asked={address.instance} failure={type(error).__name__}'
             return None
         if not isinstance(reply, StateView):
             return None
         self.leader = InstanceId(reply.leader)
-        return reply.body if reply.ok else None
+        if reply.ok:
+            return reply.body
+        self.last_read_failure = (
+            f'asked={address.instance} failure=not_confirmed leader={reply.leader or "unknown"}'
+        )
+        return None
--- a/packages/millfork-state/millfork_state/leadership.py
+++ b/packages/millfork-state/millfork_state/leadership.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass, field
+from functools import singledispatch
 from typing import Final
 
 import curio
@@ -14,7 +15,7 @@
 from millfork_state.pending import PendingProposal, noop_entry
 from millfork_state.replica import Replica, ReplicaState
 from millfork_state.storage import LogEntry
-from millfork_wire.connection import PeerError
+from millfork_wire.connection import PeerError, PeerTimedOut
 from millfork_wire.messages import AppendReply, AppendRequest, Entry, InstallRequest, Message
 from millfork_wire.peers import PeerAddress
 
@@ -33,7 +34,8 @@
     The leader's record of one other replica: the next log index to send, the highest log index
     known to be durable on that replica, the replica's disk id, and when the last request that the
     replica answered was sent (monotonic seconds). `leaving` is set while the replica asks to be
-    removed from the voters. `wake` ends the pause before the next request.
+    removed from the voters. `sending_bytes` is the size of the log entries or the snapshot in the
+    request on its way. `wake` ends the pause before the next request.
 
     """
 
@@ -43,6 +45,7 @@
     disk: str = ''
     acked_at: float = 0.0
     leaving: bool = False
+    sending_bytes: int = 0
     wake: curio.Event = field(default_factory=curio.Event)
 
 
@@ -183,17 +186,44 @@
             progress.wake.clear()
             sent_at = self.replica.env.monotonic()
             request = self._next_request(progress)
+            progress.sending_bytes = _payload_bytes(request)
             try:
                 reply = await self.replica.peers.call(progress.address, request, CALL_TIMEOUT_S)
-            except PeerError:
+            except PeerError as error:
+                self._log_failed_send(progress, request, error, sent_at)
                 await curio.sleep(self.replica.heartbeat_s)
                 continue
+            finally:
+                progress.sending_bytes = 0
             if isinstance(reply, AppendReply) and await self._handle_reply(
                 progress, reply, sent_at
             ):
                 continue
             await self._wait_for_work(progress)
 
+    def _log_failed_send(
+        self, progress: Progress, request: Message, error: PeerError, sent_at: float
+    ) -> None:
+        """
+        Log a request that carried log entries or a snapshot and got no answer in time.
+
+        """
+        size = _payload_bytes(request)
+        if not size or not isinstance(error, PeerTimedOut):
+            return
+        replica = self.replica
+        replica.env.metrics.count(replica.env.metrics.state, event='replication_timed_out')
+        log.warning(
+            'A replica did not confirm log entries in time. replica={} request={} bytes={} ms={} '
+            'match={} last={}',
+            progress.address.instance,
+            type(request).__name__,
+            size,
+            int((replica.env.monotonic() - sent_at) * 1000),
+            progress.match_index,
+            replica.storage.last_index,
+        )
+
     async def _wait_for_work(self, progress: Progress) -> None:
         try:
             async with curio.timeout_after(self.replica.heartbeat_s):
@@ -278,10 +308,31 @@
             await curio.sleep(replica.election_s / 2)
             since = replica.env.monotonic() - 2 * replica.election_s
             if self._acked_since(since) < replica.majority:
-                log.warning('Stepping down as leader of term {}: no quorum.', self.term)
+                log.warning(
+                    'Stepping down as leader of term {}: no quorum. voters={} applied={} noop={} '
+                    '{}',
+                    self.term,
+                    len(replica.members),
+                    replica.applied,
+                    self.noop_index,
+                    self._describe_progress(),
+                )
                 replica.env.metrics.count(replica.env.metrics.state, event='quorum_lost')
                 return
 
+    def _describe_progress(self) -> str:
+        """
+        For each other replica: how long ago the last answered request was sent, the highest log
+        index known to be durable there, and the payload bytes of the request on its way.
+
+        """
+        now = self.replica.env.monotonic()
+        return ' '.join(
+            f'{item.address.instance}=(silent_s={now - item.acked_at:.1f} '
+            f'match={item.match_index} sending_bytes={item.sending_bytes})'
+            for item in self.progress
+        )
+
     async def confirm_leadership(self, timeout: float) -> bool:
         """
         Wait until a majority has answered requests sent after this call started and all log entries
@@ -387,3 +438,22 @@
         if self._acked_since(since) < self.replica.majority:
             return []
         return [str(item.address.instance) for item in self.progress if item.acked_at <= since]
+
+
+@singledispatch
+def _payload_bytes(request: Message) -> int:
+    """
+    The bytes of log entries or of a snapshot that a request carries.
+
+    """
+    return 0
+
+
+@_payload_bytes.register
+def _(request: AppendRequest) -> int:
+    return sum(len(entry.payload) for entry in request.entries)
+
+
+@_payload_bytes.register
+def _(request: InstallRequest) -> int:
+    return len(request.snapshot)
--- a/packages/millfork-wire/millfork_wire/peers.py
+++ b/packages/millfork-wire/millfork_wire/peers.py
@@ -172,6 +172,12 @@
         except PeerTimedOut:
             if self.closes_unresponsive and connection.last_received_at < started_at:
                 self.env.metrics.count(self.env.metrics.wire, event='silent_peer')
+                log.info(
+                    'Closed the connection to {}: no frame during a call. call={} queued_frames={}',
+                    address.instance,
+                    type(message).__name__,
+                    connection.outbox.qsize(),
+                )
                 await connection.close()
             raise
 
