--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -32,6 +32,8 @@
     stream_event,
 )
 from millfork_standins.http_calls import Reply, call
+from millfork_standins.region_daemon import PROXY_VARIABLE
+from millfork_standins.region_links import RegionLinks
 from millfork_standins.seeded_ports import (
     CALLERS_PORT,
     CONTROL_PORT,
@@ -43,6 +45,7 @@
 from millfork_web.models import Request
 
 ROOT: Final = Path(__file__).parents[3]
+REGION_DAEMON: Final = Path(__file__).with_name('region_daemon.py')
 HEARTBEAT_INTERVAL_S: Final = 0.3
 LOAD_THREADS: Final = 32
 
@@ -118,6 +121,9 @@
         self.resume_failures_left = 0
         # The script that starts a daemon.
         self.daemon = ROOT / 'deploy' / 'millforkd.py'
+        # The links between regions, through which the daemons reach each other (None: they reach
+        # each other directly).
+        self.region_links: RegionLinks | None = None
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.back_ends: list[BackEnd] = []
 
@@ -133,9 +139,15 @@
         """
         path = self.folder / f'{host}.yaml'
         path.write_text(self._settings(host, first_start))
-        command = [sys.executable, str(self.daemon), f'--settings={path}']
+        daemon, environment = self.daemon, dict(os.environ)
+        if self.region_links is not None:
+            daemon = REGION_DAEMON
+            environment[PROXY_VARIABLE] = ':'.join(map(str, self.region_links.address))
+        command = [sys.executable, str(daemon), f'--settings={path}']
         with (self.folder / f'{host}.log').open('ab') as log:
-            self.processes[host] = subprocess.Popen(command, stdout=log, stderr=log)
+            self.processes[host] = subprocess.Popen(
+                command, stdout=log, stderr=log, env=environment
+            )
 
     def _settings(self, host: str, first_start: bool) -> str:
         role = self._role(host)
@@ -161,6 +173,14 @@
         template = ROOT / 'deploy' / 'settings' / f'{role.value}.yaml'
         return render_settings(template.read_text(), template_values)
 
+    def limit_region_links(self, mbps: float) -> None:
+        """
+        Let the daemons that start from now on reach each other through links that pass `mbps`
+        Mbit/s from one region to another. Each zone is a region of its own.
+
+        """
+        self.region_links = RegionLinks(self.back_end_host, self.zone_of, mbps)
+
     def zone_of(self, host: str) -> str:
         return 'zone'
 
@@ -330,3 +350,5 @@
             back_end.end()
         for host in list(self.processes):
             self.kill(host)
+        if self.region_links is not None:
+            self.region_links.close()
