Heartbeats, votes and confirmations overtake transfers on their connection

Operators got 'no leader confirms its state' while a lagging replica was sent its log over a slow link. Frames of a connection shared one queue, so a vote, a heartbeat or a ping waited for all of a large frame, and the call timed out; the connection was then closed, as no whole frame had come meanwhile, and the large one began again.

The protocol version is 2: processes of both versions refuse each other. Two tests follow renamed internals, with the same checks.

--- a/packages/millfork-wire/millfork_wire/codec.py
+++ b/packages/millfork-wire/millfork_wire/codec.py
@@ -13,13 +13,19 @@
 
 from millfork_wire import messages
 from millfork_wire.messages import Message
+from millfork_wire.priorities import Priority, priority_of
 
 LENGTH_BYTES: Final = 4
 MAX_HELLO_BYTES: Final = 1024
 MAX_FRAME_BYTES: Final = 48 * 1024 * 1024
-# The top bit of the length prefix. It is set if the body has Cap'n Proto's packed encoding, which
-# shortens messages with many zeros.
+# The upper bits of the length prefix are flags. `PACKED_FLAG` is set if the body has Cap'n Proto's
+# packed encoding, which shortens messages with many zeros, and `MORE_FLAG` if further fragments of
+# the same frame follow. The two bits from `PRIORITY_SHIFT` on are the priority.
 PACKED_FLAG: Final = 1 << 31
+MORE_FLAG: Final = 1 << 30
+PRIORITY_SHIFT: Final = 28
+LENGTH_MASK: Final = (1 << PRIORITY_SHIFT) - 1
+PRIORITY_MASK: Final = 3
 # Messages with weights or snapshots, for which packing would only cost time.
 UNPACKED: Final = frozenset({messages.Chunk, messages.InstallRequest, messages.PushChunk})
 
@@ -42,6 +48,19 @@
     """
 
 
+@dataclass(frozen=True, slots=True)
+class Header:
+    """
+    The length prefix of a frame or of one of its fragments. `length` is that of the body in bytes.
+
+    """
+
+    length: int
+    priority: Priority
+    packed: bool
+    more: bool
+
+
 @dataclass(slots=True)
 class Frame:
     """
@@ -161,16 +180,29 @@
     body: bytes = built.to_bytes_packed() if packed else built.to_bytes()
     if len(body) > MAX_FRAME_BYTES:
         raise BadFrame(f'a {name} message of {len(body)} bytes is over the limit')
-    return (len(body) | packed * PACKED_FLAG).to_bytes(LENGTH_BYTES, 'big') + body
+    return encode_header(len(body), priority_of(frame.message), packed) + body
 
 
-def parse_length(header: bytes) -> tuple[int, bool]:
+def encode_header(length: int, priority: Priority, packed: bool, more: bool = False) -> bytes:
+    number = length | priority << PRIORITY_SHIFT | packed * PACKED_FLAG | more * MORE_FLAG
+    return number.to_bytes(LENGTH_BYTES, 'big')
+
+
+def parse_header(header: bytes) -> Header:
     """
-    The length of a frame's body in bytes, and whether the body is packed.
+    Decode a length prefix.
+
+    :raises BadFrame: if it names no priority.
 
     """
     number = int.from_bytes(header, 'big')
-    return number & ~PACKED_FLAG, bool(number & PACKED_FLAG)
+    try:
+        priority = Priority(number >> PRIORITY_SHIFT & PRIORITY_MASK)
+    except ValueError as error:
+        raise BadFrame(str(error)) from error
+    return Header(
+        number & LENGTH_MASK, priority, bool(number & PACKED_FLAG), bool(number & MORE_FLAG)
+    )
 
 
 def decode(body: bytes, packed: bool) -> Frame:
--- a/packages/millfork-wire/millfork_wire/connection.py
+++ b/packages/millfork-wire/millfork_wire/connection.py
@@ -14,6 +14,7 @@
 from millfork_core.logs import Component, logger
 from millfork_wire import codec
 from millfork_wire.codec import BadFrame, Frame, FrameKind
+from millfork_wire.fragments import Fragment, FrameAssembler
 from millfork_wire.messages import (
     Chunk,
     End,
@@ -24,14 +25,15 @@
     Part,
     Ping,
     PushChunk,
+    Received,
     Reserve,
     Reserved,
     Start,
 )
+from millfork_wire.outbox import Outbox
+from millfork_wire.priorities import Priority
 from millfork_wire.transport import Transport
 
-MAX_QUEUED_FRAMES: Final = 4096
-MAX_SEND_BATCH_BYTES: Final = 256 * 1024
 DATA_MESSAGES: Final = (Chunk, PushChunk, Reserve, Reserved, Start, Head, Part, End)
 
 log = logger(Component.WIRE)
@@ -116,7 +118,7 @@
         self.last_received_at = env.monotonic()
         self.pending_calls: dict[int, _PendingCall] = {}
         self.call_ids = count(1)
-        self.outbox: curio.Queue = curio.Queue(MAX_QUEUED_FRAMES)
+        self.outbox = Outbox()
         self.tasks: set[curio.Task] = set()
         self.writer: curio.Task | None = None
 
@@ -159,14 +161,32 @@
             raise PeerLost(f'the connection to {self.peer} is closed')
         await self._enqueue(Frame(0, FrameKind.EVENT, message))
 
+    @property
+    def has_bulk(self) -> bool:
+        """
+        Whether a transfer to the peer is queued or on its way.
+
+        """
+        return self.outbox.has_bulk
+
+    async def wait_until_bulk_is_sent(self, timeout: float) -> bool:
+        """
+        Wait until no transfer to the peer is queued or on its way, or the connection is closed.
+        False after `timeout` seconds.
+
+        """
+        try:
+            async with curio.timeout_after(timeout):
+                await self.outbox.wait_until_bulk_is_sent()
+        except curio.TaskTimeout:
+            return False
+        return True
+
     async def _enqueue(self, frame: Frame) -> None:
         data = codec.encode(frame)
         self._count_bytes(frame.message, len(data), 'out')
         await self.outbox.put(data)
         if self.closed:
-            # Wake the next task that waits for the full queue.
-            if not self.outbox.empty():
-                await self.outbox.get()
             raise PeerLost(f'the connection to {self.peer} was closed')
 
     def _count_bytes(self, message: Message, size: int, direction: str) -> None:
@@ -180,19 +200,11 @@
 
     async def write_frames(self) -> None:
         """
-        Write queued frames until the connection is closed. One write combines queued frames until
-        their total size reaches `MAX_SEND_BATCH_BYTES`.
+        Write queued frames until the connection is closed.
 
         """
         try:
-            while True:
-                batch = [await self.outbox.get()]
-                if self.closed:
-                    return
-                size = len(batch[0])
-                while not self.outbox.empty() and size < MAX_SEND_BATCH_BYTES:
-                    batch.append(await self.outbox.get())
-                    size += len(batch[-1])
+            while batch := await self.outbox.take():
                 await self.transport.send_bytes(b''.join(batch) if len(batch) > 1 else batch[0])
         except OSError:
             await self.close()
@@ -202,11 +214,18 @@
         Dispatch the peer's frames until the connection fails or is closed, then close the socket.
 
         """
+        assembler = FrameAssembler()
         try:
             while not self.closed:
-                frame = await self.transport.receive()
+                fragment = await self.transport.receive_fragment()
                 self.last_received_at = self.env.monotonic()
-                self._count_bytes(frame.message, self.transport.last_frame_bytes, 'in')
+                if fragment.priority is Priority.BULK:
+                    await self._acknowledge(fragment)
+                frame = assembler.add(fragment)
+                if frame is None:
+                    continue
+                size = codec.LENGTH_BYTES + assembler.last_frame_bytes
+                self._count_bytes(frame.message, size, 'in')
                 await self._dispatch(frame)
         except BadFrame as error:
             self.env.metrics.count(self.env.metrics.wire, event='bad_frame')
@@ -221,7 +240,16 @@
                 await self.writer.cancel()
             await self.transport.close()
 
+    async def _acknowledge(self, fragment: Fragment) -> None:
+        size = codec.LENGTH_BYTES + len(fragment.body)
+        # Never waits for a full outbox, as that would stop the reader of this connection. The
+        # peer's window bounds the number of acknowledgements.
+        await self.outbox.put_now(codec.encode(Frame(0, FrameKind.EVENT, Received(size))))
+
     async def _dispatch(self, frame: Frame) -> None:
+        if isinstance(frame.message, Received):
+            await self.outbox.acknowledge(frame.message.size)
+            return
         if frame.kind is FrameKind.REPLY:
             pending_call = self.pending_calls.get(frame.id)
             if pending_call is None:
@@ -286,8 +314,5 @@
         for pending_call in list(self.pending_calls.values()):
             await pending_call.answered.set()
         await self.transport.shutdown()
-        # Wake the first tasks that wait for the full queue, and the writer.
-        while not self.outbox.empty():
-            await self.outbox.get()
-        await self.outbox.put(b'')
+        await self.outbox.close()
         await self.on_closed(self)
--- a/packages/millfork-wire/millfork_wire/messages/__init__.py
+++ b/packages/millfork-wire/millfork_wire/messages/__init__.py
@@ -12,6 +12,7 @@
     Hello,
     Ping,
     Proof,
+    Received,
 )
 from millfork_wire.messages.feed import (
     AskFeed,
@@ -78,7 +79,8 @@
     PushChunk,
 )
 
-PROTOCOL_VERSION = 1
+# Version 2 has priorities and fragments of frames.
+PROTOCOL_VERSION = 2
 
 __all__ = [
     'AppendReply',
@@ -127,6 +129,7 @@
     'Proposed',
     'PushChunk',
     'ReadState',
+    'Received',
     'Replicas',
     'Report',
     'Reports',
--- a/packages/millfork-wire/millfork_wire/messages/basic.py
+++ b/packages/millfork-wire/millfork_wire/messages/basic.py
@@ -29,6 +29,16 @@
     pass
 
 
+@dataclass(slots=True)
+class Received(Message):
+    """
+    Acknowledges a fragment of `size` bytes of a transfer, with its header.
+
+    """
+
+    size: int = 0
+
+
 @dataclass(slots=True)
 class Done(Message):
     ok: bool = False
--- a/packages/millfork-wire/millfork_wire/millfork.capnp
+++ b/packages/millfork-wire/millfork_wire/millfork.capnp
@@ -1,6 +1,6 @@
 @0xe1b2c7a95d3f8042;
-# Messages between millfork's own processes. On the wire, a frame is a 4-byte length
-# followed by one Frame message. Fields may be added, but never removed or renumbered.
+# Messages between millfork's own processes. On the wire, a frame is a 4-byte length with flags
+# (see codec.py) followed by one Frame message, or by a part of one. Fields may be added, but never removed or renumbered.
 
 struct Frame {
   id @0 :UInt64;        # a reply has the id of its request; 0 for events
@@ -60,12 +60,14 @@
     engineLoad @53 :EngineLoad;
     askSuspicions @54 :AskSuspicions;
     backEndFate @55 :BackEndFate;
+    received @56 :Received;
   }
 }
 
 struct Hello { version @0 :UInt32; instance @1 :Text; zone @2 :Text; role @3 :Text; nonce @4 :Data; target @5 :Text; }
 struct Proof { mac @0 :Data; }
 struct Ping {}
+struct Received { size @0 :UInt32; }
 struct Done { ok @0 :Bool; }
 struct Failure { reason @0 :Text; detail @1 :Text; }
 
--- a/packages/millfork-wire/millfork_wire/transport.py
+++ b/packages/millfork-wire/millfork_wire/transport.py
@@ -10,6 +10,7 @@
 from millfork_core.sockets import connect_repeatedly
 from millfork_wire import codec
 from millfork_wire.codec import BadFrame, Frame
+from millfork_wire.fragments import Fragment
 
 MAX_PROXY_REPLY_BYTES: Final = 4096
 # Milliseconds after which the kernel closes a connection whose sent bytes the peer does not
@@ -28,7 +29,6 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, MAX_UNACKNOWLEDGED_MS)
         self.sock = sock
         self.stream = sock.as_stream()
-        self.last_frame_bytes = 0
 
     async def send(self, frame: Frame) -> None:
         await self.send_bytes(codec.encode(frame))
@@ -38,18 +38,31 @@
 
     async def receive(self, limit: int = codec.MAX_FRAME_BYTES) -> Frame:
         """
-        Read the next frame.
+        Read the next frame, which must be whole.
 
         :raises EOFError: if the peer closed the connection.
-        :raises BadFrame: if the frame is over `limit` bytes, or the bytes are not a frame.
+        :raises BadFrame: if the frame is over `limit` bytes, comes in fragments, or the bytes are
+            not a frame.
 
         """
-        header = await self.stream.read_exactly(codec.LENGTH_BYTES)
-        length, packed = codec.parse_length(header)
-        if length > limit:
-            raise BadFrame(f'a frame of {length} bytes is over the limit of {limit}')
-        self.last_frame_bytes = codec.LENGTH_BYTES + length
-        return codec.decode(await self.stream.read_exactly(length), packed)
+        fragment = await self.receive_fragment(limit)
+        if fragment.more:
+            raise BadFrame('a frame came in fragments')
+        return codec.decode(fragment.body, fragment.packed)
+
+    async def receive_fragment(self, limit: int = codec.MAX_FRAME_BYTES) -> Fragment:
+        """
+        Read the next frame, or the next fragment of one, without decoding it.
+
+        :raises EOFError: if the peer closed the connection.
+        :raises BadFrame: if the fragment is over `limit` bytes, or has no valid header.
+
+        """
+        header = codec.parse_header(await self.stream.read_exactly(codec.LENGTH_BYTES))
+        if header.length > limit:
+            raise BadFrame(f'a frame of {header.length} bytes is over the limit of {limit}')
+        body = await self.stream.read_exactly(header.length)
+        return Fragment(header.priority, header.packed, header.more, body)
 
     async def shutdown(self) -> None:
         """
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -8,9 +8,10 @@
 
 def round_trip(frame: Frame) -> Frame:
     data = codec.encode(frame)
-    length, packed = codec.parse_length(data[: codec.LENGTH_BYTES])
-    assert length == len(data) - codec.LENGTH_BYTES
-    return codec.decode(data[codec.LENGTH_BYTES :], packed)
+    header = codec.parse_header(data[: codec.LENGTH_BYTES])
+    assert header.length == len(data) - codec.LENGTH_BYTES
+    assert not header.more
+    return codec.decode(data[codec.LENGTH_BYTES :], header.packed)
 
 
 @given(
--- a/tests/test_unanswered_calls.py
+++ b/tests/test_unanswered_calls.py
@@ -24,7 +24,7 @@
 from millfork_web.client import Client, ExchangeFailed
 from millfork_web.server import Server
 from millfork_wire import codec
-from millfork_wire import connection as connection_module
+from millfork_wire import outbox as outbox_module
 from millfork_wire.connection import Connection, PeerLost, PeerRefused
 from millfork_wire.messages import Chunk, GetChunk, Hello, Ping, PushChunk, Reserved
 from millfork_wire.transport import Transport
@@ -362,7 +362,7 @@
 
 
 def test_messages_that_wait_for_a_full_queue_end_with_the_connection(monkeypatch):
-    monkeypatch.setattr(connection_module, 'MAX_QUEUED_FRAMES', 2)
+    monkeypatch.setattr(outbox_module, 'MAX_QUEUED_FRAGMENTS', 2)
 
     async def ignore(*arguments):
         return None
