A leader stays while a lagging voter gets its log

Operators' reads and changes got 503 from all replicas, for good, after a replica had been away for 200 changes and another one had lost its disk, with 20 Mbit/s between regions: 'no leader confirms its state'.

The request with the log was the heartbeat too, up to 256 entries of any size in one message with a time-out of 2 s. While it was on its way nothing else told the voter that there was a leader, nor the leader that the voter was there; it stepped down after 1.2 s, and the next leader sent the same bytes from the start. The log of the reproduction: 'Stepping down as leader of term 8: no quorum. voters=3 ... silent_s=1.2 match=0 sending_bytes=3438516'.

--- a/packages/millfork-state/millfork_state/leadership.py
+++ b/packages/millfork-state/millfork_state/leadership.py
@@ -4,8 +4,6 @@
 
 """
 
-from dataclasses import dataclass, field
-from functools import singledispatch
 from typing import Final
 
 import curio
@@ -14,41 +12,17 @@
 from millfork_state.commands import SetMembers, encode_command
 from millfork_state.pending import PendingProposal, noop_entry
 from millfork_state.replica import Replica, ReplicaState
+from millfork_state.replication import Progress, Replication
 from millfork_state.storage import LogEntry
-from millfork_wire.connection import PeerError, PeerTimedOut
-from millfork_wire.messages import AppendReply, AppendRequest, Entry, InstallRequest, Message
-from millfork_wire.peers import PeerAddress
 
-# The most log entries per disk sync and per append request.
+# The most log entries per disk sync.
 MAX_BATCH_ENTRIES: Final = 256
-CALL_TIMEOUT_S: Final = 2.0
 # The leader adds no further voter once there are this many: more would only slow each commit.
 MAX_VOTERS: Final = 9
 
 log = logger(Component.STATE)
 
 
-@dataclass(slots=True)
-class Progress:
-    """
-    The leader's record of one other replica: the next log index to send, the highest log index
-    known to be durable on that replica, the replica's disk id, and when the last request that the
-    replica answered was sent (monotonic seconds). `leaving` is set while the replica asks to be
-    removed from the voters. `sending_bytes` is the size of the log entries or the snapshot in the
-    request on its way. `wake` ends the pause before the next request.
-
-    """
-
-    address: PeerAddress
-    next_index: int
-    match_index: int = 0
-    disk: str = ''
-    acked_at: float = 0.0
-    leaving: bool = False
-    sending_bytes: int = 0
-    wake: curio.Event = field(default_factory=curio.Event)
-
-
 class Leadership:
     """
     The tasks of one replica while it leads one term.
@@ -85,7 +59,7 @@
             await group.spawn(self._maintain_members)
             await group.spawn(self._replicate_to_new_addresses)
             for progress in self.progress:
-                await group.spawn(self._replicate, progress)
+                await group.spawn(self._replication_to(progress).run)
         async with self.replica.lock:
             if self.replica.term == self.term:
                 await self.replica.step_down()
@@ -109,7 +83,10 @@
                 next_index = replica.storage.last_index + 1
                 progress = Progress(address, next_index, acked_at=replica.env.monotonic())
                 self.progress.append(progress)
-                await replica.env.spawn(self._replicate, progress)
+                await replica.env.spawn(self._replication_to(progress).run)
+
+    def _replication_to(self, progress: Progress) -> Replication:
+        return Replication(self.replica, self.term, progress, self.acked, self._advance_commit)
 
     async def _reject_proposals(self) -> None:
         queue = self.replica.proposals
@@ -154,6 +131,7 @@
     async def _wake_all(self) -> None:
         for progress in self.progress:
             await progress.wake.set()
+            await progress.heartbeat_wake.set()
 
     async def _advance_commit(self) -> None:
         """
@@ -179,107 +157,6 @@
                 return progress.match_index
         return 0
 
-    # Replication to the other replicas.
-
-    async def _replicate(self, progress: Progress) -> None:
-        while self.active:
-            progress.wake.clear()
-            sent_at = self.replica.env.monotonic()
-            request = self._next_request(progress)
-            progress.sending_bytes = _payload_bytes(request)
-            try:
-                reply = await self.replica.peers.call(progress.address, request, CALL_TIMEOUT_S)
-            except PeerError as error:
-                self._log_failed_send(progress, request, error, sent_at)
-                await curio.sleep(self.replica.heartbeat_s)
-                continue
-            finally:
-                progress.sending_bytes = 0
-            if isinstance(reply, AppendReply) and await self._handle_reply(
-                progress, reply, sent_at
-            ):
-                continue
-            await self._wait_for_work(progress)
-
-    def _log_failed_send(
-        self, progress: Progress, request: Message, error: PeerError, sent_at: float
-    ) -> None:
-        """
-        Log a request that carried log entries or a snapshot and got no answer in time.
-
-        """
-        size = _payload_bytes(request)
-        if not size or not isinstance(error, PeerTimedOut):
-            return
-        replica = self.replica
-        replica.env.metrics.count(replica.env.metrics.state, event='replication_timed_out')
-        log.warning(
-            'A replica did not confirm log entries in time. replica={} request={} bytes={} ms={} '
-            'match={} last={}',
-            progress.address.instance,
-            type(request).__name__,
-            size,
-            int((replica.env.monotonic() - sent_at) * 1000),
-            progress.match_index,
-            replica.storage.last_index,
-        )
-
-    async def _wait_for_work(self, progress: Progress) -> None:
-        try:
-            async with curio.timeout_after(self.replica.heartbeat_s):
-                await progress.wake.wait()
-        except curio.TaskTimeout:
-            pass
-
-    def _next_request(self, progress: Progress) -> Message:
-        replica = self.replica
-        storage = replica.storage
-        prev_index = progress.next_index - 1
-        prev_term = storage.term_at(prev_index)
-        instance = replica.env.instance
-        if prev_term is None or progress.next_index <= storage.snapshot_index:
-            snapshot = storage.snapshot
-            assert snapshot is not None
-            return InstallRequest(
-                replica.cluster, self.term, instance, snapshot.index, snapshot.term, snapshot.dump
-            )
-        entries = [
-            Entry(entry.term, entry.index, entry.payload)
-            for entry in storage.entries_from(progress.next_index, MAX_BATCH_ENTRIES)
-        ]
-        return AppendRequest(
-            replica.cluster, self.term, instance, prev_index, prev_term, entries, replica.commit
-        )
-
-    async def _handle_reply(self, progress: Progress, reply: AppendReply, sent_at: float) -> bool:
-        """
-        Update the progress from a reply, or enter the reply's term if it is higher. False if the
-        next request can wait for new log entries or for the next heartbeat.
-
-        """
-        replica = self.replica
-        if reply.term > self.term:
-            async with replica.lock:
-                if reply.term > replica.term:
-                    await replica.enter_term(reply.term)
-            return True
-        if progress.disk != reply.disk:
-            progress.disk = reply.disk
-            progress.match_index = 0
-        progress.acked_at = sent_at
-        progress.leaving = reply.leaving
-        async with self.acked:
-            await self.acked.notify_all()
-        if not reply.ok:
-            progress.next_index = min(reply.match + 1, max(progress.next_index - 1, 1))
-            return True
-        progress.match_index = max(progress.match_index, reply.match)
-        progress.next_index = progress.match_index + 1
-        async with replica.lock:
-            if self.active:
-                await self._advance_commit()
-        return progress.next_index <= replica.storage.last_index
-
     # Quorum.
 
     def _acked_since(self, moment: float) -> int:
@@ -390,8 +267,7 @@
         members = self.replica.members
         for progress in self.progress:
             instance = progress.address.instance
-            caught_up = progress.match_index >= self.replica.commit > 0
-            if not progress.disk or not caught_up or (instance, progress.disk) in members:
+            if not progress.disk or not progress.caught_up or (instance, progress.disk) in members:
                 continue
             if progress.leaving:
                 continue
@@ -438,22 +314,3 @@
         if self._acked_since(since) < self.replica.majority:
             return []
         return [str(item.address.instance) for item in self.progress if item.acked_at <= since]
-
-
-@singledispatch
-def _payload_bytes(request: Message) -> int:
-    """
-    The bytes of log entries or of a snapshot that a request carries.
-
-    """
-    return 0
-
-
-@_payload_bytes.register
-def _(request: AppendRequest) -> int:
-    return sum(len(entry.payload) for entry in request.entries)
-
-
-@_payload_bytes.register
-def _(request: InstallRequest) -> int:
-    return len(request.snapshot)
--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -388,6 +388,12 @@
         only once the stored entries are durable.
 
         """
+        if self._is_heartbeat_of_leader(request):
+            # Doesn't wait for the lock, which is held while entries are written to disk.
+            self.leader_contact_at = self.env.monotonic()
+            if self.applied >= request.commit:
+                self.caught_up_at = self.leader_contact_at
+            return self._append_reply(True, 0)
         async with self.lock:
             if not await self._accept_leader(request.cluster, request.term, request.leader):
                 return self._append_reply(False, 0)
@@ -408,6 +414,20 @@
                 self.caught_up_at = self.env.monotonic()
             return self._append_reply(True, match_index)
 
+    def _is_heartbeat_of_leader(self, request: AppendRequest) -> bool:
+        """
+        Whether a request without log entries, which is about no place in the log, comes from the
+        leader that this replica follows.
+
+        """
+        sender = (request.cluster, request.term, request.leader)
+        return (
+            not request.entries
+            and not request.prev_index
+            and self.state is ReplicaState.FOLLOWER
+            and sender == (self.cluster, self.term, self.leader)
+        )
+
     async def _write_new_entries(self, entries: list[Entry], committed: int) -> None:
         new = [item for item in entries if self.storage.term_at(item.index) != item.term]
         new = [item for item in new if item.index > self.storage.snapshot_index]
--- a/packages/millfork-state/millfork_state/storage.py
+++ b/packages/millfork-state/millfork_state/storage.py
@@ -7,6 +7,7 @@
 """
 
 import errno
+import itertools
 import os
 import struct
 import time
@@ -291,9 +292,21 @@
     def entry_at(self, index: int) -> LogEntry:
         return self.entries[index - self.snapshot_index - 1]
 
-    def entries_from(self, index: int, max_entries: int) -> list[LogEntry]:
+    def entries_from(self, index: int, max_entries: int, max_bytes: int) -> list[LogEntry]:
+        """
+        The log entries from `index` on, at most `max_entries`, whose payloads have at most
+        `max_bytes` together; at least one entry if there is any.
+
+        """
         start = index - self.snapshot_index - 1
-        return self.entries[start : start + max_entries]
+        found: list[LogEntry] = []
+        size = 0
+        for entry in itertools.islice(self.entries, start, start + max_entries):
+            size += len(entry.payload)
+            if found and size > max_bytes:
+                break
+            found.append(entry)
+        return found
 
     async def save_vote(self, term: int, voted_for: str, cluster: str = '') -> None:
         """
--- /dev/null
+++ b/tests/test_replication.py
@@ -0,0 +1,179 @@
+"""
+A leader that sends its log to replicas over slow links, and followers that store it slowly.
+
+"""
+
+import curio
+import pytest
+
+from millfork_core.environment import Environment
+from millfork_core.ids import InstanceId, ZoneId
+from millfork_settings.common import StateSettings
+from millfork_state.commands import Raise, SetMembers, encode_command
+from millfork_state.leadership import Leadership
+from millfork_state.replica import Replica, ReplicaState
+from millfork_state.replication import MAX_BATCH_BYTES, payload_bytes
+from millfork_state.storage import LogEntry, Storage
+from millfork_state.view import View
+from millfork_wire.connection import PeerTimedOut
+from millfork_wire.messages import AppendReply, AppendRequest, Entry
+from millfork_wire.peers import PeerAddress
+
+CLUSTER = 'cluster'
+SETTINGS = StateSettings(heartbeat_ms=20, election_ms=100)
+OTHERS = ('b', 'c')
+DOCUMENT_BYTES = 40_000
+DOCUMENTS = 50
+STALLED_S = 1.0
+
+
+class SlowPeers:
+    """
+    Two other replicas, which answer requests without log entries at once. `b` gets log entries and
+    snapshots so slowly that none arrives within a test; `c` answers nothing.
+
+    """
+
+    def __init__(self):
+        self.requests = []
+
+    async def call(self, address, message, timeout):
+        self.requests.append(message)
+        if address.instance == 'c':
+            await curio.sleep(timeout)
+            raise PeerTimedOut('c')
+        if payload_bytes(message):
+            await curio.sleep(timeout)
+            raise PeerTimedOut('b')
+        return AppendReply(message.term, message.prev_index == 0, 0, 'disk-b')
+
+
+def raise_document(version):
+    return Raise('document', version, bytes(DOCUMENT_BYTES))
+
+
+def new_replica(folder, peers=None):
+    env = Environment(InstanceId('a'), ZoneId('zone'))
+    addresses = [PeerAddress(InstanceId(name), name, 1) for name in OTHERS]
+    return Replica(env, SETTINGS, Storage(folder), View(), peers, addresses)
+
+
+async def form(replica, commands):
+    """
+    Let a replica be a voter beside two others, with these commands in its log.
+
+    """
+    members = [('a', str(replica.storage.disk)), ('b', 'disk-b'), ('c', 'disk-c')]
+    commands = [SetMembers(CLUSTER, members), *commands]
+    entries = [
+        LogEntry(1, index, encode_command(command)) for index, command in enumerate(commands, 1)
+    ]
+    await replica.write(entries)
+    await replica.storage.sync()
+    await replica.enter_term(1, cluster=CLUSTER)
+
+
+async def lead(replica):
+    await replica.enter_term(2, voted_for='a')
+    replica.state = ReplicaState.LEADER
+    replica.stepped_down.clear()
+    return Leadership(replica)
+
+
+def test_a_leader_stays_while_a_voter_gets_its_log_slowly(tmp_path):
+    # Guards against a leader that takes a voter which is being sent log entries for a silent one.
+    async def run():
+        replica = new_replica(tmp_path, SlowPeers())
+        await form(replica, [raise_document(version) for version in range(1, DOCUMENTS + 1)])
+        leadership = await lead(replica)
+        task = await curio.spawn(leadership.run)
+        await curio.sleep(STALLED_S)
+        assert replica.state is ReplicaState.LEADER
+        assert await leadership.confirm_leadership(STALLED_S) is False
+        replica.applied = leadership.noop_index
+        assert await leadership.confirm_leadership(STALLED_S)
+        await task.cancel()
+
+    curio.run(run)
+
+
+def test_no_request_has_more_log_entries_than_a_slow_link_can_take(tmp_path):
+    # Guards against a transfer that begins again from the start each time a connection is lost.
+    async def run():
+        peers = SlowPeers()
+        replica = new_replica(tmp_path, peers)
+        await form(replica, [raise_document(version) for version in range(1, DOCUMENTS + 1)])
+        leadership = await lead(replica)
+        task = await curio.spawn(leadership.run)
+        await curio.sleep(STALLED_S / 2)
+        await task.cancel()
+        sizes = [payload_bytes(request) for request in peers.requests]
+        assert 0 < max(sizes) <= MAX_BATCH_BYTES
+
+    curio.run(run)
+
+
+def test_an_entry_over_the_batch_size_is_sent_alone(tmp_path):
+    async def run():
+        replica = new_replica(tmp_path)
+        large = Raise('document', 1, bytes(2 * MAX_BATCH_BYTES))
+        await form(replica, [large, large])
+        found = replica.storage.entries_from(2, 256, MAX_BATCH_BYTES)
+        assert [entry.index for entry in found] == [2]
+        assert [entry.index for entry in replica.storage.entries_from(1, 256, MAX_BATCH_BYTES)] == [
+            1
+        ]
+
+    curio.run(run)
+
+
+def test_a_heartbeat_is_answered_while_log_entries_are_written(tmp_path):
+    # Guards against a follower that takes its leader for silent while it stores a large append.
+    async def run():
+        replica = new_replica(tmp_path)
+        await form(replica, [])
+        append = AppendRequest(CLUSTER, 1, 'b', 1, 1, [], 1)
+        assert (await replica.on_append(append)).ok
+        replica.leader_contact_at -= STALLED_S
+        async with replica.lock:
+            heartbeat = AppendRequest(CLUSTER, 1, 'b', 0, 0, [], 1)
+            async with curio.timeout_after(STALLED_S):
+                reply = await replica.on_append(heartbeat)
+        assert reply.ok
+        assert replica.env.monotonic() - replica.leader_contact_at < STALLED_S
+
+    curio.run(run)
+
+
+@pytest.mark.parametrize('change', [{'term': 0}, {'leader': 'c'}, {'cluster': 'other'}])
+def test_only_a_heartbeat_of_the_known_leader_is_answered_without_the_lock(tmp_path, change):
+    async def run():
+        replica = new_replica(tmp_path)
+        await form(replica, [])
+        assert (await replica.on_append(AppendRequest(CLUSTER, 1, 'b', 1, 1, [], 1))).ok
+        fields = {'cluster': CLUSTER, 'term': 1, 'leader': 'b', **change}
+        async with replica.lock:
+            with pytest.raises(curio.TaskTimeout):
+                async with curio.timeout_after(STALLED_S / 10):
+                    await replica.on_append(AppendRequest(**fields))
+
+    curio.run(run)
+
+
+def test_a_replica_that_lacks_only_what_is_being_committed_has_caught_up(tmp_path):
+    # Guards against a new replica that never becomes a voter while changes come without a pause.
+    async def run():
+        replica = new_replica(tmp_path, SlowPeers())
+        await form(replica, [])
+        leadership = await lead(replica)
+        progress = leadership.progress[0]
+        replication = leadership._replication_to(progress)
+        request = AppendRequest(CLUSTER, 2, 'a', 1, 1, [Entry(1, 2, b'')], 1)
+        replica.commit = 5
+        await replication._handle_reply(request, AppendReply(2, True, 2, 'disk-d'), 0.0)
+        assert progress.caught_up
+        request = AppendRequest(CLUSTER, 2, 'a', 1, 1, [Entry(1, 2, b'')], 4)
+        await replication._handle_reply(request, AppendReply(2, True, 2, 'disk-d'), 0.0)
+        assert not progress.caught_up
+
+    curio.run(run)
