A read of the configuration no longer moves the whole state between replicas

It now asks up to which index the leader's log is committed, a message of some bytes that overtakes transfers, and answers from what it has applied; only a replica that lags behind fetches the state, as before.

tests/test_replication.py: a read at a replica that is up to date asks for the index alone.

--- a/packages/millfork-state/millfork_state/leader_client.py
+++ b/packages/millfork-state/millfork_state/leader_client.py
@@ -20,6 +20,8 @@
 
 CALL_TIMEOUT_S: Final = 3.0
 RETRY_DELAY_S: Final = 0.1
+# How long a replica waits until it has applied what the leader has committed.
+MAX_APPLY_WAIT_S: Final = 0.2
 DEFAULT_TIMEOUT_S: Final = 6.0
 
 log = logger(Component.STATE)
@@ -116,11 +118,19 @@
 
     async def read_state(self, timeout_s: float = DEFAULT_TIMEOUT_S) -> StateBody:
         """
-        The leader's configuration. The read is linearizable.
+        The leader's configuration. The read is linearizable. A process with a replica asks the
+        leader only up to where its log is committed, and for the configuration itself only if the
+        replica lags behind.
 
         :raises Refused: NO_QUORUM if no leader with a majority answers.
 
         """
+        if self.node is not None:
+            deadline = self.env.monotonic() + timeout_s
+            index = msgspec.json.decode(await self._read(ReadTarget.INDEX, timeout_s), type=int)
+            if await self.node.replica.wait_until_applied(index, MAX_APPLY_WAIT_S):
+                return self.node.state_body()
+            timeout_s = deadline - self.env.monotonic()
         return msgspec.json.decode(await self._read(ReadTarget.STATE, timeout_s), type=StateBody)
 
     async def read_reports(self) -> list[Report]:
--- a/packages/millfork-state/millfork_state/node.py
+++ b/packages/millfork-state/millfork_state/node.py
@@ -32,10 +32,12 @@
 
 class ReadTarget(Enum):
     """
-    The data that can be read from the leader.
+    The data that can be read from the leader. `INDEX` is the log index up to which the leader's log
+    is committed.
 
     """
 
+    INDEX = 'index'
     STATE = 'state'
     REPORTS = 'reports'
 
@@ -147,8 +149,8 @@
 
     async def read(self, target: ReadTarget, timeout: float) -> bytes | None:
         """
-        The state or the reports as JSON. None if this replica doesn't lead, or if no majority
-        confirms within `timeout` seconds that it still leads.
+        The target's data as JSON. None if this replica doesn't lead, or if no majority confirms
+        within `timeout` seconds that it still leads.
 
         """
         leadership = self.leadership
@@ -156,9 +158,18 @@
             return None
         if target is ReadTarget.REPORTS:
             return msgspec.json.encode([known.row for known in self.reports.by_instance.values()])
+        if target is ReadTarget.INDEX:
+            return msgspec.json.encode(self.replica.commit)
+        return msgspec.json.encode(self.state_body())
+
+    def state_body(self) -> StateBody:
+        """
+        The configuration as this replica has applied it.
+
+        """
         view = self.replica.view
         items = {key: (stored.value, int(stored.revision)) for key, stored in view.items.items()}
-        return msgspec.json.encode(StateBody(view.cluster, view.revision, items))
+        return StateBody(view.cluster, view.revision, items)
 
     async def answer_read(self, message: ReadState) -> StateView:
         """
--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -15,7 +15,7 @@
 
 from millfork_core.clocks import LONG_AGO
 from millfork_core.environment import Environment
-from millfork_core.ids import NO_INSTANCE, ClusterId, InstanceId
+from millfork_core.ids import NO_INSTANCE, ClusterId, InstanceId, Revision
 from millfork_core.logs import Component, logger
 from millfork_settings.common import StateSettings
 from millfork_state.arrival_times import ArrivalTimes
@@ -110,6 +110,7 @@
         # Whether this replica is about to stop and asks to be removed from the voters.
         self.leaving = False
         self.lock = curio.Lock()
+        self.applied_changed = curio.Condition()
         self.stepped_down = curio.Event()
         self.pending: dict[int, PendingProposal] = {}
         self.proposals: curio.Queue = curio.Queue()
@@ -245,10 +246,28 @@
         while self.applied < self.commit:
             self.applied += 1
             await self._apply(self.storage.entry_at(self.applied))
-        if self.view.position != before:
+        await self._notify_applied(before)
+
+    async def _notify_applied(self, position_before: tuple[ClusterId, Revision]) -> None:
+        async with self.applied_changed:
+            await self.applied_changed.notify_all()
+        if self.view.position != position_before:
             self.env.metrics.revision.set({}, self.view.revision)
             await self.view.notify_waiters()
 
+    async def wait_until_applied(self, index: int, timeout_s: float) -> bool:
+        """
+        Wait until the log entries up to `index` are applied here. False after `timeout_s` seconds.
+
+        """
+        try:
+            async with curio.timeout_after(timeout_s), self.applied_changed:
+                while self.applied < index:
+                    await self.applied_changed.wait()
+        except curio.TaskTimeout:
+            return False
+        return True
+
     async def _apply(self, entry: LogEntry) -> None:
         command = decode_command(entry.payload)
         if isinstance(command, SetMembers):
@@ -471,9 +490,7 @@
             self.applied = request.last_index
             self._update_members()
             self._record_versions_since(held, request.last_index)
-            if self.view.position != before:
-                self.env.metrics.revision.set({}, self.view.revision)
-                await self.view.notify_waiters()
+            await self._notify_applied(before)
             self.env.metrics.count(self.env.metrics.state, event='snapshot_installed')
             return self._append_reply(True, request.last_index)
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -10,9 +10,12 @@
 from millfork_core.ids import InstanceId, ZoneId
 from millfork_settings.common import StateSettings
 from millfork_state.commands import Raise, SetMembers, encode_command
+from millfork_state.leader_client import LeaderClient
 from millfork_state.leadership import Leadership
+from millfork_state.node import ReadTarget, StateNode
 from millfork_state.replica import MIN_COMPACTED_LOG_BYTES, Replica, ReplicaState
 from millfork_state.replication import MAX_BATCH_BYTES, payload_bytes
+from millfork_state.reports import Reports
 from millfork_state.storage import LogEntry, Storage
 from millfork_state.view import View
 from millfork_wire.connection import PeerTimedOut
@@ -25,6 +28,7 @@
 DOCUMENT_BYTES = 40_000
 DOCUMENTS = 50
 STALLED_S = 1.0
+TIMEOUT_S = 10.0
 
 
 class SlowPeers:
@@ -195,6 +199,64 @@
     curio.run(run)
 
 
+class LeaderPeers:
+    """
+    Passes reads to another node.
+
+    """
+
+    def __init__(self, node):
+        self.node = node
+        self.targets = []
+
+    async def call(self, address, message, timeout):
+        self.targets.append(ReadTarget(message.what))
+        return await self.node.answer_read(message)
+
+
+class ConfirmedLeadership:
+    async def confirm_leadership(self, timeout):
+        return True
+
+
+def read_nodes(tmp_path):
+    leader = StateNode(new_replica(tmp_path / 'leader'), Reports())
+    leader.leadership = ConfirmedLeadership()
+    follower = StateNode(new_replica(tmp_path / 'follower'), Reports())
+    peers = LeaderPeers(leader)
+    env = Environment(InstanceId('a'), ZoneId('zone'))
+    client = LeaderClient(env, peers, follower.replica.others, follower)
+    return leader, follower, peers, client
+
+
+async def apply_documents(node, count):
+    await form(node.replica, [raise_document(version) for version in range(1, count + 1)])
+    await node.replica.advance_commit(count + 1)
+
+
+def test_a_read_at_a_replica_that_is_up_to_date_moves_no_document(tmp_path):
+    # Guards against reads that fail for the size of the state, over a link that takes it slowly.
+    async def run():
+        leader, follower, peers, client = read_nodes(tmp_path)
+        await apply_documents(leader, 2)
+        await apply_documents(follower, 2)
+        assert (await client.read_state(TIMEOUT_S)).revision == 2
+        assert peers.targets == [ReadTarget.INDEX]
+
+    curio.run(run)
+
+
+def test_a_read_at_a_replica_that_lags_shows_what_the_leader_has(tmp_path):
+    async def run():
+        leader, follower, peers, client = read_nodes(tmp_path)
+        await apply_documents(leader, 2)
+        await apply_documents(follower, 1)
+        assert (await client.read_state(TIMEOUT_S)).revision == 2
+        assert peers.targets == [ReadTarget.INDEX, ReadTarget.STATE]
+
+    curio.run(run)
+
+
 def test_a_replica_that_lacks_only_what_is_being_committed_has_caught_up(tmp_path):
     # Guards against a new replica that never becomes a voter while changes come without a pause.
     async def run():
