The kernel takes 64 KB of a connection before they can be sent

Frames that are no transfers, such as a list of all leases, could still fill the send buffer of a socket, 4 MB on Linux, and a heartbeat that overtook them in the process waited there.

--- a/packages/millfork-wire/millfork_wire/transport.py
+++ b/packages/millfork-wire/millfork_wire/transport.py
@@ -16,6 +16,8 @@
 # Milliseconds after which the kernel closes a connection whose sent bytes the peer does not
 # acknowledge.
 MAX_UNACKNOWLEDGED_MS: Final = 30_000
+# The most bytes that the kernel takes before they can be sent. An urgent frame can't overtake them.
+MAX_UNSENT_BYTES: Final = 64 * 1024
 
 
 class Transport:
@@ -27,6 +29,7 @@
     def __init__(self, sock: Any) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, MAX_UNACKNOWLEDGED_MS)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES)
         self.sock = sock
         self.stream = sock.as_stream()
 
