Feeds queue no document behind one that a slow link takes

Each change queued a whole document for each follower, however many were on their way. With 43 KB documents every 60 ms and 21 followers in another region that is five times what its link takes, and the last document, heartbeats and votes waited behind all of them; entries got an acknowledged route after the bound, and went to a third replica meanwhile.

While a document is on its way, a feed sends heartbeats, and then one update with all later changes; four documents at most are on their way at a time, not counting stalled ones. The same holds for the distribution tree, and a relay does not send a document again with each question.

--- a/packages/millfork-registry/millfork_registry/feed_relay.py
+++ b/packages/millfork-registry/millfork_registry/feed_relay.py
@@ -152,7 +152,11 @@
             return FeedSent()
         now = self.env.monotonic()
         registry = feed_client.registry
-        update = feed_client.view.update_since(question.cluster, question.revision)
+        if connection.has_bulk:
+            # The answer to the last request is still on its way.
+            update = feed_client.view.update_without_changes()
+        else:
+            update = feed_client.view.update_since(question.cluster, question.revision)
         update.age_ms = feed_client.age_ms + int((now - feed_client.source_contact_at) * 1000)
         leases = registry.leases.changed_since(question.lease_version)
         reports = registry.endpoints.changed_since(question.report_version)
--- a/packages/millfork-registry/millfork_registry/followers.py
+++ b/packages/millfork-registry/millfork_registry/followers.py
@@ -30,6 +30,10 @@
 # After a change, a feed waits this long, so that further changes are sent in the same message.
 BATCH_DELAY_S: Final = 0.02
 ROLES_SENT_SUSPICIONS: Final = (ENTRY_ROLE, REPLICA_ROLE)
+# The most large updates on their way at the same time, so that those to another region leave its
+# link to heartbeats and votes. One that takes longer than `STALLED_TRANSFER_S` no longer counts.
+MAX_TRANSFERS: Final = 4
+STALLED_TRANSFER_S: Final = 0.5
 
 
 log = logger(Component.REGISTRY)
@@ -72,6 +76,8 @@
         self.registry = registry
         # By the follower's instance id.
         self.by_instance: dict[str, Follower] = {}
+        # The followers to which a large update is on its way.
+        self.receiving: set[Follower] = set()
         # By instance id of each other replica: the number of entries that follow it.
         self.entries_by_other_replica: dict[str, int] = {}
         # The greatest number of entries within `ENTRIES_REMEMBERED_S`, by which the entries divide
@@ -157,10 +163,17 @@
             while follower.active:
                 follower.wake.clear()
                 if follower.role != REPLICA_ROLE:
-                    update = self.replica.view.update_since(cluster, revision)
+                    sends_changes = self._may_send_changes(follower)
+                    if sends_changes:
+                        update = self.replica.view.update_since(cluster, revision)
+                        cluster, revision = update.cluster, update.revision
+                    else:
+                        update = self.replica.view.update_without_changes()
                     update.age_ms = self.replica.age_ms()
-                    cluster, revision = update.cluster, update.revision
                     await follower.connection.notify(update)
+                    if sends_changes and follower.connection.has_bulk:
+                        self.receiving.add(follower)
+                        await self.env.spawn(self._end_transfer, follower)
                 await follower.connection.notify(self._next_leases_message(follower))
                 await self._pause(follower)
         except PeerLost:
@@ -170,6 +183,19 @@
                 del self.by_instance[follower.connection.peer]
                 log.info('Follower {} is gone. role={}', follower.connection.peer, follower.role)
 
+    def _may_send_changes(self, follower: Follower) -> bool:
+        """
+        Whether no update is on its way to a follower, and fewer than `MAX_TRANSFERS` to others.
+        Until then, changes are not queued, and later ones are sent together.
+
+        """
+        return not follower.connection.has_bulk and len(self.receiving) < MAX_TRANSFERS
+
+    async def _end_transfer(self, follower: Follower) -> None:
+        await follower.connection.wait_until_bulk_is_sent(STALLED_TRANSFER_S)
+        self.receiving.discard(follower)
+        await self.wake()
+
     async def _pause(self, follower: Follower) -> None:
         try:
             async with curio.timeout_after(HEARTBEAT_S):
--- a/packages/millfork-state/millfork_state/subscription.py
+++ b/packages/millfork-state/millfork_state/subscription.py
@@ -121,12 +121,20 @@
     async def _send_updates(
         self, connection: Connection, position: tuple[ClusterId, Revision]
     ) -> None:
+        sent_at = self.env.monotonic()
         try:
             while not connection.closed:
                 await self.view.wait_for_change(position, HEARTBEAT_S)
-                update = self.view.update_since(*position)
-                position = self.view.position
-                update.age_ms = self.age_ms()
+                if await connection.wait_until_bulk_is_sent(HEARTBEAT_S):
+                    sent_at = self.env.monotonic()
+                    update = self.view.update_since(*position)
+                    position = self.view.position
+                    update.age_ms = self.age_ms()
+                else:
+                    # Later changes are sent together once the one on its way has arrived.
+                    update = Update(position[0])
+                    waited_ms = int((self.env.monotonic() - sent_at) * 1000)
+                    update.age_ms = min(self.age_ms() + waited_ms, MAX_AGE_MS)
                 await connection.notify(update)
         except PeerLost:
             pass
--- a/packages/millfork-state/millfork_state/view.py
+++ b/packages/millfork-state/millfork_state/view.py
@@ -127,6 +127,14 @@
         removed = [key for key in keys if key not in self.items]
         return Update(self.cluster, Revision(revision), self.revision, False, items, removed)
 
+    def update_without_changes(self) -> Update:
+        """
+        An update that only tells the revision of this view. A subscriber at an earlier revision
+        does not apply it.
+
+        """
+        return Update(self.cluster, self.revision, self.revision)
+
     def apply_update(self, update: Update) -> bool:
         """
         Apply an update from the upstream.
--- a/tests/test_feed_relay.py
+++ b/tests/test_feed_relay.py
@@ -56,7 +56,9 @@
         async def notify(event):
             assert await receiver.handle_feed_message(InstanceId(name), event)
 
-        return await self.relays[name].answer(SimpleNamespace(notify=notify), message)
+        return await self.relays[name].answer(
+            SimpleNamespace(notify=notify, has_bulk=False), message
+        )
 
     def connect_to_replica(self, *names):
         for name in names:
