A heartbeat that overtakes a document makes no follower current

Heartbeats of a feed overtake documents now, so 'the replica's configuration is 0 ms old' may arrive before the configuration. A follower counts its own age from when it last had all that the sender knew of; versions of weights and relayed feeds go by that age. And an error of the disk while a reply is handled ends the leadership again, which the group of two tasks for each replica would have kept to itself.

tests/test_feeds_over_slow_links.py: an entry at revision 1 that hears of revision 2 is not current until it has it.

--- a/packages/millfork-registry/millfork_registry/feed_client.py
+++ b/packages/millfork-registry/millfork_registry/feed_client.py
@@ -12,6 +12,7 @@
 import curio
 import msgspec
 
+from millfork_core.clocks import LONG_AGO
 from millfork_core.environment import Environment
 from millfork_core.ids import NO_INSTANCE, InstanceId
 from millfork_core.logs import Component, logger
@@ -21,9 +22,10 @@
 from millfork_registry.registry import Registry
 from millfork_registry.revision_times import RevisionTimes
 from millfork_registry.suspicions import decode_suspicions
-from millfork_registry.version_cutoffs import VersionCutoffs
+from millfork_registry.version_cutoffs import MS_PER_S, VersionCutoffs
 from millfork_state.commands import decode_versioned
 from millfork_state.keys import VERSION_PREFIX
+from millfork_state.replica import MAX_AGE_MS
 from millfork_state.view import View
 from millfork_wire.connection import Connection, PeerError, PeerLost
 from millfork_wire.messages import (
@@ -91,6 +93,10 @@
         # Age of the followed replica's configuration: the time since that replica was last known to
         # have applied all committed log entries.
         self.age_ms = 0
+        # When this process last had all changes that the sender of the feed knew of, less the age
+        # of the sender's configuration (monotonic seconds). A heartbeat may arrive before changes
+        # that were sent earlier.
+        self.current_at = LONG_AGO
         # Whether this process has ever had all changes that were acknowledged, as far as the sender
         # of the feed knew. After a restart of all replicas, what each of them has applied may lack
         # some until there is a leader.
@@ -137,11 +143,19 @@
 
     def knowledge_age_ms(self) -> int:
         """
-        The age of this process's configuration: that of the followed replica's, and the time since
-        the replica's last message.
+        The age of this process's configuration: milliseconds since it was last known to be the
+        newest.
 
         """
-        return self.age_ms + int((self.env.monotonic() - self.source_contact_at) * 1000)
+        return int(min((self.env.monotonic() - self.current_at) * MS_PER_S, MAX_AGE_MS))
+
+    @property
+    def is_current(self) -> bool:
+        """
+        Whether the followed replica sends messages, and this process's configuration isn't stale.
+
+        """
+        return self.connected and self.knowledge_age_ms() < STALE_MS
 
     async def run(self) -> None:
         """
@@ -331,7 +345,9 @@
         elif peer != self.pending_relay:
             return
         is_applied = self.view.apply_update(update)
-        if not self.was_current and self._has_all_of(update):
+        if self._holds_all_of(update):
+            self.current_at = max(self.current_at, now - update.age_ms / MS_PER_S)
+        if not self.was_current and update.age_ms < STALE_MS and self._holds_all_of(update):
             self.was_current = True
             await self.changed.set()
         if not is_applied:
@@ -346,12 +362,12 @@
         await self.view.notify_waiters()
         await self.changed.set()
 
-    def _has_all_of(self, update: Update) -> bool:
+    def _holds_all_of(self, update: Update) -> bool:
         """
-        Whether the configuration is that of an update, or newer, and the update wasn't stale.
+        Whether the configuration is that of an update, or newer.
 
         """
-        if update.age_ms >= STALE_MS or not self.view.cluster:
+        if not self.view.cluster:
             return False
         return update.cluster == self.view.cluster and update.revision <= self.view.revision
 
--- a/packages/millfork-registry/millfork_registry/feed_relay.py
+++ b/packages/millfork-registry/millfork_registry/feed_relay.py
@@ -150,14 +150,13 @@
         feed_client = self.feed_client
         if not feed_client.connected:
             return FeedSent()
-        now = self.env.monotonic()
         registry = feed_client.registry
         if connection.has_bulk:
             # The answer to the last request is still on its way.
             update = feed_client.view.update_without_changes()
         else:
             update = feed_client.view.update_since(question.cluster, question.revision)
-        update.age_ms = feed_client.age_ms + int((now - feed_client.source_contact_at) * 1000)
+        update.age_ms = feed_client.knowledge_age_ms()
         leases = registry.leases.changed_since(question.lease_version)
         reports = registry.endpoints.changed_since(question.report_version)
         suspicions = registry.suspicion_store.table.changed_since(question.suspicion_version)
--- a/packages/millfork-state/millfork_state/replication.py
+++ b/packages/millfork-state/millfork_state/replication.py
@@ -89,10 +89,15 @@
         """
         Send log entries and heartbeats until the term ends.
 
+        :raises OSError: if the disk fails.
+
         """
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._send_entries)
             await group.spawn(self._send_heartbeats)
+        # A curio TaskGroup doesn't raise its tasks' exceptions by itself.
+        if group.completed.exception is not None:
+            raise group.completed.exception
 
     async def _send_entries(self) -> None:
         progress = self.progress
--- a/packages/millforkd/millforkd/seeded.py
+++ b/packages/millforkd/millforkd/seeded.py
@@ -86,7 +86,7 @@
         feed_client.version_cutoffs,
         unknown_cutoff_ms=settings.promises.version_ms,
         leads=never_leads,
-        is_current=lambda: feed_client.connected,
+        is_current=lambda: feed_client.is_current,
         up_to_date_at=feed_client.revision_times.up_to_date_at,
     )
     feed_relay.list_switches = versions.switches
--- a/tests/test_feeds_over_slow_links.py
+++ b/tests/test_feeds_over_slow_links.py
@@ -148,6 +148,26 @@
     curio.run(run)
 
 
+def test_a_heartbeat_that_overtakes_a_document_does_not_make_a_follower_current():
+    # Guards against an entry that takes an older configuration for the newest, as the replica's is.
+    async def run():
+        env = environment()
+        peers = SimpleNamespace(connections={})
+        discovery = Discovery(env, peers, [])
+        client = FeedClient(env, 'entry', view_at(1), Registry(env, 1.0), peers, discovery)
+        client.source = InstanceId('c')
+        sender = view_at(2)
+        await client.handle_feed_message(client.source, sender.update_without_changes())
+        assert client.connected
+        assert not client.is_current
+        assert not client.was_current
+        await client.handle_feed_message(client.source, sender.update_since(CLUSTER, 1))
+        assert client.is_current
+        assert client.was_current
+
+    curio.run(run)
+
+
 def test_a_heartbeat_without_changes_does_not_move_a_follower():
     sender, follower = view_at(5), view_at(3)
     assert not follower.apply_update(sender.update_without_changes())
