A silent replica that had caught up does not become a voter

A killed voter was removed and added again each 0.3 s, since a replica that confirms what was committed when it was asked kept that mark when it fell silent. A replica is added only if it has answered within an election timeout.

--- a/packages/millfork-state/millfork_state/leadership.py
+++ b/packages/millfork-state/millfork_state/leadership.py
@@ -265,11 +265,12 @@
 
         """
         members = self.replica.members
+        answered_since = self.replica.env.monotonic() - self.replica.election_s
         for progress in self.progress:
             instance = progress.address.instance
             if not progress.disk or not progress.caught_up or (instance, progress.disk) in members:
                 continue
-            if progress.leaving:
+            if progress.leaving or progress.acked_at <= answered_since:
                 continue
             others = [member for member in members if member[0] != instance]
             if len(others) < len(members):
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -257,6 +257,23 @@
     curio.run(run)
 
 
+def test_a_replica_that_had_caught_up_and_is_silent_does_not_become_a_voter(tmp_path):
+    # Guards against a dead voter that is removed and added again in turn.
+    async def run():
+        replica = new_replica(tmp_path, SlowPeers())
+        await form(replica, [])
+        leadership = await lead(replica)
+        progress = leadership.progress[0]
+        progress.disk, progress.caught_up = 'disk-d', True
+        now = replica.env.monotonic()
+        progress.acked_at = now
+        assert leadership._next_members() == [replica.members[0], replica.members[2]]
+        progress.acked_at = now - replica.election_s
+        assert leadership._next_members() is None
+
+    curio.run(run)
+
+
 def test_a_replica_that_lacks_only_what_is_being_committed_has_caught_up(tmp_path):
     # Guards against a new replica that never becomes a voter while changes come without a pause.
     async def run():
