Documents on a slow link hold up no follower of another zone

The limit on documents that are on their way counted all followers of a replica, so entries of its own zone could have waited for those behind a slow link, 0.5 s for each four of them. It counts by zone of the follower. From reading; the unit test has a follower of another zone.

--- a/packages/millfork-registry/millfork_registry/followers.py
+++ b/packages/millfork-registry/millfork_registry/followers.py
@@ -30,8 +30,9 @@
 # After a change, a feed waits this long, so that further changes are sent in the same message.
 BATCH_DELAY_S: Final = 0.02
 ROLES_SENT_SUSPICIONS: Final = (ENTRY_ROLE, REPLICA_ROLE)
-# The most large updates on their way at the same time, so that those to another region leave its
-# link to heartbeats and votes. One that takes longer than `STALLED_TRANSFER_S` no longer counts.
+# The most large updates on their way to one zone at the same time, so that those to another region
+# leave its link to heartbeats and votes. One that takes longer than `STALLED_TRANSFER_S` no longer
+# counts.
 MAX_TRANSFERS: Final = 4
 STALLED_TRANSFER_S: Final = 0.5
 
@@ -63,6 +64,10 @@
     def active(self) -> bool:
         return not self.connection.closed and not self.replaced
 
+    @property
+    def zone(self) -> str:
+        return self.connection.hello.zone
+
 
 class Followers:
     """
@@ -185,11 +190,14 @@
 
     def _may_send_changes(self, follower: Follower) -> bool:
         """
-        Whether no update is on its way to a follower, and fewer than `MAX_TRANSFERS` to others.
-        Until then, changes are not queued, and later ones are sent together.
+        Whether no update is on its way to a follower, and fewer than `MAX_TRANSFERS` to others of
+        its zone. Until then, changes are not queued, and later ones are sent together.
 
         """
-        return not follower.connection.has_bulk and len(self.receiving) < MAX_TRANSFERS
+        if follower.connection.has_bulk:
+            return False
+        transfers = sum(1 for other in self.receiving if other.zone == follower.zone)
+        return transfers < MAX_TRANSFERS
 
     async def _end_transfer(self, follower: Follower) -> None:
         await follower.connection.wait_until_bulk_is_sent(STALLED_TRANSFER_S)
--- a/tests/test_feeds_over_slow_links.py
+++ b/tests/test_feeds_over_slow_links.py
@@ -20,7 +20,7 @@
 from millfork_state.roster import Roster
 from millfork_state.subscription import Subscription
 from millfork_state.view import StoredValue, View
-from millfork_wire.messages import AskFeed, Follow, Subscribe, Update
+from millfork_wire.messages import AskFeed, Follow, Hello, Subscribe, Update
 
 CLUSTER = ClusterId('cluster')
 CHANGES = 20
@@ -36,7 +36,8 @@
 
     peer = InstanceId('b')
 
-    def __init__(self):
+    def __init__(self, zone='zone'):
+        self.hello = Hello(zone=zone)
         self.closed = False
         self.updates = []
         self.arrived = curio.Event()
@@ -123,6 +124,12 @@
         await curio.sleep(STALLED_TRANSFER_S / 2)
         assert sum(connection.has_bulk for connection in connections) == MAX_TRANSFERS
         assert all(connection.updates for connection in connections)
+        near = SlowConnection('near')
+        await followers.add(near, Follow('entry', CLUSTER, 0))
+        async with curio.timeout_after(STALLED_TRANSFER_S / 2):
+            while not near.has_bulk:
+                await curio.sleep(0)
+        connections.append(near)
         async with curio.timeout_after(TIMEOUT_S):
             while not all(connection.with_items() for connection in connections):
                 await curio.sleep(0.01)
