--- a/packages/millfork-state/millfork_state/leadership.py
+++ b/packages/millfork-state/millfork_state/leadership.py
@@ -265,12 +265,12 @@
 
         """
         members = self.replica.members
-        answered_since = self.replica.env.monotonic() - self.replica.election_s
+        silent_since = self._silent_since()
         for progress in self.progress:
             instance = progress.address.instance
             if not progress.disk or not progress.caught_up or (instance, progress.disk) in members:
                 continue
-            if progress.leaving or progress.acked_at <= answered_since:
+            if progress.leaving or progress.acked_at <= silent_since:
                 continue
             others = [member for member in members if member[0] != instance]
             if len(others) < len(members):
@@ -311,7 +311,14 @@
         off.
 
         """
-        since = self.replica.env.monotonic() - self.replica.election_s
+        since = self._silent_since()
         if self._acked_since(since) < self.replica.majority:
             return []
         return [str(item.address.instance) for item in self.progress if item.acked_at <= since]
+
+    def _silent_since(self) -> float:
+        """
+        A replica that has answered no request sent after this time (monotonic seconds) is silent.
+
+        """
+        return self.replica.env.monotonic() - self.replica.election_s
--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -423,8 +423,7 @@
         if self._is_heartbeat_of_leader(request):
             # Doesn't wait for the lock, which is held while entries are written to disk.
             self.leader_contact_at = self.env.monotonic()
-            if self.applied >= request.commit:
-                self.caught_up_at = self.leader_contact_at
+            self._record_committed(request.commit)
             return self._append_reply(True, 0)
         async with self.lock:
             if not await self._accept_leader(request.cluster, request.term, request.leader):
@@ -442,10 +441,17 @@
             if self.storage.durable_index < match_index:
                 await self.storage.sync()
             await self.advance_commit(min(request.commit, match_index))
-            if self.applied >= request.commit:
-                self.caught_up_at = self.env.monotonic()
+            self._record_committed(request.commit)
             return self._append_reply(True, match_index)
 
+    def _record_committed(self, index: int) -> None:
+        """
+        Record that the leader has committed its log up to `index`.
+
+        """
+        if self.applied >= index:
+            self.caught_up_at = self.env.monotonic()
+
     def _is_heartbeat_of_leader(self, request: AppendRequest) -> bool:
         """
         Whether a request without log entries, which is about no place in the log, comes from the
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -375,7 +375,7 @@
         (
             Edit(
                 'packages/millfork-state/millfork_state/replica.py',
-                'if self.applied >= request.commit:',
+                'if self.applied >= index:',
                 'if True:',
             ),
         ),
@@ -1319,6 +1319,45 @@
             ),
         ),
     ),
+    Mutation(
+        'heartbeats go on while a replica is sent log entries',
+        'tests/test_replication.py::test_a_leader_stays_while_a_voter_gets_its_log_slowly',
+        (Edit(S + 'replication.py', 'if progress.sending_bytes:', 'if False:'),),
+    ),
+    Mutation(
+        'a heartbeat is answered while log entries are written',
+        'tests/test_replication.py::test_a_heartbeat_is_answered_while_log_entries_are_written',
+        (Edit(S + 'replica.py', 'if self._is_heartbeat_of_leader(request):', 'if False:'),),
+    ),
+    Mutation(
+        'the bytes of a log are bounded by the size of the state',
+        'tests/test_replication.py::'
+        'test_a_log_of_many_times_the_size_of_the_state_is_replaced_by_a_snapshot',
+        (Edit(S + 'replica.py', 'and storage.size >= max_bytes', 'and False'),),
+    ),
+    Mutation(
+        'a replica that is silent is not added to the voters',
+        'tests/test_replication.py::'
+        'test_a_replica_that_had_caught_up_and_is_silent_does_not_become_a_voter',
+        (Edit(S + 'leadership.py', 'or progress.acked_at <= silent_since', ''),),
+    ),
+    Mutation(
+        'no more of a transfer is on its way than the window allows',
+        'tests/test_transfers.py::test_no_more_of_a_transfer_is_on_its_way_than_the_window_allows',
+        (
+            Edit(
+                'packages/millfork-wire/millfork_wire/outbox.py',
+                'if self.unacknowledged_bytes >= BULK_WINDOW_BYTES:',
+                'if False:',
+            ),
+        ),
+    ),
+    Mutation(
+        'a feed queues no document behind one that is on its way',
+        'tests/test_feeds_over_slow_links.py::'
+        'test_documents_are_not_queued_behind_one_that_a_slow_link_takes[replica_feed]',
+        (Edit(G + 'followers.py', 'if follower.connection.has_bulk:', 'if False:'),),
+    ),
     Mutation(
         'a killed voter is removed after an election timeout',
         'tests/test_replaced_replicas.py::'
