A transfer proceeds beside frames of higher priority that never pause

Updates of the configuration of over 4 KB are transfers, and a connection sent no part of a transfer while frames of a higher priority were queued. A process that gets weights or streams over the same connection without a pause would have got no configuration meanwhile, while heartbeats told it that its upstream is there.

A write takes at least one fragment of each priority that has any.

tests/test_transfer_fairness.py: beside 20 chunks of 128 KB no byte of a transfer was sent before, now all of it.

--- a/packages/millfork-wire/millfork_wire/outbox.py
+++ b/packages/millfork-wire/millfork_wire/outbox.py
@@ -108,15 +108,22 @@
         return []
 
     def _take_ready(self) -> list[bytes]:
+        """
+        The fragments for one write: at least one of each priority that has any, as a priority that
+        never pauses, such as that of weights, would otherwise keep back all lower ones.
+
+        """
         batch: list[bytes] = []
         size = 0
         for priority in SENDING_ORDER:
             queue = self.queues[priority]
-            while queue and size < MAX_WRITE_BYTES:
+            is_first = True
+            while queue and (is_first or size < MAX_WRITE_BYTES):
                 if priority is Priority.BULK:
                     if self.unacknowledged_bytes >= BULK_WINDOW_BYTES:
                         break
                     self.unacknowledged_bytes += len(queue[0])
+                is_first = False
                 size += len(queue[0])
                 batch.append(queue.popleft())
         return batch
