Followers get large updates in the order in which they wait for them

Whenever one ended, all feeds were woken, and those that began first took the free transfers: during a series of changes the others got no configuration at all, only heartbeats. And each end of a transfer sent two messages to each follower, so their number grew with the square of the number of followers.

The followers that lack changes wait in a queue; the end of a transfer wakes the first of them.

--- a/packages/millfork-registry/millfork_registry/followers.py
+++ b/packages/millfork-registry/millfork_registry/followers.py
@@ -8,6 +8,7 @@
 
 """
 
+import itertools
 from typing import Final
 
 import curio
@@ -78,6 +79,9 @@
         self.by_instance: dict[str, Follower] = {}
         # The followers to which a large update is on its way.
         self.receiving: set[Follower] = set()
+        # The followers that lack changes and wait until fewer updates are on their way, in the
+        # order in which they began to wait.
+        self.waiting: dict[Follower, None] = {}
         # By instance id of each other replica: the number of entries that follow it.
         self.entries_by_other_replica: dict[str, int] = {}
         # The greatest number of entries within `ENTRIES_REMEMBERED_S`, by which the entries divide
@@ -163,7 +167,8 @@
             while follower.active:
                 follower.wake.clear()
                 if follower.role != REPLICA_ROLE:
-                    sends_changes = self._may_send_changes(follower)
+                    is_behind = self.replica.view.position != (cluster, revision)
+                    sends_changes = is_behind and self._may_send_changes(follower)
                     if sends_changes:
                         update = self.replica.view.update_since(cluster, revision)
                         cluster, revision = update.cluster, update.revision
@@ -174,27 +179,49 @@
                     if sends_changes and follower.connection.has_bulk:
                         self.receiving.add(follower)
                         await self.env.spawn(self._end_transfer, follower)
+                    elif sends_changes:
+                        await self._wake_next_receivers()
                 await follower.connection.notify(self._next_leases_message(follower))
                 await self._pause(follower)
         except PeerLost:
             pass
         finally:
+            self.waiting.pop(follower, None)
             if self.by_instance.get(follower.connection.peer) is follower:
                 del self.by_instance[follower.connection.peer]
                 log.info('Follower {} is gone. role={}', follower.connection.peer, follower.role)
 
     def _may_send_changes(self, follower: Follower) -> bool:
         """
-        Whether no update is on its way to a follower, and fewer than `MAX_TRANSFERS` to others.
-        Until then, changes are not queued, and later ones are sent together.
+        Whether no update is on its way to a follower, and one to it would be among the first
+        `MAX_TRANSFERS`. Until then, changes are not queued, and later ones are sent together.
 
         """
-        return not follower.connection.has_bulk and len(self.receiving) < MAX_TRANSFERS
+        if follower.connection.has_bulk:
+            return False
+        self.waiting.setdefault(follower)
+        if follower not in self._next_receivers():
+            return False
+        del self.waiting[follower]
+        return True
+
+    def _next_receivers(self) -> list[Follower]:
+        """
+        The followers to which an update may be sent now: those that have waited longest.
+
+        """
+        free = max(MAX_TRANSFERS - len(self.receiving), 0)
+        return list(itertools.islice(self.waiting, free))
 
     async def _end_transfer(self, follower: Follower) -> None:
         await follower.connection.wait_until_bulk_is_sent(STALLED_TRANSFER_S)
         self.receiving.discard(follower)
-        await self.wake()
+        await follower.wake.set()
+        await self._wake_next_receivers()
+
+    async def _wake_next_receivers(self) -> None:
+        for follower in self._next_receivers():
+            await follower.wake.set()
 
     async def _pause(self, follower: Follower) -> None:
         try:
