A document that was long on its way does not make a follower current

A follower of a feed counted its configuration as the newest from the moment at which a document arrived, though heartbeats that had overtaken the document had told it of a later revision seconds before. So an entry, or one that relays to others, gave the age 0 to a configuration that lacked acknowledged changes.

The follower notes when it first hears of each later revision, and counts its configuration as the newest until then at most.

tests/test_feed_ages.py: an entry that had heard of revision 3 three seconds before revision 2 came was current at revision 2 with the age 0; now its age is three seconds.

--- a/packages/millfork-registry/millfork_registry/feed_client.py
+++ b/packages/millfork-registry/millfork_registry/feed_client.py
@@ -7,6 +7,7 @@
 
 """
 
+from collections import deque
 from typing import Final
 
 import curio
@@ -97,6 +98,9 @@
         # of the sender's configuration (monotonic seconds). A heartbeat may arrive before changes
         # that were sent earlier.
         self.current_at = LONG_AGO
+        # The later revisions of this cluster that were heard of before their changes arrived, and
+        # when each was first heard of (monotonic seconds).
+        self.awaited_revisions: deque[tuple[int, float]] = deque()
         # Whether this process has ever had all changes that were acknowledged, as far as the sender
         # of the feed knew. After a restart of all replicas, what each of them has applied may lack
         # some until there is a leader.
@@ -345,9 +349,8 @@
         elif peer != self.pending_relay:
             return
         is_applied = self.view.apply_update(update)
-        if self._holds_all_of(update):
-            self.current_at = max(self.current_at, now - update.age_ms / MS_PER_S)
-        if not self.was_current and update.age_ms < STALE_MS and self._holds_all_of(update):
+        self._record_currency(update, now)
+        if not self.was_current and self.knowledge_age_ms() < STALE_MS:
             self.was_current = True
             await self.changed.set()
         if not is_applied:
@@ -362,14 +365,23 @@
         await self.view.notify_waiters()
         await self.changed.set()
 
-    def _holds_all_of(self, update: Update) -> bool:
+    def _record_currency(self, update: Update, now: float) -> None:
         """
-        Whether the configuration is that of an update, or newer.
+        Set `current_at` by an update that arrived at `now`. An update may have been on its way for
+        long; the configuration was the newest only until a later revision was heard of.
 
         """
-        if not self.view.cluster:
-            return False
-        return update.cluster == self.view.cluster and update.revision <= self.view.revision
+        if not self.view.cluster or update.cluster != self.view.cluster:
+            return
+        awaited = self.awaited_revisions
+        while awaited and awaited[0][0] <= self.view.revision:
+            awaited.popleft()
+        if update.revision > self.view.revision:
+            if not awaited or awaited[-1][0] < update.revision:
+                awaited.append((update.revision, now))
+            return
+        newest_until = awaited[0][1] if awaited else now
+        self.current_at = max(self.current_at, newest_until - update.age_ms / MS_PER_S)
 
     async def _on_leases(self, peer: InstanceId, message: Leases) -> None:
         if peer == self.source:
