A read by index compares the clusters

A replica answered a read from its own state once it had applied as many log entries as the leader had committed, of whatever cluster: a machine that returns with the disk of an earlier fleet would have shown that fleet's configuration, and put later changes on it.

The answer names the cluster of the log, and a replica of another one fetches the state, as one that lags behind.

--- a/packages/millfork-state/millfork_state/leader_client.py
+++ b/packages/millfork-state/millfork_state/leader_client.py
@@ -13,7 +13,7 @@
 from millfork_core.logs import Component, logger
 from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
 from millfork_state.commands import AnyCommand, encode_command
-from millfork_state.node import ReadTarget, ReportRow, StateBody, StateNode
+from millfork_state.node import CommittedIndex, ReadTarget, ReportRow, StateBody, StateNode
 from millfork_wire.connection import PeerError, PeerUnreachable
 from millfork_wire.messages import Propose, Proposed, ReadState, Report, StateView
 from millfork_wire.peers import PeerAddress, Peers
@@ -127,12 +127,22 @@
         """
         if self.node is not None:
             deadline = self.env.monotonic() + timeout_s
-            index = msgspec.json.decode(await self._read(ReadTarget.INDEX, timeout_s), type=int)
-            if await self.node.replica.wait_until_applied(index, MAX_APPLY_WAIT_S):
+            if await self._has_applied(self.node, await self._read(ReadTarget.INDEX, timeout_s)):
                 return self.node.state_body()
             timeout_s = deadline - self.env.monotonic()
         return msgspec.json.decode(await self._read(ReadTarget.STATE, timeout_s), type=StateBody)
 
+    async def _has_applied(self, node: StateNode, body: bytes) -> bool:
+        """
+        Whether this process's replica has applied, perhaps after `MAX_APPLY_WAIT_S`, what the
+        leader has committed.
+
+        """
+        committed = msgspec.json.decode(body, type=CommittedIndex)
+        if committed.cluster != node.replica.cluster:
+            return False
+        return await node.replica.wait_until_applied(committed.index, MAX_APPLY_WAIT_S)
+
     async def read_reports(self) -> list[Report]:
         """
         The instances' newest reports that have reached the leader.
--- a/packages/millfork-state/millfork_state/node.py
+++ b/packages/millfork-state/millfork_state/node.py
@@ -33,7 +33,7 @@
 class ReadTarget(Enum):
     """
     The data that can be read from the leader. `INDEX` is the log index up to which the leader's log
-    is committed.
+    is committed, as a `CommittedIndex`.
 
     """
 
@@ -42,6 +42,17 @@
     REPORTS = 'reports'
 
 
+class CommittedIndex(msgspec.Struct):
+    """
+    The log index up to which the leader's log is committed. It says nothing about the logs of other
+    clusters.
+
+    """
+
+    cluster: str
+    index: int
+
+
 class StateBody(msgspec.Struct):
     """
     The configuration as a read returns it: each key's value and the revision that set it.
@@ -159,7 +170,8 @@
         if target is ReadTarget.REPORTS:
             return msgspec.json.encode([known.row for known in self.reports.by_instance.values()])
         if target is ReadTarget.INDEX:
-            return msgspec.json.encode(self.replica.commit)
+            committed = CommittedIndex(self.replica.cluster, self.replica.commit)
+            return msgspec.json.encode(committed)
         return msgspec.json.encode(self.state_body())
 
     def state_body(self) -> StateBody:
