A confirmation does not count for another disk

Heartbeats beside a transfer record the disk that answers. A confirmation of log entries that waited for its turn meanwhile set the confirmed index after the heartbeat had set a new disk, so entries counted as durable on a disk that lacks them, towards the commit of changes.

--- a/packages/millfork-state/millfork_state/replication.py
+++ b/packages/millfork-state/millfork_state/replication.py
@@ -250,6 +250,9 @@
         replica = self.replica
         if not await self._record_answer(reply, sent_at):
             return True
+        if reply.disk != progress.disk:
+            # Meanwhile a heartbeat was answered from another disk.
+            return True
         if not reply.ok:
             progress.next_index = min(reply.match + 1, max(progress.next_index - 1, 1))
             return True
