The test of the size of an append request sends documents

tests/test_replication.py: the only log entry that the test's leader sent was its own first one, of 11 bytes, so the test passed without a limit on the bytes of an append request. The other replica now refuses entries after others that it lacks, so the leader sends the documents.

--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -33,8 +33,9 @@
 
 class SlowPeers:
     """
-    Two other replicas, which answer requests without log entries at once. `b` gets log entries and
-    snapshots so slowly that none arrives within a test; `c` answers nothing.
+    Two other replicas. `b` has an empty log and answers at once to requests without log entries,
+    and to those with log entries after others that it lacks. It gets the first log entries so
+    slowly that none arrives within a test. `c` answers nothing.
 
     """
 
@@ -46,7 +47,7 @@
         if address.instance == 'c':
             await curio.sleep(timeout)
             raise PeerTimedOut('c')
-        if payload_bytes(message):
+        if payload_bytes(message) and not message.prev_index:
             await curio.sleep(timeout)
             raise PeerTimedOut('b')
         return AppendReply(message.term, message.prev_index == 0, 0, 'disk-b')
@@ -112,7 +113,7 @@
         await curio.sleep(STALLED_S / 2)
         await task.cancel()
         sizes = [payload_bytes(request) for request in peers.requests]
-        assert 0 < max(sizes) <= MAX_BATCH_BYTES
+        assert DOCUMENT_BYTES < max(sizes) <= MAX_BATCH_BYTES
 
     curio.run(run)
 
