Entries and daemons beside engines do not load the replica's code

The age of a follower's configuration is limited by MAX_AGE_MS, which the feed client imported from the module of replicas, with all that this module imports. The constant is now beside LONG_AGO in millfork_core/clocks.py.

--- a/packages/millfork-core/millfork_core/clocks.py
+++ b/packages/millfork-core/millfork_core/clocks.py
@@ -8,6 +8,9 @@
 
 # The time (monotonic seconds) of an event about which nothing tells when it happened.
 LONG_AGO: Final = float('-inf')
+# The largest age that a message can carry, which is also the age of a configuration that was never
+# up to date.
+MAX_AGE_MS: Final = 2**32 - 1
 
 
 def elapsed_s() -> float:
--- a/packages/millfork-registry/millfork_registry/feed_client.py
+++ b/packages/millfork-registry/millfork_registry/feed_client.py
@@ -12,7 +12,7 @@
 import curio
 import msgspec
 
-from millfork_core.clocks import LONG_AGO
+from millfork_core.clocks import LONG_AGO, MAX_AGE_MS
 from millfork_core.environment import Environment
 from millfork_core.ids import NO_INSTANCE, InstanceId
 from millfork_core.logs import Component, logger
@@ -25,7 +25,6 @@
 from millfork_registry.version_cutoffs import MS_PER_S, VersionCutoffs
 from millfork_state.commands import decode_versioned
 from millfork_state.keys import VERSION_PREFIX
-from millfork_state.replica import MAX_AGE_MS
 from millfork_state.view import View
 from millfork_wire.connection import Connection, PeerError, PeerLost
 from millfork_wire.messages import (
--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -13,7 +13,7 @@
 import curio
 import msgspec
 
-from millfork_core.clocks import LONG_AGO
+from millfork_core.clocks import LONG_AGO, MAX_AGE_MS
 from millfork_core.environment import Environment
 from millfork_core.ids import NO_INSTANCE, ClusterId, InstanceId, Revision
 from millfork_core.logs import Component, logger
@@ -50,9 +50,6 @@
 # that a replica that lags behind is never sent many times the size of the state.
 MAX_LOG_TO_SNAPSHOT_RATIO: Final = 4
 MIN_COMPACTED_LOG_BYTES: Final = 256 * 1024
-# The largest age that a message can carry, which is also the age of a configuration that was never
-# up to date.
-MAX_AGE_MS: Final = 2**32 - 1
 
 # How many times within a heartbeat period a replica that leaves checks whether it is still a voter.
 CHECKS_PER_HEARTBEAT: Final = 4
--- a/packages/millfork-state/millfork_state/subscription.py
+++ b/packages/millfork-state/millfork_state/subscription.py
@@ -9,11 +9,12 @@
 
 import curio
 
+from millfork_core.clocks import MAX_AGE_MS
 from millfork_core.environment import Environment
 from millfork_core.ids import NO_INSTANCE, ClusterId, InstanceId, Revision
 from millfork_core.logs import Component, logger
 from millfork_state.distribution_tree import candidates
-from millfork_state.replica import MAX_AGE_MS, Replica
+from millfork_state.replica import Replica
 from millfork_state.reports import Reports
 from millfork_state.roster import Roster
 from millfork_state.view import View
--- a/tests/test_replica_age.py
+++ b/tests/test_replica_age.py
@@ -12,10 +12,11 @@
 import curio
 import pytest
 
+from millfork_core.clocks import MAX_AGE_MS
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ZoneId
 from millfork_settings.common import StateSettings
-from millfork_state.replica import MAX_AGE_MS, Replica, ReplicaState
+from millfork_state.replica import Replica, ReplicaState
 from millfork_state.storage import LogEntry, Storage
 from millfork_state.view import View
 from millforkd.versions import VersionTracker, never_leads
--- a/tests/test_version_cutoffs.py
+++ b/tests/test_version_cutoffs.py
@@ -8,11 +8,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from millfork_core.clocks import MAX_AGE_MS
 from millfork_core.environment import Environment
 from millfork_core.ids import ClusterId, InstanceId, Revision, ZoneId
 from millfork_registry.revision_times import RevisionTimes
 from millfork_registry.version_cutoffs import VersionCutoffs
-from millfork_state.replica import MAX_AGE_MS
 from millfork_state.view import View
 from millfork_wire.messages import Replicas, VersionSwitch
 from millforkd.versions import CANCEL_MARGIN_S, VersionTracker, never_leads
