An entry with an old document does not refuse unknown routes for good

Callers saw 404 'no route' (or 401) for a route (or key) that had been acknowledged, from entries that could not know of it: the refusal was made from the entry's own document, however old. An entry now gives 404 and 401 only if no change that was acknowledged more than `promises.config_apply_ms` before the request arrived can be lacking. Otherwise the refusal is `outdated`: 503, not run, with a Retry-After of 1.5 s to 1.9 s, as after an election.

The age counts from questions to replicas (RevisionTimes), as messages of the feed may be read long after they were sent. The periodic questions are as far apart as the bound, so the followed replica is asked before a refusal if the age is over it: one question for all requests, at most one each 0.5 s, none if the feed has shown the replica to be silent or stale. A request waits 0.2 s at most. If the answer names a later revision, it waits for the feed within that time. Requests that the document allows are served as before.

The log line names the document's version and age; `millfork_refusals_total{reason="outdated"}` counts; `millfork route` says the same.

--- a/packages/millfork-core/millfork_core/verdicts.py
+++ b/packages/millfork-core/millfork_core/verdicts.py
@@ -32,6 +32,7 @@
     UNAUTHENTICATED = 'unauthenticated'
     NOT_FOUND = 'not_found'
     NOT_READY = 'not_ready'
+    OUTDATED = 'outdated'
     NO_ENDPOINT = 'no_endpoint'
     UNREACHABLE = 'unreachable'
     TIMED_OUT = 'timed_out'
@@ -98,6 +99,7 @@
 # request gives no time. Reasons for which waiting doesn't help are missing.
 DEFAULT_RETRY_AFTER_MS: Final[dict[Reason, int]] = {
     Reason.NOT_READY: 1000,
+    Reason.OUTDATED: 2000,
     Reason.NO_ENDPOINT: 2000,
     Reason.UNREACHABLE: 1000,
     Reason.TIMED_OUT: 1000,
--- a/packages/millfork-registry/millfork_registry/feed_client.py
+++ b/packages/millfork-registry/millfork_registry/feed_client.py
@@ -17,7 +17,7 @@
 from millfork_core.ids import NO_INSTANCE, InstanceId
 from millfork_core.logs import Component, logger
 from millfork_core.windows import ENTRIES_REMEMBERED_S, WindowMax
-from millfork_registry.discovery import Discovery
+from millfork_registry.discovery import Discovery, address_of
 from millfork_registry.records import decode_leases, decode_states
 from millfork_registry.registry import Registry
 from millfork_registry.revision_times import RevisionTimes
@@ -208,6 +208,20 @@
             await self.record_switches(asked_at, reply.switches)
         return reply
 
+    async def ask_source(self) -> Replicas | None:
+        """
+        Ask the followed replica for its answer now, before the next periodic question. Returns None
+        at once if that replica is silent or stale, as its answer would not help.
+
+        """
+        if not self.connected:
+            return None
+        asked_at = self.env.monotonic()
+        reply = await self._ask(address_of(str(self.source)))
+        if reply is not None:
+            self.replicas_asked_at = asked_at
+        return reply
+
     async def record_switches(self, asked_at: float, switches: list[VersionSwitch]) -> None:
         """
         Record the version cutoffs in an answer to a question asked at `asked_at` (monotonic
--- a/packages/millfork-settings/millfork_settings/seeded.py
+++ b/packages/millfork-settings/millfork_settings/seeded.py
@@ -132,6 +132,12 @@
         le=MAX_DURATION_MS,
         description='Time after a new version from which no request begins on older weights.',
     )
+    config_apply_ms: float = Field(
+        2000,
+        ge=0,
+        le=MAX_DURATION_MS,
+        description='Time after the acknowledgement of a document from which it is in force.',
+    )
     transfer_mbps: float = Field(
         0, ge=0, le=1e9, description='Rate of the link, in Mbit/s; 0: unlimited.'
     )
@@ -223,6 +229,7 @@
         'retry_window_s',
         'retry_slack',
         'version_ms',
+        'config_apply_ms',
     ),
     SeededRole.REPLICA: ('heartbeat_ms', 'version_ms'),
     SeededRole.ENDPOINT: ('heartbeat_ms', 'version_ms', 'transfer_mbps'),
--- a/packages/millforkd/millforkd/proxy/admission.py
+++ b/packages/millforkd/millforkd/proxy/admission.py
@@ -25,8 +25,9 @@
 )
 from millfork_scheduling.first_tries import FirstTryDetector, FirstTryEstimate
 from millfork_scheduling.placement import Choice, Requirements
-from millfork_scheduling.retry_after import full_engines_wait_ms
+from millfork_scheduling.retry_after import full_engines_wait_ms, no_server_wait_ms
 from millfork_web.exchange import Exchange
+from millforkd.proxy.document_age import DocumentAge
 from millforkd.proxy.job import Job
 from millforkd.versions import VersionTracker
 
@@ -40,6 +41,8 @@
 STARTUP_WAIT_S: Final = 1.0
 # While the entry starts, a request waits for at most this share of its caller's deadline.
 STARTUP_WAIT_SHARE: Final = 0.25
+# Refusals of requests that a newer document may allow.
+REASONS_OF_DOCUMENT: Final = frozenset({Reason.NOT_FOUND, Reason.UNAUTHENTICATED})
 
 log = logger(Component.PROXY)
 
@@ -52,12 +55,18 @@
     """
 
     def __init__(
-        self, env: Environment, versions: VersionTracker, entry_count: Callable[[], int] = lambda: 1
+        self,
+        env: Environment,
+        versions: VersionTracker,
+        entry_count: Callable[[], int] = lambda: 1,
+        document_age: DocumentAge | None = None,
     ) -> None:
         self.env = env
         self.versions = versions
         # Returns the number of entries in the fleet, as far as this entry knows it.
         self.entry_count = entry_count
+        # None: the document is always the newest one.
+        self.document_age = document_age
         self.table: RouteTable | None = None
         # Set once the entry has received a document and the lease of a back end.
         self.ready_event = curio.Event()
@@ -81,6 +90,52 @@
         except curio.TaskTimeout:
             log.debug('Not ready in {:.2f} s. id={}', wait_s, caller.request_id)
 
+    async def admit_by_recent_document(
+        self, exchange: Exchange, caller: CallerRequest, received_at: float
+    ) -> Job:
+        """
+        The same as `admit`, but a request is refused because of what the document lacks only if
+        the document is recent enough, which a replica is asked for if necessary.
+
+        :raises Refused: as `admit` does; with the reason `OUTDATED` if the document may lack a
+            change that allows the request.
+
+        """
+        try:
+            return self.admit(exchange, caller, received_at)
+        except Refused as error:
+            if self.document_age is None or error.refusal.reason not in REASONS_OF_DOCUMENT:
+                raise
+            await self.document_age.confirm(received_at)
+        try:
+            return self.admit(exchange, caller, received_at)
+        except Refused as error:
+            wait_ms = no_server_wait_ms(self.env.random)
+            raise Refused(self.qualify(error.refusal, received_at, wait_ms)) from None
+
+    def qualify(self, refusal: Refusal, received_at: float, wait_ms: int = 0) -> Refusal:
+        """
+        A refusal with the reason `OUTDATED` in place of one for what the document lacks, if the
+        document may lack a change that was in force when the request arrived; otherwise the refusal
+        itself.
+
+        """
+        if self.document_age is None or refusal.reason not in REASONS_OF_DOCUMENT:
+            return refusal
+        if self.document_age.is_recent(received_at):
+            return refusal
+        detail = f'{refusal.detail} in a document that may lack changes'
+        return Refusal(Reason.OUTDATED, detail=detail, retry_after_ms=wait_ms)
+
+    def document_age_ms(self) -> int:
+        """
+        Milliseconds since the document was last known to be the newest one.
+
+        """
+        if self.document_age is None:
+            return 0
+        return self.document_age.age_ms(self.env.monotonic())
+
     def admit(self, exchange: Exchange, caller: CallerRequest, received_at: float) -> Job:
         """
         The job of a request that arrived at `received_at` (monotonic seconds). The deadline
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -42,6 +42,7 @@
 from millforkd.proxy.admission import Admission
 from millforkd.proxy.cache import PieceCache
 from millforkd.proxy.connections import Pools
+from millforkd.proxy.document_age import DocumentAge
 from millforkd.proxy.fingerprints import Fingerprints
 from millforkd.proxy.forwarding import Forwarding
 from millforkd.proxy.load_queries import LoadQueries
@@ -100,7 +101,10 @@
         self.feed_client = feed.feed_client
         self.feed_relay = feed.feed_relay
         self.versions = feed.versions
-        self.admission = Admission(env, self.versions, lambda: self.feed_client.entries)
+        self.document_age = DocumentAge(env, self.feed_client, promises.config_apply_ms)
+        self.admission = Admission(
+            env, self.versions, lambda: self.feed_client.entries, self.document_age
+        )
         self.server_table = ServerTable(
             env.zone,
             env.random,
@@ -260,8 +264,10 @@
         while True:
             await self.feed_client.changed.wait()
             self.feed_client.changed.clear()
+            applied = self.view.position
             self._apply_document()
             self._apply_routes()
+            await self.document_age.set_position(applied)
             self._apply_evacuations()
             if self.view.cluster:
                 self.versions.refresh()
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -90,13 +90,16 @@
             return
         try:
             await self.admission.wait_until_ready(caller)
-            job = self.admission.admit(exchange, caller, received_at)
+            job = await self.admission.admit_by_recent_document(exchange, caller, received_at)
         except Refused as error:
+            table = self.admission.table
             log.info(
-                'Refused. id={} reason={} detail={}',
+                'Refused. id={} reason={} detail={} document={} age_ms={}',
                 caller.request_id,
                 error.refusal.reason.value,
                 error.refusal.detail,
+                table.version if table is not None else '',
+                self.admission.document_age_ms(),
             )
             await self.outcomes.refuse(exchange, caller.request_id, error.refusal)
             return
--- a/packages/millforkd/millforkd/proxy/route_queries.py
+++ b/packages/millforkd/millforkd/proxy/route_queries.py
@@ -2,8 +2,9 @@
 Answers `GET /route` at the admin port of an entry: where a given request would go now, and why.
 
 The query names the request: `host` and `path`, optionally `key` (API key), `model`, `prompt_tokens`
-and, once for each part of the prompt in order, `part` (its id). Nothing is sent, and nothing of
-the entry is changed.
+and, once for each part of the prompt in order, `part` (its id). No request is sent, and nothing
+of the entry is changed, but a replica is asked whether the document is the newest one if that isn't
+known.
 
 """
 
@@ -132,7 +133,10 @@
         :raises Refused: if the query is malformed.
 
         """
-        return json_response(self.explain(parse_query(request.path)))
+        caller = parse_query(request.path)
+        if self.admission.document_age is not None:
+            await self.admission.document_age.confirm(self.env.monotonic())
+        return json_response(self.explain(caller))
 
     def explain(self, caller: CallerRequest) -> dict[str, Any]:
         """
@@ -145,11 +149,11 @@
             return self._body(RoutedRequest(caller), Explanation([], refusal=refusal))
         route = table.find(caller.host, caller.path)
         if route is None:
-            refusal = Refusal(Reason.NOT_FOUND, detail='no route')
+            refusal = self._qualified(Reason.NOT_FOUND, 'no route')
             return self._body(RoutedRequest(caller), Explanation([], refusal=refusal))
         organisation = table.organisation_of_key(caller.key) if table.needs_keys else None
         if table.needs_keys and organisation is None and not route.public:
-            refusal = Refusal(Reason.UNAUTHENTICATED, detail='unknown key')
+            refusal = self._qualified(Reason.UNAUTHENTICATED, 'unknown key')
             return self._body(RoutedRequest(caller, route), Explanation([], refusal=refusal))
         # The entry draws the service and the back end of a request from one generator.
         random = copy_random(self.env.random)
@@ -171,6 +175,9 @@
             explanation = Explanation(explanation.servers, refusal=refusal)
         return self._body(RoutedRequest(caller, route, organisation, requirements), explanation)
 
+    def _qualified(self, reason: Reason, detail: str) -> Refusal:
+        return self.admission.qualify(Refusal(reason, detail=detail), self.env.monotonic())
+
     def _requirements(
         self,
         table: RouteTable,
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -8,6 +8,37 @@
 from tests.mutation import C, D, Edit, G, Mutation, R, S, W
 
 SEEDED_FLEETS: Final = (
+    Mutation(
+        'an entry with an old document refuses unknown routes as not run',
+        'tests/test_outdated_documents.py::test_a_lack_is_final_only_by_a_recent_document',
+        (
+            Edit(
+                D + 'proxy/admission.py', 'if self.document_age.is_recent(received_at):', 'if True:'
+            ),
+        ),
+    ),
+    Mutation(
+        'an entry asks a replica before it refuses a request as outdated',
+        'tests/test_outdated_documents.py::test_a_replica_is_asked_before_a_request_is_refused_as_outdated',
+        (
+            Edit(
+                D + 'proxy/admission.py',
+                'await self.document_age.confirm(received_at)',
+                'pass',
+            ),
+        ),
+    ),
+    Mutation(
+        'refused requests together ask few questions',
+        'tests/test_outdated_documents.py::test_many_refused_requests_ask_few_questions',
+        (
+            Edit(
+                D + 'proxy/document_age.py',
+                ' or self.env.monotonic() < self.next_question_at:',
+                ':',
+            ),
+        ),
+    ),
     Mutation(
         'caches keep a copy of the weights before engines ask for it',
         'tests/test_copies_ahead.py::test_engines_that_are_added_find_a_copy_in_their_zone',
