--- a/packages/millfork-registry/millfork_registry/feed_client.py
+++ b/packages/millfork-registry/millfork_registry/feed_client.py
@@ -13,12 +13,12 @@
 import curio
 import msgspec
 
-from millfork_core.clocks import LONG_AGO
+from millfork_core.clocks import LONG_AGO, MAX_AGE_MS
 from millfork_core.environment import Environment
 from millfork_core.ids import NO_INSTANCE, InstanceId
 from millfork_core.logs import Component, logger
 from millfork_core.windows import ENTRIES_REMEMBERED_S, WindowMax
-from millfork_registry.discovery import Discovery
+from millfork_registry.discovery import Discovery, address_of
 from millfork_registry.records import decode_leases, decode_states
 from millfork_registry.registry import Registry
 from millfork_registry.revision_times import RevisionTimes
@@ -26,7 +26,6 @@
 from millfork_registry.version_cutoffs import MS_PER_S, VersionCutoffs
 from millfork_state.commands import decode_versioned
 from millfork_state.keys import VERSION_PREFIX
-from millfork_state.replica import MAX_AGE_MS
 from millfork_state.view import View
 from millfork_wire.connection import Connection, PeerError, PeerLost
 from millfork_wire.messages import (
@@ -213,6 +212,20 @@
             await self.record_switches(asked_at, reply.switches)
         return reply
 
+    async def ask_source(self) -> Replicas | None:
+        """
+        Ask the followed replica for its answer now, before the next periodic question. Returns None
+        at once if that replica is silent or stale, as its answer would not help.
+
+        """
+        if not self.connected:
+            return None
+        asked_at = self.env.monotonic()
+        reply = await self._ask(address_of(str(self.source)))
+        if reply is not None:
+            self.replicas_asked_at = asked_at
+        return reply
+
     async def record_switches(self, asked_at: float, switches: list[VersionSwitch]) -> None:
         """
         Record the version cutoffs in an answer to a question asked at `asked_at` (monotonic
