Log lines of a lasting fault come at most once a second

A candidate without a majority wrote 'Too few votes' with each request, twice a second for as long as the fault lasted, and each failed read of an operator wrote a line, at the rate at which the operator repeats it. The limit of refused calls is now a LineLimiter, used by these lines and by that of a connection closed as silent; each says how many events it stands for.

'Too few votes' names the voters, and apart those that answered with another disk than the membership has: a voter that was wiped looked like one that refused.

--- a/packages/millfork-state/millfork_state/election.py
+++ b/packages/millfork-state/millfork_state/election.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Final
 
 import curio
@@ -21,6 +22,19 @@
 log = logger(Component.STATE)
 
 
+@dataclass(slots=True)
+class _LostVotes:
+    """
+    The replicas that did not grant a request for votes: those that refused it, those whose disk is
+    not the one in the membership, and those that did not answer in time.
+
+    """
+
+    refused: set[str] = field(default_factory=set)
+    other_disk: set[str] = field(default_factory=set)
+    unanswered: set[str] = field(default_factory=set)
+
+
 async def wait_for_election_timeout(replica: Replica) -> None:
     """
     Return once a randomised election timeout has passed since `leader_contact_at` (the latest of
@@ -101,8 +115,7 @@
     granted = {(replica.env.instance, replica.storage.disk)} & set(replica.members)
     timeout = replica.election_s * VOTE_TIMEOUT_FRACTION
     has_majority: Callable[[], bool] = lambda: len(granted) >= replica.majority  # noqa: E731
-    refused: list[str] = []
-    unanswered: list[str] = []
+    lost = _LostVotes()
     async with curio.TaskGroup() as group:
         for address in replica.others:
             await group.spawn(_request_vote, replica, address, request, timeout)
@@ -111,31 +124,49 @@
                 continue
             voter, reply = task.result
             if reply is None:
-                unanswered.append(voter)
+                lost.unanswered.add(voter)
                 continue
             if reply.term > replica.term:
                 await _adopt_term(replica, reply.term)
             if reply.granted and (voter, reply.disk) in replica.members:
                 granted.add((voter, reply.disk))
+            elif (voter, reply.disk) in replica.members:
+                lost.refused.add(voter)
             else:
-                refused.append(voter)
+                lost.other_disk.add(voter)
             if has_majority():
                 await group.cancel_remaining()
     if not has_majority():
-        log.info(
-            'Too few votes. kind={} term={} granted={} needed={} voters={} refused={} '
-            'unanswered={}',
-            'pre_vote' if isinstance(request, PreVote) else 'vote',
-            request.term,
-            len(granted),
-            replica.majority,
-            len(replica.members),
-            ','.join(sorted(refused)),
-            ','.join(sorted(unanswered)),
-        )
+        _log_lost_votes(replica, request, len(granted), lost)
     return has_majority()
 
 
+def _log_lost_votes(replica: Replica, request: VoteRequest, granted: int, lost: _LostVotes) -> None:
+    """
+    Log that a request got no majority, at most once a second, as a replica without a majority
+    requests pre-votes twice a second.
+
+    """
+    kind = 'pre_vote' if isinstance(request, PreVote) else 'vote'
+    requests = replica.lost_vote_lines.count(kind, replica.env.monotonic())
+    if not requests:
+        return
+    voters = {instance for instance, _ in replica.members}
+    log.info(
+        'Too few votes. kind={} term={} granted={} needed={} voters={} refused={} other_disk={} '
+        'unanswered={} requests={}',
+        kind,
+        request.term,
+        granted,
+        replica.majority,
+        ','.join(sorted(voters)),
+        ','.join(sorted(lost.refused & voters)),
+        ','.join(sorted(lost.other_disk & voters)),
+        ','.join(sorted(lost.unanswered & voters)),
+        requests,
+    )
+
+
 async def _adopt_term(replica: Replica, term: int) -> None:
     async with replica.lock:
         if term > replica.term:
--- a/packages/millfork-state/millfork_state/leader_client.py
+++ b/packages/millfork-state/millfork_state/leader_client.py
@@ -10,6 +10,7 @@
 
 from millfork_core.environment import Environment
 from millfork_core.ids import NO_INSTANCE, InstanceId
+from millfork_core.line_limiter import LineLimiter
 from millfork_core.logs import Component, logger
 from millfork_core.verdicts import Reason, Refusal, Refused, Verdict
 from millfork_state.commands import AnyCommand, encode_command
@@ -50,6 +51,8 @@
         self.leader: InstanceId = NO_INSTANCE
         # The replica that was last asked for a read which failed, and how it failed, for the log.
         self.last_read_failure = ''
+        # Log lines about failed reads, by target.
+        self.failed_read_lines = LineLimiter()
 
     @property
     def replicas(self) -> dict[InstanceId, PeerAddress]:
@@ -152,7 +155,14 @@
             if body is not None:
                 return body
             await curio.sleep(RETRY_DELAY_S)
-        log.info('Read not confirmed. target={} {}', target.value, self.last_read_failure)
+        reads = self.failed_read_lines.count(target, self.env.monotonic())
+        if reads:
+            log.info(
+                'Read not confirmed. target={} {} reads={}',
+                target.value,
+                self.last_read_failure,
+                reads,
+            )
         raise Refused(Refusal(Reason.NO_QUORUM, detail='no leader confirms its state'))
 
     async def _read_once(self, target: ReadTarget) -> bytes | None:
--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -16,6 +16,7 @@
 from millfork_core.clocks import LONG_AGO
 from millfork_core.environment import Environment
 from millfork_core.ids import NO_INSTANCE, ClusterId, InstanceId, Revision
+from millfork_core.line_limiter import LineLimiter
 from millfork_core.logs import Component, logger
 from millfork_settings.common import StateSettings
 from millfork_state.arrival_times import ArrivalTimes
@@ -101,6 +102,8 @@
         # later. A replica that gets no majority of pre-votes sets only this time, so that it still
         # grants pre-votes to other candidates.
         self.campaign_delay_from = self.leader_contact_at
+        # Log lines about requests that got too few votes, by the type of the request.
+        self.lost_vote_lines = LineLimiter()
         # The last time (monotonic seconds) at which this replica had applied all log entries that
         # its leader had committed.
         self.caught_up_at = LONG_AGO
--- a/packages/millfork-wire/millfork_wire/peers.py
+++ b/packages/millfork-wire/millfork_wire/peers.py
@@ -11,6 +11,7 @@
 
 from millfork_core.environment import Environment
 from millfork_core.ids import NO_INSTANCE, InstanceId
+from millfork_core.line_limiter import LineLimiter
 from millfork_core.logs import Component, logger
 from millfork_wire.codec import BadFrame
 from millfork_wire.connection import (
@@ -77,6 +78,8 @@
         self.connections: dict[InstanceId, Connection] = {}
         self.locks: dict[InstanceId, curio.Lock] = {}
         self.unreachable_until: dict[InstanceId, float] = {}
+        # Log lines about closed silent connections, by peer.
+        self.silent_peer_lines = LineLimiter()
         self.closed_hooks: list[Callable[[Connection], Awaitable[None]]] = []
 
     async def listen(self) -> None:
@@ -172,15 +175,25 @@
         except PeerTimedOut:
             if self.closes_unresponsive and connection.last_received_at < started_at:
                 self.env.metrics.count(self.env.metrics.wire, event='silent_peer')
-                log.info(
-                    'Closed the connection to {}: no frame during a call. call={} queued_frames={}',
-                    address.instance,
-                    type(message).__name__,
-                    connection.outbox.qsize(),
-                )
+                self._log_silent_peer(connection, message, started_at)
                 await connection.close()
             raise
 
+    def _log_silent_peer(self, connection: Connection, message: Message, started_at: float) -> None:
+        now = self.env.monotonic()
+        closed = self.silent_peer_lines.count(connection.peer, now)
+        if closed:
+            log.info(
+                'Closed the connection to {}: no frame during a call. call={} ms={} silent_ms={} '
+                'queued_frames={} connections={}',
+                connection.peer,
+                type(message).__name__,
+                int((now - started_at) * 1000),
+                int((now - connection.last_received_at) * 1000),
+                connection.outbox.qsize(),
+                closed,
+            )
+
     async def ping_idle_connections(self) -> None:
         """
         Ping the peers of idle connections, and close connections whose peer does not answer. Only
--- a/packages/millforkd/millforkd/replica/control.py
+++ b/packages/millforkd/millforkd/replica/control.py
@@ -4,7 +4,6 @@
 """
 
 import zlib
-from collections import Counter
 from functools import singledispatchmethod
 from typing import Final
 
@@ -24,6 +23,7 @@
 )
 from millfork_core.environment import Environment
 from millfork_core.ids import Incarnation, ServiceName
+from millfork_core.line_limiter import LineLimiter
 from millfork_core.logs import Component, logger
 from millfork_core.verdicts import Reason, Refusal, Refused
 from millfork_registry.followers import Followers
@@ -46,9 +46,6 @@
 # zlib level for documents, which are text: compression at this level takes 1 ms, and halves the
 # size of a document in the replicated log.
 COMPRESSION_LEVEL: Final = 1
-# For each reason, at most one log line about refused calls is written in this time, because a
-# client of another system may call at any rate.
-REFUSAL_LOG_PERIOD_S: Final = 1.0
 # The name of an undeclared service is cut to this many characters in the refusal.
 MAX_LOGGED_CHARS: Final = 100
 
@@ -83,9 +80,8 @@
         # The services that the operator's document declares; None while there is no document.
         self.services: frozenset[ServiceName] | None = None
         self.services_revision = 0
-        # By reason: when a refusal was last logged, and the number of refusals since then.
-        self.last_refusal_logged_at: dict[Reason, float] = {}
-        self.unlogged_refusals: Counter[Reason] = Counter()
+        # By reason, because a client of another system may call at any rate.
+        self.refusal_lines = LineLimiter()
         # Drains and leave notices that a majority of the replicas has already received.
         self.departures_at_majority: set[tuple[str, Incarnation, LeaseState]] = set()
 
@@ -105,19 +101,14 @@
 
     def _refuse(self, refusal: Refusal) -> Response:
         self.env.metrics.refused(refusal.reason, 'control')
-        self.unlogged_refusals[refusal.reason] += 1
-        now = self.env.monotonic()
-        if (
-            now - self.last_refusal_logged_at.get(refusal.reason, float('-inf'))
-            >= REFUSAL_LOG_PERIOD_S
-        ):
+        calls = self.refusal_lines.count(refusal.reason, self.env.monotonic())
+        if calls:
             log.warning(
                 'Refused a call. reason={} detail={} calls={}',
                 refusal.reason.value,
                 refusal.detail,
-                self.unlogged_refusals.pop(refusal.reason),
+                calls,
             )
-            self.last_refusal_logged_at[refusal.reason] = now
         return problem(refusal)
 
     @singledispatchmethod
