--- a/packages/millfork-core/millfork_core/verdicts.py
+++ b/packages/millfork-core/millfork_core/verdicts.py
@@ -151,10 +151,12 @@
 
 class Refused(Exception):
     """
-    Raised by functions that don't return a refusal as a value.
+    Raised by functions that don't return a refusal as a value. `log_context` tells the log why, and
+    is not sent to the caller.
 
     """
 
-    def __init__(self, refusal: Refusal) -> None:
+    def __init__(self, refusal: Refusal, log_context: str = '') -> None:
         super().__init__(f'{refusal.reason.value}: {refusal.detail}')
         self.refusal = refusal
+        self.log_context = log_context
--- a/packages/millfork-state/millfork_state/leadership.py
+++ b/packages/millfork-state/millfork_state/leadership.py
@@ -186,25 +186,23 @@
             since = replica.env.monotonic() - 2 * replica.election_s
             if self._acked_since(since) < replica.majority:
                 log.warning(
-                    'Stepping down as leader of term {}: no quorum. voters={} applied={} noop={} '
-                    '{}',
+                    'Stepping down as leader of term {}: no quorum. voters={} {}',
                     self.term,
                     len(replica.members),
-                    replica.applied,
-                    self.noop_index,
-                    self._describe_progress(),
+                    self.describe(),
                 )
                 replica.env.metrics.count(replica.env.metrics.state, event='quorum_lost')
                 return
 
-    def _describe_progress(self) -> str:
+    def describe(self) -> str:
         """
-        For each other replica: how long ago the last answered request was sent, the highest log
+        For log lines: the index of the first log entry of this term and the last one applied, and
+        for each other replica how long ago the last answered request was sent, the highest log
         index known to be durable there, and the payload bytes of the request on its way.
 
         """
         now = self.replica.env.monotonic()
-        return ' '.join(
+        return f'applied={self.replica.applied} noop={self.noop_index} ' + ' '.join(
             f'{item.address.instance}=(silent_s={now - item.acked_at:.1f} '
             f'match={item.match_index} sending_bytes={item.sending_bytes})'
             for item in self.progress
--- a/packages/millfork-state/millfork_state/node.py
+++ b/packages/millfork-state/millfork_state/node.py
@@ -109,6 +109,16 @@
     def leads(self) -> bool:
         return self.replica.state is ReplicaState.LEADER
 
+    def describe(self) -> str:
+        """
+        What this replica knows of the state's leader, voters and log, for log lines.
+
+        """
+        parts = [self.replica.describe()]
+        if self.leadership is not None:
+            parts.append(self.leadership.describe())
+        return ' '.join(parts)
+
     async def propose(self, command: AnyCommand) -> Result:
         """
         Commit a command as leader and return its result.
--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -524,6 +524,20 @@
         await self.proposals.put(pending)
         return pending
 
+    def describe(self) -> str:
+        """
+        This replica's role, leader, voters and log, for log lines.
+
+        """
+        contact_s = self.env.monotonic() - self.leader_contact_at
+        voters = ','.join(sorted(instance for instance, _ in self.members))
+        return (
+            f'state={self.state.value} leader={self.leader or "unknown"} '
+            f'leader_contact_s={contact_s:.1f} term={self.term} is_voter={self.is_voter} '
+            f'voters={voters} commit={self.commit} last={self.storage.last_index} '
+            f'age_ms={self.age_ms()}'
+        )
+
     def age_ms(self) -> int:
         """
         Milliseconds since this replica was last known to have applied all committed log entries.
--- a/packages/millforkd/millforkd/replica/control.py
+++ b/packages/millforkd/millforkd/replica/control.py
@@ -96,18 +96,19 @@
         except InvalidMessage as error:
             response = self._refuse(Refusal(Reason.BAD_REQUEST, detail=str(error)))
         except Refused as error:
-            response = self._refuse(error.refusal)
+            response = self._refuse(error.refusal, error.log_context)
         await exchange.respond(response)
 
-    def _refuse(self, refusal: Refusal) -> Response:
+    def _refuse(self, refusal: Refusal, log_context: str = '') -> Response:
         self.env.metrics.refused(refusal.reason, 'control')
         calls = self.refusal_lines.count(refusal.reason, self.env.monotonic())
         if calls:
             log.warning(
-                'Refused a call. reason={} detail={} calls={}',
+                'Refused a call. reason={} detail={} calls={}{}',
                 refusal.reason.value,
                 refusal.detail,
                 calls,
+                f' {log_context}' if log_context else '',
             )
         return problem(refusal)
 
