Gauges of what replicas and followers lack over slow links

Five gauges: bytes of the log that the slowest voter lacks and how long a voter has been silent, at the leader; peers with a transfer on its way and bytes queued to peers, at each daemon; followers whose changes are held back. They are computed when the metrics are read, so they cost nothing otherwise.

--- a/packages/millfork-core/millfork_core/metrics.py
+++ b/packages/millfork-core/millfork_core/metrics.py
@@ -3,6 +3,7 @@
 
 """
 
+from collections.abc import Callable
 from typing import Final
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
@@ -23,6 +24,8 @@
 
     def __init__(self) -> None:
         self.registry = Registry()
+        # Called before the metrics are rendered, to set gauges that nothing sets meanwhile.
+        self.updaters: list[Callable[[], None]] = []
         self.refusals = self._counter('millfork_refusals_total', 'Final refusals by reason.')
         self.retries = self._counter('millfork_retries_total', 'Attempts retried by reason.')
         self.requests = self._counter('millfork_requests_total', 'Requests by outcome.')
@@ -66,6 +69,24 @@
         self.revision = self._gauge('millfork_revision', 'Configuration revision in force.')
         self.leader = self._gauge('millfork_leader', 'Whether this replica leads.')
         self.voter = self._gauge('millfork_voter', 'Whether this replica is a voter.')
+        self.voter_lag_bytes = self._gauge(
+            'millfork_voter_lag_bytes',
+            'At the leader: bytes of the log that the slowest voter has not confirmed.',
+        )
+        self.voter_silent_seconds = self._gauge(
+            'millfork_voter_silent_seconds',
+            'At the leader: longest time since a voter answered, in seconds.',
+        )
+        self.transfers = self._gauge(
+            'millfork_transfers', 'Peers to which a transfer is queued or on its way.'
+        )
+        self.queued_bytes = self._gauge(
+            'millfork_queued_bytes', 'Bytes that wait to be sent to peers.'
+        )
+        self.held_back_feeds = self._gauge(
+            'millfork_held_back_feeds',
+            'Followers that are sent no changes until an earlier transfer has arrived.',
+        )
         self.unsent_bytes = self._gauge(
             'millfork_unsent_bytes', 'Bytes that wait for callers to read them.'
         )
@@ -96,5 +117,7 @@
         Return all metrics as Prometheus text, and the content type of that text.
 
         """
+        for update in self.updaters:
+            update()
         body, headers = render(self.registry, TEXT_ACCEPT)
         return body, headers.get('Content-Type', 'text/plain')
--- a/packages/millfork-registry/millfork_registry/followers.py
+++ b/packages/millfork-registry/millfork_registry/followers.py
@@ -58,6 +58,8 @@
         self.sent_full = False
         # Whether this feed must end, because the process asked for another feed or for none.
         self.replaced = False
+        # Whether changes of the configuration wait until a transfer has arrived.
+        self.held_back = False
 
     @property
     def active(self) -> bool:
@@ -85,6 +87,14 @@
         # entries on the other side too; otherwise each side would use the full budget.
         self.peak_entries = WindowMax(ENTRIES_REMEMBERED_S)
 
+    def update_metrics(self) -> None:
+        """
+        Set the gauge of feeds that are held back.
+
+        """
+        held_back = sum(1 for follower in self.by_instance.values() if follower.held_back)
+        self.env.metrics.held_back_feeds.set({}, held_back)
+
     @property
     def local_entries(self) -> int:
         """
@@ -164,6 +174,8 @@
                 follower.wake.clear()
                 if follower.role != REPLICA_ROLE:
                     sends_changes = self._may_send_changes(follower)
+                    is_behind = self.replica.view.position != (cluster, revision)
+                    follower.held_back = is_behind and not sends_changes
                     if sends_changes:
                         update = self.replica.view.update_since(cluster, revision)
                         cluster, revision = update.cluster, update.revision
--- a/packages/millfork-state/millfork_state/leadership.py
+++ b/packages/millfork-state/millfork_state/leadership.py
@@ -208,6 +208,28 @@
             for item in self.progress
         )
 
+    def voter_lag_bytes(self) -> int:
+        """
+        The bytes of the log that the slowest voter has not confirmed.
+
+        """
+        replica = self.replica
+        match_indexes = [self._match_index(instance, disk) for instance, disk in replica.members]
+        return replica.storage.bytes_after(min(match_indexes, default=0))
+
+    def voter_silent_s(self) -> float:
+        """
+        For how many seconds the voter that has been silent longest has answered no request.
+
+        """
+        replica = self.replica
+        voters = {instance for instance, _ in replica.members}
+        answered_at = [
+            item.acked_at for item in self.progress if str(item.address.instance) in voters
+        ]
+        now = replica.env.monotonic()
+        return now - min(answered_at, default=now)
+
     async def confirm_leadership(self, timeout: float) -> bool:
         """
         Wait until a majority has answered requests sent after this call started and all log entries
--- a/packages/millfork-state/millfork_state/node.py
+++ b/packages/millfork-state/millfork_state/node.py
@@ -109,6 +109,16 @@
     def leads(self) -> bool:
         return self.replica.state is ReplicaState.LEADER
 
+    def update_metrics(self) -> None:
+        """
+        Set the gauges that only the leader has; 0 on other replicas.
+
+        """
+        leadership = self.leadership
+        metrics = self.replica.env.metrics
+        metrics.voter_lag_bytes.set({}, leadership.voter_lag_bytes() if leadership else 0)
+        metrics.voter_silent_seconds.set({}, leadership.voter_silent_s() if leadership else 0.0)
+
     def describe(self) -> str:
         """
         What this replica knows of the state's leader, voters and log, for log lines.
--- a/packages/millfork-state/millfork_state/storage.py
+++ b/packages/millfork-state/millfork_state/storage.py
@@ -308,6 +308,20 @@
             found.append(entry)
         return found
 
+    def bytes_after(self, index: int) -> int:
+        """
+        The bytes that a replica lacks whose log ends at `index`: those of later log entries, and of
+        the snapshot if it covers any of them.
+
+        """
+        size = 0
+        if self.snapshot is not None and index < self.snapshot_index:
+            size = len(self.snapshot.dump)
+        start = max(index - self.snapshot_index, 0)
+        return size + sum(
+            len(entry.payload) for entry in itertools.islice(self.entries, start, None)
+        )
+
     async def save_vote(self, term: int, voted_for: str, cluster: str = '') -> None:
         """
         Store term and vote durably. An empty `cluster` keeps the stored one.
--- a/packages/millfork-wire/millfork_wire/outbox.py
+++ b/packages/millfork-wire/millfork_wire/outbox.py
@@ -51,6 +51,13 @@
         """
         return sum(len(queue) for queue in self.queues.values())
 
+    def queued_bytes(self) -> int:
+        """
+        The bytes of the queued fragments, without those that are on their way.
+
+        """
+        return sum(len(fragment) for queue in self.queues.values() for fragment in queue)
+
     def full(self) -> bool:
         return self.qsize() >= MAX_QUEUED_FRAGMENTS
 
--- a/packages/millfork-wire/millfork_wire/peers.py
+++ b/packages/millfork-wire/millfork_wire/peers.py
@@ -82,6 +82,16 @@
         self.silent_peer_lines = LineLimiter()
         self.closed_hooks: list[Callable[[Connection], Awaitable[None]]] = []
 
+    def update_metrics(self) -> None:
+        """
+        Set the gauges of transfers and queued bytes.
+
+        """
+        connections = self.connections.values()
+        self.env.metrics.transfers.set({}, sum(1 for item in connections if item.has_bulk))
+        queued_bytes = sum(item.outbox.queued_bytes() for item in connections)
+        self.env.metrics.queued_bytes.set({}, queued_bytes)
+
     async def listen(self) -> None:
         """
         Accept connections until cancelled. Binding the address also prevents a second process
--- a/packages/millforkd/millforkd/replica/daemon.py
+++ b/packages/millforkd/millforkd/replica/daemon.py
@@ -88,6 +88,7 @@
         self.state_messages = StateMessageHandler(self.node)
         self.registry = Registry(env, heartbeat_s)
         self.followers = Followers(env, self.replica, self.registry)
+        env.metrics.updaters += [self.node.update_metrics, self.followers.update_metrics]
         self.entry_count = EntryCountFile(settings.data_folder, self.followers)
         self.replica_links = ReplicaLinks(
             env,
--- a/packages/millforkd/millforkd/seeded.py
+++ b/packages/millforkd/millforkd/seeded.py
@@ -39,7 +39,7 @@
     Create the object that holds a daemon's connections to its peers.
 
     """
-    return Peers(
+    peers = Peers(
         env,
         settings.role.value,
         str(settings.address),
@@ -48,6 +48,8 @@
         handler,
         closes_unresponsive=True,
     )
+    env.metrics.updaters.append(peers.update_metrics)
+    return peers
 
 
 @dataclass(frozen=True, slots=True)
