--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -16,6 +16,7 @@
 from millfork_core.clocks import LONG_AGO, MAX_AGE_MS
 from millfork_core.environment import Environment
 from millfork_core.ids import NO_INSTANCE, ClusterId, InstanceId, Revision
+from millfork_core.line_limiter import LineLimiter
 from millfork_core.logs import Component, logger
 from millfork_settings.common import StateSettings
 from millfork_state.arrival_times import ArrivalTimes
@@ -98,6 +99,8 @@
         # later. A replica that gets no majority of pre-votes sets only this time, so that it still
         # grants pre-votes to other candidates.
         self.campaign_delay_from = self.leader_contact_at
+        # Log lines about requests that got too few votes, by the type of the request.
+        self.lost_vote_lines = LineLimiter()
         # The last time (monotonic seconds) at which this replica had applied all log entries that
         # its leader had committed.
         self.caught_up_at = LONG_AGO
@@ -524,6 +527,20 @@
         await self.proposals.put(pending)
         return pending
 
+    def describe(self) -> str:
+        """
+        This replica's role, leader, voters and log, for log lines.
+
+        """
+        contact_s = self.env.monotonic() - self.leader_contact_at
+        voters = ','.join(sorted(instance for instance, _ in self.members))
+        return (
+            f'state={self.state.value} leader={self.leader or "unknown"} '
+            f'leader_contact_s={contact_s:.1f} term={self.term} is_voter={self.is_voter} '
+            f'voters={voters} commit={self.commit} last={self.storage.last_index} '
+            f'age_ms={self.age_ms()}'
+        )
+
     def age_ms(self) -> int:
         """
         Milliseconds since this replica was last known to have applied all committed log entries.
