--- a/packages/millfork-standins/millfork_standins/region_links.py
+++ b/packages/millfork-standins/millfork_standins/region_links.py
@@ -56,8 +56,8 @@
 
     def __init__(self, host: str, region_of: Callable[[str], str], mbps: float) -> None:
         self.region_of = region_of
-        self.bytes_per_s = mbps * 1_000_000 / BITS_PER_BYTE
         self.links: dict[RegionPair, _Link] = {}
+        self.set_mbps(mbps)
         self.closing = threading.Event()
         self.listener = curio.tcp_server_socket(host, 0)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
@@ -74,6 +74,15 @@
         self.closing.set()
         self.thread.join()
 
+    def set_mbps(self, mbps: float) -> None:
+        """
+        From now on let `mbps` Mbit/s pass between two regions in each direction.
+
+        """
+        self.bytes_per_s = mbps * 1_000_000 / BITS_PER_BYTE
+        for link in list(self.links.values()):
+            link.bytes_per_s = self.bytes_per_s
+
     def sent_bytes(self) -> dict[RegionPair, int]:
         """
         Return the bytes that each link has sent.
--- a/tests/test_replacements_over_slow_links.py
+++ b/tests/test_replacements_over_slow_links.py
@@ -4,7 +4,6 @@
 
 """
 
-import itertools
 import shutil
 import threading
 import time
@@ -15,36 +14,12 @@
 from tests.test_losses_of_disks_and_power import all_vote
 from tests.test_seeded_fleet import document, leader
 from tests.utils.fleets import wait_until
-from tests.utils.regions import RegionFleet, large_document
+from tests.utils.regions import Changes, RegionFleet
 
 DOCUMENTS = 60
 # The size of a document in the log after `big_config`.
 DOCUMENT_BYTES = 12_000
 REPLACED_AFTER_S = 0.5
-CHANGE_INTERVAL_S = 0.06
-
-
-class Changes:
-    """
-    Changes of the document, each acknowledged before the next one is sent.
-
-    """
-
-    def __init__(self, fleet):
-        self.fleet = fleet
-        self.versions = itertools.count(2)
-        self.acknowledged = 1
-        self.stop = threading.Event()
-
-    def put_next(self):
-        version = next(self.versions)
-        changed = large_document(version, DOCUMENT_BYTES, '/first/')
-        if self.fleet.put_document(changed).status == 200:
-            self.acknowledged = version
-
-    def put_until_stopped(self):
-        while not self.stop.wait(CHANGE_INTERVAL_S):
-            self.put_next()
 
 
 @pytest.fixture
@@ -64,7 +39,7 @@
 @pytest.mark.parametrize('role', ['leader', 'follower'])
 def test_a_killed_voter_is_removed_while_its_successor_catches_up(fleet, role, changes_go_on):
     # Guards against four voters of which one is dead and one has lost its disk.
-    changes = Changes(fleet)
+    changes = Changes(fleet, DOCUMENT_BYTES)
     for _ in range(DOCUMENTS):
         changes.put_next()
     thread = threading.Thread(target=changes.put_until_stopped)
--- a/tests/utils/regions.py
+++ b/tests/utils/regions.py
@@ -3,6 +3,8 @@
 
 """
 
+import itertools
+import threading
 from random import Random
 
 from millfork_standins.seeded import SeededFleet
@@ -10,6 +12,8 @@
 
 # Hexadecimal digits of one route in the replicated log, where documents are compressed.
 ROUTE_DIGITS = 200
+CHANGE_INTERVAL_S = 0.06
+FIRST_ROUTE = '/first/'
 
 
 class RegionFleet(SeededFleet):
@@ -35,3 +39,36 @@
         f'/{random.randbytes(ROUTE_DIGITS // 2).hex()}/' for _ in range(2 * size // ROUTE_DIGITS)
     ]
     return document(version, *prefixes, *others)
+
+
+class Changes:
+    """
+    Changes of the document, each acknowledged before the next one is sent. Each document has a
+    route of its own and takes about `size` bytes in the replicated log.
+
+    """
+
+    def __init__(self, fleet, size):
+        self.fleet = fleet
+        self.size = size
+        self.versions = itertools.count(2)
+        self.acknowledged = 1
+        self.stop = threading.Event()
+
+    def put_next(self):
+        version = next(self.versions)
+        changed = large_document(version, self.size, FIRST_ROUTE, route_of(version))
+        if self.fleet.put_document(changed).status == 200:
+            self.acknowledged = version
+
+    def put_until_stopped(self):
+        while not self.stop.wait(CHANGE_INTERVAL_S):
+            self.put_next()
+
+
+def route_of(version):
+    """
+    Return the route that only the document `version` has.
+
+    """
+    return f'/v{version}/'
