A replica that stores the vote for itself grants no pre-vote

A candidate granted pre-votes to another replica until its own vote was on disk, so on slow disks both became candidates, the votes split, and the same came again a timeout later.

That the write of the vote is what kept them in step is inferred from the code, not traced.

--- a/packages/millfork-state/millfork_state/election.py
+++ b/packages/millfork-state/millfork_state/election.py
@@ -56,6 +56,8 @@
         if replica.env.monotonic() - replica.leader_contact_at < replica.election_s:
             return False
         term = replica.term + 1
+        # Before the write, as a replica that grants pre-votes meanwhile makes the votes split.
+        replica.leader_contact_at = replica.env.monotonic()
         await replica.enter_term(term, voted_for=replica.env.instance)
         replica.state = ReplicaState.CANDIDATE
         replica.leader_contact_at = replica.env.monotonic()
