--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -57,10 +57,10 @@
     return Raise('document', version, bytes(DOCUMENT_BYTES))
 
 
-def new_replica(folder, peers=None):
+def new_replica(folder, peers=None, settings=SETTINGS):
     env = Environment(InstanceId('a'), ZoneId('zone'))
     addresses = [PeerAddress(InstanceId(name), name, 1) for name in OTHERS]
-    return Replica(env, SETTINGS, Storage(folder), View(), peers, addresses)
+    return Replica(env, settings, Storage(folder), View(), peers, addresses)
 
 
 async def form(replica, commands):
@@ -292,3 +292,50 @@
         assert not progress.caught_up
 
     curio.run(run)
+
+
+def test_a_read_beside_a_transfer_does_not_wait_for_the_next_heartbeat(tmp_path):
+    # Guards against reads that each take a heartbeat period while a voter gets its log.
+    async def run():
+        peers = SlowPeers()
+        settings = StateSettings(heartbeat_ms=5_000, election_ms=30_000)
+        replica = new_replica(tmp_path, peers, settings)
+        await form(replica, [raise_document(1)])
+        leadership = await lead(replica)
+        task = await curio.spawn(leadership.run)
+        while not any(payload_bytes(request) for request in peers.requests):
+            await curio.sleep(0.01)
+        await curio.sleep(STALLED_S / 10)
+        replica.applied = leadership.noop_index
+        assert await leadership.confirm_leadership(STALLED_S)
+        await task.cancel()
+
+    curio.run(run)
+
+
+class LaterTermPeers:
+    """
+    Other replicas that are in a later term.
+
+    """
+
+    async def call(self, address, message, timeout):
+        return AppendReply(message.term + 1, False, 0, f'disk-{address.instance}')
+
+
+def test_a_disk_that_fails_while_an_answer_is_handled_ends_the_replication(tmp_path, monkeypatch):
+    # Guards against a leader that goes on without a task that sends its log.
+    async def fail(*arguments, **options):
+        raise OSError('no space left')
+
+    async def run():
+        replica = new_replica(tmp_path, LaterTermPeers())
+        await form(replica, [])
+        leadership = await lead(replica)
+        monkeypatch.setattr(replica.storage, 'save_vote', fail)
+        replication = leadership._replication_to(leadership.progress[0])
+        async with curio.timeout_after(TIMEOUT_S):
+            with pytest.raises(OSError, match='no space left'):
+                await replication.run()
+
+    curio.run(run)
--- a/tests/test_replication_to_wiped_disks.py
+++ b/tests/test_replication_to_wiped_disks.py
@@ -17,6 +17,7 @@
         await form(replica, [])
         leadership = await lead(replica)
         progress = leadership.progress[0]
+        progress.disk, progress.caught_up = 'disk-b', True
         replication = leadership._replication_to(progress)
         request = AppendRequest(CLUSTER, 2, 'a', 1, 1, [Entry(2, 9, b'')], 1)
         async with leadership.acked:
--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -3,12 +3,15 @@
 
 """
 
+import socket
+
 import curio
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from millfork_wire import codec
+from millfork_wire import outbox as outbox_module
 from millfork_wire.codec import BadFrame, Frame, FrameKind, PreVote
 from millfork_wire.fragments import FRAGMENT_BYTES, Fragment, FrameAssembler
 from millfork_wire.messages import (
@@ -22,6 +25,7 @@
 )
 from millfork_wire.outbox import BULK_WINDOW_BYTES, Outbox
 from millfork_wire.priorities import Priority
+from millfork_wire.transport import MAX_UNSENT_BYTES
 from tests.test_unanswered_calls import TIMEOUT_S, pair_of_connections
 
 SNAPSHOT_BYTES = 8 * 1024 * 1024
@@ -172,3 +176,37 @@
         assert {fragment_of(data).priority for data in sent[1:]} == {Priority.BULK}
 
     curio.run(run)
+
+
+def test_a_reader_whose_outbox_is_full_goes_on(monkeypatch):
+    # Guards against two processes that each wait for the other to read.
+    arrived = []
+
+    async def record(connection, message):
+        arrived.append(type(message))
+        return
+
+    async def run():
+        caller, peer = await pair_of_connections(record)
+        monkeypatch.setattr(outbox_module, 'MAX_QUEUED_FRAGMENTS', 1)
+        await peer.writer.cancel()
+        await peer.outbox.put(message_bytes(Ping()))
+        assert peer.outbox.full()
+        await caller.notify(InstallRequest(snapshot=bytes(FRAGMENT_BYTES)))
+        await caller.notify(Ping())
+        async with curio.timeout_after(TIMEOUT_S):
+            while InstallRequest not in arrived:
+                await curio.sleep(0.01)
+
+    curio.run(run)
+
+
+def test_the_kernel_takes_little_of_a_connection_before_it_can_be_sent():
+    # Guards against the buffer of a socket that a large frame fills, in which a heartbeat waits.
+    async def run():
+        caller, _ = await pair_of_connections(None)
+        sock = caller.transport.sock
+        limit = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT)
+        assert limit == MAX_UNSENT_BYTES
+
+    curio.run(run)
