An entry of a listed fleet with a stale configuration does not deny what it lacks

An entry that was cut off answered 404 'no such deployment', 'no such service' or 401 by its last configuration, however old. It now does so only while the configuration is not stale, by the subscription's own limit (10 s: each level of the tree adds up to 2 s in calm times); after that such a refusal is `outdated`, 503, not run, with a Retry-After of 2 s. What no configuration allows (no such path, no token) is refused as before. The log line names revision and age.

--- a/packages/millforkd/millforkd/entry/caller_requests.py
+++ b/packages/millforkd/millforkd/entry/caller_requests.py
@@ -5,6 +5,7 @@
 
 import json
 import uuid
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any, Final
 
@@ -17,6 +18,7 @@
 from millfork_routing.limits import InFlightCounter
 from millfork_settings.models import RoutingSettings
 from millfork_state.config import DEPLOYMENTS
+from millfork_state.subscription import STALE_AGE_MS
 from millfork_state.view import View
 from millfork_web.exchange import CallerGone, Exchange
 from millfork_web.models import Request, Response
@@ -70,6 +72,7 @@
         access: AccessControl,
         dispatcher: Dispatcher,
         claims: KeyClaims,
+        configuration_age_ms: Callable[[], int] = lambda: 0,
     ) -> None:
         self.env = env
         self.settings = settings
@@ -77,6 +80,8 @@
         self.access_control = access
         self.dispatcher = dispatcher
         self.claims = claims
+        # Returns the milliseconds since the configuration was last known to be the newest.
+        self.configuration_age_ms = configuration_age_ms
         self.in_flight = InFlightCounter(settings.organisation_slots)
 
     async def handle(self, exchange: Exchange) -> None:
@@ -86,7 +91,7 @@
 
         """
         try:
-            organisation = self.access_control.authenticate_caller(exchange.request)
+            organisation = self._authenticate(exchange.request)
             call = self._parse_call(exchange.request, organisation)
             if not self.in_flight.try_acquire(organisation):
                 detail = 'too many requests of this organisation are in progress'
@@ -188,17 +193,38 @@
         self.env.metrics.refused(refusal.reason, METRICS_PART)
         self.env.metrics.count(self.env.metrics.requests, outcome='refused')
         log.info(
-            'Refused. reason={} verdict={} answer_started={} detail={}',
+            'Refused. reason={} verdict={} answer_started={} detail={} revision={} age_ms={}',
             refusal.reason.value,
             refusal.verdict.value,
             started,
             refusal.detail,
+            self.view.revision,
+            self.configuration_age_ms(),
         )
         if not started:
             await exchange.respond(problem(refusal))
 
     # Parsing a request.
 
+    def _authenticate(self, request: Request) -> OrganisationId:
+        try:
+            return self.access_control.authenticate_caller(request)
+        except Refused as error:
+            if not request.header('authorization'):
+                raise
+            raise self._unknown(error.refusal) from None
+
+    def _unknown(self, refusal: Refusal) -> Refused:
+        """
+        The refusal of a request for something that the configuration lacks; with the reason
+        `OUTDATED` if the configuration is stale, as a newer one may have it.
+
+        """
+        if self.configuration_age_ms() <= STALE_AGE_MS:
+            return Refused(refusal)
+        detail = f'{refusal.detail}, by a configuration that may lack changes'
+        return Refused(Refusal(Reason.OUTDATED, detail=detail))
+
     def _parse_call(self, request: Request, organisation: OrganisationId) -> Call:
         path = request.path.split('?', 1)[0]
         key = request.header(KEY_HEADER)
@@ -242,7 +268,7 @@
             raise _bad_request('model: a deployment name expected')
         service = f'{organisation}/{name}'
         if f'{DEPLOYMENTS}{service}' not in self.view.items:
-            raise Refused(Refusal(Reason.NOT_FOUND, detail='no such deployment'))
+            raise self._unknown(Refusal(Reason.NOT_FOUND, detail='no such deployment'))
         prompt = body.get('prompt') or body.get('messages') or ''
         return service, f'{service}/{_affinity_text(prompt)}'
 
@@ -252,7 +278,7 @@
         rest = request.path.removeprefix(SERVICES_PATH)
         service, _, target = rest.partition('/')
         if not self.access_control.may_use(organisation, service):
-            raise Refused(Refusal(Reason.NOT_FOUND, detail='no such service'))
+            raise self._unknown(Refusal(Reason.NOT_FOUND, detail='no such service'))
         return service, '/' + target
 
 
--- a/packages/millforkd/millforkd/entry/daemon.py
+++ b/packages/millforkd/millforkd/entry/daemon.py
@@ -87,6 +87,7 @@
             self.access_control,
             self.dispatcher,
             KeyClaims(env, self.leader_client),
+            self.member.subscription.age_ms,
         )
         self.quarantine_list = self._build_quarantine_list(suspicion_store)
         self.operator_requests = OperatorRequests(
--- a/tests/mutations_listed.py
+++ b/tests/mutations_listed.py
@@ -9,6 +9,17 @@
 from tests.mutation import D, Edit, Mutation, S, W, scenario
 
 LISTED_FLEETS: Final = (
+    Mutation(
+        'an entry with a stale configuration refuses calls for unknown services as not run',
+        'tests/test_outdated_configurations_on_listed_fleets.py',
+        (
+            Edit(
+                D + 'entry/caller_requests.py',
+                'if self.configuration_age_ms() <= STALE_AGE_MS:',
+                'if True:',
+            ),
+        ),
+    ),
     Mutation(
         'an engine loads weights only once they are complete',
         scenario('rollout_under_load'),
