The line of a refused read at a leader has no age of a contact

leader_contact_at of a leader is when it stood for election, which looked like a leader that isn't heard. A test covers the line of a leader that no majority confirms, with what each other replica confirmed.

--- a/packages/millfork-state/millfork_state/replica.py
+++ b/packages/millfork-state/millfork_state/replica.py
@@ -529,7 +529,9 @@
         This replica's role, leader, voters and log, for log lines.
 
         """
-        contact_s = self.env.monotonic() - self.leader_contact_at
+        contact_s = 0.0
+        if self.state is not ReplicaState.LEADER:
+            contact_s = self.env.monotonic() - self.leader_contact_at
         voters = ','.join(sorted(instance for instance, _ in self.members))
         return (
             f'state={self.state.value} leader={self.leader or "unknown"} '
--- a/tests/test_refused_reads.py
+++ b/tests/test_refused_reads.py
@@ -15,8 +15,9 @@
 from millfork_settings.common import StateSettings
 from millfork_state.commands import SetMembers, encode_command
 from millfork_state.leader_client import LeaderClient
+from millfork_state.leadership import Leadership
 from millfork_state.node import StateNode
-from millfork_state.replica import Replica
+from millfork_state.replica import Replica, ReplicaState
 from millfork_state.reports import Reports
 from millfork_state.storage import LogEntry, open_storage
 from millfork_state.view import View
@@ -27,6 +28,7 @@
 from millforkd.replica.control import Control
 
 NAMES = ('a', 'b', 'c')
+CALL_TIMEOUT_S = 0.3
 
 
 class Peers:
@@ -54,10 +56,10 @@
         self.response = response
 
 
-def read_document(tmp_path, leader):
+def read_document(tmp_path, leader, leads=False):
     """
-    Read the document from replica `a`, which takes `leader` for the leader. Return the response,
-    and the log lines.
+    Read the document from replica `a`, which takes `leader` for the leader, or leads without an
+    answer of another replica. Return the response and the log line.
 
     """
     env = Environment(InstanceId('a'), ZoneId('zone'), random=Random(0))
@@ -65,7 +67,8 @@
     storage = open_storage(tmp_path)
     replica = Replica(env, StateSettings(), storage, View(), Peers(), addresses)
     replica.leader = leader
-    client = LeaderClient(env, Peers(), replica.others, StateNode(replica, Reports()))
+    node = StateNode(replica, Reports())
+    client = LeaderClient(env, Peers(), replica.others, node, CALL_TIMEOUT_S)
     control = Control(env, Adapter(), replica.view, None, None, None, client, None)
     exchange = Exchange()
     members = [('a', str(storage.disk)), ('b', 'disk-b'), ('c', 'disk-c')]
@@ -73,6 +76,9 @@
     async def run():
         await replica.recover()
         await replica.write([LogEntry(1, 1, encode_command(SetMembers('cluster', members)))])
+        if leads:
+            replica.state = ReplicaState.LEADER
+            node.leadership = Leadership(replica)
         await control.answer(exchange)
 
     with LogRecorder() as handler:
@@ -95,6 +101,14 @@
     assert ' leader=unknown ' in line
 
 
+def test_the_line_of_a_leader_that_is_not_confirmed_names_the_silent_voters(tmp_path):
+    response, line = read_document(tmp_path, 'a', leads=True)
+    assert 'failed=not_confirmed@a:' in line
+    assert 'state=leader leader=a leader_contact_s=0.0 ' in line
+    assert 'applied=0 noop=2 b=(silent_s=' in line
+    assert ' c=(silent_s=' in line
+
+
 def test_the_answer_to_a_refused_read_names_no_replica(tmp_path):
     response, line = read_document(tmp_path, 'c')
     assert response == problem(Refusal(Reason.NO_QUORUM, detail='no leader confirms its state'))
