Region links go on when a daemon ends before its CONNECT request

Cause: the stand-in read the request of a connection in a loop that did not look for the end of the connection. A daemon that was killed between its connect and its request left a loop that never yields: nothing passed between regions any more, and close() did not return. Runs of tests with losses of power hung in their teardown, and may have failed for it.

Change: a connection that ends before its request is closed.

--- a/packages/millfork-standins/millfork_standins/region_links.py
+++ b/packages/millfork-standins/millfork_standins/region_links.py
@@ -101,6 +101,8 @@
 
     async def _serve(self, client: Any, address: tuple[str, int]) -> None:
         target = await self._read_target(client)
+        if target is None:
+            return
         peer = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
             peer.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
@@ -118,10 +120,20 @@
                 await group.spawn(self._forward, client, peer, regions)
                 await group.spawn(self._forward, peer, client, regions[::-1])
 
-    async def _read_target(self, client: Any) -> tuple[str, int]:
+    async def _read_target(self, client: Any) -> tuple[str, int] | None:
+        """
+        Return the address that the client asks for; None if it ends its connection before that.
+
+        """
         head = b''
         while b'\r\n\r\n' not in head and len(head) < MAX_HEAD_BYTES:
-            head += await client.recv(1)
+            try:
+                data = await client.recv(1)
+            except OSError:
+                return None
+            if not data:
+                return None
+            head += data
         host, _, port = head.split(b' ')[1].decode().rpartition(':')
         return host, int(port)
 
