Large documents are made in the stand-ins package

The soak needs documents of the sites' size too. The prefixes that fill them move from tests/utils/regions.py to millfork_standins/large_documents.py, unchanged.

--- a/tests/utils/regions.py
+++ b/tests/utils/regions.py
@@ -3,14 +3,10 @@
 
 """
 
-from random import Random
-
+from millfork_standins.large_documents import filler_prefixes
 from millfork_standins.seeded import SeededFleet
 from tests.test_seeded_fleet import document
 
-# Hexadecimal digits of one route in the replicated log, where documents are compressed.
-ROUTE_DIGITS = 200
-
 
 class RegionFleet(SeededFleet):
     """
@@ -30,8 +26,4 @@
     replicated log.
 
     """
-    random = Random(version)
-    others = [
-        f'/{random.randbytes(ROUTE_DIGITS // 2).hex()}/' for _ in range(2 * size // ROUTE_DIGITS)
-    ]
-    return document(version, *prefixes, *others)
+    return document(version, *prefixes, *filler_prefixes(version, size))
