Soak: regions with slow links, large documents, and replicas that lag

Cause: the soak had no limit between daemons, documents of under 1 KB and faults of at most 4 s, so a replica never lacked more than a few kilobytes, and no run could show a state that has no leader while a replica gets its log.

Lags claim the disk as losses of disks do. Each document adds a route and a key that callers at each entry use. A replica that replaces another one is in its zone, and zones go by addresses, as places in a list change.

--- a/packages/millfork-standins/millfork_standins/soak/__main__.py
+++ b/packages/millfork-standins/millfork_standins/soak/__main__.py
@@ -30,6 +30,10 @@
 WEIGHTS = flags.DEFINE_bool('weights', False, 'Engines change the versions of their weights.')
 ENGINES = flags.DEFINE_integer('engines', 3, 'Number of engines with --weights.', lower_bound=1)
 flags.mark_bool_flags_as_mutual_exclusive(['weights', 'crashing_part'])
+REGIONS = flags.DEFINE_bool(
+    'regions', False, 'Slow links between three regions, large documents, replicas that lag.'
+)
+REPLICAS = flags.DEFINE_integer('replicas', 3, 'Number of replicas.', lower_bound=1)
 FOLDER = flags.DEFINE_string(
     'folder', '', 'Folder for the files of the runs; empty: they are deleted.'
 )
@@ -58,6 +62,8 @@
                 COLD.value,
                 REPLACEMENTS.value,
                 ENGINES.value if WEIGHTS.value else 0,
+                REGIONS.value,
+                REPLICAS.value,
             ).run()
         failed += bool(result.violations)
         print(
@@ -75,6 +81,16 @@
                 f'answers {_counts(weights.statuses)}',
                 flush=True,
             )
+        if REGIONS.value:
+            regions = result.regions
+            print(
+                f'  regions: documents of {regions.document_bytes} bytes, {regions.lags} lags, '
+                f'{regions.disk_losses} disks lost after a lag, {regions.calm_reads} of '
+                f'{regions.reads} reads in calm times, {regions.refused_reads} refused by all, '
+                f'{regions.calls_in_touch} calls of added routes in touch, '
+                f'answers {_counts(regions.statuses)}',
+                flush=True,
+            )
         for line in result.violations:
             print(f'  {line}', flush=True)
     print(f'{RUNS.value - failed} passed, {failed} failed')
--- a/packages/millfork-standins/millfork_standins/soak/back_end.py
+++ b/packages/millfork-standins/millfork_standins/soak/back_end.py
@@ -18,6 +18,8 @@
 # The zones of a fleet; a fleet of one zone is in the first one.
 FIRST_ZONE: Final = 'zone'
 SECOND_ZONE: Final = 'zone-2'
+THIRD_ZONE: Final = 'zone-3'
+ZONES: Final = (FIRST_ZONE, SECOND_ZONE, THIRD_ZONE)
 # The range of the duration of coldness, and the share of the back ends that start cold.
 MIN_COLD_S: Final = 4.0
 MAX_COLD_S: Final = 9.0
--- a/packages/millfork-standins/millfork_standins/soak/callers.py
+++ b/packages/millfork-standins/millfork_standins/soak/callers.py
@@ -44,6 +44,7 @@
 SERIES_SHARE: Final = 0.4
 ROUTE_HOST: Final = 'h.example'
 API_KEY: Final = 'key'
+ORGANISATION: Final = OrganisationId('org')
 
 
 WHOLE_BODY: Final = b'answer'
@@ -145,6 +146,9 @@
             return self.random.uniform(0.0, MAX_IDLE_S)
         return REQUEST_INTERVAL_S
 
+    def _choose_entry(self) -> str:
+        return self.random.choice(self.fleet.entry_hosts)
+
     def _draw_request(self, request_id: str) -> DrawnRequest:
         kind = self.random.choice(list(RequestKind))
         method, body = ('GET', None) if kind is RequestKind.SAFE else ('POST', b'body')
@@ -166,8 +170,9 @@
             **drawn.headers,
         }
         if self.connection is None:
-            host = self.random.choice(self.fleet.entry_hosts)
-            self.connection = HTTPConnection(host, CALLERS_PORT, timeout=CALL_TIMEOUT_S)
+            self.connection = HTTPConnection(
+                self._choose_entry(), CALLERS_PORT, timeout=CALL_TIMEOUT_S
+            )
         if self.connection.sock is None:
             self.connected_at = time.monotonic()
         timeline = Timeline(self.connection.host, self.connected_at, time.monotonic())
@@ -211,6 +216,8 @@
         self.other_routes: tuple[Route, ...] = ()
         self.version = 1
         self.acknowledged_version = 0
+        # When each version was acknowledged (monotonic seconds).
+        self.acknowledged_at: dict[int, float] = {}
         # Descriptions of the reads that returned an older version than the last version that was
         # acknowledged before the read.
         self.stale_reads: list[str] = []
@@ -223,16 +230,19 @@
 
         """
         self.version += 1
+        if self.fleet.put_document(self.next_document()).status != 200:
+            return False
+        self.acknowledged_at[self.version] = time.monotonic()
+        self.acknowledged_version = self.version
+        return True
+
+    def next_document(self) -> Document:
         next_document = document(self.version, self.service)
-        next_document = replace(
+        return replace(
             next_document,
             services=next_document.services + self.other_services,
             routes=next_document.routes + self.other_routes,
         )
-        if self.fleet.put_document(next_document).status != 200:
-            return False
-        self.acknowledged_version = self.version
-        return True
 
     def read(self) -> int | None:
         """
@@ -263,6 +273,22 @@
                 )
 
 
+def version_prefix(version: int) -> str:
+    """
+    Return the prefix of the route that each version adds.
+
+    """
+    return f'/v{version}/'
+
+
+def route(version: int, prefix: str, kind: RouteKind, service: Service) -> Route:
+    shares = (Share(service.name, 1),)
+    max_attempts = 1 + version % 2
+    return Route(
+        prefix, ROUTE_HOST, prefix, kind, 4000, 300, 1, shares, max_attempts, False, True, 0
+    )
+
+
 def document(version: int, service: Service = PLAIN_SERVICE) -> Document:
     """
     Return a document with three routes that all versions have, and one that only this version has.
@@ -273,13 +299,8 @@
         RequestKind.SAFE.value: RouteKind.SAFE,
         RequestKind.UNSAFE.value: RouteKind.UNSAFE,
         RequestKind.STREAM.value: RouteKind.STREAMING,
-        f'/v{version}/': RouteKind.SAFE,
+        version_prefix(version): RouteKind.SAFE,
     }
-    shares = (Share(service.name, 1),)
-    max_attempts = 1 + version % 2
-    routes = tuple(
-        Route(prefix, ROUTE_HOST, prefix, kind, 4000, 300, 1, shares, max_attempts, False, True, 0)
-        for prefix, kind in kinds.items()
-    )
-    organisation = Organisation(OrganisationId('org'), (API_KEY,))
+    routes = tuple(route(version, prefix, kind, service) for prefix, kind in kinds.items())
+    organisation = Organisation(ORGANISATION, (API_KEY,))
     return Document(version, routes, (service,), (organisation,))
--- a/packages/millfork-standins/millfork_standins/soak/evacuations.py
+++ b/packages/millfork-standins/millfork_standins/soak/evacuations.py
@@ -27,7 +27,6 @@
 MAX_GAP_S: Final = 4.0
 # Requests that a link held back arrive within this time after its fault.
 LINK_DRAIN_S: Final = 0.5
-REGION: Final = 'region'
 ZONE_CHOICES: Final = ((FIRST_ZONE,), (SECOND_ZONE,), (FIRST_ZONE, SECOND_ZONE))
 ZONE_WEIGHTS: Final = (4, 4, 1)
 
@@ -82,8 +81,7 @@
 
     def __init__(self, fleet: SoakFleet, seed: int, seconds: float, stop: threading.Event) -> None:
         self.fleet = fleet
-        fleet.has_second_zone = True
-        fleet.zones = {FIRST_ZONE: REGION, SECOND_ZONE: REGION}
+        fleet.spread_over_zones(2)
         self.planned = plan_evacuations(seed, seconds)
         self.stop = stop
         self.evacuations: list[Evacuation] = []
--- a/packages/millfork-standins/millfork_standins/soak/fleet.py
+++ b/packages/millfork-standins/millfork_standins/soak/fleet.py
@@ -3,12 +3,15 @@
 
 """
 
+import time
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Final
 from zlib import crc32
 
 from millfork_standins.back_end import STREAM_EVENTS, BreakKind
 from millfork_standins.seeded import SeededFleet
-from millfork_standins.soak.back_end import FIRST_ZONE, SECOND_ZONE, SoakBackEnd, cold_after_start_s
+from millfork_standins.soak.back_end import FIRST_ZONE, ZONES, SoakBackEnd, cold_after_start_s
 from millfork_web.framing import Framing
 
 # One of this many streams breaks off once.
@@ -17,6 +20,8 @@
 SENT_EVENT_BYTES: Final = 9
 # The start of the ids of requests to engines.
 ENGINE_REQUEST_PREFIX: Final = 'engine-'
+# The region that the settings name for all zones.
+REGION: Final = 'region'
 
 
 class SoakFleet(SeededFleet):
@@ -29,11 +34,23 @@
     """
 
     broken_ids: set[str]
-    # Whether every second back end, replica and entry is in a second zone.
-    has_second_zone = False
+    # The back ends, replicas and entries are in the first zones of `ZONES` in turn.
+    zone_count = 1
+    # The zones of replicas that replaced others.
+    replacement_zones: Mapping[str, str] = MappingProxyType({})
+    # When replicas were added (monotonic seconds).
+    added_at: tuple[float, ...] = ()
     # The seed of the coldness of back ends after their start (None: they start warm).
     cold_seed: int | None = None
 
+    def spread_over_zones(self, count: int) -> None:
+        """
+        Let the deployment have at least `count` zones.
+
+        """
+        self.zone_count = max(self.zone_count, count)
+        self.zones = dict.fromkeys(ZONES[: self.zone_count], REGION)
+
     def add_back_end(self, service: str, instance: str) -> SoakBackEnd:
         zone = self._zone(len(self.back_ends))
         cold_s = 0.0 if self.cold_seed is None else cold_after_start_s(self.cold_seed, instance)
@@ -44,8 +61,20 @@
     def zone_of(self, host: str) -> str:
         if host in self.endpoint_hosts:
             return FIRST_ZONE
-        hosts = self.replica_hosts if host in self.replica_hosts else self.entry_hosts
-        return self._zone(hosts.index(host))
+        if host in self.replacement_zones:
+            return self.replacement_zones[host]
+        # By the address, as the place in a list changes when a replica before it is replaced.
+        return self._zone(int(host.rpartition('.')[2]) - 1)
+
+    def add_replacement(self, replaced: str) -> str:
+        """
+        Add a replica in the zone of the one on `replaced`, which it is to replace.
+
+        """
+        host = f'{self.replica_subnet}.{self.last_replica + 1}'
+        self.replacement_zones = {**self.replacement_zones, host: self.zone_of(replaced)}
+        self.added_at = (*self.added_at, time.monotonic())
+        return self.add_replica()
 
     @property
     def plain_back_ends(self) -> list[SoakBackEnd]:
@@ -56,7 +85,7 @@
         return [back_end for back_end in self.back_ends if isinstance(back_end, SoakBackEnd)]
 
     def _zone(self, number: int) -> str:
-        return SECOND_ZONE if self.has_second_zone and number % 2 else FIRST_ZONE
+        return ZONES[number % self.zone_count]
 
     def start(self) -> None:
         self.broken_ids = set()
--- a/packages/millfork-standins/millfork_standins/soak/process_faults.py
+++ b/packages/millfork-standins/millfork_standins/soak/process_faults.py
@@ -9,7 +9,8 @@
 import subprocess
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Final
 
 from millfork_standins.soak.checks import Period
@@ -47,6 +48,9 @@
     def __init__(self, fleet: SoakFleet) -> None:
         self.fleet = fleet
         self.stop_periods: list[Period] = []
+        # When signals, ends and starts disturbed processes, each with the name of its kind.
+        self.disturbances: list[Period] = []
+        self.disturbance_names: dict[Period, str] = {}
         # Hosts with a fault in progress, whose processes may have exited because of the fault.
         self.hosts_under_fault: set[str] = set()
         # Hosts whose processes have been stopped for good.
@@ -101,8 +105,9 @@
         Stop a replica by SIGTERM for good. The caller has claimed its host.
 
         """
-        self._wait_until_signals_are_handled(host)
-        self._stop_gracefully(host)
+        with self._recorded(host, 'remove'):
+            self._wait_until_signals_are_handled(host)
+            self._stop_gracefully(host)
         with self.lock:
             self.gone_hosts.add(host)
 
@@ -127,6 +132,10 @@
         Inject a fault, and return once it is over. The caller has claimed the host.
 
         """
+        with self._recorded(fault.target, fault.kind.value):
+            self._inject(fault)
+
+    def _inject(self, fault: Fault) -> None:
         host = fault.target
         self._wait_until_signals_are_handled(host)
         if fault.kind is FaultKind.PAUSE:
@@ -148,6 +157,16 @@
         time.sleep(fault.duration_s)
         self.fleet.start_process(host)
 
+    @contextmanager
+    def _recorded(self, host: str, name: str) -> Iterator[None]:
+        began_at = time.monotonic()
+        try:
+            yield
+        finally:
+            period = Period(host, began_at, time.monotonic())
+            self.disturbance_names[period] = name
+            self.disturbances.append(period)
+
     def restart_ended(self) -> None:
         """
         Start each process again that exited without a fault, and record the exit as a violation.
--- a/packages/millfork-standins/millfork_standins/soak/replacements.py
+++ b/packages/millfork-standins/millfork_standins/soak/replacements.py
@@ -136,7 +136,7 @@
 
         """
         started_at = time.monotonic()
-        new = self.fleet.add_replica()
+        new = self.fleet.add_replacement(self.current_host(first_host))
         while not has_joined(new, started_at):
             if time.monotonic() - started_at > JOIN_TIMEOUT_S:
                 self.violations.append(f'{new} has not joined {JOIN_TIMEOUT_S} s after its start')
--- a/packages/millfork-standins/millfork_standins/soak/result.py
+++ b/packages/millfork-standins/millfork_standins/soak/result.py
@@ -23,6 +23,26 @@
     statuses: Counter[int] = field(default_factory=Counter)
 
 
+@dataclass(frozen=True, slots=True)
+class RegionCounts:
+    """
+    What happened in a run with regions: the size of its documents, how often a replica lagged and
+    how often another one then lost its disk; how often all replicas were asked for the document,
+    how many of these reads were in calm times, and how many all refused; how many calls of added
+    routes were at entries in touch, and the statuses of all calls of added routes.
+
+    """
+
+    document_bytes: int = 0
+    lags: int = 0
+    disk_losses: int = 0
+    reads: int = 0
+    calm_reads: int = 0
+    refused_reads: int = 0
+    calls_in_touch: int = 0
+    statuses: Counter[int] = field(default_factory=Counter)
+
+
 @dataclass(slots=True)
 class SoakResult:
     """
@@ -40,3 +60,4 @@
     evacuations: int = 0
     cold_requests: int = 0
     weights: WeightCounts = field(default_factory=WeightCounts)
+    regions: RegionCounts = field(default_factory=RegionCounts)
--- a/packages/millfork-standins/millfork_standins/soak/run.py
+++ b/packages/millfork-standins/millfork_standins/soak/run.py
@@ -34,6 +34,7 @@
 from millfork_standins.soak.evacuations import Evacuator
 from millfork_standins.soak.fault_plan import Fault, FaultKind, plan_faults
 from millfork_standins.soak.fleet import SoakFleet
+from millfork_standins.soak.lags import in_series
 from millfork_standins.soak.link_proxy import LinkProxy, inject_link_fault
 from millfork_standins.soak.planned_work import PLANNED_KINDS, plan_pauses, plan_work
 from millfork_standins.soak.process_faults import (
@@ -42,11 +43,13 @@
     ProcessFaults,
     wait_until,
 )
+from millfork_standins.soak.regions import TAIL_S, RegionSoak
 from millfork_standins.soak.replacements import ReplicaReplacer
-from millfork_standins.soak.result import SoakResult, WeightCounts
+from millfork_standins.soak.result import RegionCounts, SoakResult, WeightCounts
 from millfork_standins.soak.weights import WeightChanges
 
 BACK_ENDS: Final = 3
+REPLICAS: Final = 3
 ENTRIES: Final = 2
 CALLERS: Final = 6
 # As in a deployment: a back end that pauses keeps its lease.
@@ -77,6 +80,8 @@
         cold: bool = False,
         replacements: bool = False,
         engines: int = 0,
+        regions: bool = False,
+        replicas: int = REPLICAS,
     ) -> None:
         self.seed = seed
         self.seconds = seconds
@@ -92,7 +97,8 @@
         self.request_delays: dict[str, list[Period]] = {}
         self.fleet = SoakFleet(
             folder,
-            entries=entries,
+            replicas,
+            entries,
             version_ms=VERSION_MS if engines else 0,
             endpoints=engines,
             heartbeat_s=HEARTBEAT_S,
@@ -105,12 +111,9 @@
         self.stop = threading.Event()
         self.links: list[LinkProxy] = []
         self.callers: list[Caller] = []
-        self.operator = Operator(self.fleet, self.stop)
         run_s = planned_s + seconds
         self.evacuator = Evacuator(self.fleet, seed, run_s, self.stop) if evacuations else None
         self.cold = ColdBackEnds(self.fleet, seed, run_s, self.stop) if cold else None
-        if self.cold:
-            self.operator.service = self.cold.service
         self.replacer = None
         if replacements:
             self.replacer = ReplicaReplacer(
@@ -121,6 +124,15 @@
                 self.processes.release_disk,
                 self.processes.remove_replica,
             )
+        self.regions = None
+        self.operator = Operator(self.fleet, self.stop)
+        if regions:
+            self.regions = RegionSoak(
+                self.fleet, self.processes, self.replacer, seed, planned_s, seconds, self.stop
+            )
+            self.operator = self.regions.operator
+        if self.cold:
+            self.operator.service = self.cold.service
         self.weights = None
         if engines:
             self.weights = WeightChanges(self.fleet, self.processes, seed, run_s, self.stop)
@@ -136,17 +148,7 @@
         """
         try:
             self._start()
-            if self.fleet.crashing_part:
-                CrashingPartCaller(self.fleet, self.seed, self.stop)
-            threading.Thread(target=self._pause_back_ends, daemon=True).start()
-            if self.evacuator:
-                self.evacuator.thread.start()
-            if self.cold:
-                self.cold.thread.start()
-            if self.replacer:
-                self.replacer.thread.start()
-            if self.weights:
-                self.weights.start()
+            self._start_other_events()
             work = plan_work(
                 self.seed, self.planned_s, self.fleet.replica_hosts, self.fleet.entry_hosts
             )
@@ -158,14 +160,10 @@
                 self.fleet.entry_hosts,
                 BACK_ENDS,
             )
+            if self.regions:
+                faults = in_series(faults, self.regions.pauses_of_faults)
             self._inject_faults(faults, self.backpressure_signals)
-            if self.evacuator:
-                # No caller is served again while all zones are evacuated.
-                self.evacuator.thread.join()
-            if self.replacer:
-                self.replacer.finish()
-            if self.weights:
-                self.weights.finish()
+            self._finish_other_events()
             self._check_recovery()
             return self._result(len(faults))
         finally:
@@ -176,6 +174,37 @@
             if self.weights:
                 self.weights.close()
 
+    def _start_other_events(self) -> None:
+        """
+        Start what happens beside the planned work and the faults.
+
+        """
+        if self.fleet.crashing_part:
+            CrashingPartCaller(self.fleet, self.seed, self.stop)
+        threading.Thread(target=self._pause_back_ends, daemon=True).start()
+        if self.evacuator:
+            self.evacuator.thread.start()
+        if self.cold:
+            self.cold.thread.start()
+        if self.replacer:
+            self.replacer.thread.start()
+        if self.weights:
+            self.weights.start()
+        if self.regions:
+            self.regions.start()
+
+    def _finish_other_events(self) -> None:
+        if self.regions:
+            self.regions.lags.finish()
+            self.fault_periods += self.regions.lags.unplanned
+        if self.evacuator:
+            # No caller is served again while all zones are evacuated.
+            self.evacuator.thread.join()
+        if self.replacer:
+            self.replacer.finish()
+        if self.weights:
+            self.weights.finish()
+
     def _start(self) -> None:
         self.fleet.start()
         for number in range(BACK_ENDS):
@@ -288,12 +317,14 @@
         )
 
     def _check_recovery(self) -> None:
-        answer_counts = [len(caller.answers) for caller in self.callers]
+        began_at = time.monotonic()
+        callers = [*self.callers, *(self.regions.callers if self.regions else ())]
+        answer_counts = [len(caller.answers) for caller in callers]
 
         def all_callers_served_again() -> bool:
             return all(
                 any(answer.status == 200 for answer in caller.answers[answer_count:])
-                for caller, answer_count in zip(self.callers, answer_counts, strict=True)
+                for caller, answer_count in zip(callers, answer_counts, strict=True)
             )
 
         if not wait_until(all_callers_served_again, RECOVERY_TIMEOUT_S):
@@ -302,6 +333,8 @@
             )
         if not wait_until(lambda: self.operator.read() is not None, RECOVERY_TIMEOUT_S):
             self.violations.append('the document cannot be read back')
+        if self.regions:
+            self.stop.wait(max(began_at + TAIL_S - time.monotonic(), 0.0))
         self.processes.restart_ended()
         self.stop.set()
         for thread in (self.operator.thread, *(caller.thread for caller in self.callers)):
@@ -351,6 +384,8 @@
             violations += self.cold.find_violations(process_faults, self.request_delays)
         if self.weights:
             violations += self.weights.find_violations(faults, executed)
+        if self.regions:
+            violations += self.regions.find_violations(executed)
         return SoakResult(
             self.seed,
             fault_count,
@@ -361,4 +396,5 @@
             len(self.evacuator.evacuations) if self.evacuator else 0,
             self.cold.checked_requests if self.cold else 0,
             self.weights.counts if self.weights else WeightCounts(),
+            self.regions.counts if self.regions else RegionCounts(),
         )
--- a/packages/millfork-standins/millfork_standins/soak/weights.py
+++ b/packages/millfork-standins/millfork_standins/soak/weights.py
@@ -8,7 +8,6 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Sequence
-from datetime import UTC, datetime
 from functools import partial
 from random import Random
 from typing import Final
@@ -16,6 +15,7 @@
 from millfork_platform import client_requests
 from millfork_standins.soak.callers import Answer, Caller
 from millfork_standins.soak.checks import Period, broken_promises, find_lost_requests
+from millfork_standins.soak.clock import clock_time
 from millfork_standins.soak.engines import LOAD_S, SERVICE, VERSION_MS, WEIGHTS, EngineCaller
 from millfork_standins.soak.fault_plan import Fault, FaultKind
 from millfork_standins.soak.fleet import SoakFleet
@@ -40,8 +40,6 @@
 NEWEST_VERSION_TIMEOUT_S: Final = VERSION_MS / 1000 + 12.0
 # Longer than all replicas together are away in a run.
 ACKNOWLEDGE_TIMEOUT_S: Final = 30.0
-# How far the wall clock is ahead of the monotonic one, for the times in the log of the engines.
-CLOCK_OFFSET_S: Final = time.time() - time.monotonic()
 
 DAEMON_FAULTS: Final = {
     WeightFaultKind.KILL_DAEMON: FaultKind.KILL,
@@ -305,10 +303,7 @@
         for engine in self.engines:
             entries += [(layer.taken_at, f'{engine.instance} {layer}') for layer in engine.taken]
             entries += [(item.at, f'{engine.instance} {item}') for item in engine.violations]
-        lines = [
-            f'{datetime.fromtimestamp(at + CLOCK_OFFSET_S, UTC).isoformat()} {text}\n'
-            for at, text in sorted(entries)
-        ]
+        lines = [f'{clock_time(at)} {text}\n' for at, text in sorted(entries)]
         (self.fleet.folder / 'engines.log').write_text(''.join(lines))
 
 
