Soak: storms of changes are denser, so that replicas that lag lack more

A read back after each change halved the rate of a storm; another thread reads all replicas meanwhile. Storms last 4 s to 12 s with 1 s to 5 s between them.

--- a/packages/millfork-standins/millfork_standins/soak/added_routes.py
+++ b/packages/millfork-standins/millfork_standins/soak/added_routes.py
@@ -38,8 +38,8 @@
 KEPT_VERSIONS: Final = 200
 CALLED_VERSIONS: Final = 40
 # The ranges of the duration of storms of changes and of the time between them.
-STORM_S: Final = (2.0, 8.0)
-STORM_GAP_S: Final = (2.0, 8.0)
+STORM_S: Final = (4.0, 12.0)
+STORM_GAP_S: Final = (1.0, 5.0)
 STORM_INTERVAL_S: Final = 0.02
 READ_INTERVAL_S: Final = 0.3
 # An acknowledged change is in force at all machines in touch after this time (`config_apply_ms` of
@@ -98,6 +98,10 @@
             self.next_storm_at = self.storm_until + self.storm_random.uniform(*STORM_GAP_S)
         return STORM_INTERVAL_S if now < self.storm_until else super()._interval_s()
 
+    def _reads_back(self) -> bool:
+        # A read in between would halve the rate of a storm; `DocumentReader` reads meanwhile.
+        return time.monotonic() >= self.storm_until
+
 
 class RouteCaller(Caller):
     """
--- a/packages/millfork-standins/millfork_standins/soak/callers.py
+++ b/packages/millfork-standins/millfork_standins/soak/callers.py
@@ -259,9 +259,14 @@
     def _interval_s(self) -> float:
         return SERIES_INTERVAL_S if self.random.random() < SERIES_SHARE else CHANGE_INTERVAL_S
 
+    def _reads_back(self) -> bool:
+        return True
+
     def _run(self) -> None:
         while not self.stop.wait(self._interval_s()):
             self.put_next()
+            if not self._reads_back():
+                continue
             acknowledged_before = self.acknowledged_version
             read_version = self.read()
             if read_version is None:
