A client that is gone before it names its target no longer stops all region links

Cause: the proxy reads the head of a client byte by byte; at the end of a connection recv returns nothing at once, and the loop never gave way to other connections. A daemon that was killed while it connected stopped all traffic between the daemons, and the proxy could not be closed.

Change: a connection that ends or resets before its head is complete is closed.

--- a/packages/millfork-standins/millfork_standins/region_links.py
+++ b/packages/millfork-standins/millfork_standins/region_links.py
@@ -92,6 +92,8 @@
 
     async def _serve(self, client: Any, address: tuple[str, int]) -> None:
         target = await self._read_target(client)
+        if target is None:
+            return
         peer = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
             peer.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
@@ -109,10 +111,21 @@
                 await group.spawn(self._forward, client, peer, regions)
                 await group.spawn(self._forward, peer, client, regions[::-1])
 
-    async def _read_target(self, client: Any) -> tuple[str, int]:
+    async def _read_target(self, client: Any) -> tuple[str, int] | None:
+        """
+        Return the host and port that a client names, or None if it is gone before.
+
+        """
         head = b''
-        while b'\r\n\r\n' not in head and len(head) < MAX_HEAD_BYTES:
-            head += await client.recv(1)
+        while b'\r\n\r\n' not in head:
+            try:
+                received = await client.recv(1)
+            except OSError:
+                return None
+            # At the end of a connection, `recv` returns at once, again and again.
+            if not received or len(head) >= MAX_HEAD_BYTES:
+                return None
+            head += received
         host, _, port = head.split(b' ')[1].decode().rpartition(':')
         return host, int(port)
 
