Soak: a replica that lags misses a number of changes, however slow they are

Change: while a replica lags, changes come in a storm, and the lag goes on until 20 to 150 changes, by seed, have been acknowledged, for at most 20 s more.

--- a/packages/millfork-standins/millfork_standins/soak/added_routes.py
+++ b/packages/millfork-standins/millfork_standins/soak/added_routes.py
@@ -64,6 +64,8 @@
         random = Random(f'documents {seed}')
         self.document_bytes = random.choice(DOCUMENT_SIZES)
         self.storm_random = random
+        # Whether changes come in a storm, whatever was drawn.
+        self.has_storm = False
         self.storm_until = 0.0
         self.next_storm_at = 0.0
 
@@ -96,11 +98,14 @@
         if now >= self.next_storm_at:
             self.storm_until = now + self.storm_random.uniform(*STORM_S)
             self.next_storm_at = self.storm_until + self.storm_random.uniform(*STORM_GAP_S)
-        return STORM_INTERVAL_S if now < self.storm_until else super()._interval_s()
+        return STORM_INTERVAL_S if self._is_storm() else super()._interval_s()
+
+    def _is_storm(self) -> bool:
+        return self.has_storm or time.monotonic() < self.storm_until
 
     def _reads_back(self) -> bool:
         # A read in between would halve the rate of a storm; `DocumentReader` reads meanwhile.
-        return time.monotonic() >= self.storm_until
+        return not self._is_storm()
 
 
 class RouteCaller(Caller):
--- a/packages/millfork-standins/millfork_standins/soak/lags.py
+++ b/packages/millfork-standins/millfork_standins/soak/lags.py
@@ -10,10 +10,12 @@
 import threading
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from functools import partial
 from random import Random
 from typing import Final
 
+from millfork_standins.soak.added_routes import RouteOperator
 from millfork_standins.soak.checks import Period
 from millfork_standins.soak.fault_plan import Fault, FaultKind
 from millfork_standins.soak.planned_work import PLANNED_KINDS
@@ -24,6 +26,10 @@
 MIN_LAG_S: Final = 4.0
 MAX_LAG_S: Final = 14.0
 LAG_KINDS: Final = (FaultKind.KILL, FaultKind.STOP, FaultKind.PAUSE)
+# A replica that lags misses at least this many changes, unless they take too long.
+MIN_CHANGES: Final = 20
+MAX_CHANGES: Final = 150
+MAX_WAIT_FOR_CHANGES_S: Final = 20.0
 DISK_LOSS_SHARE: Final = 0.6
 # The range of the time between the end of the time to catch up and the loss of another disk.
 DISK_LOSS_DELAYS_S: Final = (0.0, 1.0)
@@ -53,7 +59,7 @@
 class Lag:
     """
     The replica that holds the place `number` of the first ones is away for `duration_s`, from
-    `after_s` after the end of the previous lag.
+    `after_s` after the end of the previous lag, and until there have been `changes` meanwhile.
 
     """
 
@@ -61,6 +67,7 @@
     duration_s: float
     kind: FaultKind
     number: int
+    changes: int
     disk_loss: DiskLoss | None
 
 
@@ -88,7 +95,9 @@
                 (number + random.randrange(1, replicas)) % replicas,
             )
             at_s += disk_loss.after_s + disk_loss.down_s
-        lags.append(Lag(after_s, duration_s, random.choice(LAG_KINDS), number, disk_loss))
+        kind = random.choice(LAG_KINDS)
+        changes = random.randint(MIN_CHANGES, MAX_CHANGES)
+        lags.append(Lag(after_s, duration_s, kind, number, changes, disk_loss))
 
 
 def plan_pauses_of_faults(seed: int, seconds: float) -> list[tuple[float, float]]:
@@ -132,11 +141,13 @@
     def __init__(
         self,
         processes: ProcessFaults,
+        operator: RouteOperator,
         seed: int,
         seconds: float,
         current_host: Callable[[str], str],
     ) -> None:
         self.processes = processes
+        self.operator = operator
         self.first_hosts = processes.fleet.replica_hosts
         self.planned = plan_lags(seed, seconds, len(self.first_hosts))
         self.current_host = current_host
@@ -162,7 +173,9 @@
             if self.ended.wait(lag.after_s):
                 return
             away = Fault(0.0, lag.duration_s, lag.kind, self.first_hosts[lag.number])
-            period = self._inject(away, CLAIM_TIMEOUT_S)
+            period = self._inject(
+                away, CLAIM_TIMEOUT_S, partial(self._wait_for_changes, lag.changes)
+            )
             if period is None:
                 continue
             self.lags.append(period)
@@ -175,7 +188,24 @@
             if loss_period is not None:
                 self.disk_losses.append(loss_period)
 
-    def _inject(self, fault: Fault, claim_timeout_s: float) -> Period | None:
+    def _wait_for_changes(self, changes: int, seconds: float) -> None:
+        acknowledged_before = len(self.operator.acknowledged_at)
+        self.operator.has_storm = True
+        try:
+            time.sleep(seconds)
+            wait_until(
+                lambda: len(self.operator.acknowledged_at) - acknowledged_before >= changes,
+                MAX_WAIT_FOR_CHANGES_S,
+            )
+        finally:
+            self.operator.has_storm = False
+
+    def _inject(
+        self,
+        fault: Fault,
+        claim_timeout_s: float,
+        wait: Callable[[float], None] = time.sleep,
+    ) -> Period | None:
         """
         Inject a fault at the replica that now holds the place of the fault's target. A replica
         that lags counts as lost until it has had the time to catch up, so that no other one may
@@ -195,7 +225,7 @@
         host = claimed[0]
         began_at = time.monotonic()
         try:
-            self.processes.inject(Fault(0.0, fault.duration_s, fault.kind, host))
+            self.processes.inject(replace(fault, target=host), wait)
         finally:
             self.processes.release_disk(host)
         period = Period(host, began_at, time.monotonic())
--- a/packages/millfork-standins/millfork_standins/soak/process_faults.py
+++ b/packages/millfork-standins/millfork_standins/soak/process_faults.py
@@ -127,25 +127,26 @@
             # The process has exited meanwhile.
             return
 
-    def inject(self, fault: Fault) -> None:
+    def inject(self, fault: Fault, wait: Callable[[float], None] = time.sleep) -> None:
         """
-        Inject a fault, and return once it is over. The caller has claimed the host.
+        Inject a fault, and return once it is over. The caller has claimed the host. `wait` gets the
+        fault's duration and returns when the fault is to end.
 
         """
         with self._recorded(fault.target, fault.kind.value):
-            self._inject(fault)
+            self._inject(fault, wait)
 
-    def _inject(self, fault: Fault) -> None:
+    def _inject(self, fault: Fault, wait: Callable[[float], None]) -> None:
         host = fault.target
         self._wait_until_signals_are_handled(host)
         if fault.kind is FaultKind.PAUSE:
             self.fleet.signal(host, signal.SIGSTOP)
-            time.sleep(fault.duration_s)
+            wait(fault.duration_s)
             self.fleet.signal(host, signal.SIGCONT)
             return
         if fault.kind is FaultKind.FULL_DISK:
             self._limit_file_size(host, FULL_DISK_FILE_BYTES)
-            time.sleep(fault.duration_s)
+            wait(fault.duration_s)
             self._limit_file_size(host, resource.RLIM_INFINITY)
             return
         if fault.kind is FaultKind.STOP:
@@ -154,7 +155,7 @@
             self.fleet.kill(host)
         if fault.kind is FaultKind.LOSE_DISK:
             shutil.rmtree(self.fleet.folder / host, ignore_errors=True)
-        time.sleep(fault.duration_s)
+        wait(fault.duration_s)
         self.fleet.start_process(host)
 
     @contextmanager
--- a/packages/millfork-standins/millfork_standins/soak/regions.py
+++ b/packages/millfork-standins/millfork_standins/soak/regions.py
@@ -62,6 +62,7 @@
         self.reader = DocumentReader(fleet, stop)
         self.lags = LagInjector(
             processes,
+            self.operator,
             seed,
             planned_s + fault_s,
             replacer.current_host if replacer else str,
--- a/tests/test_soak_regions.py
+++ b/tests/test_soak_regions.py
@@ -39,8 +39,8 @@
 
 @pytest.mark.parametrize('seed', range(20))
 def test_lags_concern_all_replicas_and_disks_are_lost_after_the_time_to_catch_up(seed):
-    lags = plan_lags(seed, 300, REPLICAS)
-    assert lags == plan_lags(seed, 300, REPLICAS)
+    lags = plan_lags(seed, 900, REPLICAS)
+    assert lags == plan_lags(seed, 900, REPLICAS)
     assert {lag.number for lag in lags} == set(range(REPLICAS))
     assert {lag.kind for lag in lags} == set(LAG_KINDS)
     assert min(lag.duration_s for lag in lags) >= MIN_LAG_S
