--- a/packages/millfork-standins/millfork_standins/region_links.py
+++ b/packages/millfork-standins/millfork_standins/region_links.py
@@ -122,18 +122,19 @@
 
     async def _read_target(self, client: Any) -> tuple[str, int] | None:
         """
-        Return the address that the client asks for; None if it ends its connection before that.
+        Return the host and port that a client names, or None if it is gone before.
 
         """
         head = b''
-        while b'\r\n\r\n' not in head and len(head) < MAX_HEAD_BYTES:
+        while b'\r\n\r\n' not in head:
             try:
-                data = await client.recv(1)
+                received = await client.recv(1)
             except OSError:
                 return None
-            if not data:
+            # At the end of a connection, `recv` returns at once, again and again.
+            if not received or len(head) >= MAX_HEAD_BYTES:
                 return None
-            head += data
+            head += received
         host, _, port = head.split(b' ')[1].decode().rpartition(':')
         return host, int(port)
 
--- a/tests/utils/regions.py
+++ b/tests/utils/regions.py
@@ -5,13 +5,11 @@
 
 import itertools
 import threading
-from random import Random
 
+from millfork_standins.large_documents import filler_prefixes
 from millfork_standins.seeded import SeededFleet
 from tests.test_seeded_fleet import document
 
-# Hexadecimal digits of one route in the replicated log, where documents are compressed.
-ROUTE_DIGITS = 200
 CHANGE_INTERVAL_S = 0.06
 FIRST_ROUTE = '/first/'
 
@@ -34,11 +32,7 @@
     replicated log.
 
     """
-    random = Random(version)
-    others = [
-        f'/{random.randbytes(ROUTE_DIGITS // 2).hex()}/' for _ in range(2 * size // ROUTE_DIGITS)
-    ]
-    return document(version, *prefixes, *others)
+    return document(version, *prefixes, *filler_prefixes(version, size))
 
 
 class Changes:
