--- a/review/harness/standins.py
+++ b/review/harness/standins.py
@@ -238,6 +238,7 @@
         if self.running >= self.slots:
             return 503, [*echo, ('X-Not-Executed', '1')], b''
         self.served.append((self.record.now(), request_id, self.version))
+        self.record('run', self.id, request_id, 'version', self.version)
         self.running += 1
         try:
             head = [*echo, *self.stamp(), ('Content-Type', 'text/event-stream'),
