--- a/review/7/case.py
+++ b/review/7/case.py
@@ -19,6 +19,8 @@
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 CONTACT_S = 3.0
+# For how long the crashing prompts go on after the third crash.
+POISON_S = 9.5
 POISON, SHARED, HARMLESS = 'bad0bad0', '5c1e07a2', '91bd3f06'
 
 
@@ -26,7 +28,7 @@
     """Crashes when it begins to write an answer on a prompt with the part POISON."""
 
     async def run(self, request_id, path, headers, body, writer, echo):
-        self.record('run', self.id, request_id, headers.get('x-prefix-hash'))
+        self.record('sent to', self.id, request_id, headers.get('x-prefix-hash'))
         if POISON in headers.get('x-prefix-hash', '') and (self.first, self.end_layer) == (0, LAYERS):
             await asyncio.sleep(0.03)
             self.record('crash', self.id, request_id)
@@ -107,10 +109,17 @@
     asyncio.create_task(clients.watch_ready())
     await asyncio.sleep(6)
     start = record.now()
-    poison_until = start + float(os.environ.get('POISON_S', '11'))
-    if TROUBLE:
-        clients.tasks.append(asyncio.create_task(clients.press_prompts('poison', 1.5, poison_until)))
-    await asyncio.sleep(2.0)
+    poison_until = start + POISON_S
+    crashing = asyncio.create_task(clients.press_prompts('poison', 1.5, start + 40)) if TROUBLE else None
+    while TROUBLE and sum(len(engine.crashes) for engine in engines) < 3:
+        if record.now() > start + 10:
+            return 2
+        await asyncio.sleep(0.02)
+    # Sound prompts come half a second after the third crash; the crashing ones end POISON_S after it.
+    poison_until = record.now() + POISON_S
+    await asyncio.sleep(0.5)
+    if crashing is not None:
+        asyncio.get_running_loop().call_later(poison_until - record.now(), crashing.cancel)
     end = start + 40
     await clients.press_prompts('sound', 8, end)
     await clients.stop()
