--- a/review/lib-3/run_case.py
+++ b/review/lib-2/run_case.py
@@ -22,7 +22,7 @@
 ROOT: Final = Path(__file__).resolve().parents[2]
 DEPENDENCIES: Final = ROOT / 'target' / 'deps'
 # A case that isn't over by then has failed to run. It may take 120 s at most.
-TIMEOUT_S: Final = 110
+TIMEOUT_S: Final = 105
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
 Note = Callable[[str], None]
