A corrupt list of digests is corrected by the pieces that arrive

Cause: a list of digests was taken for good because it could be parsed. The caches passed it on, and the piece that it named wrongly was fetched and refused again and again (one list and about 1,700 pieces sent by the origin). The length of the list was not compared with the document either.

Ruled out: a corrupt piece, as the same content arrived each time; the lost disk, as all requests are served without the altered digit.

Change: a digest is doubtful once the same content arrived twice from the origin, or once from a cache or peer, which verify what they send. The sender is asked for its list, and only digests that a refused piece matches are taken from it. A list that corrects nothing is followed by a pause of 1 s for list and piece. Lists of another length than the document's number of pieces are refused.

Why it works: a digest is replaced only if two independent transfers, of a piece and of a list, agree; no list outvotes a piece that is held.

The document of tests/test_cut_heads_of_calls.py now names the one piece that its list has; it named 96.

--- a/packages/millfork-standins/millfork_standins/weights_origin.py
+++ b/packages/millfork-standins/millfork_standins/weights_origin.py
@@ -5,6 +5,7 @@
 
 import hashlib
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Final
@@ -61,9 +62,11 @@
         weights = self.server.weights
         query = read_origin_request(self.path)
         if isinstance(query, DigestsQuery):
-            body = digests_body(weights.model, query.version, weights.digests(query.version))
+            digests = self.server.digest_lists(query.version)
+            body = digests_body(weights.model, query.version, digests)
         else:
-            body = weights.piece(query.version, query.index)
+            self.server.sent_pieces += 1
+            body = self.server.read_piece(query.version, query.index)
         self.send_response(200)
         self.send_header('content-length', str(len(body)))
         self.end_headers()
@@ -85,6 +88,10 @@
     def __init__(self, host: str, weights: SimulatedWeights) -> None:
         super().__init__((host, 0), _Handler)
         self.weights = weights
+        self.sent_pieces = 0
+        # What is sent; tests replace these to send corrupt lists and pieces.
+        self.digest_lists: Callable[[int], list[str]] = weights.digests
+        self.read_piece: Callable[[int, int], bytes] = weights.piece
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     def spec(self, zone: str) -> OriginSpec:
--- a/packages/millforkd/millforkd/proxy/cache.py
+++ b/packages/millforkd/millforkd/proxy/cache.py
@@ -22,6 +22,7 @@
 from millfork_wire.connection import PeerError
 from millfork_wire.messages import CacheAddress, Chunk, GetChunk, GetManifest, Manifest
 from millfork_wire.peers import Peers
+from millforkd.sidecar.digest_checks import PieceSource
 from millforkd.sidecar.origin import Origin
 from millforkd.sidecar.pieces import (
     PieceSet,
@@ -332,14 +333,18 @@
         self, held: PieceSet, index: int, reply: Chunk | Manifest, fetcher: str
     ) -> bool:
         if isinstance(reply, Chunk):
-            return await store_if_valid(self.env, held, index, reply.data, 'cache', fetcher)
-        try:
-            await held.set_digests(decode_digests(reply.body))
-        except msgspec.DecodeError as error:
-            log.warning(
-                'Digests of {} from {} cannot be decoded: {}.', held.weights, fetcher, error
+
+            async def request_digests() -> tuple[str, ...]:
+                answer = await self._ask(fetcher, held.weights, DIGESTS_INDEX)
+                return _read_digests(answer, held.weights, fetcher)
+
+            return await store_if_valid(
+                self.env, held, index, reply.data, PieceSource.CACHE, fetcher, request_digests
             )
+        digests = _read_digests(reply, held.weights, fetcher)
+        if not digests:
             return False
+        await held.set_digests(digests)
         return True
 
     def _fetcher_of(self, weights: WeightsId, index: int) -> str:
@@ -436,6 +441,22 @@
     return sorted(range(piece_count), key=lambda index: (index % half, index))
 
 
+def _read_digests(
+    reply: Chunk | Manifest | None, weights: WeightsId, sender: str
+) -> tuple[str, ...]:
+    """
+    The digests in another cache's answer; empty if there are none in it.
+
+    """
+    if not isinstance(reply, Manifest) or not reply.found:
+        return ()
+    try:
+        return decode_digests(reply.body)
+    except msgspec.DecodeError as error:
+        log.warning('Digests of {} from {} cannot be decoded: {}.', weights, sender, error)
+        return ()
+
+
 def _parse_weights_id(text: str) -> WeightsId | None:
     try:
         return parse_weights_id(text)
--- a/packages/millforkd/millforkd/sidecar/gathering.py
+++ b/packages/millforkd/millforkd/sidecar/gathering.py
@@ -19,6 +19,7 @@
 from millfork_wire.connection import PeerError
 from millfork_wire.messages import CacheAddress, Chunk, GetChunk, GetManifest, Manifest
 from millfork_wire.peers import Peers
+from millforkd.sidecar.digest_checks import PieceSource
 from millforkd.sidecar.fleet import Fleet
 from millforkd.sidecar.origin import Origin
 from millforkd.sidecar.pieces import PieceSet, WeightsId, decode_digests
@@ -182,7 +183,7 @@
     async def _ask_caches(self, held: PieceSet, index: int) -> None:
         for name in request_order(self.near_caches(), held.weights, index)[:MAX_PEERS_PER_ROUND]:
             data = await self._request_from_cache(name, held.weights, index)
-            if data and await self._store(held, index, data, 'cache', name):
+            if data and await self._store(held, index, data, PieceSource.CACHE, name):
                 return
 
     async def _request_from_cache(self, name: str, weights: WeightsId, index: int) -> bytes:
@@ -260,13 +261,16 @@
             data = await self._request_from_peer(peer, held.weights, index)
             if data is None:
                 continue
-            if await self._store(held, index, data, 'peer', peer):
+            if await self._store(held, index, data, PieceSource.PEER, peer):
                 return
 
     async def _store(
-        self, held: PieceSet, index: int, data: bytes, source: str, sender: str
+        self, held: PieceSet, index: int, data: bytes, source: PieceSource, sender: str
     ) -> bool:
-        good = await store_if_valid(self.env, held, index, data, source, sender)
+        async def request_digests() -> tuple[str, ...]:
+            return await self._request_digests(sender, held.weights)
+
+        good = await store_if_valid(self.env, held, index, data, source, sender, request_digests)
         if good:
             self.link.inbound.record_bytes(len(data))
         return good
--- a/packages/millforkd/millforkd/sidecar/origin.py
+++ b/packages/millforkd/millforkd/sidecar/origin.py
@@ -13,7 +13,8 @@
 from millfork_routing.documents import Document, EngineSpec, OriginSpec
 from millfork_web.client import MAX_BODY_BYTES, Client, ExchangeFailed, InvalidAnswer
 from millfork_web.models import Request
-from millforkd.sidecar.pieces import PieceSet
+from millforkd.sidecar.digest_checks import PieceSource
+from millforkd.sidecar.pieces import PieceSet, WeightsId
 from millforkd.sidecar.verification import store_if_valid
 
 # Timeout of a request to the origin, in seconds. A piece takes 0.03 s at the origin's
@@ -81,11 +82,15 @@
 
     async def fetch_piece(self, held: PieceSet, index: int) -> bytes | None:
         """
-        Fetch one piece into `held` and return the piece; None if no valid piece was received.
+        Fetch one piece into `held` and return the piece; None if no valid piece was received, or if
+        the same content was refused before and it is too early to try again.
 
         """
         weights = held.weights
         started_at = self.env.monotonic()
+        checks = held.digest_checks
+        if checks.is_doubtful(index, PieceSource.ORIGIN) and not checks.may_ask(started_at):
+            return None
         data = await self._fetch(self.adapter.piece_request(weights.model, weights.version, index))
         log.debug(
             'Piece fetched from the origin. weights={} index={} got={} ms={:.0f}',
@@ -96,7 +101,13 @@
         )
         if data is None:
             return None
-        good = await store_if_valid(self.env, held, index, data, 'origin', 'the origin')
+
+        async def request_digests() -> tuple[str, ...]:
+            return await self._request_digests(weights)
+
+        good = await store_if_valid(
+            self.env, held, index, data, PieceSource.ORIGIN, 'the origin', request_digests
+        )
         return data if good else None
 
     async def fetch_digests(self, held: PieceSet) -> bool:
@@ -104,24 +115,52 @@
         Fetch the digests of all pieces into `held`; False if no valid list was received.
 
         """
-        weights = held.weights
+        digests = await self._request_digests(held.weights)
+        if not digests:
+            return False
+        await held.set_digests(digests)
+        return True
+
+    async def _request_digests(self, weights: WeightsId) -> tuple[str, ...]:
+        """
+        The digests of all pieces of a version; empty if no valid list was received.
+
+        """
         body = await self._fetch(self.adapter.piece_list_request(weights.model, weights.version))
         if body is None:
-            return False
+            return ()
         try:
             pieces = self.adapter.read_piece_list(body)
         except InvalidMessage as error:
             log.warning(
                 'The digests of {} from the origin could not be parsed: {}.', weights, error
             )
-            return False
+            return ()
         if (pieces.model, pieces.version) != (weights.model, weights.version):
             log.warning(
                 'The origin sent digests of another version: {} {}.', pieces.model, pieces.version
             )
-            return False
-        await held.set_digests(pieces.digests)
-        return True
+            return ()
+        expected = self._piece_count(weights)
+        if expected is not None and len(pieces.digests) != expected:
+            log.warning(
+                'The origin sent {} digests of {}, which has {} pieces.',
+                len(pieces.digests),
+                weights,
+                expected,
+            )
+            return ()
+        return pieces.digests
+
+    def _piece_count(self, weights: WeightsId) -> int | None:
+        """
+        The number of pieces of a version by the document; None if the document doesn't tell.
+
+        """
+        engine = self.current_engine()
+        if engine is None or engine.model != weights.model:
+            return None
+        return engine.pieces or None
 
     def _client(self) -> Client | None:
         spec = self.current_spec()
--- a/packages/millforkd/millforkd/sidecar/pieces.py
+++ b/packages/millforkd/millforkd/sidecar/pieces.py
@@ -10,6 +10,8 @@
 import curio
 import msgspec
 
+from millforkd.sidecar.digest_checks import DigestChecks
+
 # Pieces of this many versions are kept: the one that is served and the one being fetched.
 KEPT_VERSIONS: Final = 2
 
@@ -66,6 +68,7 @@
     pieces: dict[int, bytes] = field(default_factory=dict)
     # Pieces that arrived before the digests, and are not verified yet.
     unchecked: dict[int, bytes] = field(default_factory=dict)
+    digest_checks: DigestChecks = field(default_factory=DigestChecks)
     # Set, and replaced by a new event, when a piece or the digests arrive.
     arrived: curio.Event = field(default_factory=curio.Event)
 
@@ -118,12 +121,28 @@
         if not self.digests:
             self.unchecked[index] = data
             return True
+        if not 0 <= index < len(self.digests):
+            return False
         if not self.matches_digest(index, data):
+            self.digest_checks.record_rejected(index, data)
             return False
+        self.digest_checks.record_accepted(index)
         self.pieces[index] = data
         await self.notify_waiters()
         return True
 
+    def correct_digests(self, digests: tuple[str, ...]) -> list[int]:
+        """
+        Replace the digests that pieces did not match by those of another list that they match.
+        Returns the indexes of the corrected digests.
+
+        """
+        corrections = self.digest_checks.corrections(digests)
+        self.digests = tuple(
+            corrections.get(index, digest) for index, digest in enumerate(self.digests)
+        )
+        return sorted(corrections)
+
     def matches_digest(self, index: int, data: bytes) -> bool:
         if not 0 <= index < len(self.digests):
             return False
--- a/packages/millforkd/millforkd/sidecar/verification.py
+++ b/packages/millforkd/millforkd/sidecar/verification.py
@@ -3,28 +3,73 @@
 
 """
 
+from collections.abc import Awaitable, Callable
+
 from millfork_core.environment import Environment
 from millfork_core.logs import Component, logger
+from millforkd.sidecar.digest_checks import PieceSource
 from millforkd.sidecar.pieces import PieceSet
 
+# Requests the list of digests from the sender of a piece; returns an empty list if none arrived.
+RequestDigests = Callable[[], Awaitable[tuple[str, ...]]]
+
 log = logger(Component.WEIGHTS)
 
 
 async def store_if_valid(
-    env: Environment, held: PieceSet, index: int, data: bytes, source: str, sender: str
+    env: Environment,
+    held: PieceSet,
+    index: int,
+    data: bytes,
+    source: PieceSource,
+    sender: str,
+    request_digests: RequestDigests,
 ) -> bool:
     """
     Store a received piece in `held` if it matches its digest, and count the piece in the metrics;
-    False if the piece is corrupt. `source` is the kind of sender, a label of the metrics;
-    `sender` is the name of the sender, for the log.
+    False if the piece is corrupt. If the digest may be the one that is wrong, the list of digests
+    is requested again first. `sender` is the name of the sender, for the log.
 
     """
-    if not await held.put(index, data):
+    is_valid = await held.put(index, data)
+    if not is_valid and await _correct_digest(env, held, index, source, sender, request_digests):
+        is_valid = await held.put(index, data)
+    if not is_valid:
         log.warning(
             'Piece {} of {} from {} does not match its digest.', index, held.weights, sender
         )
-        env.metrics.count(env.metrics.chunks, source=source, outcome='corrupt')
+        env.metrics.count(env.metrics.chunks, source=source.value, outcome='corrupt')
         return False
-    env.metrics.count(env.metrics.chunks, source=source, outcome='good')
-    env.metrics.count(env.metrics.chunk_bytes, len(data), source=source)
+    env.metrics.count(env.metrics.chunks, source=source.value, outcome='good')
+    env.metrics.count(env.metrics.chunk_bytes, len(data), source=source.value)
     return True
+
+
+async def _correct_digest(
+    env: Environment,
+    held: PieceSet,
+    index: int,
+    source: PieceSource,
+    sender: str,
+    request_digests: RequestDigests,
+) -> bool:
+    checks = held.digest_checks
+    if not checks.is_doubtful(index, source) or not checks.may_ask(env.monotonic()):
+        return False
+    # Other pieces that arrive meanwhile don't cause further requests.
+    checks.ask_again_at = float('inf')
+    digests: tuple[str, ...] = ()
+    try:
+        digests = await request_digests()
+    finally:
+        corrected = held.correct_digests(digests)
+        checks.record_list(bool(corrected), env.monotonic())
+    log.warning(
+        'Digests of {} requested again from {}, as piece {} does not match. listed={} corrected={}',
+        held.weights,
+        sender,
+        index,
+        len(digests),
+        ','.join(map(str, corrected)) or 'none',
+    )
+    return index in corrected
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -1405,4 +1405,15 @@
         'tests/test_seeded_fleet.py::test_no_key_is_taken_once_the_last_organisation_is_gone',
         (Edit(R + 'routes.py', 'organisations is not None', 'organisations'),),
     ),
+    Mutation(
+        'a wrong digest is corrected by another list',
+        'tests/test_wrong_digests.py::test_a_version_becomes_whole_after_a_corrupt_list_of_digests',
+        (
+            Edit(
+                D + 'sidecar/digest_checks.py',
+                'return known.arrivals >= (ORIGIN_ARRIVALS if source is PieceSource.ORIGIN else 1)',
+                'return False',
+            ),
+        ),
+    ),
 )
--- a/tests/test_cut_heads_of_calls.py
+++ b/tests/test_cut_heads_of_calls.py
@@ -9,6 +9,7 @@
 import json
 import socket
 import time
+from dataclasses import replace
 
 import curio
 import pytest
@@ -33,6 +34,8 @@
 from tests.test_servers import ENGINE
 
 HOST = '127.0.0.1'
+# The weights of the model are a single piece.
+ONE_PIECE = replace(ENGINE, pieces=1)
 WEIGHTS = WeightsId('m', 2)
 PIECE = b'twelve bytes'
 DIGEST = hashlib.sha256(PIECE).hexdigest()
@@ -142,7 +145,7 @@
 
 def origin(port):
     spec = OriginSpec(HOST, port, 1)
-    return Origin(env(), PlatformAdapter(), '', lambda: spec, lambda: ENGINE)
+    return Origin(env(), PlatformAdapter(), '', lambda: spec, lambda: ONE_PIECE)
 
 
 def engine_client(port):
