Digests of weights outlive a restart of every process

Seen by callers: the origin of weights was gone, then every process was killed.

Cause: a daemon proves layers that its predecessor ordered by that one's announcement, which replicas keep in memory for 3.5 s, or by reading the pieces back. For that it needs the digests, and those were in the memory of daemons and caches only. The restarted daemons logged 16 unproven layers and checked none.

Change: an endpoint daemon records digests in the replicated state once pieces have matched them; daemons and caches take them from there first. Daemons with different pieces add to one record. The leader keeps those of three versions of a model. Sending a command to the leader is now a class of its own, which trials of parts use as well.

Why it works: what is recorded was shown by a piece, not by a list alone, and layers are proven by reading the pieces back as before, which now needs nobody but the replicas.

--- a/packages/millfork-state/millfork_state/keys.py
+++ b/packages/millfork-state/millfork_state/keys.py
@@ -22,6 +22,10 @@
 # zone follows the prefix.
 EVACUATION_PREFIX: Final = 'evacuations/'
 
+# Prefix of the keys of the digests of the pieces of weights, one key per model and version. The
+# value has the number of digests that are recorded as its version.
+DIGESTS_PREFIX: Final = 'digests/'
+
 
 def version_key(model: str) -> str:
     """
@@ -47,6 +51,14 @@
     return f'{TRIAL_PREFIX}{fingerprint}'
 
 
+def digests_key(weights: str) -> str:
+    """
+    The key of the digests of one version of a model's weights.
+
+    """
+    return f'{DIGESTS_PREFIX}{weights}'
+
+
 def evacuation_key(zone: ZoneId) -> str:
     """
     The key of an evacuated zone.
--- a/packages/millforkd/millforkd/proxy/cache.py
+++ b/packages/millforkd/millforkd/proxy/cache.py
@@ -32,6 +32,7 @@
     encode_digests,
     parse_weights_id,
 )
+from millforkd.sidecar.recorded_digests import RecordedDigests
 from millforkd.sidecar.silent_peers import SilentPeers
 from millforkd.sidecar.sources import DIGESTS_INDEX, request_order
 from millforkd.sidecar.verification import store_if_valid
@@ -95,12 +96,14 @@
         peers: Peers,
         origin: Origin,
         caches: Callable[[], list[CacheAddress]],
+        recorded: RecordedDigests,
         piece_bytes: Callable[[], int] = lambda: 0,
     ) -> None:
         self.env = env
         self.peers = peers
         self.origin = origin
         self.caches = caches
+        self.recorded = recorded
         # Returns the size of a piece by the document; 0 if it isn't known.
         self.piece_bytes = piece_bytes
         self.store = PieceStore()
@@ -233,12 +236,16 @@
 
     async def _fetch_digests(self, held: PieceSet, from_origin: bool) -> None:
         """
-        Fetch the digests from their fetcher; or from the origin if `from_origin` is set, this cache
+        Take the digests in the replicated state or, if some are not recorded, fetch all from their
+        fetcher; or from the origin if `from_origin` is set, this cache
         is the fetcher, or the fetcher was too slow or sent invalid data. When 98 entries and 102
         daemons each fetched the digests from the origin, a third fewer pieces fit on the origin's
         link in the first 2.5 s.
 
         """
+        if recorded := self.recorded.find_all(held.weights):
+            await held.set_digests(recorded)
+            return
         if from_origin or not await self._fetch_from_cache(held, DIGESTS_INDEX):
             await self.origin.fetch_digests(held)
 
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -55,6 +55,7 @@
 from millforkd.seeded import build_feed, fleet_key
 from millforkd.sidecar.origin import Origin, find_engine, find_origin
 from millforkd.sidecar.pieces import WeightsId
+from millforkd.sidecar.recorded_digests import RecordedDigests
 from millforkd.sidecar.target import FIRST_VERSION
 
 # How long the load balancer may send new requests to an entry that is stopping: it polls each
@@ -159,7 +160,14 @@
             lambda: find_origin(self.document),
             lambda: find_engine(self.document),
         )
-        self.cache = PieceCache(env, self.peers, origin, self.discovery.caches, self._piece_bytes)
+        self.cache = PieceCache(
+            env,
+            self.peers,
+            origin,
+            self.discovery.caches,
+            RecordedDigests(self.view),
+            self._piece_bytes,
+        )
         self.server = Server(
             *split_host_port(settings.listen.callers),
             self.forwarding.answer,
--- a/packages/millforkd/millforkd/proxy/part_trials.py
+++ b/packages/millforkd/millforkd/proxy/part_trials.py
@@ -15,19 +15,11 @@
 from millfork_core.environment import Environment
 from millfork_core.ids import ClusterId, Fingerprint, RequestId, Revision
 from millfork_core.logs import Component, logger
-from millfork_core.verdicts import Verdict
-from millfork_registry.discovery import Discovery, address_of
-from millfork_state.commands import (
-    AnyCommand,
-    Raise,
-    RaiseResult,
-    decode_versioned,
-    encode_command,
-)
+from millfork_registry.discovery import Discovery
+from millfork_state.commands import Raise, RaiseResult, decode_versioned
 from millfork_state.keys import trial_key
-from millfork_wire.connection import PeerError
-from millfork_wire.messages import Propose, Proposed
 from millfork_wire.peers import Peers
+from millforkd.proposer import Proposer
 from millforkd.quarantine import QuarantineListing
 
 # How long a part is quarantined before its first trial, and from each trial to the next. There are
@@ -35,8 +27,6 @@
 TRIAL_WAITS_S: Final = (10.0, 300.0)
 # Timeout of one call to claim a trial. The request waits for the claim, of at most two calls.
 CLAIM_TIMEOUT_S: Final = 0.3
-# The most replicas that are asked for one claim: any replica, and the leader that it names.
-MAX_CLAIM_CALLS: Final = 2
 # The wait after a claim that failed.
 CLAIM_RETRY_S: Final = 2.0
 
@@ -55,8 +45,7 @@
         self.env = env
         self.listing = listing
         self.view = listing.view
-        self.peers = peers
-        self.discovery = discovery
+        self.proposer = Proposer(peers, discovery, CLAIM_TIMEOUT_S)
         # By quarantined part: the number of trials made, and since when this entry knows that
         # number (monotonic seconds).
         self.made: dict[Fingerprint, tuple[int, float]] = {}
@@ -124,34 +113,5 @@
         return True
 
     async def _claim_one(self, part: Fingerprint, number: int) -> bool:
-        result = await self._propose(Raise(trial_key(part), number, b''))
+        result = await self.proposer.propose(Raise(trial_key(part), number, b''))
         return result is not None and msgspec.msgpack.decode(result, type=RaiseResult).raised
-
-    async def _propose(self, command: AnyCommand) -> bytes | None:
-        """
-        Send a command to the leader of the replicas and return its encoded result; None if it isn't
-        known to have been carried out. It is not sent again then, as its result would no longer
-        tell whether this entry made the claim.
-
-        """
-        message = Propose(encode_command(command))
-        addresses = self.discovery.addresses()
-        if not addresses:
-            return None
-        address = addresses[0]
-        for _ in range(MAX_CLAIM_CALLS):
-            try:
-                reply = await self.peers.call(address, message, CLAIM_TIMEOUT_S)
-            except PeerError as error:
-                log.info('Could not claim a trial at {}: {}.', address.instance, error)
-                return None
-            if not isinstance(reply, Proposed):
-                return None
-            if reply.ok:
-                return reply.result
-            if reply.result != Verdict.NOT_RUN.value.encode() or not reply.leader:
-                log.info('Could not claim a trial at {}: {}.', address.instance, reply.reason)
-                return None
-            # Only the leader carries out commands; other replicas name it.
-            address = address_of(reply.leader)
-        return None
--- a/packages/millforkd/millforkd/replica/daemon.py
+++ b/packages/millforkd/millforkd/replica/daemon.py
@@ -33,6 +33,7 @@
 from millfork_wire.messages import Done, Message, VersionSwitch
 from millforkd.admin import Admin
 from millforkd.replica.control import Control
+from millforkd.replica.digest_retention import DigestRetention
 from millforkd.replica.entry_count import EntryCountFile
 from millforkd.replica.evacuations import Evacuations
 from millforkd.replica.quarantine import QuarantineList
@@ -120,6 +121,9 @@
             self._leads,
             lambda: int(time.time() * 1000),
         )
+        self.digest_retention = DigestRetention(
+            env, self.replica.view, self.leader_client, self._leads
+        )
         self.control = Control(
             env,
             adapter,
@@ -182,6 +186,7 @@
         await self.env.spawn_essential(self._record_new_versions)
         await self.env.spawn_essential(self.entry_count.run)
         await self.env.spawn_essential(self.quarantine.run)
+        await self.env.spawn_essential(self.digest_retention.run)
         await self.env.spawn_essential(self.node.run)
         await self.env.spawn_essential(self.node.take_snapshots)
         await self.env.spawn_essential(self.server.run)
--- a/packages/millforkd/millforkd/sidecar/daemon.py
+++ b/packages/millforkd/millforkd/sidecar/daemon.py
@@ -26,6 +26,7 @@
 from millfork_wire.messages import Chunk, Done, EndpointReport, Manifest, Message
 from millforkd.admin import Admin
 from millforkd.document import find_new_document
+from millforkd.proposer import Proposer
 from millforkd.seeded import build_feed
 from millforkd.sidecar.engine import LocalEngine
 from millforkd.sidecar.expiry import ExpiryWatcher
@@ -42,6 +43,7 @@
     parse_weights_id,
 )
 from millforkd.sidecar.pushing import PiecePusher
+from millforkd.sidecar.recorded_digests import DigestRecorder, RecordedDigests
 from millforkd.sidecar.rollout import Rollout
 from millforkd.sidecar.target import Target, TargetChooser
 
@@ -50,6 +52,8 @@
 REPORT_INTERVAL_S: Final = 0.15
 # Timeout of sending a report and receiving the answer, in seconds.
 REPORT_TIMEOUT_S: Final = 0.5
+# Timeout of a call to record digests, in seconds.
+PROPOSAL_TIMEOUT_S: Final = 0.9
 # Share of the link's rate that weight transfers may use. The rest is left for the engine's
 # requests and answers, which take about 3% of a link of 3.65 Mbit/s at full load.
 TRANSFER_SHARE: Final = 0.94
@@ -102,8 +106,19 @@
             lambda: find_origin(self.document),
             lambda: find_engine(self.document),
         )
+        recorded = RecordedDigests(self.view)
+        self.digest_recorder = DigestRecorder(
+            env, recorded, self.store, Proposer(self.peers, self.discovery, PROPOSAL_TIMEOUT_S)
+        )
         self.gatherer = PieceGatherer(
-            env, self.peers, self.fleet, origin, self.discovery.caches, self.pusher, self.link
+            env,
+            self.peers,
+            self.fleet,
+            origin,
+            self.discovery.caches,
+            self.pusher,
+            self.link,
+            recorded,
         )
         self.targets = TargetChooser(
             env,
@@ -145,6 +160,7 @@
         await self.env.spawn_essential(self._report_periodically)
         await self.env.spawn_essential(self.rollout.run)
         await self.env.spawn_essential(self.expiry.run)
+        await self.env.spawn_essential(self.digest_recorder.run)
         await self.env.spawn_essential(self._log_pauses)
 
     async def reload(self, settings: SeededSettings) -> None:
--- a/packages/millforkd/millforkd/sidecar/gathering.py
+++ b/packages/millforkd/millforkd/sidecar/gathering.py
@@ -24,6 +24,7 @@
 from millforkd.sidecar.origin import Origin
 from millforkd.sidecar.pieces import PieceSet, WeightsId, decode_digests
 from millforkd.sidecar.pushing import PiecePusher
+from millforkd.sidecar.recorded_digests import RecordedDigests
 from millforkd.sidecar.silent_peers import SilentPeers
 from millforkd.sidecar.sources import DIGESTS_INDEX, request_order
 from millforkd.sidecar.transfer_times import TransferTimes
@@ -85,6 +86,7 @@
         caches: Callable[[], list[CacheAddress]],
         pusher: PiecePusher,
         link: Link,
+        recorded: RecordedDigests,
     ) -> None:
         self.env = env
         self.peers = peers
@@ -98,6 +100,7 @@
         self.failed_digest_requests = 0
         self.pusher = pusher
         self.link = link
+        self.recorded = recorded
 
     async def gather(self, held: PieceSet, wanted: range) -> None:
         """
@@ -300,14 +303,17 @@
 
     async def obtain_digests(self, held: PieceSet) -> bool:
         """
-        Fetch the digests of all pieces into `held`, with one request to a cache. If there is no
-        cache that recently answered, or after `MAX_FAILED_DIGEST_REQUESTS` consecutive failed
-        requests to caches, fetch them from peers or the origin. False if `held` has no digests
-        afterwards.
+        Fetch the digests of all pieces into `held`: those in the replicated state or, if some are
+        not recorded, with one request to a cache. If there is no cache that recently answered, or
+        after `MAX_FAILED_DIGEST_REQUESTS` consecutive failed requests to caches, fetch them from
+        peers or the origin. False if `held` has no digests afterwards.
 
         """
         if held.digests:
             return True
+        if recorded := self.recorded.find_all(held.weights):
+            await held.set_digests(recorded)
+            return True
         caches = request_order(self.near_caches(), held.weights, DIGESTS_INDEX)
         if caches and self.failed_digest_requests < MAX_FAILED_DIGEST_REQUESTS:
             self.failed_digest_requests += 1
--- a/packages/millforkd/millforkd/sidecar/pieces.py
+++ b/packages/millforkd/millforkd/sidecar/pieces.py
@@ -76,6 +76,15 @@
     def whole(self) -> bool:
         return bool(self.digests) and len(self.pieces) == len(self.digests)
 
+    def proven_digests(self) -> tuple[str, ...]:
+        """
+        The digests of all pieces, with an empty text for each piece that is not held.
+
+        """
+        return tuple(
+            digest if index in self.pieces else '' for index, digest in enumerate(self.digests)
+        )
+
     def missing(self, wanted: range | None = None) -> list[int]:
         """
         The indexes in `wanted` whose pieces are not held; if `wanted` is None or empty, the
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -1416,4 +1416,16 @@
             ),
         ),
     ),
+    Mutation(
+        'digests in the replicated state are used',
+        'tests/test_recorded_digests.py::'
+        'test_engines_are_used_again_after_two_restarts_of_all_processes_without_the_origin',
+        (
+            Edit(
+                D + 'sidecar/recorded_digests.py',
+                'return digests if all(digests) else ()',
+                'return ()',
+            ),
+        ),
+    ),
 )
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -21,12 +21,14 @@
     caches_near_origin,
 )
 from millfork_routing.documents import OriginSpec
+from millfork_state.view import View
 from millfork_wire.connection import PeerTimedOut
 from millfork_wire.messages import CacheAddress, GetChunk, GetManifest
 from millforkd.proxy import cache as caching
 from millforkd.proxy.cache import PieceCache, prefetch_order
 from millforkd.sidecar import gathering
 from millforkd.sidecar.pieces import WeightsId, decode_digests
+from millforkd.sidecar.recorded_digests import RecordedDigests
 from millforkd.sidecar.silent_peers import SKIP_SILENT_PEER_S
 
 PIECES = tuple(bytes([number]) * 8 for number in range(6))
@@ -98,7 +100,7 @@
 
 def cache_at(instance, zone, origin, peers, caches):
     env = Environment(InstanceId(instance), ZoneId(zone))
-    cache = PieceCache(env, peers, origin, lambda: caches)
+    cache = PieceCache(env, peers, origin, lambda: caches, RecordedDigests(View()))
     peers.caches[instance] = cache
     return cache
 
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -10,6 +10,7 @@
 from millfork_core.environment import Environment
 from millfork_core.ids import InstanceId, ZoneId
 from millfork_registry.records import EndpointState
+from millfork_state.view import View
 from millfork_weights.links import Link
 from millfork_wire.connection import PeerTimedOut
 from millfork_wire.messages import CacheAddress, Chunk, GetManifest, Manifest
@@ -18,6 +19,7 @@
 from millforkd.sidecar.gathering import PieceGatherer
 from millforkd.sidecar.pieces import PieceStore, WeightsId
 from millforkd.sidecar.pushing import PiecePusher
+from millforkd.sidecar.recorded_digests import RecordedDigests
 from millforkd.sidecar.sources import DIGESTS_INDEX, request_order
 from tests.test_caches import DIGESTS, PIECES, FakeOrigin
 
@@ -51,13 +53,22 @@
         return Chunk(True, PIECES[message.index])
 
 
-def gathering_with(peers, caches, origin=None):
+def gathering_with(peers, caches, origin=None, view=None):
     env = Environment(InstanceId('10.0.0.7:1'), ZoneId('z1'))
     own = EndpointState('10.0.0.7:1', 's', 'z1', '10.0.0.7', 80, 1)
     fleet = Fleet(env, 's', lambda: [], lambda: own, lambda: (2, len(PIECES)))
     link = Link(1_000_000, 0.94, True, env.monotonic)
     pusher = PiecePusher(env, peers, fleet.origin_fetchers, link.outbound)
-    return PieceGatherer(env, peers, fleet, origin or FakeOrigin(), lambda: caches, pusher, link)
+    return PieceGatherer(
+        env,
+        peers,
+        fleet,
+        origin or FakeOrigin(),
+        lambda: caches,
+        pusher,
+        link,
+        RecordedDigests(view or View()),
+    )
 
 
 def test_a_daemon_retries_its_caches_and_leaves_the_origin_alone(monkeypatch):
--- a/tests/test_part_suspicions.py
+++ b/tests/test_part_suspicions.py
@@ -554,7 +554,7 @@
             entry.trials.refresh()
             return await leader.call(address, message, timeout_s)
 
-        entry.trials.peers = SimpleNamespace(call=clear_both)
+        entry.trials.proposer.peers = SimpleNamespace(call=clear_both)
         await entry.claim(PART, OTHER_PART)
         assert not entry.trials.made
 
--- a/tests/test_wrong_digests.py
+++ b/tests/test_wrong_digests.py
@@ -13,12 +13,14 @@
 from millfork_core.ids import InstanceId, ZoneId
 from millfork_platform.adapter import PlatformAdapter
 from millfork_standins.weights_origin import SimulatedWeights, WeightsOrigin
+from millfork_state.view import View
 from millfork_wire.messages import CacheAddress, GetChunk
 from millforkd.proxy.cache import PieceCache
 from millforkd.sidecar import gathering
 from millforkd.sidecar.digest_checks import PAUSE_S
 from millforkd.sidecar.origin import Origin
 from millforkd.sidecar.pieces import PieceSet, PieceStore, WeightsId
+from millforkd.sidecar.recorded_digests import RecordedDigests
 from tests.test_caches import FakePeers
 from tests.test_gathering import gathering_with
 from tests.test_servers import ENGINE
@@ -121,7 +123,9 @@
         for cache in caches:
             env = Environment(InstanceId(cache.instance), ZoneId(cache.zone))
             origin = origin_at(server, cache.instance)
-            peers.caches[cache.instance] = PieceCache(env, peers, origin, lambda: caches)
+            peers.caches[cache.instance] = PieceCache(
+                env, peers, origin, lambda: caches, RecordedDigests(View())
+            )
         gatherers = [gathering_with(peers, caches, origin_at(server)) for _ in range(2)]
         sets = [PieceStore().get_or_create(WEIGHTS) for _ in gatherers]
         async with curio.TaskGroup() as group:
