A trial of a crashing prompt leaves one to the sound parts in it

After a restart of all processes a complete answer did not take it off the list either.

Cause: a trial counted for every quarantined part of its prompt, though it tells nothing of a single one, and the next one came 300 s later. And a complete answer cleared only suspicions in memory, while the list in the replicated state outlives them.

Ruled out: that the part is blamed again by the crashing prompts, as these are refused and nothing ends after the trial; that the answer does not reach the leader, as none was sent.

A trial whose request was not sent goes on at the next back end. A complete answer clears what is listed, in memory or not, for parts and for requests.

Two entries of the fail-first list show that the tests fail without the changes.

--- a/packages/millfork-registry/millfork_registry/suspicion_store.py
+++ b/packages/millfork-registry/millfork_registry/suspicion_store.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 import curio
+import msgspec
 
 from millfork_core.ids import Fingerprint
 from millfork_core.logs import Component, logger
@@ -86,22 +87,28 @@
             return
         await self.record(suspicion)
 
-    async def clear(self, fingerprint: Fingerprint) -> None:
+    async def clear(self, fingerprint: Fingerprint, listed_epoch: int | None = None) -> None:
         """
-        Clear the suspicion of a request or part that got a complete answer.
+        Clear the suspicion of a request or part that got a complete answer. `listed_epoch` is the
+        epoch in which it was put on the quarantine list, None if it is not on the list. The list
+        outlives the suspicions, so what is listed may be unknown here.
 
         """
         known = self.get(fingerprint)
+        if listed_epoch is not None and known.epoch <= listed_epoch:
+            known = msgspec.structs.replace(known, epoch=listed_epoch)
+            await self.withdraw(known.cleared())
+            return
         if not known.is_clear:
             await self.withdraw(known.cleared())
 
-    async def clear_part(self, fingerprint: Fingerprint) -> None:
+    async def clear_part(self, fingerprint: Fingerprint, listed_epoch: int | None = None) -> None:
         """
         Record that a back end answered a prompt with a part completely, which clears the part.
 
         """
         self.answered_parts.record(fingerprint)
-        await self.clear(fingerprint)
+        await self.clear(fingerprint, listed_epoch)
 
     def record_privately(self, suspicion: Suspicion) -> None:
         """
--- a/packages/millforkd/millforkd/proxy/forwarding.py
+++ b/packages/millforkd/millforkd/proxy/forwarding.py
@@ -196,9 +196,12 @@
             blocked_parts = self.part_quarantine.blocked_parts(job)
             if blocked_parts and not await self._claim_trial(job, blocked_parts):
                 return self._blocked_parts_refusal(job, blocked_parts)
+            job.unsent_trial = ()
             attempt = self.attempt_runner.begin(job, choice)
             if await self.attempt_runner.run(job, attempt):
                 return None
+            if job.failures and not job.failures[-1].sent:
+                job.unsent_trial = blocked_parts
             if await job.race.wait_for_hedges():
                 return None
 
@@ -241,7 +244,7 @@
             detail = 'back ends broke off while running this request'
             return self._final_refusal(job, Reason.SUSPECTED, detail)
         blocked_parts = self.part_quarantine.blocked_parts(job)
-        if blocked_parts and not self.part_quarantine.trials.is_due(blocked_parts):
+        if blocked_parts and not self._may_try(job, blocked_parts):
             return self._blocked_parts_refusal(job, blocked_parts)
         if not job.failures:
             return None
@@ -252,7 +255,12 @@
             return self._final_refusal(job, last.reason)
         return None
 
+    def _may_try(self, job: Job, parts: tuple[Fingerprint, ...]) -> bool:
+        return job.unsent_trial == parts or self.part_quarantine.trials.is_due(parts)
+
     async def _claim_trial(self, job: Job, parts: tuple[Fingerprint, ...]) -> bool:
+        if job.unsent_trial == parts:
+            return True
         return await self.part_quarantine.trials.claim(parts, RequestId(job.caller.request_id))
 
     def _blocked_parts_refusal(self, job: Job, parts: tuple[Fingerprint, ...]) -> Refusal:
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -97,6 +97,8 @@
     # Whether the next attempt needs no retry from the budget: one was reserved for it, or taken for
     # an attempt that then sent nothing.
     retry_paid: bool = False
+    # The quarantined parts of a trial that was claimed for an attempt which then sent nothing.
+    unsent_trial: tuple[Fingerprint, ...] = ()
 
     @property
     def urgency(self) -> int | None:
--- a/packages/millforkd/millforkd/proxy/part_quarantine.py
+++ b/packages/millforkd/millforkd/proxy/part_quarantine.py
@@ -80,5 +80,6 @@
         Clear the parts of a job that a back end answered completely.
 
         """
+        self.listing.refresh()
         for fingerprint in self.fingerprints.compute_parts(job):
-            await self.suspicion_store.clear_part(fingerprint)
+            await self.suspicion_store.clear_part(fingerprint, self.listing.epochs.get(fingerprint))
--- a/packages/millforkd/millforkd/quarantine.py
+++ b/packages/millforkd/millforkd/quarantine.py
@@ -134,6 +134,8 @@
         request doesn't crash back ends.
 
         """
-        if not self.suspicion_store.table:
+        self.listing.refresh()
+        if not self.suspicion_store.table and not self.listing.epochs:
             return
-        await self.suspicion_store.clear(self.fingerprints.compute(request))
+        fingerprint = self.fingerprints.compute(request)
+        await self.suspicion_store.clear(fingerprint, self.listing.epochs.get(fingerprint))
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -1428,4 +1428,28 @@
             ),
         ),
     ),
+    Mutation(
+        'a prompt with some of the parts of a trial is tried soon after it',
+        'tests/test_part_suspicions.py::'
+        'test_a_trial_of_a_crashing_prompt_leaves_one_to_the_sound_parts_in_it',
+        (
+            Edit(
+                D + 'proxy/part_trials.py',
+                'if any(parts < tried for tried in made.tried):',
+                'if 0:',
+            ),
+        ),
+    ),
+    Mutation(
+        'an answer takes a part out of quarantine without a suspicion in memory',
+        'tests/test_part_suspicions.py::'
+        'test_an_answer_after_a_restart_of_all_processes_takes_a_part_out_of_quarantine',
+        (
+            Edit(
+                G + 'suspicion_store.py',
+                'if listed_epoch is not None and known.epoch <= listed_epoch:',
+                'if False:',
+            ),
+        ),
+    ),
 )
--- a/tests/test_part_suspicions.py
+++ b/tests/test_part_suspicions.py
@@ -39,14 +39,22 @@
     is_at_fault_among,
 )
 from millfork_scheduling.server import Server
-from millfork_state.commands import decode_command
+from millfork_state.commands import Raise, decode_command
 from millfork_state.keys import quarantine_key, trial_key
 from millfork_state.state_machine import StateMachine
 from millfork_state.view import View
 from millfork_wire.messages import Proposed
 from millforkd.proxy.attempts import Attempt
 from millforkd.proxy.end_detection import EndDetector, ProbeResult
-from millforkd.proxy.part_trials import CLAIM_RETRY_S, TRIAL_WAITS_S, PartTrials
+from millforkd.proxy.part_quarantine import PartQuarantine
+from millforkd.proxy.part_trials import (
+    CLAIM_RETRY_S,
+    FIRST_TRIAL_WAIT_S,
+    MAX_TRIALS,
+    NARROWER_TRIAL_WAIT_S,
+    REPEATED_TRIAL_WAIT_S,
+    PartTrials,
+)
 from millforkd.quarantine import QuarantineListing
 from tests.test_quarantine import Entry, quarantine_list_of
 from tests.test_servers import Clock
@@ -54,6 +62,7 @@
 
 PART = Fingerprint('ab')
 OTHER_PART = Fingerprint('cd')
+THIRD_PART = Fingerprint('ef')
 BACK_ENDS = 16
 
 
@@ -456,7 +465,7 @@
     async def run():
         entries = [TryingEntry(leader, clock) for _ in range(4)]
         assert not any([await entry.claim(PART) for entry in entries])
-        clock.now += TRIAL_WAITS_S[0]
+        clock.now += FIRST_TRIAL_WAIT_S
         # Each entry claims before the view has told it of the others' claims.
         views = [entry.trials.made.copy() for entry in entries]
         claimed = []
@@ -480,13 +489,13 @@
         entry = TryingEntry(leader, clock)
         claimed_at = []
         started_at = clock.now
-        while clock.now < started_at + 3 * sum(TRIAL_WAITS_S):
+        while clock.now < started_at + 3 * REPEATED_TRIAL_WAIT_S:
             clock.now += 1.0
             if await entry.claim(PART):
                 claimed_at.append(clock.now - started_at)
-        assert len(claimed_at) == len(TRIAL_WAITS_S)
-        assert claimed_at[0] >= TRIAL_WAITS_S[0]
-        assert claimed_at[1] - claimed_at[0] >= TRIAL_WAITS_S[1]
+        assert len(claimed_at) == MAX_TRIALS
+        assert claimed_at[0] >= FIRST_TRIAL_WAIT_S
+        assert claimed_at[1] - claimed_at[0] >= REPEATED_TRIAL_WAIT_S
 
     curio.run(run)
 
@@ -494,16 +503,16 @@
 def test_a_prompt_with_one_blamed_part_is_tried_before_one_with_two(leader, clock):
     put_in_quarantine(leader, clock, PART, OTHER_PART)
     entry = TryingEntry(leader, clock)
-    clock.now += TRIAL_WAITS_S[0]
+    clock.now += FIRST_TRIAL_WAIT_S
     assert entry.is_due(PART)
     assert not entry.is_due(PART, OTHER_PART)
-    clock.now += TRIAL_WAITS_S[0]
+    clock.now += FIRST_TRIAL_WAIT_S
     assert entry.is_due(PART, OTHER_PART)
 
 
 def test_an_entry_that_just_started_waits_as_long(leader, clock):
     put_in_quarantine(leader, clock, PART)
-    clock.now += 2 * TRIAL_WAITS_S[0]
+    clock.now += 2 * FIRST_TRIAL_WAIT_S
     assert not TryingEntry(leader, clock).is_due(PART)
 
 
@@ -512,7 +521,7 @@
 
     async def run():
         entry = TryingEntry(leader, clock)
-        clock.now += TRIAL_WAITS_S[0]
+        clock.now += FIRST_TRIAL_WAIT_S
         assert await entry.claim(PART)
         await quarantine_list.suspicion_store.clear_part(PART)
         await quarantine_list.reconcile()
@@ -527,7 +536,7 @@
 
     async def run():
         entry = TryingEntry(leader, clock)
-        clock.now += TRIAL_WAITS_S[0]
+        clock.now += FIRST_TRIAL_WAIT_S
         await quarantine_list.suspicion_store.clear_part(PART)
         made = entry.trials.made.copy()
         await quarantine_list.reconcile()
@@ -545,7 +554,7 @@
 
     async def run():
         entry = TryingEntry(leader, clock)
-        clock.now += TRIAL_WAITS_S[0] * 2
+        clock.now += FIRST_TRIAL_WAIT_S * 2
 
         async def clear_both(address, message, timeout_s):
             for part in (PART, OTHER_PART):
@@ -559,3 +568,119 @@
         assert not entry.trials.made
 
     curio.run(run)
+
+
+@pytest.mark.parametrize('sound', [(PART,), (PART, THIRD_PART)], ids=len)
+def test_a_trial_of_a_crashing_prompt_leaves_one_to_the_sound_parts_in_it(leader, clock, sound):
+    """
+    Guards against sound parts that stay in quarantine because a prompt that also has the crashing
+    part was tried.
+
+    """
+    put_in_quarantine(leader, clock, *sound, OTHER_PART)
+    together = (*sound, OTHER_PART)
+
+    async def run():
+        entry = TryingEntry(leader, clock)
+        clock.now += FIRST_TRIAL_WAIT_S * len(together)
+        assert await entry.claim(*together)
+        assert not entry.is_due(*sound)
+        clock.now += NARROWER_TRIAL_WAIT_S
+        restarted = TryingEntry(leader, clock)
+        assert not entry.is_due(*together)
+        assert entry.is_due(*sound)
+        # Restarts neither shorten the wait nor add trials.
+        assert not restarted.is_due(*sound)
+        clock.now += NARROWER_TRIAL_WAIT_S
+        assert restarted.is_due(*sound)
+        assert await restarted.claim(*sound)
+
+    curio.run(run)
+
+
+def test_a_part_is_tried_a_bounded_number_of_times_with_whatever_others(leader, clock):
+    """
+    Guards against back ends that a crashing part ends because it is tried beside many sound ones.
+
+    """
+    others = [Fingerprint(f'{number:02}') for number in range(8)]
+    put_in_quarantine(leader, clock, PART, *others)
+
+    async def run():
+        entry = TryingEntry(leader, clock)
+        claims = 0
+        for _ in range(3 * MAX_TRIALS):
+            for other in others:
+                clock.now += REPEATED_TRIAL_WAIT_S
+                claims += await entry.claim(PART, other)
+        assert claims == MAX_TRIALS
+
+    curio.run(run)
+
+
+def test_a_claim_takes_a_trial_of_all_parts_or_of_none(leader, clock):
+    """
+    Guards against the loss of a trial of one part when another entry has just claimed the other's.
+
+    """
+    put_in_quarantine(leader, clock, PART, OTHER_PART)
+
+    async def run():
+        entry, late = TryingEntry(leader, clock), TryingEntry(leader, clock)
+        clock.now += 2 * FIRST_TRIAL_WAIT_S
+        made = late.trials.made.copy()
+        assert await entry.claim(OTHER_PART)
+        late.trials.made, late.trials.position = made, leader.view.position
+        assert not await late.claim(PART, OTHER_PART)
+        assert trial_key(PART) not in leader.view.items
+
+    curio.run(run)
+
+
+def test_trials_that_an_earlier_version_counted_still_count(leader, clock):
+    """
+    The replicated state of the version before has the number of trials only.
+
+    """
+    put_in_quarantine(leader, clock, PART)
+    leader.machine.apply(Raise(trial_key(PART), 1, b''))
+
+    async def run():
+        entry = TryingEntry(leader, clock)
+        clock.now += REPEATED_TRIAL_WAIT_S - 1
+        assert not entry.is_due(PART)
+        clock.now += 1
+        assert await entry.claim(PART)
+        clock.now += 2 * REPEATED_TRIAL_WAIT_S
+        assert not entry.is_due(PART)
+
+    curio.run(run)
+
+
+def test_an_answer_after_a_restart_of_all_processes_takes_a_part_out_of_quarantine(leader, clock):
+    """
+    Guards against parts that stay in quarantine for a day because the suspicions of them, which
+    are kept in memory, were lost.
+
+    """
+    put_in_quarantine(leader, clock, PART)
+
+    async def run():
+        entry, replica = Entry(), Entry()
+        replica.view = leader.view
+        quarantine = PartQuarantine(
+            entry.suspicion_store,
+            QuarantineListing(leader.view),
+            SimpleNamespace(compute_parts=lambda job: (PART, OTHER_PART)),
+            TryingEntry(leader, clock).trials,
+        )
+        await quarantine.clear(entry.job)
+        assert quarantine.blocked_parts(entry.job) == ()
+        unsent = list(entry.suspicion_store.unsent.values())
+        assert [suspicion.fingerprint for suspicion in unsent] == [PART]
+        quarantine_list = quarantine_list_of(replica, clock)
+        await quarantine_list.suspicion_store.merge(unsent)
+        await quarantine_list.reconcile()
+        assert quarantine_key(PART) not in leader.view.items
+
+    curio.run(run)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -283,3 +283,27 @@
     assert ends_after_broken_answer(port) == 0
     listening_socket.close()
     assert ends_after_broken_answer(port) == 1
+
+
+def test_an_answer_after_a_restart_of_all_processes_takes_a_request_out_of_quarantine():
+    """
+    The answer may be to an attempt that was sent before the request was found to be at fault.
+
+    """
+
+    async def run():
+        entry, restarted = Entry(), Entry()
+        quarantine_list = quarantine_list_of(entry, Clock())
+        for _ in range(MIN_ENDS_AT_FAULT):
+            await entry.end()
+        await quarantine_list.reconcile()
+        restarted.quarantine.listing.view = entry.view
+        restarted.view.cluster = entry.view.cluster
+        assert restarted.quarantine.level_of(restarted.job) is SuspicionLevel.AT_FAULT
+        await restarted.quarantine.clear_suspicion(restarted.job)
+        await entry.suspicion_store.merge(list(restarted.suspicion_store.unsent.values()))
+        await quarantine_list.reconcile()
+        assert entry.quarantine.level_of(entry.job) is SuspicionLevel.FREE
+        assert entry.view.items == {}
+
+    curio.run(run)
