An acknowledged leave notice outlives a restart of every process

Cause: the notice was acknowledged once a majority of the replicas had it, but they keep leases in memory. After the restart the late heartbeat of a server that nobody knew made a ready lease.

Ruled out: a notice at one replica only, as nothing reaches the server where nothing is killed; entries that kept the old lease, as they were started anew.

Change: a leave notice is acknowledged once it is committed in the replicated state, with the incarnation that leaves. Each replica ends the lease when it applies the notice. Later incarnations are not concerned.

Why it works: what was acknowledged is on the disks of a majority, and each restarted replica, and with it each entry that follows one, applies it before or after the late heartbeat with the same result.

--- a/packages/millfork-standins/millfork_standins/seeded.py
+++ b/packages/millfork-standins/millfork_standins/seeded.py
@@ -209,6 +209,19 @@
         process.terminate()
         return process.wait()
 
+    def restart_all(self) -> None:
+        """
+        Kill all processes at the same moment, and start them again. Disks are kept.
+
+        """
+        hosts = list(self.processes)
+        for host in hosts:
+            self.signal(host, signal.SIGKILL)
+        for host in hosts:
+            self.processes.pop(host).wait()
+        for host in hosts:
+            self.start_process(host)
+
     def add_replica(self) -> str:
         """
         Start another replica on an empty disk, at a host that no replica had before; return its
--- a/packages/millfork-state/millfork_state/keys.py
+++ b/packages/millfork-state/millfork_state/keys.py
@@ -25,6 +25,8 @@
 # Prefix of the keys of the digests of the pieces of weights, one key per model and version. The
 # value has the number of digests that are recorded as its version.
 DIGESTS_PREFIX: Final = 'digests/'
+# Prefix of the keys of the leave notices of back ends. The id of the back end follows the prefix.
+DEPARTURE_PREFIX: Final = 'departures/'
 
 
 def version_key(model: str) -> str:
@@ -59,6 +61,14 @@
     return f'{DIGESTS_PREFIX}{weights}'
 
 
+def departure_key(instance: str) -> str:
+    """
+    The key of the leave notice of a back end.
+
+    """
+    return f'{DEPARTURE_PREFIX}{instance}'
+
+
 def evacuation_key(zone: ZoneId) -> str:
     """
     The key of an evacuated zone.
--- a/packages/millforkd/millforkd/replica/control.py
+++ b/packages/millforkd/millforkd/replica/control.py
@@ -38,6 +38,7 @@
 from millfork_web.models import Response
 from millfork_web.problem import problem
 from millforkd.document import find_new_document
+from millforkd.replica.departures import Departures
 from millforkd.replica.evacuations import Evacuations
 from millforkd.replica.replica_links import ReplicaLinks
 
@@ -68,6 +69,7 @@
         replica_links: ReplicaLinks,
         leader_client: LeaderClient,
         evacuations: Evacuations,
+        departures: Departures,
     ) -> None:
         self.env = env
         self.adapter = adapter
@@ -77,6 +79,7 @@
         self.replica_links = replica_links
         self.leader_client = leader_client
         self.evacuations = evacuations
+        self.departures = departures
         # The services that the operator's document declares; None while there is no document.
         self.services: frozenset[ServiceName] | None = None
         self.services_revision = 0
@@ -166,6 +169,9 @@
         if self.registry.record_leave(call.instance, call.incarnation) is RecordChange.CHANGED:
             await self.followers.wake()
         await self._send_departure_to_majority(call.instance)
+        lease = self.registry.leases.get(call.instance)
+        if lease is not None and lease.state is LeaseState.GONE:
+            await self.departures.record(lease.instance, lease.incarnation)
         return self.adapter.accepted_response()
 
     def _may_be_of_another_incarnation(self, call: LeaveNotice) -> bool:
--- a/packages/millforkd/millforkd/replica/daemon.py
+++ b/packages/millforkd/millforkd/replica/daemon.py
@@ -33,6 +33,7 @@
 from millfork_wire.messages import Done, Message, VersionSwitch
 from millforkd.admin import Admin
 from millforkd.replica.control import Control
+from millforkd.replica.departures import Departures
 from millforkd.replica.digest_retention import DigestRetention
 from millforkd.replica.entry_count import EntryCountFile
 from millforkd.replica.evacuations import Evacuations
@@ -119,7 +120,16 @@
             self.registry.suspicion_store,
             self.leader_client,
             self._leads,
-            lambda: int(time.time() * 1000),
+            _now_ms,
+        )
+        self.departures = Departures(
+            env,
+            self.replica.view,
+            self.registry,
+            self.followers,
+            self.leader_client,
+            self._leads,
+            _now_ms,
         )
         self.digest_retention = DigestRetention(
             env, self.replica.view, self.leader_client, self._leads
@@ -133,6 +143,7 @@
             self.replica_links,
             self.leader_client,
             Evacuations(env, self.registry, self.leader_client, settings.regions_by_zone),
+            self.departures,
         )
         self.server = Server(
             *split_host_port(settings.listen.control), self.control.answer, spawn=env.spawn
@@ -186,6 +197,7 @@
         await self.env.spawn_essential(self._record_new_versions)
         await self.env.spawn_essential(self.entry_count.run)
         await self.env.spawn_essential(self.quarantine.run)
+        await self.env.spawn_essential(self.departures.run)
         await self.env.spawn_essential(self.digest_retention.run)
         await self.env.spawn_essential(self.node.run)
         await self.env.spawn_essential(self.node.take_snapshots)
@@ -276,3 +288,7 @@
         if self.registry.merge_endpoint_state(state_owned_here) is RecordChange.CHANGED:
             await self.followers.wake()
         return Done(True)
+
+
+def _now_ms() -> int:
+    return int(time.time() * 1000)
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -1452,4 +1452,16 @@
             ),
         ),
     ),
+    Mutation(
+        'an acknowledged leave notice outlives a restart of all processes',
+        'tests/test_leave_notices_after_restarts.py::'
+        'test_a_back_end_that_left_gets_no_requests_after_a_restart_of_all_processes',
+        (
+            Edit(
+                D + 'replica/control.py',
+                'await self.departures.record(lease.instance, lease.incarnation)',
+                'pass',
+            ),
+        ),
+    ),
 )
--- a/tests/test_platform_foreign_messages.py
+++ b/tests/test_platform_foreign_messages.py
@@ -212,7 +212,7 @@
         self.wake_count = 0
         followers = SimpleNamespace(wake=self.wake)
         self.control = Control(
-            self.env, ADAPTER, View(), self.registry, followers, None, None, None
+            self.env, ADAPTER, View(), self.registry, followers, None, None, None, None
         )  # fmt: skip
         self.control.services = frozenset({'s'})
         self.statuses = []
--- a/tests/test_recorded_digests.py
+++ b/tests/test_recorded_digests.py
@@ -4,7 +4,6 @@
 
 """
 
-import signal
 from types import SimpleNamespace
 
 import curio
@@ -140,16 +139,6 @@
     assert RecordedDigests(view).find(WEIGHTS) == ()
 
 
-def restart_all(fleet):
-    hosts = list(fleet.processes)
-    for host in hosts:
-        fleet.signal(host, signal.SIGKILL)
-    for host in hosts:
-        fleet.processes.pop(host).wait()
-    for host in hosts:
-        fleet.start_process(host)
-
-
 def proven_layers(fleet, host):
     """
     The number of layers that a restarted daemon has proven by reading their pieces back.
@@ -177,8 +166,8 @@
             CHANGE_TIMEOUT_S,
         )
         fleet.origin.end()
-        restart_all(fleet)
-        restart_all(fleet)
+        fleet.restart_all()
+        fleet.restart_all()
         wait_until(
             lambda: all(
                 proven_layers(fleet, host) >= SIMULATED.layers for host in fleet.endpoint_hosts
--- a/tests/test_refused_reads.py
+++ b/tests/test_refused_reads.py
@@ -69,7 +69,7 @@
     replica.leader = leader
     node = StateNode(replica, Reports())
     client = LeaderClient(env, Peers(), replica.others, node, CALL_TIMEOUT_S)
-    control = Control(env, Adapter(), replica.view, None, None, None, client, None)
+    control = Control(env, Adapter(), replica.view, None, None, None, client, None, None)
     exchange = Exchange()
     members = [('a', str(storage.disk)), ('b', 'disk-b'), ('c', 'disk-c')]
 
