A follower asks replicas at the same time, so that none that is gone holds it up

Cause: a follower asked the known replicas one after another, whether one is fresher and which to follow next. Each address of a replaced replica, which stays known for 30 s, cost a dial of up to a second.

Ruled out: a wrong age, as age_ms grows from the cut on; a late document, as it is applied within milliseconds of following the fresh replica.

Change: a survey asks the preferred replica alone for 0.15 s, then all others at the same time, and ends with the first wanted answer. It is used for all three questions: a fresher replica, one in the own zone, and the one to follow next.

Why it works: the time is bounded by one answer of a live replica, however many addresses are dead. In calm times one replica is asked as before.

--- a/packages/millfork-registry/millfork_registry/feed_client.py
+++ b/packages/millfork-registry/millfork_registry/feed_client.py
@@ -21,6 +21,7 @@
 from millfork_registry.discovery import Discovery, address_of
 from millfork_registry.records import decode_leases, decode_states
 from millfork_registry.registry import Registry
+from millfork_registry.replica_survey import ReplicaSurvey, SurveyAnswer
 from millfork_registry.revision_times import RevisionTimes
 from millfork_registry.suspicions import decode_suspicions
 from millfork_registry.version_cutoffs import MS_PER_S, VersionCutoffs
@@ -86,6 +87,7 @@
         self.registry = registry
         self.peers = peers
         self.discovery = discovery
+        self.survey = ReplicaSurvey(env, self._ask)
         # The followed replica, or the one followed last, and when its last message arrived
         # (monotonic seconds).
         self.source = NO_INSTANCE
@@ -162,28 +164,31 @@
 
     async def run(self) -> None:
         """
-        Task that follows one replica at a time. When this process has left a replica, it tries
-        the known replicas in the preferred order, but the one followed last comes last.
+        Task that follows one replica at a time.
 
         """
         while True:
-            for address in self._candidates():
-                if await self._start_following(address):
-                    await self._watch_source(address)
-                    # Start over: a replica nearer to this process may have become known.
-                    break
+            chosen = await self._choose_replica()
+            if chosen is not None and await self._start_following(chosen.address, chosen.reply):
+                await self._watch_source(chosen.address)
             await curio.sleep(RETRY_PAUSE_S)
 
-    def _candidates(self) -> list[PeerAddress]:
-        addresses = self.discovery.addresses()
-        return sorted(addresses, key=lambda address: address.instance == self.source)
+    async def _choose_replica(self) -> SurveyAnswer | None:
+        """
+        Ask the known replicas, the preferred one first and the one followed last at the end of the
+        list. Returns the first that answers and isn't stale; if there is none, the least stale one.
 
-    async def _start_following(self, address: PeerAddress) -> bool:
-        reply = await self._ask(address)
-        if reply is None or not reply.cluster:
-            return False
-        if reply.age_ms > STALE_MS and await self._fresher_replica_exists(address, reply.age_ms):
-            return False
+        """
+        addresses = sorted(
+            self.discovery.addresses(), key=lambda address: address.instance == self.source
+        )
+        survey = await self.survey.find(addresses, is_fresh)
+        if survey.wanted is not None:
+            return survey.wanted
+        formed = [answer for answer in survey.answers if answer.reply.cluster]
+        return min(formed, key=lambda answer: answer.reply.age_ms, default=None)
+
+    async def _start_following(self, address: PeerAddress, reply: Replicas) -> bool:
         request = Follow(self.role, self.view.cluster, self.view.revision)
         # Set before the call, because messages of the feed may arrive before the reply.
         self.source = address.instance
@@ -266,13 +271,11 @@
         stale.
 
         """
-        for other in self.discovery.addresses():
-            if other == address:
-                continue
-            reply = await self.discovery.ask(other, FindReplicas())
-            if reply is not None and reply.cluster and reply.age_ms < min(age_ms, STALE_MS):
-                return True
-        return False
+        others = [other for other in self.discovery.addresses() if other != address]
+        survey = await self.survey.find(
+            others, lambda reply: is_fresh(reply) and reply.age_ms < age_ms
+        )
+        return survey.wanted is not None
 
     async def _watch_source(self, address: PeerAddress) -> None:
         """
@@ -325,13 +328,13 @@
         own = str(self.env.zone)
         if self.discovery.zone_of(str(address.instance)) == own:
             return False
-        for other in self.discovery.addresses():
-            if other == address or self.discovery.zone_of(str(other.instance)) not in ('', own):
-                continue
-            reply = await self.discovery.ask(other, FindReplicas())
-            if reply is not None and reply.zone == own and reply.cluster:
-                return reply.age_ms < STALE_MS
-        return False
+        others = [
+            other
+            for other in self.discovery.addresses()
+            if other != address and self.discovery.zone_of(str(other.instance)) in ('', own)
+        ]
+        survey = await self.survey.find(others, lambda reply: is_fresh(reply) and reply.zone == own)
+        return survey.wanted is not None
 
     async def _unfollow(self, connection: Connection) -> None:
         try:
@@ -427,3 +430,11 @@
         self.registry.forget_silent_endpoints()
         if leases or endpoints:
             await self.changed.set()
+
+
+def is_fresh(reply: Replicas) -> bool:
+    """
+    Whether a replica that gave this answer has a configuration, and one that isn't stale.
+
+    """
+    return bool(reply.cluster) and reply.age_ms < STALE_MS
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -1464,4 +1464,10 @@
             ),
         ),
     ),
+    Mutation(
+        'addresses of replicas that are gone cost a follower no time',
+        'tests/test_replicas_that_are_gone.py::'
+        'test_a_follower_finds_a_fresh_replica_among_addresses_that_are_gone',
+        (Edit(G + 'replica_survey.py', 'HEAD_START_S: Final = 0.15', 'HEAD_START_S: Final = 5.0'),),
+    ),
 )
