A status that is none is no answer

Seen by callers: an answer with status 600 or 999, with id and signature, was passed on as it is; a POST whose back end sent status 100 or 199 with a body behind got 504 after the whole time of its route.

Cause: the judgement of a head asked whose answer it is, not whether its status is a final one (RFC 9110, section 15); bytes that can't begin an answer were kept as its beginning until the deadline.

Change: reading a head refuses statuses outside 200 to 599 after informational answers, and bytes that can't begin a status line, as an invalid answer that may have run. Both readers do so: that of back ends of seeded fleets, and that of listed fleets and of the daemons' own calls.

--- a/packages/millfork-web/millfork_web/client.py
+++ b/packages/millfork-web/millfork_web/client.py
@@ -11,7 +11,13 @@
 
 from millfork_core.sockets import connect, is_quiet
 from millfork_core.verdicts import Verdict
-from millfork_web.framing import MAX_INFORMATIONAL, Framing, read_framing
+from millfork_web.framing import (
+    MAX_INFORMATIONAL,
+    Framing,
+    is_final_status,
+    may_begin_response,
+    read_framing,
+)
 from millfork_web.models import Headers, Response, encode_headers, find_header
 from millfork_web.turns import Turns
 
@@ -76,6 +82,8 @@
             raise InvalidAnswer(f'over {MAX_INFORMATIONAL} informational responses')
         if not isinstance(event, h11.Response):
             raise ExchangeFailed(Verdict.MAY_HAVE_RUN, 'the server closed without a response')
+        if not is_final_status(event.status_code):
+            raise InvalidAnswer(f'the response has status {event.status_code}, which is none')
         self.status = event.status_code
         self.headers = [(name.decode(), value.decode('latin-1')) for name, value in event.headers]
         self.framing = read_framing(self.method, self.status, self.headers)
@@ -144,6 +152,8 @@
                 event = self._received_event()
                 if event is not h11.NEED_DATA:
                     return event
+                if not self._may_get_response():
+                    raise InvalidAnswer('the data can not be a response')
                 data = await self.sock.recv(READ_BYTES)
                 self.client.bytes_transferred += len(data)
                 self.ended = not data
@@ -151,6 +161,15 @@
         except (OSError, h11.RemoteProtocolError) as error:
             raise ExchangeFailed(Verdict.MAY_HAVE_RUN, str(error)) from error
 
+    def _may_get_response(self) -> bool:
+        """
+        Whether what was received since the last response may be the beginning of one.
+
+        """
+        if self.conn.their_state is not h11.SEND_RESPONSE:
+            return True
+        return may_begin_response(self.conn.trailing_data[0])
+
     async def close(self) -> None:
         """
         Return the connection to the client's pool if the response was read completely and no data
--- a/packages/millfork-web/millfork_web/framing.py
+++ b/packages/millfork-web/millfork_web/framing.py
@@ -1,5 +1,5 @@
 """
-How the head of a response says where its body ends (RFC 9112, section 6.3).
+What the head of a response says: whether it is one, and where its body ends (RFC 9112, section 6).
 
 """
 
@@ -9,6 +9,10 @@
 from millfork_web.models import Headers, find_header
 
 BODILESS_STATUSES: Final = (204, 304)
+# The statuses of final responses (RFC 9110, section 15).
+MIN_FINAL_STATUS: Final = 200
+MAX_STATUS: Final = 599
+STATUS_LINE_START: Final = b'HTTP/1.'
 # The greatest number of informational responses before a response.
 MAX_INFORMATIONAL: Final = 16
 
@@ -26,6 +30,18 @@
     CONNECTION = 'connection'
 
 
+def is_final_status(status: int) -> bool:
+    return MIN_FINAL_STATUS <= status <= MAX_STATUS
+
+
+def may_begin_response(data: bytes) -> bool:
+    """
+    Whether these bytes, which may be only the first ones, can be the beginning of a response.
+
+    """
+    return data.startswith(STATUS_LINE_START) or STATUS_LINE_START.startswith(data)
+
+
 def read_framing(method: str, status: int, headers: Headers) -> Framing:
     """
     The framing of the response to a request with this method.
--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -15,7 +15,13 @@
 from millfork_core.sockets import RESET_ON_CLOSE, connect, is_quiet
 from millfork_core.verdicts import Reason, Verdict
 from millfork_scheduling.server import Server
-from millfork_web.framing import MAX_INFORMATIONAL, Framing, read_framing
+from millfork_web.framing import (
+    MAX_INFORMATIONAL,
+    Framing,
+    is_final_status,
+    may_begin_response,
+    read_framing,
+)
 from millfork_web.models import Headers, encode_headers
 
 READ_BYTES: Final = 64 * 1024
@@ -130,6 +136,9 @@
             raise SendFailed(Reason.TRUNCATED, Verdict.MAY_HAVE_RUN, detail)
         if not isinstance(event, h11.Response):
             raise self._connection_lost('the server closed the connection without an answer')
+        if not is_final_status(event.status_code):
+            detail = f'the answer has status {event.status_code}, which is none'
+            raise SendFailed(Reason.INVALID_ANSWER, Verdict.MAY_HAVE_RUN, detail)
         self.status = event.status_code
         self.headers = [(name.decode(), value.decode('latin-1')) for name, value in event.headers]
         self.framing = read_framing(self.method, self.status, self.headers)
@@ -198,6 +207,9 @@
                 event = self.http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
+                if not self._may_get_answer():
+                    detail = 'the data can not be an answer'
+                    raise SendFailed(Reason.INVALID_ANSWER, Verdict.MAY_HAVE_RUN, detail)
                 data = await self.sock.recv(READ_BYTES)
                 if not data and self.interrupted:
                     raise self._connection_lost('the connection was interrupted')
@@ -207,6 +219,15 @@
         except h11.RemoteProtocolError as error:
             raise SendFailed(Reason.TRUNCATED, Verdict.MAY_HAVE_RUN, str(error)) from error
 
+    def _may_get_answer(self) -> bool:
+        """
+        Whether what was received since the last answer may be the beginning of one.
+
+        """
+        if self.http.their_state is not h11.SEND_RESPONSE:
+            return True
+        return may_begin_response(self.http.trailing_data[0])
+
     @property
     def reusable(self) -> bool:
         """
--- a/tests/test_endless_data.py
+++ b/tests/test_endless_data.py
@@ -10,7 +10,7 @@
 from millfork_core.ids import InstanceId, ZoneId
 from millfork_platform.adapter import PlatformAdapter
 from millfork_routing.documents import OriginSpec
-from millfork_web.client import READ_BYTES, Client
+from millfork_web.client import READ_BYTES, Client, InvalidAnswer
 from millfork_wire import peers as peers_module
 from millfork_wire.peers import PeerAddress, Peers, PeerUnreachable
 from millforkd.sidecar.engine import MAX_REPORT_BYTES, LocalEngine
@@ -161,3 +161,34 @@
         await accepting.cancel()
 
     run(scenario)
+
+
+@pytest.mark.parametrize(
+    'head',
+    [
+        b'HTTP/1.1 000 Text\r\n\r\n',
+        b'HTTP/1.1 600 Text\r\n\r\n',
+        b'HTTP/1.1 100 Continue\r\ncontent-length: 9\r\n\r\nnot found',
+    ],
+    ids=['000', '600', 'a body behind 100'],
+)
+def test_a_status_that_is_none_is_no_answer_to_a_call_of_a_daemon(head):
+    """
+    Guards against calls that take such an answer for one, or wait for another until they time out.
+
+    """
+
+    async def answer(sock, address):
+        await sock.sendall(head)
+        while await sock.recv(1000):
+            continue
+
+    async def scenario():
+        listener = curio.tcp_server_socket('127.0.0.1', 0)
+        port = listener.getsockname()[1]
+        server = await curio.spawn(curio.network.run_server, listener, answer)
+        with pytest.raises(InvalidAnswer):
+            await Client('127.0.0.1', port).fetch('GET', '/', [], timeout=TIMEOUT_S / 4)
+        await server.cancel()
+
+    run(scenario)
--- a/tests/test_invalid_answers.py
+++ b/tests/test_invalid_answers.py
@@ -59,6 +59,15 @@
     'not run': UNAVAILABLE + NOT_RUN + LENGTH,
     'misdirected': b'HTTP/1.1 421 Misdirected Request\r\n' + LENGTH,
     'unavailable': UNAVAILABLE + LENGTH,
+    **{
+        f'status {status}': b'HTTP/1.1 %s Text\r\n' % status.encode() + ID + SIGNATURE + LENGTH
+        for status in ('000', '099', '600', '999')
+    },
+    # Informational answers have no body, so the answer itself would be still to come.
+    **{
+        f'a body behind status {status}': b'HTTP/1.1 %d Text\r\n' % status + ID + LENGTH
+        for status in (100, 199)
+    },
 }
 # Answers to the request, but without a word on whether it ran.
 PROMISING_ANSWERS = {
