A malformed chunk behind a sound one fails the attempt, not the entry's handler

Cause: the loop that joins parts of a body let h11's error through, which no handler expects.

Change: the loop ends at such data; the next read reports it as an answer that broke off, so repeatable requests go to another back end and others get 502.

Measured: the new case of a chunk without a length fails before and passes now; that of endless trailers passes on both here.

--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -166,7 +166,11 @@
         for _ in range(MAX_JOINED_PARTS):
             if self.http.their_state is not h11.SEND_BODY:
                 break
-            event = self.http.next_event()
+            try:
+                event = self.http.next_event()
+            except h11.RemoteProtocolError:
+                # The next read fails with this error, after what arrived before it.
+                break
             if not isinstance(event, h11.Data):
                 break
             data += bytes(event.data)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -55,6 +55,8 @@
     ),
     'chunks, a byte at a time': RawAnswer(OK + CHUNKED, endless=b'1\r\nx\r\n', pause_s=0.2),
     'no framing, a byte at a time': RawAnswer(UNFRAMED, endless=b'x', pause_s=0.2),
+    'trailers without end': RawAnswer(OK + CHUNKED + b'5\r\nwrong\r\n0\r\n', endless=b'x: y\r\n'),
+    'a chunk without a length': RawAnswer(OK + CHUNKED + b'5\r\nwrong\r\n-\r\n', endless=FILL),
 }
 # These may be large answers, so they are passed on until the caller's time is over.
 LARGE_ANSWERS = {
