Each request at the end of a planned stop of an entry gets an answer

Seen by callers: at the end of the grace period requests were closed without an answer: a POST that was complete 6.0 s or 7.2 s after SIGTERM and passed on, one that runs for 8 s, and one of which the rest came at 7.9 s.

Cause: nothing asked whether a request can be finished before the stop, and what was left at its end was closed with the process.

Ruled out: the time of the route, which is longer; requests of the first 2.5 s, which are answered.

Change: a request that is complete over 3 s after the beginning of the stop, and whose deadline lies behind its end, is refused at once as not run. At the end each request in progress is answered: 502 if a connection to a back end was opened for it, 503 otherwise, also where only a part has arrived.

Measured: the new test on real daemons (three kinds) fails without it and passes.

--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -96,6 +96,10 @@
         self.idle_sockets: dict[Any, None] = {}
         # Those of them that have not had any request yet.
         self.new_sockets: set[Any] = set()
+        # The tasks that read the rest of a request, by socket.
+        self.reading: dict[Any, curio.Task] = {}
+        # Sockets whose requests are refused, as this server stops before it has read them.
+        self.refused_unread: set[Any] = set()
 
     async def run(self) -> None:
         """
@@ -172,6 +176,15 @@
             if elapsed_s() > deadline:
                 await self._close_idle(len(self.idle_sockets))
 
+    async def refuse_unread(self) -> None:
+        """
+        Refuse the requests of which only a part has arrived.
+
+        """
+        for sock, task in list(self.reading.items()):
+            self.refused_unread.add(sock)
+            await task.cancel(blocking=False)
+
     @property
     def in_progress(self) -> int:
         """
@@ -241,14 +254,22 @@
             raise
         finally:
             self._forget_idle(sock)
+            self.refused_unread.discard(sock)
             await sock.close()
 
     def _log_unanswered(self, address: Any, reason: str) -> None:
         log.info('Request not answered. port={} caller={} reason={}', self.port, address, reason)
 
     async def _serve_one(self, sock: Any, conn: h11.Connection, address: Any) -> bool:
+        self.reading[sock] = await curio.current_task()
         try:
             request = await self._read_request(sock, conn)
+        except curio.TaskCancelled:
+            if sock not in self.refused_unread:
+                raise
+            refusal = Refusal(Reason.STOPPING, detail='the rest of the request came too late')
+            await self._refuse(sock, conn, address, refusal)
+            return False
         except h11.RemoteProtocolError as error:
             await self._refuse(sock, conn, address, Refusal(Reason.BAD_REQUEST, detail=str(error)))
             return False
@@ -266,6 +287,8 @@
             self.body_memory.release(sock)
             await self._refuse(sock, conn, address, Refusal(Reason.BODY_MEMORY, detail=detail))
             return False
+        finally:
+            del self.reading[sock]
         if request is None:
             return False
         try:
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -63,6 +63,8 @@
 BALANCER_REMOVAL_S: Final = 2.5
 # The part of a planned stop's grace period that is reserved for ending the process.
 STOP_MARGIN_S: Final = 0.5
+# The part of that time in which the requests that are still in progress get their final answers.
+LAST_ANSWERS_S: Final = 0.2
 HOUSEKEEPING_INTERVAL_S: Final = 0.5
 # The timeout for passing the report of an endpoint daemon on to a replica. A lost report
 # is followed by the daemon's next one: endpoint daemons report every 0.15 s.
@@ -254,6 +256,7 @@
         started = self.env.monotonic()
         limit_s = self.settings.promises.grace_s - STOP_MARGIN_S
         self.server.closing = True
+        self.forwarding.begin_stop(started + limit_s)
         await curio.sleep(min(BALANCER_REMOVAL_S, limit_s))
         # A request that arrives from here on might not be answered before the entry stops.
         await self.server.stop_accepting()
@@ -263,6 +266,18 @@
         except curio.TaskTimeout:
             self.env.metrics.count(self.env.metrics.requests, outcome='cut_off_by_deadline')
             log.warning('Stopping with {} requests in progress.', self.in_progress)
+            await self._end_requests()
+
+    async def _end_requests(self) -> None:
+        """
+        Answer the requests that are still in progress: those that were sent to a back end may have
+        run, the others have not.
+
+        """
+        await self.forwarding.end_all()
+        await self.server.refuse_unread()
+        async with curio.ignore_after(LAST_ANSWERS_S):
+            await self.server.wait_until_finished()
 
     async def _apply_changes(self) -> None:
         """
--- a/packages/millforkd/millforkd/proxy/job.py
+++ b/packages/millforkd/millforkd/proxy/job.py
@@ -97,6 +97,10 @@
     # Whether the next attempt needs no retry from the budget: one was reserved for it, or taken for
     # an attempt that then sent nothing.
     retry_paid: bool = False
+    # Whether a connection to a back end was opened for the job, so that it may have been sent.
+    was_connected: bool = False
+    # Whether the entry has stopped before the job had an answer.
+    ended_by_stop: bool = False
     # The quarantined parts of a trial that was claimed for an attempt which then sent nothing.
     unsent_trial: tuple[Fingerprint, ...] = ()
 
--- a/packages/millforkd/millforkd/proxy/request_sender.py
+++ b/packages/millforkd/millforkd/proxy/request_sender.py
@@ -108,6 +108,7 @@
                 job.remaining_s(self.env.monotonic()) - REFUSAL_MARGIN_S
             ):
                 connection = await pool.acquire(recently_used=not job.route.repeatable)
+                job.was_connected = True
                 attempt.connection = connection
                 keep_alive_s = await self._exchange(job, attempt, connection)
             attempt.pending_servers = ()
--- a/tests/mutations_seeded.py
+++ b/tests/mutations_seeded.py
@@ -1470,4 +1470,10 @@
         'test_a_follower_finds_a_fresh_replica_among_addresses_that_are_gone',
         (Edit(G + 'replica_survey.py', 'HEAD_START_S: Final = 0.15', 'HEAD_START_S: Final = 5.0'),),
     ),
+    Mutation(
+        'requests in progress at the end of a planned stop are answered',
+        'tests/test_stops.py::'
+        'test_the_requests_at_the_end_of_a_planned_stop_of_a_seeded_entry_are_answered',
+        (Edit(D + 'proxy/daemon.py', 'await self._end_requests()', 'pass'),),
+    ),
 )
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -8,10 +8,12 @@
 import socket
 import threading
 import time
+from dataclasses import replace
 
 import pytest
 
 from millfork_core.status import ExitStatus
+from millfork_platform import client_requests
 from millfork_standins.deployments import LANTING
 from millfork_standins.fleet import Fleet
 from millfork_standins.layout import CALLERS_PORT, FleetOptions
@@ -19,6 +21,7 @@
 from millfork_standins.seeded_ports import CALLERS_PORT as SEEDED_CALLERS_PORT
 from millforkd.entry.daemon import BALANCER_GRACE_S
 from millforkd.proxy.daemon import BALANCER_REMOVAL_S
+from millforkd.proxy.forwarding import LATE_IN_STOP_S
 from tests.test_seeded_fleet import document, request
 from tests.utils.fleets import call_service, wait_until
 
@@ -152,3 +155,85 @@
             replies = [sock.recv(1000)[:13] for sock in (kept, sent_at_once, sent_late)]
     assert replies == [b'HTTP/1.1 200 '] * 3
     assert process.wait(TIMEOUT_S) == ExitStatus.SUCCESS
+
+
+# A planned stop of the entry in these tests takes at most this long.
+SHORT_GRACE_S = 5
+LATE_IN_GRACE_S = LATE_IN_STOP_S + 0.3
+
+
+@pytest.fixture
+def stopping_fleet(tmp_path):
+    """
+    A fleet with one back end, whose entry has a short grace period.
+
+    """
+    new_fleet = SeededFleet(tmp_path)
+    new_fleet.bounds['grace_s'] = SHORT_GRACE_S
+    try:
+        new_fleet.start()
+        new_fleet.add_back_end('plain', 'i-1')
+        routes = tuple(
+            replace(route, timeout_ms=60_000) for route in document(1, '/unsafe/').routes
+        )
+        declared = replace(document(1, '/unsafe/'), routes=routes)
+        assert new_fleet.put_document(declared).status == 200
+        wait_until(lambda: new_fleet.send_request(request('/unsafe/x', 'POST')).status == 200)
+        yield new_fleet
+    finally:
+        new_fleet.close()
+
+
+class PartialPost:
+    """
+    A request that must not run twice, of which the last byte is sent later.
+
+    """
+
+    def __init__(self, host):
+        sent = request('/unsafe/x', 'POST')
+        headers = [item for item in sent.headers if item[0] != client_requests.DEADLINE_MS]
+        headers += [(client_requests.DEADLINE_MS, '60000'), ('content-length', '2')]
+        self.id = dict(headers)[client_requests.REQUEST_ID]
+        lines = ''.join(f'{name}: {value}\r\n' for name, value in headers)
+        self.sock = socket.create_connection((host, SEEDED_CALLERS_PORT), TIMEOUT_S)
+        self.sock.sendall(f'POST /unsafe/x HTTP/1.1\r\n{lines}\r\nt'.encode())
+
+    def complete(self):
+        self.sock.sendall(b'!')
+
+    def reply(self):
+        with self.sock:
+            return self.sock.recv(1000)
+
+
+def test_the_requests_at_the_end_of_a_planned_stop_of_a_seeded_entry_are_answered(stopping_fleet):
+    """
+    Guards against callers whose connection is closed without a word: one whose request was sent to
+    a back end before the stop, one whose request is complete late in the grace period, and one
+    whose request never is.
+
+    """
+    fleet = stopping_fleet
+    host = fleet.entry_hosts[0]
+    back_end = fleet.back_ends[0]
+    sent, late, unread = (PartialPost(host) for _ in range(3))
+    back_end.pause(SHORT_GRACE_S * 2)
+    sent.complete()
+    process = fleet.processes[host]
+    process.terminate()
+    wait_until(lambda: 'Stopping; requests in progress go on' in fleet.log(host))
+    stopped_at = time.monotonic()
+    wait_until(lambda: time.monotonic() > stopped_at + LATE_IN_GRACE_S)
+    late.complete()
+    late_reply = late.reply()
+    assert late_reply.startswith(b'HTTP/1.1 503 ')
+    assert time.monotonic() < stopped_at + LATE_IN_GRACE_S + 0.5
+    # It may have run, so that nothing promises that it has not.
+    assert sent.reply().startswith(b'HTTP/1.1 502 ')
+    assert unread.reply().startswith(b'HTTP/1.1 503 ')
+    assert process.wait(TIMEOUT_S) == ExitStatus.SUCCESS
+    assert time.monotonic() < stopped_at + SHORT_GRACE_S
+    back_end.silent_until = 0.0
+    assert late.id not in back_end.executed_ids()
+    assert unread.id not in back_end.executed_ids()
