--- a/packages/millfork-registry/millfork_registry/replica_survey.py
+++ b/packages/millfork-registry/millfork_registry/replica_survey.py
@@ -68,12 +68,9 @@
         first, *others = addresses
         await self.env.spawn(self._ask_one, first, received)
         outstanding = len(addresses)
-        try:
-            async with curio.timeout_after(HEAD_START_S):
-                await self._receive(received, survey, is_wanted)
+        async with curio.ignore_after(HEAD_START_S):
+            await self._receive(received, survey, is_wanted)
             outstanding -= 1
-        except curio.TaskTimeout:
-            pass
         if survey.wanted is not None:
             return survey
         for address in others:
--- a/packages/millfork-state/millfork_state/commands.py
+++ b/packages/millfork-state/millfork_state/commands.py
@@ -7,9 +7,14 @@
 """
 
 from enum import Enum
+from random import Random
+from typing import Final
 
 import msgspec
 
+# Size of the random id of a command.
+COMMAND_ID_BITS: Final = 128
+
 
 class Command(msgspec.Struct, tag=True, frozen=True):
     """
@@ -180,6 +185,14 @@
 Result = ApplyResult | ClaimResult | RaiseResult | None
 
 
+def new_command_id(random: Random) -> str:
+    """
+    A random id for `Apply`.
+
+    """
+    return f'{random.getrandbits(COMMAND_ID_BITS):x}'
+
+
 def encode_command(command: Command) -> bytes:
     return msgspec.msgpack.encode(command)
 
--- a/packages/millfork-web/millfork_web/client.py
+++ b/packages/millfork-web/millfork_web/client.py
@@ -15,7 +15,7 @@
     MAX_INFORMATIONAL,
     Framing,
     is_final_status,
-    may_begin_response,
+    may_get_response,
     read_framing,
 )
 from millfork_web.models import Headers, Response, encode_headers, find_header
@@ -152,7 +152,7 @@
                 event = self._received_event()
                 if event is not h11.NEED_DATA:
                     return event
-                if not self._may_get_response():
+                if not may_get_response(self.conn):
                     raise InvalidAnswer('the data can not be a response')
                 data = await self.sock.recv(READ_BYTES)
                 self.client.bytes_transferred += len(data)
@@ -161,15 +161,6 @@
         except (OSError, h11.RemoteProtocolError) as error:
             raise ExchangeFailed(Verdict.MAY_HAVE_RUN, str(error)) from error
 
-    def _may_get_response(self) -> bool:
-        """
-        Whether what was received since the last response may be the beginning of one.
-
-        """
-        if self.conn.their_state is not h11.SEND_RESPONSE:
-            return True
-        return may_begin_response(self.conn.trailing_data[0])
-
     async def close(self) -> None:
         """
         Return the connection to the client's pool if the response was read completely and no data
--- a/packages/millfork-web/millfork_web/framing.py
+++ b/packages/millfork-web/millfork_web/framing.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from typing import Final
 
+import h11
+
 from millfork_web.models import Headers, find_header
 
 BODILESS_STATUSES: Final = (204, 304)
@@ -34,11 +36,14 @@
     return MIN_FINAL_STATUS <= status <= MAX_STATUS
 
 
-def may_begin_response(data: bytes) -> bool:
+def may_get_response(conn: h11.Connection) -> bool:
     """
-    Whether these bytes, which may be only the first ones, can be the beginning of a response.
+    Whether what a client has received since the last response can be the beginning of one.
 
     """
+    if conn.their_state is not h11.SEND_RESPONSE:
+        return True
+    data = conn.trailing_data[0]
     return data.startswith(STATUS_LINE_START) or STATUS_LINE_START.startswith(data)
 
 
--- a/packages/millforkd/millforkd/proxy/cache.py
+++ b/packages/millforkd/millforkd/proxy/cache.py
@@ -13,7 +13,6 @@
 from typing import Any, Final
 
 import curio
-import msgspec
 
 from millfork_core.environment import Environment
 from millfork_core.logs import Component, logger
@@ -28,14 +27,13 @@
     PieceSet,
     PieceStore,
     WeightsId,
-    decode_digests,
     encode_digests,
     parse_weights_id,
 )
 from millforkd.sidecar.recorded_digests import RecordedDigests
 from millforkd.sidecar.silent_peers import SilentPeers
 from millforkd.sidecar.sources import DIGESTS_INDEX, request_order
-from millforkd.sidecar.verification import store_if_valid
+from millforkd.sidecar.verification import read_digests, store_if_valid
 
 # The maximum number of pieces that this cache fetches from the origin at the same time: enough to
 # use the origin's whole link.
@@ -343,12 +341,12 @@
 
             async def request_digests() -> tuple[str, ...]:
                 answer = await self._ask(fetcher, held.weights, DIGESTS_INDEX)
-                return _read_digests(answer, held.weights, fetcher)
+                return read_digests(answer, held.weights, fetcher)
 
             return await store_if_valid(
                 self.env, held, index, reply.data, PieceSource.CACHE, fetcher, request_digests
             )
-        digests = _read_digests(reply, held.weights, fetcher)
+        digests = read_digests(reply, held.weights, fetcher)
         if not digests:
             return False
         await held.set_digests(digests)
@@ -448,22 +446,6 @@
     return sorted(range(piece_count), key=lambda index: (index % half, index))
 
 
-def _read_digests(
-    reply: Chunk | Manifest | None, weights: WeightsId, sender: str
-) -> tuple[str, ...]:
-    """
-    The digests in another cache's answer; empty if there are none in it.
-
-    """
-    if not isinstance(reply, Manifest) or not reply.found:
-        return ()
-    try:
-        return decode_digests(reply.body)
-    except msgspec.DecodeError as error:
-        log.warning('Digests of {} from {} cannot be decoded: {}.', weights, sender, error)
-        return ()
-
-
 def _parse_weights_id(text: str) -> WeightsId | None:
     try:
         return parse_weights_id(text)
--- a/packages/millforkd/millforkd/proxy/connections.py
+++ b/packages/millforkd/millforkd/proxy/connections.py
@@ -19,7 +19,7 @@
     MAX_INFORMATIONAL,
     Framing,
     is_final_status,
-    may_begin_response,
+    may_get_response,
     read_framing,
 )
 from millfork_web.models import Headers, encode_headers
@@ -211,7 +211,7 @@
                 event = self.http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                if not self._may_get_answer():
+                if not may_get_response(self.http):
                     detail = 'the data can not be an answer'
                     raise SendFailed(Reason.INVALID_ANSWER, Verdict.MAY_HAVE_RUN, detail)
                 data = await self.sock.recv(READ_BYTES)
@@ -223,15 +223,6 @@
         except h11.RemoteProtocolError as error:
             raise SendFailed(Reason.TRUNCATED, Verdict.MAY_HAVE_RUN, str(error)) from error
 
-    def _may_get_answer(self) -> bool:
-        """
-        Whether what was received since the last answer may be the beginning of one.
-
-        """
-        if self.http.their_state is not h11.SEND_RESPONSE:
-            return True
-        return may_begin_response(self.http.trailing_data[0])
-
     @property
     def reusable(self) -> bool:
         """
--- a/packages/millforkd/millforkd/proxy/part_trials.py
+++ b/packages/millforkd/millforkd/proxy/part_trials.py
@@ -28,6 +28,7 @@
     Versioned,
     decode_versioned,
     encode_versioned,
+    new_command_id,
 )
 from millfork_state.keys import trial_key
 from millfork_wire.peers import Peers
@@ -46,8 +47,6 @@
 CLAIM_TIMEOUT_S: Final = 0.3
 # The wait after a claim that failed.
 CLAIM_RETRY_S: Final = 2.0
-# Size of the random id of a command to the replicated state.
-ID_BITS: Final = 128
 
 log = logger(Component.PROXY)
 
@@ -149,7 +148,7 @@
             made = self.made[part]
             # A later claim of another entry is a conflict.
             changes.append(Change(trial_key(part), made.encode_next(parts), made.revision))
-        command_id = f'{self.env.random.getrandbits(ID_BITS):x}'
+        command_id = new_command_id(self.env.random)
         result = await self.proposer.propose(Apply(command_id, changes))
         if result is None or not msgspec.msgpack.decode(result, type=ApplyResult).ok:
             return False
--- a/packages/millforkd/millforkd/replica/departures.py
+++ b/packages/millforkd/millforkd/replica/departures.py
@@ -18,7 +18,14 @@
 from millfork_core.verdicts import Refused
 from millfork_registry.followers import Followers
 from millfork_registry.registry import ENDED_RETENTION_S, RecordChange, Registry
-from millfork_state.commands import Apply, Change, Raise, Versioned, decode_versioned
+from millfork_state.commands import (
+    Apply,
+    Change,
+    Raise,
+    Versioned,
+    decode_versioned,
+    new_command_id,
+)
 from millfork_state.keys import DEPARTURE_PREFIX, departure_key
 from millfork_state.leader_client import LeaderClient
 from millfork_state.view import View
@@ -34,8 +41,6 @@
 # If there are more notices than this, the oldest are removed. At this length, with about 60 bytes
 # each, they take 0.1 MB of the replicated state.
 MAX_NOTICES: Final = 2000
-# Size of the random id of a command to the replicated state.
-ID_BITS: Final = 128
 
 log = logger(Component.CONTROL)
 
@@ -139,7 +144,7 @@
         ]
         if not old:
             return
-        command_id = f'{self.env.random.getrandbits(ID_BITS):x}'
+        command_id = new_command_id(self.env.random)
         try:
             await self.leader_client.propose(
                 Apply(command_id, [Change(key) for key in old]), PROPOSAL_TIMEOUT_S
--- a/packages/millforkd/millforkd/replica/digest_retention.py
+++ b/packages/millforkd/millforkd/replica/digest_retention.py
@@ -11,15 +11,13 @@
 from millfork_core.environment import Environment
 from millfork_core.logs import Component, logger
 from millfork_core.verdicts import Refused
-from millfork_state.commands import Apply, Change
+from millfork_state.commands import Apply, Change, new_command_id
 from millfork_state.leader_client import LeaderClient
 from millfork_state.view import View
 from millforkd.digest_records import KEPT_VERSIONS, record_keys
 
 CHECK_PERIOD_S: Final = 2.0
 PROPOSAL_TIMEOUT_S: Final = 0.9
-# Size of the random id of a command to the replicated state.
-ID_BITS: Final = 128
 
 log = logger(Component.CONTROL)
 
@@ -53,7 +51,7 @@
         old = self._old_keys()
         if not old:
             return
-        command_id = f'{self.env.random.getrandbits(ID_BITS):x}'
+        command_id = new_command_id(self.env.random)
         try:
             await self.leader_client.propose(
                 Apply(command_id, [Change(key) for key in old]), PROPOSAL_TIMEOUT_S
--- a/packages/millforkd/millforkd/replica/quarantine.py
+++ b/packages/millforkd/millforkd/replica/quarantine.py
@@ -22,7 +22,14 @@
 from millfork_registry.suspicion_store import SuspicionStore
 from millfork_registry.suspicions import Suspicion, decode_epoch, encode_epoch
 from millfork_scheduling.quarantine import is_at_fault_among
-from millfork_state.commands import AnyCommand, Apply, Change, Raise, decode_versioned
+from millfork_state.commands import (
+    AnyCommand,
+    Apply,
+    Change,
+    Raise,
+    decode_versioned,
+    new_command_id,
+)
 from millfork_state.keys import QUARANTINE_PREFIX, TRIAL_PREFIX, quarantine_key, trial_key
 from millfork_state.leader_client import LeaderClient
 from millfork_state.view import StoredValue, View
@@ -37,8 +44,6 @@
 # If the list is longer than this, its oldest requests are removed. At this length, with keys and
 # values of about ten bytes each, the list takes 0.1 MB of the replicated state.
 MAX_LISTED: Final = 1000
-# Size of the random id of a command to the replicated state.
-ID_BITS: Final = 128
 
 log = logger(Component.CONTROL)
 
@@ -117,7 +122,7 @@
         changes = [Change(quarantine_key(fingerprint))]
         if trial_key(fingerprint) in self.view.items:
             changes.append(Change(trial_key(fingerprint)))
-        if await self._propose(Apply(self._new_command_id(), changes)):
+        if await self._propose(Apply(new_command_id(self.env.random), changes)):
             log.notice('Request out of quarantine. fingerprint={} reason={}', fingerprint, reason)
 
     async def _remove_old(self) -> None:
@@ -138,10 +143,7 @@
         for key in self.view.values_with_prefix(TRIAL_PREFIX):
             fingerprint = Fingerprint(key.removeprefix(TRIAL_PREFIX))
             if quarantine_key(fingerprint) not in self.view.items:
-                await self._propose(Apply(self._new_command_id(), [Change(key)]))
-
-    def _new_command_id(self) -> str:
-        return f'{self.env.random.getrandbits(ID_BITS):x}'
+                await self._propose(Apply(new_command_id(self.env.random), [Change(key)]))
 
     async def _propose(self, command: AnyCommand) -> bool:
         try:
--- a/packages/millforkd/millforkd/sidecar/gathering.py
+++ b/packages/millforkd/millforkd/sidecar/gathering.py
@@ -10,25 +10,24 @@
 from typing import Final
 
 import curio
-import msgspec
 
 from millfork_core.environment import Environment
 from millfork_core.logs import Component, logger
 from millfork_registry.discovery import address_of
 from millfork_weights.links import Link
 from millfork_wire.connection import PeerError
-from millfork_wire.messages import CacheAddress, Chunk, GetChunk, GetManifest, Manifest
+from millfork_wire.messages import CacheAddress, Chunk, GetChunk, GetManifest
 from millfork_wire.peers import Peers
 from millforkd.sidecar.digest_checks import PieceSource
 from millforkd.sidecar.fleet import Fleet
 from millforkd.sidecar.origin import Origin
-from millforkd.sidecar.pieces import PieceSet, WeightsId, decode_digests
+from millforkd.sidecar.pieces import PieceSet, WeightsId
 from millforkd.sidecar.pushing import PiecePusher
 from millforkd.sidecar.recorded_digests import RecordedDigests
 from millforkd.sidecar.silent_peers import SilentPeers
 from millforkd.sidecar.sources import DIGESTS_INDEX, request_order
 from millforkd.sidecar.transfer_times import TransferTimes
-from millforkd.sidecar.verification import store_if_valid
+from millforkd.sidecar.verification import read_digests, store_if_valid
 
 # Concurrent requests of one daemon to peers: enough to keep the link busy, few enough that
 # pieces don't queue ahead of the engine's requests for more than some milliseconds.
@@ -351,10 +350,4 @@
             log.info('The digests of {} were not received from {}: {}.', weights, peer, error)
             self.silent.mark_silent(peer)
             return ()
-        if not isinstance(reply, Manifest) or not reply.found:
-            return ()
-        try:
-            return decode_digests(reply.body)
-        except msgspec.DecodeError as error:
-            log.warning('The digests of {} from {} could not be parsed: {}.', weights, peer, error)
-            return ()
+        return read_digests(reply, weights, peer)
--- a/packages/millforkd/millforkd/sidecar/verification.py
+++ b/packages/millforkd/millforkd/sidecar/verification.py
@@ -1,14 +1,17 @@
 """
-Verifies received pieces by their digests before they are stored.
+Verifies received pieces by their digests before they are stored, and reads lists of digests.
 
 """
 
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
 from millfork_core.environment import Environment
 from millfork_core.logs import Component, logger
+from millfork_wire.messages import Manifest, Message
 from millforkd.sidecar.digest_checks import PieceSource
-from millforkd.sidecar.pieces import PieceSet
+from millforkd.sidecar.pieces import PieceSet, WeightsId, decode_digests
 
 # Requests the list of digests from the sender of a piece; returns an empty list if none arrived.
 RequestDigests = Callable[[], Awaitable[tuple[str, ...]]]
@@ -16,6 +19,20 @@
 log = logger(Component.WEIGHTS)
 
 
+def read_digests(reply: Message | None, weights: WeightsId, sender: str) -> tuple[str, ...]:
+    """
+    The digests in the answer of a cache or peer; empty if there are none in it.
+
+    """
+    if not isinstance(reply, Manifest) or not reply.found:
+        return ()
+    try:
+        return decode_digests(reply.body)
+    except msgspec.DecodeError as error:
+        log.warning('The digests of {} from {} could not be parsed: {}.', weights, sender, error)
+        return ()
+
+
 async def store_if_valid(
     env: Environment,
     held: PieceSet,
