A planned stop answers each request on fleets with a list of instances

Seen by callers: at the end of routing.drain_ms an entry of such a fleet closed the connections of the requests in progress without an answer, those that may not be repeated among them.

Cause: the drain ended with the process, and nothing told the callers.

Change: at the end of the drain each attempt is cancelled at its endpoint, as at a deadline. The endpoint says whether the request has run: the caller gets 502 with may_have_run or 503 with not_run, a stream that has begun is broken off visibly. No new attempt starts. Requests of which only a part has arrived get 503.

The mutation "a planned stop waits for requests in progress" edits more text now, as one of its lines occurs twice in entry/daemon.py; it still fails its scenario.

Measured: the new test on real daemons (a request that runs, one that waits in the queue of its endpoint, one that is incomplete) gets a closed connection without the change, and 502, 503 and 503 with it.

--- a/packages/millfork-core/millfork_core/verdicts.py
+++ b/packages/millfork-core/millfork_core/verdicts.py
@@ -94,6 +94,9 @@
     Reason.VERSION_MISMATCH: 502,
 }
 DEFAULT_HTTP_STATUS: Final = 503
+# By reason: the statuses of requests that may have run, where they differ. Clients repeat requests
+# that were answered with 503.
+MAY_HAVE_RUN_HTTP_STATUS: Final[dict[Reason, int]] = {Reason.STOPPING: 502}
 
 # By reason: after how many milliseconds a caller may try again, if the component that refuses the
 # request gives no time. Reasons for which waiting doesn't help are missing.
@@ -148,7 +151,10 @@
 
     @property
     def http_status(self) -> int:
-        return HTTP_STATUS.get(self.reason, DEFAULT_HTTP_STATUS)
+        status = HTTP_STATUS.get(self.reason, DEFAULT_HTTP_STATUS)
+        if self.verdict is Verdict.MAY_HAVE_RUN:
+            return MAY_HAVE_RUN_HTTP_STATUS.get(self.reason, status)
+        return status
 
 
 class Refused(Exception):
--- a/packages/millforkd/millforkd/entry/attempts.py
+++ b/packages/millforkd/millforkd/entry/attempts.py
@@ -50,6 +50,7 @@
 # endpoint may pause for two seconds.
 MAX_RESERVE_WAIT_S: Final = 3.0
 MAX_BUFFERED_BYTES: Final = 16 * 1024 * 1024
+STOPPED_DETAIL: Final = 'this entry has stopped'
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,10 +136,17 @@
     """
 
 
+class EntryStopped(Message):
+    """
+    Queued as an event of an attempt that is in progress at the end of a planned stop.
+
+    """
+
+
 class Attempt:
     """
     One attempt of a call. `events` queues the endpoint's messages about the attempt, and
-    `ConnectionLost` if the connection closes.
+    `ConnectionLost` if the connection closes, or `EntryStopped` if this entry stops.
 
     """
 
@@ -157,8 +165,11 @@
         self.buffered_bytes = 0
         # Set once a part was dropped because MAX_BUFFERED_BYTES were waiting to be read.
         self.has_overflowed = False
+        # The task that waits for the reply to `Reserve`.
+        self.reserving: curio.Task | None = None
         self.started = False
         self.ended = False
+        self.ended_by_stop = False
         self.next_sequence = 0
         self.received_bytes = 0
         # The incarnation of the back end that was running the request when the entry cancelled
@@ -204,6 +215,7 @@
         )
         wait_s = min(max(timeout, MAX_RESERVE_WAIT_S), remaining_s)
         calling = await self.env.spawn(self._call_reserve, request, wait_s)
+        self.reserving = calling
         try:
             while not await _ends_within(calling, timeout):
                 if may_try_another():
@@ -214,6 +226,7 @@
             await self._cancel_without_reply()
             raise
         finally:
+            self.reserving = None
             await calling.cancel(blocking=False)
         if isinstance(reply, Refusal):
             return reply
@@ -224,6 +237,11 @@
     async def _call_reserve(self, request: Reserve, timeout: float) -> Reserved | Refusal:
         try:
             reply = await self.connection.call(request, timeout)
+        except curio.TaskCancelled:
+            if not self.ended_by_stop:
+                raise
+            await self._cancel_without_reply()
+            return Refusal(Reason.STOPPING, detail=STOPPED_DETAIL)
         except PeerTimedOut:
             await self._cancel_without_reply()
             return Refusal(Reason.TIMED_OUT, detail='the endpoint did not answer in time')
@@ -244,9 +262,12 @@
     async def start(self) -> Refusal | None:
         """
         Send `Start`, after which the request may have run, and return None. If the connection is
-        already lost, return a refusal with the verdict NOT_RUN.
+        already lost, or this entry has stopped, return a refusal with the verdict NOT_RUN.
 
         """
+        if self.ended_by_stop:
+            await self._cancel_without_reply()
+            return Refusal(Reason.STOPPING, detail=STOPPED_DETAIL)
         try:
             await self.connection.notify(Start(self.request_id))
         except PeerLost:
@@ -294,7 +315,9 @@
             async with curio.timeout_after(max(deadline - self.env.monotonic(), 0.001)):
                 message: Message = await self.events.get()
         except curio.TaskTimeout:
-            return await self._cancel_at_deadline()
+            return await self._cancel_for(Reason.TIMED_OUT, 'the deadline passed')
+        if isinstance(message, EntryStopped):
+            return await self._cancel_for(Reason.STOPPING, STOPPED_DETAIL)
         if isinstance(message, ConnectionLost):
             self.ended = True
             return self._connection_lost_refusal()
@@ -326,14 +349,24 @@
             reason, verdict, end.detail, request_id=self.request_id, incarnation=incarnation
         )
 
-    async def _cancel_at_deadline(self) -> Refusal:
+    async def _cancel_for(self, reason: Reason, detail: str) -> Refusal:
         """
-        Cancel the request, as its deadline passed, and return the refusal. The verdict is NOT_RUN
-        only if the endpoint confirms that the request did not run.
+        Cancel the request and return the refusal. The verdict is NOT_RUN only if the endpoint
+        confirms that the request did not run.
 
         """
         verdict = await self.cancel()
-        return Refusal(Reason.TIMED_OUT, verdict, 'the deadline passed')
+        return Refusal(reason, verdict, detail)
+
+    async def end_by_stop(self) -> None:
+        """
+        End the attempt with the reason STOPPING, because this entry stops.
+
+        """
+        self.ended_by_stop = True
+        if self.reserving is not None:
+            await self.reserving.cancel(blocking=False)
+        await self.events.put(EntryStopped())
 
     async def cancel(self) -> Verdict:
         """
--- a/packages/millforkd/millforkd/entry/daemon.py
+++ b/packages/millforkd/millforkd/entry/daemon.py
@@ -28,6 +28,7 @@
 from millfork_wire.connection import Connection
 from millfork_wire.messages import Message
 from millforkd.entry.access_control import AccessControl
+from millforkd.entry.attempts import CANCEL_TIMEOUT_S
 from millforkd.entry.caller_requests import CallerRequests
 from millforkd.entry.crash_tracking import CrashTracker
 from millforkd.entry.dispatcher import Dispatcher
@@ -43,6 +44,9 @@
 # Time that the load balancer gets to notice that this entry is no longer ready.
 BALANCER_GRACE_S: Final = 1.0
 DRAIN_POLL_INTERVAL_S: Final = 0.05
+# Time after the drain in which the requests that are still in progress get their final answers. An
+# endpoint has CANCEL_TIMEOUT_S to say whether it ran a request.
+LAST_ANSWERS_S: Final = CANCEL_TIMEOUT_S + 0.2
 EXPIRY_INTERVAL_S: Final = 0.5
 
 log = logger(Component.ENTRY)
@@ -164,7 +168,7 @@
         Prepare for a planned stop: report that this entry is not ready, give the load balancer
         BALANCER_GRACE_S to stop sending requests, then refuse new ones and wait up to
         `routing.drain_ms` for those in progress. Connections are accepted until none is in
-        progress.
+        progress. Requests that are in progress even then are refused.
 
         """
         self.server.closing = True
@@ -180,6 +184,18 @@
         except curio.TaskTimeout:
             self.env.metrics.count(self.env.metrics.requests, outcome='cut_off_by_deadline')
             log.warning('Drain deadline: {} requests are cut off.', self.in_progress)
+            await self._end_requests()
+
+    async def _end_requests(self) -> None:
+        """
+        Answer the requests that are still in progress; the answer tells whether they may have run.
+
+        """
+        await self.server.stop_accepting()
+        await self.dispatcher.end_all()
+        await self.server.refuse_unread()
+        async with curio.ignore_after(LAST_ANSWERS_S):
+            await self.server.wait_until_finished()
 
     def _is_ready(self) -> bool:
         return (
--- a/packages/millforkd/millforkd/entry/dispatcher.py
+++ b/packages/millforkd/millforkd/entry/dispatcher.py
@@ -58,6 +58,8 @@
         self.attempts: dict[str, Attempt] = {}
         self.attempt_numbers = itertools.count(1)
         self.id_prefix = f'{env.random.getrandbits(48):012x}'
+        # Whether the planned stop of this entry is over, so that no attempt may start.
+        self.has_stopped = False
 
     async def on_event(self, connection: Connection, message: Head | Part | End) -> None:
         """
@@ -76,6 +78,16 @@
             if attempt.connection is connection:
                 await attempt.enqueue(ConnectionLost())
 
+    async def end_all(self) -> None:
+        """
+        End all attempts, because the process stops. Each caller whose answer hasn't begun is told
+        whether the request may have run.
+
+        """
+        self.has_stopped = True
+        for attempt in list(self.attempts.values()):
+            await attempt.end_by_stop()
+
     async def run(self, call: Call, delivery: Delivery) -> Refusal | None:
         """
         Run a call. Return None if the call is answered: the answer was streamed to the caller, or
@@ -176,6 +188,7 @@
             return Refusal(Reason.UNREACHABLE, detail='the endpoint is no longer connected')
         request_id = RequestId(f'{self.env.instance}-{self.id_prefix}-{next(self.attempt_numbers)}')
         attempt = Attempt(self.env, request_id, backend, connection)
+        attempt.ended_by_stop = self.has_stopped
         self.attempts[request_id] = attempt
         backend.own_requests += 1
         sent_at = self.env.monotonic()
--- a/tests/mutations_listed.py
+++ b/tests/mutations_listed.py
@@ -165,7 +165,12 @@
         scenario('planned_stops'),
         (
             Edit(D + 'entry/daemon.py', 'while self.server.active:', 'while False:'),
-            Edit(D + 'entry/daemon.py', 'await self.server.wait_until_finished()', 'pass'),
+            Edit(
+                D + 'entry/daemon.py',
+                'await self.server.stop_accepting()\n                '
+                'await self.server.wait_until_finished()',
+                'pass',
+            ),
             Edit(D + 'endpoint/backend_gateway.py', 'while self.reservations:', 'while False:'),
         ),
     ),
@@ -370,4 +375,9 @@
             ),
         ),
     ),
+    Mutation(
+        'requests in progress at the end of a planned stop are answered on listed fleets',
+        'tests/test_stops.py::test_the_requests_at_the_end_of_a_planned_stop_are_answered',
+        (Edit(D + 'entry/daemon.py', 'await self._end_requests()', 'pass'),),
+    ),
 )
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -1,6 +1,7 @@
 """
-Planned stops of an entry: requests that have arrived are answered. The drain deadline or a second
-signal cuts off the requests that are still in progress, and the log says which of the two did.
+Planned stops of an entry: requests that have arrived are answered, at the latest by a refusal at
+the drain deadline. A second signal cuts off the requests that are still in progress. The log says
+which of the two ended the drain.
 
 """
 
@@ -8,6 +9,7 @@
 import socket
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 
 import pytest
@@ -35,8 +37,14 @@
 
 @pytest.fixture
 def fleet(tmp_path):
+    """
+    A fleet whose back ends run one request at a time.
+
+    """
     shape = LANTING
-    options = FleetOptions(service={'answer_ms': ANSWER_MS}, routing={'drain_ms': 1500})
+    options = FleetOptions(
+        service={'answer_ms': ANSWER_MS}, routing={'drain_ms': 1500}, backend={'slots': 1}
+    )
     new_fleet = Fleet(shape, tmp_path, options)
     new_fleet.start()
     new_fleet.apply(new_fleet.organisations_declaration())
@@ -44,9 +52,10 @@
     new_fleet.close()
 
 
-def start_long_request(fleet, entry):
+def start_long_request(fleet, entry, method='GET'):
     """
-    Start a request that takes longer than the drain, and return once its back end runs it.
+    Start a request that takes longer than the drain. Return once its back end runs it; the list
+    that is returned gets its answer.
 
     """
     token = fleet.caller_tokens[fleet.shape.organisations[0]]
@@ -57,11 +66,11 @@
 
     def send_until_accepted():
         try:
-            answer = call_service(fleet, token, 'GET', 'billing-misc/x', position)
+            answer = call_service(fleet, token, method, 'billing-misc/x', position)
             while answer.headers.get('millfork-reason') == 'no_endpoint':
                 # The endpoint daemon has just started; the entry isn't connected to it yet.
                 time.sleep(RETRY_INTERVAL_S)
-                answer = call_service(fleet, token, 'GET', 'billing-misc/x', position)
+                answer = call_service(fleet, token, method, 'billing-misc/x', position)
             answers.append(answer)
         except OSError as error:
             answers.append(error)
@@ -70,6 +79,7 @@
     log = fleet.execution_log_path('billing-misc-1')
     wait_until(lambda: answers or (log.exists() and 'begin' in log.read_text()))
     assert not answers, (answers, fleet.read_log_tail(entry.name))
+    return answers
 
 
 @pytest.mark.parametrize(
@@ -88,6 +98,35 @@
     assert expected_line in fleet.read_log_tail(entry.name)
 
 
+def test_the_requests_at_the_end_of_a_planned_stop_are_answered(fleet):
+    """
+    Guards against callers whose connection is closed without a word: one whose request runs, one
+    whose request waits for the same back end, and one of whose request only a part has arrived.
+
+    """
+    entry = fleet.entries[0]
+    running = start_long_request(fleet, entry, 'POST')
+    token = fleet.caller_tokens[fleet.shape.organisations[0]]
+    process = fleet.processes.pop(entry.name)
+    with (
+        ThreadPoolExecutor() as pool,
+        socket.create_connection((entry.host, CALLERS_PORT), TIMEOUT_S) as unread,
+    ):
+        waiting = pool.submit(call_service, fleet, token, 'POST', 'billing-misc/x')
+        unread.sendall(REQUEST[:20])
+        process.terminate()
+        unread_reply = unread.recv(1000)
+        waiting_answer = waiting.result()
+    assert process.wait(TIMEOUT_S) == ExitStatus.SUCCESS
+    wait_until(lambda: running)
+    found = [
+        (answer.status, answer.headers['millfork-reason'], answer.headers['millfork-verdict'])
+        for answer in (running[0], waiting_answer)
+    ]
+    assert found == [(502, 'stopping', 'may_have_run'), (503, 'stopping', 'not_run')]
+    assert unread_reply.startswith(b'HTTP/1.1 503 ')
+
+
 @pytest.mark.parametrize('sent_before', [0, 20])
 def test_a_request_that_arrives_as_the_drain_ends_is_answered(fleet, sent_before):
     entry = fleet.entries[0]
