Simplifications after reading the whole change once more

- PieceSet.set_digests ignores an empty list and says so; five callers checked for that on their own.
- The rule by which leave notices and the quarantine list lose their oldest keys stands once, in replica/key_removal.py.
A leave notice is now removed at its maximum age, not 1 ms after it.
- Both kinds of entries end a planned stop with Server.finish_within.
The server no longer keeps a second collection of the requests that it refuses unread: they are the ones that it has taken off the first.
- DigestRecorder counts the pieces once per check, not once for each version.

Behaviour is otherwise unchanged.

--- a/packages/millfork-web/millfork_web/server.py
+++ b/packages/millfork-web/millfork_web/server.py
@@ -96,10 +96,8 @@
         self.idle_sockets: dict[Any, None] = {}
         # Those of them that have not had any request yet.
         self.new_sockets: set[Any] = set()
-        # The tasks that read the rest of a request, by socket.
+        # The tasks that read the rest of a request, by socket, unless it is to be refused.
         self.reading: dict[Any, curio.Task] = {}
-        # Sockets whose requests are refused, as this server stops before it has read them.
-        self.refused_unread: set[Any] = set()
 
     async def run(self) -> None:
         """
@@ -176,14 +174,17 @@
             if elapsed_s() > deadline:
                 await self._close_idle(len(self.idle_sockets))
 
-    async def refuse_unread(self) -> None:
+    async def finish_within(self, timeout_s: float) -> None:
         """
-        Refuse the requests of which only a part has arrived.
+        After `stop_accepting`, refuse the requests of which only a part has arrived, and wait up to
+        `timeout_s` seconds until all others are answered.
 
         """
-        for sock, task in list(self.reading.items()):
-            self.refused_unread.add(sock)
+        while self.reading:
+            _, task = self.reading.popitem()
             await task.cancel(blocking=False)
+        async with curio.ignore_after(timeout_s):
+            await self.wait_until_finished()
 
     @property
     def in_progress(self) -> int:
@@ -254,7 +255,6 @@
             raise
         finally:
             self._forget_idle(sock)
-            self.refused_unread.discard(sock)
             await sock.close()
 
     def _log_unanswered(self, address: Any, reason: str) -> None:
@@ -265,7 +265,7 @@
         try:
             request = await self._read_request(sock, conn)
         except curio.TaskCancelled:
-            if sock not in self.refused_unread:
+            if sock in self.reading:
                 raise
             refusal = Refusal(Reason.STOPPING, detail='the rest of the request came too late')
             await self._refuse(sock, conn, address, refusal)
@@ -288,7 +288,7 @@
             await self._refuse(sock, conn, address, Refusal(Reason.BODY_MEMORY, detail=detail))
             return False
         finally:
-            del self.reading[sock]
+            self.reading.pop(sock, None)
         if request is None:
             return False
         try:
--- a/packages/millforkd/millforkd/entry/daemon.py
+++ b/packages/millforkd/millforkd/entry/daemon.py
@@ -193,9 +193,7 @@
         """
         await self.server.stop_accepting()
         await self.dispatcher.end_all()
-        await self.server.refuse_unread()
-        async with curio.ignore_after(LAST_ANSWERS_S):
-            await self.server.wait_until_finished()
+        await self.server.finish_within(LAST_ANSWERS_S)
 
     def _is_ready(self) -> bool:
         return (
--- a/packages/millforkd/millforkd/proxy/cache.py
+++ b/packages/millforkd/millforkd/proxy/cache.py
@@ -241,8 +241,7 @@
         link in the first 2.5 s.
 
         """
-        if recorded := self.recorded.find_all(held.weights):
-            await held.set_digests(recorded)
+        if await held.set_digests(self.recorded.find_all(held.weights)):
             return
         if from_origin or not await self._fetch_from_cache(held, DIGESTS_INDEX):
             await self.origin.fetch_digests(held)
@@ -346,11 +345,7 @@
             return await store_if_valid(
                 self.env, held, index, reply.data, PieceSource.CACHE, fetcher, request_digests
             )
-        digests = read_digests(reply, held.weights, fetcher)
-        if not digests:
-            return False
-        await held.set_digests(digests)
-        return True
+        return await held.set_digests(read_digests(reply, held.weights, fetcher))
 
     def _fetcher_of(self, weights: WeightsId, index: int) -> str:
         """
--- a/packages/millforkd/millforkd/proxy/daemon.py
+++ b/packages/millforkd/millforkd/proxy/daemon.py
@@ -275,9 +275,7 @@
 
         """
         await self.forwarding.end_all()
-        await self.server.refuse_unread()
-        async with curio.ignore_after(LAST_ANSWERS_S):
-            await self.server.wait_until_finished()
+        await self.server.finish_within(LAST_ANSWERS_S)
 
     async def _apply_changes(self) -> None:
         """
--- a/packages/millforkd/millforkd/replica/departures.py
+++ b/packages/millforkd/millforkd/replica/departures.py
@@ -20,7 +20,7 @@
 from millfork_state.keys import DEPARTURE_PREFIX, departure_key
 from millfork_state.leader_client import LeaderClient
 from millfork_state.view import View
-from millforkd.replica.key_removal import remove_keys
+from millforkd.replica.key_removal import old_keys, remove_keys
 
 # Timeout of one call to the leader. A back end asks another replica after one second.
 PROPOSAL_TIMEOUT_S: Final = 0.6
@@ -124,12 +124,5 @@
             key: msgspec.msgpack.decode(notice.body, type=Notice).at_ms
             for key, notice in self.applied.items()
         }
-        oldest_first = sorted(at_ms, key=lambda key: at_ms[key])
-        excess = max(len(oldest_first) - MAX_NOTICES, 0)
-        oldest_kept_ms = self.now_ms() - RETENTION_MS
-        old = [
-            key
-            for number, key in enumerate(oldest_first)
-            if number < excess or at_ms[key] < oldest_kept_ms
-        ]
+        old = old_keys(at_ms, self.now_ms(), RETENTION_MS, MAX_NOTICES)
         await remove_keys(self.leader_client, self.env.random, old, 'old leave notices')
--- a/packages/millforkd/millforkd/replica/key_removal.py
+++ b/packages/millforkd/millforkd/replica/key_removal.py
@@ -1,9 +1,9 @@
 """
-Removes keys from the replicated state that are no longer needed.
+Chooses and removes keys of the replicated state that are no longer needed.
 
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from random import Random
 from typing import Final
 
@@ -17,6 +17,23 @@
 log = logger(Component.CONTROL)
 
 
+def old_keys(
+    times_ms: Mapping[str, int], now_ms: int, max_age_ms: int, max_count: int
+) -> list[str]:
+    """
+    The keys that are `max_age_ms` old or older, and the oldest beyond `max_count`; oldest first.
+    `times_ms` has the time of each key, in ms since 1970.
+
+    """
+    oldest_first = sorted(times_ms, key=lambda key: times_ms[key])
+    excess = len(oldest_first) - max_count
+    return [
+        key
+        for number, key in enumerate(oldest_first)
+        if number < excess or now_ms - times_ms[key] >= max_age_ms
+    ]
+
+
 async def remove_keys(
     leader_client: LeaderClient, random: Random, keys: Collection[str], description: str
 ) -> None:
--- a/packages/millforkd/millforkd/replica/quarantine.py
+++ b/packages/millforkd/millforkd/replica/quarantine.py
@@ -33,6 +33,7 @@
 from millfork_state.keys import QUARANTINE_PREFIX, TRIAL_PREFIX, quarantine_key, trial_key
 from millfork_state.leader_client import LeaderClient
 from millfork_state.view import StoredValue, View
+from millforkd.replica.key_removal import old_keys
 
 # How often the leader compares the list with the suspicions.
 RECONCILE_PERIOD_S: Final = 0.25
@@ -128,11 +129,7 @@
     async def _remove_old(self) -> None:
         held = self.view.values_with_prefix(QUARANTINE_PREFIX)
         listed_at_ms = {key: decode_versioned(value).version for key, value in held.items()}
-        oldest_first = sorted(listed_at_ms, key=lambda key: listed_at_ms[key])
-        excess = len(listed_at_ms) - MAX_LISTED
-        for number, key in enumerate(oldest_first):
-            if number >= excess and self.now_ms() - listed_at_ms[key] < LISTED_MAX_AGE_MS:
-                return
+        for key in old_keys(listed_at_ms, self.now_ms(), LISTED_MAX_AGE_MS, MAX_LISTED):
             await self._remove(Fingerprint(key.removeprefix(QUARANTINE_PREFIX)), 'old')
 
     async def _remove_orphaned_trials(self) -> None:
--- a/packages/millforkd/millforkd/sidecar/gathering.py
+++ b/packages/millforkd/millforkd/sidecar/gathering.py
@@ -308,10 +308,7 @@
         peers or the origin. False if `held` has no digests afterwards.
 
         """
-        if held.digests:
-            return True
-        if recorded := self.recorded.find_all(held.weights):
-            await held.set_digests(recorded)
+        if held.digests or await held.set_digests(self.recorded.find_all(held.weights)):
             return True
         caches = request_order(self.near_caches(), held.weights, DIGESTS_INDEX)
         if caches and self.failed_digest_requests < MAX_FAILED_DIGEST_REQUESTS:
@@ -321,11 +318,9 @@
         return await self._obtain_digests_without_caches(held)
 
     async def _fetch_digests_from_peer(self, held: PieceSet, peer: str) -> bool:
-        digests = await self._request_digests(peer, held.weights)
-        if not digests:
+        if not await held.set_digests(await self._request_digests(peer, held.weights)):
             return False
         self.failed_digest_requests = 0
-        await held.set_digests(digests)
         return True
 
     async def _obtain_digests_without_caches(self, held: PieceSet) -> bool:
--- a/packages/millforkd/millforkd/sidecar/origin.py
+++ b/packages/millforkd/millforkd/sidecar/origin.py
@@ -115,11 +115,7 @@
         Fetch the digests of all pieces into `held`; False if no valid list was received.
 
         """
-        digests = await self._request_digests(held.weights)
-        if not digests:
-            return False
-        await held.set_digests(digests)
-        return True
+        return await held.set_digests(await self._request_digests(held.weights))
 
     async def _request_digests(self, weights: WeightsId) -> tuple[str, ...]:
         """
--- a/packages/millforkd/millforkd/sidecar/pieces.py
+++ b/packages/millforkd/millforkd/sidecar/pieces.py
@@ -110,16 +110,20 @@
             first = index + 1
         return best
 
-    async def set_digests(self, digests: tuple[str, ...]) -> None:
+    async def set_digests(self, digests: tuple[str, ...]) -> bool:
         """
-        Set the digests, and store the pieces that arrived before them if they match.
+        Set the digests, and store the pieces that arrived before them if they match. An empty list
+        is ignored (False).
 
         """
+        if not digests:
+            return False
         self.digests = digests
         unchecked, self.unchecked = self.unchecked, {}
         for index, data in unchecked.items():
             await self.put(index, data)
         await self.notify_waiters()
+        return True
 
     async def put(self, index: int, data: bytes) -> bool:
         """
--- a/packages/millforkd/millforkd/sidecar/recorded_digests.py
+++ b/packages/millforkd/millforkd/sidecar/recorded_digests.py
@@ -97,21 +97,13 @@
         """
         while True:
             await curio.sleep(CHECK_PERIOD_S * (0.5 + self.env.random.random()))
+            earlier = self.counts
+            self.counts = {held.weights: len(held.pieces) for held in self.store.sets.values()}
             for held in list(self.store.sets.values()):
-                if self._has_settled(held):
+                # While pieces arrive, each of them would cost a command.
+                if held.whole or len(held.pieces) == earlier.get(held.weights, 0):
                     await self.record(held)
 
-    def _has_settled(self, held: PieceSet) -> bool:
-        """
-        Whether the version is whole, or no piece of it has arrived since the last check.
-
-        """
-        count = len(held.pieces)
-        earlier = self.counts.get(held.weights, 0)
-        self.counts = {weights: self.counts.get(weights, 0) for weights in self.store.sets}
-        self.counts[held.weights] = count
-        return held.whole or count == earlier
-
     async def record(self, held: PieceSet) -> None:
         """
         Add the digests of the held pieces to those that are recorded. Recorded ones are kept. Two
